--- /dev/null
+++ b/internal/chart/chart.go
@@ -0,0 +1,158 @@
+// Package chart interprets state charts that are kept in TOML files.
+//
+// A chart names its states, the events that lead from one state to another and
+// the actions to take on the way. The code that owns the chart maps action
+// names to functions; the chart decides which of them run.
+package chart
+
+import (
+	"io/fs"
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// State is the name of a state in a chart.
+type State string
+
+// Event is the name of an event in a chart.
+type Event string
+
+// Action is the name of an action in a chart.
+type Action string
+
+// Transition leads from one state to another on an event.
+type Transition struct {
+	From    State    `toml:"from"`
+	On      Event    `toml:"on"`
+	To      State    `toml:"to"`
+	Actions []Action `toml:"actions"`
+}
+
+// document is the content of a chart file.
+type document struct {
+	Name        string       `toml:"name"`
+	Initial     State        `toml:"initial"`
+	States      []State      `toml:"states"`
+	Actions     []Action     `toml:"actions"`
+	Transitions []Transition `toml:"transition"`
+}
+
+// edge identifies a transition.
+type edge struct {
+	from State
+	on   Event
+}
+
+// Chart is a checked state chart. It is immutable and safe for concurrent use.
+type Chart struct {
+	doc   document
+	edges map[edge]Transition
+}
+
+// Parse reads a chart from TOML and checks it. It refuses unknown keys, a
+// state that cannot be reached, an action that is not declared, and two
+// transitions from one state on one event.
+func Parse(data []byte) (*Chart, error) {
+	var doc document
+	dec := toml.NewDecoder(newReader(data)).DisallowUnknownFields()
+	if err := dec.Decode(&doc); err != nil {
+		return nil, errors.Annotate(err, "decode chart")
+	}
+	c := &Chart{doc: doc, edges: make(map[edge]Transition, len(doc.Transitions))}
+	if err := c.check(); err != nil {
+		return nil, errors.Annotatef(err, "chart %q", doc.Name)
+	}
+	return c, nil
+}
+
+// Load reads and checks the chart file at path in fsys.
+func Load(fsys fs.FS, path string) (*Chart, error) {
+	data, err := fs.ReadFile(fsys, path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read chart")
+	}
+	return Parse(data)
+}
+
+// Name returns the name of the chart.
+func (c *Chart) Name() string { return c.doc.Name }
+
+// Initial returns the initial state.
+func (c *Chart) Initial() State { return c.doc.Initial }
+
+// States returns the states in file order.
+func (c *Chart) States() []State { return slices.Clone(c.doc.States) }
+
+// Actions returns the declared actions in file order.
+func (c *Chart) Actions() []Action { return slices.Clone(c.doc.Actions) }
+
+// Transitions returns the transitions in file order.
+func (c *Chart) Transitions() []Transition { return slices.Clone(c.doc.Transitions) }
+
+// Next returns the state and actions that follow event on in state from. It
+// reports false, and the unchanged state, when the chart has no such transition.
+func (c *Chart) Next(from State, on Event) (State, []Action, bool) {
+	t, ok := c.edges[edge{from, on}]
+	if !ok {
+		return from, nil, false
+	}
+	return t.To, t.Actions, true
+}
+
+func (c *Chart) check() error {
+	if !slices.Contains(c.doc.States, c.doc.Initial) {
+		return errors.NotValidf("initial state %q", c.doc.Initial)
+	}
+	for _, t := range c.doc.Transitions {
+		if err := c.addTransition(t); err != nil {
+			return err
+		}
+	}
+	if s, ok := c.unreachable(); ok {
+		return errors.NotValidf("unreachable state %q", s)
+	}
+	return nil
+}
+
+func (c *Chart) addTransition(t Transition) error {
+	for _, s := range []State{t.From, t.To} {
+		if !slices.Contains(c.doc.States, s) {
+			return errors.NotValidf("undeclared state %q", s)
+		}
+	}
+	for _, a := range t.Actions {
+		if !slices.Contains(c.doc.Actions, a) {
+			return errors.NotValidf("undeclared action %q", a)
+		}
+	}
+	key := edge{t.From, t.On}
+	if _, dup := c.edges[key]; dup {
+		return errors.NotValidf("second transition from %q on %q", t.From, t.On)
+	}
+	c.edges[key] = t
+	return nil
+}
+
+// unreachable returns a state that no path from the initial state leads to.
+func (c *Chart) unreachable() (State, bool) {
+	seen := map[State]bool{c.doc.Initial: true}
+	queue := []State{c.doc.Initial}
+	for len(queue) > 0 {
+		s := queue[0]
+		queue = queue[1:]
+		for _, t := range c.doc.Transitions {
+			if t.From == s && !seen[t.To] {
+				seen[t.To] = true
+				queue = append(queue, t.To)
+			}
+		}
+	}
+	for _, s := range c.doc.States {
+		if !seen[s] {
+			return s, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/chart/print.go
@@ -0,0 +1,40 @@
+package chart
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// newReader returns a reader over data.
+func newReader(data []byte) io.Reader { return bytes.NewReader(data) }
+
+// Text returns the chart as a table, one transition a line.
+func (c *Chart) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s (initial: %s)\n", c.doc.Name, c.doc.Initial)
+	for _, t := range c.doc.Transitions {
+		fmt.Fprintf(&b, "  %-12s --%s--> %-12s %s\n", t.From, t.On, t.To, joinActions(t.Actions))
+	}
+	return b.String()
+}
+
+// Dot returns the chart as a Graphviz diagram.
+func (c *Chart) Dot() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "digraph %q {\n", c.doc.Name)
+	for _, t := range c.doc.Transitions {
+		fmt.Fprintf(&b, "  %q -> %q [label=%q];\n", t.From, t.To, t.On)
+	}
+	b.WriteString("}\n")
+	return b.String()
+}
+
+func joinActions(actions []Action) string {
+	names := make([]string, len(actions))
+	for i, a := range actions {
+		names[i] = string(a)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,44 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// The catalogue. 1xx: process, 2xx: control, 3xx: entry and dispatch,
+// 4xx: calls and claims, 5xx: access.
+var (
+	Started        = Event{100, "started", zerolog.InfoLevel, "process started", ""}
+	Stopping       = Event{101, "stopping", zerolog.InfoLevel, "planned stop begun", ""}
+	Stopped        = Event{102, "stopped", zerolog.InfoLevel, "process stopped", ""}
+	StoppedHard    = Event{103, "stopped_hard", zerolog.WarnLevel, "second signal: stopped at once", "check the listed calls"}
+	ListenFailed   = Event{104, "listen_failed", zerolog.ErrorLevel, "cannot listen", "check the address settings"}
+	BecameLeader   = Event{200, "became_leader", zerolog.InfoLevel, "this replica leads", ""}
+	LostLeadership = Event{201, "lost_leadership", zerolog.WarnLevel, "this replica no longer leads", ""}
+	DiskFault      = Event{202, "disk_fault", zerolog.ErrorLevel, "the disk failed; the replica acknowledges nothing", "replace the VM under a new replica id"}
+	LogCorrupt     = Event{203, "log_corrupt", zerolog.ErrorLevel, "the log is damaged in the middle; refusing to start", "replace the VM under a new replica id"}
+	TornTailCut    = Event{204, "torn_tail_cut", zerolog.WarnLevel, "an incomplete record at the end of the log was cut", ""}
+	ChangeApplied  = Event{210, "change_applied", zerolog.InfoLevel, "an operator's change was applied", ""}
+	CellAssigned   = Event{211, "cell_assigned", zerolog.InfoLevel, "a cell was assigned", ""}
+	MemberCaughtUp = Event{212, "member_caught_up", zerolog.InfoLevel, "a learner has caught up and counts towards quorum", ""}
+	ConfigAdopted  = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
+	LeaseLost      = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration cannot be confirmed; refusing new work", "check the network to control VMs and other entry VMs"}
+	LeaseRegained  = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration is confirmed again", ""}
+	CellTaken      = Event{303, "cell_taken", zerolog.InfoLevel, "this entry VM dispatches the cell", ""}
+	CellGiven      = Event{304, "cell_given", zerolog.InfoLevel, "this entry VM no longer dispatches the cell", ""}
+	UpstreamState  = Event{310, "upstream_state", zerolog.InfoLevel, "an upstream changed its state", ""}
+	CallPanic      = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed by a defect in this program", "report the stack"}
+	RequestSuspect = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
+	RequestHeldOff = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined", "examine the request; release it with the admin command"}
+	WrongKey       = Event{500, "wrong_key", zerolog.WarnLevel, "a request carried a wrong key", "check who sends it"}
+	KeysReloaded   = Event{501, "keys_reloaded", zerolog.InfoLevel, "the key files were read again", ""}
+)
+
+// Catalogue returns all events in order of number.
+func Catalogue() []Event {
+	return []Event{
+		Started, Stopping, Stopped, StoppedHard, ListenFailed,
+		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut,
+		ChangeApplied, CellAssigned, MemberCaughtUp,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, UpstreamState,
+		CallPanic, RequestSuspect, RequestHeldOff,
+		WrongKey, KeysReloaded,
+	}
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,134 @@
+// Package fault holds the closed list of error kinds and the one table that
+// maps a kind to its answer.
+package fault
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+)
+
+// Kind identifies an error towards callers, operators and other processes.
+type Kind string
+
+// The closed list of kinds.
+const (
+	BadRequest        Kind = "bad_request"
+	NotFound          Kind = "not_found"
+	UnknownService    Kind = "unknown_service"
+	TooLarge          Kind = "too_large"
+	UpgradeRefused    Kind = "upgrade_refused"
+	Unauthorized      Kind = "unauthorized"
+	Conflict          Kind = "conflict"
+	StaleRevision     Kind = "stale_revision"
+	InvalidChange     Kind = "invalid_change"
+	ChangeExpired     Kind = "change_expired"
+	NotLeader         Kind = "not_leader"
+	NoQuorum          Kind = "no_quorum"
+	NotFresh          Kind = "not_fresh"
+	ZoneOut           Kind = "zone_out"
+	NoUpstream        Kind = "no_upstream"
+	NoDispatcher      Kind = "no_dispatcher"
+	QueueFull         Kind = "queue_full"
+	DeadlineTooShort  Kind = "deadline_too_short"
+	Overloaded        Kind = "overloaded"
+	Leaving           Kind = "leaving"
+	Shed              Kind = "shed"
+	KeyRequired       Kind = "key_required"
+	KeyConflict       Kind = "key_conflict"
+	StillRunning      Kind = "still_running"
+	AlreadyRan        Kind = "already_ran"
+	ClaimsFull        Kind = "claims_full"
+	ClaimsUnavailable Kind = "claims_unavailable"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	UpstreamBroken    Kind = "upstream_broken"
+	UpstreamTimeout   Kind = "upstream_timeout"
+	Quarantined       Kind = "quarantined"
+	CallerGone        Kind = "caller_gone"
+	DiskFailed        Kind = "disk_failed"
+	Settings          Kind = "settings"
+	Internal          Kind = "internal"
+)
+
+// RunClaim says whether a refused request ran at an upstream.
+type RunClaim string
+
+// The run claims. NotRun is given only when no byte of the request can have
+// been acted on by an upstream.
+const (
+	NotRun  RunClaim = "not run"
+	Ran     RunClaim = "ran"
+	Unknown RunClaim = "unknown"
+)
+
+// Answer is what a kind leads to.
+type Answer struct {
+	// Status is the HTTP status code towards callers.
+	Status int
+	// Code is the Twirp error code towards operators and other processes.
+	Code twirp.ErrorCode
+	// Run says whether the request ran.
+	Run RunClaim
+	// RetryAfter is the default time after which a new attempt makes sense;
+	// zero means that a new attempt will get the same answer.
+	RetryAfter time.Duration
+	// Exit is the exit code of the command line.
+	Exit int
+	// Text explains the kind in one line.
+	Text string
+}
+
+// Error is an error of a known kind.
+type Error struct {
+	Kind Kind
+	// Detail adds what is particular to this occurrence.
+	Detail string
+	// RetryAfter overrides the default of the kind when it is not zero.
+	RetryAfter time.Duration
+}
+
+// New returns an error of kind k with a formatted detail.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns an error of kind k that tells when to come back.
+func After(k Kind, retryAfter time.Duration, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...), RetryAfter: retryAfter}
+}
+
+// Error returns the kind and the detail.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return string(e.Kind)
+	}
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// Answer returns the answer for the error, with its own RetryAfter if set.
+func (e *Error) Answer() Answer {
+	a := Lookup(e.Kind)
+	if e.RetryAfter > 0 {
+		a.RetryAfter = e.RetryAfter
+	}
+	return a
+}
+
+// Of returns err as an *Error; an error of no known kind becomes Internal.
+func Of(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: Internal, Detail: err.Error()}
+}
+
+// KindOf returns the kind of err, or "" for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return Of(err).Kind
+}
--- /dev/null
+++ b/internal/fault/table.go
@@ -0,0 +1,85 @@
+package fault
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitInternal    = 1
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitUnavailable = 4
+	ExitConflict    = 5
+	ExitSettings    = 6
+)
+
+// Default times to come back.
+const (
+	retrySoon   = 100 * time.Millisecond
+	retryShort  = 500 * time.Millisecond
+	retryMedium = 2 * time.Second
+	retryLong   = 30 * time.Second
+)
+
+// table is the one mapping from kind to answer.
+var table = map[Kind]Answer{
+	BadRequest:        {http.StatusBadRequest, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the request is malformed"},
+	NotFound:          {http.StatusNotFound, twirp.NotFound, NotRun, 0, ExitRefused, "the named object does not exist"},
+	UnknownService:    {http.StatusNotFound, twirp.NotFound, NotRun, 0, ExitRefused, "no service has this path prefix"},
+	TooLarge:          {http.StatusRequestEntityTooLarge, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the request exceeds a size limit"},
+	UpgradeRefused:    {http.StatusNotImplemented, twirp.Unimplemented, NotRun, 0, ExitRefused, "protocol upgrades are not supported"},
+	Unauthorized:      {http.StatusUnauthorized, twirp.Unauthenticated, NotRun, 0, ExitRefused, "the key is missing or wrong"},
+	Conflict:          {http.StatusConflict, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the change id was used for another change"},
+	StaleRevision:     {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "the expected revision is not the current one"},
+	InvalidChange:     {http.StatusUnprocessableEntity, twirp.InvalidArgument, NotRun, 0, ExitRefused, "the change is not valid in this configuration"},
+	ChangeExpired:     {http.StatusGone, twirp.OutOfRange, Unknown, 0, ExitConflict, "the change id is older than the retained ids"},
+	NotLeader:         {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "this control VM does not lead"},
+	NoQuorum:          {http.StatusServiceUnavailable, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "the control group has no quorum"},
+	NotFresh:          {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "this entry VM cannot confirm its configuration"},
+	ZoneOut:           {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "every availability zone of the service is out"},
+	NoUpstream:        {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "no upstream of the service takes new work"},
+	NoDispatcher:      {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "no dispatcher of the service answers"},
+	QueueFull:         {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the queue of the cell is full"},
+	DeadlineTooShort:  {http.StatusServiceUnavailable, twirp.DeadlineExceeded, NotRun, retryShort, ExitUnavailable, "no slot is expected before the deadline"},
+	Overloaded:        {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "this entry VM has reached its own limit"},
+	Leaving:           {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retrySoon, ExitUnavailable, "this entry VM is stopping; ask another one"},
+	Shed:              {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the upstream refused the request before running it"},
+	KeyRequired:       {http.StatusBadRequest, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the rule requires an Idempotency-Key"},
+	KeyConflict:       {http.StatusUnprocessableEntity, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the Idempotency-Key was used for another request"},
+	StillRunning:      {http.StatusConflict, twirp.Aborted, Ran, retryShort, ExitUnavailable, "the first request with this key is still running"},
+	AlreadyRan:        {http.StatusConflict, twirp.AlreadyExists, Ran, 0, ExitConflict, "the request ran; its answer was not kept"},
+	ClaimsFull:        {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryLong, ExitUnavailable, "no room for another claim"},
+	ClaimsUnavailable: {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "the claim group cannot decide"},
+	OutcomeUnknown:    {http.StatusBadGateway, twirp.DataLoss, Unknown, retryLong, ExitUnavailable, "the request may have run"},
+	UpstreamBroken:    {http.StatusBadGateway, twirp.Unavailable, Unknown, retryShort, ExitUnavailable, "the connection to the upstream broke"},
+	UpstreamTimeout:   {http.StatusGatewayTimeout, twirp.DeadlineExceeded, Unknown, retryShort, ExitUnavailable, "the upstream did not answer in time"},
+	Quarantined:       {http.StatusServiceUnavailable, twirp.FailedPrecondition, Unknown, retryLong, ExitRefused, "the request broke several upstreams and is held off"},
+	CallerGone:        {499, twirp.Canceled, Unknown, 0, ExitUnavailable, "the caller closed the connection"},
+	DiskFailed:        {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryLong, ExitUnavailable, "the disk of this control VM failed"},
+	Settings:          {http.StatusInternalServerError, twirp.FailedPrecondition, NotRun, 0, ExitSettings, "the settings file is not valid"},
+	Internal:          {http.StatusInternalServerError, twirp.Internal, Unknown, 0, ExitInternal, "a defect in this program"},
+}
+
+// Lookup returns the answer for k. An unknown kind gets that of Internal.
+func Lookup(k Kind) Answer {
+	if a, ok := table[k]; ok {
+		return a
+	}
+	return table[Internal]
+}
+
+// Kinds returns all kinds in alphabetical order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
--- /dev/null
+++ b/internal/fault/twirp.go
@@ -0,0 +1,39 @@
+package fault
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+)
+
+// Keys of the Twirp error metadata.
+const (
+	metaKind       = "kind"
+	metaRetryAfter = "retry_after_ms"
+)
+
+// ToTwirp returns err as a Twirp error that carries its kind.
+func ToTwirp(err error) twirp.Error {
+	e := Of(err)
+	a := e.Answer()
+	te := twirp.NewError(a.Code, e.Error())
+	te = te.WithMeta(metaKind, string(e.Kind))
+	return te.WithMeta(metaRetryAfter, strconv.FormatInt(a.RetryAfter.Milliseconds(), 10))
+}
+
+// FromTwirp returns the kind that err carries. An error without one, such as
+// a refused connection, becomes an error of kind fallback.
+func FromTwirp(err error, fallback Kind) *Error {
+	var te twirp.Error
+	if !errors.As(err, &te) || te.Meta(metaKind) == "" {
+		return New(fallback, "%v", err)
+	}
+	ms, _ := strconv.ParseInt(te.Meta(metaRetryAfter), 10, 64)
+	return &Error{
+		Kind:       Kind(te.Meta(metaKind)),
+		Detail:     te.Msg(),
+		RetryAfter: time.Duration(ms) * time.Millisecond,
+	}
+}
