--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,102 @@
+// Package forward carries calls from callers to upstreams and their answers
+// back.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"balsamcourse.example/balsamcourse/charts"
+	"balsamcourse.example/balsamcourse/internal/admit"
+	"balsamcourse.example/balsamcourse/internal/chart"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// Options configures a Forwarder.
+type Options struct {
+	Source     view.Source
+	Slots      slot.Source
+	Claims     Claims
+	Quarantine Quarantine
+	Limiter    *admit.Limiter
+	Transport  http.RoundTripper
+	Tracer     trace.Tracer
+	Metrics    tally.Scope
+	Events     event.Logger
+	// Leaving reports whether this entry VM has stopped admitting calls.
+	Leaving func() bool
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// BodyIdleTimeout bounds the wait for the next bytes of a request body.
+	BodyIdleTimeout time.Duration
+	// MaxKeptBytes bounds the answer that is kept for resends.
+	MaxKeptBytes int
+	// MaxAttempts bounds the upstreams that one call may be sent to.
+	MaxAttempts int
+}
+
+// Forwarder is the handler for callers' requests.
+type Forwarder struct {
+	opts    Options
+	chart   *chart.Chart
+	actions map[chart.Action]func(*call) chart.Event
+	retries *retryBudgets
+	rules   ruleCache
+	metrics metrics
+}
+
+// New returns a forwarder.
+func New(opts Options) *Forwarder {
+	return &Forwarder{
+		opts:    opts,
+		chart:   charts.MustLoad("call"),
+		actions: callActions(),
+		retries: newRetryBudgets(),
+		metrics: newMetrics(opts.Metrics),
+	}
+}
+
+// ServeHTTP answers one call: with the whole answer of one upstream, with a
+// kept answer, or with a refusal.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	c, err := f.newCall(w, r, started)
+	if err != nil {
+		f.metrics.refused(fault.KindOf(err))
+		fault.WriteHTTP(w, err)
+		return
+	}
+	defer c.close()
+	if !f.opts.Limiter.Acquire(c.service.Name) {
+		f.metrics.refused(fault.Overloaded)
+		fault.WriteHTTP(w, fault.New(fault.Overloaded, "service %q", c.service.Name))
+		return
+	}
+	defer f.opts.Limiter.Release(c.service.Name)
+	f.drive(c)
+	f.metrics.done(c, time.Since(started))
+}
+
+// drive steps the call through its chart until a state without a way on.
+func (f *Forwarder) drive(c *call) {
+	ev := c.admit()
+	for ev != "" {
+		next, actions, ok := f.chart.Next(c.state, ev)
+		if !ok {
+			c.err = fault.New(fault.Internal, "call state %q has no event %q", c.state, ev)
+			c.refuse()
+			return
+		}
+		c.state = next
+		ev = ""
+		for _, a := range actions {
+			ev = f.actions[a](c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/send.go
@@ -0,0 +1,219 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/chart"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// attempt watches one request on its way to one upstream.
+type attempt struct {
+	started time.Time
+	// connected is set once a connection is chosen: from then on bytes of the
+	// request may have reached the upstream.
+	connected atomic.Bool
+	newConn   atomic.Bool
+}
+
+// send makes one attempt at the granted upstream.
+func (c *call) send() chart.Event {
+	if ev := c.recheck(); ev != "" {
+		return ev
+	}
+	c.attempts++
+	ctx, span := c.f.opts.Tracer.Start(c.ctx, "upstream")
+	defer span.End()
+	a := &attempt{started: time.Now()}
+	resp, err := c.f.opts.Transport.RoundTrip(c.request(a.trace(ctx, c.w)))
+	if err != nil {
+		return c.sendFailed(a, err)
+	}
+	if isShed(resp) {
+		drainAndClose(resp.Body)
+		return c.notRun(clusterpb.Outcome_OUTCOME_SHED, a, shedFault(resp))
+	}
+	return c.receive(a, resp)
+}
+
+// recheck makes sure that the grant may still be used: the process may have
+// been stopped for longer than its lease since the call was admitted.
+func (c *call) recheck() chart.Event {
+	src := c.f.opts.Source
+	if !src.Fresh() || !src.View().ZoneOpen(c.grant.Cell.Zone) {
+		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
+		c.endClaim()
+		return c.fail(fault.New(fault.NotFresh, "configuration changed before the request was sent"))
+	}
+	if c.ctx.Err() != nil {
+		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
+		c.endClaim()
+		return c.fail(fault.New(fault.DeadlineTooShort, "no time left before the request was sent"))
+	}
+	if c.claim == nil {
+		return ""
+	}
+	if err := c.claim.Start(c.ctx); err != nil {
+		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
+		c.endClaim()
+		return c.fail(err)
+	}
+	return ""
+}
+
+// endClaim gives the claim back: the request did not run.
+func (c *call) endClaim() {
+	if c.claim != nil {
+		c.claim.Release()
+		c.claim = nil
+	}
+}
+
+// request builds the request for the upstream.
+func (c *call) request(ctx context.Context) *http.Request {
+	out := &http.Request{
+		Method:        c.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: c.grant.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
+		Host:          c.r.Host,
+		Header:        copyEndToEnd(c.r.Header),
+		Body:          c.body.open(),
+		ContentLength: c.body.length,
+		Trailer:       c.r.Trailer,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if c.body.length == 0 && c.body.rest == nil {
+		out.Body = http.NoBody
+		hideFromReplay(out)
+	}
+	out.Header.Del("Expect")
+	left := max(1, time.Until(c.deadline).Milliseconds())
+	out.Header.Set(HeaderTimeoutMs, strconv.FormatInt(left, 10))
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
+	return out.WithContext(ctx)
+}
+
+// hideFromReplay keeps http.Transport from sending a request without a body a
+// second time when a reused connection dies. It repeats requests whose method
+// is safe, or that have an Idempotency-Key, unless there is a body that it
+// cannot rewind; a header name in another case is the same to the upstream.
+func hideFromReplay(out *http.Request) {
+	if isSafe(out.Method) || out.Method == http.MethodTrace {
+		out.Body = emptyBody{}
+		return
+	}
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if v, ok := out.Header[name]; ok {
+			delete(out.Header, name)
+			out.Header[lowerCase(name)] = v
+		}
+	}
+}
+
+// trace returns ctx with hooks that watch the attempt, and that pass interim
+// answers on to the caller.
+func (a *attempt) trace(ctx context.Context, w http.ResponseWriter) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			a.connected.Store(true)
+			a.newConn.Store(!info.Reused)
+		},
+		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			if code == http.StatusContinue {
+				return nil
+			}
+			for name, values := range header {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(code)
+			return nil
+		},
+	})
+}
+
+// sendFailed sorts out an attempt without an answer.
+func (c *call) sendFailed(a *attempt, err error) chart.Event {
+	took := time.Since(a.started)
+	if !a.connected.Load() {
+		return c.notRun(clusterpb.Outcome_OUTCOME_UNREACHABLE, a, fault.New(fault.NoUpstream, "connecting to %s: %v", c.grant.Upstream, err))
+	}
+	if c.ctx.Err() != nil {
+		c.release(clusterpb.Outcome_OUTCOME_CANCELLED, took, a.newConn.Load())
+		return c.lost(c.cancelFault())
+	}
+	c.release(clusterpb.Outcome_OUTCOME_BROKEN, took, a.newConn.Load())
+	c.f.opts.Quarantine.Broken(c.service.Name, c.fingerprint(), c.grant.Upstream)
+	return c.retryOrLose(fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
+}
+
+// cancelFault tells a caller that went away from a deadline that passed.
+func (c *call) cancelFault() *fault.Error {
+	if c.r.Context().Err() != nil && errors.Is(c.ctx.Err(), context.Canceled) {
+		return &fault.Error{Kind: fault.CallerGone}
+	}
+	return fault.New(fault.UpstreamTimeout, "%s", c.grant.Upstream)
+}
+
+// notRun handles an attempt that the upstream did not run.
+func (c *call) notRun(outcome clusterpb.Outcome, a *attempt, err *fault.Error) chart.Event {
+	c.release(outcome, time.Since(a.started), a.newConn.Load())
+	if c.mayRetry() {
+		c.err = err
+		c.avoid = append(c.avoid, c.grant.Upstream)
+		return "retry"
+	}
+	c.endClaim()
+	return c.fail(err)
+}
+
+// retryOrLose handles an attempt that may have run.
+func (c *call) retryOrLose(err *fault.Error) chart.Event {
+	if c.policy.repeatable && c.mayRetry() && c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint()) == nil {
+		c.err = err
+		c.avoid = append(c.avoid, c.grant.Upstream)
+		return "retry"
+	}
+	return c.lost(err)
+}
+
+// lost ends a call whose request may have run.
+func (c *call) lost(err *fault.Error) chart.Event {
+	c.err = err
+	if c.claim != nil {
+		c.claim.Unknown()
+		c.claim = nil
+		c.err = fault.New(fault.OutcomeUnknown, "%s", err.Error())
+	}
+	return "broken"
+}
+
+// mayRetry reports whether another attempt is possible and within the budget.
+func (c *call) mayRetry() bool {
+	if c.attempts >= c.f.opts.MaxAttempts || !c.body.replayable() || c.ctx.Err() != nil {
+		return false
+	}
+	return c.f.retries.take(c.service)
+}
+
+// isShed reports whether the upstream says that it did not run the request.
+func isShed(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(fault.HeaderRun) == string(fault.NotRun)
+}
+
+func shedFault(resp *http.Response) *fault.Error {
+	seconds, _ := strconv.Atoi(resp.Header.Get(fault.HeaderRetryAfter))
+	return fault.After(fault.Shed, time.Duration(seconds)*time.Second, "")
+}
