--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,402 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+func do(t *testing.T, method, url, key, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp, string(got)
+}
+
+func TestPassesWholeAnswer(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		assert.Check(t, r.Header.Get("Connection") == "")
+		assert.Check(t, r.Header.Get("X-Hop") == "")
+		assert.Check(t, r.Header.Get(HeaderTimeoutMs) != "")
+		w.Header().Set("X-Answer", "yes")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+	})
+	rig := newRig(t, up)
+	req, _ := http.NewRequest("POST", rig.front.URL+"/s/x?q=1", strings.NewReader("hello"))
+	req.Header.Set("Connection", "X-Hop")
+	req.Header.Set("X-Hop", "1")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	got, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusCreated)
+	assert.Equal(t, resp.Header.Get("X-Answer"), "yes")
+	assert.Equal(t, string(got), "POST /s/x?q=1 hello")
+}
+
+func TestBodylessAnswers(t *testing.T) {
+	for _, code := range []int{http.StatusNoContent, http.StatusNotModified} {
+		up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) })
+		resp, body := do(t, "GET", newRig(t, up).front.URL+"/s/x", "", "")
+		assert.Equal(t, resp.StatusCode, code)
+		assert.Equal(t, body, "")
+	}
+}
+
+func TestHead(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "700000") })
+	resp, body := do(t, "HEAD", newRig(t, up).front.URL+"/s/x", "", "")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, resp.ContentLength, int64(700000))
+	assert.Equal(t, body, "")
+}
+
+func TestTrailersPass(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "data")
+		w.(http.Flusher).Flush()
+		w.Header().Set("X-Sum", "42")
+	})
+	resp, body := do(t, "GET", newRig(t, up).front.URL+"/s/x", "", "")
+	assert.Equal(t, body, "data")
+	assert.Equal(t, resp.Trailer.Get("X-Sum"), "42")
+}
+
+func TestRefusals(t *testing.T) {
+	rig := newRig(t)
+	cases := []struct {
+		name, method, path string
+		header             http.Header
+		kind               fault.Kind
+	}{
+		{"unknown service", "GET", "/other", nil, fault.UnknownService},
+		{"upgrade", "GET", "/s/x", http.Header{"Upgrade": {"websocket"}, "Connection": {"Upgrade"}}, fault.UpgradeRefused},
+		{"key required", "POST", "/s/pay/7", nil, fault.KeyRequired},
+		{"no upstream", "GET", "/s/x", nil, fault.NoUpstream},
+		{"bad deadline", "GET", "/s/x", http.Header{HeaderTimeoutMs: {"soon"}}, fault.BadRequest},
+		{"long key", "POST", "/s/x", http.Header{"Idempotency-Key": {strings.Repeat("k", 300)}}, fault.TooLarge},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			req, _ := http.NewRequest(tc.method, rig.front.URL+tc.path, nil)
+			for k, v := range tc.header {
+				req.Header[k] = v
+			}
+			resp, err := http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			_ = resp.Body.Close()
+			assert.Equal(t, resp.Header.Get(fault.HeaderKind), string(tc.kind))
+			assert.Equal(t, resp.Header.Get(fault.HeaderRun), "not run")
+			assert.Equal(t, resp.StatusCode, fault.Lookup(tc.kind).Status)
+		})
+	}
+}
+
+func TestStaleAfterGrantIsNotSent(t *testing.T) {
+	var runs atomic.Int64
+	up := newUpstream(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	rig := newRig(t, up)
+	rig.slots.onGrant = rig.source.setStale
+	resp, _ := do(t, "POST", rig.front.URL+"/s/x", "k1", "")
+	assert.Equal(t, resp.Header.Get(fault.HeaderKind), string(fault.NotFresh))
+	assert.Equal(t, runs.Load(), int64(0))
+	assert.Equal(t, rig.claims.stateOf("k1"), "")
+	assert.DeepEqual(t, rig.slots.ended(), []clusterpb.Outcome{clusterpb.Outcome_OUTCOME_UNUSED})
+}
+
+func TestShedIsRetriedElsewhere(t *testing.T) {
+	shed := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fault.HeaderRun, string(fault.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	good := newUpstream(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	rig := newRig(t, shed, good)
+	resp, body := do(t, "POST", rig.front.URL+"/s/x", "k", "abc")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "abc")
+	assert.Equal(t, rig.claims.stateOf("k"), "finished")
+}
+
+func TestUnreachableIsRetriedElsewhere(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	_ = l.Close()
+	good := newUpstream(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	rig := newRig(t, l.Addr().String(), good)
+	resp, body := do(t, "POST", rig.front.URL+"/s/x", "", "abc")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "abc")
+}
+
+// dyingServer accepts connections, answers the first request on each, and
+// closes the connection on the second after it has read it.
+func dyingServer(t *testing.T, requests *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveTwo(conn, requests)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveTwo(conn net.Conn, requests *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		requests.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+// http.Transport repeats some requests by itself when a reused connection
+// dies; the data path must not let it.
+func TestTransportNeverRepeats(t *testing.T) {
+	cases := []struct{ name, method, path, key, body string }{
+		{"delete", "DELETE", "/s/x", "", ""},
+		{"key without body", "POST", "/s/x", "k2", ""},
+		{"key with body", "POST", "/s/x", "k2", "pay"},
+		{"put with key", "PUT", "/s/x", "k2", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var requests atomic.Int64
+			rig := newRig(t, dyingServer(t, &requests))
+			do(t, tc.method, rig.front.URL+tc.path, "first", tc.body)
+			resp, _ := do(t, tc.method, rig.front.URL+tc.path, tc.key, tc.body)
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			assert.Equal(t, resp.Header.Get(fault.HeaderRun), "unknown")
+			assert.Equal(t, requests.Load(), int64(2))
+		})
+	}
+}
+
+// The same for GET, by the round trip alone, as the forwarder itself may
+// repeat it.
+func TestRoundTripNeverRepeatsGet(t *testing.T) {
+	var requests atomic.Int64
+	addr := dyingServer(t, &requests)
+	tr := NewTransport(nil)
+	defer tr.CloseIdleConnections()
+	send := func() error {
+		out, _ := http.NewRequest("GET", "http://"+addr+"/", nil)
+		out.Header.Set("Idempotency-Key", "k")
+		hideFromReplay(out)
+		resp, err := tr.RoundTrip(out)
+		if err == nil {
+			drainAndClose(resp.Body)
+		}
+		return err
+	}
+	assert.NilError(t, send())
+	assert.Assert(t, send() != nil)
+	assert.Equal(t, requests.Load(), int64(2))
+}
+
+// rawUpstream answers each request with fixed bytes and closes.
+func rawUpstream(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, answer)
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestBrokenAnswersAreNotComplete(t *testing.T) {
+	cases := []struct{ name, answer string }{
+		{"short", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"},
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc"},
+		{"none", ""},
+		{"half a head", "HTTP/1.1 200 OK\r\nConte"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			rig := newRig(t, rawUpstream(t, tc.answer))
+			resp, _ := do(t, "POST", rig.front.URL+"/s/x", "", "b")
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			assert.Equal(t, resp.Header.Get(fault.HeaderRun), "unknown")
+			assert.Equal(t, rig.quarantine.broken, 1)
+		})
+	}
+}
+
+func TestBrokenStreamAbortsConnection(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n5\r\nwo"
+	rig := newRig(t, rawUpstream(t, answer))
+	resp, err := http.Get(rig.front.URL + "/s/x")
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	assert.Assert(t, err != nil)
+}
+
+func TestResendGetsKeptAnswer(t *testing.T) {
+	var runs atomic.Int64
+	up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "run %d", runs.Add(1))
+	})
+	rig := newRig(t, up)
+	_, first := do(t, "POST", rig.front.URL+"/s/pay/1", "k", "x")
+	resp, second := do(t, "POST", rig.front.URL+"/s/pay/1", "k", "x")
+	assert.Equal(t, first, "run 1")
+	assert.Equal(t, second, first)
+	assert.Equal(t, resp.Header.Get(headerReplayed), "true")
+	resp, _ = do(t, "POST", rig.front.URL+"/s/pay/1", "k", "other")
+	assert.Equal(t, resp.Header.Get(fault.HeaderKind), string(fault.KeyConflict))
+}
+
+func TestCallerGoneLeavesKeptAnswer(t *testing.T) {
+	begun := make(chan struct{})
+	let := make(chan struct{})
+	up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-let
+		_, _ = io.WriteString(w, "paid")
+	})
+	rig := newRig(t, up)
+	conn, err := net.Dial("tcp", rig.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, _ = io.WriteString(conn, "POST /s/pay/1 HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx")
+	<-begun
+	_ = conn.Close()
+	close(let)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if rig.claims.stateOf("k") == "finished" {
+			return poll.Success()
+		}
+		return poll.Continue("state %q", rig.claims.stateOf("k"))
+	}, poll.WithTimeout(10*time.Second))
+}
+
+func TestCallerGoneCancelsOthers(t *testing.T) {
+	begun := make(chan struct{})
+	ended := make(chan struct{})
+	up := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	rig := newRig(t, up)
+	conn, err := net.Dial("tcp", rig.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, _ = io.WriteString(conn, "GET /s/x HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-begun
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the upstream was not cancelled")
+	}
+}
+
+// Two framings in one head must not let a second request through.
+func TestSmugglingShapes(t *testing.T) {
+	shapes := []struct{ name, raw string }{
+		{"length and chunked", "POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s/evil HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"two lengths", "POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"},
+		{"odd coding", "POST /s/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+		{"space before colon", "POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nabcd"},
+		{"signed length", "POST /s/x HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nabcd"},
+	}
+	for _, tc := range shapes {
+		t.Run(tc.name, func(t *testing.T) {
+			var framed atomic.Int64
+			up := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+				if len(r.TransferEncoding) > 0 && r.ContentLength > 0 {
+					framed.Add(1)
+				}
+			})
+			rig := newRig(t, up)
+			conn, err := net.Dial("tcp", rig.front.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, tc.raw)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			if tc.name != "length and chunked" {
+				assert.Assert(t, resp.StatusCode >= 400)
+			}
+			assert.Equal(t, framed.Load(), int64(0))
+		})
+	}
+}
+
+func TestLargeBodyStreams(t *testing.T) {
+	const size = 20 << 20
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprintf(w, "%d", n)
+	})
+	rig := newRig(t, up)
+	body := io.LimitReader(zeroReader{}, size)
+	resp, err := http.Post(rig.front.URL+"/s/photos", "image/jpeg", body)
+	assert.NilError(t, err)
+	got, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	assert.Equal(t, string(got), fmt.Sprint(size))
+}
+
+func TestLargeAnswerStreams(t *testing.T) {
+	want := bytes.Repeat([]byte("0123456789abcdef"), 64<<10)
+	up := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(want) })
+	_, got := do(t, "GET", newRig(t, up).front.URL+"/s/x", "", "")
+	assert.Assert(t, got == string(want))
+}
+
+// zeroReader reads zeros without end.
+type zeroReader struct{}
+
+func (zeroReader) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
