Add strict settings for both roles

Daemons need settings that are refused as a whole with file, line and key. Decoding uses go-toml's strict mode; lines of keys that fail validation come from the library's parser, so that a bound or an address clash names its line.

--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,170 @@
+package settings
+
+// Dispatch policies.
+const (
+	PolicyCell      = "cell"
+	PolicyRandom    = "random"
+	PolicyP2C       = "p2c"
+	PolicyP2CShared = "p2c_shared"
+)
+
+// Entry holds the settings of an entry VM.
+type Entry struct {
+	ID     string `toml:"id"`
+	Zone   string `toml:"zone"`
+	Region string `toml:"region"`
+	// CallerListen serves callers.
+	CallerListen string `toml:"caller_listen"`
+	// CallerAddress is the IP address and port that callers are told to use.
+	CallerAddress string `toml:"caller_address"`
+	// AnnounceListen serves the announcements of upstreams.
+	AnnounceListen string `toml:"announce_listen"`
+	// AnnounceAddress is the IP address and port that upstreams use.
+	AnnounceAddress string `toml:"announce_address"`
+	Addresses
+	// Control lists the cluster addresses of the control VMs.
+	Control []string `toml:"control"`
+	// LookupTTLMs is how long a caller may keep the answer to a look-up.
+	LookupTTLMs Millis `toml:"lookup_ttl_ms"`
+	// DrainMs bounds the wait for calls in flight at a planned stop, after
+	// the longest look-up answer has run out.
+	DrainMs Millis `toml:"drain_ms"`
+	// AnnounceTTLMs is the silence after which an upstream counts as leaving.
+	AnnounceTTLMs  Millis     `toml:"announce_ttl_ms"`
+	DispatchPolicy string     `toml:"dispatch_policy"`
+	Lease          EntryLease `toml:"lease"`
+	Limits         Limits     `toml:"limits"`
+	Claims         Claims     `toml:"claims"`
+	Quarantine     Quarantine `toml:"quarantine"`
+	Keys           EntryKeys  `toml:"keys"`
+	Log            Log        `toml:"log"`
+	Trace          Trace      `toml:"trace"`
+	// Open turns keys off. Only code can set it, and only for listeners on
+	// loopback.
+	Open bool `toml:"-"`
+}
+
+// EntryLease configures how an entry VM keeps its configuration confirmed.
+type EntryLease struct {
+	// RenewMs is the interval between renewals.
+	RenewMs Millis `toml:"renew_ms"`
+	// ConfirmMs is the age up to which a confirmation by other entry VMs counts.
+	ConfirmMs Millis `toml:"confirm_ms"`
+	// DriftPermille bounds the difference in rate between two clocks.
+	DriftPermille int `toml:"drift_permille"`
+}
+
+// Claims configures the claims on idempotency keys that this VM keeps.
+type Claims struct {
+	// RetentionMs is how long a claim is kept after it was made.
+	RetentionMs Millis `toml:"retention_ms"`
+	MaxClaims   int    `toml:"max_claims"`
+	// MaxKeptBytes bounds one kept answer.
+	MaxKeptBytes int `toml:"max_kept_bytes"`
+	// MaxTotalBytes bounds all kept answers together.
+	MaxTotalBytes int64 `toml:"max_total_bytes"`
+}
+
+// Quarantine configures how requests that break upstreams are held off.
+type Quarantine struct {
+	// Threshold is the number of broken connections that quarantines a request.
+	Threshold int `toml:"threshold"`
+	// WindowMs is the period over which broken connections are counted.
+	WindowMs Millis `toml:"window_ms"`
+	// HoldMs is how long a quarantined request is refused.
+	HoldMs Millis `toml:"hold_ms"`
+	// MaxRequests bounds the requests that are remembered.
+	MaxRequests int `toml:"max_requests"`
+}
+
+// EntryKeys names the key files of an entry VM.
+type EntryKeys struct {
+	UpstreamsFile string `toml:"upstreams_file"`
+	ClusterFile   string `toml:"cluster_file"`
+}
+
+// DefaultEntry returns the settings that apply where the file is silent.
+func DefaultEntry() Entry {
+	return Entry{
+		LookupTTLMs:    5_000,
+		DrainMs:        30_000,
+		AnnounceTTLMs:  3_000,
+		DispatchPolicy: PolicyCell,
+		Lease:          EntryLease{RenewMs: 500, ConfirmMs: 2_000, DriftPermille: 10},
+		Limits:         defaultLimits(),
+		Claims: Claims{
+			RetentionMs:   600_000,
+			MaxClaims:     100_000,
+			MaxKeptBytes:  16 << 10,
+			MaxTotalBytes: 32 << 20,
+		},
+		Quarantine: Quarantine{Threshold: 2, WindowMs: 60_000, HoldMs: 600_000, MaxRequests: 10_000},
+		Log:        Log{Level: "info"},
+		Trace:      defaultTrace(),
+	}
+}
+
+// Validate checks the settings. The error is of kind fault.Settings.
+func (s Entry) Validate() error { return validate(s) }
+
+func (s Entry) check(c *checker) {
+	c.name("id", s.ID)
+	c.name("zone", s.Zone)
+	c.name("region", s.Region)
+	s.checkAddresses(c)
+	s.checkTimes(c)
+	c.oneOf("dispatch_policy", s.DispatchPolicy, PolicyCell, PolicyRandom, PolicyP2C, PolicyP2CShared)
+	s.Limits.check(c, "limits")
+	s.Claims.check(c)
+	s.Quarantine.check(c)
+	s.Log.check(c)
+	s.Trace.check(c)
+	if !s.Open {
+		c.required("keys.upstreams_file", s.Keys.UpstreamsFile)
+		c.required("keys.cluster_file", s.Keys.ClusterFile)
+	}
+}
+
+func (s Entry) checkAddresses(c *checker) {
+	listeners := []listener{
+		{"caller_listen", s.CallerListen},
+		{"announce_listen", s.AnnounceListen},
+		{"cluster_listen", s.ClusterListen},
+	}
+	if s.MetricsListen != "" {
+		listeners = append(listeners, listener{"metrics_listen", s.MetricsListen})
+	}
+	c.listeners(listeners, s.Open)
+	c.reachable("caller_address", s.CallerAddress)
+	c.reachable("announce_address", s.AnnounceAddress)
+	c.reachable("cluster_address", s.ClusterAddress)
+	if len(s.Control) == 0 {
+		c.fail("control", "names no control VM")
+	}
+	for _, address := range s.Control {
+		c.reachable("control", address)
+	}
+}
+
+func (s Entry) checkTimes(c *checker) {
+	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
+	c.between("drain_ms", int64(s.DrainMs), 0, 3_600_000)
+	c.between("announce_ttl_ms", int64(s.AnnounceTTLMs), 50, 60_000)
+	c.between("lease.renew_ms", int64(s.Lease.RenewMs), 10, 60_000)
+	c.between("lease.confirm_ms", int64(s.Lease.ConfirmMs), 2*int64(s.Lease.RenewMs), 60_000)
+	c.between("lease.drift_permille", int64(s.Lease.DriftPermille), 1, 200)
+}
+
+func (s Claims) check(c *checker) {
+	c.between("claims.retention_ms", int64(s.RetentionMs), 1_000, 86_400_000)
+	c.between("claims.max_claims", int64(s.MaxClaims), 1, 10_000_000)
+	c.between("claims.max_kept_bytes", int64(s.MaxKeptBytes), 0, 1<<20)
+	c.between("claims.max_total_bytes", s.MaxTotalBytes, int64(s.MaxKeptBytes), 1<<32)
+}
+
+func (s Quarantine) check(c *checker) {
+	c.between("quarantine.threshold", int64(s.Threshold), 1, 100)
+	c.between("quarantine.window_ms", int64(s.WindowMs), 100, 86_400_000)
+	c.between("quarantine.hold_ms", int64(s.HoldMs), 100, 86_400_000)
+	c.between("quarantine.max_requests", int64(s.MaxRequests), 1, 10_000_000)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,105 @@
+// Package settings reads the TOML settings of the daemons.
+//
+// Reading is strict: an unknown key, a value of the wrong type, an impossible
+// bound or a clash of addresses is an error that names file, line and key.
+package settings
+
+import "time"
+
+// Millis is a duration in milliseconds. The keys that hold one end in "_ms".
+type Millis int64
+
+// Duration returns m as a time.Duration.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Log configures the event log.
+type Log struct {
+	// Level is the lowest level that is written: debug, info, warn or error.
+	Level string `toml:"level"`
+}
+
+// Exporters of traces.
+const (
+	TraceOff  = "off"
+	TraceFile = "file"
+	TraceOTLP = "otlp"
+)
+
+// Trace configures tracing.
+type Trace struct {
+	// Exporter is TraceOff, TraceFile or TraceOTLP.
+	Exporter string `toml:"exporter"`
+	// File receives one JSON object a span with TraceFile.
+	File string `toml:"file"`
+	// Endpoint is the "host:port" of an OTLP/HTTP collector.
+	Endpoint string `toml:"endpoint"`
+	// SamplePermille is the share of new traces that is recorded. A trace that
+	// the caller has begun follows the caller's decision.
+	SamplePermille int `toml:"sample_permille"`
+}
+
+// Limits bounds what one listener accepts.
+type Limits struct {
+	MaxHeaderBytes      int    `toml:"max_header_bytes"`
+	ReadHeaderTimeoutMs Millis `toml:"read_header_timeout_ms"`
+	// ReadBodyTimeoutMs bounds the time in which a request body arrives.
+	ReadBodyTimeoutMs Millis `toml:"read_body_timeout_ms"`
+	IdleTimeoutMs     Millis `toml:"idle_timeout_ms"`
+	MaxBodyBytes      int64  `toml:"max_body_bytes"`
+	MaxInFlight       int    `toml:"max_in_flight"`
+	MaxConnections    int    `toml:"max_connections"`
+}
+
+// Addresses are the listeners that both roles have.
+type Addresses struct {
+	// ClusterListen serves the other processes of the system.
+	ClusterListen string `toml:"cluster_listen"`
+	// ClusterAddress is the IP address and port under which other processes
+	// reach ClusterListen.
+	ClusterAddress string `toml:"cluster_address"`
+	// MetricsListen serves the scrape endpoint; empty turns it off.
+	MetricsListen string `toml:"metrics_listen"`
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		MaxHeaderBytes:      16 << 10,
+		ReadHeaderTimeoutMs: 5_000,
+		ReadBodyTimeoutMs:   60_000,
+		IdleTimeoutMs:       60_000,
+		MaxBodyBytes:        32 << 20,
+		MaxInFlight:         1_024,
+		MaxConnections:      4_096,
+	}
+}
+
+func defaultTrace() Trace {
+	return Trace{Exporter: TraceOff, SamplePermille: 1000}
+}
+
+func (l Limits) check(c *checker, key string) {
+	c.between(key+".max_header_bytes", int64(l.MaxHeaderBytes), 1<<10, 1<<20)
+	c.between(key+".read_header_timeout_ms", int64(l.ReadHeaderTimeoutMs), 10, 600_000)
+	c.between(key+".read_body_timeout_ms", int64(l.ReadBodyTimeoutMs), 10, 3_600_000)
+	c.between(key+".idle_timeout_ms", int64(l.IdleTimeoutMs), 10, 3_600_000)
+	c.between(key+".max_body_bytes", l.MaxBodyBytes, 1, 1<<32)
+	c.between(key+".max_in_flight", int64(l.MaxInFlight), 1, 1<<20)
+	c.between(key+".max_connections", int64(l.MaxConnections), 1, 1<<20)
+}
+
+func (t Trace) check(c *checker) {
+	c.oneOf("trace.exporter", t.Exporter, TraceOff, TraceFile, TraceOTLP)
+	c.between("trace.sample_permille", int64(t.SamplePermille), 0, 1000)
+	if t.Exporter == TraceFile {
+		c.required("trace.file", t.File)
+	}
+	if t.Exporter == TraceOTLP {
+		c.listen("trace.endpoint", t.Endpoint)
+	}
+}
+
+func (l Log) check(c *checker) {
+	c.oneOf("log.level", l.Level, "debug", "info", "warn", "error")
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+const (
+	controlSample = "../../settings/control.sample.toml"
+	entrySample   = "../../settings/entry.sample.toml"
+)
+
+func TestSamplesParse(t *testing.T) {
+	control, err := LoadControl(controlSample)
+	assert.NilError(t, err)
+	assert.Equal(t, len(control.Members), 3)
+	assert.Equal(t, control.Lease, DefaultControl().Lease)
+	assert.Equal(t, control.Limits, DefaultControl().Limits)
+
+	entry, err := LoadEntry(entrySample)
+	assert.NilError(t, err)
+	assert.Equal(t, entry.ClusterAddress, "10.0.1.21:7002")
+	assert.Equal(t, entry.Claims, DefaultEntry().Claims)
+	assert.Equal(t, entry.Quarantine, DefaultEntry().Quarantine)
+	assert.Equal(t, entry.Lease, DefaultEntry().Lease)
+}
+
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	cases := []struct {
+		name, old, new string
+		want           string
+	}{
+		{"unknown key", `zone = "jm-south-a"`, `zonee = "x"`, ": zonee: unknown key"},
+		{"wrong unit", "lookup_ttl_ms = 5000", `lookup_ttl_s = 5`, ": lookup_ttl_s: unknown key; the key with its unit is lookup_ttl_ms"},
+		{"wrong unit in a table", "retention_ms = 600000", "retention = 600", ": claims.retention: unknown key; the key with its unit is claims.retention_ms"},
+		{"unit in the value", "drain_ms = 30000", `drain_ms = "30s"`, ": drain_ms: "},
+		{"impossible bound", "confirm_ms = 2000", "confirm_ms = 600", ": lease.confirm_ms: 600 must lie between 1000 and 60000"},
+		{"address clash", `announce_listen = "0.0.0.0:8082"`, `announce_listen = "10.0.1.21:8080"`, ": announce_listen: \"10.0.1.21:8080\" clashes with caller_listen"},
+		{"unreachable address", `caller_address = "10.0.1.21:8080"`, `caller_address = "0.0.0.0:8080"`, ": caller_address: "},
+		{"host name", `cluster_address = "10.0.1.21:7002"`, `cluster_address = "vm1:7002"`, ": cluster_address: "},
+		{"bad port", `metrics_listen = "10.0.1.21:9102"`, `metrics_listen = "10.0.1.21:99999"`, ": metrics_listen: "},
+		{"policy", `dispatch_policy = "cell"`, `dispatch_policy = "best"`, ": dispatch_policy: "},
+		{"syntax", `[quarantine]`, `[quarantine`, ": "},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			data := sample(t, entrySample, tc.old, tc.new)
+			_, err := ParseEntry("e.toml", []byte(data))
+			assert.Equal(t, fault.KindOf(err), fault.Settings)
+			assert.ErrorContains(t, err, "e.toml:"+lineWith(data, tc.new)+tc.want)
+		})
+	}
+}
+
+func TestControlMembers(t *testing.T) {
+	cases := []struct {
+		name, old, new string
+		want           string
+	}{
+		{"id used twice", "id = 2\n", "id = 3\n", ": members[2].id: 3 is used twice"},
+		{"itself missing", "id = 1\naddress", "id = 9\naddress", "members: lacks this replica, id 1"},
+		{"own address differs", `address = "10.0.1.11:7001"` + "\n" + `zone`, `address = "10.0.1.12:7001"` + "\n" + `zone`, "members[0].address: 10.0.1.12:7001 is not"},
+		{"join with own id", "join = false", "join = true", "members: holds the id 1"},
+		{"election too short", "election_ms = 1000", "election_ms = 300", "election_ms: 300 must lie between 500"},
+		{"no keys", `cluster_file = "/etc/balsamcourse/cluster.keys"`, "", "keys.cluster_file: is missing"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := ParseControl("c.toml", []byte(sample(t, controlSample, tc.old, tc.new)))
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
+
+func TestKeysOffOnlyOnLoopback(t *testing.T) {
+	s, err := LoadControl(controlSample)
+	assert.NilError(t, err)
+	s.Open = true
+	s.Keys = ControlKeys{}
+	assert.ErrorContains(t, s.Validate(), "must be on loopback")
+	s.ClusterListen, s.OperatorListen, s.MetricsListen = "127.0.0.1:1", "127.0.0.1:2", "[::1]:3"
+	assert.NilError(t, s.Validate())
+}
+
+func FuzzParse(f *testing.F) {
+	for _, path := range []string{controlSample, entrySample} {
+		data, err := os.ReadFile(path)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte("[[members]]\nid = -1\n[members]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := ParseControl("c.toml", data); err != nil {
+			assert.Equal(t, fault.KindOf(err), fault.Settings)
+		}
+		if _, err := ParseEntry("e.toml", data); err != nil {
+			assert.Equal(t, fault.KindOf(err), fault.Settings)
+		}
+	})
+}
+
+func sample(t *testing.T, path, old, replacement string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(data), old), "sample lacks %q", old)
+	return strings.Replace(string(data), old, replacement, 1)
+}
+
+func lineWith(data, text string) string {
+	before, _, _ := strings.Cut(data, text)
+	return strconv.Itoa(strings.Count(before, "\n") + 1)
+}
