--- /dev/null
+++ b/internal/httpnet/server.go
@@ -0,0 +1,106 @@
+package httpnet
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Limits bounds what a server accepts. Zero values stand for the defaults.
+type Limits struct {
+	MaxHeaderBytes    int
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+	MaxConnections    int
+}
+
+// Default limits of a server.
+const (
+	defaultHeaderTimeout  = 5 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxConnections = 4096
+	maxConcurrentCalls    = 4096
+)
+
+// Server serves one listener.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	failed   chan error
+}
+
+// Listen opens the address and serves h on it, over HTTP/1.1 and over HTTP/2
+// without TLS.
+func Listen(address string, h http.Handler, limits Limits) (*Server, error) {
+	limits = limits.withDefaults()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", address)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &Server{
+		http: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: limits.ReadHeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			MaxHeaderBytes:    limits.MaxHeaderBytes,
+			Protocols:         protocols,
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentCalls},
+			ErrorLog:          log.New(io.Discard, "", 0),
+		},
+		listener: newLimitedListener(l, limits.MaxConnections),
+		failed:   make(chan error, 1),
+	}
+	go s.serve()
+	return s, nil
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxHeaderBytes == 0 {
+		l.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if l.ReadHeaderTimeout == 0 {
+		l.ReadHeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout == 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	if l.MaxConnections == 0 {
+		l.MaxConnections = defaultMaxConnections
+	}
+	return l
+}
+
+func (s *Server) serve() {
+	err := s.http.Serve(s.listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.failed <- err
+	}
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Failed yields an error when the server stops by itself.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// Shutdown stops accepting and waits for calls in flight until ctx ends; then
+// it closes what is left and returns the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close()
+	}
+	return errors.Trace(err)
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() error { return errors.Trace(s.http.Close()) }
