Add the command line, key checks, and generated error and event pages

Operators' commands send typed changes with operator and number and go on to the next control VM when one does not lead or does not answer; the number stays the same, so a resend cannot apply a change twice. Adds the kind not_accepted for a change that is committed but not yet in force everywhere, since no kind fitted, and the event keys_invalid. docs/ERRORS.md and docs/EVENTS.md are generated and compared with the code by tests.

--- a/cmd/balsamcourse/main.go
+++ b/cmd/balsamcourse/main.go
@@ -2,8 +2,13 @@
 // milliseconds.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+
+	"balsamcourse.example/balsamcourse/internal/cli"
+)
 
 func main() {
-	fmt.Println("balsamcourse")
+	os.Exit(cli.Execute(context.Background(), os.Args[1:], cli.Daemons{}, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/access/transport.go
@@ -0,0 +1,28 @@
+package access
+
+import "net/http"
+
+// scheme precedes the key in the Authorization header.
+const scheme = "Bearer "
+
+// transport adds the current key to each request.
+type transport struct {
+	keys *Keys
+	next http.RoundTripper
+}
+
+// NewTransport returns a RoundTripper that adds the current key to each
+// request. With nil keys it returns next.
+func NewTransport(keys *Keys, next http.RoundTripper) http.RoundTripper {
+	if keys == nil {
+		return next
+	}
+	return &transport{keys: keys, next: next}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	req.Header.Set("Authorization", scheme+t.keys.Current().Secret)
+	return t.next.RoundTrip(req)
+}
--- /dev/null
+++ b/internal/cli/admin_rule.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+)
+
+func newAdminRule(a *admin) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "rule",
+		Short: "Say which requests may repeat and which need an Idempotency-Key",
+		Long: `Say which requests may repeat and which need an Idempotency-Key. A rule is
+named SERVICE/RULE.`,
+		Example: "  balsamcourse admin rule list",
+	}
+	cmd.AddCommand(newRulePut(a), newRuleDelete(a), newRuleList(a))
+	return cmd
+}
+
+func newRulePut(a *admin) *cobra.Command {
+	r := &catalogpb.Rule{}
+	cmd := &cobra.Command{
+		Use:     "put SERVICE/RULE",
+		Short:   "Create a rule or replace it as a whole",
+		Example: "  balsamcourse admin rule put booking/pay --method POST --path /sittings/:id/payment --key-required",
+		Args:    cobra.ExactArgs(1),
+		RunE: withKind(func(cmd *cobra.Command, args []string) error {
+			name, err := ruleName(args[0])
+			if err != nil {
+				return err
+			}
+			r.Service, r.Name = name.Service, name.Name
+			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_PutRule{PutRule: r}})
+		}),
+	}
+	f := cmd.Flags()
+	f.StringVar(&r.Method, "method", "*", "HTTP method, or * for any")
+	f.StringVar(&r.PathPattern, "path", "/*path", "pattern below the path prefix of the service")
+	f.BoolVar(&r.Repeatable, "repeatable", false, "the request may be sent to an upstream more than once")
+	f.BoolVar(&r.KeyRequired, "key-required", false, "refuse the request without an Idempotency-Key")
+	return cmd
+}
+
+func newRuleDelete(a *admin) *cobra.Command {
+	return &cobra.Command{
+		Use:     "delete SERVICE/RULE",
+		Short:   "Delete a rule",
+		Example: "  balsamcourse admin rule delete booking/pay",
+		Args:    cobra.ExactArgs(1),
+		RunE: withKind(func(cmd *cobra.Command, args []string) error {
+			name, err := ruleName(args[0])
+			if err != nil {
+				return err
+			}
+			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_DeleteRule{DeleteRule: name}})
+		}),
+	}
+}
+
+func newRuleList(a *admin) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the rules",
+		Example: "  balsamcourse admin rule list",
+		Args:    cobra.NoArgs,
+		RunE: withKind(func(cmd *cobra.Command, _ []string) error {
+			config, err := a.config(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if a.output == outputJSON {
+				return printMessage(a.out, &catalogpb.Config{Revision: config.Revision, Rules: config.Rules})
+			}
+			t := newTable(a.out, "RULE", "METHOD", "PATH", "REPEATABLE", "KEY REQUIRED")
+			for _, r := range config.Rules {
+				t.row(r.Service+"/"+r.Name, r.Method, r.PathPattern, r.Repeatable, r.KeyRequired)
+			}
+			return t.flush()
+		}),
+	}
+}
+
+func ruleName(text string) (*catalogpb.RuleName, error) {
+	service, name, ok := strings.Cut(text, "/")
+	if !ok || service == "" || name == "" {
+		return nil, usage("%q must have the form SERVICE/RULE", text)
+	}
+	return &catalogpb.RuleName{Service: service, Name: name}, nil
+}
--- /dev/null
+++ b/internal/cli/tools.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"balsamcourse.example/balsamcourse/charts"
+	"balsamcourse.example/balsamcourse/internal/chart"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/settings"
+)
+
+// Roles that have a settings file.
+const (
+	roleControl = "control"
+	roleEntry   = "entry"
+)
+
+func newSettings(c *command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "settings",
+		Short:   "Check settings files",
+		Example: "  balsamcourse settings check --role entry entry.toml",
+	}
+	var role string
+	check := &cobra.Command{
+		Use:     "check --role control|entry FILE",
+		Short:   "Check a settings file without starting anything",
+		Example: "  balsamcourse settings check --role control settings/control.sample.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: withKind(func(_ *cobra.Command, args []string) error {
+			if err := checkSettings(role, args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(c.out, "%s: valid settings of role %s\n", args[0], role)
+			return err
+		}),
+	}
+	check.Flags().StringVar(&role, "role", "", "control or entry")
+	cmd.AddCommand(check)
+	return cmd
+}
+
+func checkSettings(role, path string) error {
+	var err error
+	switch role {
+	case roleControl:
+		_, err = settings.LoadControl(path)
+	case roleEntry:
+		_, err = settings.LoadEntry(path)
+	default:
+		err = usage("--role must be control or entry, not %q", role)
+	}
+	return err
+}
+
+func newCharts(c *command) *cobra.Command {
+	var dot bool
+	cmd := &cobra.Command{
+		Use:     "charts [NAME...]",
+		Short:   "Print the state charts",
+		Example: "  balsamcourse charts\n  balsamcourse charts --dot upstream | dot -Tsvg > upstream.svg",
+		RunE: withKind(func(_ *cobra.Command, names []string) error {
+			if len(names) == 0 {
+				var err error
+				if names, err = charts.Names(); err != nil {
+					return err
+				}
+			}
+			for _, name := range names {
+				ch, err := charts.Load(name)
+				if err != nil {
+					return fault.New(fault.NotFound, "%v", err)
+				}
+				fmt.Fprint(c.out, render(ch, dot))
+			}
+			return nil
+		}),
+	}
+	cmd.Flags().BoolVar(&dot, "dot", false, "print Graphviz diagrams")
+	return cmd
+}
+
+func render(ch *chart.Chart, dot bool) string {
+	if dot {
+		return ch.Dot()
+	}
+	return ch.Text() + "\n"
+}
+
+func newDocs(c *command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "docs",
+		Short:   "Print generated pages of the documentation",
+		Example: "  balsamcourse docs errors > docs/ERRORS.md",
+		Hidden:  true,
+	}
+	cmd.AddCommand(
+		newPage(c, "errors", "Print the page of error kinds", fault.Page),
+		newPage(c, "events", "Print the page of log events", event.Page),
+	)
+	return cmd
+}
+
+func newPage(c *command, name, short string, page func() string) *cobra.Command {
+	return &cobra.Command{
+		Use:     name,
+		Short:   short,
+		Example: "  balsamcourse docs " + name,
+		Args:    cobra.NoArgs,
+		RunE: withKind(func(*cobra.Command, []string) error {
+			_, err := fmt.Fprint(c.out, page())
+			return err
+		}),
+	}
+}
+
+func newVersion(c *command) *cobra.Command {
+	output := outputText
+	cmd := &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  balsamcourse version --output json",
+		Args:    cobra.NoArgs,
+		RunE: withKind(func(*cobra.Command, []string) error {
+			if err := checkOutput(output); err != nil {
+				return err
+			}
+			v := readVersion()
+			if output == outputJSON {
+				return printJSON(c.out, v)
+			}
+			_, err := fmt.Fprintf(c.out, "balsamcourse %s (commit %s, %s)\n", v.Version, v.Commit, v.Go)
+			return err
+		}),
+	}
+	cmd.Flags().StringVar(&output, "output", outputText, "text or json")
+	return cmd
+}
+
+// version describes the build.
+type version struct {
+	Version string `json:"version"`
+	Commit  string `json:"commit"`
+	Go      string `json:"go"`
+}
+
+func readVersion() version {
+	v := version{Version: "unknown", Commit: "unknown"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	v.Version, v.Go = info.Main.Version, info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v.Commit = s.Value
+		}
+	}
+	return v
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -29,6 +29,7 @@
 	RequestHeldOff = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined", "examine the request; release it with the admin command"}
 	WrongKey       = Event{500, "wrong_key", zerolog.WarnLevel, "a request carried a wrong key", "check who sends it"}
 	KeysReloaded   = Event{501, "keys_reloaded", zerolog.InfoLevel, "the key files were read again", ""}
+	KeysInvalid    = Event{502, "keys_invalid", zerolog.ErrorLevel, "a key file cannot be read; the old keys stay in force", "mend the named file"}
 )
 
 // Catalogue returns all events in order of number.
@@ -39,6 +40,6 @@
 		ChangeApplied, CellAssigned, MemberCaughtUp,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, UpstreamState,
 		CallPanic, RequestSuspect, RequestHeldOff,
-		WrongKey, KeysReloaded,
+		WrongKey, KeysReloaded, KeysInvalid,
 	}
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -25,6 +25,7 @@
 	StaleRevision     Kind = "stale_revision"
 	InvalidChange     Kind = "invalid_change"
 	ChangeExpired     Kind = "change_expired"
+	NotAccepted       Kind = "not_accepted"
 	NotLeader         Kind = "not_leader"
 	NoQuorum          Kind = "no_quorum"
 	NotFresh          Kind = "not_fresh"
--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,83 @@
+package fault
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+	"gotest.tools/v3/assert"
+)
+
+func TestPageMatchesTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/ERRORS.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), Page(), "run: go run ./cmd/balsamcourse docs errors > docs/ERRORS.md")
+}
+
+func TestEveryDeclaredKindHasAnAnswer(t *testing.T) {
+	declared := declaredKinds(t)
+	assert.Equal(t, len(declared), len(table))
+	for _, k := range declared {
+		_, ok := table[k]
+		assert.Assert(t, ok, "%s", k)
+	}
+}
+
+func TestAnswersAreSound(t *testing.T) {
+	for _, k := range Kinds() {
+		a := Lookup(k)
+		assert.Assert(t, a.Status >= 200 && a.Status < 600, "%s", k)
+		assert.Assert(t, twirp.IsValidErrorCode(a.Code), "%s", k)
+		assert.Assert(t, a.Run == NotRun || a.Run == Ran || a.Run == Unknown, "%s", k)
+		assert.Assert(t, a.Exit > ExitOK && a.Exit <= ExitSettings, "%s", k)
+		assert.Assert(t, a.Text != "", "%s", k)
+		if a.Status == http.StatusServiceUnavailable {
+			assert.Assert(t, a.RetryAfter > 0, "%s must say when to come back", k)
+		}
+	}
+}
+
+func TestTwirpRoundTrip(t *testing.T) {
+	for _, k := range Kinds() {
+		sent := After(k, 1500*time.Millisecond, "about %s", "it")
+		got := FromTwirp(ToTwirp(errors.Trace(sent)), Internal)
+		assert.Equal(t, got.Kind, k)
+		assert.Equal(t, got.RetryAfter, 1500*time.Millisecond)
+	}
+	assert.Equal(t, FromTwirp(errors.New("refused"), NoQuorum).Kind, NoQuorum)
+}
+
+func TestOf(t *testing.T) {
+	assert.Equal(t, KindOf(nil), Kind(""))
+	assert.Equal(t, KindOf(errors.New("plain")), Internal)
+	assert.Equal(t, KindOf(errors.Annotate(New(Shed, "x"), "y")), Shed)
+	assert.Equal(t, Lookup("unheard_of"), Lookup(Internal))
+}
+
+// declaredKinds reads the constants of type Kind from the source.
+func declaredKinds(t *testing.T) []Kind {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "fault.go", nil, 0)
+	assert.NilError(t, err)
+	var kinds []Kind
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) == 0 {
+			return true
+		}
+		if id, ok := spec.Type.(*ast.Ident); ok && id.Name == "Kind" {
+			text, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+			assert.NilError(t, err)
+			kinds = append(kinds, Kind(text))
+		}
+		return true
+	})
+	return kinds
+}
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -39,6 +39,7 @@
 	StaleRevision:     {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "the expected revision is not the current one"},
 	InvalidChange:     {http.StatusUnprocessableEntity, twirp.InvalidArgument, NotRun, 0, ExitRefused, "the change is not valid in this configuration"},
 	ChangeExpired:     {http.StatusGone, twirp.OutOfRange, Unknown, 0, ExitConflict, "the change id is older than the retained ids"},
+	NotAccepted:       {http.StatusAccepted, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "the change is committed but not yet in force everywhere"},
 	NotLeader:         {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "this control VM does not lead"},
 	NoQuorum:          {http.StatusServiceUnavailable, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "the control group has no quorum"},
 	NotFresh:          {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "this entry VM cannot confirm its configuration"},
