--- /dev/null
+++ b/internal/testbed/process_test.go
@@ -0,0 +1,225 @@
+package testbed
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Keys in the files that the processes read.
+const (
+	operatorKey = "operator-key-0123456789"
+	upstreamKey = "upstream-key-0123456789"
+	clusterKey  = "cluster-key-0123456789"
+)
+
+// stopTimeout bounds the wait for a planned stop.
+const stopTimeout = 30 * time.Second
+
+// binary is the path of the program under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "balsamcourse")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "balsamcourse")
+	out, err := exec.Command("go", "build", "-o", binary, "balsamcourse.example/balsamcourse/cmd/balsamcourse").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one daemon of the binary.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan error
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(p.t, err)
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Stdout = f
+	p.cmd.Stderr = f
+	assert.NilError(p.t, p.cmd.Start())
+	_ = f.Close()
+	p.done = make(chan error, 1)
+	go func(cmd *exec.Cmd, done chan<- error) { done <- cmd.Wait() }(p.cmd, p.done)
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig)
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	p.done <- nil
+}
+
+// stop asks for a planned stop and returns the exit error.
+func (p *process) stop() error {
+	p.signal(syscall.SIGTERM)
+	select {
+	case err := <-p.done:
+		p.done <- err
+		return err
+	case <-time.After(stopTimeout):
+		p.kill()
+		return fmt.Errorf("%s did not stop", p.name)
+	}
+}
+
+// cluster is a whole system of processes on loopback.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	controls []*process
+	entries  []*process
+	// Addresses by number of the process.
+	controlCluster  []string
+	controlOperator []string
+	callers         []string
+	announces       []string
+}
+
+// zones are the availability zones of a cluster; VMs take them in turn.
+var zones = []string{"a", "b", "c", "d"}
+
+// newCluster writes settings for the processes and starts them.
+func newCluster(t *testing.T, controls, entries int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	c.writeKeys()
+	for range controls {
+		c.controlCluster = append(c.controlCluster, freeAddress(t))
+		c.controlOperator = append(c.controlOperator, freeAddress(t))
+	}
+	for i := range controls {
+		c.controls = append(c.controls, c.newControl(i))
+	}
+	for i := range entries {
+		c.callers = append(c.callers, freeAddress(t))
+		c.announces = append(c.announces, freeAddress(t))
+		c.entries = append(c.entries, c.newEntry(i))
+	}
+	t.Cleanup(c.close)
+	for _, p := range append(append([]*process(nil), c.controls...), c.entries...) {
+		p.start()
+	}
+	return c
+}
+
+func (c *cluster) close() {
+	for _, p := range append(append([]*process(nil), c.controls...), c.entries...) {
+		if p.cmd != nil {
+			p.signal(syscall.SIGCONT)
+			p.kill()
+		}
+		if c.t.Failed() {
+			c.dump(p)
+		}
+	}
+}
+
+func (c *cluster) dump(p *process) {
+	data, err := os.ReadFile(p.log)
+	if err == nil {
+		lines := strings.Split(string(data), "\n")
+		c.t.Logf("%s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+	}
+}
+
+func (c *cluster) writeKeys() {
+	for name, key := range map[string]string{"operators": operatorKey, "upstreams": upstreamKey, "cluster": clusterKey} {
+		c.write(name+".keys", "tester "+key+"\n")
+	}
+}
+
+func (c *cluster) write(name, content string) string {
+	c.t.Helper()
+	path := filepath.Join(c.dir, name)
+	assert.NilError(c.t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+func (c *cluster) newControl(i int) *process {
+	var b strings.Builder
+	fmt.Fprintf(&b, "id = %d\nzone = %q\ndata_dir = %q\n", i+1, zones[i%len(zones)], filepath.Join(c.dir, fmt.Sprintf("control-%d", i+1)))
+	fmt.Fprintf(&b, "cluster_listen = %q\ncluster_address = %q\noperator_listen = %q\n", c.controlCluster[i], c.controlCluster[i], c.controlOperator[i])
+	for j, a := range c.controlCluster {
+		fmt.Fprintf(&b, "[[members]]\nid = %d\naddress = %q\nzone = %q\n", j+1, a, zones[j%len(zones)])
+	}
+	fmt.Fprintf(&b, "[keys]\noperators_file = %q\ncluster_file = %q\n", filepath.Join(c.dir, "operators.keys"), filepath.Join(c.dir, "cluster.keys"))
+	return c.newProcess("control", fmt.Sprintf("control-%d", i+1), b.String())
+}
+
+func (c *cluster) newEntry(i int) *process {
+	address := freeAddress(c.t)
+	var b strings.Builder
+	fmt.Fprintf(&b, "id = \"entry-%d\"\nzone = %q\nregion = \"local\"\n", i+1, zones[i%len(zones)])
+	fmt.Fprintf(&b, "caller_listen = %q\ncaller_address = %q\n", c.callers[i], c.callers[i])
+	fmt.Fprintf(&b, "announce_listen = %q\nannounce_address = %q\n", c.announces[i], c.announces[i])
+	fmt.Fprintf(&b, "cluster_listen = %q\ncluster_address = %q\n", address, address)
+	fmt.Fprintf(&b, "control = [%s]\nlookup_ttl_ms = 500\ndrain_ms = 10000\n", quoted(c.controlCluster))
+	fmt.Fprintf(&b, "[keys]\nupstreams_file = %q\ncluster_file = %q\n", filepath.Join(c.dir, "upstreams.keys"), filepath.Join(c.dir, "cluster.keys"))
+	return c.newProcess("entry", fmt.Sprintf("entry-%d", i+1), b.String())
+}
+
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = fmt.Sprintf("%q", s)
+	}
+	return strings.Join(out, ", ")
+}
+
+func (c *cluster) newProcess(role, name, settings string) *process {
+	path := c.write(name+".toml", settings)
+	return &process{
+		t:    c.t,
+		name: name,
+		args: []string{role, "--settings", path},
+		log:  filepath.Join(c.dir, name+".log"),
+	}
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// admin runs the operators' command line against all control VMs.
+func (c *cluster) admin(args ...string) (string, error) {
+	full := append([]string{"admin"}, args...)
+	full = append(full, "--control", strings.Join(c.controlOperator, ","), "--key-file", filepath.Join(c.dir, "operators.keys"))
+	out, err := exec.Command(binary, full...).CombinedOutput()
+	return string(out), err
+}
