--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,131 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/settings"
+)
+
+const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+func TestScrape(t *testing.T) {
+	m := NewMetrics("entry", "e1")
+	entry := NewEntryMetrics(m)
+	entry.Answer("")
+	entry.Answer(fault.QueueFull)
+	entry.Answer("unheard_of")
+	entry.Call.RecordDuration(3 * latencyStart)
+	NewControlMetrics(m.SubScope("c")).Leader.Update(1)
+	assert.NilError(t, m.Close())
+
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	assert.Equal(t, w.Code, http.StatusOK)
+	for _, line := range []string{
+		`balsamcourse_answers{id="e1",kind="ok",role="entry"} 1`,
+		`balsamcourse_answers{id="e1",kind="queue_full",role="entry"} 1`,
+		`balsamcourse_answers{id="e1",kind="internal",role="entry"} 1`,
+		`balsamcourse_call_seconds_count{id="e1",role="entry"} 1`,
+		`balsamcourse_c_control_leader{id="e1",role="entry"} 1`,
+		`process_resident_memory_bytes`,
+	} {
+		assert.Assert(t, strings.Contains(w.Body.String(), line), "%s is missing", line)
+	}
+}
+
+func TestTracingOffAllocatesNothing(t *testing.T) {
+	off := Off()
+	ctx := context.Background()
+	header := http.Header{"Traceparent": {parent}}
+	allocs := testing.AllocsPerRun(100, func() {
+		ctx, span := off.StartServer(ctx, header, SpanCall)
+		ctx, hop := off.Start(ctx, SpanUpstream)
+		Describe(hop, AttrService, "booking")
+		off.Inject(ctx, header)
+		End(hop, nil)
+		End(span, nil)
+	})
+	assert.Equal(t, allocs, 0.0)
+	assert.Equal(t, header.Get("traceparent"), parent)
+}
+
+func TestSpansFollowTheCallersTrace(t *testing.T) {
+	recorder := tracetest.NewInMemoryExporter()
+	tr := newTracing(recorder, settings.Trace{SamplePermille: 1000}, "entry", "e1")
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Got", r.Header.Get("traceparent"))
+	}))
+	defer upstream.Close()
+	handler := tr.Wrap(SpanCall, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, span := tr.Start(r.Context(), SpanUpstream)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, upstream.URL, nil)
+		assert.NilError(t, err)
+		resp, err := tr.Transport(http.DefaultTransport).RoundTrip(req)
+		assert.NilError(t, err)
+		w.Header().Set("Got", resp.Header.Get("Got"))
+		End(span, fault.New(fault.Shed, "full"))
+	}))
+	req := httptest.NewRequest(http.MethodGet, "/", nil)
+	req.Header.Set("traceparent", parent)
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, req)
+	assert.NilError(t, tr.provider.ForceFlush(context.Background()))
+
+	spans := recorder.GetSpans()
+	assert.Equal(t, len(spans), 2)
+	hop, call := spans[0], spans[1]
+	assert.Equal(t, call.SpanContext.TraceID().String(), "0af7651916cd43dd8448eb211c80319c")
+	assert.Equal(t, call.Parent.SpanID().String(), "b7ad6b7169203331")
+	assert.Equal(t, hop.Parent.SpanID(), call.SpanContext.SpanID())
+	assert.Assert(t, strings.Contains(w.Header().Get("Got"), hop.SpanContext.SpanID().String()))
+	assert.NilError(t, tr.Shutdown(context.Background()))
+}
+
+func TestFileExporter(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.json")
+	ctx := context.Background()
+	tr, err := NewTracing(ctx, settings.Trace{Exporter: settings.TraceFile, File: path, SamplePermille: 1000}, "entry", "e1")
+	assert.NilError(t, err)
+	_, span := tr.Start(ctx, SpanGrant)
+	End(span, nil)
+	assert.NilError(t, tr.Shutdown(ctx))
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(data), `"Name":"grant"`))
+
+	_, err = NewTracing(ctx, settings.Trace{Exporter: settings.TraceFile, File: filepath.Join(path, "x")}, "entry", "e1")
+	assert.Equal(t, fault.KindOf(err), fault.Settings)
+	none, err := NewTracing(ctx, settings.Trace{Exporter: settings.TraceOff}, "entry", "e1")
+	assert.NilError(t, err)
+	assert.Assert(t, !none.Enabled())
+	assert.NilError(t, none.Shutdown(ctx))
+}
+
+func TestOTLPExporter(t *testing.T) {
+	got := make(chan string, 4)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case got <- r.URL.Path:
+		default:
+		}
+	}))
+	defer collector.Close()
+	ctx := context.Background()
+	s := settings.Trace{Exporter: settings.TraceOTLP, Endpoint: collector.Listener.Addr().String(), SamplePermille: 1000}
+	tr, err := NewTracing(ctx, s, "entry", "e1")
+	assert.NilError(t, err)
+	_, span := tr.Start(ctx, SpanGrant)
+	End(span, nil)
+	assert.NilError(t, tr.Shutdown(ctx))
+	assert.Equal(t, <-got, "/v1/traces")
+}
