Add consensus core, storage and the replica driver

The control group needs its own consensus. The decisions are a pure module, the log is one file of checksummed frames, and one goroutine joins the two. Disk ids keep a replica that lost its disk from acting under its old id.

--- /dev/null
+++ b/internal/consensus/replica.go
@@ -0,0 +1,265 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/charts"
+	"balsamcourse.example/balsamcourse/internal/chart"
+)
+
+// Limits of replication.
+const (
+	entryOverheadBytes = 24
+	maxBatchBytes      = 64 << 10
+	maxInflightEntries = 4096
+	trailingEntries    = 512
+	quorumRoundsKept   = 64
+)
+
+// Roles of a replica, as the chart names them.
+const (
+	Forming      chart.State = "forming"
+	Learner      chart.State = "learner"
+	Follower     chart.State = "follower"
+	PreCandidate chart.State = "pre_candidate"
+	Candidate    chart.State = "candidate"
+	Leader       chart.State = "leader"
+)
+
+// Config sets up a replica.
+type Config struct {
+	// ID is the replica id; never 0, and never used for a second disk.
+	ID uint64
+	// Disk is the id of the data folder; never 0.
+	Disk uint64
+	// Heartbeat is the interval between a leader's heartbeats.
+	Heartbeat time.Duration
+	// Election is the shortest time without a leader before an election; the
+	// longest is half as much again. A leader that hears no quorum for this
+	// time steps down.
+	Election time.Duration
+	// Seed feeds the random part of election timeouts.
+	Seed uint64
+	// Bootstrap is the first membership of a new group; it is used only when
+	// the replica has no membership yet.
+	Bootstrap []*catalogpb.ControlMember
+	// off turns single rules off, so that tests can see the proofs fail.
+	off rule
+}
+
+// rule names a safety rule that tests can turn off.
+type rule uint8
+
+const (
+	ruleCommitOwnTerm rule = 1 << iota
+	ruleReadQuorum
+	ruleDiskIdentity
+	ruleLogMatch
+	ruleOneChange
+)
+
+// Replica is the state of one replica. It is not safe for concurrent use.
+type Replica struct {
+	cfg   Config
+	chart *chart.Chart
+	rng   *rand.Rand
+	now   time.Duration
+	role  chart.State
+
+	term, vote uint64
+	stateDirty bool
+	log        entryLog
+	stable     uint64
+	commit     uint64
+	applied    uint64
+	replace    bool
+
+	leader           uint64
+	heard            time.Duration
+	electionDeadline time.Duration
+	votes            map[uint64]bool
+	voteSent         time.Duration
+	formation        formation
+	lead             leadership
+	out              Actions
+}
+
+// New returns a replica that continues from rec, the durable record, at time
+// now. The owner restores the state machine from rec's snapshot beforehand.
+func New(cfg Config, rec *clusterpb.LogRecord, now time.Duration) *Replica {
+	r := &Replica{cfg: cfg, chart: charts.MustLoad("replica"), now: now}
+	r.rng = rand.New(rand.NewPCG(cfg.Seed, cfg.ID))
+	r.role = r.chart.Initial()
+	r.log = newLog(rec)
+	r.term, r.vote = rec.GetState().GetTerm(), rec.GetState().GetVote()
+	r.stable = r.log.last()
+	r.commit = r.log.snapshot.GetIndex()
+	r.applied = r.commit
+	r.heard = now - cfg.Election
+	r.enter(rec)
+	return r
+}
+
+// enter leaves the forming role when the replica already has a membership,
+// or joins an existing group.
+func (r *Replica) enter(rec *clusterpb.LogRecord) {
+	switch {
+	case len(r.log.configs) > 0:
+		r.fire("formed")
+		r.syncRole()
+	case len(r.cfg.Bootstrap) == 0:
+		r.fire("joined")
+	default:
+		r.startFormation(rec.GetFormation())
+	}
+}
+
+// Step handles events in order, then the timers that are due at now, which
+// must not decrease. It returns what has to be done.
+func (r *Replica) Step(now time.Duration, events ...Event) Actions {
+	r.now = max(r.now, now)
+	for _, e := range events {
+		r.handle(e)
+	}
+	r.tick()
+	if r.role == Leader {
+		r.replicate()
+	}
+	return r.take()
+}
+
+func (r *Replica) handle(e Event) {
+	switch e := e.(type) {
+	case Message:
+		r.receive(e.ConsensusMessage)
+	case Propose:
+		r.propose(e)
+	case Read:
+		r.read(e)
+	case AddMember:
+		r.addMember(e)
+	case RemoveMember:
+		r.removeMember(e)
+	case Transfer:
+		r.transfer(e)
+	case Compact:
+		r.compact(e)
+	case Synced:
+		r.synced()
+	}
+}
+
+// tick runs the timers that are due.
+func (r *Replica) tick() {
+	switch r.role {
+	case Forming:
+		r.tickFormation()
+	case Leader:
+		r.tickLeader()
+	case Follower, PreCandidate, Candidate:
+		if r.now >= r.electionDeadline {
+			r.fire("election_timeout")
+		}
+	}
+}
+
+// synced counts the replica's own durable entries and vote.
+func (r *Replica) synced() {
+	r.stable = r.log.last()
+	switch r.role {
+	case Candidate:
+		r.votes[r.cfg.ID] = true
+		r.countVotes()
+	case Leader:
+		r.advanceCommit()
+	case Forming:
+		r.checkFormed()
+	}
+}
+
+// take returns the collected actions and starts a new collection.
+func (r *Replica) take() Actions {
+	out := r.out
+	r.out = Actions{}
+	out.Write = r.takeWrite()
+	if r.commit > r.applied {
+		out.Committed = r.log.slice(r.applied+1, r.commit)
+		r.applied = r.commit
+	}
+	out.Deadline = r.deadline()
+	return out
+}
+
+func (r *Replica) takeWrite() Write {
+	var w Write
+	switch {
+	case r.replace:
+		w = Write{Record: r.image(), Replace: true}
+	case r.stateDirty || r.log.dirty != 0 || r.formation.dirty:
+		w.Record = r.delta()
+	}
+	r.replace, r.stateDirty, r.log.dirty, r.formation.dirty = false, false, 0, false
+	return w
+}
+
+// image returns the whole durable state.
+func (r *Replica) image() *clusterpb.LogRecord {
+	return &clusterpb.LogRecord{
+		DiskId:    r.cfg.Disk,
+		State:     &clusterpb.HardState{Term: r.term, Vote: r.vote},
+		Snapshot:  r.log.snapshot,
+		BaseIndex: r.log.baseIndex,
+		BaseTerm:  r.log.baseTerm,
+		Entries:   r.log.slice(r.log.baseIndex+1, r.log.last()),
+	}
+}
+
+// delta returns what changed since the last write.
+func (r *Replica) delta() *clusterpb.LogRecord {
+	rec := &clusterpb.LogRecord{}
+	if r.stateDirty {
+		rec.State = &clusterpb.HardState{Term: r.term, Vote: r.vote}
+	}
+	if r.log.dirty != 0 {
+		rec.Entries = r.log.slice(r.log.dirty, r.log.last())
+	}
+	if r.formation.dirty {
+		rec.Formation = &clusterpb.Membership{Members: r.formation.members}
+	}
+	return rec
+}
+
+// deadline returns the time of the next timer.
+func (r *Replica) deadline() time.Duration {
+	switch r.role {
+	case Forming:
+		return r.formation.next
+	case Leader:
+		return r.leaderDeadline()
+	case Learner:
+		return r.now + r.cfg.Election
+	default:
+		return r.electionDeadline
+	}
+}
+
+func (r *Replica) compact(e Compact) {
+	if e.Index <= r.log.snapshot.GetIndex() || e.Index > r.applied {
+		return
+	}
+	term, ok := r.log.term(e.Index)
+	if !ok {
+		return
+	}
+	members := r.log.configAt(e.Index).members
+	r.log.compact(&clusterpb.ConsensusSnapshot{
+		Index:   e.Index,
+		Term:    term,
+		Members: &clusterpb.Membership{Members: members},
+		Data:    e.Data,
+	}, trailingEntries)
+	r.replace = true
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,195 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/consensus"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// run is the event loop.
+func (n *Node) run() {
+	defer close(n.done)
+	defer n.shutdown()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var batch []consensus.Event
+		select {
+		case <-n.stop:
+			return
+		case r := <-n.inbox:
+			batch = n.collect(r)
+		case <-timer.C:
+		}
+		deadline, err := n.step(batch)
+		if err != nil {
+			n.diskFailed(err)
+			return
+		}
+		n.publish()
+		timer.Reset(max(deadline-n.now(), 0))
+	}
+}
+
+// collect takes first and what else has arrived, up to the batch limit.
+func (n *Node) collect(first request) []consensus.Event {
+	batch := []consensus.Event{n.register(first)}
+	for len(batch) < n.opts.MaxBatch {
+		select {
+		case r := <-n.inbox:
+			batch = append(batch, n.register(r))
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (n *Node) register(r request) consensus.Event {
+	if r.waiter != nil {
+		n.waiting.add(r.waiter)
+	}
+	return r.event
+}
+
+// step steps the decisions and carries out what they ask for, until nothing
+// is left to write.
+func (n *Node) step(batch []consensus.Event) (time.Duration, error) {
+	for {
+		actions := n.core.Step(n.now(), batch...)
+		if err := n.perform(actions); err != nil {
+			return 0, err
+		}
+		batch = n.compaction()
+		if actions.Write.Record != nil {
+			batch = append([]consensus.Event{consensus.Synced{}}, batch...)
+		}
+		if len(batch) == 0 {
+			return actions.Deadline, nil
+		}
+	}
+}
+
+// perform follows the persistence contract of package consensus.
+func (n *Node) perform(a consensus.Actions) error {
+	n.send(a.Send)
+	if err := n.write(a.Write); err != nil {
+		return err
+	}
+	n.send(a.SendSynced)
+	n.waiting.proposed(a.Proposals)
+	if err := n.apply(a.Restore, a.Committed); err != nil {
+		return err
+	}
+	n.waiting.readsDone(a.Reads)
+	n.noteRole()
+	return nil
+}
+
+func (n *Node) write(w consensus.Write) error {
+	switch {
+	case w.Record == nil:
+		return nil
+	case w.Replace:
+		return n.disk.Replace(w.Record)
+	default:
+		return n.disk.Append(w.Record)
+	}
+}
+
+// send groups messages by receiver.
+func (n *Node) send(msgs []*clusterpb.ConsensusMessage) {
+	for len(msgs) > 0 {
+		to := msgs[0].GetTo()
+		var same, rest []*clusterpb.ConsensusMessage
+		for _, m := range msgs {
+			if m.GetTo() == to {
+				same = append(same, m)
+			} else {
+				rest = append(rest, m)
+			}
+		}
+		if m := n.address(to); m != nil {
+			n.opts.Transport.Send(m, same)
+		}
+		msgs = rest
+	}
+}
+
+// address finds a replica in the membership, or in the list of a new group.
+func (n *Node) address(id uint64) *catalogpb.ControlMember {
+	if m := n.core.Member(id); m != nil {
+		return m
+	}
+	for _, m := range n.opts.Bootstrap {
+		if m.GetReplicaId() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// apply brings the state machine up to date.
+func (n *Node) apply(restore *clusterpb.ConsensusSnapshot, entries []*clusterpb.LogEntry) error {
+	if restore != nil {
+		if err := n.opts.StateMachine.Restore(restore.GetData()); err != nil {
+			return errors.Annotate(err, "restore snapshot")
+		}
+		n.applied, n.snapshot = restore.GetIndex(), restore.GetIndex()
+	}
+	for _, e := range entries {
+		var result any
+		if len(e.GetData()) > 0 {
+			result = n.opts.StateMachine.Apply(e.GetIndex(), e.GetData())
+		}
+		n.applied = e.GetIndex()
+		n.waiting.applied(e, result)
+	}
+	return nil
+}
+
+// compaction returns a Compact event when a snapshot is due.
+func (n *Node) compaction() []consensus.Event {
+	if n.applied < n.snapshot+n.opts.SnapshotEvery {
+		return nil
+	}
+	n.snapshot = n.applied
+	data, err := n.opts.StateMachine.Snapshot()
+	if err != nil {
+		n.opts.Events.Log(event.SnapshotFailed).Err(err).Send()
+		return nil
+	}
+	return []consensus.Event{consensus.Compact{Index: n.applied, Data: data}}
+}
+
+// diskFailed makes the replica stop taking part.
+func (n *Node) diskFailed(err error) {
+	n.failed.Store(true)
+	n.opts.Events.Log(event.DiskFault).Str("folder", n.opts.DataDir).Err(err).Send()
+}
+
+// shutdown fails all waiters and publishes that the replica has stopped.
+func (n *Node) shutdown() {
+	n.waiting.failAll(n.stoppedFault())
+	s := *n.status.Load()
+	s.IsLeader, s.Leader, s.LeaderAddress = false, 0, ""
+	s.Failed = n.failed.Load()
+	n.status.Store(&s)
+	if err := n.disk.Close(); err != nil && !n.failed.Load() {
+		n.opts.Events.Log(event.DiskFault).Err(err).Send()
+	}
+}
+
+// stoppedFault tells why a stopped replica answers nothing.
+func (n *Node) stoppedFault() *fault.Error {
+	if n.failed.Load() {
+		return fault.New(fault.DiskFailed, "replica %d", n.opts.ID)
+	}
+	return fault.New(fault.NoQuorum, "replica %d has stopped", n.opts.ID)
+}
