--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -139,6 +139,7 @@
 // deliver passes the answer on to the caller.
 func (c *call) deliver() chart.Event {
 	ans := c.answer
+	c.f.opts.Metrics.Answer("")
 	writeHead(c.w, ans.resp)
 	if ans.whole {
 		_, _ = c.w.Write(ans.head)
@@ -192,7 +193,7 @@
 		c.claim.Unknown()
 		c.claim = nil
 	}
-	c.f.metrics.aborted()
+	c.f.opts.Metrics.Answer(fault.UpstreamBroken)
 	panic(http.ErrAbortHandler)
 }
 
@@ -229,22 +230,20 @@
 // refuse answers that the request was given up on.
 func (c *call) refuse() chart.Event {
 	c.endClaim()
-	c.f.metrics.refused(fault.KindOf(c.err))
-	fault.WriteHTTP(c.w, c.err)
+	c.f.refuse(c.w, c.err)
 	return ""
 }
 
 // answerUnknown answers that the request may have run.
 func (c *call) answerUnknown() chart.Event {
-	c.f.metrics.refused(fault.KindOf(c.err))
-	fault.WriteHTTP(c.w, c.err)
+	c.f.refuse(c.w, c.err)
 	return ""
 }
 
 // answerKept answers a resend with the answer of the first run.
 func (c *call) answerKept() chart.Event {
 	if c.kept.Truncated {
-		fault.WriteHTTP(c.w, fault.New(fault.AlreadyRan, "status %d", c.kept.Status))
+		c.f.refuse(c.w, fault.New(fault.AlreadyRan, "status %d", c.kept.Status))
 		return ""
 	}
 	h := c.w.Header()
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,11 +6,14 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/chart"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
 // HeaderTimeoutMs carries the time left to the deadline, in milliseconds, from
@@ -36,6 +39,7 @@
 	key     string
 	body    *requestBody
 	state   chart.State
+	span    trace.Span
 
 	// ctx ends at the deadline and, unless the call holds a claim, when the
 	// caller goes away.
@@ -134,6 +138,7 @@
 	if c.needsClaim() {
 		parent = context.WithoutCancel(parent)
 	}
+	parent, c.span = c.f.opts.Tracing.StartServer(parent, c.r.Header, "call")
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 	return nil
 }
@@ -173,8 +178,11 @@
 func (c *call) askClaim() chart.Event {
 	c.pending = make(chan acquired, 1)
 	go c.acquire(c.pending)
-	digest := contentDigest(c.r, c.body.digest)
-	claim, kept, err := c.f.opts.Claims.Begin(c.ctx, c.service.Name, c.key, digest)
+	begun := time.Now()
+	ctx, span := c.f.opts.Tracing.Start(c.ctx, "claim")
+	claim, kept, err := c.f.opts.Claims.Begin(ctx, c.service.Name, c.key, contentDigest(c.r, c.body.digest))
+	span.End()
+	c.f.opts.Metrics.Claim.RecordDuration(time.Since(begun))
 	switch {
 	case err != nil:
 		c.dropPending()
@@ -201,12 +209,16 @@
 }
 
 func (c *call) acquire(out chan<- acquired) {
-	g, err := c.f.opts.Slots.Acquire(c.ctx, slot.Request{
+	begun := time.Now()
+	ctx, span := c.f.opts.Tracing.Start(c.ctx, "grant")
+	g, err := c.f.opts.Slots.Acquire(ctx, slot.Request{
 		Service:    c.service.Name,
 		Deadline:   c.deadline,
 		Avoid:      c.avoid,
 		Repeatable: c.policy.repeatable,
 	})
+	span.End()
+	c.f.opts.Metrics.Grant.RecordDuration(time.Since(begun))
 	out <- acquired{g, err}
 }
 
@@ -252,4 +264,5 @@
 func (c *call) close() {
 	c.release(clusterpb.Outcome_OUTCOME_CANCELLED, 0, false)
 	c.cancel()
+	telemetry.End(c.span, c.err)
 }
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/admit"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -192,8 +192,8 @@
 		Quarantine:      r.quarantine,
 		Limiter:         admit.NewLimiter(100),
 		Transport:       NewTransport(nil),
-		Tracer:          noop.NewTracerProvider().Tracer(""),
-		Metrics:         tally.NoopScope,
+		Tracing:         telemetry.Off(),
+		Metrics:         telemetry.NewEntryMetrics(tally.NoopScope),
 		Leaving:         func() bool { return false },
 		MaxBodyBytes:    256 << 20,
 		BodyIdleTimeout: 5 * time.Second,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,15 +6,13 @@
 	"net/http"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-	"go.opentelemetry.io/otel/trace"
-
 	"balsamcourse.example/balsamcourse/charts"
 	"balsamcourse.example/balsamcourse/internal/admit"
 	"balsamcourse.example/balsamcourse/internal/chart"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -26,8 +24,8 @@
 	Quarantine Quarantine
 	Limiter    *admit.Limiter
 	Transport  http.RoundTripper
-	Tracer     trace.Tracer
-	Metrics    tally.Scope
+	Tracing    *telemetry.Tracing
+	Metrics    *telemetry.EntryMetrics
 	Events     event.Logger
 	// Leaving reports whether this entry VM has stopped admitting calls.
 	Leaving func() bool
@@ -48,7 +46,6 @@
 	actions map[chart.Action]func(*call) chart.Event
 	retries *retryBudgets
 	rules   ruleCache
-	metrics metrics
 }
 
 // New returns a forwarder.
@@ -58,7 +55,6 @@
 		chart:   charts.MustLoad("call"),
 		actions: callActions(),
 		retries: newRetryBudgets(),
-		metrics: newMetrics(opts.Metrics),
 	}
 }
 
@@ -68,19 +64,23 @@
 	started := time.Now()
 	c, err := f.newCall(w, r, started)
 	if err != nil {
-		f.metrics.refused(fault.KindOf(err))
-		fault.WriteHTTP(w, err)
+		f.refuse(w, err)
 		return
 	}
 	defer c.close()
 	if !f.opts.Limiter.Acquire(c.service.Name) {
-		f.metrics.refused(fault.Overloaded)
-		fault.WriteHTTP(w, fault.New(fault.Overloaded, "service %q", c.service.Name))
+		f.refuse(w, fault.New(fault.Overloaded, "service %q", c.service.Name))
 		return
 	}
 	defer f.opts.Limiter.Release(c.service.Name)
 	f.drive(c)
-	f.metrics.done(c, time.Since(started))
+	f.opts.Metrics.Call.RecordDuration(time.Since(started))
+}
+
+// refuse answers that a request was given up on.
+func (f *Forwarder) refuse(w http.ResponseWriter, err error) {
+	f.opts.Metrics.Answer(fault.KindOf(err))
+	fault.WriteHTTP(w, err)
 }
 
 // drive steps the call through its chart until a state without a way on.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/chart"
@@ -34,10 +32,14 @@
 		return ev
 	}
 	c.attempts++
-	ctx, span := c.f.opts.Tracer.Start(c.ctx, "upstream")
+	ctx, span := c.f.opts.Tracing.Start(c.ctx, "upstream")
 	defer span.End()
 	a := &attempt{started: time.Now()}
 	resp, err := c.f.opts.Transport.RoundTrip(c.request(a.trace(ctx, c.w)))
+	c.f.opts.Metrics.Upstream.RecordDuration(time.Since(a.started))
+	if a.newConn.Load() {
+		c.f.opts.Metrics.Connections.Inc(1)
+	}
 	if err != nil {
 		return c.sendFailed(a, err)
 	}
@@ -102,7 +104,7 @@
 	out.Header.Del("Expect")
 	left := max(1, time.Until(c.deadline).Milliseconds())
 	out.Header.Set(HeaderTimeoutMs, strconv.FormatInt(left, 10))
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
+	c.f.opts.Tracing.Inject(ctx, out.Header)
 	return out.WithContext(ctx)
 }
 
@@ -205,7 +207,11 @@
 	if c.attempts >= c.f.opts.MaxAttempts || !c.body.replayable() || c.ctx.Err() != nil {
 		return false
 	}
-	return c.f.retries.take(c.service)
+	if !c.f.retries.take(c.service) {
+		return false
+	}
+	c.f.opts.Metrics.Retries.Inc(1)
+	return true
 }
 
 // isShed reports whether the upstream says that it did not run the request.
