Add the claim protocol and its runtime between entry VMs

Groups of five (three, one) entry VMs keep each key partition in memory. A claim needs a majority of covered members in one era of its partition; a member that joins a group first pulls the records of the era before.

--- /dev/null
+++ b/internal/claims/service.go
@@ -0,0 +1,233 @@
+// Package claims runs the claim protocol between entry VMs.
+//
+// Each entry VM is a member that keeps claims, and a coordinator for the
+// requests that callers send to it. The decisions are those of package claim.
+package claims
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/claim"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// tick is the pace of syncs and of forgetting expired records.
+const tick = 50 * time.Millisecond
+
+// Options configures a Service.
+type Options struct {
+	EntryID string
+	// Incarnation is the one under which the process is registered.
+	Incarnation uint64
+	// Client makes the calls to other entry VMs.
+	Client *http.Client
+	Limits claim.Limits
+	// MaxKeptBytes bounds the body of one kept answer.
+	MaxKeptBytes int
+	// Timeout bounds the decision on a claim.
+	Timeout time.Duration
+	// StartWithin bounds the time from the claim to the first byte sent. It
+	// must be below Limits.Retention.
+	StartWithin time.Duration
+	// Metrics may be nil.
+	Metrics tally.Scope
+}
+
+// Service keeps claims and obtains them.
+type Service struct {
+	opts    Options
+	self    claim.Member
+	started time.Time
+	number  atomic.Uint64
+	scope   tally.Scope
+
+	timeline  atomic.Pointer[claim.Timeline]
+	addresses atomic.Pointer[map[string]string]
+
+	mu    sync.Mutex
+	store *claim.Store
+
+	peersMu sync.Mutex
+	peers   map[string]*peer
+
+	calls   conc.WaitGroup
+	reports atomic.Int64
+	stop    chan struct{}
+}
+
+// New returns a Service that knows no members before the first OnConfig.
+func New(opts Options) *Service {
+	self := claim.Member{ID: opts.EntryID, Incarnation: opts.Incarnation}
+	scope := opts.Metrics
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &Service{
+		opts:    opts,
+		self:    self,
+		started: time.Now(),
+		scope:   scope.SubScope("claims"),
+		store:   claim.NewStore(self, opts.Limits),
+		peers:   make(map[string]*peer),
+		stop:    make(chan struct{}),
+	}
+}
+
+// Handler serves the claim protocol to other entry VMs.
+func (s *Service) Handler() http.Handler { return clusterpb.NewClaimsServer(s) }
+
+// OnConfig adopts the members of a configuration. Calls need not be in order.
+func (s *Service) OnConfig(v *view.View) {
+	addresses := make(map[string]string, len(v.Config.Entries))
+	for _, e := range v.Config.Entries {
+		addresses[e.Id] = e.ClusterAddress
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(v.Config.ClaimEpoch, addresses)
+}
+
+func (s *Service) adopt(ce *catalogpb.ClaimEpoch, addresses map[string]string) {
+	old := s.timeline.Load()
+	t := claim.NewTimeline(old, ce)
+	if ce.GetEpoch() >= old.Epoch() {
+		s.addresses.Store(&addresses)
+	}
+	if t == old {
+		return
+	}
+	s.store.Adopt(s.now(), t)
+	s.timeline.Store(t)
+}
+
+// Run syncs partitions and forgets expired records until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			close(s.stop)
+			s.calls.Wait()
+			return
+		case <-ticker.C:
+			s.tick()
+		}
+	}
+}
+
+func (s *Service) tick() {
+	s.mu.Lock()
+	s.store.Expire(s.now())
+	pulls := s.store.Pulls(s.now())
+	s.scope.Gauge("records").Update(float64(s.store.Claims()))
+	s.scope.Gauge("kept_bytes").Update(float64(s.store.AnswerBytes()))
+	s.mu.Unlock()
+	for _, m := range pulls {
+		s.send(m, s.onPulled)
+	}
+}
+
+func (s *Service) onPulled(reply *clusterpb.ClaimMessage, err error) {
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Handle(s.now(), reply)
+}
+
+// Step implements clusterpb.Claims. It answers each message in its place.
+func (s *Service) Step(_ context.Context, in *clusterpb.ClaimBatch) (*clusterpb.ClaimBatch, error) {
+	out := &clusterpb.ClaimBatch{Messages: make([]*clusterpb.ClaimMessage, len(in.Messages))}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, m := range in.Messages {
+		out.Messages[i] = s.handle(m)
+	}
+	return out, nil
+}
+
+func (s *Service) handle(m *clusterpb.ClaimMessage) *clusterpb.ClaimMessage {
+	if isReply(m.Kind) {
+		return &clusterpb.ClaimMessage{}
+	}
+	if r := s.store.Handle(s.now(), m); r != nil {
+		return r
+	}
+	return &clusterpb.ClaimMessage{}
+}
+
+// isReply keeps a caller of Step from passing off an answer.
+func isReply(k clusterpb.ClaimMessageKind) bool {
+	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC_REPLY
+}
+
+// send delivers a message; done gets the answer on some goroutine, which it
+// must not block.
+func (s *Service) send(m *clusterpb.ClaimMessage, done func(*clusterpb.ClaimMessage, error)) {
+	if m.To == s.self.ID {
+		s.mu.Lock()
+		r := s.handle(m)
+		s.mu.Unlock()
+		done(r, nil)
+		return
+	}
+	s.peer(m.To).send(pending{m, done})
+}
+
+// peer returns the sender to a member. A member that moves to another address
+// gets a new one.
+func (s *Service) peer(id string) *peer {
+	address := (*s.addresses.Load())[id]
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	p := s.peers[address]
+	if p == nil {
+		p = newPeer(address, s.opts.Client, &s.calls)
+		s.peers[address] = p
+	}
+	return p
+}
+
+// now returns the time on the monotonic clock of the process.
+func (s *Service) now() time.Duration { return time.Since(s.started) }
+
+// Drain waits until the outcomes of all ended claims have been reported, or
+// ctx ends.
+func (s *Service) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for s.reports.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Synced reports whether this member votes on all its keys. A rolling restart
+// waits for it before it stops the next entry VM.
+func (s *Service) Synced() bool {
+	t := s.timeline.Load()
+	if t == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := t.Member(s.self.ID); !ok || m.Incarnation != s.self.Incarnation {
+		return false
+	}
+	return s.store.Pending(s.now()) == 0
+}
--- /dev/null
+++ b/internal/claims/service_test.go
@@ -0,0 +1,158 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/claim"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// cluster is a few services over loopback connections.
+type cluster struct {
+	tb       testing.TB
+	services map[string]*Service
+	servers  map[string]*httptest.Server
+	cancels  map[string]context.CancelFunc
+	members  map[string]*catalogpb.ClaimMember
+	epoch    *catalogpb.ClaimEpoch
+	running  sync.WaitGroup
+}
+
+func newCluster(tb testing.TB, n int) *cluster {
+	c := &cluster{
+		tb:       tb,
+		services: make(map[string]*Service),
+		servers:  make(map[string]*httptest.Server),
+		cancels:  make(map[string]context.CancelFunc),
+		members:  make(map[string]*catalogpb.ClaimMember),
+	}
+	for i := range n {
+		c.start(fmt.Sprintf("e%d", i), 1)
+	}
+	c.configure()
+	tb.Cleanup(func() {
+		for id := range c.services {
+			c.stop(id)
+		}
+		c.running.Wait()
+	})
+	return c
+}
+
+func (c *cluster) start(id string, incarnation uint64) {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxCalls}
+	s := New(Options{
+		EntryID:      id,
+		Incarnation:  incarnation,
+		Client:       &http.Client{Transport: transport},
+		Limits:       claim.Limits{Retention: time.Minute, OpenRetention: time.Hour, MaxClaims: 1 << 20, MaxAnswerBytes: 1 << 20},
+		MaxKeptBytes: 1 << 10,
+		Timeout:      5 * time.Second,
+		StartWithin:  time.Minute,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.services[id] = s
+	c.servers[id] = httptest.NewServer(s.Handler())
+	c.cancels[id] = cancel
+	c.members[id] = &catalogpb.ClaimMember{Id: id, Incarnation: incarnation, Zone: "z" + id[1:]}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		s.Run(ctx)
+		transport.CloseIdleConnections()
+	}()
+}
+
+func (c *cluster) stop(id string) {
+	c.servers[id].CloseClientConnections()
+	c.servers[id].Close()
+	c.cancels[id]()
+	delete(c.services, id)
+}
+
+// configure advances the claim epoch to the present members.
+func (c *cluster) configure() {
+	var members []*catalogpb.ClaimMember
+	var entries []*catalogpb.Entry
+	for id := range c.services {
+		members = append(members, c.members[id])
+		address := strings.TrimPrefix(c.servers[id].URL, "http://")
+		entries = append(entries, &catalogpb.Entry{Id: id, ClusterAddress: address})
+	}
+	c.epoch = claim.Advance(c.epoch, members)
+	v := view.New(&catalogpb.Config{Entries: entries, ClaimEpoch: c.epoch})
+	for _, s := range c.services {
+		s.OnConfig(v)
+	}
+}
+
+func (c *cluster) begin(id, key string, digest byte) Decision {
+	return c.services[id].Begin(context.Background(), "booking", key, [32]byte{digest})
+}
+
+func kindOf(d Decision) fault.Kind {
+	if d.Kind != Refuse {
+		return ""
+	}
+	return d.Refusal.Kind
+}
+
+func TestResendThroughAnotherEntryGetsTheKeptAnswer(t *testing.T) {
+	c := newCluster(t, 5)
+	first := c.begin("e0", "k", 1)
+	assert.Equal(t, first.Kind, Proceed)
+	assert.Equal(t, kindOf(c.begin("e1", "k", 1)), fault.StillRunning)
+	assert.Equal(t, kindOf(c.begin("e1", "k", 2)), fault.KeyConflict)
+	assert.NilError(t, first.Claim.Start(context.Background()))
+	first.Claim.Finish(&clusterpb.KeptAnswer{Status: 201, Body: []byte("sitting 7")})
+	assert.NilError(t, c.services["e0"].Drain(context.Background()))
+	again := c.begin("e2", "k", 1)
+	assert.Equal(t, again.Kind, Replay)
+	assert.Equal(t, string(again.Answer.Body), "sitting 7")
+	assert.Equal(t, kindOf(c.begin("e2", "k", 3)), fault.KeyConflict)
+}
+
+func TestReleasedKeyCanBeClaimedAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	first := c.begin("e0", "k", 1)
+	first.Claim.Release()
+	assert.NilError(t, c.services["e0"].Drain(context.Background()))
+	assert.Equal(t, c.begin("e1", "k", 1).Kind, Proceed)
+	assert.ErrorContains(t, first.Claim.Start(context.Background()), "ended")
+}
+
+func TestRestartedMemberSyncsBeforeItVotes(t *testing.T) {
+	c := newCluster(t, 5)
+	done := c.begin("e0", "k", 1)
+	done.Claim.Finish(&clusterpb.KeptAnswer{Status: 200})
+	assert.NilError(t, c.services["e0"].Drain(context.Background()))
+	lost := c.begin("e1", "lost", 1)
+	assert.Equal(t, lost.Kind, Proceed)
+	for i := range 5 {
+		id := fmt.Sprintf("e%d", i)
+		c.stop(id)
+		c.start(id, 2)
+		c.configure()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !c.services[id].Synced() {
+				return poll.Continue("%s is not synced", id)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+	assert.Equal(t, c.begin("e3", "k", 1).Kind, Replay)
+	assert.Equal(t, kindOf(c.begin("e3", "lost", 1)), fault.OutcomeUnknown)
+}
