--- /dev/null
+++ b/internal/controld/controld.go
@@ -0,0 +1,217 @@
+// Package controld runs a control VM: its replica of the control log, and the
+// services for operators and entry VMs.
+package controld
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/access"
+	"balsamcourse.example/balsamcourse/internal/control"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/replica"
+	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
+)
+
+// Times of the daemon.
+const (
+	transferTimeout = 3 * time.Second
+	shutdownTimeout = 5 * time.Second
+	keyReload       = 2 * time.Second
+)
+
+// Daemon is a running control VM.
+type Daemon struct {
+	settings settings.Control
+	log      event.Logger
+	metrics  *telemetry.Metrics
+	keys     keys
+	node     *replica.Node
+	peers    *replica.TwirpTransport
+	control  *control.Server
+	servers  []*httpnet.Server
+}
+
+// keys are the key files of a control VM; nil ones let every call pass.
+type keys struct {
+	operators *access.Keys
+	cluster   *access.Keys
+}
+
+// Run runs a control VM until planned is closed or ctx ends. Closing planned
+// hands leadership over first.
+func Run(ctx context.Context, planned <-chan struct{}, s settings.Control, logs io.Writer) error {
+	d, err := newDaemon(s, logs)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := d.open(); err != nil {
+		return errors.Trace(err)
+	}
+	var workers conc.WaitGroup
+	workers.Go(func() { d.control.Run(runCtx) })
+	d.watchKeys(runCtx, &workers)
+	d.log.Log(event.Started).Str("cluster", s.ClusterAddress).Send()
+	d.wait(ctx, planned)
+	d.close(ctx)
+	cancel()
+	workers.Wait()
+	d.log.Log(event.Stopped).Send()
+	return nil
+}
+
+func newDaemon(s settings.Control, logs io.Writer) (*Daemon, error) {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	id := formatID(s.ID)
+	d := &Daemon{
+		settings: s,
+		log:      event.NewLogger(logs, level, "control", id),
+		metrics:  telemetry.NewMetrics("control", id),
+	}
+	if s.Open {
+		return d, nil
+	}
+	if d.keys.operators, err = access.Load(s.Keys.OperatorsFile); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if d.keys.cluster, err = access.Load(s.Keys.ClusterFile); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return d, nil
+}
+
+// open starts the replica and the listeners.
+func (d *Daemon) open() error {
+	client := replica.NewHTTPClient()
+	client.Transport = access.NewTransport(d.keys.cluster, client.Transport)
+	d.control = control.New(control.Options{
+		Client:   client,
+		Operator: access.Holder,
+		Log:      d.log,
+	})
+	if err := d.startReplica(client); err != nil {
+		return errors.Trace(err)
+	}
+	return d.listen()
+}
+
+func (d *Daemon) startReplica(client *http.Client) error {
+	d.peers = replica.NewTwirpTransport(d.settings.ID, client)
+	o := replica.Options{
+		ID:            d.settings.ID,
+		DataDir:       d.settings.DataDir,
+		Join:          d.settings.Join,
+		Transport:     d.peers,
+		StateMachine:  d.control.StateMachine(),
+		Events:        d.log,
+		Heartbeat:     d.settings.HeartbeatMs.Duration(),
+		Election:      d.settings.ElectionMs.Duration(),
+		SnapshotEvery: d.settings.SnapshotEvery,
+		Seed:          uint64(time.Now().UnixNano()),
+	}
+	if !d.settings.Join {
+		o.Bootstrap = members(d.settings.Members)
+	}
+	node, err := replica.Start(o)
+	if err != nil {
+		return errors.Annotate(err, "start replica")
+	}
+	d.node = node
+	d.peers.Bind(node)
+	d.control.SetReplica(replicaView{node})
+	return nil
+}
+
+func members(list []settings.Member) []*catalogpb.ControlMember {
+	out := make([]*catalogpb.ControlMember, len(list))
+	for i, m := range list {
+		out[i] = &catalogpb.ControlMember{ReplicaId: m.ID, Address: m.Address, Zone: m.Zone}
+	}
+	return out
+}
+
+func (d *Daemon) listen() error {
+	cluster := http.NewServeMux()
+	cluster.Handle(clusterpb.ConsensusPathPrefix, clusterpb.NewConsensusServer(replica.NewServer(d.node, d.peers)))
+	cluster.Handle(clusterpb.DistributionPathPrefix, d.control.DistributionHandler())
+	cluster.Handle(adminpb.AdminPathPrefix, d.control.PeerAdminHandler())
+	operators := http.NewServeMux()
+	operators.Handle(adminpb.AdminPathPrefix, d.control.AdminHandler())
+	if err := d.serve(d.settings.ClusterListen, access.NewGuard(d.keys.cluster, d.log, nil).Wrap(cluster)); err != nil {
+		return err
+	}
+	if err := d.serve(d.settings.OperatorListen, access.NewGuard(d.keys.operators, d.log, nil).Wrap(operators)); err != nil {
+		return err
+	}
+	if d.settings.MetricsListen == "" {
+		return nil
+	}
+	return d.serve(d.settings.MetricsListen, d.metrics.Handler())
+}
+
+func (d *Daemon) serve(address string, h http.Handler) error {
+	limits := d.settings.Limits
+	s, err := httpnet.Listen(address, h, httpnet.Limits{
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.ReadHeaderTimeoutMs.Duration(),
+		IdleTimeout:       limits.IdleTimeoutMs.Duration(),
+		MaxConnections:    limits.MaxConnections,
+	})
+	if err != nil {
+		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
+		return errors.Trace(err)
+	}
+	d.servers = append(d.servers, s)
+	return nil
+}
+
+func (d *Daemon) watchKeys(ctx context.Context, workers *conc.WaitGroup) {
+	for _, k := range []*access.Keys{d.keys.operators, d.keys.cluster} {
+		if k != nil {
+			workers.Go(func() { k.Watch(ctx, keyReload, d.log) })
+		}
+	}
+}
+
+// wait returns when the daemon is asked to stop or its replica has ended.
+func (d *Daemon) wait(ctx context.Context, planned <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-planned:
+	case <-d.node.Done():
+	}
+}
+
+// close hands leadership over and stops the listeners and the replica.
+func (d *Daemon) close(ctx context.Context) {
+	d.log.Log(event.Stopping).Send()
+	if ctx.Err() == nil {
+		transfer, cancel := context.WithTimeout(ctx, transferTimeout)
+		_ = d.node.TransferLeadership(transfer)
+		cancel()
+	}
+	stop, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	for _, s := range d.servers {
+		_ = s.Shutdown(stop)
+	}
+	_ = d.node.Stop(stop)
+	d.peers.Close()
+	_ = d.metrics.Close()
+}
--- /dev/null
+++ b/internal/entryd/build.go
@@ -0,0 +1,155 @@
+package entryd
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/access"
+	"balsamcourse.example/balsamcourse/internal/announce"
+	"balsamcourse.example/balsamcourse/internal/claim"
+	"balsamcourse.example/balsamcourse/internal/claims"
+	"balsamcourse.example/balsamcourse/internal/configsync"
+	"balsamcourse.example/balsamcourse/internal/dispatcher"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// Times of the parts of an entry VM.
+const (
+	claimTimeout = time.Second
+	startWithin  = 30 * time.Second
+	// announceParts is the number of announcements an upstream makes before
+	// its silence counts as leaving.
+	announceParts = 6
+)
+
+// build connects the parts. Nothing runs yet.
+func (d *Daemon) build(ctx context.Context) {
+	d.config = d.newConfig()
+	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
+	d.dispatcher = d.newDispatcher(fast)
+	d.slots = slot.NewClient(slot.Options{
+		Entry:       d.settings.ID,
+		Zone:        d.settings.Zone,
+		Incarnation: d.self.Incarnation,
+		View:        d.config,
+		Local:       d.dispatcher,
+		HTTP:        fast,
+	})
+	d.claims = d.newClaims(fast)
+	d.callers = d.newCallerSide()
+	d.config.OnChange(func(v *view.View) {
+		d.log.Log(event.ConfigAdopted).Uint64("revision", v.Revision()).Send()
+		d.dispatcher.OnConfig(v)
+		d.slots.OnConfig(ctx, v)
+		d.claims.OnConfig(v)
+	})
+}
+
+func (d *Daemon) newConfig() *configsync.Syncer {
+	lease := d.settings.Lease
+	return configsync.New(configsync.Options{
+		Entry:         d.self,
+		Control:       d.settings.Control,
+		Client:        d.client(httpnet.NewClient(d.opts.DialPeer)),
+		RenewEvery:    lease.RenewMs.Duration(),
+		ConfirmFor:    lease.ConfirmMs.Duration(),
+		DriftPermille: lease.DriftPermille,
+		Log:           d.log,
+	})
+}
+
+func (d *Daemon) newDispatcher(client *http.Client) *dispatcher.Server {
+	return dispatcher.New(dispatcher.Options{
+		Entry:       d.settings.ID,
+		Incarnation: d.self.Incarnation,
+		View:        d.config,
+		Accepted:    d.config.AcceptedRevision,
+		Client:      client,
+		Log:         d.log,
+		Metrics:     d.metrics.Scope,
+		Seed:        d.self.Incarnation,
+	})
+}
+
+func (d *Daemon) newClaims(client *http.Client) *claims.Service {
+	c := d.settings.Claims
+	return claims.New(claims.Options{
+		EntryID:     d.settings.ID,
+		Incarnation: d.self.Incarnation,
+		Client:      client,
+		Limits: claim.Limits{
+			Retention: c.RetentionMs.Duration(),
+			Claims:    c.MaxClaims,
+			Bytes:     c.MaxTotalBytes,
+		},
+		MaxKeptBytes: c.MaxKeptBytes,
+		Timeout:      claimTimeout,
+		StartWithin:  startWithin,
+		Metrics:      d.metrics.Scope,
+	})
+}
+
+// listen opens the listeners. Processes of the system come first: callers must
+// not find an entry VM that the others cannot reach.
+func (d *Daemon) listen() error {
+	s := d.settings
+	var err error
+	if d.servers.cluster, err = d.open(s.ClusterListen, httpnet.Limits{}, d.clusterHandler()); err != nil {
+		return err
+	}
+	if d.servers.announce, err = d.open(s.AnnounceListen, d.limits(), d.announceHandler()); err != nil {
+		return err
+	}
+	if d.servers.callers, err = d.open(s.CallerListen, d.limits(), d.callers.handler); err != nil {
+		return err
+	}
+	if s.MetricsListen == "" {
+		return nil
+	}
+	d.servers.metrics, err = d.open(s.MetricsListen, httpnet.Limits{}, d.metrics.Handler())
+	return err
+}
+
+func (d *Daemon) open(address string, limits httpnet.Limits, h http.Handler) (*httpnet.Server, error) {
+	s, err := httpnet.Listen(address, h, limits)
+	if err != nil {
+		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
+	}
+	return s, errors.Trace(err)
+}
+
+func (d *Daemon) limits() httpnet.Limits {
+	l := d.settings.Limits
+	return httpnet.Limits{
+		MaxHeaderBytes:    l.MaxHeaderBytes,
+		ReadHeaderTimeout: l.ReadHeaderTimeoutMs.Duration(),
+		IdleTimeout:       l.IdleTimeoutMs.Duration(),
+		MaxConnections:    l.MaxConnections,
+	}
+}
+
+func (d *Daemon) clusterHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
+	mux.Handle(clusterpb.DispatchPathPrefix, d.dispatcher.Handler())
+	mux.Handle(clusterpb.ClaimsPathPrefix, d.claims.Handler())
+	return access.NewGuard(d.keys.cluster, d.log, nil).Wrap(mux)
+}
+
+func (d *Daemon) announceHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/announce", &announce.Handler{
+		Sink:    announceSink{d.dispatcher},
+		EveryMs: int(d.settings.AnnounceTTLMs) / announceParts,
+	})
+	refuse := func(w http.ResponseWriter, _ *http.Request, err *fault.Error) { fault.WriteHTTP(w, err) }
+	return access.NewGuard(d.keys.upstreams, d.log, refuse).Wrap(mux)
+}
--- /dev/null
+++ b/internal/entryd/stop.go
@@ -0,0 +1,110 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+)
+
+// Times of a planned stop.
+const (
+	handOverTimeout = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+// listeners are the servers of an entry VM.
+type listeners struct {
+	callers, announce, cluster, metrics *httpnet.Server
+}
+
+func (l *listeners) all() []*httpnet.Server {
+	var open []*httpnet.Server
+	for _, s := range []*httpnet.Server{l.callers, l.announce, l.cluster, l.metrics} {
+		if s != nil {
+			open = append(open, s)
+		}
+	}
+	return open
+}
+
+// leave carries out a planned stop: look-up answers stop naming this entry VM,
+// which serves on for as long as callers may keep an answer, hands over what
+// it does for others, and finishes the calls in flight. The end of ctx cuts
+// the stop short.
+func (d *Daemon) leave(ctx context.Context) {
+	d.log.Log(event.Stopping).Send()
+	d.life.step("stop")
+	d.config.SetLeaving()
+	if !sleep(ctx, d.settings.LookupTTLMs.Duration()) {
+		return
+	}
+	d.handOver(ctx)
+	d.life.step("answers_expired")
+	limit := time.Now().Add(d.settings.DrainMs.Duration())
+	for !d.callers.drained() && time.Now().Before(limit) {
+		if !sleep(ctx, drainPoll) {
+			return
+		}
+	}
+	d.life.step("idle")
+}
+
+// handOver waits until the cells of this entry VM have moved and other entry
+// VMs hold its claims.
+func (d *Daemon) handOver(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for d.holdsCells() {
+		if !sleep(limited, drainPoll) {
+			break
+		}
+	}
+	_ = d.claims.Drain(limited)
+}
+
+// holdsCells reports whether the configuration in force assigns a cell to this
+// entry VM.
+func (d *Daemon) holdsCells() bool {
+	v := d.config.View()
+	if v == nil {
+		return false
+	}
+	for _, c := range v.Config.Cells {
+		if c.Entry == d.settings.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// close stops the listeners and the background work.
+func (d *Daemon) close(ctx context.Context, cancel context.CancelFunc) {
+	if n := d.callers.limiter.Total(); n > 0 {
+		d.log.Log(event.StoppedHard).Uint64("calls_cut", uint64(n)).Send()
+	}
+	limited, done := context.WithTimeout(ctx, shutdownTimeout)
+	defer done()
+	for _, s := range d.servers.all() {
+		_ = s.Shutdown(limited)
+	}
+	cancel()
+	d.workers.Wait()
+	d.callers.transport.CloseIdleConnections()
+	_ = d.tracing.Shutdown(limited)
+	_ = d.metrics.Close()
+	d.log.Log(event.Stopped).Send()
+}
+
+// sleep waits for d; it reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
