Add the dispatch cell: exact in-flight, queue, cold bound, re-registration

One dispatcher per cell decides on exact counts. The cell is pure: time and randomness are passed in.

--- /dev/null
+++ b/internal/dispatch/event.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"time"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/chart"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// Key identifies a request for a slot, and the ticket granted to it.
+type Key struct {
+	// Entry is the id of the entry VM that asks.
+	Entry string
+	// Incarnation is that of the entry VM.
+	Incarnation uint64
+	// ID is unique within the incarnation.
+	ID uint64
+}
+
+// Report is the state that an upstream announces.
+type Report int
+
+// The reports.
+const (
+	ReportCold Report = iota
+	ReportWarm
+	ReportDraining
+)
+
+// Event is an input of a cell.
+type Event interface{ isEvent() }
+
+// Announce is an announcement of an upstream.
+type Announce struct {
+	ID          string
+	Address     string
+	Slots       int
+	Incarnation uint64
+	Report      Report
+	// Age is the time since the upstream sent the announcement.
+	Age time.Duration
+}
+
+// Acquire asks for a slot.
+type Acquire struct {
+	Key Key
+	// Deadline is the time at which the request is given up.
+	Deadline time.Duration
+	// MaxWait bounds the wait in the queue; zero asks for a slot at once.
+	MaxWait time.Duration
+	// Avoid lists upstreams that must not be granted.
+	Avoid []string
+}
+
+// Cancel withdraws a request or returns its unused slot.
+type Cancel struct{ Key Key }
+
+// Release ends a ticket.
+type Release struct {
+	Key         Key
+	Outcome     clusterpb.Outcome
+	ServiceTime time.Duration
+}
+
+// Held is a ticket of an earlier epoch.
+type Held struct {
+	ID       uint64
+	Upstream string
+	Deadline time.Duration
+}
+
+// Known is what an entry VM remembers of an upstream from earlier grants.
+type Known struct {
+	Upstream    string
+	Incarnation uint64
+	Limit       int
+	Epoch       uint64
+	// Version orders the limits set in one epoch.
+	Version uint64
+}
+
+// Reregister hands over what an entry VM holds from earlier epochs.
+type Reregister struct {
+	Entry       string
+	Incarnation uint64
+	Held        []Held
+	Known       []Known
+}
+
+// EntryLost says that an entry VM no longer waits for its requests. Its
+// tickets count until their deadlines, for the upstreams may still run them.
+type EntryLost struct {
+	Entry       string
+	Incarnation uint64
+}
+
+// ProbeDone reports the end of a probe.
+type ProbeDone struct {
+	ID   uint64
+	OK   bool
+	Took time.Duration
+}
+
+// Accepted says that no other dispatcher of the cell grants slots any more.
+type Accepted struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Configure replaces the settings.
+type Configure struct{ Config Config }
+
+// Close ends the cell: every waiting request is refused.
+type Close struct{}
+
+func (Announce) isEvent()   {}
+func (Acquire) isEvent()    {}
+func (Cancel) isEvent()     {}
+func (Release) isEvent()    {}
+func (Reregister) isEvent() {}
+func (EntryLost) isEvent()  {}
+func (ProbeDone) isEvent()  {}
+func (Accepted) isEvent()   {}
+func (Tick) isEvent()       {}
+func (Configure) isEvent()  {}
+func (Close) isEvent()      {}
+
+// Action is an output of a cell.
+type Action interface{ isAction() }
+
+// Grant answers an Acquire with a slot.
+type Grant struct {
+	Key         Key
+	Upstream    string
+	Address     string
+	Incarnation uint64
+	// Limit is the number of requests the upstream is allowed at this moment.
+	Limit   int
+	Version uint64
+	// Free is the number of slots left in the cell.
+	Free int
+}
+
+// Refuse answers an Acquire without one.
+type Refuse struct {
+	Key        Key
+	Kind       fault.Kind
+	RetryAfter time.Duration
+	// Wait is the expected wait for a slot in this cell.
+	Wait time.Duration
+}
+
+// Probe asks for a probe of an upstream.
+type Probe struct {
+	ID       uint64
+	Upstream string
+	Address  string
+	// Timeout bounds the probe.
+	Timeout time.Duration
+}
+
+// StateChanged reports a transition of an upstream.
+type StateChanged struct {
+	Upstream string
+	From     chart.State
+	To       chart.State
+	Limit    int
+}
+
+func (Grant) isAction()        {}
+func (Refuse) isAction()       {}
+func (Probe) isAction()        {}
+func (StateChanged) isAction() {}
--- /dev/null
+++ b/internal/dispatch/pick.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// slowWeight is how much a doubling of an upstream's service time weighs
+// against the share of its slots in use.
+const slowWeight = 0.25
+
+// usable reports whether the upstream may be granted at all at this moment.
+func (c *Cell) usable(u *upstream) bool {
+	return u.limit >= u.slots || c.rules.noSettle || c.settle.coldOpen(c.now)
+}
+
+// pick returns the upstream with room that should run w, or nil. It prefers a
+// low share of slots in use, then a short service time.
+func (c *Cell) pick(w *waiter) *upstream {
+	n := len(c.upstreams)
+	if n == 0 {
+		return nil
+	}
+	var best *upstream
+	var bestCost float64
+	first := c.rng.IntN(n)
+	for i := range n {
+		u := c.upstreams[(first+i)%n]
+		if u.room() == 0 || !c.usable(u) || slices.Contains(w.avoid, u.id) {
+			continue
+		}
+		if cost := c.cost(u); best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	return best
+}
+
+func (c *Cell) cost(u *upstream) float64 {
+	used := float64(u.inFlight+len(u.held)+1) / float64(u.limit)
+	if u.stats.n == 0 || c.base.n == 0 {
+		return used
+	}
+	return used + slowWeight*max(0, u.stats.mean-c.base.mean)
+}
+
+// free returns the number of slots that can be granted now.
+func (c *Cell) free() int {
+	n := 0
+	for _, u := range c.upstreams {
+		if c.usable(u) {
+			n += u.room()
+		}
+	}
+	return n
+}
+
+// capacity returns the number of requests the cell may run at once.
+func (c *Cell) capacity() int {
+	n := 0
+	for _, u := range c.upstreams {
+		if c.usable(u) {
+			n += u.limit
+		}
+	}
+	return n
+}
+
+// typicalService returns the mean service time of the cell; zero if unknown.
+func (c *Cell) typicalService() time.Duration { return time.Duration(c.serviceNs) }
+
+// expectedWait estimates the wait of a request that arrives now.
+func (c *Cell) expectedWait() time.Duration {
+	if c.queue.len() == 0 && c.free() > 0 {
+		return 0
+	}
+	capacity := max(1, c.capacity())
+	return c.typicalService() * time.Duration(c.queue.len()+1) / time.Duration(capacity)
+}
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import "time"
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	key      Key
+	deadline time.Duration
+	until    time.Duration
+	avoid    []string
+}
+
+// queue holds waiters in order of arrival.
+type queue struct {
+	items []waiter
+}
+
+func (q *queue) len() int { return len(q.items) }
+
+func (q *queue) at(i int) *waiter { return &q.items[i] }
+
+func (q *queue) push(w waiter) { q.items = append(q.items, w) }
+
+func (q *queue) remove(i int) waiter {
+	w := q.items[i]
+	last := len(q.items) - 1
+	copy(q.items[i:], q.items[i+1:])
+	q.items[last] = waiter{}
+	q.items = q.items[:last]
+	return w
+}
+
+func (q *queue) has(k Key) bool { return q.find(k) >= 0 }
+
+func (q *queue) find(k Key) int {
+	for i := range q.items {
+		if q.items[i].key == k {
+			return i
+		}
+	}
+	return -1
+}
