--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,292 @@
+// Package gossip shares what entry VMs learn of crashing requests.
+//
+// A new report is pushed to every entry VM at once. In addition each entry VM
+// compares the hash of its reports with one other entry VM at a steady pace,
+// and exchanges them when the hashes differ, which mends lost pushes and
+// brings in entry VMs that have just started.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/claim"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+const (
+	// pace is the time between two comparisons with other entry VMs.
+	pace = time.Second
+	// maxPushes bounds the pushes in flight.
+	maxPushes = 32
+	// callTimeout bounds one call.
+	callTimeout = 500 * time.Millisecond
+	// flushPoll is the pace at which Flush looks for the end of a push.
+	flushPoll = 2 * time.Millisecond
+	// queueSize bounds the reports that wait to be pushed; the comparison
+	// spreads those above it.
+	queueSize = 1024
+)
+
+// Options configures a Service.
+type Options struct {
+	EntryID string
+	// Incarnation tells the reports of one start of the process from those of
+	// another.
+	Incarnation uint64
+	// Client makes the calls to other entry VMs.
+	Client *http.Client
+	Limits quarantine.Limits
+	Logger event.Logger
+}
+
+// Service holds the evidence of this entry VM and shares it.
+type Service struct {
+	opts Options
+	// origin names this start of the process in its reports.
+	origin   string
+	started  time.Time
+	sequence atomic.Uint64
+	// pushed is the newest sequence whose push has ended.
+	pushed atomic.Uint64
+	queue  chan *clusterpb.CrashReport
+	peers  atomic.Pointer[[]string]
+	// active is set while there is any evidence, so that calls need no lock
+	// otherwise.
+	active atomic.Bool
+
+	mu    sync.Mutex
+	state *quarantine.State
+}
+
+// New returns a Service without evidence.
+func New(opts Options) *Service {
+	s := &Service{
+		opts:    opts,
+		origin:  claim.ProcessName(opts.EntryID, opts.Incarnation),
+		started: time.Now(),
+		queue:   make(chan *clusterpb.CrashReport, queueSize),
+		state:   quarantine.New(opts.Limits),
+	}
+	s.peers.Store(&[]string{})
+	return s
+}
+
+// Handler serves the exchange to other entry VMs.
+func (s *Service) Handler() http.Handler { return clusterpb.NewGossipServer(s) }
+
+// OnConfig learns the addresses of the other entry VMs.
+func (s *Service) OnConfig(v *view.View) {
+	peers := make([]string, 0, len(v.Config.Entries))
+	for _, e := range v.Config.Entries {
+		if e.Id != s.opts.EntryID {
+			peers = append(peers, "http://"+e.ClusterAddress)
+		}
+	}
+	s.peers.Store(&peers)
+}
+
+// Blocked returns the refusal for a quarantined request, or nil.
+func (s *Service) Blocked(r quarantine.Request) *fault.Error {
+	if !s.active.Load() {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left, ok := s.state.Blocked(s.now(), r)
+	if !ok {
+		return nil
+	}
+	return fault.After(fault.Quarantined, left, "request %s of service %s", r.Fingerprint, r.Service)
+}
+
+// Suspect reports whether at most one attempt at the request should run at a
+// time.
+func (s *Service) Suspect(r quarantine.Request) bool {
+	if !s.active.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Suspect(s.now(), r)
+}
+
+// Crashed reports that the connection to an upstream broke with the request in
+// flight.
+func (s *Service) Crashed(r quarantine.Request, c quarantine.Crash) {
+	s.publish(&clusterpb.CrashReport{Service: r.Service, Fingerprint: r.Fingerprint, Upstream: c.Upstream, Incarnation: c.Incarnation})
+}
+
+// Completed clears a suspect request that an upstream has answered. It is
+// cheap for requests that are not suspect.
+func (s *Service) Completed(r quarantine.Request) {
+	if s.Suspect(r) {
+		s.Release(r)
+	}
+}
+
+// Release cancels the evidence against a request on all entry VMs.
+func (s *Service) Release(r quarantine.Request) {
+	s.publish(&clusterpb.CrashReport{Service: r.Service, Fingerprint: r.Fingerprint, Released: true})
+}
+
+// Quarantined returns the requests that are held off.
+func (s *Service) Quarantined() []quarantine.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Quarantined(s.now())
+}
+
+func (s *Service) publish(r *clusterpb.CrashReport) {
+	r.Entry = s.origin
+	r.Sequence = s.sequence.Add(1)
+	s.merge([]*clusterpb.CrashReport{r})
+	select {
+	case s.queue <- r:
+	default:
+	}
+}
+
+func (s *Service) merge(reports []*clusterpb.CrashReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, r := range s.state.Merge(now, reports) {
+		s.log(now, r)
+	}
+	s.active.Store(s.state.Hash() != 0)
+}
+
+func (s *Service) log(now time.Duration, r *clusterpb.CrashReport) {
+	if r.Released {
+		return
+	}
+	e := event.RequestSuspect
+	if _, held := s.state.Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); held {
+		e = event.RequestHeldOff
+	}
+	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).Send()
+}
+
+// now returns the time on the monotonic clock of the process.
+func (s *Service) now() time.Duration { return time.Since(s.started) }
+
+// Run pushes new reports and compares evidence until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-s.queue:
+			batch := s.gather(r)
+			s.push(ctx, batch)
+			s.pushed.Store(batch[len(batch)-1].Sequence)
+		case <-ticker.C:
+			s.compare(ctx)
+		}
+	}
+}
+
+// gather returns the report and all others that wait.
+func (s *Service) gather(r *clusterpb.CrashReport) []*clusterpb.CrashReport {
+	batch := []*clusterpb.CrashReport{r}
+	for {
+		select {
+		case next := <-s.queue:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+}
+
+// Flush waits until the reports made so far have been pushed to all entry VMs
+// that answer, or ctx ends.
+func (s *Service) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for last := s.sequence.Load(); s.pushed.Load() < last; {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// push sends reports to all other entry VMs.
+func (s *Service) push(ctx context.Context, reports []*clusterpb.CrashReport) {
+	p := pool.New().WithMaxGoroutines(maxPushes)
+	for _, address := range *s.peers.Load() {
+		p.Go(func() { s.exchange(ctx, address, reports) })
+	}
+	p.Wait()
+}
+
+// compare exchanges evidence with one other entry VM.
+func (s *Service) compare(ctx context.Context) {
+	s.mu.Lock()
+	s.state.Tick(s.now())
+	s.active.Store(s.state.Hash() != 0)
+	s.mu.Unlock()
+	peers := *s.peers.Load()
+	if len(peers) == 0 {
+		return
+	}
+	address := peers[rand.IntN(len(peers))]
+	if answer := s.exchange(ctx, address, nil); answer == nil || answer.StateHash == s.hash() {
+		return
+	}
+	s.mu.Lock()
+	reports := s.state.Reports(s.now())
+	s.mu.Unlock()
+	s.exchange(ctx, address, reports)
+}
+
+func (s *Service) hash() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Hash()
+}
+
+// exchange calls one entry VM and takes in what it returns; nil on failure.
+func (s *Service) exchange(ctx context.Context, address string, reports []*clusterpb.CrashReport) *clusterpb.ExchangeResponse {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := clusterpb.NewGossipProtobufClient(address, s.opts.Client)
+	answer, err := client.Exchange(ctx, &clusterpb.ExchangeRequest{Entry: s.opts.EntryID, Crashes: reports, StateHash: s.hash()})
+	if err != nil {
+		return nil
+	}
+	if len(answer.Crashes) > 0 {
+		s.merge(answer.Crashes)
+	}
+	return answer
+}
+
+// Exchange implements clusterpb.Gossip.
+func (s *Service) Exchange(_ context.Context, in *clusterpb.ExchangeRequest) (*clusterpb.ExchangeResponse, error) {
+	if len(in.Crashes) > 0 {
+		s.merge(in.Crashes)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := &clusterpb.ExchangeResponse{StateHash: s.state.Hash()}
+	if len(in.Crashes) == 0 && in.StateHash != out.StateHash {
+		out.Crashes = s.state.Reports(s.now())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/quarantine/exchange.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+)
+
+// hash returns a hash whose combination over a set identifies the set.
+func (id reportID) hash() uint64 {
+	return xxhash.Sum64String(id.entry + "\x00" + strconv.FormatUint(id.sequence, 10))
+}
+
+// Hash identifies the set of reports held. Equal sets have equal hashes.
+func (s *State) Hash() uint64 { return s.hash }
+
+// Reports returns all reports, oldest first.
+func (s *State) Reports(now time.Duration) []*clusterpb.CrashReport {
+	out := make([]*clusterpb.CrashReport, 0, len(s.reports))
+	for id, r := range s.reports {
+		out = append(out, &clusterpb.CrashReport{
+			Service:     r.request.Service,
+			Fingerprint: r.request.Fingerprint,
+			Upstream:    r.crash.Upstream,
+			Incarnation: r.crash.Incarnation,
+			Entry:       id.entry,
+			Sequence:    id.sequence,
+			AgeMs:       uint32((now - r.at) / time.Millisecond),
+			Released:    r.released,
+		})
+	}
+	slices.SortFunc(out, func(a, b *clusterpb.CrashReport) int {
+		return cmp.Or(cmp.Compare(b.AgeMs, a.AgeMs), cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Sequence, b.Sequence))
+	})
+	return out
+}
+
+// Held is a quarantined request.
+type Held struct {
+	Request Request
+	// Crashes is the number of crashes that count against it.
+	Crashes int
+	// Left is the time until the quarantine ends by itself.
+	Left time.Duration
+}
+
+// Quarantined returns the requests that are quarantined.
+func (s *State) Quarantined(now time.Duration) []Held {
+	var out []Held
+	for r, v := range s.verdict {
+		if left, ok := s.Blocked(now, r); ok {
+			out = append(out, Held{r, v.crashes, left})
+		}
+	}
+	slices.SortFunc(out, func(a, b Held) int {
+		return cmp.Or(cmp.Compare(a.Request.Service, b.Request.Service), cmp.Compare(a.Request.Fingerprint, b.Request.Fingerprint))
+	})
+	return out
+}
