Never call a request not run after an attempt that may have run

Cause: a refusal of the second attempt (shed, stale configuration) replaced the error of a first attempt that broke mid-request.

--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -53,7 +53,7 @@
 	Shed:              {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the upstream refused the request before running it"},
 	KeyRequired:       {http.StatusBadRequest, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the rule requires an Idempotency-Key"},
 	KeyConflict:       {http.StatusUnprocessableEntity, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the Idempotency-Key was used for another request"},
-	StillRunning:      {http.StatusConflict, twirp.Aborted, Ran, retryShort, ExitUnavailable, "the first request with this key is still running"},
+	StillRunning:      {http.StatusConflict, twirp.Aborted, Unknown, retryShort, ExitUnavailable, "the first request with this key is still running"},
 	AlreadyRan:        {http.StatusConflict, twirp.AlreadyExists, Ran, 0, ExitConflict, "the request ran; its answer was not kept"},
 	ClaimsFull:        {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryLong, ExitUnavailable, "no room for another claim"},
 	ClaimsUnavailable: {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "the claim group cannot decide"},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -97,7 +97,6 @@
 		return c.lost(c.cancelFault())
 	}
 	c.release(clusterpb.Outcome_OUTCOME_BROKEN, time.Since(a.started), a.newConn.Load())
-	c.f.opts.Quarantine.Broken(c.service.Name, c.fingerprint(), c.grant.Upstream)
 	return c.retryOrLose(err)
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -51,11 +51,15 @@
 	grant    slot.Grant
 	granted  bool
 	claim    Claim
+	try      Try
 	kept     *clusterpb.KeptAnswer
 	answer   *answer
 	avoid    []string
 	attempts int
 	err      error
+	// mayHaveRun is the error of an attempt that may have run. No later refusal
+	// may then say that the request did not run.
+	mayHaveRun error
 }
 
 // acquired is the outcome of asking for a slot.
@@ -171,6 +175,9 @@
 
 func (c *call) fail(err error) chart.Event {
 	c.err = err
+	if c.mayHaveRun != nil {
+		c.err = c.mayHaveRun
+	}
 	return "refused"
 }
 
@@ -245,14 +252,12 @@
 	if c.err != nil {
 		return c.err
 	}
-	if c.r.Context().Err() != nil {
-		return &fault.Error{Kind: fault.CallerGone}
-	}
 	return err
 }
 
-// release ends the grant.
+// release ends the grant and the attempt.
 func (c *call) release(outcome clusterpb.Outcome, took time.Duration, newConn bool) {
+	c.endTry(outcome)
 	if !c.granted {
 		return
 	}
@@ -260,6 +265,21 @@
 	c.f.opts.Slots.Release(c.grant, slot.Result{Outcome: outcome, ServiceTime: took, NewConnection: newConn})
 }
 
+// endTry tells the quarantine how the attempt ended.
+func (c *call) endTry(outcome clusterpb.Outcome) {
+	try := c.try
+	c.try = nil
+	switch {
+	case try == nil:
+	case outcome == clusterpb.Outcome_OUTCOME_BROKEN:
+		try.Crashed(c.grant.Upstream)
+	case outcome == clusterpb.Outcome_OUTCOME_OK, outcome == clusterpb.Outcome_OUTCOME_FAILED:
+		try.Completed()
+	default:
+		try.Abandoned()
+	}
+}
+
 // close frees what a call may still hold when it ends early.
 func (c *call) close() {
 	c.release(clusterpb.Outcome_OUTCOME_CANCELLED, 0, false)
--- a/internal/forward/collaborators.go
+++ b/internal/forward/collaborators.go
@@ -31,6 +31,18 @@
 type Quarantine interface {
 	// Blocked returns the refusal for a quarantined request, or nil.
 	Blocked(service, fingerprint string) *fault.Error
-	// Broken reports that a connection broke with the request in flight.
-	Broken(service, fingerprint, upstream string)
+	// Enter is called before each attempt. A request under suspicion has one
+	// attempt at a time over all entry VMs.
+	Enter(ctx context.Context, service, fingerprint string) (Try, *fault.Error)
+}
+
+// Try is one attempt that the quarantine let pass. Exactly one of its methods
+// ends it; none of them blocks.
+type Try interface {
+	// Crashed reports that the connection to the upstream broke.
+	Crashed(upstream string)
+	// Completed reports a whole answer, of any status.
+	Completed()
+	// Abandoned reports that the attempt says nothing about the request.
+	Abandoned()
 }
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -152,12 +152,28 @@
 	return q.blocked
 }
 
-func (q *fakeQuarantine) Broken(_, _, _ string) {
+func (q *fakeQuarantine) Enter(context.Context, string, string) (Try, *fault.Error) {
+	return fakeTry{q}, nil
+}
+
+// count returns the broken requests.
+func (q *fakeQuarantine) count() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.broken++
+	return q.broken
+}
+
+type fakeTry struct{ q *fakeQuarantine }
+
+func (t fakeTry) Crashed(string) {
+	t.q.mu.Lock()
+	defer t.q.mu.Unlock()
+	t.q.broken++
 }
 
+func (fakeTry) Completed() {}
+func (fakeTry) Abandoned() {}
+
 // rig is a forwarder behind a server with fakes around it.
 type rig struct {
 	source     *fakeSource
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -141,6 +141,19 @@
 	assert.Equal(t, rig.claims.stateOf("k"), "finished")
 }
 
+// A request whose first attempt may have run is never said not to have run,
+// whatever becomes of the later attempts.
+func TestRefusalAfterBrokenAttemptSaysUnknown(t *testing.T) {
+	shed := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(fault.HeaderRun, string(fault.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	rig := newRig(t, rawUpstream(t, ""), shed, shed)
+	resp, _ := do(t, "POST", rig.front.URL+"/s/search", "", "q")
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, resp.Header.Get(fault.HeaderRun), "unknown")
+}
+
 func TestUnreachableIsRetriedElsewhere(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -264,7 +277,7 @@
 			resp, _ := do(t, "POST", rig.front.URL+"/s/x", "", "b")
 			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 			assert.Equal(t, resp.Header.Get(fault.HeaderRun), "unknown")
-			assert.Equal(t, rig.quarantine.broken, 1)
+			assert.Equal(t, rig.quarantine.count(), 1)
 		})
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,6 +28,11 @@
 
 // send makes one attempt at the granted upstream.
 func (c *call) send() chart.Event {
+	try, refusal := c.f.opts.Quarantine.Enter(c.ctx, c.service.Name, c.fingerprint())
+	if refusal != nil {
+		return c.unsent(refusal)
+	}
+	c.try = try
 	if ev := c.recheck(); ev != "" {
 		return ev
 	}
@@ -55,26 +60,27 @@
 func (c *call) recheck() chart.Event {
 	src := c.f.opts.Source
 	if !src.Fresh() || !src.View().ZoneOpen(c.grant.Cell.Zone) {
-		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
-		c.endClaim()
-		return c.fail(fault.New(fault.NotFresh, "configuration changed before the request was sent"))
+		return c.unsent(fault.New(fault.NotFresh, "configuration changed before the request was sent"))
 	}
 	if c.ctx.Err() != nil {
-		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
-		c.endClaim()
-		return c.fail(fault.New(fault.DeadlineTooShort, "no time left before the request was sent"))
+		return c.unsent(fault.New(fault.DeadlineTooShort, "no time left before the request was sent"))
 	}
 	if c.claim == nil {
 		return ""
 	}
 	if err := c.claim.Start(c.ctx); err != nil {
-		c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
-		c.endClaim()
-		return c.fail(err)
+		return c.unsent(err)
 	}
 	return ""
 }
 
+// unsent gives up an attempt before its first byte.
+func (c *call) unsent(err error) chart.Event {
+	c.release(clusterpb.Outcome_OUTCOME_UNUSED, 0, false)
+	c.endClaim()
+	return c.fail(err)
+}
+
 // endClaim gives the claim back: the request did not run.
 func (c *call) endClaim() {
 	if c.claim != nil {
@@ -157,7 +163,6 @@
 		return c.lost(c.cancelFault())
 	}
 	c.release(clusterpb.Outcome_OUTCOME_BROKEN, took, a.newConn.Load())
-	c.f.opts.Quarantine.Broken(c.service.Name, c.fingerprint(), c.grant.Upstream)
 	return c.retryOrLose(fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
 }
 
@@ -185,6 +190,7 @@
 func (c *call) retryOrLose(err *fault.Error) chart.Event {
 	if c.policy.repeatable && c.mayRetry() && c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint()) == nil {
 		c.err = err
+		c.mayHaveRun = err
 		c.avoid = append(c.avoid, c.grant.Upstream)
 		return "retry"
 	}
