--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -77,7 +77,6 @@
 type roleSeen struct {
 	leader  bool
 	term    uint64
-	voters  uint64
 	learner map[uint64]bool
 }
 
