Read a quorum of the era before, and bound the sync traffic

Coverage carries over only when the members that decide include one of every earlier quorum; with groups that shrink to two this was not so. Syncs ask as many members as needed first, one partition a call, and back off.

--- a/internal/claim/attempt.go
+++ b/internal/claim/attempt.go
@@ -20,10 +20,12 @@
 	Owner string
 	// Number is unique among the attempts of the owner.
 	Number uint64
+	// Alive reports whether a process that is not among the members may still
+	// be running its requests; nil means that none is.
+	Alive func(process string) bool
 
-	partition uint32
-	replies   map[string]*clusterpb.ClaimMessage
-	rules     rules
+	replies map[string]*clusterpb.ClaimMessage
+	rules   rules
 }
 
 // Verdict is what the group decided on an attempt.
@@ -39,13 +41,12 @@
 // NewAttempt returns an attempt that has asked nobody yet.
 func NewAttempt(service, key string, digest Digest, owner string, number uint64) *Attempt {
 	return &Attempt{
-		Service:   service,
-		Key:       key,
-		Digest:    digest,
-		Owner:     owner,
-		Number:    number,
-		partition: PartitionOf(service, key),
-		replies:   make(map[string]*clusterpb.ClaimMessage),
+		Service: service,
+		Key:     key,
+		Digest:  digest,
+		Owner:   owner,
+		Number:  number,
+		replies: make(map[string]*clusterpb.ClaimMessage),
 	}
 }
 
@@ -62,11 +63,15 @@
 }
 
 // Group returns the members that decide on the attempt now.
-func (a *Attempt) Group(t *Timeline) Group { return t.Current(a.partition).Group }
+func (a *Attempt) Group(t *Timeline) Group { return a.era(t).Group }
+
+func (a *Attempt) era(t *Timeline) Era {
+	return t.Current(t.partitionOf(keyID{a.Service, a.Key}))
+}
 
 // Asks returns a claim message for each member whose vote is still missing.
 func (a *Attempt) Asks(t *Timeline) []*clusterpb.ClaimMessage {
-	era := t.Current(a.partition)
+	era := a.era(t)
 	var out []*clusterpb.ClaimMessage
 	for _, m := range era.Group {
 		if r := a.reply(m); r != nil && (a.voted(t, era, r) || r.Record != nil) {
@@ -117,7 +122,7 @@
 }
 
 func (a *Attempt) count(t *Timeline) tally {
-	era := t.Current(a.partition)
+	era := a.era(t)
 	c := tally{group: era.Group}
 	for _, m := range era.Group {
 		r := a.reply(m)
@@ -210,7 +215,7 @@
 	case clusterpb.ClaimState_CLAIM_STATE_UNKNOWN:
 		return Verdict{Refusal: fault.New(fault.OutcomeUnknown, "the first attempt ended without an answer")}
 	}
-	if !t.Alive(r.Owner) {
+	if !t.Alive(r.Owner) && (a.Alive == nil || !a.Alive(r.Owner)) {
 		return Verdict{Refusal: fault.New(fault.OutcomeUnknown, "entry VM %s was lost with the request", r.Owner)}
 	}
 	return Verdict{Refusal: fault.New(fault.StillRunning, "")}
--- a/internal/claim/coverage.go
+++ b/internal/claim/coverage.go
@@ -21,10 +21,11 @@
 // coverage says how far a member holds the records of a partition that were
 // granted before an era.
 type coverage struct {
-	done    bool
-	since   time.Duration
-	askedAt time.Duration
-	asked   bool
+	done  bool
+	since time.Duration
+	// askAt is when the members that have not answered are asked next; 0
+	// before the first time.
+	askAt time.Duration
 	// heard holds the members of the era before that have sent their records.
 	heard map[string]bool
 }
@@ -36,6 +37,9 @@
 		return
 	}
 	s.timeline = t
+	if s.parts == nil {
+		s.parts = make([]partition, len(t.eras))
+	}
 	for p := range s.parts {
 		s.trackEras(now, uint32(p))
 	}
@@ -66,18 +70,20 @@
 		if c == nil || c.done {
 			continue
 		}
-		c.done = e.Opening || s.carries(p, e) || s.heardEnough(p, e, c) || s.rules.freshEpochs
+		c.done = e.Opening || s.carries(p, e) || s.heardEnough(p, e, c)
 	}
 }
 
-// carries reports whether coverage passes over from the era before. The
-// members that stay then include one of every quorum of that era.
+// carries reports whether coverage passes over from the era before. It does
+// when as many members as decide in the new era, or hand it over, include one
+// of every quorum of the era before.
 func (s *Store) carries(p uint32, e Era) bool {
 	prev, ok := s.timeline.Before(p, e.First)
 	if !ok || !s.coveredIn(p, prev) {
 		return false
 	}
-	return e.Group.Quorum()+prev.Group.Quorum() > len(prev.Group)
+	deciding := min(e.Group.Quorum(), e.Group.ReadQuorum())
+	return deciding >= prev.Group.ReadQuorum() || s.rules.alwaysCarry
 }
 
 // coveredIn reports whether the store has been a covered member of the era.
@@ -99,42 +105,49 @@
 			n++
 		}
 	}
-	return n >= prev.Group.ReadQuorum()
+	return n >= prev.Group.ReadQuorum() || (s.rules.readOne && n > 0)
 }
 
 // uncovered returns the time until the partition may be covered; 0 if it is.
 func (s *Store) uncovered(now time.Duration, p uint32) time.Duration {
 	c := s.parts[p].coverage[s.timeline.Current(p).First]
-	if c.done {
-		return 0
-	}
-	end := c.since + s.limits.Retention + staleMargin
-	if now >= end {
-		c.done = true
+	s.outlive(now, c)
+	switch {
+	case c.done:
 		return 0
-	}
-	if now-c.since < syncSoon {
+	case now-c.since < syncSoon:
 		return syncRetry
+	default:
+		return c.since + s.outliveAfter() - now
 	}
-	return end - now
 }
 
+// outlive completes a coverage when all claims of earlier eras are past their
+// retention.
+func (s *Store) outlive(now time.Duration, c *coverage) {
+	c.done = c.done || now-c.since >= s.outliveAfter()
+}
+
+func (s *Store) outliveAfter() time.Duration { return s.limits.Retention + staleMargin }
+
 // Pulls returns the sync messages that are due.
 func (s *Store) Pulls(now time.Duration) []*clusterpb.ClaimMessage {
 	var out []*clusterpb.ClaimMessage
 	for p := range s.parts {
 		for first, c := range s.parts[p].coverage {
-			if c.done || (c.asked && now-c.askedAt < syncRetry) {
+			s.outlive(now, c)
+			if c.done || now < c.askAt {
 				continue
 			}
-			c.asked, c.askedAt = true, now
 			out = append(out, s.pull(uint32(p), first, c)...)
+			c.askAt = now + max(syncRetry, (now-c.since)/4)
 		}
 	}
 	return out
 }
 
-// pull asks the members of the era before that have not answered yet.
+// pull asks members of the era before that have not answered yet: at first as
+// many as are needed, then all.
 func (s *Store) pull(p uint32, first uint64, c *coverage) []*clusterpb.ClaimMessage {
 	prev, ok := s.timeline.Before(p, first)
 	if !ok {
@@ -145,26 +158,33 @@
 		if c.heard[m.Name()] || m.ID == s.self.ID {
 			continue
 		}
-		out = append(out, &clusterpb.ClaimMessage{
-			Kind:        clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC,
-			From:        s.self.ID,
-			To:          m.ID,
-			Epoch:       first,
-			RequestId:   first,
-			Incarnation: s.self.Incarnation,
-			Partition:   p,
-		})
+		if c.askAt == 0 && len(out) == prev.Group.ReadQuorum() {
+			break
+		}
+		out = append(out, s.syncRequest(m, p, first))
 	}
 	return out
 }
 
+func (s *Store) syncRequest(to Member, p uint32, first uint64) *clusterpb.ClaimMessage {
+	return &clusterpb.ClaimMessage{
+		Kind:        clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC,
+		From:        s.self.ID,
+		To:          to.ID,
+		Epoch:       first,
+		RequestId:   first,
+		Incarnation: s.self.Incarnation,
+		Partition:   p,
+	}
+}
+
 // sync hands over a partition to a member of the era that begins with the
 // epoch of the message. The answer is complete only when the store has left
 // the era before and was covered in it.
 func (s *Store) sync(now time.Duration, m *clusterpb.ClaimMessage) *clusterpb.ClaimMessage {
 	p := m.Partition
 	r := &clusterpb.ClaimMessage{Partition: p, Refusal: refusalStale}
-	if p >= Partitions || s.Epoch() < m.Epoch {
+	if int(p) >= len(s.parts) || s.Epoch() < m.Epoch {
 		return r
 	}
 	prev, ok := s.timeline.Before(p, m.Epoch)
@@ -184,7 +204,7 @@
 // synced takes in the records of a member of the era before. The request id
 // is the first epoch of the era that is being covered.
 func (s *Store) synced(now time.Duration, m *clusterpb.ClaimMessage) {
-	if !m.Granted || m.Partition >= Partitions || s.timeline == nil {
+	if !m.Granted || int(m.Partition) >= len(s.parts) || s.timeline == nil {
 		return
 	}
 	for _, w := range m.Records {
--- a/internal/claim/expire.go
+++ b/internal/claim/expire.go
@@ -3,14 +3,14 @@
 import "time"
 
 // sweepParts is the number of partitions that one Expire call examines.
-const sweepParts = 32
+const sweepParts = 4
 
 // Expire forgets records past their retention in some of the partitions.
 // Calls in a row go through all of them.
 func (s *Store) Expire(now time.Duration) {
-	for range sweepParts {
+	for range min(sweepParts, len(s.parts)) {
 		s.expirePartition(now, s.sweepNext)
-		s.sweepNext = (s.sweepNext + 1) % Partitions
+		s.sweepNext = (s.sweepNext + 1) % len(s.parts)
 	}
 }
 
--- a/internal/claim/placement.go
+++ b/internal/claim/placement.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// Partitions is the number of partitions that keys are hashed to.
-	Partitions = 1024
+	// partitions is the number of partitions that keys are hashed to. All entry
+	// VMs must agree on it.
+	partitions = 1024
 	// maxGroup bounds the members that keep one partition.
 	maxGroup = 5
 	// smallGroup is the group size where there are fewer entry VMs than maxGroup.
@@ -64,13 +65,13 @@
 
 func sameProcess(a, b Member) bool { return a.ID == b.ID && a.Incarnation == b.Incarnation }
 
-// PartitionOf returns the partition of a key. Keys are scoped by service.
-func PartitionOf(service, key string) uint32 {
+// hashOf returns the hash that places a key. Keys are scoped by service.
+func hashOf(service, key string) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(service)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.WriteString(key)
-	return uint32(h.Sum64() % Partitions)
+	return h.Sum64()
 }
 
 // placer places partitions on the members of one epoch.
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -55,12 +55,13 @@
 	grantUncovered bool
 	voteInOldEra   bool
 	forgetRivals   bool
-	freshEpochs    bool
+	alwaysCarry    bool
+	readOne        bool
 }
 
 // NewStore returns the empty store of a process that has just started.
 func NewStore(self Member, limits Limits) *Store {
-	return &Store{self: self, limits: limits, parts: make([]partition, Partitions), names: make(map[string]string)}
+	return &Store{self: self, limits: limits, names: make(map[string]string)}
 }
 
 // Claims returns the number of records held.
@@ -101,8 +102,11 @@
 
 // claim stores an attempt unless another one holds the key.
 func (s *Store) claim(now time.Duration, m *clusterpb.ClaimMessage) *clusterpb.ClaimMessage {
-	id := keyID{m.Record.GetService(), m.Record.GetKey()}
-	p := PartitionOf(id.service, id.key)
+	if m.Record == nil || s.timeline == nil {
+		return &clusterpb.ClaimMessage{Refusal: refusalNotMember}
+	}
+	id := keyID{m.Record.Service, m.Record.Key}
+	p := s.timeline.partitionOf(id)
 	if refusal := s.mayVote(p, m.Epoch); refusal != "" {
 		return &clusterpb.ClaimMessage{Refusal: refusal}
 	}
@@ -134,7 +138,7 @@
 // coordinator has not ended. A coordinator with a newer epoch checks by itself
 // whether the vote belongs to its era.
 func (s *Store) mayVote(p uint32, epoch uint64) string {
-	if s.timeline == nil || !s.timeline.Current(p).Group.Has(s.self) {
+	if !s.timeline.Current(p).Group.Has(s.self) {
 		return refusalNotMember
 	}
 	if epoch < s.Epoch() && !s.timeline.Current(p).contains(epoch) && !s.rules.voteInOldEra {
@@ -145,11 +149,11 @@
 
 // update records what the owner says of its attempt.
 func (s *Store) update(now time.Duration, m *clusterpb.ClaimMessage) *clusterpb.ClaimMessage {
-	if m.Record == nil {
-		return &clusterpb.ClaimMessage{}
+	if m.Record == nil || s.timeline == nil {
+		return &clusterpb.ClaimMessage{Refusal: refusalNotMember}
 	}
 	id := keyID{m.Record.Service, m.Record.Key}
-	s.merge(PartitionOf(id.service, id.key), id, s.recordOf(now, m.Record))
+	s.merge(s.timeline.partitionOf(id), id, s.recordOf(now, m.Record))
 	return &clusterpb.ClaimMessage{Granted: true}
 }
 
--- a/internal/claim/timeline.go
+++ b/internal/claim/timeline.go
@@ -27,11 +27,15 @@
 // NewTimeline returns the timeline that ce describes. It keeps what old knows
 // of earlier epochs; old may be nil. It returns old when ce is not newer.
 func NewTimeline(old *Timeline, ce *catalogpb.ClaimEpoch) *Timeline {
+	return newTimeline(old, ce, partitions)
+}
+
+func newTimeline(old *Timeline, ce *catalogpb.ClaimEpoch, parts int) *Timeline {
 	if ce == nil || len(ce.Placed) == 0 || old.Epoch() >= ce.Epoch {
 		return old
 	}
 	epochs, complete := epochsOf(ce)
-	t := &Timeline{epoch: ce.Epoch, members: make(map[string]Member, len(ce.Placed)), eras: make([][]Era, Partitions)}
+	t := &Timeline{epoch: ce.Epoch, members: make(map[string]Member, len(ce.Placed)), eras: make([][]Era, parts)}
 	for _, m := range ce.Placed {
 		t.members[m.Id] = memberOf(m)
 	}
@@ -76,13 +80,18 @@
 	return t.epoch
 }
 
+// partitionOf returns the partition of a key.
+func (t *Timeline) partitionOf(id keyID) uint32 {
+	return uint32(hashOf(id.service, id.key) % uint64(len(t.eras)))
+}
+
 // Member returns the process that keeps claims under the id.
 func (t *Timeline) Member(id string) (Member, bool) {
 	m, ok := t.members[id]
 	return m, ok
 }
 
-// Alive reports whether the named process is in the newest epoch.
+// Alive reports whether the named process keeps claims in the newest epoch.
 func (t *Timeline) Alive(process string) bool {
 	for _, m := range t.members {
 		if m.Name() == process {
--- a/internal/claims/begin.go
+++ b/internal/claims/begin.go
@@ -41,6 +41,7 @@
 	}
 	begun := s.now()
 	a := claim.NewAttempt(service, key, digest, s.self.Name(), s.number.Add(1))
+	a.Alive = s.leaving
 	r := &round{service: s, attempt: a, answers: make(chan *clusterpb.ClaimMessage, maxAnswers), asked: make(map[string]bool)}
 	v := r.decide(ctx)
 	s.scope.Timer("decide").Record(s.now() - begun)
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -33,16 +33,17 @@
 }
 
 // Start is called right before the first byte of each try is sent. It fails
-// when the claim has ended, or when it is too old: a process that slept must
-// not send under a claim that may be past its retention. A failed Start
-// releases the claim.
+// when the claim has ended, when the configuration is not fresh, or when the
+// claim is too old: a process that slept must not send under a claim that may
+// be past its retention. A failed Start releases the claim.
 func (c *Claim) Start(_ context.Context) error {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	if ended {
+	if c.hasEnded() {
 		return fault.New(fault.ClaimsUnavailable, "the claim has ended")
 	}
+	if fresh := c.service.opts.Fresh; fresh != nil && !fresh() {
+		c.Release()
+		return fault.New(fault.NotFresh, "before the request was sent")
+	}
 	if age := c.service.now() - c.begun; age > c.service.opts.StartWithin {
 		c.Release()
 		return fault.New(fault.ClaimsUnavailable, "the claim is %v old", age)
@@ -50,6 +51,12 @@
 	return nil
 }
 
+func (c *Claim) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // Finish keeps the answer for resends. It does not block.
 func (c *Claim) Finish(answer *clusterpb.KeptAnswer) {
 	r := c.attempt.Record(clusterpb.ClaimState_CLAIM_STATE_FINISHED)
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -14,7 +14,6 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
-	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/view"
@@ -38,6 +37,9 @@
 	// StartWithin bounds the time from the claim to the first byte sent. It
 	// must be below Limits.Retention.
 	StartWithin time.Duration
+	// Fresh reports whether the configuration in force may be used to admit
+	// work; nil means always.
+	Fresh func() bool
 	// Metrics may be nil.
 	Metrics tally.Scope
 }
@@ -50,8 +52,8 @@
 	number  atomic.Uint64
 	scope   tally.Scope
 
-	timeline  atomic.Pointer[claim.Timeline]
-	addresses atomic.Pointer[map[string]string]
+	timeline atomic.Pointer[claim.Timeline]
+	entries  atomic.Pointer[entries]
 
 	mu    sync.Mutex
 	store *claim.Store
@@ -85,23 +87,31 @@
 // Handler serves the claim protocol to other entry VMs.
 func (s *Service) Handler() http.Handler { return clusterpb.NewClaimsServer(s) }
 
-// OnConfig adopts the members of a configuration. Calls need not be in order.
-func (s *Service) OnConfig(v *view.View) {
-	addresses := make(map[string]string, len(v.Config.Entries))
-	for _, e := range v.Config.Entries {
-		addresses[e.Id] = e.ClusterAddress
+// entries is what the service uses of the registered entry VMs.
+type entries struct {
+	addresses map[string]string
+	// leaving holds the processes that finish their requests before they stop.
+	leaving map[string]bool
+}
+
+func entriesOf(v *view.View) *entries {
+	e := &entries{addresses: make(map[string]string, len(v.Config.Entries)), leaving: make(map[string]bool)}
+	for _, entry := range v.Config.Entries {
+		e.addresses[entry.Id] = entry.ClusterAddress
+		if entry.Leaving {
+			e.leaving[claim.ProcessName(entry.Id, entry.Incarnation)] = true
+		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.adopt(v.Config.ClaimEpoch, addresses)
+	return e
 }
 
-func (s *Service) adopt(ce *catalogpb.ClaimEpoch, addresses map[string]string) {
+// OnConfig adopts the members of a configuration. Revisions must not go back.
+func (s *Service) OnConfig(v *view.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries.Store(entriesOf(v))
 	old := s.timeline.Load()
-	t := claim.NewTimeline(old, ce)
-	if ce.GetEpoch() >= old.Epoch() {
-		s.addresses.Store(&addresses)
-	}
+	t := claim.NewTimeline(old, v.Config.ClaimEpoch)
 	if t == old {
 		return
 	}
@@ -109,6 +119,9 @@
 	s.timeline.Store(t)
 }
 
+// leaving reports whether a process has announced a planned stop.
+func (s *Service) leaving(process string) bool { return s.entries.Load().leaving[process] }
+
 // Run syncs partitions and forgets expired records until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -188,7 +201,7 @@
 // peer returns the sender to a member. A member that moves to another address
 // gets a new one.
 func (s *Service) peer(id string) *peer {
-	address := (*s.addresses.Load())[id]
+	address := s.entries.Load().addresses[id]
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
 	p := s.peers[address]
