Add the dispatcher server and the slot client

The client asks its own zone first, spills to others, queues at the shortest wait and hands held tickets to new dispatchers.

--- /dev/null
+++ b/internal/dispatcher/settings.go
@@ -0,0 +1,61 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/dispatch"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// cellConfig returns the settings of a cell in v.
+func cellConfig(v *view.View, key view.CellKey) dispatch.Config {
+	cfg := dispatch.Config{Open: v.ZoneOpen(key.Zone)}
+	for _, e := range v.Config.Entries {
+		cfg.Holders = append(cfg.Holders, e.Id)
+	}
+	svc := v.Service(key.Service)
+	if svc == nil {
+		return dispatch.Config{}
+	}
+	cfg.Slots = int(svc.Slots)
+	cfg.ColdSlots = int(svc.ColdSlots)
+	cfg.WarmAfter = int(svc.WarmAfter)
+	cfg.QueueLimit = int(svc.QueueLimit)
+	cfg.Timeout = millis(svc.TimeoutMs)
+	cfg.ProbePermille = int(svc.ProbeBudgetPermille)
+	cfg.ProbeCost = millis(svc.ProbeCostMs)
+	cfg.Probing = svc.ProbePath != ""
+	return cfg
+}
+
+func millis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// CellOf returns the cell of an upstream.
+func CellOf(v *view.View, service, zone, id string) view.CellKey {
+	key := view.CellKey{Service: service, Zone: zone}
+	if svc := v.Service(service); svc != nil && svc.Shards > 1 {
+		key.Shard = uint32(xxhash.Sum64String(id) % uint64(svc.Shards))
+	}
+	return key
+}
+
+// announceEvent returns the event for an announcement that is age old.
+func announceEvent(a *clusterpb.Announcement, age time.Duration) dispatch.Announce {
+	return dispatch.Announce{
+		ID: a.Id, Address: a.Address, Slots: int(a.Slots), Incarnation: a.Incarnation,
+		Report: reportOf(a.State), Age: age,
+	}
+}
+
+func reportOf(state string) dispatch.Report {
+	switch state {
+	case "warm":
+		return dispatch.ReportWarm
+	case "draining":
+		return dispatch.ReportDraining
+	}
+	return dispatch.ReportCold
+}
--- /dev/null
+++ b/internal/slot/client.go
@@ -0,0 +1,195 @@
+package slot
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/dispatch"
+	"balsamcourse.example/balsamcourse/internal/dispatcher"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+const (
+	// answerSlack is added to the longest wait before an answer is given up.
+	answerSlack = 250 * time.Millisecond
+	// maxQueues bounds the queues that one request tries to join.
+	maxQueues = 2
+	// maxViews bounds the views under which one request asks.
+	maxViews = 3
+	// defaultTimeout bounds a request of a service that sets no timeout.
+	defaultTimeout = 10 * time.Second
+)
+
+// Options configures a Client.
+type Options struct {
+	// Entry is the id of this entry VM and Zone its availability zone.
+	Entry string
+	Zone  string
+	// Incarnation is that of this process.
+	Incarnation uint64
+	// View provides the configuration in force.
+	View view.Source
+	// Local is the server of this process.
+	Local *dispatcher.Server
+	// HTTP calls other entry VMs.
+	HTTP *http.Client
+}
+
+// Client asks the dispatchers of cells for slots. It implements Source.
+type Client struct {
+	opts   Options
+	nextID atomic.Uint64
+	hints  hints
+	held   held
+	outbox outbox
+	wg     conc.WaitGroup
+}
+
+// NewClient returns a client; Run starts it.
+func NewClient(opts Options) *Client {
+	c := &Client{opts: opts}
+	c.hints.cells = make(map[view.CellKey]hint)
+	c.held.init()
+	c.outbox.init()
+	return c
+}
+
+// Run sends releases and re-registrations until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	defer c.wg.Wait()
+	c.outbox.start(ctx, c)
+	<-ctx.Done()
+}
+
+// Acquire returns a slot of the service, in this availability zone if one is
+// free. It asks other zones when the own one has no room or does not answer.
+func (c *Client) Acquire(ctx context.Context, r Request) (Grant, error) {
+	for attempt := 1; ; attempt++ {
+		v := c.opts.View.View()
+		g, err := c.acquire(ctx, v, r)
+		moved := c.opts.View.View() != v
+		if err == nil || !moved || attempt == maxViews || ctx.Err() != nil {
+			return g, err
+		}
+	}
+}
+
+// acquire asks for a slot under one view.
+func (c *Client) acquire(ctx context.Context, v *view.View, r Request) (Grant, error) {
+	if v == nil || !c.opts.View.Fresh() {
+		return Grant{}, fault.New(fault.NotFresh, "no confirmed configuration")
+	}
+	svc := v.Service(r.Service)
+	if svc == nil {
+		return Grant{}, fault.New(fault.UnknownService, "%s", r.Service)
+	}
+	cells, err := c.candidates(v, svc, r.Hash)
+	if err != nil {
+		return Grant{}, err
+	}
+	r.Deadline = boundDeadline(svc, r.Deadline)
+	return c.ask(ctx, v, cells, r)
+}
+
+// boundDeadline keeps the deadline within the timeout of the service.
+func boundDeadline(svc *catalogpb.Service, deadline time.Time) time.Time {
+	timeout := time.Duration(svc.TimeoutMs) * time.Millisecond
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	latest := time.Now().Add(timeout)
+	if deadline.IsZero() || deadline.After(latest) {
+		return latest
+	}
+	return deadline
+}
+
+// ask tries cells without waiting, best first, and then waits at the one with
+// the shortest expected wait.
+func (c *Client) ask(ctx context.Context, v *view.View, cells []*catalogpb.Cell, r Request) (Grant, error) {
+	var last refusals
+	if len(cells) > 1 {
+		for _, cell := range c.quick(cells) {
+			g, refused := c.askCell(ctx, v, cell, r, 0)
+			if refused == nil {
+				return g, nil
+			}
+			last.add(refused)
+		}
+	}
+	for i, cell := range c.byWait(cells) {
+		if i >= maxQueues || ctx.Err() != nil {
+			break
+		}
+		g, refused := c.wait(ctx, v, cell, cells, r)
+		if refused == nil {
+			return g, nil
+		}
+		last.add(refused)
+	}
+	return Grant{}, last.err()
+}
+
+// askCell asks the dispatcher of one cell and keeps the grant it returns.
+func (c *Client) askCell(ctx context.Context, v *view.View, cell *catalogpb.Cell, r Request, wait time.Duration) (Grant, *fault.Error) {
+	key := keyOf(cell)
+	id := c.nextID.Add(1)
+	ev := dispatch.Acquire{
+		Key:     dispatch.Key{Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, ID: id},
+		MaxWait: max(0, wait), Avoid: r.Avoid,
+	}
+	askCtx, cancel := context.WithTimeout(ctx, ev.MaxWait+answerSlack)
+	defer cancel()
+	var a dispatcher.Answer
+	if c.isLocal(cell) {
+		ev.Deadline = c.opts.Local.At(r.Deadline)
+		a = c.opts.Local.Acquire(askCtx, key, cell.Epoch, ev)
+	} else {
+		a = c.remote(askCtx, v, cell, ev, r.Deadline)
+	}
+	c.hints.update(key, a)
+	if !a.Granted {
+		return Grant{}, &fault.Error{Kind: a.Refuse.Kind, Detail: key.Zone, RetryAfter: a.Refuse.RetryAfter}
+	}
+	g := Grant{
+		Cell: key, Epoch: a.Epoch, Ticket: id, Upstream: a.Grant.Upstream,
+		Address: a.Grant.Address, Dispatcher: cell.Entry,
+	}
+	return c.keep(g, a.Grant, r.Deadline)
+}
+
+// keep records a grant, unless its epoch has passed or the configuration can
+// no longer be confirmed; it is then given back unused.
+func (c *Client) keep(g Grant, from dispatch.Grant, deadline time.Time) (Grant, *fault.Error) {
+	current := c.held.add(g, from, deadline)
+	if current && c.opts.View.Fresh() {
+		return g, nil
+	}
+	c.Release(g, Result{Outcome: clusterpb.Outcome_OUTCOME_UNUSED})
+	return Grant{}, fault.New(fault.NotFresh, "the grant came too late")
+}
+
+// Release ends a grant.
+func (c *Client) Release(g Grant, r Result) {
+	deadline := c.held.remove(g.Ticket)
+	c.outbox.put(c, release{cell: g.Cell, epoch: g.Epoch, ticket: g.Ticket, result: r, until: deadline})
+}
+
+func (c *Client) isLocal(cell *catalogpb.Cell) bool {
+	return cell.Entry == c.opts.Entry && cell.Incarnation == c.opts.Incarnation && c.opts.Local != nil
+}
+
+func keyOf(cell *catalogpb.Cell) view.CellKey {
+	return view.CellKey{Service: cell.Service, Zone: cell.Zone, Shard: cell.Shard}
+}
+
+func idOf(key view.CellKey) *clusterpb.CellID {
+	return &clusterpb.CellID{Service: key.Service, Zone: key.Zone, Shard: key.Shard}
+}
--- /dev/null
+++ b/internal/slot/remote.go
@@ -0,0 +1,59 @@
+package slot
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/dispatch"
+	"balsamcourse.example/balsamcourse/internal/dispatcher"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// peer returns the Twirp client of another entry VM, or nil.
+func (c *Client) peer(v *view.View, entry string) clusterpb.Dispatch {
+	e := v.Entry(entry)
+	if e == nil {
+		return nil
+	}
+	hc := c.opts.HTTP
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	return clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc)
+}
+
+// remote asks a dispatcher in another process. When no answer comes, the
+// request is withdrawn, for the slot may have been granted.
+func (c *Client) remote(ctx context.Context, v *view.View, cell *catalogpb.Cell, ev dispatch.Acquire, deadline time.Time) dispatcher.Answer {
+	peer := c.peer(v, cell.Entry)
+	if peer == nil {
+		return dispatcher.Answer{Refuse: dispatch.Refuse{Kind: fault.NoDispatcher}}
+	}
+	resp, err := peer.Acquire(ctx, &clusterpb.AcquireRequest{
+		Cell: idOf(keyOf(cell)), Epoch: cell.Epoch, Entry: ev.Key.Entry, Incarnation: ev.Key.Incarnation,
+		RequestId: ev.Key.ID, DeadlineMs: uint32(time.Until(deadline).Milliseconds()),
+		MaxWaitMs: uint32(ev.MaxWait.Milliseconds()), Avoid: ev.Avoid,
+	})
+	if err != nil {
+		c.outbox.put(c, release{
+			cell: keyOf(cell), epoch: cell.Epoch, ticket: ev.Key.ID, until: deadline,
+			result: Result{Outcome: clusterpb.Outcome_OUTCOME_UNUSED},
+		})
+		return dispatcher.Answer{Refuse: dispatch.Refuse{Kind: fault.NoDispatcher}}
+	}
+	if !resp.Granted {
+		return dispatcher.Answer{Epoch: resp.Epoch, Refuse: dispatch.Refuse{
+			Kind:       fault.Kind(resp.Refusal),
+			RetryAfter: time.Duration(resp.RetryAfterMs) * time.Millisecond,
+			Wait:       time.Duration(resp.WaitUs) * time.Microsecond,
+		}}
+	}
+	return dispatcher.Answer{Granted: true, Epoch: resp.Epoch, Grant: dispatch.Grant{
+		Upstream: resp.Upstream, Address: resp.Address, Incarnation: resp.UpstreamIncarnation,
+		Limit: int(resp.Limit), Version: resp.Version, Free: int(resp.Free),
+	}}
+}
