Add the catalog, freshness, acceptance, assignment and distribution

The configuration becomes a deterministic state machine over the control log. Entry VMs renew a lease with the leader by a held call, which carries deltas and serves as acknowledgement; the leader answers a change as accepted once no entry VM can admit work on an older configuration. Cells are dispatched only on an accepted assignment, so that two entry VMs never dispatch one cell.

Ruled out: a lease alone (losing the control quorum would stop traffic), and letting a restarted entry VM confirm others before it has held a lease (it may have forgotten a revision that it acknowledged).

Tested over loopback with a log that commits at once: four entry VMs, a change through a control VM that does not lead is accepted and in force on all.

--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,189 @@
+package catalog
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+const (
+	applied  = catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED
+	conflict = catalogpb.ChangeOutcome_CHANGE_OUTCOME_CONFLICT
+	stale    = catalogpb.ChangeOutcome_CHANGE_OUTCOME_STALE
+	refused  = catalogpb.ChangeOutcome_CHANGE_OUTCOME_INVALID
+	expired  = catalogpb.ChangeOutcome_CHANGE_OUTCOME_EXPIRED
+)
+
+// machine applies commands at successive indexes.
+type machine struct {
+	t *testing.T
+	*Catalog
+	last uint64
+}
+
+func (m *machine) command(cmd *catalogpb.Command) any {
+	data, err := proto.Marshal(cmd)
+	assert.NilError(m.t, err)
+	m.last++
+	return m.Apply(m.last, data)
+}
+
+func (m *machine) change(operator string, number, expected uint64, c *catalogpb.Change) *catalogpb.ChangeResult {
+	cmd := &catalogpb.OperatorChange{
+		Id:                       &catalogpb.ChangeID{Operator: operator, Number: number},
+		ExpectedOperatorRevision: expected,
+		Change:                   c,
+	}
+	return m.command(&catalogpb.Command{Kind: &catalogpb.Command_OperatorChange{OperatorChange: cmd}}).(*catalogpb.ChangeResult)
+}
+
+func (m *machine) register(e *catalogpb.Entry) Applied {
+	reg := &catalogpb.RegisterEntry{Entry: e, SetRevision: m.Config().SetRevision}
+	return m.command(&catalogpb.Command{Kind: &catalogpb.Command_RegisterEntry{RegisterEntry: reg}}).(Applied)
+}
+
+func (m *machine) assign(cells ...*catalogpb.Cell) {
+	m.command(&catalogpb.Command{Kind: &catalogpb.Command_AssignCells{AssignCells: &catalogpb.AssignCells{Cells: cells}}})
+}
+
+func putZoneChange(name string) *catalogpb.Change {
+	return &catalogpb.Change{Kind: &catalogpb.Change_PutZone{PutZone: &catalogpb.Zone{Name: name}}}
+}
+
+func zoneState(name string, s catalogpb.ZoneState) *catalogpb.Change {
+	return &catalogpb.Change{Kind: &catalogpb.Change_SetZoneState{SetZoneState: &catalogpb.SetZoneState{Zone: name, State: s}}}
+}
+
+func putServiceChange(s *catalogpb.Service) *catalogpb.Change {
+	return &catalogpb.Change{Kind: &catalogpb.Change_PutService{PutService: s}}
+}
+
+func putRuleChange(r *catalogpb.Rule) *catalogpb.Change {
+	return &catalogpb.Change{Kind: &catalogpb.Change_PutRule{PutRule: r}}
+}
+
+func TestChangeIdentity(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	first := m.change("ann", 1, 0, putZoneChange("a"))
+	assert.Equal(t, first.Outcome, applied)
+	assert.Equal(t, m.change("ann", 1, 0, putZoneChange("a")), first)
+	assert.Equal(t, m.change("ann", 1, 0, putZoneChange("b")).Outcome, conflict)
+	assert.Equal(t, m.change("bob", 1, 0, putZoneChange("b")).Outcome, applied)
+	assert.Equal(t, m.change("bob", 2, 1, putZoneChange("c")).Outcome, stale)
+	assert.Equal(t, m.change("bob", 3, 2, putZoneChange("c")).Outcome, applied)
+	assert.Equal(t, m.Config().OperatorRevision, uint64(3))
+	assert.Equal(t, m.change("", 3, 0, putZoneChange("d")).Outcome, refused)
+}
+
+func TestChangeRetention(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	for n := range uint64(RetainedChanges + 2) {
+		m.change("ann", n+1, 0, putZoneChange("a"))
+	}
+	assert.Equal(t, m.change("ann", 2, 0, putZoneChange("a")).Outcome, expired)
+	assert.Equal(t, m.change("ann", 3, 0, putZoneChange("a")).Outcome, applied)
+	assert.Equal(t, m.change("bob", 1, 0, putZoneChange("a")).Outcome, applied)
+}
+
+func TestValidation(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	assert.Equal(t, m.change("ann", 1, 0, putServiceChange(&catalogpb.Service{Name: "s", PathPrefix: "/s"})).Outcome, applied)
+	assert.Equal(t, m.change("ann", 2, 0, putZoneChange("a")).Outcome, applied)
+	changes := map[string]*catalogpb.Change{
+		"empty change":      {},
+		"bad name":          putServiceChange(&catalogpb.Service{Name: "s/t", PathPrefix: "/x"}),
+		"relative prefix":   putServiceChange(&catalogpb.Service{Name: "t", PathPrefix: "t"}),
+		"same prefix":       putServiceChange(&catalogpb.Service{Name: "t", PathPrefix: "/s/"}),
+		"cold above slots":  putServiceChange(&catalogpb.Service{Name: "t", PathPrefix: "/t", Slots: 2, ColdSlots: 3}),
+		"unknown service":   putRuleChange(&catalogpb.Rule{Service: "t", Name: "r", Method: "*", PathPattern: "/"}),
+		"lower-case method": putRuleChange(&catalogpb.Rule{Service: "s", Name: "r", Method: "get", PathPattern: "/"}),
+		"early catch-all":   putRuleChange(&catalogpb.Rule{Service: "s", Name: "r", Method: "*", PathPattern: "/*all/x"}),
+		"unknown zone":      zoneState("b", catalogpb.ZoneState_ZONE_STATE_OUT),
+		"zone not out":      {Kind: &catalogpb.Change_DeleteZone{DeleteZone: "a"}},
+		"not in the chart":  zoneState("a", catalogpb.ZoneState_ZONE_STATE_RETURNING),
+	}
+	number := uint64(10)
+	for name, c := range changes {
+		number++
+		before := m.Config()
+		result := m.change("ann", number, 0, c)
+		assert.Equal(t, result.Outcome, refused, name)
+		assert.Equal(t, m.Config(), before, name)
+		assert.Equal(t, ResultError(result).Kind, fault.InvalidChange, name)
+	}
+}
+
+func TestZoneStatesFollowChart(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	m.change("ann", 1, 0, putZoneChange("a"))
+	path := []catalogpb.ZoneState{
+		catalogpb.ZoneState_ZONE_STATE_LEAVING,
+		catalogpb.ZoneState_ZONE_STATE_OUT,
+		catalogpb.ZoneState_ZONE_STATE_RETURNING,
+		catalogpb.ZoneState_ZONE_STATE_IN,
+	}
+	for i, s := range path {
+		assert.Equal(t, m.change("ann", uint64(i)+2, 0, zoneState("a", s)).Outcome, applied)
+		assert.Equal(t, m.Config().Zones[0].State, s)
+	}
+	result := m.change("ann", 10, 0, zoneState("a", catalogpb.ZoneState_ZONE_STATE_OUT))
+	assert.DeepEqual(t, result.Diff, []string{"~ zone a: state in -> out"})
+}
+
+func TestCellsFollowConfiguration(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	m.change("ann", 1, 0, putZoneChange("a"))
+	m.change("ann", 2, 0, putServiceChange(&catalogpb.Service{Name: "s", PathPrefix: "/s", Shards: 2}))
+	m.register(&catalogpb.Entry{Id: "e", ClusterAddress: "e:1", Incarnation: 1})
+	m.assign(
+		&catalogpb.Cell{Service: "s", Zone: "a", Shard: 0, Entry: "e", Incarnation: 1},
+		&catalogpb.Cell{Service: "s", Zone: "a", Shard: 1, Entry: "e", Incarnation: 1},
+		&catalogpb.Cell{Service: "s", Zone: "a", Shard: 2, Entry: "e", Incarnation: 1},
+		&catalogpb.Cell{Service: "s", Zone: "a", Shard: 0, Entry: "e", Incarnation: 2},
+	)
+	assert.Equal(t, len(m.Config().Cells), 2)
+	assert.Equal(t, m.Config().Cells[0].Epoch, m.Config().Revision)
+	m.change("ann", 3, 0, putServiceChange(&catalogpb.Service{Name: "s", PathPrefix: "/s"}))
+	assert.Equal(t, len(m.Config().Cells), 1)
+	m.command(&catalogpb.Command{Kind: &catalogpb.Command_RemoveEntry{RemoveEntry: &catalogpb.RemoveEntry{Id: "e", SetRevision: m.Config().SetRevision}}})
+	assert.Equal(t, len(m.Config().Cells), 0)
+	assert.Equal(t, m.Config().PreviousSet[0].Id, "e")
+}
+
+func TestSetChangesOneAtATime(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	assert.Assert(t, m.register(&catalogpb.Entry{Id: "e", ClusterAddress: "e:1", Incarnation: 5}).Err == nil)
+	old := &catalogpb.RegisterEntry{Entry: &catalogpb.Entry{Id: "f", ClusterAddress: "f:1"}}
+	result := m.command(&catalogpb.Command{Kind: &catalogpb.Command_RegisterEntry{RegisterEntry: old}}).(Applied)
+	assert.Equal(t, result.Err.Kind, fault.StaleRevision)
+	result = m.register(&catalogpb.Entry{Id: "e", ClusterAddress: "e:1", Incarnation: 4})
+	assert.Equal(t, result.Err.Kind, fault.StaleRevision)
+}
+
+func TestSnapshotRestoresEverything(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	m.change("ann", 1, 0, putZoneChange("a"))
+	m.register(&catalogpb.Entry{Id: "e", ClusterAddress: "e:1"})
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	n := &machine{t: t, Catalog: New(), last: m.last}
+	assert.NilError(t, n.Restore(data))
+	assert.Assert(t, proto.Equal(m.Config(), n.Config()))
+	assert.Equal(t, n.Index(), m.Index())
+	assert.Equal(t, n.change("ann", 1, 0, putZoneChange("b")).Outcome, conflict)
+	assert.Assert(t, n.Restore([]byte("\xff")) != nil)
+}
+
+func TestDryRunChangesNothing(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	change := &catalogpb.OperatorChange{Id: &catalogpb.ChangeID{Operator: "ann", Number: 1}, Change: putZoneChange("a")}
+	result := m.DryRun(change)
+	assert.Equal(t, result.Outcome, applied)
+	assert.Assert(t, strings.HasPrefix(result.Diff[0], "+ zone a"))
+	assert.Equal(t, m.Config().Revision, uint64(0))
+}
--- /dev/null
+++ b/internal/catalog/entry.go
@@ -0,0 +1,125 @@
+package catalog
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// Set returns the keys of the registered entry VMs.
+func Set(cfg *catalogpb.Config) []*catalogpb.EntryKey {
+	set := make([]*catalogpb.EntryKey, len(cfg.Entries))
+	for i, e := range cfg.Entries {
+		set[i] = &catalogpb.EntryKey{Id: e.Id, ClusterAddress: e.ClusterAddress}
+	}
+	return set
+}
+
+// registerEntry adds or updates an entry VM. An older incarnation is refused. A
+// restarted member for claims opens a new claim epoch.
+func registerEntry(next *catalogpb.Config, index uint64, cmd *catalogpb.RegisterEntry) *fault.Error {
+	e := cmd.Entry
+	if err := checkName("entry VM", e.GetId()); err != nil {
+		return err
+	}
+	if e.ClusterAddress == "" {
+		return invalid("entry VM %q has no cluster address", e.Id)
+	}
+	old, known := entries.get(next.Entries, e.Id)
+	if known && e.Incarnation < old.Incarnation {
+		return fault.New(fault.StaleRevision, "entry VM %q has a newer incarnation", e.Id)
+	}
+	if !known || old.ClusterAddress != e.ClusterAddress {
+		if err := changeSet(next, index, cmd.SetRevision, Set(next)); err != nil {
+			return err
+		}
+	}
+	next.Entries = entries.put(next.Entries, e)
+	if known && e.Incarnation != old.Incarnation && slices.Contains(next.ClaimEpoch.GetMembers(), e.Id) {
+		next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: next.ClaimEpoch.Members}
+	}
+	return nil
+}
+
+// removeEntry removes an entry VM, its cells and its place among the members
+// for claims. One whose process has ended is left out of the previous set, so
+// that nobody waits for it; this is possible while an earlier change of the set
+// is pending, whose previous set is then kept.
+func removeEntry(next *catalogpb.Config, index uint64, cmd *catalogpb.RemoveEntry) *fault.Error {
+	if _, ok := entries.get(next.Entries, cmd.Id); !ok {
+		return fault.New(fault.NotFound, "no entry VM %q", cmd.Id)
+	}
+	if cmd.Pending && !cmd.Ended {
+		return invalid("the last change of the set of entry VMs is not accepted")
+	}
+	previous := Set(next)
+	if cmd.Pending {
+		previous = slices.Clone(next.PreviousSet)
+	}
+	if cmd.Ended {
+		previous = slices.DeleteFunc(previous, func(k *catalogpb.EntryKey) bool { return k.Id == cmd.Id })
+	}
+	if err := changeSet(next, index, cmd.SetRevision, previous); err != nil {
+		return err
+	}
+	next.Entries = entries.remove(next.Entries, func(e *catalogpb.Entry) bool { return e.Id == cmd.Id })
+	next.Cells = cells.remove(next.Cells, func(c *catalogpb.Cell) bool { return c.Entry == cmd.Id })
+	if members := next.ClaimEpoch.GetMembers(); slices.Contains(members, cmd.Id) {
+		remaining := slices.DeleteFunc(slices.Clone(members), func(id string) bool { return id == cmd.Id })
+		next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: remaining}
+	}
+	return nil
+}
+
+// changeSet records the set before a change to it. Only one such change can be
+// made on each set revision.
+func changeSet(next *catalogpb.Config, index, expected uint64, previous []*catalogpb.EntryKey) *fault.Error {
+	if expected != next.SetRevision {
+		return fault.New(fault.StaleRevision, "the set of entry VMs has changed")
+	}
+	next.PreviousSet = previous
+	next.SetRevision = index
+	return nil
+}
+
+// assignCells replaces assignments. One that names an unknown service,
+// availability zone, shard or incarnation is left out.
+func assignCells(next *catalogpb.Config, index uint64, cmd *catalogpb.AssignCells) *fault.Error {
+	put := make([]*catalogpb.Cell, 0, len(cmd.Cells))
+	for _, given := range cmd.Cells {
+		if !assignable(next, given) {
+			continue
+		}
+		c := proto.CloneOf(given)
+		c.Epoch = index
+		put = append(put, c)
+	}
+	next.Cells = cells.merge(next.Cells, put, nil)
+	return nil
+}
+
+func assignable(cfg *catalogpb.Config, c *catalogpb.Cell) bool {
+	s, ok := services.get(cfg.Services, c.Service)
+	if !ok || c.Shard >= s.Shards {
+		return false
+	}
+	if _, ok := zones.get(cfg.Zones, c.Zone); !ok {
+		return false
+	}
+	e, ok := entries.get(cfg.Entries, c.Entry)
+	return ok && e.Incarnation == c.Incarnation
+}
+
+// setClaimEpoch replaces the members over which claims are placed.
+func setClaimEpoch(next *catalogpb.Config, index uint64, cmd *catalogpb.SetClaimEpoch) *fault.Error {
+	members := slices.DeleteFunc(slices.Clone(cmd.ClaimEpoch.GetMembers()), func(id string) bool {
+		_, ok := entries.get(next.Entries, id)
+		return !ok
+	})
+	slices.Sort(members)
+	next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: slices.Compact(members)}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/table.go
@@ -0,0 +1,124 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+)
+
+// table keeps items of one kind in a slice ordered by key. All operations
+// return new slices, so that configurations can share unchanged items.
+type table[T proto.Message] struct {
+	key func(T) string
+}
+
+var (
+	services = table[*catalogpb.Service]{func(s *catalogpb.Service) string { return s.Name }}
+	zones    = table[*catalogpb.Zone]{func(z *catalogpb.Zone) string { return z.Name }}
+	entries  = table[*catalogpb.Entry]{func(e *catalogpb.Entry) string { return e.Id }}
+	rules    = table[*catalogpb.Rule]{func(r *catalogpb.Rule) string { return ruleKey(r.Service, r.Name) }}
+	cells    = table[*catalogpb.Cell]{cellKey}
+)
+
+// separator cannot occur in a name.
+const separator = "\x00"
+
+func ruleKey(service, name string) string { return service + separator + name }
+
+func cellKey(c *catalogpb.Cell) string {
+	return fmt.Sprintf("%s%s%s%s%04d", c.Service, separator, c.Zone, separator, c.Shard)
+}
+
+func (t table[T]) search(items []T, key string) (int, bool) {
+	return slices.BinarySearchFunc(items, key, func(item T, k string) int {
+		return cmp.Compare(t.key(item), k)
+	})
+}
+
+// get returns the item with the given key.
+func (t table[T]) get(items []T, key string) (T, bool) {
+	i, ok := t.search(items, key)
+	if !ok {
+		var none T
+		return none, false
+	}
+	return items[i], true
+}
+
+// put returns items with item added or replaced.
+func (t table[T]) put(items []T, item T) []T {
+	i, ok := t.search(items, t.key(item))
+	next := slices.Clone(items)
+	if ok {
+		next[i] = item
+		return next
+	}
+	return slices.Insert(next, i, item)
+}
+
+// remove returns items without those for which drop reports true.
+func (t table[T]) remove(items []T, drop func(T) bool) []T {
+	if !slices.ContainsFunc(items, drop) {
+		return items
+	}
+	return slices.DeleteFunc(slices.Clone(items), drop)
+}
+
+// compare returns the items of next that are not in base, or differ there, and
+// the items of base whose key is gone.
+func (t table[T]) compare(base, next []T) (put, gone []T) {
+	i := 0
+	for _, n := range next {
+		key := t.key(n)
+		for i < len(base) && t.key(base[i]) < key {
+			gone = append(gone, base[i])
+			i++
+		}
+		if i < len(base) && t.key(base[i]) == key {
+			if !proto.Equal(base[i], n) {
+				put = append(put, n)
+			}
+			i++
+			continue
+		}
+		put = append(put, n)
+	}
+	return put, append(gone, base[i:]...)
+}
+
+// merge returns base with the items of put added or replaced and those with a
+// key in gone left out.
+func (t table[T]) merge(base, put []T, gone []string) []T {
+	if len(put) == 0 && len(gone) == 0 {
+		return base
+	}
+	items := make(map[string]T, len(base)+len(put))
+	for _, b := range base {
+		items[t.key(b)] = b
+	}
+	for _, key := range gone {
+		delete(items, key)
+	}
+	for _, p := range put {
+		items[t.key(p)] = p
+	}
+	merged := make([]T, 0, len(items))
+	for _, item := range items {
+		merged = append(merged, item)
+	}
+	slices.SortFunc(merged, func(a, b T) int { return cmp.Compare(t.key(a), t.key(b)) })
+	return merged
+}
+
+// keys returns the keys of items.
+func keys[T proto.Message](t table[T], items []T) []string {
+	list := make([]string, len(items))
+	for i, item := range items {
+		list[i] = t.key(item)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/configsync/confirm.go
@@ -0,0 +1,105 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/freshness"
+)
+
+const (
+	// confirmLead is the time before the end of the lease at which an entry VM
+	// begins to ask the others.
+	confirmLead = 1200 * time.Millisecond
+	// confirmInterval is the pace at which it asks them.
+	confirmInterval = 500 * time.Millisecond
+	// confirmTimeout bounds one answer.
+	confirmTimeout = 450 * time.Millisecond
+	// confirmParallel bounds the calls in flight.
+	confirmParallel = 32
+)
+
+// confirmState is the state of the rounds that ask other entry VMs.
+type confirmState struct {
+	next time.Duration
+}
+
+// peerAnswer is the answer of one entry VM.
+type peerAnswer struct {
+	from freshness.Key
+	sent time.Duration
+	resp *clusterpb.ConfirmResponse
+}
+
+// confirmPeers starts a round when the lease is about to end.
+func (l *loop) confirmPeers(now time.Duration) {
+	if now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
+		return
+	}
+	if l.renew.failures == 0 && l.state.Revision() == 0 {
+		return
+	}
+	l.confirm.next = now + confirmInterval
+	l.askAll(l.peerKeys(), l.state.Revision())
+}
+
+// askAll asks all keys beside the loop.
+func (l *loop) askAll(keys []freshness.Key, revision uint64) {
+	req := &clusterpb.ConfirmRequest{Entry: l.syncer.opts.Entry.Id, Revision: revision}
+	l.workers.Go(func() {
+		p := pool.New().WithMaxGoroutines(confirmParallel)
+		for _, key := range keys {
+			p.Go(func() { l.ask(key, req) })
+		}
+		p.Wait()
+	})
+}
+
+func (l *loop) ask(key freshness.Key, req *clusterpb.ConfirmRequest) {
+	ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
+	defer cancel()
+	sent := l.syncer.now()
+	resp, err := l.syncer.client(key.ClusterAddress).Confirm(ctx, req)
+	if err != nil {
+		return
+	}
+	l.syncer.post(&peerAnswer{from: key, sent: sent, resp: resp})
+}
+
+func (l *loop) onPeerAnswer(ev *peerAnswer) {
+	l.adopt(ev.resp.Config, 0)
+	l.state.Confirmed(ev.from, ev.sent, ev.resp.NewestRevision, ev.resp.Synced)
+	l.publish()
+}
+
+// peerKeys returns the other registered entry VMs, or those of the settings
+// when no configuration is held.
+func (l *loop) peerKeys() []freshness.Key {
+	self := l.syncer.self()
+	var keys []freshness.Key
+	if l.view == nil {
+		for _, address := range l.syncer.opts.Peers {
+			keys = append(keys, freshness.Key{ClusterAddress: address})
+		}
+		return keys
+	}
+	for _, key := range keysOf(l.view.Config) {
+		if key != self {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// peers returns the addresses of the other entry VMs.
+func (l *loop) peers() []string {
+	keys := l.peerKeys()
+	addresses := make([]string, len(keys))
+	for i, key := range keys {
+		addresses[i] = key.ClusterAddress
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/configsync/renew.go
@@ -0,0 +1,224 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
+)
+
+const (
+	// holdTime is the time for which the leader may hold a renewal.
+	holdTime = time.Second
+	// probeHoldTime is the same after a failure, when the next address should
+	// be tried soon.
+	probeHoldTime = 300 * time.Millisecond
+	// callTimeout bounds a call beyond the time it may be held.
+	callTimeout = 600 * time.Millisecond
+	// retryInterval is the pause after an answer without a lease.
+	retryInterval = 150 * time.Millisecond
+	// minInterval bounds the pace of renewals that bring nothing new.
+	minInterval = 200 * time.Millisecond
+	// maxRelayUses is the number of renewals through a relay after which the
+	// leader is tried again directly.
+	maxRelayUses = 30
+)
+
+// renewState is the state of renewals. One is under way at a time.
+type renewState struct {
+	running bool
+	cancel  context.CancelFunc
+	// number tells the answer to the current renewal from that of a cancelled
+	// one.
+	number   uint64
+	next     time.Duration
+	failures int
+	leader   string
+	control  []string
+	// peer counts the entry VMs tried as relays.
+	peer int
+	// relay is the entry VM that relays at present, or "".
+	relay string
+	// relayUses counts the renewals through it.
+	relayUses int
+}
+
+// renewed is the end of a renewal.
+type renewed struct {
+	number  uint64
+	sent    time.Duration
+	address string
+	relayed bool
+	resp    *clusterpb.RenewResponse
+	err     error
+}
+
+func (l *loop) startRenewal() {
+	r := &l.renew
+	r.number++
+	r.running = true
+	req := l.renewRequest()
+	address, relayed := l.target()
+	req.Relayed = relayed
+	timeout := time.Duration(req.WaitMs)*time.Millisecond + callTimeout
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	r.cancel = cancel
+	ev := &renewed{number: r.number, sent: l.syncer.now(), address: address, relayed: relayed}
+	l.workers.Go(func() {
+		defer cancel()
+		ev.resp, ev.err = l.syncer.client(address).Renew(ctx, req)
+		l.syncer.post(ev)
+	})
+}
+
+func (l *loop) stopRenewal() {
+	if l.renew.cancel != nil {
+		l.renew.cancel()
+	}
+}
+
+func (l *loop) renewRequest() *clusterpb.RenewRequest {
+	entry := proto.CloneOf(l.syncer.opts.Entry)
+	entry.Leaving = l.leaving
+	req := &clusterpb.RenewRequest{
+		Entry:            entry,
+		Revision:         l.state.Revision(),
+		Synced:           l.state.Synced(),
+		AcceptedRevision: l.state.Accepted(),
+	}
+	wait := holdTime
+	if l.renew.failures > 0 {
+		wait = probeHoldTime
+	}
+	req.WaitMs = uint32(wait.Milliseconds())
+	return req
+}
+
+// target returns the address for the next renewal: a relay that worked, or, as
+// failures go on, the leader, the control VMs and entry VMs that relay.
+func (l *loop) target() (address string, relayed bool) {
+	r := &l.renew
+	if r.relay != "" {
+		return r.relay, true
+	}
+	step := r.failures % 3
+	if step == 0 && r.leader != "" {
+		return r.leader, false
+	}
+	if step == 2 {
+		if peer := l.nextPeer(); peer != "" {
+			return peer, true
+		}
+	}
+	if len(r.control) == 0 {
+		return "", false
+	}
+	return r.control[(r.failures-r.failures/3)%len(r.control)], false
+}
+
+// nextPeer returns the address of another entry VM, or "".
+func (l *loop) nextPeer() string {
+	peers := l.peers()
+	if len(peers) == 0 {
+		return ""
+	}
+	l.renew.peer++
+	return peers[l.renew.peer%len(peers)]
+}
+
+func (l *loop) onRenewed(ev *renewed) {
+	r := &l.renew
+	if ev.number != r.number {
+		return
+	}
+	r.running = false
+	if ev.err != nil {
+		l.renewalFailed()
+		return
+	}
+	redirected := l.learnAddresses(ev.resp)
+	news := l.apply(ev.resp)
+	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
+	granted := l.state.Grant(ev.sent, lease, ev.resp.Revision)
+	l.publish()
+	switch {
+	case granted:
+		l.renewalGranted(ev, news)
+	case redirected:
+		r.failures = 0
+		r.next = l.syncer.now()
+	default:
+		l.renewalFailed()
+	}
+	if l.syncer.now() >= r.next {
+		l.startRenewal()
+	}
+}
+
+// renewalGranted sets the next renewal: at once after news, so that the leader
+// learns that they have arrived.
+func (l *loop) renewalGranted(ev *renewed, news bool) {
+	r := &l.renew
+	r.failures = 0
+	r.next = l.syncer.now()
+	if !news {
+		r.next = max(r.next, ev.sent+minInterval)
+	}
+	if !ev.relayed {
+		return
+	}
+	r.relay = ev.address
+	r.relayUses++
+	if r.relayUses >= maxRelayUses {
+		r.relay, r.relayUses = "", 0
+	}
+}
+
+func (l *loop) renewalFailed() {
+	r := &l.renew
+	r.failures++
+	r.relay, r.relayUses = "", 0
+	r.next = l.syncer.now() + retryInterval
+}
+
+// learnAddresses reports whether the answer names another leader.
+func (l *loop) learnAddresses(resp *clusterpb.RenewResponse) bool {
+	r := &l.renew
+	if len(resp.ControlAddresses) > 0 {
+		r.control = resp.ControlAddresses
+	}
+	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leader {
+		return false
+	}
+	r.leader = resp.LeaderAddress
+	l.syncer.leader.Store(&resp.LeaderAddress)
+	return true
+}
+
+// apply takes in the configuration and the accepted revision of an answer. It
+// reports whether either was new.
+func (l *loop) apply(resp *clusterpb.RenewResponse) bool {
+	revision, accepted := l.state.Revision(), l.state.Accepted()
+	l.adopt(l.configOf(resp), resp.AcceptedRevision)
+	return l.state.Revision() > revision || l.state.Accepted() > accepted
+}
+
+// configOf returns the configuration in the answer, or nil.
+func (l *loop) configOf(resp *clusterpb.RenewResponse) *catalogpb.Config {
+	if resp.Config != nil || resp.Delta == nil {
+		return resp.Config
+	}
+	base := &catalogpb.Config{}
+	if l.view != nil {
+		base = l.view.Config
+	}
+	cfg, err := catalog.Patch(base, resp.Delta)
+	if err != nil {
+		return nil
+	}
+	return cfg
+}
--- /dev/null
+++ b/internal/configsync/sync_test.go
@@ -0,0 +1,168 @@
+package configsync_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/configsync"
+	"balsamcourse.example/balsamcourse/internal/control"
+	"balsamcourse.example/balsamcourse/internal/control/controltest"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// patience bounds waits for conditions.
+const patience = 20 * time.Second
+
+// process is a listener whose handler can be set after its address is known.
+type process struct {
+	server *httptest.Server
+	mux    *http.ServeMux
+}
+
+func (p *process) address() string { return strings.TrimPrefix(p.server.URL, "http://") }
+
+func newProcess(t *testing.T) *process {
+	p := &process{mux: http.NewServeMux()}
+	p.server = httptest.NewServer(p.mux)
+	t.Cleanup(p.server.Close)
+	return p
+}
+
+// cluster is a control group of three and some entry VMs in one process.
+type cluster struct {
+	t       *testing.T
+	ctx     context.Context
+	log     controltest.Log
+	control []*process
+	leader  *controltest.Replica
+	second  *controltest.Replica
+	entries []*configsync.Syncer
+	admin   adminpb.Admin
+	workers conc.WaitGroup
+}
+
+func newCluster(t *testing.T) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{t: t, ctx: ctx}
+	t.Cleanup(func() {
+		cancel()
+		c.workers.Wait()
+	})
+	for i := range 3 {
+		p := newProcess(t)
+		s := control.New(control.Options{})
+		r := c.log.Add(p.address(), s.StateMachine())
+		s.SetReplica(r)
+		p.mux.Handle(adminpb.AdminPathPrefix, s.PeerAdminHandler())
+		p.mux.Handle("/", s.DistributionHandler())
+		c.workers.Go(func() { s.Run(ctx) })
+		c.control = append(c.control, p)
+		switch i {
+		case 0:
+			c.leader = r
+		case 1:
+			c.second = r
+		}
+	}
+	c.admin = adminpb.NewAdminProtobufClient(c.control[1].server.URL, http.DefaultClient)
+	return c
+}
+
+// start starts an entry VM that knows the given control addresses.
+func (c *cluster) start(id, zone string, controlAddresses ...string) (*configsync.Syncer, context.CancelFunc) {
+	return c.startAt(newProcess(c.t), id, zone, 1, controlAddresses...)
+}
+
+func (c *cluster) startAt(p *process, id, zone string, incarnation uint64, controlAddresses ...string) (*configsync.Syncer, context.CancelFunc) {
+	s := configsync.New(configsync.Options{
+		Entry:   &catalogpb.Entry{Id: id, Zone: zone, ClusterAddress: p.address(), Incarnation: incarnation},
+		Control: controlAddresses,
+	})
+	p.mux.Handle("/", s.Handler())
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.workers.Go(func() { s.Run(ctx) })
+	c.entries = append(c.entries, s)
+	return s, cancel
+}
+
+func (c *cluster) apply(number uint64, change *catalogpb.Change) *adminpb.ApplyResponse {
+	resp, err := c.admin.Apply(c.ctx, &adminpb.ApplyRequest{Change: &catalogpb.OperatorChange{
+		Id:     &catalogpb.ChangeID{Operator: "op", Number: number},
+		Change: change,
+	}})
+	assert.NilError(c.t, err)
+	return resp
+}
+
+func (c *cluster) createService() {
+	c.apply(1, &catalogpb.Change{Kind: &catalogpb.Change_PutZone{PutZone: &catalogpb.Zone{Name: "a"}}})
+	c.apply(2, &catalogpb.Change{Kind: &catalogpb.Change_PutZone{PutZone: &catalogpb.Zone{Name: "b"}}})
+	c.apply(3, &catalogpb.Change{Kind: &catalogpb.Change_PutService{PutService: &catalogpb.Service{Name: "s", PathPrefix: "/s"}}})
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+}
+
+func allFresh(entries []*configsync.Syncer) func() bool {
+	return func() bool {
+		for _, e := range entries {
+			if !e.Fresh() {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestChangeInForce makes a change through a control VM that does not lead and
+// expects it everywhere, with cells in their own availability zone.
+func TestChangeInForce(t *testing.T) {
+	c := newCluster(t)
+	for i := range 4 {
+		c.start(fmt.Sprintf("e%d", i), string(rune('a'+i%2)), c.control[2].address())
+	}
+	eventually(t, "all are fresh", allFresh(c.entries))
+	c.createService()
+	resp := c.apply(4, &catalogpb.Change{Kind: &catalogpb.Change_SetZoneState{SetZoneState: &catalogpb.SetZoneState{
+		Zone: "b", State: catalogpb.ZoneState_ZONE_STATE_LEAVING,
+	}}})
+	assert.Assert(t, resp.Accepted, "missing: %v", resp.Missing)
+	for _, e := range c.entries {
+		assert.Assert(t, !e.View().ZoneOpen("b"))
+		assert.Assert(t, e.Fresh())
+	}
+	for i, zone := range []string{"a", "b"} {
+		key := view.CellKey{Service: "s", Zone: zone}
+		eventually(t, "one entry VM of the zone dispatches", func() bool {
+			return dispatchers(c.entries, key) == 1 && dispatchers([]*configsync.Syncer{c.entries[i], c.entries[i+2]}, key) == 1
+		})
+	}
+}
+
+func dispatchers(entries []*configsync.Syncer, key view.CellKey) int {
+	n := 0
+	for _, e := range entries {
+		if _, ok := e.Dispatches(key); ok {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/control/plan.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/assign"
+	"balsamcourse.example/balsamcourse/internal/event"
+)
+
+const (
+	// liveTimeout is the silence after which an entry VM loses its cells.
+	liveTimeout = 2500 * time.Millisecond
+	// claimTimeout is the silence after which it keeps no claims any more.
+	claimTimeout = 30 * time.Second
+	// settleTime is the pause after a registration before cells are planned,
+	// so that entry VMs that start together are planned together.
+	settleTime = 300 * time.Millisecond
+	// planInterval is the pace of plans.
+	planInterval = 250 * time.Millisecond
+	// proposeTimeout bounds a proposal or confirmed read of the loop.
+	proposeTimeout = 3 * time.Second
+)
+
+// proposed says that a proposal of the loop has ended.
+type proposed struct {
+	term uint64
+}
+
+// plan makes the next proposal that is needed, one at a time.
+func (l *loop) plan() {
+	t := l.term
+	if t.proposing {
+		return
+	}
+	now := l.server.now()
+	if cmd := l.registration(); cmd != nil {
+		t.lastRegistered = now
+		l.propose(cmd)
+		return
+	}
+	if now < t.nextPlan || now < t.lastRegistered+settleTime {
+		return
+	}
+	t.nextPlan = now + planInterval
+	if cmd := t.cellPlan(now); cmd != nil {
+		l.server.opts.Log.Log(event.CellAssigned).Uint64("cells", uint64(len(cmd.GetAssignCells().Cells))).Send()
+		l.propose(cmd)
+		return
+	}
+	if cmd := t.claimPlan(now); cmd != nil {
+		l.propose(cmd)
+	}
+}
+
+// registration returns the command that registers an entry VM as it reports
+// itself. The set of entry VMs changes only once its last change is accepted.
+func (l *loop) registration() *catalogpb.Command {
+	t := l.term
+	for _, id := range sortedIDs(t.heard) {
+		h := t.heard[id]
+		if l.server.now() > h.at+liveTimeout || !l.stale(h.entry) {
+			continue
+		}
+		old := t.registered(id)
+		changesSet := old == nil || old.ClusterAddress != h.entry.ClusterAddress
+		if changesSet && t.tracker.Accepted() < t.config.SetRevision {
+			continue
+		}
+		reg := &catalogpb.RegisterEntry{Entry: h.entry, SetRevision: t.config.SetRevision}
+		return &catalogpb.Command{Kind: &catalogpb.Command_RegisterEntry{RegisterEntry: reg}}
+	}
+	return nil
+}
+
+func sortedIDs(m map[string]*heard) []string {
+	ids := make([]string, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// silence returns the time since the entry VM was heard. At the start of a
+// term all count as heard then.
+func (t *term) silence(now time.Duration, id string) time.Duration {
+	last := t.since
+	if h := t.heard[id]; h != nil {
+		last = max(last, h.at)
+	}
+	return now - last
+}
+
+// available returns the registered entry VMs that were heard within timeout.
+func (t *term) available(now, timeout time.Duration, leaving bool) []assign.Entry {
+	var list []assign.Entry
+	for _, e := range t.config.Entries {
+		if t.silence(now, e.Id) > timeout || (e.Leaving && !leaving) {
+			continue
+		}
+		list = append(list, assign.Entry{ID: e.Id, Zone: e.Zone, Incarnation: e.Incarnation})
+	}
+	return list
+}
+
+func (t *term) cellPlan(now time.Duration) *catalogpb.Command {
+	moved := assign.Cells(t.config, t.available(now, liveTimeout, false))
+	if len(moved) == 0 {
+		return nil
+	}
+	cells := &catalogpb.AssignCells{Cells: moved}
+	return &catalogpb.Command{Kind: &catalogpb.Command_AssignCells{AssignCells: cells}}
+}
+
+func (t *term) claimPlan(now time.Duration) *catalogpb.Command {
+	members := assign.ClaimMembers(t.available(now, claimTimeout, true))
+	if slices.Equal(members, t.config.ClaimEpoch.GetMembers()) {
+		return nil
+	}
+	set := &catalogpb.SetClaimEpoch{ClaimEpoch: &catalogpb.ClaimEpoch{Members: members}}
+	return &catalogpb.Command{Kind: &catalogpb.Command_SetClaimEpoch{SetClaimEpoch: set}}
+}
+
+// propose runs a proposal beside the loop.
+func (l *loop) propose(cmd *catalogpb.Command) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return
+	}
+	l.term.proposing = true
+	number := l.term.number
+	l.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
+		defer cancel()
+		// A failed proposal is made again from the state that then holds.
+		_, _, _ = l.server.opts.Replica.Propose(ctx, data)
+		l.server.post(l.ctx, &proposed{term: number})
+	})
+}
+
+func (l *loop) onProposed(ev *proposed) {
+	if l.term == nil || l.term.number != ev.term {
+		return
+	}
+	l.term.proposing = false
+	l.onChanged()
+	l.plan()
+}
--- /dev/null
+++ b/internal/control/renew.go
@@ -0,0 +1,239 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// maxHold bounds the time for which a renewal is held.
+const maxHold = 2 * time.Second
+
+// addressesEvery is the number of answers to an entry VM after which the
+// addresses of the control VMs are sent again.
+const addressesEvery = 32
+
+// renewal is a request of an entry VM on its way through the loop.
+type renewal struct {
+	request  *clusterpb.RenewRequest
+	received time.Duration
+	reply    chan *clusterpb.RenewResponse
+}
+
+// syncedRenewal is a renewal of an entry VM that is not synced, after the read
+// that confirms the leadership of the term.
+type syncedRenewal struct {
+	renewal *renewal
+	term    uint64
+	err     error
+}
+
+// distribution serves entry VMs.
+type distribution struct {
+	server *Server
+}
+
+// Renew grants a lease and returns what the entry VM lacks.
+func (d *distribution) Renew(ctx context.Context, req *clusterpb.RenewRequest) (*clusterpb.RenewResponse, error) {
+	if req.Entry.GetId() == "" || req.Entry.GetClusterAddress() == "" {
+		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id or cluster address"))
+	}
+	r := &renewal{
+		request:  req,
+		received: d.server.now(),
+		reply:    make(chan *clusterpb.RenewResponse, 1),
+	}
+	if d.server.post(ctx, r) {
+		select {
+		case resp := <-r.reply:
+			return resp, nil
+		case <-ctx.Done():
+		case <-d.server.done:
+		}
+	}
+	return nil, fault.ToTwirp(fault.New(fault.Leaving, "the control VM is stopping"))
+}
+
+// Confirm is answered by entry VMs only.
+func (d *distribution) Confirm(context.Context, *clusterpb.ConfirmRequest) (*clusterpb.ConfirmResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "control VMs confirm nothing")
+}
+
+// Push is answered by entry VMs only.
+func (d *distribution) Push(context.Context, *clusterpb.PushRequest) (*clusterpb.PushResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "control VMs take no configuration")
+}
+
+func (l *loop) onRenewal(r *renewal) {
+	if l.term == nil {
+		l.followRole(l.server.opts.Replica.Status())
+	}
+	if l.term == nil && l.confirming != 0 {
+		l.early = append(l.early, r)
+		return
+	}
+	if l.term == nil {
+		l.redirect(r)
+		return
+	}
+	if !l.term.record(l.server.now(), r) {
+		l.redirect(r)
+		return
+	}
+	l.advance()
+	if !r.request.Synced {
+		l.sync(r)
+		return
+	}
+	if l.due(r) {
+		l.answer(r)
+		return
+	}
+	l.term.held = append(l.term.held, r)
+	if l.stale(r.request.Entry) {
+		l.plan()
+	}
+}
+
+// sync confirms leadership by a read begun after the request was received, so
+// that the entry VM cannot be given a configuration older than one that it
+// acknowledged before its restart.
+func (l *loop) sync(r *renewal) {
+	number := l.term.number
+	l.workers.Go(func() {
+		err := l.confirmedRead()
+		l.server.post(l.ctx, &syncedRenewal{renewal: r, term: number, err: err})
+	})
+}
+
+func (l *loop) onSynced(ev *syncedRenewal) {
+	if l.term == nil || l.term.number != ev.term || ev.err != nil {
+		l.redirect(ev.renewal)
+		return
+	}
+	if l.stale(ev.renewal.request.Entry) {
+		l.term.held = append(l.term.held, ev.renewal)
+		l.plan()
+		return
+	}
+	l.answer(ev.renewal)
+}
+
+// due reports whether there is something to tell at once.
+func (l *loop) due(r *renewal) bool {
+	t := l.term
+	req := r.request
+	if l.stale(req.Entry) {
+		return false
+	}
+	if !req.Synced || req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.Accepted() {
+		return true
+	}
+	return l.server.now() >= r.received+hold(req)
+}
+
+func hold(req *clusterpb.RenewRequest) time.Duration {
+	return min(time.Duration(req.WaitMs)*time.Millisecond, maxHold)
+}
+
+// stale reports whether the configuration does not have the entry VM as it
+// reports itself.
+func (l *loop) stale(e *catalogpb.Entry) bool {
+	return !proto.Equal(l.term.registered(e.Id), e)
+}
+
+// flush answers the held renewals that are due.
+func (l *loop) flush() {
+	held := l.term.held
+	l.term.held = nil
+	for _, r := range held {
+		if l.due(r) {
+			l.answer(r)
+			continue
+		}
+		l.term.held = append(l.term.held, r)
+	}
+}
+
+// expire answers the renewals and the waiters whose time is over.
+func (l *loop) expire() {
+	now := l.server.now()
+	held := l.term.held
+	l.term.held = nil
+	for _, r := range held {
+		if now >= r.received+hold(r.request) {
+			l.answer(r)
+			continue
+		}
+		l.term.held = append(l.term.held, r)
+	}
+	l.wake()
+}
+
+// answer grants a lease if it may and sends what the entry VM lacks.
+func (l *loop) answer(r *renewal) {
+	t := l.term
+	st := l.server.opts.Replica.Status()
+	if !st.IsLeader || st.Term != t.number {
+		l.redirect(r)
+		return
+	}
+	req := r.request
+	resp := &clusterpb.RenewResponse{
+		Revision:         t.config.Revision,
+		AcceptedRevision: t.tracker.Accepted(),
+		LeaderAddress:    st.LeaderAddress,
+	}
+	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
+	if ok {
+		resp.LeaseMs = uint32(lease.Milliseconds())
+	}
+	l.fill(resp, req, st)
+	r.reply <- resp
+}
+
+// fill adds the configuration and the addresses that the entry VM lacks.
+func (l *loop) fill(resp *clusterpb.RenewResponse, req *clusterpb.RenewRequest, st Status) {
+	t := l.term
+	if req.Revision < t.config.Revision {
+		resp.Delta = t.history.delta(req.Revision)
+	}
+	if req.Revision < t.config.Revision && resp.Delta == nil {
+		resp.Config = t.config
+	}
+	h := t.heard[req.Entry.Id]
+	if !req.Synced || h.answers%addressesEvery == 0 {
+		resp.ControlAddresses = addresses(st)
+	}
+	h.answers++
+}
+
+func addresses(st Status) []string {
+	list := make([]string, 0, len(st.Members))
+	for _, m := range st.Members {
+		list = append(list, m.Member.Address)
+	}
+	return list
+}
+
+// redirect answers without a lease. The configuration it carries is committed,
+// so that the entry VM may hold it, but says nothing about its freshness.
+func (l *loop) redirect(r *renewal) {
+	st := l.server.opts.Replica.Status()
+	resp := &clusterpb.RenewResponse{ControlAddresses: addresses(st)}
+	if !st.IsLeader {
+		resp.LeaderAddress = st.LeaderAddress
+	}
+	cfg := l.server.catalog.Config()
+	if r.request.Revision < cfg.Revision {
+		resp.Config = cfg
+		resp.Revision = cfg.Revision
+	}
+	r.reply <- resp
+}
--- /dev/null
+++ b/internal/control/term.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"time"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/acceptance"
+	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/freshness"
+)
+
+// term is the state of one term as leader.
+type term struct {
+	number  uint64
+	since   time.Duration
+	tracker *acceptance.Tracker
+	config  *catalogpb.Config
+	history history
+	// heard holds what each entry VM last reported, by id.
+	heard   map[string]*heard
+	held    []*renewal
+	waiters []*waiter
+
+	proposing      bool
+	lastRegistered time.Duration
+	nextPlan       time.Duration
+}
+
+// heard is the last report of one entry VM.
+type heard struct {
+	entry    *catalogpb.Entry
+	revision uint64
+	at       time.Duration
+	answers  int
+}
+
+func newTerm(number uint64, since time.Duration, cfg *catalogpb.Config) *term {
+	t := &term{
+		number:  number,
+		since:   since,
+		tracker: acceptance.New(since, revisionOf(cfg)),
+		config:  cfg,
+		heard:   make(map[string]*heard),
+	}
+	t.history.add(cfg)
+	return t
+}
+
+// publish takes cfg into force. It reports false when it is not newer.
+func (t *term) publish(cfg *catalogpb.Config) bool {
+	if cfg.Revision <= t.config.Revision {
+		return false
+	}
+	t.config = cfg
+	t.history.add(cfg)
+	t.tracker.Publish(revisionOf(cfg))
+	return true
+}
+
+func revisionOf(cfg *catalogpb.Config) acceptance.Revision {
+	return acceptance.Revision{
+		Number:      cfg.Revision,
+		Set:         keysOf(catalog.Set(cfg)),
+		SetRevision: cfg.SetRevision,
+		PreviousSet: keysOf(cfg.PreviousSet),
+	}
+}
+
+func keysOf(list []*catalogpb.EntryKey) []freshness.Key {
+	keys := make([]freshness.Key, len(list))
+	for i, k := range list {
+		keys[i] = freshness.Key{ID: k.Id, ClusterAddress: k.ClusterAddress}
+	}
+	return keys
+}
+
+func keyOf(e *catalogpb.Entry) freshness.Key {
+	return freshness.Key{ID: e.Id, ClusterAddress: e.ClusterAddress}
+}
+
+// registered returns the entry of the configuration with the given id, or nil.
+func (t *term) registered(id string) *catalogpb.Entry {
+	for _, e := range t.config.Entries {
+		if e.Id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// record notes a report. It reports false for one of an older incarnation.
+func (t *term) record(now time.Duration, r *renewal) bool {
+	e := r.request.Entry
+	h := t.heard[e.Id]
+	if h != nil && e.Incarnation < h.entry.Incarnation {
+		return false
+	}
+	if known := t.registered(e.Id); known != nil && e.Incarnation < known.Incarnation {
+		return false
+	}
+	if h == nil {
+		h = &heard{}
+		t.heard[e.Id] = h
+	}
+	if h.entry == nil || e.Incarnation > h.entry.Incarnation || !h.entry.Leaving {
+		h.entry = e
+	}
+	h.revision = r.request.Revision
+	h.at = now
+	t.tracker.Ack(keyOf(e), r.request.Revision)
+	t.tracker.Learn(r.request.AcceptedRevision)
+	return true
+}
