--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -16,7 +16,9 @@
 	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
@@ -25,6 +27,8 @@
 const (
 	claimTimeout = time.Second
 	startWithin  = 30 * time.Second
+	// openRetention is added to the retention for claims without an outcome.
+	openRetention = 24 * time.Hour
 	// announceParts is the number of announcements an upstream makes before
 	// its silence counts as leaving.
 	announceParts = 6
@@ -44,25 +48,32 @@
 		HTTP:        fast,
 	})
 	d.claims = d.newClaims(fast)
-	d.callers = d.newCallerSide()
-	d.config.OnChange(func(v *view.View) {
-		d.log.Log(event.ConfigAdopted).Uint64("revision", v.Revision()).Send()
-		d.dispatcher.OnConfig(v)
-		d.slots.OnConfig(ctx, v)
-		d.claims.OnConfig(v)
+	d.gossip = gossip.New(gossip.Options{
+		EntryID:     d.settings.ID,
+		Incarnation: d.self.Incarnation,
+		Client:      fast,
+		Limits:      d.quarantineLimits(),
+		Logger:      d.log,
 	})
+	d.callers = d.newCallerSide()
+	d.config.OnChange(func(v *view.View, _ uint64) { d.adopt(ctx, v) })
+}
+
+// adopt hands a configuration to the parts before it is acknowledged. Tickets
+// are registered at new dispatchers before this VM begins to dispatch.
+func (d *Daemon) adopt(ctx context.Context, v *view.View) {
+	d.slots.OnConfig(ctx, v)
+	d.dispatcher.OnConfig(v)
+	d.claims.OnConfig(v)
+	d.gossip.OnConfig(v)
 }
 
 func (d *Daemon) newConfig() *configsync.Syncer {
-	lease := d.settings.Lease
 	return configsync.New(configsync.Options{
-		Entry:         d.self,
-		Control:       d.settings.Control,
-		Client:        d.client(httpnet.NewClient(d.opts.DialPeer)),
-		RenewEvery:    lease.RenewMs.Duration(),
-		ConfirmFor:    lease.ConfirmMs.Duration(),
-		DriftPermille: lease.DriftPermille,
-		Log:           d.log,
+		Entry:   d.self,
+		Control: d.settings.Control,
+		Client:  d.client(httpnet.NewClient(d.opts.DialPeer)),
+		Log:     d.log,
 	})
 }
 
@@ -86,9 +97,10 @@
 		Incarnation: d.self.Incarnation,
 		Client:      client,
 		Limits: claim.Limits{
-			Retention: c.RetentionMs.Duration(),
-			Claims:    c.MaxClaims,
-			Bytes:     c.MaxTotalBytes,
+			Retention:      c.RetentionMs.Duration(),
+			OpenRetention:  openRetention + c.RetentionMs.Duration(),
+			MaxClaims:      c.MaxClaims,
+			MaxAnswerBytes: int(c.MaxTotalBytes),
 		},
 		MaxKeptBytes: c.MaxKeptBytes,
 		Timeout:      claimTimeout,
@@ -97,6 +109,15 @@
 	})
 }
 
+func (d *Daemon) quarantineLimits() quarantine.Limits {
+	q := d.settings.Quarantine
+	return quarantine.Limits{
+		Crashes:    q.Threshold,
+		Hold:       q.HoldMs.Duration(),
+		MaxReports: q.MaxRequests,
+	}
+}
+
 // listen opens the listeners. Processes of the system come first: callers must
 // not find an entry VM that the others cannot reach.
 func (d *Daemon) listen() error {
@@ -141,6 +162,7 @@
 	mux.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	mux.Handle(clusterpb.DispatchPathPrefix, d.dispatcher.Handler())
 	mux.Handle(clusterpb.ClaimsPathPrefix, d.claims.Handler())
+	mux.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	return access.NewGuard(d.keys.cluster, d.log, nil).Wrap(mux)
 }
 
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -33,7 +33,7 @@
 		Source:          d.config,
 		Slots:           d.slots,
 		Claims:          claimSource{d.claims},
-		Quarantine:      d.quarantine,
+		Quarantine:      &guard{d.gossip, d.claims},
 		Limiter:         c.limiter,
 		Transport:       c.transport,
 		Tracing:         d.tracing,
@@ -49,7 +49,7 @@
 		Self:    d.settings.ID,
 		Zone:    d.settings.Zone,
 		Source:  d.config,
-		Health:  d.config,
+		Health:  allReachable{},
 		TTL:     d.settings.LookupTTLMs.Duration(),
 		Leaving: d.life.leaving,
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -19,6 +19,7 @@
 	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/forward"
+	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/slot"
@@ -50,6 +51,7 @@
 	dispatcher *dispatcher.Server
 	slots      *slot.Client
 	claims     *claims.Service
+	gossip     *gossip.Service
 	callers    *callerSide
 	servers    listeners
 	workers    conc.WaitGroup
@@ -139,6 +141,7 @@
 	d.workers.Go(func() { d.dispatcher.Run(ctx) })
 	d.workers.Go(func() { d.slots.Run(ctx) })
 	d.workers.Go(func() { d.claims.Run(ctx) })
+	d.workers.Go(func() { d.gossip.Run(ctx) })
 	d.workers.Go(func() { d.watchFreshness(ctx) })
 	for _, k := range []*access.Keys{d.keys.upstreams, d.keys.cluster} {
 		if k != nil {
