Place claims by claim.Advance, so that a restarted member is another one

Cause: the catalog numbered claim epochs itself and left out the placement, without which the claims service refuses every key. Leaving entry VMs no longer count as members, so that the others pull their records in time.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -101,7 +101,7 @@
 	case *catalogpb.Command_AssignCells:
 		return assignCells(next, index, kind.AssignCells)
 	case *catalogpb.Command_SetClaimEpoch:
-		return setClaimEpoch(next, index, kind.SetClaimEpoch)
+		return setClaimEpoch(next, kind.SetClaimEpoch)
 	}
 	return fault.New(fault.BadRequest, "empty command")
 }
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -38,8 +39,8 @@
 		}
 	}
 	next.Entries = entries.put(next.Entries, e)
-	if known && e.Incarnation != old.Incarnation && slices.Contains(next.ClaimEpoch.GetMembers(), e.Id) {
-		next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: next.ClaimEpoch.Members}
+	if slices.Contains(next.ClaimEpoch.GetMembers(), e.Id) {
+		next.ClaimEpoch = claimEpoch(next, next.ClaimEpoch.Members)
 	}
 	return nil
 }
@@ -69,7 +70,7 @@
 	next.Cells = cells.remove(next.Cells, func(c *catalogpb.Cell) bool { return c.Entry == cmd.Id })
 	if members := next.ClaimEpoch.GetMembers(); slices.Contains(members, cmd.Id) {
 		remaining := slices.DeleteFunc(slices.Clone(members), func(id string) bool { return id == cmd.Id })
-		next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: remaining}
+		next.ClaimEpoch = claimEpoch(next, remaining)
 	}
 	return nil
 }
@@ -114,12 +115,26 @@
 }
 
 // setClaimEpoch replaces the members over which claims are placed.
-func setClaimEpoch(next *catalogpb.Config, index uint64, cmd *catalogpb.SetClaimEpoch) *fault.Error {
+func setClaimEpoch(next *catalogpb.Config, cmd *catalogpb.SetClaimEpoch) *fault.Error {
 	members := slices.DeleteFunc(slices.Clone(cmd.ClaimEpoch.GetMembers()), func(id string) bool {
 		_, ok := entries.get(next.Entries, id)
 		return !ok
 	})
 	slices.Sort(members)
-	next.ClaimEpoch = &catalogpb.ClaimEpoch{Epoch: index, Members: slices.Compact(members)}
+	next.ClaimEpoch = claimEpoch(next, slices.Compact(members))
 	return nil
 }
+
+// claimEpoch returns the epoch with the given entry VMs as members. It differs
+// from the one before when a member has joined, left or restarted: a restarted
+// process has lost its claims and counts as another member.
+func claimEpoch(cfg *catalogpb.Config, ids []string) *catalogpb.ClaimEpoch {
+	placed := make([]*catalogpb.ClaimMember, 0, len(ids))
+	for _, id := range ids {
+		e, ok := entries.get(cfg.Entries, id)
+		if ok {
+			placed = append(placed, &catalogpb.ClaimMember{Id: id, Incarnation: e.Incarnation, Zone: e.Zone})
+		}
+	}
+	return claim.Advance(cfg.ClaimEpoch, placed)
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -118,7 +118,7 @@
 }
 
 func (t *term) claimPlan(now time.Duration) *catalogpb.Command {
-	members := assign.ClaimMembers(t.available(now, claimTimeout, true))
+	members := assign.ClaimMembers(t.available(now, claimTimeout, false))
 	if slices.Equal(members, t.config.ClaimEpoch.GetMembers()) {
 		return nil
 	}
