--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -141,6 +141,9 @@
 		return
 	}
 	redirected := l.learnAddresses(ev.resp)
+	if ev.resp.LeaseMs > 0 {
+		l.syncer.silent.Store(&ev.resp.Silent)
+	}
 	news := l.apply(ev.resp)
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
 	granted := l.state.Grant(ev.sent, lease, ev.resp.Revision)
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,7 @@
 	start     time.Time
 	held      atomic.Pointer[held]
 	leader    atomic.Pointer[string]
+	silent    atomic.Pointer[[]string]
 	events    chan any
 	done      chan struct{}
 	listeners []func(v *view.View, accepted uint64)
@@ -106,6 +108,13 @@
 	return h.view, s.now() < h.deadline
 }
 
+// Reachable reports whether the leader has heard of the entry VM of late, as
+// far as this one knows.
+func (s *Syncer) Reachable(entry string) bool {
+	silent := s.silent.Load()
+	return silent == nil || !slices.Contains(*silent, entry)
+}
+
 // AcceptedRevision returns the newest revision known to be accepted.
 func (s *Syncer) AcceptedRevision() uint64 { return s.held.Load().accepted }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -96,6 +96,18 @@
 	return now - last
 }
 
+// silent returns the ids of the registered entry VMs that were not heard of
+// late.
+func (t *term) silent(now time.Duration) []string {
+	var ids []string
+	for _, e := range t.config.Entries {
+		if t.silence(now, e.Id) > liveTimeout {
+			ids = append(ids, e.Id)
+		}
+	}
+	return ids
+}
+
 // available returns the registered entry VMs that were heard within timeout.
 func (t *term) available(now, timeout time.Duration, leaving bool) []assign.Entry {
 	var list []assign.Entry
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -189,6 +189,7 @@
 		Revision:         t.config.Revision,
 		AcceptedRevision: t.tracker.Accepted(),
 		LeaderAddress:    st.LeaderAddress,
+		Silent:           t.silent(l.server.now()),
 	}
 	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
 	if ok {
--- a/internal/entryd/adapters.go
+++ b/internal/entryd/adapters.go
@@ -36,9 +36,3 @@
 func (s announceSink) Announce(a *clusterpb.Announcement) {
 	s.server.Announce([]*clusterpb.Announcement{a})
 }
-
-// allReachable counts every registered entry VM as reachable.
-type allReachable struct{}
-
-// Reachable implements lookup.Health.
-func (allReachable) Reachable(string) bool { return true }
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -49,7 +49,7 @@
 		Self:    d.settings.ID,
 		Zone:    d.settings.Zone,
 		Source:  d.config,
-		Health:  allReachable{},
+		Health:  d.config,
 		TTL:     d.settings.LookupTTLMs.Duration(),
 		Leaving: d.life.leaving,
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -174,13 +174,9 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		if actions := d.life.step("synced"); len(actions) > 0 {
-			d.log.Log(event.LeaseRegained).Send()
-		}
+		d.life.step("synced")
 		return
 	}
 	d.entry.Fresh.Update(0)
-	if actions := d.life.step("lease_lost"); len(actions) > 0 {
-		d.log.Log(event.LeaseLost).Send()
-	}
+	d.life.step("lease_lost")
 }
