--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := s.relay.client().Do(req)
+	resp, err := s.probeClient().Do(req)
 	if err != nil {
 		return false
 	}
@@ -45,3 +45,12 @@
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody))
 	return err == nil && resp.StatusCode < http.StatusInternalServerError
 }
+
+// probeClient returns the client towards upstreams. It is not the one towards
+// entry VMs, whose key upstreams must not see.
+func (s *Server) probeClient() *http.Client {
+	if s.opts.Probes != nil {
+		return s.opts.Probes
+	}
+	return http.DefaultClient
+}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -37,8 +37,10 @@
 	// admits work on an older one any more. Nil counts every revision as
 	// accepted, which is right only for a single entry VM.
 	Accepted func() uint64
-	// Client sends announcements to other entry VMs and probes to upstreams.
+	// Client sends announcements to other entry VMs. It carries their key.
 	Client *http.Client
+	// Probes sends probes to upstreams; nil means http.DefaultClient.
+	Probes *http.Client
 	// Broadcast relays announcements to every entry VM instead of only to the
 	// dispatcher of the cell.
 	Broadcast bool
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
@@ -36,6 +37,7 @@
 
 // build connects the parts. Nothing runs yet.
 func (d *Daemon) build(ctx context.Context) {
+	d.upstreams = forward.NewTransport(d.opts.DialUpstream)
 	d.config = d.newConfig()
 	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
 	d.dispatcher = d.newDispatcher(fast)
@@ -84,6 +86,7 @@
 		View:        d.config,
 		Accepted:    d.config.AcceptedRevision,
 		Client:      client,
+		Probes:      &http.Client{Transport: d.upstreams},
 		Log:         d.log,
 		Metrics:     d.metrics.Scope,
 		Seed:        d.self.Incarnation,
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -18,16 +18,14 @@
 
 // callerSide is what an entry VM serves to callers.
 type callerSide struct {
-	limiter   *admit.Limiter
-	transport *http.Transport
-	handler   http.Handler
+	limiter *admit.Limiter
+	handler http.Handler
 }
 
 func (d *Daemon) newCallerSide() *callerSide {
 	limits := d.settings.Limits
 	c := &callerSide{
-		limiter:   admit.NewLimiter(limits.MaxInFlight),
-		transport: forward.NewTransport(d.opts.DialUpstream),
+		limiter: admit.NewLimiter(limits.MaxInFlight),
 	}
 	calls := forward.New(forward.Options{
 		Source:          d.config,
@@ -35,7 +33,7 @@
 		Claims:          claimSource{d.claims},
 		Quarantine:      &guard{d.gossip, d.claims},
 		Limiter:         c.limiter,
-		Transport:       c.transport,
+		Transport:       d.upstreams,
 		Tracing:         d.tracing,
 		Metrics:         d.entry,
 		Events:          d.log,
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -47,6 +47,7 @@
 	self     *catalogpb.Entry
 
 	life       *lifecycle
+	upstreams  *http.Transport
 	config     *configsync.Syncer
 	dispatcher *dispatcher.Server
 	slots      *slot.Client
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -91,7 +91,7 @@
 	}
 	cancel()
 	d.workers.Wait()
-	d.callers.transport.CloseIdleConnections()
+	d.upstreams.CloseIdleConnections()
 	_ = d.tracing.Shutdown(limited)
 	_ = d.metrics.Close()
 	d.log.Log(event.Stopped).Send()
