Prove the consensus core by drawn faults

A rapid state machine drives 3 or 5 replicas over virtual time with a net that loses, doubles, delays and reorders, and draws kills, lost writes, lost disks, replacements, cuts, freezes, clock drift, membership changes and transfers. The oracle is one list of committed entries.

Cause of a stall the runs found: a replaced replica was removed although its successor had lost its disk after the promotion. It is now removed only once the successor holds everything committed and a live majority remains. Ruled out: a fault in the oracle (the stall showed as no leader after healing).

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -96,15 +96,19 @@
 
 // settleMembers takes the next step of pending replacements: it promotes a
 // learner that has caught up and removes the replica that it replaces. A dead
-// replica is removed first, so that it does not raise the quorum meanwhile.
+// replica is removed first, so that it does not raise the quorum meanwhile. No
+// replica is removed before its successor holds everything committed, or when
+// the rest would be left without a live majority.
 func (r *Replica) settleMembers() {
 	if r.changeRefusal() != "" {
 		return
 	}
 	for _, m := range r.members() {
 		old := r.member(m.GetReplaces())
+		if !r.caughtUp(m.GetReplicaId()) {
+			continue
+		}
 		switch {
-		case m.GetLearner() && !r.caughtUp(m.GetReplicaId()):
 		case m.GetLearner() && (old == nil || r.live(old.GetReplicaId())):
 			r.promote(m.GetReplicaId())
 			return
@@ -112,15 +116,18 @@
 		case old.GetReplicaId() == r.cfg.ID:
 			r.transfer(Transfer{})
 			return
-		default:
+		case r.quorumWithout(old.GetReplicaId()):
 			r.dropMember(old.GetReplicaId())
 			return
 		}
 	}
 }
 
-// caughtUp reports whether a learner holds everything committed.
+// caughtUp reports whether a member holds everything committed.
 func (r *Replica) caughtUp(id uint64) bool {
+	if id == r.cfg.ID {
+		return true
+	}
 	p := r.lead.peers[id]
 	return r.live(id) && p.disk != 0 && p.match >= r.commit
 }
@@ -134,10 +141,4 @@
 	r.appendEntry(nil, members)
 }
 
-func (r *Replica) cloneMembers() []*catalogpb.ControlMember {
-	members := []*catalogpb.ControlMember{}
-	for _, m := range r.members() {
-		members = append(members, proto.CloneOf(m))
-	}
-	return members
-}
+func (r *Replica) cloneMembers() []*catalogpb.ControlMember { return cloneAll(r.members()) }
--- a/internal/consensus/form.go
+++ b/internal/consensus/form.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
@@ -29,9 +27,7 @@
 func (r *Replica) startFormation(saved *clusterpb.Membership) {
 	r.formation.confirmed = map[uint64]bool{}
 	r.formation.next = r.now
-	for _, m := range r.cfg.Bootstrap {
-		r.formation.members = append(r.formation.members, proto.CloneOf(m))
-	}
+	r.formation.members = cloneAll(r.cfg.Bootstrap)
 	if saved != nil {
 		r.formation.members = saved.GetMembers()
 	}
@@ -62,14 +58,10 @@
 }
 
 func (r *Replica) sendForm(to uint64, members []*catalogpb.ControlMember) {
-	list := make([]*catalogpb.ControlMember, len(members))
-	for i, m := range members {
-		list[i] = proto.CloneOf(m)
-	}
 	r.sendSynced(&clusterpb.ConsensusMessage{
 		Kind:      clusterpb.MessageKind_MESSAGE_KIND_FORM,
 		To:        to,
-		Formation: &clusterpb.Membership{Members: list},
+		Formation: &clusterpb.Membership{Members: cloneAll(members)},
 		Formed:    r.role != Forming,
 	})
 }
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
 
@@ -18,6 +20,15 @@
 	return nil
 }
 
+// cloneAll returns copies, never nil.
+func cloneAll(members []*catalogpb.ControlMember) []*catalogpb.ControlMember {
+	clones := make([]*catalogpb.ControlMember, len(members))
+	for i, m := range members {
+		clones[i] = proto.CloneOf(m)
+	}
+	return clones
+}
+
 func (r *Replica) member(id uint64) *catalogpb.ControlMember { return find(r.members(), id) }
 
 // Member returns a replica of the newest membership; nil when there is none.
--- /dev/null
+++ b/internal/consensus/proof_test.go
@@ -0,0 +1,274 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/proof"
+)
+
+// TestProofGroup checks the safety of a group under drawn faults at each step,
+// and that it works again once the faults have ended.
+func TestProofGroup(t *testing.T) {
+	setFlag(t, "rapid.steps", longRun)
+	proof.Check(t, func(t *rapid.T) { runGroup(t, 0, false, true) })
+}
+
+// runGroup draws a run. With live set it also checks that the group recovers.
+func runGroup(t *rapid.T, off rule, unsynced, live bool) {
+	n := rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas")
+	s := newSim(n, rapid.Uint64().Draw(t, "seed"), off)
+	s.unsynced = unsynced
+	f := &faults{s}
+	s.advance(2 * time.Second)
+	t.Repeat(map[string]func(*rapid.T){
+		"":          f.check,
+		"advance":   f.advance,
+		"advance2":  f.advance,
+		"advance3":  f.advance,
+		"propose":   f.propose,
+		"propose2":  f.propose,
+		"read":      f.read,
+		"weather":   f.weather,
+		"crash":     f.crash,
+		"restart":   f.restart,
+		"lose_disk": f.loseDisk,
+		"replace":   f.replace,
+		"cut":       f.cut,
+		"heal":      f.heal,
+		"freeze":    f.freeze,
+		"drift":     f.drift,
+		"members":   f.members,
+		"transfer":  f.transfer,
+		"compact":   f.compact,
+	})
+	if live {
+		f.recover(t)
+	}
+}
+
+// faults holds the actions that a run draws from.
+type faults struct{ *sim }
+
+func (f *faults) check(t *rapid.T) {
+	f.oracle.matchLogs(f.up())
+	if f.oracle.fault != "" {
+		t.Fatalf("%s", f.oracle.fault)
+	}
+}
+
+func (f *faults) advance(t *rapid.T) {
+	f.sim.advance(time.Duration(rapid.IntRange(1, 80).Draw(t, "ticks")) * simTick)
+}
+
+// some draws a running replica, more often one that leads.
+func (f *faults) some(t *rapid.T) *simNode {
+	up := f.up()
+	if len(up) == 0 {
+		t.Skip("none up")
+	}
+	for _, n := range up {
+		if n.r.role == Leader {
+			up = append(up, n, n)
+		}
+	}
+	return rapid.SampledFrom(up).Draw(t, "replica")
+}
+
+func (f *faults) propose(t *rapid.T) {
+	n := f.some(t)
+	for range rapid.IntRange(1, 5).Draw(t, "count") {
+		if n.r != nil {
+			f.sim.propose(n)
+		}
+	}
+}
+
+func (f *faults) read(t *rapid.T) { f.sim.read(f.some(t)) }
+
+func (f *faults) weather(t *rapid.T) {
+	f.sim.weather = weather{
+		lose:     rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "lose"),
+		double:   rapid.SampledFrom([]int{0, 20}).Draw(t, "double"),
+		maxDelay: time.Duration(rapid.SampledFrom([]int{1, 20, 100, 600}).Draw(t, "delay")) * time.Millisecond,
+	}
+}
+
+// crash kills a replica at once, or at its next write, which is lost.
+func (f *faults) crash(t *rapid.T) {
+	n := f.some(t)
+	if rapid.Bool().Draw(t, "lose write") {
+		n.loseWrites = true
+		return
+	}
+	f.sim.crash(n)
+}
+
+func (f *faults) restart(t *rapid.T) {
+	var down []*simNode
+	for _, n := range f.nodes {
+		if n.r == nil {
+			down = append(down, n)
+		}
+	}
+	if len(down) == 0 {
+		t.Skip("none down")
+	}
+	f.start(rapid.SampledFrom(down).Draw(t, "replica"))
+}
+
+// loseDisk empties a disk and starts the replica again under the same id, with
+// the settings it had or as a learner. It spares a majority of the voters.
+func (f *faults) loseDisk(t *rapid.T) {
+	n := f.some(t)
+	if !f.spared(n.id, 0) {
+		t.Skip("majority needed")
+	}
+	n.wiped = true
+	f.emptyDisk(n)
+	n.bootstrap = n.bootstrap && rapid.Bool().Draw(t, "same settings")
+	f.start(n)
+}
+
+// spared reports whether the group keeps a majority of intact disks when it
+// loses one disk and one member, by every membership that may be in force or
+// may follow from pending replacements.
+func (f *faults) spared(disk, member uint64) bool {
+	for _, members := range f.memberships() {
+		if !f.intactMajority(members, disk, member) {
+			return false
+		}
+		for _, m := range members {
+			if r := m.GetReplaces(); r != 0 && !f.intactMajority(members, disk, r) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// memberships returns the newest one of each replica and those under way.
+func (f *faults) memberships() [][]*catalogpb.ControlMember {
+	var all [][]*catalogpb.ControlMember
+	for _, n := range f.nodes {
+		l := newLog(n.durable)
+		all = append(all, l.config().members)
+	}
+	for _, p := range f.net {
+		for _, e := range p.msg.GetEntries() {
+			all = append(all, e.GetMembers().GetMembers())
+		}
+	}
+	return all
+}
+
+func (f *faults) intactMajority(members []*catalogpb.ControlMember, disk, member uint64) bool {
+	voters, intact := 0, 0
+	for _, m := range members {
+		id := m.GetReplicaId()
+		if m.GetLearner() || id == member {
+			continue
+		}
+		voters++
+		if id != disk && f.node(id).disk == m.GetDiskId() {
+			intact++
+		}
+	}
+	return voters == 0 || intact > voters/2
+}
+
+// replace asks the leader to replace a replica by a new one with a new id.
+func (f *faults) replace(t *rapid.T) {
+	lead := f.leader()
+	if lead == nil || f.nextID > 12 {
+		t.Skip("no leader")
+	}
+	var old []uint64
+	for _, m := range lead.r.members() {
+		if o := f.node(m.GetReplicaId()); o.wiped || o.r == nil || o == lead {
+			old = append(old, o.id)
+		}
+	}
+	m := &catalogpb.ControlMember{ReplicaId: f.nextID, Address: "a"}
+	m.Replaces = rapid.SampledFrom(append(old, 0)).Draw(t, "old")
+	if m.Replaces != 0 && !f.spared(0, m.Replaces) {
+		t.Skip("majority needed")
+	}
+	f.addNode(f.nextID, false)
+	f.nextID++
+	f.step(lead, AddMember{ID: f.call(), Member: m})
+}
+
+// cut stops messages in one direction or both, in silence.
+func (f *faults) cut(t *rapid.T) {
+	a, b := rapid.SampledFrom(f.nodes).Draw(t, "from"), rapid.SampledFrom(f.nodes).Draw(t, "to")
+	f.sim.cut[[2]uint64{a.id, b.id}] = true
+	if rapid.Bool().Draw(t, "both ways") {
+		f.sim.cut[[2]uint64{b.id, a.id}] = true
+	}
+}
+
+func (f *faults) heal(*rapid.T) { clear(f.sim.cut) }
+
+func (f *faults) freeze(t *rapid.T) {
+	f.some(t).frozen = f.now + time.Duration(rapid.IntRange(1, 300).Draw(t, "ticks"))*simTick
+}
+
+func (f *faults) drift(t *rapid.T) {
+	f.some(t).rate = rapid.IntRange(80, 120).Draw(t, "percent")
+}
+
+func (f *faults) members(t *rapid.T) {
+	lead := f.leader()
+	if lead == nil {
+		t.Skip("no leader")
+	}
+	ids := []uint64{}
+	for _, m := range lead.r.members() {
+		ids = append(ids, m.GetReplicaId())
+	}
+	if len(ids) < 4 {
+		t.Skip("small group")
+	}
+	id := rapid.SampledFrom(ids).Draw(t, "remove")
+	if !f.spared(0, id) {
+		t.Skip("majority needed")
+	}
+	f.step(lead, RemoveMember{ID: f.call(), Replica: id})
+}
+
+func (f *faults) transfer(t *rapid.T) {
+	if lead := f.leader(); lead != nil {
+		f.step(lead, Transfer{ID: f.call()})
+	}
+}
+
+func (f *faults) compact(t *rapid.T) { f.sim.compact(f.some(t)) }
+
+// recover ends all faults and checks that the group commits and reads again.
+func (f *faults) recover(t *rapid.T) {
+	clear(f.sim.cut)
+	f.sim.weather = weather{maxDelay: 20 * time.Millisecond}
+	for _, n := range f.nodes {
+		n.frozen, n.rate, n.loseWrites = 0, 100, false
+		if n.r == nil {
+			f.start(n)
+		}
+	}
+	f.sim.advance(20 * time.Second)
+	lead := f.leader()
+	if lead == nil {
+		t.Fatalf("no leader after the faults have ended")
+	}
+	before, served := len(f.oracle.entries), f.oracle.served
+	f.sim.propose(lead)
+	f.sim.read(lead)
+	f.sim.advance(2 * time.Second)
+	if len(f.oracle.entries) == before || f.oracle.served == served {
+		t.Fatalf("no commit or no read after the faults have ended")
+	}
+	f.check(t)
+}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -227,7 +227,7 @@
 		rec.Entries = r.log.slice(r.log.dirty, r.log.last())
 	}
 	if r.formation.dirty {
-		rec.Formation = &clusterpb.Membership{Members: r.formation.members}
+		rec.Formation = &clusterpb.Membership{Members: cloneAll(r.formation.members)}
 	}
 	return rec
 }
--- /dev/null
+++ b/internal/consensus/scenario_test.go
@@ -0,0 +1,140 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+)
+
+// seize makes a replica open an election at once.
+func (s *sim) seize(id uint64) {
+	n := s.node(id)
+	s.step(n, Message{&clusterpb.ConsensusMessage{
+		Kind: clusterpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: id, Term: n.r.term,
+	}})
+}
+
+// elect makes a replica open elections until it leads.
+func (s *sim) elect(id uint64) {
+	for range 100 {
+		s.seize(id)
+		for range 10 {
+			s.holdElections(id)
+			s.advance(simTick)
+			if s.leads(id)() {
+				return
+			}
+		}
+	}
+}
+
+// holdElections keeps replicas other than id from opening elections.
+func (s *sim) holdElections(id uint64) {
+	for _, n := range s.up() {
+		if n.id != id {
+			n.r.electionDeadline = n.clock + time.Hour
+		}
+	}
+}
+
+// mute drops what a replica sends from now on.
+func (s *sim) mute(from uint64) {
+	for _, n := range s.nodes {
+		s.cut[[2]uint64{from, n.id}] = true
+	}
+}
+
+// deafen drops what others send to a replica from now on.
+func (s *sim) deafen(to uint64) {
+	for _, n := range s.nodes {
+		s.cut[[2]uint64{n.id, to}] = true
+	}
+}
+
+// until advances tick by tick until done, at most for a second.
+func (s *sim) until(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := s.now + time.Second; !done(); {
+		assert.Assert(t, s.now < end, "condition not reached")
+		s.advance(simTick)
+	}
+}
+
+func (s *sim) leads(id uint64) func() bool {
+	return func() bool { return s.node(id).r.role == Leader }
+}
+
+// proposeLarge proposes an entry that fills a batch.
+func (s *sim) proposeLarge(id uint64) {
+	s.step(s.node(id), Propose{ID: s.call(), Data: make([]byte, maxBatchBytes+1)})
+}
+
+// runEarlierTerm leads replica 1 to hold an entry of an earlier term on a
+// majority, while replica 5 has a newer entry in its place.
+func runEarlierTerm(t *testing.T, off rule) *oracle {
+	s := newSim(5, 1, off)
+	s.advance(2 * time.Second)
+	s.seize(1)
+	s.until(t, s.leads(1))
+	s.advance(100 * time.Millisecond)
+	index := s.node(1).r.log.last() + 1
+	s.mute(1)
+	s.proposeLarge(1)
+	s.advance(50 * time.Millisecond)
+	s.crash(s.node(1))
+	s.seize(5)
+	s.mute(5)
+	s.until(t, s.leads(5))
+	s.crash(s.node(5))
+	clear(s.cut)
+	s.start(s.node(1))
+	s.elect(1)
+	s.until(t, func() bool {
+		for _, id := range []uint64{3, 4} {
+			if s.node(id).r.log.last() == index {
+				s.cut[[2]uint64{1, id}] = true
+			}
+		}
+		return s.cut[[2]uint64{1, 3}] && s.cut[[2]uint64{1, 4}]
+	})
+	s.advance(50 * time.Millisecond)
+	s.crash(s.node(1))
+	clear(s.cut)
+	s.start(s.node(5))
+	s.elect(5)
+	s.advance(500 * time.Millisecond)
+	return s.oracle
+}
+
+func TestEarlierTermCommitsOnlyThroughOwnTerm(t *testing.T) {
+	assert.Equal(t, runEarlierTerm(t, 0).fault, "")
+	assert.Assert(t, runEarlierTerm(t, ruleCommitOwnTerm).fault != "")
+}
+
+// runDeposedRead reads at a leader that has handed over without noticing.
+func runDeposedRead(t *testing.T, off rule) *oracle {
+	s := newSim(3, 1, off)
+	s.advance(2 * time.Second)
+	s.seize(1)
+	s.until(t, s.leads(1))
+	s.advance(200 * time.Millisecond)
+	s.deafen(1)
+	s.seize(2)
+	s.until(t, s.leads(2))
+	s.propose(s.node(2))
+	s.advance(80 * time.Millisecond)
+	assert.Assert(t, s.leads(1)() && s.leads(2)())
+	s.read(s.node(1))
+	s.advance(80 * time.Millisecond)
+	return s.oracle
+}
+
+func TestReadNeedsQuorum(t *testing.T) {
+	on := runDeposedRead(t, 0)
+	assert.Equal(t, on.fault, "")
+	assert.Equal(t, on.served, 0)
+	assert.Assert(t, runDeposedRead(t, ruleReadQuorum).fault != "")
+}
