--- a/internal/consensus/proof_test.go
+++ b/internal/consensus/proof_test.go
@@ -13,7 +13,7 @@
 // TestProofGroup checks the safety of a group under drawn faults at each step,
 // and that it works again once the faults have ended.
 func TestProofGroup(t *testing.T) {
-	setFlag(t, "rapid.steps", longRun)
+	proof.Set(t, "rapid.steps", longRun)
 	proof.Check(t, func(t *rapid.T) { runGroup(t, 0, false, true) })
 }
 
--- a/internal/storage/frame.go
+++ b/internal/storage/frame.go
@@ -8,9 +8,11 @@
 	"github.com/juju/errors"
 )
 
-// Layout of a frame: magic, payload length, checksum of the payload, checksum
-// of the header; then the payload, padded with zeros. Frames start at multiples
-// of alignBytes, so that a header never crosses a sector.
+// Layout of a frame: magic, payload length, checksum of the body, checksum of
+// the header; then the body, which is the payload padded to alignBytes and
+// masked. Frames start at multiples of alignBytes, so that a header never
+// crosses a sector. The mask keeps every written part of a sector from being
+// all zeros, which marks a part that was never written.
 const (
 	headerBytes  = 16
 	alignBytes   = 16
@@ -32,16 +34,33 @@
 	start := len(buf)
 	buf = binary.LittleEndian.AppendUint32(buf, frameMagic)
 	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(payload, castagnoli))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(buf[start:], castagnoli))
+	buf = append(buf, make([]byte, headerBytes-8)...)
 	buf = append(buf, payload...)
-	return append(buf, make([]byte, padding(len(payload)))...)
+	buf = append(buf, make([]byte, padding(len(payload)))...)
+	header, body := buf[start:start+headerBytes], buf[start+headerBytes:]
+	mask(body)
+	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(body, castagnoli))
+	binary.LittleEndian.PutUint32(header[12:], crc32.Checksum(header[:12], castagnoli))
+	return buf
+}
+
+// mask combines body with a fixed sequence; a second call undoes the first.
+func mask(body []byte) {
+	state := uint64(frameMagic)
+	for at := 0; at+8 <= len(body); at += 8 {
+		state = state*6364136223846793005 + 1442695040888963407
+		word := binary.LittleEndian.Uint64(body[at:])
+		binary.LittleEndian.PutUint64(body[at:], word^state)
+	}
 }
 
 func padding(payload int) int {
 	return (alignBytes - payload%alignBytes) % alignBytes
 }
 
+// frameReader is the signature of readFrame.
+type frameReader func(data []byte, offset int) (payload []byte, next int, err error)
+
 // readFrame returns the payload of the frame at offset and the offset of the
 // next one. It returns errTorn when a crash during the last write explains
 // what it finds, and ErrCorrupt otherwise.
@@ -51,15 +70,15 @@
 		return nil, 0, headerFault(data, offset)
 	}
 	start := offset + headerBytes
-	end := start + size
-	next = end + padding(size)
+	next = start + size + padding(size)
 	if next > len(data) {
 		return nil, 0, errTorn
 	}
-	payload = data[start:end]
+	body := bytes.Clone(data[start:next])
 	want := binary.LittleEndian.Uint32(data[offset+8:])
-	if crc32.Checksum(payload, castagnoli) == want && isZero(data[end:next]) {
-		return payload, next, nil
+	if crc32.Checksum(body, castagnoli) == want {
+		mask(body)
+		return body[:size], next, nil
 	}
 	if next == len(data) && hasZeroSector(data, start, next) {
 		return nil, 0, errTorn
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, Opened{}, errors.Annotate(err, "read log")
 	}
-	rec, end, err := readLog(data)
+	rec, end, err := readLog(data, readFrame)
 	if err != nil {
 		return nil, Opened{}, err
 	}
@@ -67,11 +67,11 @@
 
 // readLog merges the records in data. It returns the end of the last complete
 // frame.
-func readLog(data []byte) (*clusterpb.LogRecord, int, error) {
+func readLog(data []byte, read frameReader) (*clusterpb.LogRecord, int, error) {
 	rec := &clusterpb.LogRecord{}
 	offset := 0
 	for offset < len(data) {
-		payload, next, err := readFrame(data, offset)
+		payload, next, err := read(data, offset)
 		if errors.Is(err, errTorn) && offset > 0 {
 			return rec, offset, nil
 		}
