Wait in the queues of several cells at once

Cause: at 95% of slots a request waited in the queue of its own zone while slots came free in others; polling them every 20 to 160 ms came too late. Ruled out: false cold cuts (6 in 110 s) and the queue limit (no refusal). Change: a request that finds no free slot joins up to four queues; the first slot wins, the other places are given up by an explicit message.

--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -159,7 +159,7 @@
 		c.refuse(e.Key, kind, 0)
 		return
 	}
-	w := waiter{key: e.Key, deadline: e.Deadline, until: c.waitUntil(e), avoid: e.Avoid}
+	w := waiter{key: e.Key, deadline: e.Deadline, until: c.waitUntil(e), avoid: e.Avoid, share: 1 / float64(max(1, e.Queues))}
 	if c.queue.len() == 0 {
 		if u := c.pick(&w); u != nil {
 			c.grant(&w, u)
@@ -196,7 +196,7 @@
 	if e.Deadline-c.typicalService() < c.now {
 		return fault.DeadlineTooShort
 	}
-	if c.queue.len() >= c.cfg.QueueLimit {
+	if c.queue.work >= float64(c.cfg.QueueLimit) || c.queue.len() >= maxQueues*c.cfg.QueueLimit {
 		return fault.QueueFull
 	}
 	if e.MaxWait == 0 {
--- a/internal/dispatch/cell_test.go
+++ b/internal/dispatch/cell_test.go
@@ -71,9 +71,11 @@
 	assert.Equal(t, w.limit("u"), 1)
 	w.release(Key{"e", 1, 1}, clusterpb.Outcome_OUTCOME_OK, 10*ms)
 	w.c.Step(w.now, Cancel{k})
+	w.run(4, 10*ms)
+	assert.Equal(t, w.limit("u"), 1)
 	w.run(1, 10*ms)
 	assert.Equal(t, w.limit("u"), 2)
-	w.run(4, 10*ms)
+	w.run(3, 10*ms)
 	assert.Equal(t, w.limit("u"), 4)
 	assert.Equal(t, w.c.Upstreams()[0].State, "warm")
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -31,6 +31,12 @@
 	// distrustFactor is how many cold starts' worth of completed requests it
 	// takes to ramp up an upstream that keeps reporting that it is cold.
 	distrustFactor = 4
+	// maxQueues bounds how far requests that wait in several queues may exceed
+	// the limit of one.
+	maxQueues = 4
+	// rampShare is the part of a cold start's work over which the limit then
+	// rises to all slots.
+	rampShare = 2
 )
 
 // Defaults for settings that a service leaves at zero.
@@ -39,7 +45,7 @@
 	defaultColdSlots  = 1
 	defaultWarmAfter  = 20
 	defaultQueueLimit = 64
-	defaultTimeout    = 10 * time.Second
+	defaultTimeout    = 30 * time.Second
 	defaultProbeCost  = 6 * time.Millisecond
 )
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -51,6 +51,9 @@
 	MaxWait time.Duration
 	// Avoid lists upstreams that must not be granted.
 	Avoid []string
+	// Queues is the number of cells whose queues the request joins; it stays
+	// in one of them only. Zero counts as one.
+	Queues int
 }
 
 // Cancel withdraws a request or returns its unused slot.
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -11,19 +11,31 @@
 // Parameters of the comparison of an upstream with its cell. Service times are
 // compared as logarithms, so that a heavy tail does not outweigh the rest.
 const (
-	// window is the effective number of samples of a moving mean.
+	// window is the span of the moving mean of one upstream.
 	window = 7
+	// longWindow is that of the mean which peers are compared with.
+	longWindow = 32
 	// baseWindow is that of the cell's own mean.
 	baseWindow = 64
-	// deviations is the number of standard errors that make an outlier.
-	deviations = 4
-	// minRatio is the least ratio of service times that makes an outlier, and
-	// coldRatio that of an upstream in cold start.
-	minRatio  = 4
-	coldRatio = 8
-	// initialSpread is the assumed mean deviation of a logarithm.
-	initialSpread = 1.0
-	// spreadWindow is the effective number of samples of the spread.
+	// Parameters of the cumulative sum that detects slower service, in
+	// standard deviations: what is expected of chance at each sample, the
+	// most that one sample adds, and the sum that raises the alarm.
+	sumSlack = 0.5
+	sumCap   = 3.0
+	sumAlarm = 9.0
+	// sumCalm is the sum below which a suspicion is dropped.
+	sumCalm = 2.0
+	// coldRatio is how much longer an upstream in cold start may take.
+	coldRatio = 4
+	// stragglerRatio is the ratio of service times from which a slow upstream
+	// is taken for a straggler rather than for one that has turned cold.
+	stragglerRatio = 5
+	// initialSpread is the assumed mean deviation of a logarithm, and
+	// deviationRatio that of the standard deviation to the mean deviation.
+	initialSpread  = 1.0
+	deviationRatio = 1.25
+	minSpread      = 0.2
+	// spreadWindow is the span of the moving mean deviation.
 	spreadWindow = 64
 	// minPeers is the least number of other upstreams that form a reference.
 	minPeers = 2
@@ -35,19 +47,23 @@
 	peerFailShare = 0.25
 	failWindow    = 8
 	minFailures   = 4
-	// calmSamples is the number of ordinary requests that clear a suspicion.
-	calmSamples = 2
+	// calmSamples is the number of requests that can clear a suspicion.
+	calmSamples = 4
 )
 
 // stats is a moving mean of logarithms of service times.
 type stats struct {
 	n    int
 	mean float64
+	long float64
+	// sum accumulates what is beyond chance.
+	sum float64
 }
 
 func (s *stats) add(x float64, span int) {
 	s.n++
 	s.mean += (x - s.mean) / float64(min(s.n, span))
+	s.long += (x - s.long) / float64(min(s.n, longWindow))
 }
 
 // failures tracks the share of failed requests.
@@ -125,13 +141,24 @@
 
 func (c *Cell) addSample(u *upstream, d time.Duration) {
 	x := logTime(d)
-	if u.stats.n >= window {
-		c.spread += (math.Abs(x-u.stats.mean) - c.spread) / spreadWindow
+	if ref, ok := c.reference(u); ok {
+		u.stats.sum = max(0, u.stats.sum+c.beyondChance(u, x, ref))
+		c.spread += (math.Abs(x-ref) - c.spread) / spreadWindow
 	}
 	u.stats.add(x, window)
 	c.base.add(x, baseWindow)
 }
 
+// beyondChance returns how far x is above what chance explains, in standard
+// deviations.
+func (c *Cell) beyondChance(u *upstream, x, ref float64) float64 {
+	if u.state == stateCold {
+		ref += math.Log(coldRatio)
+	}
+	deviation := deviationRatio * max(minSpread, c.spread)
+	return min(sumCap, (x-ref)/deviation) - sumSlack
+}
+
 // holdDown keeps the slot of a request that failed early closed for as long as
 // a served request would have used it, so that failing fast attracts no work.
 func (c *Cell) holdDown(u *upstream, t *ticket) {
@@ -157,10 +184,10 @@
 
 // judge compares an upstream with its cell and moves it through the chart.
 func (c *Cell) judge(u *upstream, running []time.Duration) {
-	slow, calm := c.slow(u, running)
+	slow, straggler := c.slow(u, running)
 	failing := c.failing(u)
 	if !slow && !failing {
-		if u.state == stateSuspect && calm && u.fails.streak == 0 {
+		if u.state == stateSuspect && c.calm(u) {
 			c.fire(u, eventRecovered)
 		}
 		return
@@ -168,11 +195,11 @@
 	switch u.state {
 	case stateWarm, stateWarming:
 		u.judged = true
-		if slow && u.limit > c.coldLimit(u) {
-			c.fire(u, eventTurnedCold)
+		if failing || straggler {
+			c.fire(u, eventOutlier)
 			return
 		}
-		c.fire(u, eventOutlier)
+		c.fire(u, eventTurnedCold)
 	case stateCold:
 		u.judged = true
 		c.fire(u, eventOutlier)
@@ -184,29 +211,25 @@
 }
 
 // slow reports whether the upstream takes longer than its cell by more than
-// chance explains, and whether it is clearly back to normal.
-func (c *Cell) slow(u *upstream, running []time.Duration) (slow, calm bool) {
-	s := u.stats
+// chance explains, and whether by so much that it is a straggler.
+func (c *Cell) slow(u *upstream, running []time.Duration) (slow, straggler bool) {
 	ref, ok := c.reference(u)
 	if !ok {
-		return false, s.n >= calmSamples
+		return false, false
 	}
+	s := u.stats
 	for _, d := range running {
-		if x := logTime(d); x > ref && x > s.mean {
+		if x := logTime(d); x > ref {
+			s.sum += max(0, c.beyondChance(u, x, ref))
 			s.add(x, window)
 		}
 	}
-	if s.n == 0 {
-		return false, false
-	}
-	ratio := float64(minRatio)
-	if u.state == stateCold {
-		ratio = coldRatio
-	}
-	n := float64(min(s.n, window))
-	threshold := max(math.Log(ratio), deviations*c.spread/math.Sqrt(n))
-	excess := s.mean - ref
-	return excess > threshold, u.stats.n >= calmSamples && excess < threshold/2
+	return s.sum > sumAlarm, s.mean-ref > math.Log(stragglerRatio)
+}
+
+// calm reports whether a suspect upstream serves as its peers do.
+func (c *Cell) calm(u *upstream) bool {
+	return u.stats.n >= calmSamples && u.stats.sum < sumCalm && u.fails.streak == 0
 }
 
 // reference returns the median of the peers' service times, or the mean of the
@@ -215,8 +238,8 @@
 	var buf [16]float64
 	peers := buf[:0]
 	for _, p := range c.upstreams {
-		if p != u && p.stats.n >= calmSamples && p.state != stateEjected {
-			peers = append(peers, p.stats.mean)
+		if p != u && p.stats.n >= calmSamples && (p.state == stateWarm || p.state == stateWarming) {
+			peers = append(peers, p.stats.long)
 		}
 	}
 	if len(peers) < minPeers {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -74,6 +74,6 @@
 	if c.queue.len() == 0 && c.free() > 0 {
 		return 0
 	}
-	capacity := max(1, c.capacity())
-	return c.typicalService() * time.Duration(c.queue.len()+1) / time.Duration(capacity)
+	ahead := (c.queue.work + 1) / float64(max(1, c.capacity()))
+	return time.Duration(c.serviceNs * ahead)
 }
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -115,9 +114,14 @@
 }
 
 func (c *Cell) entryLost(e EntryLost) {
-	c.queue.items = slices.DeleteFunc(c.queue.items, func(w waiter) bool {
-		return w.key.Entry == e.Entry && w.key.Incarnation <= e.Incarnation
-	})
+	for i := 0; i < c.queue.len(); {
+		k := c.queue.at(i).key
+		if k.Entry == e.Entry && k.Incarnation <= e.Incarnation {
+			c.queue.remove(i)
+			continue
+		}
+		i++
+	}
 }
 
 // recent remembers ended requests for at least doneFor.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -158,27 +158,32 @@
 	if !ok || k.Incarnation != u.incarnation || u.judged || u.report == ReportCold && k.Limit >= u.slots {
 		return
 	}
-	cold := c.coldLimit(u)
-	if u.state != stateCold || u.completed > 0 || k.Limit <= cold {
+	if u.state != stateCold || u.completed > 0 || k.Limit <= c.coldLimit(u) {
 		return
 	}
-	u.completed = c.rampWork(u) * (min(k.Limit, u.slots) - cold) / max(1, u.slots-cold)
-	u.completed = max(0, u.completed-1)
-	c.advance(u)
+	c.fire(u, eventCompleted)
+	u.limit = min(k.Limit, u.slots)
+	u.completed = c.coldWork(u)
+	if u.limit == u.slots {
+		c.fire(u, eventRamped)
+	}
 }
 
-// advance counts one completed request in the ramp.
+// advance counts one completed request in the cold start and in the ramp that
+// follows it.
 func (c *Cell) advance(u *upstream) {
-	if !c.fire(u, eventCompleted) {
-		return
+	u.completed++
+	work := c.coldWork(u)
+	if u.completed >= work {
+		c.fire(u, eventCompleted)
 	}
-	if u.completed >= c.rampWork(u) {
+	if u.limit >= u.slots && u.completed >= work {
 		c.fire(u, eventRamped)
 	}
 }
 
-// rampWork returns the number of completed requests that end a cold start.
-func (c *Cell) rampWork(u *upstream) int {
+// coldWork returns the number of completed requests that end a cold start.
+func (c *Cell) coldWork(u *upstream) int {
 	if u.report == ReportCold {
 		return c.cfg.WarmAfter * distrustFactor
 	}
@@ -217,15 +222,12 @@
 	u.version++
 }
 
-// rampLimit raises the limit in proportion to completed work. An upstream that
-// reports that it is cold stays at its cold bound until the ramp ends.
+// rampLimit raises the limit in proportion to the work completed after the
+// cold start.
 func (c *Cell) rampLimit(u *upstream) {
-	u.completed++
-	if u.report == ReportCold {
-		return
-	}
 	cold := c.coldLimit(u)
-	limit := cold + (u.slots-cold)*u.completed/c.rampWork(u)
+	span := max(1, c.cfg.WarmAfter/rampShare)
+	limit := cold + (u.slots-cold)*(u.completed-c.coldWork(u)+1)/span
 	if limit = min(limit, u.slots); limit > u.limit {
 		u.limit = limit
 		u.version++
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -90,8 +90,11 @@
 				Str("upstream", a.Upstream).Str("from", string(a.From)).Str("to", string(a.To)).Send()
 		}
 	}
-	if cancel, ok := ev.(dispatch.Cancel); ok {
-		delete(c.waiting, cancel.Key)
+	switch e := ev.(type) {
+	case dispatch.Cancel:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
+	case dispatch.Release:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
 	}
 }
 
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -24,6 +24,7 @@
 		Deadline: v.s.Now() + millis(r.DeadlineMs),
 		MaxWait:  millis(r.MaxWaitMs),
 		Avoid:    r.Avoid,
+		Queues:   int(r.Queues),
 	}
 	a := v.s.Acquire(ctx, cellKey(r.Cell), r.Epoch, ev)
 	if !a.Granted {
--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -20,11 +20,11 @@
 	// answerSlack is added to the longest wait before an answer is given up.
 	answerSlack = 250 * time.Millisecond
 	// maxQueues bounds the queues that one request tries to join.
-	maxQueues = 2
+	maxQueues = 4
 	// maxViews bounds the views under which one request asks.
 	maxViews = 3
 	// defaultTimeout bounds a request of a service that sets no timeout.
-	defaultTimeout = 10 * time.Second
+	defaultTimeout = 30 * time.Second
 )
 
 // Options configures a Client.
@@ -111,58 +111,65 @@
 	return deadline
 }
 
-// ask tries cells without waiting, best first, and then waits at the one with
-// the shortest expected wait.
+// ask tries cells without waiting, best first, and then waits in the queues of
+// several.
 func (c *Client) ask(ctx context.Context, v *view.View, cells []*catalogpb.Cell, r Request) (Grant, error) {
 	var last refusals
 	if len(cells) > 1 {
 		for _, cell := range c.quick(cells) {
-			g, refused := c.askCell(ctx, v, cell, r, 0)
+			g, refused := c.askCell(ctx, v, cell, c.quickOffer(r))
 			if refused == nil {
 				return g, nil
 			}
 			last.add(refused)
 		}
 	}
-	for i, cell := range c.byWait(cells) {
-		if i >= maxQueues || ctx.Err() != nil {
-			break
-		}
-		g, refused := c.wait(ctx, v, cell, cells, r)
-		if refused == nil {
-			return g, nil
-		}
-		last.add(refused)
+	g, ok := c.wait(ctx, v, cells, r, &last)
+	if ok {
+		return g, nil
 	}
 	return Grant{}, last.err()
 }
 
+// offer is one request to one cell.
+type offer struct {
+	id       uint64
+	deadline time.Time
+	wait     time.Duration
+	avoid    []string
+	queues   int
+}
+
+// quickOffer returns an offer that does not wait.
+func (c *Client) quickOffer(r Request) offer {
+	return offer{id: c.nextID.Add(1), deadline: r.Deadline, avoid: r.Avoid}
+}
+
 // askCell asks the dispatcher of one cell and keeps the grant it returns.
-func (c *Client) askCell(ctx context.Context, v *view.View, cell *catalogpb.Cell, r Request, wait time.Duration) (Grant, *fault.Error) {
+func (c *Client) askCell(ctx context.Context, v *view.View, cell *catalogpb.Cell, o offer) (Grant, *fault.Error) {
 	key := keyOf(cell)
-	id := c.nextID.Add(1)
 	ev := dispatch.Acquire{
-		Key:     dispatch.Key{Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, ID: id},
-		MaxWait: max(0, wait), Avoid: r.Avoid,
+		Key:     dispatch.Key{Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, ID: o.id},
+		MaxWait: max(0, o.wait), Avoid: o.avoid, Queues: o.queues,
 	}
 	askCtx, cancel := context.WithTimeout(ctx, ev.MaxWait+answerSlack)
 	defer cancel()
 	var a dispatcher.Answer
 	if c.isLocal(cell) {
-		ev.Deadline = c.opts.Local.At(r.Deadline)
+		ev.Deadline = c.opts.Local.At(o.deadline)
 		a = c.opts.Local.Acquire(askCtx, key, cell.Epoch, ev)
 	} else {
-		a = c.remote(askCtx, v, cell, ev, r.Deadline)
+		a = c.remote(askCtx, v, cell, ev, o.deadline)
 	}
 	c.hints.update(key, a)
 	if !a.Granted {
 		return Grant{}, &fault.Error{Kind: a.Refuse.Kind, Detail: key.Zone, RetryAfter: a.Refuse.RetryAfter}
 	}
 	g := Grant{
-		Cell: key, Epoch: a.Epoch, Ticket: id, Upstream: a.Grant.Upstream,
+		Cell: key, Epoch: a.Epoch, Ticket: o.id, Upstream: a.Grant.Upstream,
 		Address: a.Grant.Address, Dispatcher: cell.Entry,
 	}
-	return c.keep(g, a.Grant, r.Deadline)
+	return c.keep(g, a.Grant, o.deadline)
 }
 
 // keep records a grant, unless its epoch has passed or the configuration can
--- a/internal/slot/remote.go
+++ b/internal/slot/remote.go
@@ -36,7 +36,7 @@
 	resp, err := peer.Acquire(ctx, &clusterpb.AcquireRequest{
 		Cell: idOf(keyOf(cell)), Epoch: cell.Epoch, Entry: ev.Key.Entry, Incarnation: ev.Key.Incarnation,
 		RequestId: ev.Key.ID, DeadlineMs: uint32(time.Until(deadline).Milliseconds()),
-		MaxWaitMs: uint32(ev.MaxWait.Milliseconds()), Avoid: ev.Avoid,
+		MaxWaitMs: uint32(ev.MaxWait.Milliseconds()), Avoid: ev.Avoid, Queues: uint32(ev.Queues),
 	})
 	if err != nil {
 		c.outbox.put(c, release{
--- a/internal/slot/spill.go
+++ b/internal/slot/spill.go
@@ -143,6 +143,8 @@
 		return 2
 	case fault.NotFresh:
 		return 1
+	case fault.CallerGone:
+		return -1
 	}
 	return 0
 }
