--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -23,7 +23,6 @@
 	workers *conc.WaitGroup
 	state   *freshness.State
 	view    *view.View
-	fresh   bool
 	leaving bool
 	renew   renewState
 	confirm confirmState
@@ -91,11 +90,11 @@
 	before := l.state.Accepted()
 	l.state.Accept(accepted)
 	l.publish()
-	if !changed && l.state.Accepted() == before {
+	if l.view == nil || !changed && l.state.Accepted() == before {
 		return
 	}
 	for _, f := range l.syncer.listeners {
-		f(l.view, l.state.Accepted())
+		f(l.view)
 	}
 }
 
@@ -128,14 +127,4 @@
 	if *h != *l.syncer.held.Load() {
 		l.syncer.held.Store(h)
 	}
-	fresh := l.syncer.now() < h.deadline
-	if fresh == l.fresh {
-		return
-	}
-	l.fresh = fresh
-	if fresh {
-		l.syncer.opts.Log.Log(event.LeaseRegained).Uint64("revision", l.state.Revision()).Send()
-		return
-	}
-	l.syncer.opts.Log.Log(event.LeaseLost).Uint64("revision", l.state.Revision()).Send()
 }
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// holdTime is the time for which the leader may hold a renewal.
-	holdTime = time.Second
-	// probeHoldTime is the same after a failure, when the next address should
-	// be tried soon.
+	// probeHoldTime is the time for which a renewal may be held after a
+	// failure, when the next address should be tried soon.
 	probeHoldTime = 300 * time.Millisecond
 	// callTimeout bounds a call beyond the time it may be held.
 	callTimeout = 600 * time.Millisecond
@@ -90,9 +88,9 @@
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.Accepted(),
 	}
-	wait := holdTime
+	wait := l.syncer.opts.RenewEvery
 	if l.renew.failures > 0 {
-		wait = probeHoldTime
+		wait = min(wait, probeHoldTime)
 	}
 	req.WaitMs = uint32(wait.Milliseconds())
 	return req
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -32,11 +32,17 @@
 	// Peers lists cluster addresses of other entry VMs, to learn a
 	// configuration from when no control VM answers; it may be empty.
 	Peers []string
+	// RenewEvery is the time for which the leader may hold a renewal, and so
+	// their pace; 0 means DefaultRenewEvery, which is also the maximum.
+	RenewEvery time.Duration
 	// Client carries the calls; nil means http.DefaultClient.
 	Client *http.Client
 	Log    event.Logger
 }
 
+// DefaultRenewEvery leaves time for another attempt before a lease ends.
+const DefaultRenewEvery = time.Second
+
 // Syncer follows the configuration. It implements view.Source.
 type Syncer struct {
 	opts      Options
@@ -45,7 +51,7 @@
 	leader    atomic.Pointer[string]
 	events    chan any
 	done      chan struct{}
-	listeners []func(v *view.View, accepted uint64)
+	listeners []func(v *view.View)
 }
 
 // held is what traffic goroutines see.
@@ -64,6 +70,9 @@
 	if opts.Client == nil {
 		opts.Client = http.DefaultClient
 	}
+	if opts.RenewEvery <= 0 || opts.RenewEvery > DefaultRenewEvery {
+		opts.RenewEvery = DefaultRenewEvery
+	}
 	opts.Entry = proto.CloneOf(opts.Entry)
 	s := &Syncer{
 		opts:   opts,
@@ -78,7 +87,7 @@
 // OnChange adds a function that is called, from the loop, after each change of
 // the configuration or of the accepted revision. It must not block, and must
 // be added before Run.
-func (s *Syncer) OnChange(f func(v *view.View, accepted uint64)) {
+func (s *Syncer) OnChange(f func(v *view.View)) {
 	s.listeners = append(s.listeners, f)
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-
-	"balsamcourse.example/balsamcourse/internal/event"
 )
 
 // tickInterval is the pace at which the loop looks at the clock.
@@ -100,14 +98,14 @@
 // earlier terms committed.
 func (l *loop) confirm(number uint64) {
 	l.workers.Go(func() {
-		err := l.confirmedRead()
+		err := l.confirmedRead(proposeTimeout)
 		l.server.post(l.ctx, &confirmed{term: number, err: err})
 	})
 }
 
 // confirmedRead is called beside the loop.
-func (l *loop) confirmedRead() error {
-	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
+func (l *loop) confirmedRead(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
 	_, err := l.server.opts.Replica.ConfirmedRead(ctx)
 	return err
@@ -124,7 +122,6 @@
 		return
 	}
 	l.term = newTerm(ev.term, l.server.at(st.LeaderSince), l.server.catalog.Config())
-	l.server.opts.Log.Log(event.BecameLeader).Uint64("term", ev.term).Uint64("revision", l.term.config.Revision).Send()
 }
 
 // releaseEarly handles the renewals that waited for the confirmation.
@@ -149,7 +146,6 @@
 	for _, w := range t.waiters {
 		w.reply <- t.outcome(w)
 	}
-	l.server.opts.Log.Log(event.LostLeadership).Uint64("term", t.number).Send()
 }
 
 // onChanged takes a new configuration into the term.
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -22,7 +22,7 @@
 	settleTime = 300 * time.Millisecond
 	// planInterval is the pace of plans.
 	planInterval = 250 * time.Millisecond
-	// proposeTimeout bounds a proposal or confirmed read of the loop.
+	// proposeTimeout bounds a proposal of the loop, and the read that opens a term.
 	proposeTimeout = 3 * time.Second
 )
 
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -107,7 +107,7 @@
 func (l *loop) sync(r *renewal) {
 	number := l.term.number
 	l.workers.Go(func() {
-		err := l.confirmedRead()
+		err := l.confirmedRead(hold(r.request))
 		l.server.post(l.ctx, &syncedRenewal{renewal: r, term: number, err: err})
 	})
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -21,7 +21,7 @@
 	Confirm = 2 * time.Second
 	// QuorumAge bounds the age of the last answered heartbeat round at which
 	// a leader still grants leases.
-	QuorumAge = 500 * time.Millisecond
+	QuorumAge = 750 * time.Millisecond
 	// DriftPermille bounds the difference in rate between two clocks.
 	DriftPermille = 10
 )
