Add the open-loop load tool

Poisson arrivals never wait for answers; latency counts from the intended arrival, and the report gives the delay with which the tool itself sent. Resends follow Retry-After and are made only for requests known not to have run, with an Idempotency-Key, or by GET.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -119,3 +119,16 @@
 		cancel()
 	}
 }
+
+// endWith returns a context that ends with ctx or when planned is closed.
+func endWith(ctx context.Context, planned <-chan struct{}) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-planned:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -85,7 +85,7 @@
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
 		newControl(c), newEntry(c), newDev(c),
-		newAdmin(c), newLookup(c),
+		newAdmin(c), newLookup(c), newLoad(c),
 		newSettings(c), newCharts(c), newDocs(c), newVersion(c),
 	)
 	return root
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/xml"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) Entry {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return Entry{Address: srv.Listener.Addr().String()}
+}
+
+func shortPlan(targets ...Entry) Plan {
+	return Plan{Targets: targets, Rate: 400, Duration: 250 * time.Millisecond, Path: "/x", Timeout: time.Minute}
+}
+
+func TestArrivalsArePoissonAndRepeatable(t *testing.T) {
+	const n, rate = 20_000, 1_000.0
+	a, b := newArrivals(rate, 7), newArrivals(rate, 7)
+	var last time.Duration
+	var sum, squares float64
+	for range n {
+		at := a.next()
+		assert.Equal(t, at, b.next())
+		gap := (at - last).Seconds()
+		sum, squares, last = sum+gap, squares+gap*gap, at
+	}
+	mean := sum / n
+	deviation := math.Sqrt(squares/n - mean*mean)
+	assert.Assert(t, math.Abs(mean*rate-1) < 0.05)
+	assert.Assert(t, math.Abs(deviation/mean-1) < 0.05, "gaps must be exponential")
+}
+
+// TestArrivalsDoNotWaitForAnswers holds every answer back until many requests
+// have arrived.
+func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
+	const together = 40
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	target := serve(t, func(http.ResponseWriter, *http.Request) {
+		if arrived.Add(1) == together {
+			close(release)
+		}
+		<-release
+	})
+	plan := shortPlan(target)
+	plan.Duration = time.Second
+	r, err := Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Answered >= together)
+	assert.Equal(t, r.Answered, r.Arrived)
+}
+
+func TestLatencyCountsFromTheIntendedArrival(t *testing.T) {
+	plan := shortPlan(serve(t, func(http.ResponseWriter, *http.Request) {}))
+	assert.NilError(t, plan.prepare())
+	targets, err := newTargets(context.Background(), &plan)
+	assert.NilError(t, err)
+	const late = 3 * time.Second
+	s := newCaller(&plan, targets).call(context.Background(), 1, time.Now().Add(-late), 0)
+	assert.Equal(t, s.outcome, outcomeAnswered)
+	assert.Assert(t, s.latency >= late && s.sent >= late)
+}
+
+func TestDropsAreCounted(t *testing.T) {
+	release := make(chan struct{})
+	target := serve(t, func(http.ResponseWriter, *http.Request) { <-release })
+	plan := shortPlan(target)
+	plan.MaxInFlight = 2
+	time.AfterFunc(2*plan.Duration, func() { close(release) })
+	r, err := Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Answered, uint64(2))
+	assert.Equal(t, r.Dropped, r.Arrived-2)
+	assert.Equal(t, r.Outcome(outcomeDropped), r.Dropped)
+}
+
+// script answers the first attempt of each request with first, later ones
+// with 200, and records the keys.
+type script struct {
+	mu    sync.Mutex
+	seen  map[string][]string
+	first http.HandlerFunc
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	request := r.Header.Get(HeaderRequest)
+	s.mu.Lock()
+	s.seen[request] = append(s.seen[request], r.Header.Get(headerKey))
+	attempt := len(s.seen[request])
+	s.mu.Unlock()
+	if attempt == 1 {
+		s.first(w, r)
+	}
+}
+
+func refuseWith(kind fault.Kind, run fault.RunClaim, after string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderFault, string(kind))
+		w.Header().Set(HeaderRun, string(run))
+		if after != "" {
+			w.Header().Set("Retry-After", after)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func dropConnection(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "10")
+	_, _ = io.WriteString(w, "12345")
+	panic(http.ErrAbortHandler)
+}
+
+func TestAttempts(t *testing.T) {
+	const unknown, notRun = fault.Unknown, fault.NotRun
+	cases := []struct {
+		name     string
+		method   string
+		key      bool
+		resends  int
+		first    http.HandlerFunc
+		outcome  string
+		attempts int
+	}{
+		{"not run is sent again", http.MethodPost, false, 1, refuseWith(fault.QueueFull, notRun, "0.001"), outcomeAnswered, 2},
+		{"unknown is not", http.MethodPost, false, 1, refuseWith(fault.OutcomeUnknown, unknown, "0.001"), "outcome_unknown", 1},
+		{"unknown with a key is", http.MethodPost, true, 1, refuseWith(fault.OutcomeUnknown, unknown, "0.001"), outcomeAnswered, 2},
+		{"final refusal is not", http.MethodPost, true, 1, refuseWith(fault.KeyConflict, notRun, ""), "key_conflict", 1},
+		{"no resends", http.MethodPost, false, 0, refuseWith(fault.QueueFull, notRun, "0.001"), "queue_full", 1},
+		{"lost connection", http.MethodPost, false, 1, dropConnection, outcomeBroken, 1},
+		{"lost connection with a key", http.MethodPost, true, 0, dropConnection, outcomeBroken, 1},
+		{"lost connection of a GET", http.MethodGet, false, 0, dropConnection, outcomeBroken, 1},
+		{"truncated answer", http.MethodGet, false, 0, truncate, outcomeBroken, 1},
+		{"server error", http.MethodGet, false, 1, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, outcomeServerError, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &script{seen: make(map[string][]string), first: tc.first}
+			srv := httptest.NewServer(s)
+			defer srv.Close()
+			plan := shortPlan(Entry{Address: srv.Listener.Addr().String()})
+			plan.Method, plan.Key, plan.Resends = tc.method, tc.key, tc.resends
+			r, err := Run(context.Background(), plan)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Outcome(tc.outcome), r.Arrived)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for request, keys := range s.seen {
+				assert.Equal(t, len(keys), tc.attempts, request)
+				assert.Equal(t, keys[0] != "", tc.key)
+				assert.Equal(t, keys[0], keys[len(keys)-1])
+			}
+		})
+	}
+}
+
+func TestVerifyFindsWrongAnswers(t *testing.T) {
+	plan := shortPlan(serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "wrong")
+	}))
+	plan.Verify = func(_ uint64, _ *http.Response, body []byte) error {
+		return errors.Errorf("got %q", body)
+	}
+	r, err := Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome(outcomeWrongAnswer), r.Arrived)
+	assert.Equal(t, r.Failed, r.Arrived)
+}
+
+func TestLookupIsUsedAndRepeated(t *testing.T) {
+	var lookups atomic.Int64
+	var second Entry
+	calls := func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNoContent) }
+	second = serve(t, calls)
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		lookups.Add(1)
+		assert.Check(t, r.URL.Query().Get("service") == "s" && r.URL.Query().Get("zone") == "z")
+		_ = json.NewEncoder(w).Encode(Entries{Service: "s", Entries: []Entry{second}, TTLMs: 1})
+	})
+	plan := Plan{Service: "s", Zone: "z", Lookup: []string{"127.0.0.1:1", first.Address}, Rate: 100, Duration: 2500 * time.Millisecond, Path: "/"}
+	r, err := Run(context.Background(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Answered, r.Arrived)
+	assert.Assert(t, lookups.Load() >= 2)
+}
+
+func TestPick(t *testing.T) {
+	two := &targets{}
+	two.answer.Store(&Entries{Entries: []Entry{{Address: "a", Weight: 3}, {Address: "b", Weight: 1}}})
+	counts := make(map[string]int)
+	for range 4_000 {
+		counts[two.pick("")]++
+	}
+	assert.Assert(t, counts["a"] > 2_700 && counts["a"] < 3_300)
+	assert.Equal(t, two.pick("a"), "b")
+	one := &targets{}
+	one.answer.Store(&Entries{Entries: []Entry{{Address: "a"}}})
+	assert.Equal(t, one.pick("a"), "a")
+}
+
+func TestImpossiblePlans(t *testing.T) {
+	good := shortPlan(Entry{Address: "127.0.0.1:1"})
+	for name, change := range map[string]func(*Plan){
+		"no rate":     func(p *Plan) { p.Rate = 0 },
+		"no duration": func(p *Plan) { p.Duration = 0 },
+		"warm-up":     func(p *Plan) { p.Warmup = p.Duration },
+		"path":        func(p *Plan) { p.Path = "x" },
+		"no target":   func(p *Plan) { p.Targets = nil },
+	} {
+		plan := good
+		change(&plan)
+		_, err := Run(context.Background(), plan)
+		assert.Equal(t, fault.KindOf(err), fault.BadRequest, name)
+	}
+}
+
+func TestReportIsWritten(t *testing.T) {
+	plan := shortPlan(serve(t, func(http.ResponseWriter, *http.Request) {}))
+	plan.Service, plan.Warmup = "a<b", 50*time.Millisecond
+	var progress bytes.Buffer
+	plan.Progress = &progress
+	r, err := Run(context.Background(), plan)
+	assert.NilError(t, err)
+	var out bytes.Buffer
+	assert.NilError(t, r.WriteJSON(&out))
+	var back Report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &back))
+	assert.DeepEqual(t, back, r)
+	assert.Assert(t, r.Latency.P50Ms <= r.Latency.P99Ms && r.Latency.P99Ms <= r.Latency.MaxMs)
+	assert.Assert(t, r.Seconds[0].Arrived > r.Arrived, "the warm-up is left out of the totals only")
+
+	out.Reset()
+	assert.NilError(t, WriteSVG(&out, "t<", []Series{{"one", r}, {"none", Report{}}}))
+	for dec := xml.NewDecoder(&out); ; {
+		_, err := dec.Token()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+	}
+}
