--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -263,3 +263,26 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestTransportSendsOnce loses a connection that has carried an earlier
+// request: http.Transport would send a request with a key, or a GET, again.
+func TestTransportSendsOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var second atomic.Int64
+		target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(HeaderRequest) == "2" {
+				second.Add(1)
+				dropConnection(w, r)
+			}
+		})
+		plan := shortPlan(target)
+		plan.Method, plan.Key = method, true
+		assert.NilError(t, plan.prepare())
+		targets, err := newTargets(context.Background(), &plan)
+		assert.NilError(t, err)
+		c := newCaller(&plan, targets)
+		assert.Equal(t, c.call(context.Background(), 1, time.Now(), 0).outcome, outcomeAnswered)
+		assert.Equal(t, c.call(context.Background(), 2, time.Now(), 0).outcome, outcomeBroken)
+		assert.Equal(t, second.Load(), int64(1), method)
+	}
+}
