--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"balsamcourse.example/balsamcourse/internal/load"
+	"balsamcourse.example/balsamcourse/internal/lookup"
 )
 
 // loadOptions holds the flags of the load command.
@@ -81,7 +82,7 @@
 		return err
 	}
 	for _, address := range o.target {
-		o.plan.Targets = append(o.plan.Targets, load.Entry{Address: address})
+		o.plan.Targets = append(o.plan.Targets, lookup.Entry{Address: address})
 	}
 	o.plan.Header = make(http.Header)
 	for _, field := range o.headers {
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -150,12 +150,12 @@
 }
 
 func (c *caller) classify(request uint64, resp *http.Response, body []byte) attempt {
-	if kind := resp.Header.Get(HeaderFault); kind != "" {
+	if kind := resp.Header.Get(fault.HeaderKind); kind != "" {
 		return attempt{
 			outcome:    kind,
 			refused:    true,
-			run:        fault.RunClaim(resp.Header.Get(HeaderRun)),
-			retryAfter: retryAfter(resp.Header.Get("Retry-After")),
+			run:        fault.RunClaim(resp.Header.Get(fault.HeaderRun)),
+			retryAfter: retryAfter(resp.Header),
 		}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -185,13 +185,16 @@
 	}
 }
 
-// retryAfter reads the header in seconds; fractions are allowed.
-func retryAfter(value string) time.Duration {
-	seconds, err := strconv.ParseFloat(value, 64)
-	if err != nil || seconds <= 0 {
+// retryAfter reads when a refused request makes sense again; 0 means never.
+func retryAfter(h http.Header) time.Duration {
+	if ms, err := strconv.ParseInt(h.Get(fault.HeaderRetryAfterMs), 10, 64); err == nil {
+		return min(max(time.Duration(ms)*time.Millisecond, 0), maxRetryAfter)
+	}
+	seconds, err := strconv.ParseInt(h.Get(fault.HeaderRetryAfter), 10, 32)
+	if err != nil {
 		return 0
 	}
-	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
+	return min(max(time.Duration(seconds)*time.Second, 0), maxRetryAfter)
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -15,14 +15,11 @@
 	"github.com/sourcegraph/conc"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/lookup"
 )
 
-// Header fields that the tool reads and writes.
+// Header fields that the tool sends.
 const (
-	// HeaderFault holds the fault kind of a refusal.
-	HeaderFault = "Balsam-Fault"
-	// HeaderRun holds the run claim: "not run", "ran" or "unknown".
-	HeaderRun = "Balsam-Run"
 	// HeaderRequest holds the number of the request, the same on resends.
 	HeaderRequest = "Balsam-Load-Request"
 	// headerKey makes a request that may not repeat safe to send again.
@@ -47,7 +44,7 @@
 	// Zone is the availability zone of the callers, sent with the look-up.
 	Zone string
 	// Targets replaces the look-up by fixed entry VMs.
-	Targets []Entry
+	Targets []lookup.Entry
 	// Rate is the mean number of arrivals a second.
 	Rate float64
 	// Duration is the time in which requests arrive; their answers may come
--- a/internal/load/lookup.go
+++ b/internal/load/lookup.go
@@ -8,42 +8,27 @@
 	"net/url"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/lookup"
 )
 
 // maxLookupBytes bounds the answer to a look-up.
 const maxLookupBytes = 1 << 20
 
-// Entry is an entry VM that a caller may use.
-type Entry struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Weight  int    `json:"weight"`
-}
-
-// Entries is the answer to a look-up.
-type Entries struct {
-	Service string  `json:"service"`
-	Entries []Entry `json:"entries"`
-	// TTLMs is how long the answer may be kept.
-	TTLMs int64 `json:"ttl_ms"`
-}
-
 // Lookup asks the entry VMs at addresses in turn which entry VMs a caller in
 // zone should use for service, and returns the first answer. The error is of
 // kind fault.NoDispatcher when none of them answers.
-func Lookup(ctx context.Context, client *http.Client, addresses []string, service, zone string) (Entries, error) {
+func Lookup(ctx context.Context, client *http.Client, addresses []string, service, zone string) (lookup.Answer, error) {
 	err := error(fault.New(fault.BadRequest, "no address of an entry VM"))
 	for _, address := range addresses {
-		var answer Entries
+		var answer lookup.Answer
 		if answer, err = lookupAt(ctx, client, address, service, zone); err == nil {
 			return answer, nil
 		}
 	}
-	return Entries{}, err
+	return lookup.Answer{}, err
 }
 
-func lookupAt(ctx context.Context, client *http.Client, address, service, zone string) (Entries, error) {
+func lookupAt(ctx context.Context, client *http.Client, address, service, zone string) (lookup.Answer, error) {
 	query := url.Values{"service": {service}}
 	if zone != "" {
 		query.Set("zone", zone)
@@ -51,30 +36,30 @@
 	target := url.URL{Scheme: "http", Host: address, Path: "/v1/entries", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return Entries{}, fault.New(fault.BadRequest, "%v", err)
+		return lookup.Answer{}, fault.New(fault.BadRequest, "%v", err)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return Entries{}, fault.New(fault.NoDispatcher, "%v", err)
+		return lookup.Answer{}, fault.New(fault.NoDispatcher, "%v", err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxLookupBytes))
 	if err != nil {
-		return Entries{}, fault.New(fault.NoDispatcher, "%v", err)
+		return lookup.Answer{}, fault.New(fault.NoDispatcher, "%v", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Entries{}, refusal(resp)
+		return lookup.Answer{}, refusal(resp)
 	}
-	var answer Entries
+	var answer lookup.Answer
 	if err := json.Unmarshal(data, &answer); err != nil {
-		return Entries{}, fault.New(fault.Internal, "look-up answer of %s: %v", address, err)
+		return lookup.Answer{}, fault.New(fault.Internal, "look-up answer of %s: %v", address, err)
 	}
 	return answer, nil
 }
 
 // refusal returns the kind that a refused look-up carries.
 func refusal(resp *http.Response) error {
-	kind := fault.Kind(resp.Header.Get(HeaderFault))
+	kind := fault.Kind(resp.Header.Get(fault.HeaderKind))
 	if kind == "" {
 		kind = fault.NoDispatcher
 	}
--- a/internal/load/targets.go
+++ b/internal/load/targets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/lookup"
 )
 
 const (
@@ -21,14 +22,14 @@
 type targets struct {
 	plan    *Plan
 	client  *http.Client
-	answer  atomic.Pointer[Entries]
+	answer  atomic.Pointer[lookup.Answer]
 	refresh func(ctx context.Context)
 }
 
 func newTargets(ctx context.Context, plan *Plan) (*targets, error) {
 	t := &targets{plan: plan, client: &http.Client{Transport: plan.Transport, Timeout: lookupTimeout}}
 	if len(plan.Targets) > 0 {
-		t.answer.Store(&Entries{Entries: plan.Targets})
+		t.answer.Store(&lookup.Answer{Entries: plan.Targets})
 		t.refresh = func(context.Context) {}
 		return t, nil
 	}
@@ -89,7 +90,7 @@
 }
 
 // share is the weight of an entry VM in a draw; unset weights count as 1.
-func share(e Entry, avoid string) int {
+func share(e lookup.Entry, avoid string) int {
 	if e.Address == avoid {
 		return 0
 	}
