--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,7 +38,7 @@
 		Tags:                   map[string]string{"role": role, "id": id},
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportEvery)
 	return &Metrics{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
@@ -53,3 +53,10 @@
 
 // Close reports what has been counted and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
+
+// sanitizer keeps the characters that ids and names of zones may have.
+func sanitizer() *tally.SanitizeOptions {
+	o := prometheus.DefaultSanitizerOpts
+	o.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters
+	return &o
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -19,7 +19,7 @@
 const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
 func TestScrape(t *testing.T) {
-	m := NewMetrics("entry", "e1")
+	m := NewMetrics("entry", "jm-a.1")
 	entry := NewEntryMetrics(m)
 	entry.Answer("")
 	entry.Answer(fault.QueueFull)
@@ -32,11 +32,11 @@
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	assert.Equal(t, w.Code, http.StatusOK)
 	for _, line := range []string{
-		`balsamcourse_answers{id="e1",kind="ok",role="entry"} 1`,
-		`balsamcourse_answers{id="e1",kind="queue_full",role="entry"} 1`,
-		`balsamcourse_answers{id="e1",kind="internal",role="entry"} 1`,
-		`balsamcourse_call_seconds_count{id="e1",role="entry"} 1`,
-		`balsamcourse_c_control_leader{id="e1",role="entry"} 1`,
+		`balsamcourse_answers{id="jm-a.1",kind="ok",role="entry"} 1`,
+		`balsamcourse_answers{id="jm-a.1",kind="queue_full",role="entry"} 1`,
+		`balsamcourse_answers{id="jm-a.1",kind="internal",role="entry"} 1`,
+		`balsamcourse_call_seconds_count{id="jm-a.1",role="entry"} 1`,
+		`balsamcourse_c_control_leader{id="jm-a.1",role="entry"} 1`,
 		`process_resident_memory_bytes`,
 	} {
 		assert.Assert(t, strings.Contains(w.Body.String(), line), "%s is missing", line)
