Let a joining replica answer its leader

Cause: a replica that joins knows no membership, and Node.address found no address for its answers to the leader, so each of them was dropped; the learner stayed at match index 0 and AddMember never completed. Seen with three control processes after one had lost its disk. Ruled out: the listener (it accepted connections) and the keys (no event 500). The answers to a request travel in its response and need no address, so they are now queued without one. Before: TestReplacementOfALostDisk ends after 20 s with complete false. After: it passes 4 times of 4 with -race.

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -75,7 +75,8 @@
 	t.receiver = r
 }
 
-// Send implements Transport.
+// Send implements Transport. Messages to a replica without an address travel
+// only in responses to it.
 func (t *TwirpTransport) Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage) {
 	t.peer(to.GetReplicaId()).push(to.GetAddress(), msgs)
 }
@@ -112,7 +113,7 @@
 		case <-p.ready:
 		}
 		address, msgs := p.take()
-		if len(msgs) > 0 {
+		if len(msgs) > 0 && address != "" {
 			t.post(id, clients.get(address, t.client), msgs)
 		}
 	}
