Drop lease settings that leaders and entry VMs must agree on; bound the paces

The lengths of leases, confirmations and drift are constants of the protocol: two VMs with different values would break the promise that a superseded configuration admits nothing. The tests of the removed keys now check the bounds of renew_ms and election_ms, which are as strict.

--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -58,7 +58,7 @@
 		Logger:      d.log,
 	})
 	d.callers = d.newCallerSide()
-	d.config.OnChange(func(v *view.View, _ uint64) { d.adopt(ctx, v) })
+	d.config.OnChange(func(v *view.View) { d.adopt(ctx, v) })
 }
 
 // adopt hands a configuration to the parts before it is acknowledged. Tickets
@@ -72,10 +72,11 @@
 
 func (d *Daemon) newConfig() *configsync.Syncer {
 	return configsync.New(configsync.Options{
-		Entry:   d.self,
-		Control: d.settings.Control,
-		Client:  d.client(httpnet.NewClient(d.opts.DialPeer)),
-		Log:     d.log,
+		Entry:      d.self,
+		Control:    d.settings.Control,
+		Client:     d.client(httpnet.NewClient(d.opts.DialPeer)),
+		RenewEvery: d.settings.RenewMs.Duration(),
+		Log:        d.log,
 	})
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -175,9 +175,13 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		d.life.step("synced")
+		if len(d.life.step("synced")) > 0 {
+			d.log.Log(event.LeaseRegained).Send()
+		}
 		return
 	}
 	d.entry.Fresh.Update(0)
-	d.life.step("lease_lost")
+	if len(d.life.step("lease_lost")) > 0 {
+		d.log.Log(event.LeaseLost).Send()
+	}
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,5 +1,9 @@
 package settings
 
+// maxHeartbeatMs bounds the interval between heartbeats. The leader grants
+// leases only while a quorum answered a heartbeat of late.
+const maxHeartbeatMs = 250
+
 // Control holds the settings of a control VM.
 type Control struct {
 	// ID is the replica id. A VM that has lost its disk gets a new one.
@@ -20,12 +24,11 @@
 	// ElectionMs is the least silence after which a replica stands for election.
 	ElectionMs Millis `toml:"election_ms"`
 	// SnapshotEvery is the number of log entries between two snapshots.
-	SnapshotEvery uint64       `toml:"snapshot_every"`
-	Lease         ControlLease `toml:"lease"`
-	Limits        Limits       `toml:"limits"`
-	Keys          ControlKeys  `toml:"keys"`
-	Log           Log          `toml:"log"`
-	Trace         Trace        `toml:"trace"`
+	SnapshotEvery uint64      `toml:"snapshot_every"`
+	Limits        Limits      `toml:"limits"`
+	Keys          ControlKeys `toml:"keys"`
+	Log           Log         `toml:"log"`
+	Trace         Trace       `toml:"trace"`
 	// Open turns keys off. Only code can set it, and only for listeners on
 	// loopback.
 	Open bool `toml:"-"`
@@ -38,16 +41,6 @@
 	Zone    string `toml:"zone"`
 }
 
-// ControlLease configures the leases that the leader grants.
-type ControlLease struct {
-	// ConfigMs is the length of a configuration lease.
-	ConfigMs Millis `toml:"config_ms"`
-	// CellMs is the silence of an entry VM after which its cells move.
-	CellMs Millis `toml:"cell_ms"`
-	// DriftPermille bounds the difference in rate between two clocks.
-	DriftPermille int `toml:"drift_permille"`
-}
-
 // ControlKeys names the key files of a control VM.
 type ControlKeys struct {
 	OperatorsFile string `toml:"operators_file"`
@@ -57,10 +50,9 @@
 // DefaultControl returns the settings that apply where the file is silent.
 func DefaultControl() Control {
 	return Control{
-		HeartbeatMs:   100,
+		HeartbeatMs:   250,
 		ElectionMs:    1_000,
 		SnapshotEvery: 1_000,
-		Lease:         ControlLease{ConfigMs: 2_000, CellMs: 3_000, DriftPermille: 10},
 		Limits:        defaultLimits(),
 		Log:           Log{Level: "info"},
 		Trace:         defaultTrace(),
@@ -140,10 +132,7 @@
 }
 
 func (s Control) checkTimes(c *checker) {
-	c.between("heartbeat_ms", int64(s.HeartbeatMs), 5, 10_000)
-	c.between("election_ms", int64(s.ElectionMs), 5*int64(s.HeartbeatMs), 60_000)
+	c.between("heartbeat_ms", int64(s.HeartbeatMs), 5, maxHeartbeatMs)
+	c.between("election_ms", int64(s.ElectionMs), 4*int64(s.HeartbeatMs), 60_000)
 	c.between("snapshot_every", int64(min(s.SnapshotEvery, 1<<40)), 10, 1_000_000)
-	c.between("lease.config_ms", int64(s.Lease.ConfigMs), 2*int64(s.HeartbeatMs), 60_000)
-	c.between("lease.cell_ms", int64(s.Lease.CellMs), int64(s.Lease.ConfigMs), 60_000)
-	c.between("lease.drift_permille", int64(s.Lease.DriftPermille), 1, 200)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -8,6 +8,10 @@
 	PolicyP2CShared = "p2c_shared"
 )
 
+// maxRenewMs bounds the interval between renewals, so that a lost one does not
+// cost the lease.
+const maxRenewMs = 1_000
+
 // Entry holds the settings of an entry VM.
 type Entry struct {
 	ID     string `toml:"id"`
@@ -30,30 +34,21 @@
 	// the longest look-up answer has run out.
 	DrainMs Millis `toml:"drain_ms"`
 	// AnnounceTTLMs is the silence after which an upstream counts as leaving.
-	AnnounceTTLMs  Millis     `toml:"announce_ttl_ms"`
-	DispatchPolicy string     `toml:"dispatch_policy"`
-	Lease          EntryLease `toml:"lease"`
-	Limits         Limits     `toml:"limits"`
-	Claims         Claims     `toml:"claims"`
-	Quarantine     Quarantine `toml:"quarantine"`
-	Keys           EntryKeys  `toml:"keys"`
-	Log            Log        `toml:"log"`
-	Trace          Trace      `toml:"trace"`
+	AnnounceTTLMs  Millis `toml:"announce_ttl_ms"`
+	DispatchPolicy string `toml:"dispatch_policy"`
+	// RenewMs is the interval between renewals of the configuration lease.
+	RenewMs    Millis     `toml:"renew_ms"`
+	Limits     Limits     `toml:"limits"`
+	Claims     Claims     `toml:"claims"`
+	Quarantine Quarantine `toml:"quarantine"`
+	Keys       EntryKeys  `toml:"keys"`
+	Log        Log        `toml:"log"`
+	Trace      Trace      `toml:"trace"`
 	// Open turns keys off. Only code can set it, and only for listeners on
 	// loopback.
 	Open bool `toml:"-"`
 }
 
-// EntryLease configures how an entry VM keeps its configuration confirmed.
-type EntryLease struct {
-	// RenewMs is the interval between renewals.
-	RenewMs Millis `toml:"renew_ms"`
-	// ConfirmMs is the age up to which a confirmation by other entry VMs counts.
-	ConfirmMs Millis `toml:"confirm_ms"`
-	// DriftPermille bounds the difference in rate between two clocks.
-	DriftPermille int `toml:"drift_permille"`
-}
-
 // Claims configures the claims on idempotency keys that this VM keeps.
 type Claims struct {
 	// RetentionMs is how long a claim is kept after it was made.
@@ -90,7 +85,7 @@
 		DrainMs:        30_000,
 		AnnounceTTLMs:  3_000,
 		DispatchPolicy: PolicyCell,
-		Lease:          EntryLease{RenewMs: 500, ConfirmMs: 2_000, DriftPermille: 10},
+		RenewMs:        1_000,
 		Limits:         defaultLimits(),
 		Claims: Claims{
 			RetentionMs:   600_000,
@@ -149,10 +144,8 @@
 func (s Entry) checkTimes(c *checker) {
 	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
 	c.between("drain_ms", int64(s.DrainMs), 0, 3_600_000)
+	c.between("renew_ms", int64(s.RenewMs), 50, maxRenewMs)
 	c.between("announce_ttl_ms", int64(s.AnnounceTTLMs), 50, 60_000)
-	c.between("lease.renew_ms", int64(s.Lease.RenewMs), 10, 60_000)
-	c.between("lease.confirm_ms", int64(s.Lease.ConfirmMs), 2*int64(s.Lease.RenewMs), 60_000)
-	c.between("lease.drift_permille", int64(s.Lease.DriftPermille), 1, 200)
 }
 
 func (s Claims) check(c *checker) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,7 +69,7 @@
 		ReadHeaderTimeoutMs: 5_000,
 		ReadBodyTimeoutMs:   60_000,
 		IdleTimeoutMs:       60_000,
-		MaxBodyBytes:        32 << 20,
+		MaxBodyBytes:        256 << 20,
 		MaxInFlight:         1_024,
 		MaxConnections:      4_096,
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -20,7 +20,7 @@
 	control, err := LoadControl(controlSample)
 	assert.NilError(t, err)
 	assert.Equal(t, len(control.Members), 3)
-	assert.Equal(t, control.Lease, DefaultControl().Lease)
+	assert.Equal(t, control.HeartbeatMs, DefaultControl().HeartbeatMs)
 	assert.Equal(t, control.Limits, DefaultControl().Limits)
 
 	entry, err := LoadEntry(entrySample)
@@ -28,7 +28,7 @@
 	assert.Equal(t, entry.ClusterAddress, "10.0.1.21:7002")
 	assert.Equal(t, entry.Claims, DefaultEntry().Claims)
 	assert.Equal(t, entry.Quarantine, DefaultEntry().Quarantine)
-	assert.Equal(t, entry.Lease, DefaultEntry().Lease)
+	assert.Equal(t, entry.RenewMs, DefaultEntry().RenewMs)
 }
 
 func TestErrorsNameFileLineAndKey(t *testing.T) {
@@ -40,7 +40,7 @@
 		{"wrong unit", "lookup_ttl_ms = 5000", `lookup_ttl_s = 5`, ": lookup_ttl_s: unknown key; the key with its unit is lookup_ttl_ms"},
 		{"wrong unit in a table", "retention_ms = 600000", "retention = 600", ": claims.retention: unknown key; the key with its unit is claims.retention_ms"},
 		{"unit in the value", "drain_ms = 30000", `drain_ms = "30s"`, ": drain_ms: "},
-		{"impossible bound", "confirm_ms = 2000", "confirm_ms = 600", ": lease.confirm_ms: 600 must lie between 1000 and 60000"},
+		{"impossible bound", "renew_ms = 1000", "renew_ms = 6000", ": renew_ms: 6000 must lie between 50 and 1000"},
 		{"address clash", `announce_listen = "0.0.0.0:8082"`, `announce_listen = "10.0.1.21:8080"`, ": announce_listen: \"10.0.1.21:8080\" clashes with caller_listen"},
 		{"unreachable address", `caller_address = "10.0.1.21:8080"`, `caller_address = "0.0.0.0:8080"`, ": caller_address: "},
 		{"host name", `cluster_address = "10.0.1.21:7002"`, `cluster_address = "vm1:7002"`, ": cluster_address: "},
@@ -67,7 +67,7 @@
 		{"itself missing", "id = 1\naddress", "id = 9\naddress", "members: lacks this replica, id 1"},
 		{"own address differs", `address = "10.0.1.11:7001"` + "\n" + `zone`, `address = "10.0.1.12:7001"` + "\n" + `zone`, "members[0].address: 10.0.1.12:7001 is not"},
 		{"join with own id", "join = false", "join = true", "members: holds the id 1"},
-		{"election too short", "election_ms = 1000", "election_ms = 300", "election_ms: 300 must lie between 500"},
+		{"election too short", "election_ms = 1000", "election_ms = 300", "election_ms: 300 must lie between 1000"},
 		{"no keys", `cluster_file = "/etc/balsamcourse/cluster.keys"`, "", "keys.cluster_file: is missing"},
 	}
 	for _, tc := range cases {
