Prove the bound on upstreams lost to one request

The model first broke the bound: reports that had waited in a queue were taken for new, so that crashes far apart looked like one mass loss. A report now carries its age when it is pushed.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,6 +50,12 @@
 	Logger event.Logger
 }
 
+// fresh is a report that has not been pushed yet.
+type fresh struct {
+	report *clusterpb.CrashReport
+	at     time.Duration
+}
+
 // Service holds the evidence of this entry VM and shares it.
 type Service struct {
 	opts Options
@@ -59,7 +65,7 @@
 	sequence atomic.Uint64
 	// pushed is the newest sequence whose push has ended.
 	pushed atomic.Uint64
-	queue  chan *clusterpb.CrashReport
+	queue  chan fresh
 	peers  atomic.Pointer[[]string]
 	// active is set while there is any evidence, so that calls need no lock
 	// otherwise.
@@ -75,7 +81,7 @@
 		opts:    opts,
 		origin:  claim.ProcessName(opts.EntryID, opts.Incarnation),
 		started: time.Now(),
-		queue:   make(chan *clusterpb.CrashReport, queueSize),
+		queue:   make(chan fresh, queueSize),
 		state:   quarantine.New(opts.Limits),
 	}
 	s.peers.Store(&[]string{})
@@ -152,7 +158,7 @@
 	r.Sequence = s.sequence.Add(1)
 	s.merge([]*clusterpb.CrashReport{r})
 	select {
-	case s.queue <- r:
+	case s.queue <- fresh{r, s.now()}:
 	default:
 	}
 }
@@ -189,8 +195,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-s.queue:
-			batch := s.gather(r)
+		case first := <-s.queue:
+			batch := s.gather(first)
 			s.push(ctx, batch)
 			s.pushed.Store(batch[len(batch)-1].Sequence)
 		case <-ticker.C:
@@ -200,12 +206,13 @@
 }
 
 // gather returns the report and all others that wait.
-func (s *Service) gather(r *clusterpb.CrashReport) []*clusterpb.CrashReport {
-	batch := []*clusterpb.CrashReport{r}
+func (s *Service) gather(next fresh) []*clusterpb.CrashReport {
+	var batch []*clusterpb.CrashReport
 	for {
+		next.report.AgeMs = uint32((s.now() - next.at) / time.Millisecond)
+		batch = append(batch, next.report)
 		select {
-		case next := <-s.queue:
-			batch = append(batch, next)
+		case next = <-s.queue:
 		default:
 			return batch
 		}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -34,12 +34,15 @@
 func (s *State) suspects(now time.Duration) []suspect {
 	released := make(map[Request]time.Duration)
 	for _, r := range s.reports {
+		if s.rules.ignoreReleases {
+			break
+		}
 		if at, ok := released[r.request]; r.released && (!ok || r.at > at) {
 			released[r.request] = r.at
 		}
 	}
 	byRequest := make(map[Request]map[Crash]time.Duration)
-	for _, r := range s.reports {
+	for id, r := range s.reports {
 		at, ok := released[r.request]
 		if r.released || (ok && r.at <= at) || now-r.at >= s.limits.Hold {
 			continue
@@ -47,7 +50,8 @@
 		if byRequest[r.request] == nil {
 			byRequest[r.request] = make(map[Crash]time.Duration)
 		}
-		byRequest[r.request][r.crash] = max(byRequest[r.request][r.crash], r.at)
+		crash := s.crashOf(id, r)
+		byRequest[r.request][crash] = max(byRequest[r.request][crash], r.at)
 	}
 	out := make([]suspect, 0, len(byRequest))
 	for request, crashes := range byRequest {
@@ -56,10 +60,19 @@
 	return out
 }
 
+// crashOf returns the crash that a report is about. Reports of several entry
+// VMs are about one crash.
+func (s *State) crashOf(id reportID, r report) Crash {
+	if s.rules.countReports {
+		return Crash{id.entry + r.crash.Upstream, r.crash.Incarnation}
+	}
+	return r.crash
+}
+
 // losses returns the time of every crash by service.
 func (s *State) losses() map[string]map[Crash]time.Duration {
 	out := make(map[string]map[Crash]time.Duration)
-	for _, r := range s.reports {
+	for id, r := range s.reports {
 		if r.released {
 			continue
 		}
@@ -68,7 +81,8 @@
 			of = make(map[Crash]time.Duration)
 			out[r.request.Service] = of
 		}
-		of[r.crash] = max(of[r.crash], r.at)
+		crash := s.crashOf(id, r)
+		of[crash] = max(of[crash], r.at)
 	}
 	return out
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -79,8 +79,10 @@
 
 // rules switches single rules off, to show that the proofs notice.
 type rules struct {
-	blameEveryone bool
-	keepExplained bool
+	blameEveryone  bool
+	keepExplained  bool
+	ignoreReleases bool
+	countReports   bool
 }
 
 // State is the evidence that one entry VM holds. It is not safe for concurrent
