--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -15,10 +15,10 @@
 	reportRetry = 100 * time.Millisecond
 	// maxReportRetry bounds the pause.
 	maxReportRetry = 5 * time.Second
-	// reportTries bounds the reports of one outcome.
-	reportTries = 10
-	// quorumTries bounds them once a quorum has acknowledged.
-	quorumTries = 3
+	// quorumTries bounds the reports of one outcome that a quorum has
+	// acknowledged. One without a quorum is reported until the process stops:
+	// otherwise its key could stay claimed by a request that never ran.
+	quorumTries = 8
 )
 
 // Claim is the right to send one request. Exactly one of Finish, Release and
@@ -186,12 +186,13 @@
 	return ids
 }
 
-// done reports whether the delivery has reached all members, or as many as can
-// be expected after this many tries.
+// done reports whether the delivery has reached all members, or after many
+// tries so many that the others are no quorum.
 func (r *report) done(try int) bool {
 	missing := len(r.missing())
-	if missing == 0 || try >= reportTries {
+	if missing == 0 {
 		return true
 	}
-	return try >= quorumTries && missing <= (len(r.targets())-1)/2
+	quorum := r.attempt.Group(r.service.timeline.Load()).Quorum()
+	return try >= quorumTries && missing < quorum
 }
--- a/internal/claims/peer.go
+++ b/internal/claims/peer.go
@@ -15,6 +15,8 @@
 const (
 	// maxBatch bounds the messages in one call.
 	maxBatch = 64
+	// maxQueue bounds the messages that wait for a call.
+	maxQueue = 4096
 	// maxCalls bounds the calls in flight to one member.
 	maxCalls = 4
 	// callTimeout bounds one call.
@@ -45,13 +47,23 @@
 
 // send queues a message and returns at once.
 func (p *peer) send(m pending) {
+	if !p.enqueue(m) {
+		m.done(nil, errors.New("too many messages wait for this member"))
+	}
+}
+
+func (p *peer) enqueue(m pending) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.queue) >= maxQueue {
+		return false
+	}
 	p.queue = append(p.queue, m)
 	if p.calls < maxCalls {
 		p.calls++
 		p.group.Go(p.drain)
 	}
+	return true
 }
 
 // drain makes calls until the queue is empty.
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -28,12 +28,16 @@
 	cancels  map[string]context.CancelFunc
 	members  map[string]*catalogpb.ClaimMember
 	epoch    *catalogpb.ClaimEpoch
+	view     *view.View
+	wrap     func(http.Handler) http.Handler
 	running  sync.WaitGroup
 }
 
-func newCluster(tb testing.TB, n int) *cluster {
+// newCluster starts n members. wrap is put around their handlers if not nil.
+func newCluster(tb testing.TB, n int, wrap func(http.Handler) http.Handler) *cluster {
 	c := &cluster{
 		tb:       tb,
+		wrap:     wrap,
 		services: make(map[string]*Service),
 		servers:  make(map[string]*httptest.Server),
 		cancels:  make(map[string]context.CancelFunc),
@@ -65,7 +69,11 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.services[id] = s
-	c.servers[id] = httptest.NewServer(s.Handler())
+	handler := s.Handler()
+	if c.wrap != nil {
+		handler = c.wrap(handler)
+	}
+	c.servers[id] = httptest.NewServer(handler)
 	c.cancels[id] = cancel
 	c.members[id] = &catalogpb.ClaimMember{Id: id, Incarnation: incarnation, Zone: "z" + id[1:]}
 	c.running.Add(1)
@@ -93,9 +101,9 @@
 		entries = append(entries, &catalogpb.Entry{Id: id, ClusterAddress: address})
 	}
 	c.epoch = claim.Advance(c.epoch, members)
-	v := view.New(&catalogpb.Config{Entries: entries, ClaimEpoch: c.epoch})
+	c.view = view.New(&catalogpb.Config{Entries: entries, ClaimEpoch: c.epoch})
 	for _, s := range c.services {
-		s.OnConfig(v)
+		s.OnConfig(c.view)
 	}
 }
 
@@ -111,7 +119,7 @@
 }
 
 func TestResendThroughAnotherEntryGetsTheKeptAnswer(t *testing.T) {
-	c := newCluster(t, 5)
+	c := newCluster(t, 5, nil)
 	first := c.begin("e0", "k", 1)
 	assert.Equal(t, first.Kind, Proceed)
 	assert.Equal(t, kindOf(c.begin("e1", "k", 1)), fault.StillRunning)
@@ -126,7 +134,7 @@
 }
 
 func TestReleasedKeyCanBeClaimedAgain(t *testing.T) {
-	c := newCluster(t, 3)
+	c := newCluster(t, 3, nil)
 	first := c.begin("e0", "k", 1)
 	first.Claim.Release()
 	assert.NilError(t, c.services["e0"].Drain(context.Background()))
@@ -135,7 +143,7 @@
 }
 
 func TestRestartedMemberSyncsBeforeItVotes(t *testing.T) {
-	c := newCluster(t, 5)
+	c := newCluster(t, 5, nil)
 	done := c.begin("e0", "k", 1)
 	done.Claim.Finish(&clusterpb.KeptAnswer{Status: 200})
 	assert.NilError(t, c.services["e0"].Drain(context.Background()))
