--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -160,15 +160,20 @@
 	r.acked[id] = true
 }
 
+// targets returns the members that are to know; one that has been removed can
+// no longer be told.
 func (r *report) targets() []string {
+	t := r.service.timeline.Load()
 	var ids []string
-	if r.only != nil {
-		for id := range r.only {
+	for id := range r.only {
+		if _, ok := t.Member(id); ok {
 			ids = append(ids, id)
 		}
+	}
+	if r.only != nil {
 		return ids
 	}
-	for _, m := range r.attempt.Group(r.service.timeline.Load()) {
+	for _, m := range r.attempt.Group(t) {
 		ids = append(ids, m.ID)
 	}
 	return ids
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,3 +165,24 @@
 	assert.Equal(t, c.begin("e3", "k", 1).Kind, Replay)
 	assert.Equal(t, kindOf(c.begin("e3", "lost", 1)), fault.OutcomeUnknown)
 }
+
+func TestHungMembersDoNotDelayADecision(t *testing.T) {
+	hang := make(chan struct{})
+	var hung atomic.Int32
+	c := newCluster(t, 5, func(next http.Handler) http.Handler {
+		if hung.Add(1) > 2 {
+			return next
+		}
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang })
+	})
+	t.Cleanup(func() { close(hang) })
+	d := c.begin("e4", "k", 1)
+	assert.Equal(t, d.Kind, Proceed)
+	d.Claim.Finish(&clusterpb.KeptAnswer{Status: 200})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if again := c.begin("e3", "k", 1); again.Kind != Replay {
+			return poll.Continue("%v", again.Refusal)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -21,7 +21,7 @@
 )
 
 // serve starts n services that know each other.
-func serve(t *testing.T, n int) []*Service {
+func serve(t testing.TB, n int) []*Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running conc.WaitGroup
 	var services []*Service
