Spread a new claim epoch with the messages that meet it

A claim whose coordinator and members held different epochs waited for the configuration to reach the older side: up to seconds for each restart. The newer side now hands its epoch over, and the claim is asked again at once.

--- a/internal/claims/begin.go
+++ b/internal/claims/begin.go
@@ -9,8 +9,12 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
-// askAgain is the time after which members without a vote are asked again.
-const askAgain = 50 * time.Millisecond
+const (
+	// askAgain is the time after which members without a vote are asked again.
+	askAgain = 50 * time.Millisecond
+	// maxAnswers is above the number of members that can be asked at once.
+	maxAnswers = 64
+)
 
 // Kind says what to do with a request.
 type Kind int
@@ -42,7 +46,7 @@
 	begun := s.now()
 	a := claim.NewAttempt(service, key, digest, s.self.Name(), s.number.Add(1))
 	a.Alive = s.leaving
-	r := &round{service: s, attempt: a, answers: make(chan *clusterpb.ClaimMessage, maxAnswers), asked: make(map[string]bool)}
+	r := newRound(s, a)
 	v := r.decide(ctx)
 	s.scope.Timer("decide").Record(s.now() - begun)
 	if v.Granted {
@@ -56,17 +60,35 @@
 	return Decision{Kind: Refuse, Refusal: v.Refusal}
 }
 
-// maxAnswers bounds the answers that wait to be taken in; more are dropped, as
-// if they had been lost.
-const maxAnswers = 64
+// answer is what came back from a member.
+type answer struct {
+	from    string
+	message *clusterpb.ClaimMessage
+	err     error
+}
 
 // round collects the answers to one attempt.
 type round struct {
 	service *Service
 	attempt *claim.Attempt
-	answers chan *clusterpb.ClaimMessage
+	answers chan answer
 	// asked holds the members that may have stored the attempt.
 	asked map[string]bool
+	// waiting holds the members that have a message to answer.
+	waiting map[string]bool
+	// behind holds the members that have answered from an older epoch.
+	behind map[string]bool
+}
+
+func newRound(s *Service, a *claim.Attempt) *round {
+	return &round{
+		service: s,
+		attempt: a,
+		answers: make(chan answer, maxAnswers),
+		asked:   make(map[string]bool),
+		waiting: make(map[string]bool),
+		behind:  make(map[string]bool),
+	}
 }
 
 func (r *round) decide(ctx context.Context) claim.Verdict {
@@ -77,8 +99,8 @@
 	r.ask()
 	for {
 		select {
-		case m := <-r.answers:
-			r.receive(m)
+		case a := <-r.answers:
+			r.receive(a)
 		case <-again.C:
 			r.ask()
 		case <-ctx.Done():
@@ -90,29 +112,51 @@
 	}
 }
 
+// ask sends the claim to the members whose vote is missing. Each has at most
+// one message to answer.
 func (r *round) ask() {
 	for _, m := range r.attempt.Asks(r.service.timeline.Load()) {
+		if r.waiting[m.To] {
+			continue
+		}
 		r.asked[m.To] = true
-		r.service.send(m, r.answer)
+		r.waiting[m.To] = true
+		if r.behind[m.To] {
+			m.ClaimEpoch = r.service.epoch.Load()
+		}
+		r.service.send(m, func(reply *clusterpb.ClaimMessage, err error) {
+			r.deliver(answer{m.To, reply, err})
+		})
 	}
 }
 
-// answer hands an answer to the goroutine of the round.
-func (r *round) answer(m *clusterpb.ClaimMessage, err error) {
-	if err != nil {
-		return
-	}
+// deliver hands an answer to the goroutine of the round, which may have ended.
+func (r *round) deliver(a answer) {
 	select {
-	case r.answers <- m:
+	case r.answers <- a:
 	default:
 	}
 }
 
 // receive takes in an answer. A member that has stored another attempt has not
-// stored this one.
-func (r *round) receive(m *clusterpb.ClaimMessage) {
-	r.attempt.Receive(m)
-	if m.Record != nil {
-		delete(r.asked, m.From)
+// stored this one. When the epochs differ, the older side learns the newer
+// epoch, and the member is asked again at once.
+func (r *round) receive(a answer) {
+	delete(r.waiting, a.from)
+	if a.err != nil {
+		return
+	}
+	r.attempt.Receive(a.message)
+	if a.message.Record != nil {
+		delete(r.asked, a.from)
+	}
+	own := r.service.timeline.Load().Epoch()
+	switch {
+	case a.message.ClaimEpoch != nil:
+		r.service.learn(a.message.ClaimEpoch)
+		r.ask()
+	case a.message.Epoch < own && !r.behind[a.from]:
+		r.behind[a.from] = true
+		r.ask()
 	}
 }
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/view"
@@ -58,6 +59,7 @@
 	scope   tally.Scope
 
 	timeline atomic.Pointer[claim.Timeline]
+	epoch    atomic.Pointer[catalogpb.ClaimEpoch]
 	entries  atomic.Pointer[entries]
 
 	mu    sync.Mutex
@@ -115,12 +117,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries.Store(entriesOf(v))
+	s.adopt(v.Config.ClaimEpoch)
+}
+
+// learn adopts an epoch that another entry VM has received before this one.
+func (s *Service) learn(ce *catalogpb.ClaimEpoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(ce)
+}
+
+// adopt moves on to an epoch if it is newer. The caller holds the lock.
+func (s *Service) adopt(ce *catalogpb.ClaimEpoch) {
 	old := s.timeline.Load()
-	t := claim.NewTimeline(old, v.Config.ClaimEpoch)
+	t := claim.NewTimeline(old, ce)
 	if t == old {
 		return
 	}
 	s.store.Adopt(s.now(), t)
+	s.epoch.Store(ce)
 	s.timeline.Store(t)
 }
 
@@ -150,7 +165,12 @@
 	s.scope.Gauge("records").Update(float64(s.store.Claims()))
 	s.scope.Gauge("kept_bytes").Update(float64(s.store.AnswerBytes()))
 	s.mu.Unlock()
+	told := make(map[string]bool)
 	for _, m := range pulls {
+		if !told[m.To] {
+			told[m.To] = true
+			m.ClaimEpoch = s.epoch.Load()
+		}
 		s.send(m, s.onPulled)
 	}
 }
@@ -185,10 +205,21 @@
 	if isReply(m.Kind) {
 		return &clusterpb.ClaimMessage{}
 	}
-	if r := s.store.Handle(s.now(), m); r != nil {
-		return r
+	if m.ClaimEpoch != nil {
+		s.adopt(m.ClaimEpoch)
+	}
+	r := s.store.Handle(s.now(), m)
+	if r == nil {
+		return &clusterpb.ClaimMessage{}
+	}
+	if isClaim(m.Kind) && m.Epoch < s.store.Epoch() && !r.Granted && r.Record == nil {
+		r.ClaimEpoch = s.epoch.Load()
 	}
-	return &clusterpb.ClaimMessage{}
+	return r
+}
+
+func isClaim(k clusterpb.ClaimMessageKind) bool {
+	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_CLAIM
 }
 
 // isReply keeps a caller of Step from passing off an answer.
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -92,8 +92,16 @@
 	delete(c.services, id)
 }
 
-// configure advances the claim epoch to the present members.
+// configure advances the claim epoch and lets all services know.
 func (c *cluster) configure() {
+	c.advance()
+	for _, s := range c.services {
+		s.OnConfig(c.view)
+	}
+}
+
+// advance makes the claim epoch of the present members.
+func (c *cluster) advance() {
 	var members []*catalogpb.ClaimMember
 	var entries []*catalogpb.Entry
 	for id := range c.services {
@@ -103,9 +111,6 @@
 	}
 	c.epoch = claim.Advance(c.epoch, members)
 	c.view = view.New(&catalogpb.Config{Entries: entries, ClaimEpoch: c.epoch})
-	for _, s := range c.services {
-		s.OnConfig(c.view)
-	}
 }
 
 func (c *cluster) begin(id, key string, digest byte) Decision {
@@ -186,3 +191,34 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+func TestEntriesLearnANewEpochFromEachOther(t *testing.T) {
+	c := newCluster(t, 5, nil)
+	c.stop("e4")
+	c.start("e4", 2)
+	c.advance()
+	c.services["e4"].OnConfig(c.view)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !c.services["e4"].Synced() {
+			return poll.Continue("not synced")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	for id, s := range c.services {
+		assert.Equal(t, s.timeline.Load().Epoch(), c.epoch.Epoch, id)
+	}
+}
+
+func TestCoordinatorLearnsANewEpochFromMembers(t *testing.T) {
+	c := newCluster(t, 5, nil)
+	c.start("e5", 1)
+	c.services["e5"].OnConfig(c.view)
+	c.stop("e4")
+	c.start("e4", 2)
+	c.advance()
+	for _, id := range []string{"e0", "e1", "e2", "e3"} {
+		c.services[id].OnConfig(c.view)
+	}
+	assert.Equal(t, c.begin("e5", "k", 1).Kind, Proceed)
+	assert.Equal(t, c.services["e5"].timeline.Load().Epoch(), c.epoch.Epoch)
+}
