Add the baseline policies behind dispatch_policy

Random, P2C on private counts, and P2C on counts shared every 100 ms. Probes of upstreams use a client of their own, without the key of the cluster.

--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -55,7 +55,8 @@
 		c.accepted = true
 		s.step(c, dispatch.Accepted{})
 	}
-	if c.accepted && s.holds(c) && s.opts.View.Fresh() {
+	// Freshness is read first: it then holds for the view, or for an older one.
+	if c.accepted && s.opts.View.Fresh() && s.holds(c) {
 		return true
 	}
 	if c.state.Queued() > 0 {
--- a/internal/dispatcher/probe.go
+++ b/internal/dispatcher/probe.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := s.relay.client().Do(req)
+	resp, err := s.opts.ProbeClient.Do(req)
 	if err != nil {
 		return false
 	}
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -211,14 +210,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	client := clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, r.client())
+	client := clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, r.opts.Client)
 	// A lost relay is made good by the upstream's next announcement.
 	_, _ = client.Announce(ctx, &clusterpb.AnnounceRequest{Entry: r.opts.Entry, Announcements: anns})
 }
-
-func (r *relay) client() *http.Client {
-	if r.opts.Client != nil {
-		return r.opts.Client
-	}
-	return http.DefaultClient
-}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -37,14 +37,18 @@
 	// admits work on an older one any more. Nil counts every revision as
 	// accepted, which is right only for a single entry VM.
 	Accepted func() uint64
-	// Client sends announcements to other entry VMs and probes to upstreams.
+	// Client calls other entry VMs.
 	Client *http.Client
+	// ProbeClient probes upstreams.
+	ProbeClient *http.Client
 	// Broadcast relays announcements to every entry VM instead of only to the
 	// dispatcher of the cell.
 	Broadcast bool
 	// OnAnnounce, when set, receives every announcement that arrives here.
 	OnAnnounce func([]*clusterpb.Announcement)
-	Log        event.Logger
+	// OnCounts, when set, receives the counts that other entry VMs share.
+	OnCounts func(entry string, counts []*clusterpb.UpstreamCount)
+	Log      event.Logger
 	// Metrics may be nil.
 	Metrics tally.Scope
 	Seed    uint64
@@ -106,6 +110,12 @@
 	if opts.Accepted == nil {
 		opts.Accepted = func() uint64 { return math.MaxUint64 }
 	}
+	if opts.Client == nil {
+		opts.Client = http.DefaultClient
+	}
+	if opts.ProbeClient == nil {
+		opts.ProbeClient = http.DefaultClient
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -58,6 +58,9 @@
 // Announce takes announcements that another entry VM relays.
 func (v *service) Announce(_ context.Context, r *clusterpb.AnnounceRequest) (*clusterpb.AnnounceResponse, error) {
 	v.s.receive(r.Announcements)
+	if v.s.opts.OnCounts != nil && len(r.Counts) > 0 {
+		v.s.opts.OnCounts(r.Entry, r.Counts)
+	}
 	return &clusterpb.AnnounceResponse{}, nil
 }
 
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -13,13 +13,11 @@
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
-	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
-	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -38,15 +36,7 @@
 func (d *Daemon) build(ctx context.Context) {
 	d.config = d.newConfig()
 	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
-	d.dispatcher = d.newDispatcher(fast)
-	d.slots = slot.NewClient(slot.Options{
-		Entry:       d.settings.ID,
-		Zone:        d.settings.Zone,
-		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Local:       d.dispatcher,
-		HTTP:        fast,
-	})
+	d.buildDispatch(fast)
 	d.claims = d.newClaims(fast)
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     d.settings.ID,
@@ -77,19 +67,6 @@
 	})
 }
 
-func (d *Daemon) newDispatcher(client *http.Client) *dispatcher.Server {
-	return dispatcher.New(dispatcher.Options{
-		Entry:       d.settings.ID,
-		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Accepted:    d.config.AcceptedRevision,
-		Client:      client,
-		Log:         d.log,
-		Metrics:     d.metrics.Scope,
-		Seed:        d.self.Incarnation,
-	})
-}
-
 func (d *Daemon) newClaims(client *http.Client) *claims.Service {
 	c := d.settings.Claims
 	return claims.New(claims.Options{
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -31,7 +31,7 @@
 	}
 	calls := forward.New(forward.Options{
 		Source:          d.config,
-		Slots:           d.slots,
+		Slots:           d.source(),
 		Claims:          claimSource{d.claims},
 		Quarantine:      &guard{d.gossip, d.claims},
 		Limiter:         c.limiter,
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -14,6 +14,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/access"
+	"balsamcourse.example/balsamcourse/internal/baseline"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
 	"balsamcourse.example/balsamcourse/internal/dispatcher"
@@ -50,11 +51,13 @@
 	config     *configsync.Syncer
 	dispatcher *dispatcher.Server
 	slots      *slot.Client
-	claims     *claims.Service
-	gossip     *gossip.Service
-	callers    *callerSide
-	servers    listeners
-	workers    conc.WaitGroup
+	// baseline grants slots in place of the cells under another policy.
+	baseline *baseline.Source
+	claims   *claims.Service
+	gossip   *gossip.Service
+	callers  *callerSide
+	servers  listeners
+	workers  conc.WaitGroup
 }
 
 // keys are the key files of an entry VM; nil ones let every call pass.
@@ -140,6 +143,9 @@
 	d.workers.Go(func() { d.config.Run(ctx) })
 	d.workers.Go(func() { d.dispatcher.Run(ctx) })
 	d.workers.Go(func() { d.slots.Run(ctx) })
+	if d.baseline != nil {
+		d.workers.Go(func() { d.baseline.Run(ctx) })
+	}
 	d.workers.Go(func() { d.claims.Run(ctx) })
 	d.workers.Go(func() { d.gossip.Run(ctx) })
 	d.workers.Go(func() { d.watchFreshness(ctx) })
--- /dev/null
+++ b/internal/entryd/policy.go
@@ -0,0 +1,56 @@
+package entryd
+
+import (
+	"net/http"
+
+	"balsamcourse.example/balsamcourse/internal/baseline"
+	"balsamcourse.example/balsamcourse/internal/dispatcher"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/slot"
+)
+
+// buildDispatch connects the parts that grant slots under the policy of the
+// settings.
+func (d *Daemon) buildDispatch(peers *http.Client) {
+	opts := dispatcher.Options{
+		Entry:       d.settings.ID,
+		Incarnation: d.self.Incarnation,
+		View:        d.config,
+		Accepted:    d.config.AcceptedRevision,
+		Client:      peers,
+		ProbeClient: httpnet.NewPooledClient(httpnet.Dial(d.opts.DialUpstream)),
+		Log:         d.log,
+		Metrics:     d.metrics.Scope,
+		Seed:        d.self.Incarnation,
+	}
+	if d.settings.DispatchPolicy != settings.PolicyCell {
+		d.baseline = baseline.New(baseline.Options{
+			Policy: baseline.Policy(d.settings.DispatchPolicy),
+			Entry:  d.settings.ID,
+			View:   d.config,
+			HTTP:   peers,
+			Seed:   d.self.Incarnation,
+		})
+		opts.Broadcast = true
+		opts.OnAnnounce = d.baseline.Announce
+		opts.OnCounts = d.baseline.Counts
+	}
+	d.dispatcher = dispatcher.New(opts)
+	d.slots = slot.NewClient(slot.Options{
+		Entry:       d.settings.ID,
+		Zone:        d.settings.Zone,
+		Incarnation: d.self.Incarnation,
+		View:        d.config,
+		Local:       d.dispatcher,
+		HTTP:        peers,
+	})
+}
+
+// source returns what grants slots to calls.
+func (d *Daemon) source() slot.Source {
+	if d.baseline != nil {
+		return d.baseline
+	}
+	return d.slots
+}
