--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -56,6 +56,12 @@
 
 // startUpstreams starts n stand-ins of the booking service in zones a and b.
 func (c *cluster) startUpstreams(n int) []*Upstream {
+	c.t.Helper()
+	return c.startUpstreamsWith(n, nil)
+}
+
+// startUpstreamsWith is startUpstreams with another handler.
+func (c *cluster) startUpstreamsWith(n int, h http.HandlerFunc) []*Upstream {
 	c.t.Helper()
 	ups := make([]*Upstream, n)
 	for i := range ups {
@@ -70,6 +76,7 @@
 			Entries:     c.announces,
 			Seed:        uint64(i),
 			Key:         upstreamKey,
+			Handler:     h,
 		})
 		assert.NilError(c.t, err)
 		c.t.Cleanup(u.Kill)
--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -45,6 +45,8 @@
 	// StartWarm skips the cold start.
 	StartWarm bool
 	Seed      uint64
+	// Handler, when set, answers a request in place of the default answer.
+	Handler http.HandlerFunc
 	// Key is sent with announcements when it is not empty.
 	Key string
 }
@@ -80,8 +82,6 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	keys  map[string]int
-	// Handler, when set, answers a request in place of the default answer.
-	Handler http.HandlerFunc
 }
 
 // StartUpstream starts a stand-in that announces itself until Stop or Kill.
@@ -234,8 +234,8 @@
 		return
 	}
 	u.completed.Add(1)
-	if u.Handler != nil {
-		u.Handler(w, r)
+	if u.opts.Handler != nil {
+		u.opts.Handler(w, r)
 		return
 	}
 	w.Header().Set("Upstream", u.opts.ID)
