Let a learner answer before it knows the membership

A learner that has no membership knows no addresses, so its answers were dropped and AddMember never completed (seen over loopback; the pure proofs send by id and could not show it). Answers without an address now travel in the response. A sole voter no longer waits for an election timeout.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -4,8 +4,13 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
 
-// resetElection draws a new election timeout.
+// resetElection draws a new election timeout. A replica that is the only voter
+// has nobody to wait for.
 func (r *Replica) resetElection() {
+	if voters := r.voters(); len(voters) == 1 && voters[0] == r.cfg.ID {
+		r.electionDeadline = r.now
+		return
+	}
 	spread := r.rng.Int64N(int64(r.cfg.Election)/2 + 1)
 	r.electionDeadline = r.now + r.cfg.Election + timeout(spread)
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -115,14 +115,14 @@
 				rest = append(rest, m)
 			}
 		}
-		if m := n.address(to); m != nil {
-			n.opts.Transport.Send(m, same)
-		}
+		n.opts.Transport.Send(n.address(to), same)
 		msgs = rest
 	}
 }
 
-// address finds a replica in the membership, or in the list of a new group.
+// address finds a replica in the membership, or in the list of a new group. A
+// learner that has no membership yet knows no addresses; its answers travel in
+// responses.
 func (n *Node) address(id uint64) *catalogpb.ControlMember {
 	if m := n.core.Member(id); m != nil {
 		return m
@@ -132,7 +132,7 @@
 			return m
 		}
 	}
-	return nil
+	return &catalogpb.ControlMember{ReplicaId: id}
 }
 
 // apply brings the state machine up to date.
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -2,150 +2,197 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
 	"testing"
-	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
-	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/storage"
 )
 
-// listMachine keeps the applied entries.
-type listMachine struct{ text string }
-
-func (m *listMachine) Apply(_ uint64, data []byte) any {
-	m.text += string(data) + "\n"
-	return len(m.text)
+func TestGroupReplicatesAndFailsOver(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	hosts := startGroup(t, 3, Options{SnapshotEvery: 50})
+	first := waitLeader(t, hosts)
+	var index uint64
+	for i := range 120 {
+		_, at, err := first.node.Propose(ctx, fmt.Appendf(nil, "change %d", i))
+		assert.NilError(t, err)
+		index = at
+	}
+	read, err := first.node.ConfirmedRead(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, read >= index)
+	for _, h := range hosts {
+		waitApplied(t, h, index)
+	}
+	rest := others(hosts, first)
+	_, _, err = rest[0].node.Propose(ctx, []byte("x"))
+	assert.Equal(t, fault.KindOf(err), fault.NotLeader)
+	first.stop()
+	second := waitLeader(t, rest)
+	_, _, err = second.node.Propose(ctx, []byte("after"))
+	assert.NilError(t, err)
 }
 
-func (m *listMachine) Snapshot() ([]byte, error) { return []byte(m.text), nil }
-
-func (m *listMachine) Restore(data []byte) error {
-	m.text = string(data)
-	return nil
+func TestRestartRestoresState(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	h := startGroup(t, 1, Options{SnapshotEvery: 10})[0]
+	waitLeader(t, []*host{h})
+	for i := range 35 {
+		_, _, err := h.node.Propose(ctx, fmt.Appendf(nil, "change %d", i))
+		assert.NilError(t, err)
+	}
+	h.stop()
+	want := h.machine.text
+	again := h.restart(t, false)
+	waitLeader(t, []*host{again})
+	_, err := again.node.ConfirmedRead(ctx)
+	assert.NilError(t, err)
+	again.stop()
+	assert.Equal(t, again.machine.text, want)
 }
 
-// host runs one replica with its server on loopback.
-type host struct {
-	node      *Node
-	machine   *listMachine
-	transport *TwirpTransport
-	server    *http.Server
-	opts      Options
+func TestLostDiskNeedsNewID(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	var log events
+	hosts := startGroup(t, 3, Options{Events: log.logger()})
+	lead := waitLeader(t, hosts)
+	_, _, err := lead.node.Propose(ctx, []byte("before"))
+	assert.NilError(t, err)
+	lost := others(hosts, lead)[0]
+	again := lost.restart(t, true)
+	log.wait(t, event.ReplicaIDUsed)
+	assert.Equal(t, again.node.Status().Role, "forming")
+	again.stop()
+
+	l := listen(t)
+	opts := lost.opts
+	opts.ID, opts.DataDir, opts.Bootstrap, opts.Join = 4, t.TempDir(), nil, true
+	fresh := startHost(t, l, opts)
+	member := &catalogpb.ControlMember{ReplicaId: 4, Address: l.Addr().String()}
+	complete, err := lead.node.AddMember(ctx, member, lost.opts.ID)
+	assert.NilError(t, err)
+	assert.Assert(t, complete)
+	log.wait(t, event.MemberCaughtUp)
+	assert.Equal(t, len(lead.node.Status().Members), 3)
+
+	third := others(others(hosts, lead), lost)[0]
+	third.stop()
+	_, index, err := lead.node.Propose(ctx, []byte("after a second loss"))
+	assert.NilError(t, err)
+	waitApplied(t, fresh, index)
 }
 
-func listen(t testing.TB) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func TestTransferKeepsProposals(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	hosts := startGroup(t, 3, Options{})
+	lead := waitLeader(t, hosts)
+	_, _, err := lead.node.Propose(ctx, []byte("x"))
 	assert.NilError(t, err)
-	return l
+	assert.NilError(t, lead.node.TransferLeadership(ctx))
+	next := waitLeader(t, others(hosts, lead))
+	_, _, err = next.node.Propose(ctx, []byte("y"))
+	assert.NilError(t, err)
+	err = next.node.RemoveMember(ctx, next.opts.ID)
+	assert.Equal(t, fault.KindOf(err), fault.NotLeader)
 }
 
-func newServer(r Receiver, transport *TwirpTransport) *http.Server {
-	var p http.Protocols
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Protocols: &p, Handler: clusterpb.NewConsensusServer(NewServer(r, transport))}
+// brokenFS fails to sync once broken is set, and counts syncs.
+type brokenFS struct {
+	storage.OS
+	broken atomic.Bool
+	syncs  atomic.Int64
 }
 
-func startHost(t testing.TB, l net.Listener, opts Options) *host {
-	t.Helper()
-	h := &host{machine: &listMachine{}, transport: NewTwirpTransport(opts.ID, nil)}
-	opts.StateMachine, opts.Transport = h.machine, h.transport
-	h.opts = opts
-	node, err := Start(opts)
-	assert.NilError(t, err)
-	h.node = node
-	h.transport.Bind(node)
-	h.server = newServer(node, h.transport)
-	go h.server.Serve(l)
-	t.Cleanup(h.stop)
-	return h
+type brokenFile struct {
+	storage.File
+	fs *brokenFS
 }
 
-func (h *host) stop() {
-	_ = h.node.Stop(context.Background())
-	h.transport.Close()
-	h.server.Close()
+func (f *brokenFS) Append(path string) (storage.File, error) {
+	file, err := f.OS.Append(path)
+	return brokenFile{file, f}, err
 }
 
-// startGroup starts n replicas.
-func startGroup(t testing.TB, n int) []*host {
-	t.Helper()
-	var members []*catalogpb.ControlMember
-	var listeners []net.Listener
-	for i := range n {
-		l := listen(t)
-		listeners = append(listeners, l)
-		members = append(members, &catalogpb.ControlMember{ReplicaId: uint64(i + 1), Address: l.Addr().String()})
+func (f brokenFile) Sync() error {
+	f.fs.syncs.Add(1)
+	if f.fs.broken.Load() {
+		return errors.New("input/output error")
 	}
-	var hosts []*host
-	for i := range n {
-		hosts = append(hosts, startHost(t, listeners[i], Options{
-			ID: uint64(i + 1), DataDir: t.TempDir(), Bootstrap: members, SnapshotEvery: 50,
-		}))
-	}
-	return hosts
+	return f.File.Sync()
 }
 
-func waitLeader(t testing.TB, hosts []*host) *host {
-	t.Helper()
-	var found *host
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, h := range hosts {
-			if h.node.Status().IsLeader {
-				found = h
-				return poll.Success()
-			}
-		}
-		return poll.Continue("no leader")
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
-	return found
+func TestFailedDiskAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	var log events
+	fs := &brokenFS{}
+	h := startGroup(t, 1, Options{Events: log.logger(), FS: fs})[0]
+	waitLeader(t, []*host{h})
+	fs.broken.Store(true)
+	_, _, err := h.node.Propose(ctx, []byte("x"))
+	assert.Equal(t, fault.KindOf(err), fault.DiskFailed)
+	<-h.node.Done()
+	log.wait(t, event.DiskFault)
+	assert.Assert(t, h.node.Status().Failed)
+	assert.Assert(t, !h.node.Status().IsLeader)
 }
 
-func waitApplied(t testing.TB, h *host, index uint64) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s := h.node.Status(); s.Applied < index {
-			return poll.Continue("applied %d of %d as %s", s.Applied, index, s.Role)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+func TestProposalsShareSyncs(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	fs := &brokenFS{}
+	h := startGroup(t, 1, Options{FS: fs})[0]
+	waitLeader(t, []*host{h})
+	before := fs.syncs.Load()
+	const calls = 200
+	var group conc.WaitGroup
+	for range calls {
+		group.Go(func() {
+			_, _, err := h.node.Propose(ctx, []byte("x"))
+			assert.Check(t, err)
+		})
+	}
+	group.Wait()
+	assert.Assert(t, fs.syncs.Load()-before < calls)
 }
 
-func TestGroupReplicatesAndFailsOver(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	hosts := startGroup(t, 3)
-	first := waitLeader(t, hosts)
-	var index uint64
-	for i := range 120 {
-		_, at, err := first.node.Propose(ctx, fmt.Appendf(nil, "change %d", i))
-		assert.NilError(t, err)
-		index = at
-	}
-	read, err := first.node.ConfirmedRead(ctx)
+func TestDamagedLogRefusesToStart(t *testing.T) {
+	t.Parallel()
+	ctx := testContext(t)
+	var log events
+	h := startGroup(t, 1, Options{Events: log.logger()})[0]
+	waitLeader(t, []*host{h})
+	_, _, err := h.node.Propose(ctx, []byte("x"))
 	assert.NilError(t, err)
-	assert.Assert(t, read >= index)
-	for _, h := range hosts {
-		waitApplied(t, h, index)
-	}
-	var rest []*host
-	for _, h := range hosts {
-		if h != first {
-			rest = append(rest, h)
-			_, _, err := h.node.Propose(ctx, []byte("x"))
-			assert.Equal(t, fault.KindOf(err), fault.NotLeader)
-		}
-	}
-	first.stop()
-	second := waitLeader(t, rest)
-	_, _, err = second.node.Propose(ctx, []byte("after"))
+	h.stop()
+	path := filepath.Join(h.opts.DataDir, "replica.log")
+	data, err := os.ReadFile(path)
 	assert.NilError(t, err)
+	data[len(data)/2] ^= 1
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	_, err = Start(h.opts)
+	assert.Assert(t, errors.Is(err, storage.ErrCorrupt))
+	log.wait(t, event.LogCorrupt)
+}
+
+func TestStoppedReplicaAnswers(t *testing.T) {
+	t.Parallel()
+	h := startGroup(t, 1, Options{})[0]
+	assert.NilError(t, h.node.Stop(context.Background()))
+	_, _, err := h.node.Propose(testContext(t), []byte("x"))
+	assert.Equal(t, fault.KindOf(err), fault.NoQuorum)
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -32,7 +32,8 @@
 
 // Transport sends messages to other replicas.
 type Transport interface {
-	// Send queues messages in order. It never blocks and may drop them.
+	// Send queues messages in order. It never blocks and may drop them. The
+	// address is empty when the replica does not know it.
 	Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage)
 }
 
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -37,7 +37,9 @@
 func (p *peer) push(address string, msgs []*clusterpb.ConsensusMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.address = address
+	if address != "" {
+		p.address = address
+	}
 	if len(p.queue)+len(msgs) > maxQueuedMessages {
 		return
 	}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -112,7 +112,7 @@
 		case <-p.ready:
 		}
 		address, msgs := p.take()
-		if len(msgs) > 0 {
+		if len(msgs) > 0 && address != "" {
 			t.post(id, clients.get(address, t.client), msgs)
 		}
 	}
