--- a/internal/claims/peer.go
+++ b/internal/claims/peer.go
@@ -15,6 +15,8 @@
 const (
 	// maxBatch bounds the messages in one call.
 	maxBatch = 64
+	// maxQueue bounds the messages that wait for a call.
+	maxQueue = 4096
 	// maxCalls bounds the calls in flight to one member.
 	maxCalls = 4
 	// callTimeout bounds one call.
@@ -45,13 +47,23 @@
 
 // send queues a message and returns at once.
 func (p *peer) send(m pending) {
+	if !p.enqueue(m) {
+		m.done(nil, errors.New("too many messages wait for this member"))
+	}
+}
+
+func (p *peer) enqueue(m pending) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.queue) >= maxQueue {
+		return false
+	}
 	p.queue = append(p.queue, m)
 	if p.calls < maxCalls {
 		p.calls++
 		p.group.Go(p.drain)
 	}
+	return true
 }
 
 // drain makes calls until the queue is empty.
@@ -74,24 +86,12 @@
 		p.calls--
 		return nil
 	}
-	n := batchSize(p.queue)
+	n := min(len(p.queue), maxBatch)
 	batch := p.queue[:n:n]
 	p.queue = p.queue[n:]
 	return batch
 }
 
-// batchSize returns the number of messages for the next call. A sync ends a
-// batch, because its answer can be large.
-func batchSize(queue []pending) int {
-	n := min(len(queue), maxBatch)
-	for i, m := range queue[:n] {
-		if m.message.Kind == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC {
-			return i + 1
-		}
-	}
-	return n
-}
-
 func (p *peer) call(batch []pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
