--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -32,17 +32,19 @@
 
 // member is what the leader knows of one key.
 type member struct {
-	acked  uint64
-	grants []grant
+	acked uint64
+	// quietAt is the time from which no confirmation counts any more that the
+	// entry VM gave before it acknowledged.
+	quietAt time.Duration
+	grants  []grant
 }
 
 // pending is a revision that is committed and not yet accepted.
 type pending struct {
 	Revision
-	// blockedAt is the time since which the keys that have not acknowledged
-	// the revision cannot form a majority; valid when blocked is set.
-	blockedAt time.Duration
-	blocked   bool
+	// quietAt holds, for each key that has acknowledged the revision, the time
+	// from which its earlier confirmations do not count any more.
+	quietAt map[freshness.Key]time.Duration
 }
 
 // Tracker follows one term of a leader. It is not safe for concurrent use.
@@ -51,13 +53,20 @@
 	current  Revision
 	pending  []pending
 	accepted uint64
+	// lease and confirm are the waits for the promises of entry VMs to end.
+	lease   time.Duration
+	confirm time.Duration
 }
 
 // New returns the tracker of a leader whose term began at since, and whose
 // current configuration, confirmed in that term, is current. Every entry VM is
 // taken to hold a lease from the previous leader.
 func New(since time.Duration, current Revision) *Tracker {
-	t := &Tracker{members: make(map[freshness.Key]*member)}
+	t := &Tracker{
+		members: make(map[freshness.Key]*member),
+		lease:   freshness.Lengthen(freshness.Lease),
+		confirm: freshness.Lengthen(freshness.Confirm),
+	}
 	until := since + freshness.Lengthen(freshness.QuorumAge+freshness.Lease)
 	for _, key := range union(current.Set, current.PreviousSet) {
 		t.member(key).grants = []grant{{revision: 0, until: until}}
@@ -91,13 +100,29 @@
 		return
 	}
 	t.current = r
-	t.pending = append(t.pending, pending{Revision: r})
+	p := pending{Revision: r, quietAt: make(map[freshness.Key]time.Duration)}
+	for key, m := range t.members {
+		if m.acked >= r.Number {
+			p.quietAt[key] = m.quietAt
+		}
+	}
+	t.pending = append(t.pending, p)
 }
 
-// Ack records that the entry VM holds a revision.
-func (t *Tracker) Ack(key freshness.Key, revision uint64) {
+// Ack records a report, received at received, that the entry VM holds a
+// revision, and that it last confirmed a revision to another one, or started,
+// quiet before it sent the report.
+func (t *Tracker) Ack(received time.Duration, key freshness.Key, revision uint64, quiet time.Duration) {
+	quietAt := received + t.confirm - freshness.Shorten(quiet)
 	m := t.member(key)
-	m.acked = max(m.acked, revision)
+	if revision > m.acked {
+		m.acked, m.quietAt = revision, quietAt
+	}
+	for _, p := range t.pending {
+		if _, ok := p.quietAt[key]; !ok && revision >= p.Number {
+			p.quietAt[key] = quietAt
+		}
+	}
 }
 
 // Grant decides on a lease for a request received at received from an entry
@@ -108,7 +133,7 @@
 		return 0, false
 	}
 	m := t.member(key)
-	until := received + freshness.Lengthen(freshness.Lease)
+	until := received + t.lease
 	last := len(m.grants) - 1
 	if last >= 0 && m.grants[last].revision == t.current.Number {
 		m.grants[last].until = max(m.grants[last].until, until)
@@ -138,9 +163,6 @@
 // Advance accepts what can be accepted at now and returns the newest accepted
 // revision.
 func (t *Tracker) Advance(now time.Duration) uint64 {
-	for i := range t.pending {
-		t.observe(now, &t.pending[i])
-	}
 	for i := len(t.pending) - 1; i >= 0; i-- {
 		if t.acceptable(now, &t.pending[i]) {
 			t.accept(t.pending[i].Number)
@@ -150,44 +172,33 @@
 	return t.accepted
 }
 
-// observe notes when the revision became blocked. Acknowledgements are never
-// taken back, so it stays so.
-func (t *Tracker) observe(now time.Duration, p *pending) {
-	if p.blocked {
-		return
-	}
-	for _, set := range t.sets(p) {
-		if t.missing(set, p.Number) >= freshness.Majority(len(set)) {
-			return
-		}
-	}
-	p.blocked = true
-	p.blockedAt = now
-}
-
-// sets returns the registered sets that an entry VM on a revision older than p
-// may rely on, apart from those that an accepted change has ended.
-func (t *Tracker) sets(p *pending) [][]freshness.Key {
-	if p.SetRevision > t.accepted {
-		return [][]freshness.Key{p.Set, p.PreviousSet}
-	}
-	return [][]freshness.Key{p.Set}
-}
-
+// acceptable reports whether nobody can admit work on a revision older than p:
+// neither by confirmations, since no majority has failed to acknowledge p, nor
+// by a lease.
 func (t *Tracker) acceptable(now time.Duration, p *pending) bool {
-	if !p.blocked {
+	if !p.blocks(now, p.Set) {
 		return false
 	}
-	complete := true
-	for _, set := range t.sets(p) {
-		complete = complete && t.missing(set, p.Number) == 0
-	}
-	if !complete && now < p.blockedAt+freshness.Lengthen(freshness.Confirm) {
+	if p.SetRevision > t.accepted && !p.blocks(now, p.PreviousSet) {
 		return false
 	}
 	return !t.leased(now, p.Number)
 }
 
+// blocks reports whether the keys of set that may have confirmed an older
+// revision are less than a majority. A key alone in its set has nobody to
+// confirm to.
+func (p *pending) blocks(now time.Duration, set []freshness.Key) bool {
+	open := 0
+	for _, key := range set {
+		quietAt, acked := p.quietAt[key]
+		if !acked || now < quietAt && len(set) > 1 {
+			open++
+		}
+	}
+	return open < freshness.Majority(len(set))
+}
+
 // leased reports whether an entry VM that has not acknowledged the revision
 // may hold a lease on an older one.
 func (t *Tracker) leased(now time.Duration, revision uint64) bool {
@@ -204,17 +215,6 @@
 	return false
 }
 
-// missing counts the keys of set that have not acknowledged the revision.
-func (t *Tracker) missing(set []freshness.Key, revision uint64) int {
-	n := 0
-	for _, key := range set {
-		if !t.acked(key, revision) {
-			n++
-		}
-	}
-	return n
-}
-
 func (t *Tracker) acked(key freshness.Key, revision uint64) bool {
 	m := t.members[key]
 	return m != nil && m.acked >= revision
--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -34,12 +34,16 @@
 	resp *clusterpb.ConfirmResponse
 }
 
-// confirmPeers starts a round when the lease is about to end.
+// confirmPeers starts a round when the lease is about to end. Confirmations
+// that could not be used are not asked for, since they delay acceptance.
 func (l *loop) confirmPeers(now time.Duration) {
 	if now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
 		return
 	}
-	if l.renew.failures == 0 && l.state.Revision() == 0 {
+	if l.renew.failures == 0 && !l.state.Synced() {
+		return
+	}
+	if l.view != nil && !l.state.Registered() {
 		return
 	}
 	l.confirm.next = now + confirmInterval
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -87,6 +87,7 @@
 		Revision:         l.state.Revision(),
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.Accepted(),
+		QuietMs:          uint32(l.syncer.quiet().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewEvery
 	if l.renew.failures > 0 {
--- a/internal/configsync/server.go
+++ b/internal/configsync/server.go
@@ -25,8 +25,13 @@
 	return resp, nil
 }
 
-// Confirm returns the revision that this entry VM holds.
+// Confirm returns the revision that this entry VM holds. The time is noted
+// before the revision is read: a renewal that acknowledges a newer revision
+// then either reports this confirmation, or this answer carries that revision.
 func (s *server) Confirm(_ context.Context, req *clusterpb.ConfirmRequest) (*clusterpb.ConfirmResponse, error) {
+	if s.syncer.revision() <= req.Revision {
+		s.syncer.given.Store(int64(s.syncer.now()))
+	}
 	h := s.syncer.held.Load()
 	if h.view == nil {
 		return &clusterpb.ConfirmResponse{}, nil
@@ -41,9 +46,5 @@
 // Push takes a configuration from another process.
 func (s *server) Push(_ context.Context, req *clusterpb.PushRequest) (*clusterpb.PushResponse, error) {
 	s.syncer.post(&adopted{config: req.Config, accepted: req.AcceptedRevision})
-	h := s.syncer.held.Load()
-	if h.view == nil {
-		return &clusterpb.PushResponse{}, nil
-	}
-	return &clusterpb.PushResponse{Revision: h.view.Revision()}, nil
+	return &clusterpb.PushResponse{Revision: s.syncer.revision()}, nil
 }
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -45,10 +45,13 @@
 
 // Syncer follows the configuration. It implements view.Source.
 type Syncer struct {
-	opts      Options
-	start     time.Time
-	held      atomic.Pointer[held]
-	leader    atomic.Pointer[string]
+	opts   Options
+	start  time.Time
+	held   atomic.Pointer[held]
+	leader atomic.Pointer[string]
+	// given is the reading of the clock, in nanoseconds, when a revision was
+	// last confirmed to another entry VM; at first that of the start.
+	given     atomic.Int64
 	events    chan any
 	done      chan struct{}
 	listeners []func(v *view.View)
@@ -147,6 +150,20 @@
 	return freshness.Key{ID: s.opts.Entry.Id, ClusterAddress: s.opts.Entry.ClusterAddress}
 }
 
+// revision returns the revision held; 0 when none.
+func (s *Syncer) revision() uint64 {
+	if v := s.View(); v != nil {
+		return v.Revision()
+	}
+	return 0
+}
+
+// quiet returns the time since a revision was last confirmed to another entry
+// VM, bounded to fit a message.
+func (s *Syncer) quiet() time.Duration {
+	return min(s.now()-time.Duration(s.given.Load()), time.Hour)
+}
+
 // post hands an event to the loop unless it has ended.
 func (s *Syncer) post(ev any) {
 	select {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -107,7 +107,8 @@
 	}
 	h.revision = r.request.Revision
 	h.at = now
-	t.tracker.Ack(keyOf(e), r.request.Revision)
+	quiet := time.Duration(r.request.QuietMs) * time.Millisecond
+	t.tracker.Ack(r.received, keyOf(e), r.request.Revision, quiet)
 	t.tracker.Learn(r.request.AcceptedRevision)
 	return true
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -64,6 +64,9 @@
 // Revision returns the revision held; 0 when none.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Registered reports whether the revision held has this entry VM in its set.
+func (s *State) Registered() bool { return s.registered }
+
 // Accepted returns the newest revision known to be accepted.
 func (s *State) Accepted() uint64 { return s.accepted }
 
