--- a/internal/testbed/fault_test.go
+++ b/internal/testbed/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -164,6 +165,25 @@
 		status, body := call(c.callers[i], "GET", "/booking/dates", "")
 		assert.Equal(t, status, http.StatusOK, body)
 	}
+	c.checkRelease(u)
+}
+
+// checkRelease lets the crashing request run again by an operator's command.
+func (c *cluster) checkRelease(u *caller) {
+	c.t.Helper()
+	before := poisoned.count()
+	held := u.send(c.callers[0], "GET", "/booking/poison", "")
+	_, fingerprint, ok := strings.Cut(held.body, "fingerprint ")
+	assert.Assert(c.t, ok, "no fingerprint in %q", held.body)
+	fingerprint, _, _ = strings.Cut(fingerprint, "\"")
+	c.mustAdmin("quarantine", "release", "booking", fingerprint)
+	waitFor(c.t, "release", func() string {
+		if r := u.send(c.callers[1], "GET", "/booking/poison", ""); r.fault == "quarantined" {
+			return r.body
+		}
+		return ""
+	})
+	assert.Assert(c.t, poisoned.count() > before)
 }
 
 // maxLost bounds the upstreams lost to one request under the default
