Try other entry VMs first when a request is sent again

Cause: the load tool avoided only the entry VM of the last attempt, so with two of six entry VMs killed 10 of 1206 requests used both resends on the dead ones. A caller goes on to one that it has not tried.

--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -49,6 +49,7 @@
 		sent := After(k, 1500*time.Millisecond, "about %s", "it")
 		got := FromTwirp(ToTwirp(errors.Trace(sent)), Internal)
 		assert.Equal(t, got.Kind, k)
+		assert.Equal(t, got.Error(), sent.Error())
 		assert.Equal(t, got.RetryAfter, 1500*time.Millisecond)
 	}
 	assert.Equal(t, FromTwirp(errors.New("refused"), NoQuorum).Kind, NoQuorum)
--- a/internal/fault/twirp.go
+++ b/internal/fault/twirp.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,9 +32,10 @@
 		return New(fallback, "%v", err)
 	}
 	ms, _ := strconv.ParseInt(te.Meta(metaRetryAfter), 10, 64)
+	kind := te.Meta(metaKind)
 	return &Error{
-		Kind:       Kind(te.Meta(metaKind)),
-		Detail:     te.Msg(),
+		Kind:       Kind(kind),
+		Detail:     strings.TrimPrefix(strings.TrimPrefix(te.Msg(), kind), ": "),
 		RetryAfter: time.Duration(ms) * time.Millisecond,
 	}
 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -90,9 +90,10 @@
 	ctx, cancel := context.WithDeadline(ctx, intended.Add(c.plan.Timeout))
 	defer cancel()
 	s := sample{at: at, sent: time.Since(intended)}
-	address := ""
+	var tried []string
 	for {
-		address = c.targets.pick(address)
+		address := c.targets.pick(tried)
+		tried = append(tried, address)
 		a := c.send(ctx, address, request)
 		s.outcome, s.refused, s.run = a.outcome, a.refused, a.run
 		if s.resends >= c.plan.Resends || !c.mayResend(a) || !sleep(ctx, a.retryAfter) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -209,13 +209,13 @@
 	two.answer.Store(&lookup.Answer{Entries: []lookup.Entry{{Address: "a", Weight: 3}, {Address: "b", Weight: 1}}})
 	counts := make(map[string]int)
 	for range 4_000 {
-		counts[two.pick("")]++
+		counts[two.pick(nil)]++
 	}
 	assert.Assert(t, counts["a"] > 2_700 && counts["a"] < 3_300)
-	assert.Equal(t, two.pick("a"), "b")
+	assert.Equal(t, two.pick([]string{"a"}), "b")
 	one := &targets{}
 	one.answer.Store(&lookup.Answer{Entries: []lookup.Entry{{Address: "a"}}})
-	assert.Equal(t, one.pick("a"), "a")
+	assert.Equal(t, one.pick([]string{"a"}), "a")
 }
 
 func TestImpossiblePlans(t *testing.T) {
--- a/internal/load/targets.go
+++ b/internal/load/targets.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,20 +69,20 @@
 	}
 }
 
-// pick draws an entry VM by weight, and not the one at address avoid unless
-// it is the only one.
-func (t *targets) pick(avoid string) string {
+// pick draws an entry VM by weight among those whose address is not in tried;
+// when all are, it draws among all.
+func (t *targets) pick(tried []string) string {
 	entries := t.answer.Load().Entries
 	total := 0
 	for _, e := range entries {
-		total += share(e, avoid)
+		total += share(e, tried)
 	}
 	if total == 0 {
-		return entries[0].Address
+		return t.pick(nil)
 	}
 	n := rand.IntN(total)
 	for _, e := range entries {
-		n -= share(e, avoid)
+		n -= share(e, tried)
 		if n < 0 {
 			return e.Address
 		}
@@ -90,8 +91,8 @@
 }
 
 // share is the weight of an entry VM in a draw; unset weights count as 1.
-func share(e lookup.Entry, avoid string) int {
-	if e.Address == avoid {
+func share(e lookup.Entry, tried []string) int {
+	if slices.Contains(tried, e.Address) {
 		return 0
 	}
 	return max(e.Weight, 1)
