Try the control VMs until the wait has passed

Cause: three rounds of 300 ms ended before an election could, and the error printed was that of the last connection, not what a control VM had answered. Adds the kind unreachable, since a connection that was refused is no answer.

--- a/internal/cli/group.go
+++ b/internal/cli/group.go
@@ -12,9 +12,7 @@
 )
 
 const (
-	// failoverRounds is how often each control VM is tried.
-	failoverRounds = 3
-	// failoverPause is the wait between two rounds.
+	// failoverPause is the wait before the control VMs are tried again.
 	failoverPause = 300 * time.Millisecond
 	// answerMargin is added to the wait for an answer.
 	answerMargin = 5 * time.Second
@@ -24,14 +22,15 @@
 type group struct {
 	clients  []adminpb.Admin
 	operator string
-	timeout  time.Duration
+	// wait bounds the time in which the control VMs are tried again.
+	wait time.Duration
 }
 
 func (a *admin) connect() (*group, error) {
 	if len(a.control) == 0 {
 		return nil, usage("--control names no control VM")
 	}
-	g := &group{operator: a.operator, timeout: a.wait + answerMargin}
+	g := &group{operator: a.operator, wait: a.wait}
 	transport := http.RoundTripper(http.DefaultTransport)
 	if a.keyFile != "" {
 		keys, err := access.Load(a.keyFile)
@@ -59,42 +58,54 @@
 	return "http://" + address
 }
 
-// call sends req to the control VMs in turn. Every call may be repeated:
-// changes carry an id, the others are idempotent.
+// call sends req to the control VMs in turn, until one of them answers or the
+// wait has passed. Every call may be repeated: changes carry an id, the others
+// are idempotent.
 func call[Req, Resp any](ctx context.Context, g *group, method func(adminpb.Admin, context.Context, *Req) (*Resp, error), req *Req) (*Resp, error) {
-	var last error
-	for round := range failoverRounds {
-		if round > 0 && !pause(ctx, failoverPause) {
-			break
+	end := time.Now().Add(g.wait)
+	for {
+		resp, err := callRound(ctx, g, method, req)
+		if err == nil || !tryNext(err) || time.Now().After(end) || !pause(ctx, failoverPause) {
+			return resp, err
+		}
+	}
+}
+
+// callRound tries each control VM once. Of several errors it returns the last
+// one that a control VM gave, rather than that of a failed connection.
+func callRound[Req, Resp any](ctx context.Context, g *group, method func(adminpb.Admin, context.Context, *Req) (*Resp, error), req *Req) (*Resp, error) {
+	var given, failed error
+	for _, client := range g.clients {
+		resp, err := callOne(ctx, g.wait+answerMargin, client, method, req)
+		if err == nil {
+			return resp, nil
 		}
-		for _, client := range g.clients {
-			resp, err := callOne(ctx, g.timeout, client, method, req)
-			if err == nil {
-				return resp, nil
-			}
-			last = err
-			if !tryNext(err) {
-				return nil, err
-			}
+		e := fault.FromTwirp(err, fault.Unreachable)
+		if e.Kind == fault.Unreachable {
+			failed = e
+			continue
+		}
+		given = e
+		if !tryNext(e) {
+			break
 		}
 	}
-	return nil, last
+	if given != nil {
+		return nil, given
+	}
+	return nil, failed
 }
 
 func callOne[Req, Resp any](ctx context.Context, timeout time.Duration, client adminpb.Admin, method func(adminpb.Admin, context.Context, *Req) (*Resp, error), req *Req) (*Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := method(client, ctx, req)
-	if err != nil {
-		return nil, fault.FromTwirp(err, fault.NoQuorum)
-	}
-	return resp, nil
+	return method(client, ctx, req)
 }
 
 // tryNext reports whether another control VM may give a better answer.
 func tryNext(err error) bool {
 	switch fault.KindOf(err) {
-	case fault.NotLeader, fault.NoQuorum, fault.Leaving, fault.DiskFailed:
+	case fault.NotLeader, fault.NoQuorum, fault.Leaving, fault.DiskFailed, fault.Unreachable:
 		return true
 	default:
 		return false
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -28,6 +28,7 @@
 	NotAccepted       Kind = "not_accepted"
 	NotLeader         Kind = "not_leader"
 	NoQuorum          Kind = "no_quorum"
+	Unreachable       Kind = "unreachable"
 	NotFresh          Kind = "not_fresh"
 	ZoneOut           Kind = "zone_out"
 	NoUpstream        Kind = "no_upstream"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -42,6 +42,7 @@
 	NotAccepted:       {http.StatusAccepted, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "the change is committed but not yet in force everywhere"},
 	NotLeader:         {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "this control VM does not lead"},
 	NoQuorum:          {http.StatusServiceUnavailable, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "the control group has no quorum"},
+	Unreachable:       {http.StatusServiceUnavailable, twirp.Unavailable, Unknown, retryMedium, ExitUnavailable, "none of the addresses answers"},
 	NotFresh:          {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "this entry VM cannot confirm its configuration"},
 	ZoneOut:           {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "every availability zone of the service is out"},
 	NoUpstream:        {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "no upstream of the service takes new work"},
--- a/internal/load/lookup.go
+++ b/internal/load/lookup.go
@@ -16,7 +16,7 @@
 
 // Lookup asks the entry VMs at addresses in turn which entry VMs a caller in
 // zone should use for service, and returns the first answer. The error is of
-// kind fault.NoDispatcher when none of them answers.
+// kind fault.Unreachable when none of them answers.
 func Lookup(ctx context.Context, client *http.Client, addresses []string, service, zone string) (lookup.Answer, error) {
 	err := error(fault.New(fault.BadRequest, "no address of an entry VM"))
 	for _, address := range addresses {
@@ -40,12 +40,12 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return lookup.Answer{}, fault.New(fault.NoDispatcher, "%v", err)
+		return lookup.Answer{}, fault.New(fault.Unreachable, "%v", err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxLookupBytes))
 	if err != nil {
-		return lookup.Answer{}, fault.New(fault.NoDispatcher, "%v", err)
+		return lookup.Answer{}, fault.New(fault.Unreachable, "%v", err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return lookup.Answer{}, refusal(resp)
@@ -61,7 +61,7 @@
 func refusal(resp *http.Response) error {
 	kind := fault.Kind(resp.Header.Get(fault.HeaderKind))
 	if kind == "" {
-		kind = fault.NoDispatcher
+		kind = fault.Internal
 	}
 	return fault.New(kind, "look-up answered %s", resp.Status)
 }
