--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -107,7 +107,7 @@
 func (l *loop) sync(r *renewal) {
 	number := l.term.number
 	l.workers.Go(func() {
-		err := l.confirmedRead()
+		err := l.confirmedRead(hold(r.request))
 		l.server.post(l.ctx, &syncedRenewal{renewal: r, term: number, err: err})
 	})
 }
@@ -189,6 +189,7 @@
 		Revision:         t.config.Revision,
 		AcceptedRevision: t.tracker.Accepted(),
 		LeaderAddress:    st.LeaderAddress,
+		Silent:           t.silent(l.server.now()),
 	}
 	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
 	if ok {
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -55,7 +55,8 @@
 		c.accepted = true
 		s.step(c, dispatch.Accepted{})
 	}
-	if c.accepted && s.holds(c) && s.opts.View.Fresh() {
+	// Freshness is read first: it then holds for the view, or for an older one.
+	if c.accepted && s.opts.View.Fresh() && s.holds(c) {
 		return true
 	}
 	if c.state.Queued() > 0 {
@@ -90,8 +91,11 @@
 				Str("upstream", a.Upstream).Str("from", string(a.From)).Str("to", string(a.To)).Send()
 		}
 	}
-	if cancel, ok := ev.(dispatch.Cancel); ok {
-		delete(c.waiting, cancel.Key)
+	switch e := ev.(type) {
+	case dispatch.Cancel:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
+	case dispatch.Release:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
 	}
 }
 
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -13,13 +13,12 @@
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
-	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
-	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -36,17 +35,10 @@
 
 // build connects the parts. Nothing runs yet.
 func (d *Daemon) build(ctx context.Context) {
+	d.upstreams = forward.NewTransport(d.opts.DialUpstream)
 	d.config = d.newConfig()
 	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
-	d.dispatcher = d.newDispatcher(fast)
-	d.slots = slot.NewClient(slot.Options{
-		Entry:       d.settings.ID,
-		Zone:        d.settings.Zone,
-		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Local:       d.dispatcher,
-		HTTP:        fast,
-	})
+	d.buildDispatch(fast)
 	d.claims = d.newClaims(fast)
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     d.settings.ID,
@@ -56,7 +48,7 @@
 		Logger:      d.log,
 	})
 	d.callers = d.newCallerSide()
-	d.config.OnChange(func(v *view.View, _ uint64) { d.adopt(ctx, v) })
+	d.config.OnChange(func(v *view.View) { d.adopt(ctx, v) })
 }
 
 // adopt hands a configuration to the parts before it is acknowledged. Tickets
@@ -70,23 +62,11 @@
 
 func (d *Daemon) newConfig() *configsync.Syncer {
 	return configsync.New(configsync.Options{
-		Entry:   d.self,
-		Control: d.settings.Control,
-		Client:  d.client(httpnet.NewClient(d.opts.DialPeer)),
-		Log:     d.log,
-	})
-}
-
-func (d *Daemon) newDispatcher(client *http.Client) *dispatcher.Server {
-	return dispatcher.New(dispatcher.Options{
-		Entry:       d.settings.ID,
-		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Accepted:    d.config.AcceptedRevision,
-		Client:      client,
-		Log:         d.log,
-		Metrics:     d.metrics.Scope,
-		Seed:        d.self.Incarnation,
+		Entry:      d.self,
+		Control:    d.settings.Control,
+		Client:     d.client(httpnet.NewClient(d.opts.DialPeer)),
+		RenewEvery: d.settings.RenewMs.Duration(),
+		Log:        d.log,
 	})
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -14,6 +14,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/access"
+	"balsamcourse.example/balsamcourse/internal/baseline"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
 	"balsamcourse.example/balsamcourse/internal/dispatcher"
@@ -47,14 +48,17 @@
 	self     *catalogpb.Entry
 
 	life       *lifecycle
+	upstreams  *http.Transport
 	config     *configsync.Syncer
 	dispatcher *dispatcher.Server
 	slots      *slot.Client
-	claims     *claims.Service
-	gossip     *gossip.Service
-	callers    *callerSide
-	servers    listeners
-	workers    conc.WaitGroup
+	// baseline grants slots in place of the cells under another policy.
+	baseline *baseline.Source
+	claims   *claims.Service
+	gossip   *gossip.Service
+	callers  *callerSide
+	servers  listeners
+	workers  conc.WaitGroup
 }
 
 // keys are the key files of an entry VM; nil ones let every call pass.
@@ -140,6 +144,9 @@
 	d.workers.Go(func() { d.config.Run(ctx) })
 	d.workers.Go(func() { d.dispatcher.Run(ctx) })
 	d.workers.Go(func() { d.slots.Run(ctx) })
+	if d.baseline != nil {
+		d.workers.Go(func() { d.baseline.Run(ctx) })
+	}
 	d.workers.Go(func() { d.claims.Run(ctx) })
 	d.workers.Go(func() { d.gossip.Run(ctx) })
 	d.workers.Go(func() { d.watchFreshness(ctx) })
@@ -174,13 +181,13 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		if actions := d.life.step("synced"); len(actions) > 0 {
+		if len(d.life.step("synced")) > 0 {
 			d.log.Log(event.LeaseRegained).Send()
 		}
 		return
 	}
 	d.entry.Fresh.Update(0)
-	if actions := d.life.step("lease_lost"); len(actions) > 0 {
+	if len(d.life.step("lease_lost")) > 0 {
 		d.log.Log(event.LeaseLost).Send()
 	}
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -121,8 +121,8 @@
 }
 
 // address finds a replica in the membership, or in the list of a new group. A
-// replica that joins knows neither; its answers travel back in responses, which
-// need no address.
+// learner that has no membership yet knows no addresses; its answers travel in
+// responses.
 func (n *Node) address(id uint64) *catalogpb.ControlMember {
 	if m := n.core.Member(id); m != nil {
 		return m
