Take an epoch from a peer before the first configuration

A process that had just started crashed when a peer handed it an epoch: it had no addresses yet. Found by restarting 20 entry VMs in turn under load.

--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
@@ -80,7 +81,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Service{
+	s := &Service{
 		opts:    opts,
 		self:    self,
 		started: time.Now(),
@@ -89,6 +90,8 @@
 		peers:   make(map[string]*peer),
 		stop:    make(chan struct{}),
 	}
+	s.entries.Store(&entries{})
+	return s
 }
 
 // Handler serves the claim protocol to other entry VMs.
@@ -237,13 +240,16 @@
 		done(r, nil)
 		return
 	}
-	s.peer(m.To).send(pending{m, done})
+	address, ok := s.entries.Load().addresses[m.To]
+	if !ok {
+		done(nil, errors.NotFoundf("address of entry VM %q", m.To))
+		return
+	}
+	s.peer(address).send(pending{m, done})
 }
 
-// peer returns the sender to a member. A member that moves to another address
-// gets a new one.
-func (s *Service) peer(id string) *peer {
-	address := s.entries.Load().addresses[id]
+// peer returns the sender to an address.
+func (s *Service) peer(address string) *peer {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
 	p := s.peers[address]
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -222,3 +222,15 @@
 	assert.Equal(t, c.begin("e5", "k", 1).Kind, Proceed)
 	assert.Equal(t, c.services["e5"].timeline.Load().Epoch(), c.epoch.Epoch)
 }
+
+func TestEpochThatComesBeforeAnyConfiguration(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	s := New(Options{EntryID: "e0", Incarnation: 1, Client: http.DefaultClient})
+	in := &clusterpb.ClaimBatch{Messages: []*clusterpb.ClaimMessage{{
+		Kind:       clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC,
+		ClaimEpoch: claim.Advance(c.epoch, []*catalogpb.ClaimMember{c.members["e1"], {Id: "e0", Incarnation: 1}}),
+	}}}
+	_, err := s.Step(context.Background(), in)
+	assert.NilError(t, err)
+	s.tick()
+}
