--- a/internal/testbed/fault_test.go
+++ b/internal/testbed/fault_test.go
@@ -173,9 +173,9 @@
 	c.t.Helper()
 	before := poisoned.count()
 	held := u.send(c.callers[0], "GET", "/booking/poison", "")
-	_, fingerprint, ok := strings.Cut(held.body, "fingerprint ")
+	_, rest, ok := strings.Cut(held.body, `"detail":"request `)
 	assert.Assert(c.t, ok, "no fingerprint in %q", held.body)
-	fingerprint, _, _ = strings.Cut(fingerprint, "\"")
+	fingerprint, _, _ := strings.Cut(rest, " ")
 	c.mustAdmin("quarantine", "release", "booking", fingerprint)
 	waitFor(c.t, "release", func() string {
 		if r := u.send(c.callers[1], "GET", "/booking/poison", ""); r.fault == "quarantined" {
