Prove the dispatch properties over a model of entry VMs and a lossy network

The model moves a cell between two dispatchers, loses, delays and doubles messages, kills an entry VM, drains an upstream and closes the zone. Found and mended: a doubled request got its grant repeated after the zone or the upstream had left; it is now refused.

--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -54,6 +54,7 @@
 	noEjectCap    bool
 	noHoldDown    bool
 	noExpiry      bool
+	noWaitLimit   bool
 }
 
 // New returns a cell that starts at time now. It grants no slot before it is
@@ -260,6 +261,9 @@
 
 // expireWaiters refuses requests that have waited too long.
 func (c *Cell) expireWaiters() {
+	if c.rules.noWaitLimit {
+		return
+	}
 	for i := 0; i < c.queue.len(); {
 		if c.queue.at(i).until > c.now {
 			i++
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -23,10 +23,11 @@
 	c.emitGrant(w.key, u)
 }
 
-// repeatGrant answers a doubled request with the slot it already has.
+// repeatGrant answers a doubled request with the slot it already has, unless
+// new work may not be sent there any more.
 func (c *Cell) repeatGrant(k Key, t *ticket) {
 	u := c.upstream(t.upstream)
-	if u == nil || t.inherited {
+	if u == nil || t.inherited || u.limit == 0 || !c.cfg.Open {
 		c.refuse(k, fault.NoUpstream, minRetryAfter)
 		return
 	}
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,511 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+)
+
+// choose draws a number below n.
+type choose func(n int) int
+
+// Sizes of the model.
+const (
+	modelSlots   = 3
+	modelCold    = 1
+	modelWarm    = 4
+	modelTimeout = 3 * time.Second
+	modelWait    = 400 * ms
+)
+
+// model is a cell that moves from one dispatcher to another, three entry VMs
+// that follow the rules of the slot client, and stand-in upstreams that count.
+// The network loses, delays and doubles messages.
+type model struct {
+	pick  choose
+	rules rules
+	now   time.Duration
+	// dispatchers[i] has epoch i+1; nil before it is assigned.
+	dispatchers []*dispatcherModel
+	entries     []*entryModel
+	upstreams   []*upstreamModel
+	net         []packet
+	open        bool
+	nextID      uint64
+	err         error
+	// pending lists the requests that a dispatcher has taken in.
+	pending map[Key]time.Duration
+}
+
+type dispatcherModel struct {
+	epoch    uint64
+	cell     *Cell
+	live     bool
+	accepted bool
+	// closed and drained are what the cell has been told.
+	closed  bool
+	drained map[string]bool
+}
+
+type entryModel struct {
+	name        string
+	incarnation uint64
+	epoch       uint64
+	dead        bool
+	wanted      map[uint64]time.Duration
+	held        map[uint64]*runModel
+	known       map[string]Known
+	// unsent are releases that no dispatcher has acknowledged.
+	unsent []Release
+}
+
+// runModel is a request at an upstream.
+type runModel struct {
+	key      Key
+	up       *upstreamModel
+	deadline time.Duration
+}
+
+type upstreamModel struct {
+	id        string
+	running   map[Key]*runModel
+	completed int
+	draining  bool
+}
+
+func (u *upstreamModel) cold() bool { return u.completed < modelWarm }
+
+// packet is a message on its way: an event to a dispatcher or a grant to an
+// entry VM.
+type packet struct {
+	epoch uint64
+	event Event
+	entry *entryModel
+	inc   uint64
+	grant *Grant
+	from  uint64
+}
+
+func newModel(pick choose, off rules) *model {
+	m := &model{pick: pick, rules: off, open: true, pending: make(map[Key]time.Duration)}
+	for i := range 3 {
+		e := &entryModel{name: fmt.Sprintf("e%d", i), incarnation: 1, epoch: 1}
+		e.reset()
+		m.entries = append(m.entries, e)
+	}
+	for i := range 2 {
+		m.upstreams = append(m.upstreams, &upstreamModel{id: fmt.Sprintf("u%d", i), running: make(map[Key]*runModel)})
+	}
+	m.assign()
+	m.dispatchers[0].accept(m)
+	for _, e := range m.entries {
+		m.dispatchers[0].cell.Step(0, Reregister{Entry: e.name, Incarnation: 1})
+	}
+	return m
+}
+
+func (e *entryModel) reset() {
+	e.wanted = make(map[uint64]time.Duration)
+	e.held = make(map[uint64]*runModel)
+	e.known = make(map[string]Known)
+	e.unsent = nil
+}
+
+// assign gives the cell to the next dispatcher.
+func (m *model) assign() {
+	cfg := Config{Slots: modelSlots, ColdSlots: modelCold, WarmAfter: modelWarm, QueueLimit: 4, Timeout: modelTimeout, Open: m.open}
+	for _, e := range m.entries {
+		cfg.Holders = append(cfg.Holders, e.name)
+	}
+	d := &dispatcherModel{epoch: uint64(len(m.dispatchers) + 1), cell: New(cfg, m.now, 1), live: true, drained: make(map[string]bool), closed: !m.open}
+	d.cell.rules = m.rules
+	m.dispatchers = append(m.dispatchers, d)
+}
+
+func (d *dispatcherModel) accept(m *model) {
+	d.accepted = true
+	d.cell.Step(m.now, Accepted{})
+}
+
+func (m *model) current() *dispatcherModel { return m.dispatchers[len(m.dispatchers)-1] }
+
+func (m *model) fail(format string, args ...any) {
+	if m.err == nil {
+		m.err = fmt.Errorf("%v: "+format, append([]any{m.now}, args...)...)
+	}
+}
+
+// run takes n random steps, then lets everything come to rest.
+func (m *model) run(n int) error {
+	for range n {
+		m.step()
+		if m.err != nil {
+			return m.err
+		}
+	}
+	m.settle()
+	return m.err
+}
+
+func (m *model) step() {
+	m.now += time.Duration(m.pick(12)) * ms
+	switch m.pick(17) {
+	case 0, 1, 2:
+		m.request(m.entries[m.pick(len(m.entries))])
+	case 3, 4, 5, 6, 7:
+		m.transmit()
+	case 8, 9:
+		m.finishOne()
+	case 10:
+		m.announce(m.upstreams[m.pick(len(m.upstreams))])
+	case 11:
+		m.resend(m.entries[m.pick(len(m.entries))])
+	case 12:
+		m.tick()
+	case 13:
+		m.move()
+	case 14:
+		m.adopt(m.entries[m.pick(len(m.entries))])
+	case 15:
+		m.trouble()
+	case 16:
+		m.giveUpOne(m.entries[m.pick(len(m.entries))])
+	}
+}
+
+// giveUpOne lets an entry VM give up its oldest request.
+func (m *model) giveUpOne(e *entryModel) {
+	if id := e.oldest(); id != 0 && !e.dead {
+		e.giveUp(Key{e.name, e.incarnation, id})
+	}
+}
+
+func (e *entryModel) oldest() uint64 {
+	var id uint64
+	for w := range e.wanted {
+		if id == 0 || w < id {
+			id = w
+		}
+	}
+	return id
+}
+
+// request lets an entry VM ask the dispatcher that it knows.
+func (m *model) request(e *entryModel) {
+	if e.dead {
+		return
+	}
+	m.nextID++
+	e.wanted[m.nextID] = m.now + modelTimeout
+	ev := Acquire{Key: Key{e.name, e.incarnation, m.nextID}, Deadline: modelTimeout, MaxWait: modelWait}
+	m.send(packet{epoch: e.epoch, event: ev})
+}
+
+// send puts a message on the network, at times twice.
+func (m *model) send(p packet) {
+	m.net = append(m.net, p)
+	if m.pick(8) == 0 {
+		m.net = append(m.net, p)
+	}
+}
+
+// transmit delivers or loses any message: the order is not kept.
+func (m *model) transmit() {
+	if len(m.net) == 0 {
+		return
+	}
+	i := m.pick(len(m.net))
+	p := m.net[i]
+	m.net = append(m.net[:i:i], m.net[i+1:]...)
+	if m.pick(8) > 0 {
+		m.deliver(p)
+	}
+}
+
+func (m *model) deliver(p packet) {
+	if p.grant != nil {
+		m.granted(p)
+		return
+	}
+	if int(p.epoch) > len(m.dispatchers) {
+		return
+	}
+	d := m.dispatchers[p.epoch-1]
+	if a, ok := p.event.(Acquire); ok {
+		if !d.live || !d.accepted {
+			return
+		}
+		a.Deadline += m.now
+		p.event = a
+		m.pending[a.Key] = m.now + a.MaxWait
+	}
+	m.note(d, p.event)
+	m.act(d, d.cell.Step(m.now, p.event))
+}
+
+// note records what a dispatcher has been told.
+func (m *model) note(d *dispatcherModel, ev Event) {
+	switch ev := ev.(type) {
+	case Announce:
+		if ev.Report == ReportDraining {
+			d.drained[ev.ID] = true
+		}
+	case Release:
+		delete(m.pending, ev.Key)
+	}
+}
+
+// act carries out what a cell decided.
+func (m *model) act(d *dispatcherModel, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Grant:
+			delete(m.pending, a.Key)
+			if d.closed || d.drained[a.Upstream] {
+				m.fail("grant at %s after the zone or the upstream left", a.Upstream)
+			}
+			g := a
+			m.send(packet{grant: &g, entry: m.entry(a.Key.Entry), inc: a.Key.Incarnation, from: d.epoch})
+		case Refuse:
+			delete(m.pending, a.Key)
+		}
+	}
+}
+
+func (m *model) entry(name string) *entryModel {
+	for _, e := range m.entries {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// granted uses a grant, or gives it back when it is not wanted any more.
+func (m *model) granted(p packet) {
+	e, g := p.entry, p.grant
+	if e.dead || e.incarnation != p.inc {
+		return
+	}
+	deadline, wanted := e.wanted[g.Key.ID]
+	delete(e.wanted, g.Key.ID)
+	if !wanted {
+		return
+	}
+	if m.now > deadline || p.from < e.epoch {
+		e.giveUp(g.Key)
+		return
+	}
+	k := e.known[g.Upstream]
+	if n := (Known{g.Upstream, g.Incarnation, g.Limit, p.from, g.Version}); k.Epoch == 0 || newer(n, k) {
+		e.known[g.Upstream] = n
+	}
+	for _, u := range m.upstreams {
+		if u.id == g.Upstream {
+			m.start(e, u, g.Key, deadline)
+		}
+	}
+}
+
+// giveUp withdraws a request, or returns a grant unused. A later answer to it
+// has no one to read it.
+func (e *entryModel) giveUp(k Key) {
+	delete(e.wanted, k.ID)
+	e.unsent = append(e.unsent, Release{Key: k, Outcome: clusterpb.Outcome_OUTCOME_UNUSED})
+}
+
+func (m *model) start(e *entryModel, u *upstreamModel, k Key, deadline time.Duration) {
+	r := &runModel{key: k, up: u, deadline: deadline}
+	e.held[k.ID] = r
+	u.running[k] = r
+	if u.cold() && len(u.running) > modelCold {
+		m.fail("cold upstream %s runs %d requests", u.id, len(u.running))
+	}
+}
+
+// finishOne ends one running request.
+func (m *model) finishOne() {
+	u := m.upstreams[m.pick(len(m.upstreams))]
+	var oldest *runModel
+	for _, r := range u.running {
+		if oldest == nil || r.key.ID < oldest.key.ID {
+			oldest = r
+		}
+	}
+	if oldest != nil {
+		m.finish(oldest, clusterpb.Outcome_OUTCOME_OK)
+	}
+}
+
+func (m *model) finish(r *runModel, o clusterpb.Outcome) {
+	delete(r.up.running, r.key)
+	if o == clusterpb.Outcome_OUTCOME_OK {
+		r.up.completed++
+	}
+	e := m.entry(r.key.Entry)
+	if e.incarnation != r.key.Incarnation || e.held[r.key.ID] == nil {
+		return
+	}
+	delete(e.held, r.key.ID)
+	e.unsent = append(e.unsent, Release{Key: r.key, Outcome: o, ServiceTime: 10 * ms})
+}
+
+func (m *model) announce(u *upstreamModel) {
+	report := ReportWarm
+	if u.cold() && m.pick(2) == 0 {
+		report = ReportCold
+	}
+	if u.draining {
+		report = ReportDraining
+	}
+	ev := Announce{ID: u.id, Address: u.id, Slots: modelSlots, Incarnation: 1, Report: report}
+	for _, d := range m.dispatchers {
+		m.send(packet{epoch: d.epoch, event: ev})
+	}
+}
+
+// resend delivers releases to the dispatcher that the entry VM knows; what is
+// not acknowledged stays.
+func (m *model) resend(e *entryModel) {
+	d := m.dispatchers[e.epoch-1]
+	if e.dead || !d.live || m.pick(4) == 0 {
+		return
+	}
+	for _, r := range e.unsent {
+		m.deliver(packet{epoch: d.epoch, event: r})
+		if m.pick(4) == 0 {
+			m.send(packet{epoch: d.epoch, event: r})
+		}
+	}
+	e.unsent = nil
+}
+
+func (m *model) tick() {
+	for _, d := range m.dispatchers {
+		m.act(d, d.cell.Step(m.now, Tick{}))
+	}
+	for _, u := range m.upstreams {
+		for _, r := range u.running {
+			if m.now >= r.deadline {
+				m.finish(r, clusterpb.Outcome_OUTCOME_CANCELLED)
+			}
+		}
+	}
+	for k, until := range m.pending {
+		if m.now > until+50*ms && m.dispatchers[0].live == m.current().live {
+			m.fail("request %v has no answer", k)
+		}
+	}
+}
+
+// move assigns the cell to a second dispatcher, or ends the lease of the first
+// one and lets the second begin.
+func (m *model) move() {
+	if len(m.dispatchers) == 1 {
+		if m.pick(4) == 0 {
+			m.assign()
+		}
+		return
+	}
+	old, d := m.dispatchers[0], m.current()
+	if old.live {
+		old.live = false
+		clear(m.pending)
+		old.cell.Step(m.now, Close{})
+		return
+	}
+	if !d.accepted {
+		d.accept(m)
+	}
+}
+
+// adopt lets an entry VM learn the newest view and register there.
+func (m *model) adopt(e *entryModel) {
+	d := m.current()
+	if e.dead {
+		return
+	}
+	e.epoch = d.epoch
+	ev := Reregister{Entry: e.name, Incarnation: e.incarnation}
+	for id, r := range e.held {
+		ev.Held = append(ev.Held, Held{ID: id, Upstream: r.up.id, Deadline: r.deadline + 20*ms})
+	}
+	for _, k := range e.known {
+		ev.Known = append(ev.Known, k)
+	}
+	m.send(packet{epoch: d.epoch, event: ev})
+}
+
+// trouble kills an entry VM for good, drains an upstream, or closes the zone.
+func (m *model) trouble() {
+	switch m.pick(24) {
+	case 0:
+		m.entries[2].dead = true
+	case 1:
+		m.upstreams[1].draining = true
+	case 2:
+		m.open = false
+		for _, d := range m.dispatchers {
+			d.closed = true
+			m.act(d, d.cell.Step(m.now, Configure{Config{Slots: modelSlots, ColdSlots: modelCold, WarmAfter: modelWarm, QueueLimit: 4, Timeout: modelTimeout}}))
+		}
+	}
+}
+
+// settle lets all requests end and checks that no slot stays taken: at once
+// when every entry VM is alive, after the deadlines when one is lost.
+func (m *model) settle() {
+	m.dispatchers[0].live = len(m.dispatchers) == 1
+	if d := m.current(); !d.accepted {
+		d.accept(m)
+	}
+	for _, e := range m.entries {
+		e.epoch = m.current().epoch
+	}
+	for range 4 {
+		m.rest()
+	}
+	if !m.entries[2].dead {
+		m.noneTaken()
+	}
+	m.now += modelTimeout + time.Second
+	for range 4 {
+		m.rest()
+	}
+	m.noneTaken()
+}
+
+// rest delivers every message and ends every request that a living entry VM
+// waits for.
+func (m *model) rest() {
+	for len(m.net) > 0 && m.err == nil {
+		p := m.net[0]
+		m.net = m.net[1:]
+		m.deliver(p)
+	}
+	for _, u := range m.upstreams {
+		for _, r := range u.running {
+			if m.now >= r.deadline || !m.entry(r.key.Entry).dead {
+				m.finish(r, clusterpb.Outcome_OUTCOME_OK)
+			}
+		}
+	}
+	for _, e := range m.entries {
+		for id := e.oldest(); id != 0 && !e.dead; id = e.oldest() {
+			e.giveUp(Key{e.name, e.incarnation, id})
+		}
+		for range 20 {
+			m.resend(e)
+		}
+	}
+	m.tick()
+}
+
+func (m *model) noneTaken() {
+	for _, u := range m.upstreams {
+		if n := m.current().cell.InFlight(u.id); n != 0 {
+			m.fail("%d slots of %s stay taken", n, u.id)
+		}
+	}
+}
