--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -15,6 +15,7 @@
 	"balsamcourse.example/balsamcourse/internal/configsync"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
@@ -34,6 +35,7 @@
 
 // build connects the parts. Nothing runs yet.
 func (d *Daemon) build(ctx context.Context) {
+	d.upstreams = forward.NewTransport(d.opts.DialUpstream)
 	d.config = d.newConfig()
 	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
 	d.buildDispatch(fast)
@@ -46,7 +48,7 @@
 		Logger:      d.log,
 	})
 	d.callers = d.newCallerSide()
-	d.config.OnChange(func(v *view.View, _ uint64) { d.adopt(ctx, v) })
+	d.config.OnChange(func(v *view.View) { d.adopt(ctx, v) })
 }
 
 // adopt hands a configuration to the parts before it is acknowledged. Tickets
@@ -60,10 +62,11 @@
 
 func (d *Daemon) newConfig() *configsync.Syncer {
 	return configsync.New(configsync.Options{
-		Entry:   d.self,
-		Control: d.settings.Control,
-		Client:  d.client(httpnet.NewClient(d.opts.DialPeer)),
-		Log:     d.log,
+		Entry:      d.self,
+		Control:    d.settings.Control,
+		Client:     d.client(httpnet.NewClient(d.opts.DialPeer)),
+		RenewEvery: d.settings.RenewMs.Duration(),
+		Log:        d.log,
 	})
 }
 
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -48,6 +48,7 @@
 	self     *catalogpb.Entry
 
 	life       *lifecycle
+	upstreams  *http.Transport
 	config     *configsync.Syncer
 	dispatcher *dispatcher.Server
 	slots      *slot.Client
@@ -180,13 +181,13 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		if actions := d.life.step("synced"); len(actions) > 0 {
+		if len(d.life.step("synced")) > 0 {
 			d.log.Log(event.LeaseRegained).Send()
 		}
 		return
 	}
 	d.entry.Fresh.Update(0)
-	if actions := d.life.step("lease_lost"); len(actions) > 0 {
+	if len(d.life.step("lease_lost")) > 0 {
 		d.log.Log(event.LeaseLost).Send()
 	}
 }
