--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,7 @@
 	opts   Options
 	start  time.Time
 	held   atomic.Pointer[held]
+	silent atomic.Pointer[[]string]
 	leader atomic.Pointer[string]
 	// given is the reading of the clock, in nanoseconds, when a revision was
 	// last confirmed to another entry VM; at first that of the start.
@@ -118,6 +120,13 @@
 	return h.view, s.now() < h.deadline
 }
 
+// Reachable reports whether the leader has heard of the entry VM of late, as
+// far as this one knows.
+func (s *Syncer) Reachable(entry string) bool {
+	silent := s.silent.Load()
+	return silent == nil || !slices.Contains(*silent, entry)
+}
+
 // AcceptedRevision returns the newest revision known to be accepted.
 func (s *Syncer) AcceptedRevision() uint64 { return s.held.Load().accepted }
 
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -13,11 +13,12 @@
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
-	"balsamcourse.example/balsamcourse/internal/dispatcher"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/forward"
+	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
-	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -25,6 +26,8 @@
 const (
 	claimTimeout = time.Second
 	startWithin  = 30 * time.Second
+	// openRetention is added to the retention for claims without an outcome.
+	openRetention = 24 * time.Hour
 	// announceParts is the number of announcements an upstream makes before
 	// its silence counts as leaving.
 	announceParts = 6
@@ -32,50 +35,38 @@
 
 // build connects the parts. Nothing runs yet.
 func (d *Daemon) build(ctx context.Context) {
+	d.upstreams = forward.NewTransport(d.opts.DialUpstream)
 	d.config = d.newConfig()
 	fast := d.client(httpnet.NewPooledClient(d.opts.DialPeer))
-	d.dispatcher = d.newDispatcher(fast)
-	d.slots = slot.NewClient(slot.Options{
-		Entry:       d.settings.ID,
-		Zone:        d.settings.Zone,
+	d.buildDispatch(fast)
+	d.claims = d.newClaims(fast)
+	d.gossip = gossip.New(gossip.Options{
+		EntryID:     d.settings.ID,
 		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Local:       d.dispatcher,
-		HTTP:        fast,
+		Client:      fast,
+		Limits:      d.quarantineLimits(),
+		Logger:      d.log,
 	})
-	d.claims = d.newClaims(fast)
 	d.callers = d.newCallerSide()
-	d.config.OnChange(func(v *view.View) {
-		d.log.Log(event.ConfigAdopted).Uint64("revision", v.Revision()).Send()
-		d.dispatcher.OnConfig(v)
-		d.slots.OnConfig(ctx, v)
-		d.claims.OnConfig(v)
-	})
+	d.config.OnChange(func(v *view.View) { d.adopt(ctx, v) })
 }
 
-func (d *Daemon) newConfig() *configsync.Syncer {
-	lease := d.settings.Lease
-	return configsync.New(configsync.Options{
-		Entry:         d.self,
-		Control:       d.settings.Control,
-		Client:        d.client(httpnet.NewClient(d.opts.DialPeer)),
-		RenewEvery:    lease.RenewMs.Duration(),
-		ConfirmFor:    lease.ConfirmMs.Duration(),
-		DriftPermille: lease.DriftPermille,
-		Log:           d.log,
-	})
+// adopt hands a configuration to the parts before it is acknowledged. Tickets
+// are registered at new dispatchers before this VM begins to dispatch.
+func (d *Daemon) adopt(ctx context.Context, v *view.View) {
+	d.slots.OnConfig(ctx, v)
+	d.dispatcher.OnConfig(v)
+	d.claims.OnConfig(v)
+	d.gossip.OnConfig(v)
 }
 
-func (d *Daemon) newDispatcher(client *http.Client) *dispatcher.Server {
-	return dispatcher.New(dispatcher.Options{
-		Entry:       d.settings.ID,
-		Incarnation: d.self.Incarnation,
-		View:        d.config,
-		Accepted:    d.config.AcceptedRevision,
-		Client:      client,
-		Log:         d.log,
-		Metrics:     d.metrics.Scope,
-		Seed:        d.self.Incarnation,
+func (d *Daemon) newConfig() *configsync.Syncer {
+	return configsync.New(configsync.Options{
+		Entry:      d.self,
+		Control:    d.settings.Control,
+		Client:     d.client(httpnet.NewClient(d.opts.DialPeer)),
+		RenewEvery: d.settings.RenewMs.Duration(),
+		Log:        d.log,
 	})
 }
 
@@ -86,9 +77,10 @@
 		Incarnation: d.self.Incarnation,
 		Client:      client,
 		Limits: claim.Limits{
-			Retention: c.RetentionMs.Duration(),
-			Claims:    c.MaxClaims,
-			Bytes:     c.MaxTotalBytes,
+			Retention:      c.RetentionMs.Duration(),
+			OpenRetention:  openRetention + c.RetentionMs.Duration(),
+			MaxClaims:      c.MaxClaims,
+			MaxAnswerBytes: int(c.MaxTotalBytes),
 		},
 		MaxKeptBytes: c.MaxKeptBytes,
 		Timeout:      claimTimeout,
@@ -97,6 +89,15 @@
 	})
 }
 
+func (d *Daemon) quarantineLimits() quarantine.Limits {
+	q := d.settings.Quarantine
+	return quarantine.Limits{
+		Crashes:    q.Threshold,
+		Hold:       q.HoldMs.Duration(),
+		MaxReports: q.MaxRequests,
+	}
+}
+
 // listen opens the listeners. Processes of the system come first: callers must
 // not find an entry VM that the others cannot reach.
 func (d *Daemon) listen() error {
@@ -141,6 +142,7 @@
 	mux.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	mux.Handle(clusterpb.DispatchPathPrefix, d.dispatcher.Handler())
 	mux.Handle(clusterpb.ClaimsPathPrefix, d.claims.Handler())
+	mux.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	return access.NewGuard(d.keys.cluster, d.log, nil).Wrap(mux)
 }
 
