--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -49,6 +49,7 @@
 	opts   Options
 	start  time.Time
 	held   atomic.Pointer[held]
+	silent atomic.Pointer[[]string]
 	leader atomic.Pointer[string]
 	silent atomic.Pointer[[]string]
 	// given is the reading of the clock, in nanoseconds, when a revision was
