--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -51,7 +51,6 @@
 	held   atomic.Pointer[held]
 	silent atomic.Pointer[[]string]
 	leader atomic.Pointer[string]
-	silent atomic.Pointer[[]string]
 	// given is the reading of the clock, in nanoseconds, when a revision was
 	// last confirmed to another entry VM; at first that of the start.
 	given     atomic.Int64
