Start no goroutine once the claims service waits for its last ones

A call that began while an entry VM stopped could panic: a goroutine was added to a group that was being waited for. Found by restarting members faster than they sync while callers resend a few keys.

--- a/internal/claims/begin.go
+++ b/internal/claims/begin.go
@@ -105,6 +105,8 @@
 			r.ask()
 		case <-ctx.Done():
 			return r.attempt.Expired(r.service.timeline.Load())
+		case <-r.service.stop:
+			return r.attempt.Expired(r.service.timeline.Load())
 		}
 		if v, ok := r.attempt.Verdict(r.service.timeline.Load()); ok {
 			return v
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -96,11 +96,14 @@
 // group when only is nil. It returns at once.
 func (s *Service) report(a *claim.Attempt, r *clusterpb.ClaimRecord, only map[string]bool) {
 	s.reports.Add(1)
-	s.calls.Go(func() {
+	started := s.spawn(func() {
 		defer s.reports.Add(-1)
 		rep := &report{service: s, attempt: a, record: r, only: only, acked: make(map[string]bool)}
 		rep.run()
 	})
+	if !started {
+		s.reports.Add(-1)
+	}
 }
 
 // report is the delivery of one outcome.
--- a/internal/claims/peer.go
+++ b/internal/claims/peer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
@@ -34,21 +33,21 @@
 // are in flight share the next call.
 type peer struct {
 	client clusterpb.Claims
-	group  *conc.WaitGroup
+	spawn  func(func()) bool
 
 	mu    sync.Mutex
 	queue []pending
 	calls int
 }
 
-func newPeer(address string, client *http.Client, group *conc.WaitGroup) *peer {
-	return &peer{client: clusterpb.NewClaimsProtobufClient("http://"+address, client), group: group}
+func newPeer(address string, client *http.Client, spawn func(func()) bool) *peer {
+	return &peer{client: clusterpb.NewClaimsProtobufClient("http://"+address, client), spawn: spawn}
 }
 
 // send queues a message and returns at once.
 func (p *peer) send(m pending) {
 	if !p.enqueue(m) {
-		m.done(nil, errors.New("too many messages wait for this member"))
+		m.done(nil, errors.New("too many messages wait, or the service has stopped"))
 	}
 }
 
@@ -58,11 +57,13 @@
 	if len(p.queue) >= maxQueue {
 		return false
 	}
-	p.queue = append(p.queue, m)
 	if p.calls < maxCalls {
+		if !p.spawn(p.drain) {
+			return false
+		}
 		p.calls++
-		p.group.Go(p.drain)
 	}
+	p.queue = append(p.queue, m)
 	return true
 }
 
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -41,8 +41,8 @@
 	MaxKeptBytes int
 	// Timeout bounds the decision on a claim.
 	Timeout time.Duration
-	// StartWithin bounds the time from the claim to the first byte sent. It
-	// must be below Limits.Retention.
+	// StartWithin bounds the time from the claim to the first byte sent. Half
+	// of Limits.Retention bounds it as well.
 	StartWithin time.Duration
 	// Fresh reports whether the configuration in force may be used to admit
 	// work; nil means always.
@@ -69,9 +69,13 @@
 	peersMu sync.Mutex
 	peers   map[string]*peer
 
-	calls   conc.WaitGroup
 	reports atomic.Int64
 	stop    chan struct{}
+
+	// spawnMu keeps goroutines from being added while Run waits for them.
+	spawnMu sync.Mutex
+	stopped bool
+	calls   conc.WaitGroup
 }
 
 // New returns a Service that knows no members before the first OnConfig.
@@ -81,6 +85,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
+	opts.StartWithin = min(opts.StartWithin, opts.Limits.Retention/2)
 	s := &Service{
 		opts:    opts,
 		self:    self,
@@ -152,8 +157,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			close(s.stop)
-			s.calls.Wait()
+			s.shutDown()
 			return
 		case <-ticker.C:
 			s.tick()
@@ -161,6 +165,26 @@
 	}
 }
 
+// spawn runs f on a goroutine that Run waits for. It reports false once Run has
+// ended.
+func (s *Service) spawn(f func()) bool {
+	s.spawnMu.Lock()
+	defer s.spawnMu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.calls.Go(f)
+	return true
+}
+
+func (s *Service) shutDown() {
+	s.spawnMu.Lock()
+	s.stopped = true
+	s.spawnMu.Unlock()
+	close(s.stop)
+	s.calls.Wait()
+}
+
 func (s *Service) tick() {
 	s.mu.Lock()
 	s.store.Expire(s.now())
@@ -254,7 +278,7 @@
 	defer s.peersMu.Unlock()
 	p := s.peers[address]
 	if p == nil {
-		p = newPeer(address, s.opts.Client, &s.calls)
+		p = newPeer(address, s.opts.Client, s.spawn)
 		s.peers[address] = p
 	}
 	return p
