--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,12 +64,10 @@
 	started  time.Time
 	sequence atomic.Uint64
 	// pushed is the newest sequence whose push has ended.
-	pushed atomic.Uint64
-	queue  chan fresh
-	peers  atomic.Pointer[[]string]
-	// active is set while there is any evidence, so that calls need no lock
-	// otherwise.
-	active atomic.Bool
+	pushed   atomic.Uint64
+	queue    chan fresh
+	peers    atomic.Pointer[[]string]
+	verdicts atomic.Pointer[quarantine.Verdicts]
 
 	mu    sync.Mutex
 	state *quarantine.State
@@ -85,6 +83,7 @@
 		state:   quarantine.New(opts.Limits),
 	}
 	s.peers.Store(&[]string{})
+	s.show()
 	return s
 }
 
@@ -104,12 +103,7 @@
 
 // Blocked returns the refusal for a quarantined request, or nil.
 func (s *Service) Blocked(r quarantine.Request) *fault.Error {
-	if !s.active.Load() {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	left, ok := s.state.Blocked(s.now(), r)
+	left, ok := s.verdicts.Load().Blocked(s.now(), r)
 	if !ok {
 		return nil
 	}
@@ -119,12 +113,7 @@
 // Suspect reports whether at most one attempt at the request should run at a
 // time.
 func (s *Service) Suspect(r quarantine.Request) bool {
-	if !s.active.Load() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Suspect(s.now(), r)
+	return s.verdicts.Load().Suspect(s.now(), r)
 }
 
 // Crashed reports that the connection to an upstream broke with the request in
@@ -147,11 +136,7 @@
 }
 
 // Quarantined returns the requests that are held off.
-func (s *Service) Quarantined() []quarantine.Held {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Quarantined(s.now())
-}
+func (s *Service) Quarantined() []quarantine.Held { return s.verdicts.Load().Quarantined(s.now()) }
 
 func (s *Service) publish(r *clusterpb.CrashReport) {
 	r.Entry = s.origin
@@ -170,7 +155,13 @@
 	for _, r := range s.state.Merge(now, reports) {
 		s.log(now, r)
 	}
-	s.active.Store(s.state.Hash() != 0)
+	s.show()
+}
+
+// show lets calls see the verdicts. The caller holds the lock.
+func (s *Service) show() {
+	v := s.state.Verdicts()
+	s.verdicts.Store(&v)
 }
 
 func (s *Service) log(now time.Duration, r *clusterpb.CrashReport) {
@@ -178,7 +169,7 @@
 		return
 	}
 	e := event.RequestSuspect
-	if _, held := s.state.Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); held {
+	if _, held := s.state.Verdicts().Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); held {
 		e = event.RequestHeldOff
 	}
 	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).Send()
@@ -247,7 +238,7 @@
 func (s *Service) compare(ctx context.Context) {
 	s.mu.Lock()
 	s.state.Tick(s.now())
-	s.active.Store(s.state.Hash() != 0)
+	s.show()
 	s.mu.Unlock()
 	peers := *s.peers.Load()
 	if len(peers) == 0 {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -39,26 +39,3 @@
 	})
 	return out
 }
-
-// Held is a quarantined request.
-type Held struct {
-	Request Request
-	// Crashes is the number of crashes that count against it.
-	Crashes int
-	// Left is the time until the quarantine ends by itself.
-	Left time.Duration
-}
-
-// Quarantined returns the requests that are quarantined.
-func (s *State) Quarantined(now time.Duration) []Held {
-	var out []Held
-	for r, v := range s.verdict {
-		if left, ok := s.Blocked(now, r); ok {
-			out = append(out, Held{r, v.crashes, left})
-		}
-	}
-	slices.SortFunc(out, func(a, b Held) int {
-		return cmp.Or(cmp.Compare(a.Request.Service, b.Request.Service), cmp.Compare(a.Request.Fingerprint, b.Request.Fingerprint))
-	})
-	return out
-}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,11 +18,11 @@
 
 // judge derives the verdicts from the reports.
 func (s *State) judge(now time.Duration) {
-	s.verdict = make(map[Request]verdict)
+	s.verdicts = make(Verdicts)
 	suspects := s.suspects(now)
-	losses := s.losses()
+	lost := s.losses()
 	for i := range suspects {
-		s.discount(losses[suspects[i].request.Service], &suspects[i])
+		s.discount(lost[suspects[i].request.Service], &suspects[i])
 	}
 	slices.SortFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
 	explained := make(map[Crash]int)
@@ -69,34 +70,51 @@
 	return r.crash
 }
 
-// losses returns the time of every crash by service.
-func (s *State) losses() map[string]map[Crash]time.Duration {
-	out := make(map[string]map[Crash]time.Duration)
+// losses is the crashes of one service, each with the time of its newest report.
+type losses struct {
+	at map[Crash]time.Duration
+	// times is the values of at in ascending order.
+	times []time.Duration
+}
+
+// losses returns the crashes by service.
+func (s *State) losses() map[string]*losses {
+	out := make(map[string]*losses)
 	for id, r := range s.reports {
 		if r.released {
 			continue
 		}
 		of := out[r.request.Service]
 		if of == nil {
-			of = make(map[Crash]time.Duration)
+			of = &losses{at: make(map[Crash]time.Duration)}
 			out[r.request.Service] = of
 		}
 		crash := s.crashOf(id, r)
-		of[crash] = max(of[crash], r.at)
+		of.at[crash] = max(of.at[crash], r.at)
+	}
+	for _, of := range out {
+		of.times = slices.Sorted(maps.Values(of.at))
 	}
 	return out
 }
 
+// near returns the number of crashes close to a time.
+func (l *losses) near(at time.Duration) int {
+	first, _ := slices.BinarySearch(l.times, at-coincidence)
+	end, _ := slices.BinarySearch(l.times, at+coincidence+1)
+	return end - first
+}
+
 // discount removes the crashes that x took part in only as one of many: when
 // most upstreams that the service lost at about that time did not run x, the
 // loss has another cause.
-func (s *State) discount(losses map[Crash]time.Duration, x *suspect) {
+func (s *State) discount(l *losses, x *suspect) {
 	if s.rules.blameEveryone || x.total >= 2*s.limits.Crashes {
 		return
 	}
 	counted := make(map[Crash]time.Duration, len(x.crashes))
 	for crash, at := range x.crashes {
-		if mostOf(losses, x.crashes, at) {
+		if mostOf(l, x.crashes, at) {
 			counted[crash] = at
 		}
 	}
@@ -104,18 +122,14 @@
 }
 
 // mostOf reports whether most of the losses close to a time are among own.
-func mostOf(losses, own map[Crash]time.Duration, at time.Duration) bool {
-	all, mine := 0, 0
-	for crash, t := range losses {
-		if (t - at).Abs() > coincidence {
-			continue
-		}
-		all++
-		if _, ok := own[crash]; ok {
+func mostOf(l *losses, own map[Crash]time.Duration, at time.Duration) bool {
+	mine := 0
+	for crash := range own {
+		if (l.at[crash] - at).Abs() <= coincidence {
 			mine++
 		}
 	}
-	return 2*mine > all
+	return 2*mine > l.near(at)
 }
 
 // sentence gives the verdict on x. explained holds, for each crash, the number
@@ -133,7 +147,7 @@
 		return
 	}
 	v.quarantined = v.crashes >= s.limits.Crashes
-	s.verdict[x.request] = v
+	s.verdicts[x.request] = v
 	if !v.quarantined {
 		return
 	}
--- a/internal/quarantine/proof_test.go
+++ b/internal/quarantine/proof_test.go
@@ -69,11 +69,11 @@
 func (w *world) start(name string, e, upstream int) {
 	r := Request{"lotboard", name}
 	state := w.entries[e].state
-	if _, held := state.Blocked(w.now, r); held {
+	if _, held := state.Verdicts().Blocked(w.now, r); held {
 		w.checkHeld(name)
 		return
 	}
-	suspect := state.Suspect(w.now, r)
+	suspect := state.Verdicts().Suspect(w.now, r)
 	if suspect && w.permit {
 		return
 	}
@@ -124,7 +124,7 @@
 		}
 		w.took[a.request][c] = true
 		w.publish(a.entry, &clusterpb.CrashReport{Fingerprint: a.request, Upstream: c.Upstream, Incarnation: c.Incarnation})
-	case state.Suspect(w.now, Request{"lotboard", a.request}):
+	case state.Verdicts().Suspect(w.now, Request{"lotboard", a.request}):
 		delete(w.took, a.request)
 		w.publish(a.entry, &clusterpb.CrashReport{Fingerprint: a.request, Released: true})
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -91,21 +91,14 @@
 	limits  Limits
 	reports map[reportID]report
 	hash    uint64
-	verdict map[Request]verdict
-	rules   rules
-}
-
-// verdict is what the evidence says of a request.
-type verdict struct {
-	crashes     int
-	quarantined bool
-	// until is when the newest crash ceases to count.
-	until time.Duration
+	// verdicts is replaced, not changed, when the evidence changes.
+	verdicts Verdicts
+	rules    rules
 }
 
 // New returns a State without evidence.
 func New(limits Limits) *State {
-	return &State{limits: limits, reports: make(map[reportID]report), verdict: make(map[Request]verdict)}
+	return &State{limits: limits, reports: make(map[reportID]report)}
 }
 
 // Merge takes in reports and returns those that were new.
@@ -139,21 +132,8 @@
 	return true
 }
 
-// Blocked reports whether the request is quarantined, and for how long.
-func (s *State) Blocked(now time.Duration, r Request) (time.Duration, bool) {
-	v := s.verdict[r]
-	if !v.quarantined || now >= v.until {
-		return 0, false
-	}
-	return v.until - now, true
-}
-
-// Suspect reports whether the request was in flight at a crash that counts
-// against it. At most one attempt at a suspect request should run at a time.
-func (s *State) Suspect(now time.Duration, r Request) bool {
-	v := s.verdict[r]
-	return v.crashes > 0 && now < v.until
-}
+// Verdicts returns what the evidence says at present.
+func (s *State) Verdicts() Verdicts { return s.verdicts }
 
 // Tick forgets evidence that no longer counts.
 func (s *State) Tick(now time.Duration) {
