--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -191,6 +191,7 @@
 	pulls := s.store.Pulls(s.now())
 	s.scope.Gauge("records").Update(float64(s.store.Claims()))
 	s.scope.Gauge("kept_bytes").Update(float64(s.store.AnswerBytes()))
+	s.scope.Gauge("unsynced_partitions").Update(float64(s.store.Pending(s.now())))
 	s.mu.Unlock()
 	told := make(map[string]bool)
 	for _, m := range pulls {
