--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -148,6 +148,14 @@
 	assert.ErrorContains(t, first.Claim.Start(context.Background()), "ended")
 }
 
+func TestAnswerTooLargeToKeep(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	first := c.begin("e0", "k", 1)
+	first.Claim.Finish(&clusterpb.KeptAnswer{Status: 200, Body: make([]byte, c.services["e0"].opts.MaxKeptBytes+1)})
+	assert.NilError(t, c.services["e0"].Drain(context.Background()))
+	assert.Equal(t, kindOf(c.begin("e1", "k", 1)), fault.AlreadyRan)
+}
+
 func TestRestartedMemberSyncsBeforeItVotes(t *testing.T) {
 	c := newCluster(t, 5, nil)
 	done := c.begin("e0", "k", 1)
