--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -11,14 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
-	"balsamcourse.example/balsamcourse/internal/view"
 )
 
 const (
@@ -102,54 +100,6 @@
 // Handler serves the claim protocol to other entry VMs.
 func (s *Service) Handler() http.Handler { return clusterpb.NewClaimsServer(s) }
 
-// entries is what the service uses of the registered entry VMs.
-type entries struct {
-	addresses map[string]string
-	// leaving holds the processes that finish their requests before they stop.
-	leaving map[string]bool
-}
-
-func entriesOf(v *view.View) *entries {
-	e := &entries{addresses: make(map[string]string, len(v.Config.Entries)), leaving: make(map[string]bool)}
-	for _, entry := range v.Config.Entries {
-		e.addresses[entry.Id] = entry.ClusterAddress
-		if entry.Leaving {
-			e.leaving[claim.ProcessName(entry.Id, entry.Incarnation)] = true
-		}
-	}
-	return e
-}
-
-// OnConfig adopts the members of a configuration. Revisions must not go back.
-func (s *Service) OnConfig(v *view.View) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entries.Store(entriesOf(v))
-	s.adopt(v.Config.ClaimEpoch)
-}
-
-// learn adopts an epoch that another entry VM has received before this one.
-func (s *Service) learn(ce *catalogpb.ClaimEpoch) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.adopt(ce)
-}
-
-// adopt moves on to an epoch if it is newer. The caller holds the lock.
-func (s *Service) adopt(ce *catalogpb.ClaimEpoch) {
-	old := s.timeline.Load()
-	t := claim.NewTimeline(old, ce)
-	if t == old {
-		return
-	}
-	s.store.Adopt(s.now(), t)
-	s.epoch.Store(ce)
-	s.timeline.Store(t)
-}
-
-// leaving reports whether a process has announced a planned stop.
-func (s *Service) leaving(process string) bool { return s.entries.Load().leaving[process] }
-
 // Run syncs partitions and forgets expired records until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -165,26 +115,6 @@
 	}
 }
 
-// spawn runs f on a goroutine that Run waits for. It reports false once Run has
-// ended.
-func (s *Service) spawn(f func()) bool {
-	s.spawnMu.Lock()
-	defer s.spawnMu.Unlock()
-	if s.stopped {
-		return false
-	}
-	s.calls.Go(f)
-	return true
-}
-
-func (s *Service) shutDown() {
-	s.spawnMu.Lock()
-	s.stopped = true
-	s.spawnMu.Unlock()
-	close(s.stop)
-	s.calls.Wait()
-}
-
 func (s *Service) tick() {
 	s.mu.Lock()
 	s.store.Expire(s.now())
@@ -255,36 +185,6 @@
 	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC_REPLY
 }
 
-// send delivers a message; done gets the answer on some goroutine, which it
-// must not block.
-func (s *Service) send(m *clusterpb.ClaimMessage, done func(*clusterpb.ClaimMessage, error)) {
-	if m.To == s.self.ID {
-		s.mu.Lock()
-		r := s.handle(m)
-		s.mu.Unlock()
-		done(r, nil)
-		return
-	}
-	address, ok := s.entries.Load().addresses[m.To]
-	if !ok {
-		done(nil, errors.NotFoundf("address of entry VM %q", m.To))
-		return
-	}
-	s.peer(address).send(pending{m, done})
-}
-
-// peer returns the sender to an address.
-func (s *Service) peer(address string) *peer {
-	s.peersMu.Lock()
-	defer s.peersMu.Unlock()
-	p := s.peers[address]
-	if p == nil {
-		p = newPeer(address, s.opts.Client, s.spawn)
-		s.peers[address] = p
-	}
-	return p
-}
-
 // now returns the time on the monotonic clock of the process.
 func (s *Service) now() time.Duration { return time.Since(s.started) }
 
