Let the quarantine's oracle know which completions an entry VM has heard of

A random seed found a request that was held off on one entry VM right after another one had seen it complete. The verdict was right for what that VM knew: the completion was still on its way.

--- a/internal/quarantine/proof_test.go
+++ b/internal/quarantine/proof_test.go
@@ -24,6 +24,8 @@
 	state    *State
 	inbox    []letter
 	sequence uint64
+	// cleared holds the time of the last completion that it has heard of.
+	cleared map[string]time.Duration
 }
 
 // letter is a report on its way.
@@ -41,7 +43,7 @@
 }
 
 // world is a few entry VMs and upstreams, and the oracle: which crashes each
-// request took part in since it last completed.
+// request took part in, and when.
 type world struct {
 	now      time.Duration
 	entries  []*entry
@@ -51,16 +53,16 @@
 	noPermit bool
 	lost     int
 	unaware  int
-	took     map[string]map[Crash]bool
+	took     map[string]map[Crash]time.Duration
 	fault    string
 }
 
 func newWorld(r rules) *world {
-	w := &world{took: make(map[string]map[Crash]bool)}
+	w := &world{took: make(map[string]map[Crash]time.Duration)}
 	for range worldVMs {
 		s := New(Limits{Crashes: 3, Hold: time.Hour, MaxReports: 1000})
 		s.rules = r
-		w.entries = append(w.entries, &entry{state: s})
+		w.entries = append(w.entries, &entry{state: s, cleared: make(map[string]time.Duration)})
 	}
 	return w
 }
@@ -70,7 +72,7 @@
 	r := Request{"lotboard", name}
 	state := w.entries[e].state
 	if _, held := state.Verdicts().Blocked(w.now, r); held {
-		w.checkHeld(name)
+		w.checkHeld(name, e)
 		return
 	}
 	suspect := state.Verdicts().Suspect(w.now, r)
@@ -84,9 +86,16 @@
 	w.flight = append(w.flight, attempt{name, e, upstream, suspect && !w.noPermit})
 }
 
-// checkHeld compares a quarantine with the oracle.
-func (w *world) checkHeld(name string) {
-	if n := len(w.took[name]); n < 3 {
+// checkHeld compares a quarantine with the crashes since the last completion
+// that the entry VM has heard of.
+func (w *world) checkHeld(name string, e int) {
+	n := 0
+	for _, at := range w.took[name] {
+		if at > w.entries[e].cleared[name] {
+			n++
+		}
+	}
+	if n < 3 {
 		w.fault = fmt.Sprintf("%s is quarantined after %d crashes", name, n)
 	}
 }
@@ -120,12 +129,12 @@
 	switch {
 	case crashed:
 		if w.took[a.request] == nil {
-			w.took[a.request] = make(map[Crash]bool)
+			w.took[a.request] = make(map[Crash]time.Duration)
 		}
-		w.took[a.request][c] = true
+		w.took[a.request][c] = w.now
 		w.publish(a.entry, &clusterpb.CrashReport{Fingerprint: a.request, Upstream: c.Upstream, Incarnation: c.Incarnation})
 	case state.Verdicts().Suspect(w.now, Request{"lotboard", a.request}):
-		delete(w.took, a.request)
+		w.entries[a.entry].cleared[a.request] = w.now
 		w.publish(a.entry, &clusterpb.CrashReport{Fingerprint: a.request, Released: true})
 	}
 	if a.permit {
@@ -159,6 +168,10 @@
 	for _, l := range w.entries[e].inbox {
 		l.report.AgeMs = uint32((w.now - l.sent) / time.Millisecond)
 		reports = append(reports, l.report)
+		if l.report.Released {
+			cleared := w.entries[e].cleared
+			cleared[l.report.Fingerprint] = max(cleared[l.report.Fingerprint], l.sent)
+		}
 	}
 	w.entries[e].state.Merge(w.now, reports)
 	w.entries[e].inbox = nil
