--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -51,6 +51,7 @@
 		}),
 	}
 	o.addFlags(cmd)
+	cmd.AddCommand(newExperiment(c))
 	return cmd
 }
 
--- a/internal/entryd/policy.go
+++ b/internal/entryd/policy.go
@@ -44,6 +44,7 @@
 		View:        d.config,
 		Local:       d.dispatcher,
 		HTTP:        peers,
+		Waits:       d.client(httpnet.NewClient(d.opts.DialPeer)),
 	})
 }
 
--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -40,6 +40,9 @@
 	Local *dispatcher.Server
 	// HTTP calls other entry VMs.
 	HTTP *http.Client
+	// Waits calls other entry VMs for what may wait long, many calls on one
+	// connection; nil means HTTP.
+	Waits *http.Client
 }
 
 // Client asks the dispatchers of cells for slots. It implements Source.
@@ -54,6 +57,12 @@
 
 // NewClient returns a client; Run starts it.
 func NewClient(opts Options) *Client {
+	if opts.HTTP == nil {
+		opts.HTTP = http.DefaultClient
+	}
+	if opts.Waits == nil {
+		opts.Waits = opts.HTTP
+	}
 	c := &Client{opts: opts}
 	c.hints.cells = make(map[view.CellKey]hint)
 	c.held.init()
--- a/internal/slot/outbox.go
+++ b/internal/slot/outbox.go
@@ -148,7 +148,7 @@
 	if v == nil {
 		return false
 	}
-	peer := c.peer(v, entry)
+	peer := c.peer(v, entry, c.opts.HTTP)
 	if peer == nil {
 		return false
 	}
--- a/internal/slot/remote.go
+++ b/internal/slot/remote.go
@@ -14,22 +14,22 @@
 )
 
 // peer returns the Twirp client of another entry VM, or nil.
-func (c *Client) peer(v *view.View, entry string) clusterpb.Dispatch {
+func (c *Client) peer(v *view.View, entry string, hc *http.Client) clusterpb.Dispatch {
 	e := v.Entry(entry)
 	if e == nil {
 		return nil
 	}
-	hc := c.opts.HTTP
-	if hc == nil {
-		hc = http.DefaultClient
-	}
 	return clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc)
 }
 
 // remote asks a dispatcher in another process. When no answer comes, the
 // request is withdrawn, for the slot may have been granted.
 func (c *Client) remote(ctx context.Context, v *view.View, cell *catalogpb.Cell, ev dispatch.Acquire, deadline time.Time) dispatcher.Answer {
-	peer := c.peer(v, cell.Entry)
+	hc := c.opts.HTTP
+	if ev.MaxWait > 0 {
+		hc = c.opts.Waits
+	}
+	peer := c.peer(v, cell.Entry, hc)
 	if peer == nil {
 		return dispatcher.Answer{Refuse: dispatch.Refuse{Kind: fault.NoDispatcher}}
 	}
--- a/internal/slot/reregister.go
+++ b/internal/slot/reregister.go
@@ -77,7 +77,7 @@
 	if v == nil {
 		return false
 	}
-	peer := c.peer(v, cell.Entry)
+	peer := c.peer(v, cell.Entry, c.opts.HTTP)
 	if peer == nil {
 		return false
 	}
--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -20,6 +20,7 @@
 const (
 	coldFactor     = 3
 	readHeaderTime = 5 * time.Second
+	probePath      = "/healthz"
 )
 
 // UpstreamOptions describes a stand-in upstream.
@@ -42,6 +43,11 @@
 	Every time.Duration
 	// ReportLag delays the reported load.
 	ReportLag time.Duration
+	// Queue is the number of requests that wait for a slot before more are
+	// shed; zero means as many as there are slots.
+	Queue int
+	// ProbeTime is the time that a request of the probe path takes.
+	ProbeTime time.Duration
 	// StartWarm skips the cold start.
 	StartWarm bool
 	Seed      uint64
@@ -148,6 +154,14 @@
 // Drain announces that the stand-in takes no new work.
 func (u *Upstream) Drain() { u.draining.Store(true) }
 
+// Restart brings the stand-in back as a new process: cold, with a higher
+// incarnation.
+func (u *Upstream) Restart() {
+	u.completed.Store(0)
+	u.incarnation.Store(uint64(time.Now().UnixNano()))
+	u.draining.Store(false)
+}
+
 // InFlight returns the requests in flight.
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
 
@@ -178,7 +192,7 @@
 
 // ServeHTTP runs one request in a slot.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/healthz" {
+	if r.URL.Path == probePath {
 		u.Probes.Add(1)
 	}
 	n := u.inFlight.Add(1)
@@ -191,7 +205,7 @@
 	if n > int64(u.opts.Slots) {
 		u.Overloads.Add(1)
 	}
-	if n > 2*int64(u.opts.Slots) {
+	if n > int64(u.opts.Slots+u.queue()) {
 		u.shed(w)
 		return
 	}
@@ -204,6 +218,13 @@
 	u.run(w, r)
 }
 
+func (u *Upstream) queue() int {
+	if u.opts.Queue == 0 {
+		return u.opts.Slots
+	}
+	return u.opts.Queue
+}
+
 func (u *Upstream) watchCold(n int64) {
 	if !u.Cold() {
 		return
@@ -246,7 +267,7 @@
 
 // work takes the service time; it reports false when the request is cancelled.
 func (u *Upstream) work(r *http.Request) bool {
-	t := time.NewTimer(u.draw() + u.stalled())
+	t := time.NewTimer(u.draw(r) + u.stalled())
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -256,7 +277,10 @@
 	}
 }
 
-func (u *Upstream) draw() time.Duration {
+func (u *Upstream) draw(r *http.Request) time.Duration {
+	if r.URL.Path == probePath && u.opts.ProbeTime > 0 {
+		return u.opts.ProbeTime * time.Duration(u.slowFactor.Load())
+	}
 	if u.opts.ServiceTime == nil {
 		return 0
 	}
