--- a/internal/experiment/delay.go
+++ b/internal/experiment/delay.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -60,3 +61,14 @@
 	time.Sleep(2 * zoneDelay)
 	return c.Conn.Write(b)
 }
+
+// cutLog counts the events in which a warm upstream lost slots.
+type cutLog struct{ n atomic.Int64 }
+
+// Write implements io.Writer for one line of the event log.
+func (l *cutLog) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte(`"from":"warm"`)) {
+		l.n.Add(1)
+	}
+	return len(b), nil
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -43,6 +43,9 @@
 	// and Breaches the number of requests above its bound.
 	PeakCold int64 `json:"peak_cold"`
 	Breaches int64 `json:"cold_breaches"`
+	// Cuts counts warm upstreams that lost slots on suspicion, a report or
+	// leaving.
+	Cuts int64 `json:"cuts"`
 	// Overloads counts requests that met an upstream with all slots in use.
 	Overloads int64       `json:"overloads"`
 	Report    load.Report `json:"report"`
@@ -118,6 +121,7 @@
 		u.Probes.Store(0)
 	}
 	before := s.net.connections.Load()
+	s.cuts.n.Store(0)
 	faults, cancel := context.WithCancel(ctx)
 	var wg conc.WaitGroup
 	wg.Go(func() {
@@ -152,7 +156,7 @@
 
 func (s *system) row(plan Plan, share float64, f Fault, report load.Report, connections int64) Row {
 	slotTime := plan.Duration * time.Duration(s.d.Upstreams*s.d.Slots)
-	r := Row{Deployment: s.d.Name, Load: share, Fault: f, Report: report}
+	r := Row{Deployment: s.d.Name, Load: share, Fault: f, Report: report, Cuts: s.cuts.n.Load()}
 	var probes int64
 	for _, u := range s.upstreams {
 		probes += u.Probes.Load()
@@ -166,15 +170,15 @@
 }
 
 func header(out io.Writer) {
-	fmt.Fprintln(out, "| deployment | times | load | fault | policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput/s | refused | failed | probes % | connects % | cold peak | cold breaches | over slots |")
-	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(out, "| deployment | times | load | fault | policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput/s | refused | failed | probes % | connects % | cold peak | cold breaches | over slots | cuts |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 }
 
 // print writes the row as a line of a Markdown table.
 func (r Row) print(out io.Writer) {
 	p := r.Report
 	answered := 100 * float64(p.Answered) / float64(max(1, p.Arrived))
-	fmt.Fprintf(out, "| %s | %s | %.2f | %s | %s | %.0f | %.0f | %.0f | %.2f | %.0f | %d | %d | %.3f | %.3f | %d | %d | %d |\n",
+	fmt.Fprintf(out, "| %s | %s | %.2f | %s | %s | %.0f | %.0f | %.0f | %.2f | %.0f | %d | %d | %.3f | %.3f | %d | %d | %d | %d |\n",
 		r.Deployment, r.Times, r.Load, r.Fault, r.Policy, p.Latency.P50Ms, p.Latency.P99Ms, p.Latency.P999Ms, answered,
-		p.Goodput, p.Refused, p.Failed, 100*r.ProbeShare, 100*r.ConnectShare, r.PeakCold, r.Breaches, r.Overloads)
+		p.Goodput, p.Refused, p.Failed, 100*r.ProbeShare, 100*r.ConnectShare, r.PeakCold, r.Breaches, r.Overloads, r.Cuts)
 }
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -48,6 +48,7 @@
 	changes   uint64
 	upstreams []*testbed.Upstream
 	zoneOf    map[string]string
+	cuts      cutLog
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
 	client    *http.Client
@@ -82,7 +83,7 @@
 	for i := range s.d.Entries {
 		e := s.entrySettings(i, policy, ports[2+3*i:5+3*i])
 		opts := entryd.Options{
-			Logs:         io.Discard,
+			Logs:         &s.cuts,
 			DialPeer:     s.net.dialer(e.Zone, false),
 			DialUpstream: s.net.dialer(e.Zone, true),
 		}
