--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
@@ -245,10 +246,16 @@
 	}
 }
 
+// configure replaces the settings. The upstreams of an availability zone that
+// returns start cold, whatever they were when it left.
 func (c *Cell) configure(e Configure) {
+	returning := e.Config.Open && !c.cfg.Open
 	c.cfg = e.Config.withDefaults()
-	for _, u := range c.upstreams {
+	for _, u := range slices.Clone(c.upstreams) {
 		c.setSlots(u, u.announcedSlots)
+		if returning && u.state != stateDraining {
+			c.fire(u, eventRestarted)
+		}
 	}
 }
 
--- a/internal/dispatch/cell_test.go
+++ b/internal/dispatch/cell_test.go
@@ -148,3 +148,16 @@
 	w.c.Step(0, Release{Key: Key{"e", 1, 100}, Outcome: clusterpb.Outcome_OUTCOME_OK, ServiceTime: ms})
 	assert.Equal(t, w.c.InFlight("u"), 1)
 }
+
+func TestReturningZoneStartsCold(t *testing.T) {
+	cfg := Config{ColdSlots: 1, WarmAfter: 4, Open: true}
+	w := newWorld(t, cfg)
+	w.announce("u", 4, ReportWarm)
+	w.run(8, 10*ms)
+	assert.Equal(t, w.limit("u"), 4)
+	cfg.Open = false
+	w.c.Step(w.now, Configure{cfg})
+	cfg.Open = true
+	w.c.Step(w.now, Configure{cfg})
+	assert.Equal(t, w.limit("u"), 1)
+}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -37,6 +37,8 @@
 	stallFor     = 150 * time.Millisecond
 	zoneOutAfter = 4 * time.Second
 	zoneOutFor   = 5 * time.Second
+	// zoneLoad is a load that the other zones can carry.
+	zoneLoad = 0.65
 )
 
 // play lets faults happen until ctx ends.
