Ask other entry VMs for confirmations only when a renewal is late

Each renewal is held for 1 s and the lease counts from its sending, so the lease had 0.92 s left before each answer, below the 1.2 s at which confirmations were asked for: every entry VM asked every other twice a second. A round now starts when the last renewal failed or is 250 ms later than the leader may hold it.

--- /dev/null
+++ b/internal/catalog/measure_test.go
@@ -0,0 +1,80 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/assign"
+)
+
+// grown returns a catalog with the given sizes and every cell assigned.
+func grown(t *testing.T, services, zones, entries int) *machine {
+	m := &machine{t: t, Catalog: New()}
+	number := uint64(0)
+	change := func(c *catalogpb.Change) {
+		number++
+		m.change("ann", number, 0, c)
+	}
+	for i := range zones {
+		change(putZoneChange(fmt.Sprintf("region-%d-%c", i/3, 'a'+i%3)))
+	}
+	for i := range services {
+		name := fmt.Sprintf("service-%03d", i)
+		change(putServiceChange(&catalogpb.Service{
+			Name: name, PathPrefix: "/" + name, Slots: 4, ColdSlots: 1, ProbeBudgetPermille: 5,
+			RetryBudgetPermille: 100, ProbePath: "/healthz",
+		}))
+		for r := range 3 {
+			change(putRuleChange(&catalogpb.Rule{Service: name, Name: fmt.Sprintf("rule-%d", r), Method: "POST", PathPattern: fmt.Sprintf("/orders/:id/%d", r), KeyRequired: true}))
+		}
+	}
+	var available []assign.Entry
+	var members []string
+	for i := range entries {
+		e := entryOf(m, i, zones, 1)
+		m.register(e)
+		available = append(available, assign.Entry{ID: e.Id, Zone: e.Zone, Incarnation: e.Incarnation})
+		members = append(members, e.Id)
+	}
+	m.assign(assign.Cells(m.Config(), available)...)
+	set := &catalogpb.SetClaimEpoch{ClaimEpoch: &catalogpb.ClaimEpoch{Members: members}}
+	m.command(&catalogpb.Command{Kind: &catalogpb.Command_SetClaimEpoch{SetClaimEpoch: set}})
+	return m
+}
+
+func entryOf(m *machine, i, zones int, incarnation uint64) *catalogpb.Entry {
+	return &catalogpb.Entry{
+		Id: fmt.Sprintf("entry-%03d", i), Zone: m.Config().Zones[i%zones].Name,
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), ClusterAddress: fmt.Sprintf("10.0.%d.%d:8082", i/250, i%250),
+		Incarnation: 1_764_800_000_000_000_000 + incarnation,
+	}
+}
+
+// TestSizes prints the encoded sizes of configurations, deltas and snapshots.
+func TestSizes(t *testing.T) {
+	for _, size := range [][3]int{{2, 4, 20}, {140, 8, 20}, {140, 8, 100}} {
+		m := grown(t, size[0], size[1], size[2])
+		snap, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		base := m.Config()
+		m.change("ann", 1_000_000, 0, zoneState(base.Zones[0].Name, catalogpb.ZoneState_ZONE_STATE_LEAVING))
+		zone := proto.Size(Delta(base, m.Config()))
+		base = m.Config()
+		restarted := entryOf(m, 0, size[1], 2)
+		m.register(restarted)
+		var own []*catalogpb.Cell
+		for _, c := range m.Config().Cells {
+			if c.Entry == restarted.Id {
+				own = append(own, &catalogpb.Cell{Service: c.Service, Zone: c.Zone, Entry: c.Entry, Incarnation: restarted.Incarnation})
+			}
+		}
+		m.assign(own...)
+		t.Logf("services=%d zones=%d entries=%d: configuration %d B, snapshot %d B, change of a zone %d B, restart with %d cells %d B",
+			size[0], size[1], size[2], proto.Size(base), len(snap), zone, len(own), proto.Size(Delta(base, m.Config())))
+	}
+}
--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -14,6 +14,9 @@
 	// confirmLead is the time before the end of the lease at which an entry VM
 	// begins to ask the others.
 	confirmLead = 1200 * time.Millisecond
+	// lateAfter is the time beyond the longest hold after which a renewal is
+	// late.
+	lateAfter = 250 * time.Millisecond
 	// confirmInterval is the pace at which it asks them.
 	confirmInterval = 500 * time.Millisecond
 	// confirmTimeout bounds one answer.
@@ -40,7 +43,7 @@
 	if now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
 		return
 	}
-	if l.renew.failures == 0 && !l.state.Synced() {
+	if !l.renewalLate(now) {
 		return
 	}
 	if l.view != nil && !l.state.Registered() {
@@ -50,6 +53,13 @@
 	l.askAll(l.peerKeys(), l.state.Revision())
 }
 
+// renewalLate reports whether the last renewal failed, or the one under way
+// takes longer than the leader may hold it.
+func (l *loop) renewalLate(now time.Duration) bool {
+	r := &l.renew
+	return r.failures > 0 || r.running && now > r.sent+l.syncer.opts.RenewEvery+lateAfter
+}
+
 // askAll asks all keys beside the loop.
 func (l *loop) askAll(keys []freshness.Key, revision uint64) {
 	req := &clusterpb.ConfirmRequest{Entry: l.syncer.opts.Entry.Id, Revision: revision}
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -29,6 +29,7 @@
 // renewState is the state of renewals. One is under way at a time.
 type renewState struct {
 	running bool
+	sent    time.Duration
 	cancel  context.CancelFunc
 	// number tells the answer to the current renewal from that of a cancelled
 	// one.
@@ -65,7 +66,8 @@
 	timeout := time.Duration(req.WaitMs)*time.Millisecond + callTimeout
 	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	r.cancel = cancel
-	ev := &renewed{number: r.number, sent: l.syncer.now(), address: address, relayed: relayed}
+	r.sent = l.syncer.now()
+	ev := &renewed{number: r.number, sent: r.sent, address: address, relayed: relayed}
 	l.workers.Go(func() {
 		defer cancel()
 		ev.resp, ev.err = l.syncer.client(address).Renew(ctx, req)
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +18,7 @@
 	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/control/controltest"
 	"balsamcourse.example/balsamcourse/internal/freshness"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -28,7 +27,7 @@
 
 // process is a listener whose handler can be set after its address is known.
 type process struct {
-	server *httptest.Server
+	server *httpnet.Server
 	mux    atomic.Pointer[http.ServeMux]
 }
 
@@ -42,20 +41,23 @@
 	p.mux.Load().ServeHTTP(w, r)
 }
 
-func (p *process) address() string { return strings.TrimPrefix(p.server.URL, "http://") }
+func (p *process) address() string { return p.server.Address() }
 
-func newProcess(t *testing.T) *process {
+func newProcess(t testing.TB) *process {
 	p := &process{}
 	p.reset()
-	p.server = httptest.NewServer(p)
-	t.Cleanup(p.server.Close)
+	var err error
+	p.server, err = httpnet.Listen("127.0.0.1:0", p, httpnet.Limits{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, p.server.Close()) })
 	return p
 }
 
 // cluster is a control group of three and some entry VMs in one process.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
+	client  *http.Client
 	log     controltest.Log
 	control []*process
 	leader  *controltest.Replica
@@ -65,16 +67,16 @@
 	workers conc.WaitGroup
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &cluster{t: t, ctx: ctx}
+	c := &cluster{t: t, ctx: ctx, client: httpnet.NewClient(nil)}
 	t.Cleanup(func() {
 		cancel()
 		c.workers.Wait()
 	})
 	for i := range 3 {
 		p := newProcess(t)
-		s := control.New(control.Options{})
+		s := control.New(control.Options{Client: httpnet.NewClient(nil)})
 		r := c.log.Add(p.address(), s.StateMachine())
 		s.SetReplica(r)
 		p.handle(adminpb.AdminPathPrefix, s.PeerAdminHandler())
@@ -88,7 +90,7 @@
 			c.second = r
 		}
 	}
-	c.admin = adminpb.NewAdminProtobufClient(c.control[1].server.URL, http.DefaultClient)
+	c.admin = adminpb.NewAdminProtobufClient("http://"+c.control[1].address(), httpnet.NewClient(nil))
 	return c
 }
 
@@ -101,6 +103,7 @@
 	s := configsync.New(configsync.Options{
 		Entry:   &catalogpb.Entry{Id: id, Zone: zone, ClusterAddress: p.address(), Incarnation: incarnation},
 		Control: controlAddresses,
+		Client:  c.client,
 	})
 	p.handle("/", s.Handler())
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -124,7 +127,7 @@
 	c.apply(3, &catalogpb.Change{Kind: &catalogpb.Change_PutService{PutService: &catalogpb.Service{Name: "s", PathPrefix: "/s"}}})
 }
 
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if check() {
@@ -254,6 +257,8 @@
 	eventually(t, "it has the change", func() bool { return s.View().Revision() >= resp.Result.Revision })
 }
 
+var plain = httpnet.NewClient(nil)
+
 // blockedTransport refuses calls to some addresses.
 type blockedTransport map[string]bool
 
@@ -262,7 +267,7 @@
 	if b[r.URL.Host] {
 		return nil, fmt.Errorf("blocked")
 	}
-	return http.DefaultTransport.RoundTrip(r)
+	return plain.Transport.RoundTrip(r)
 }
 
 func (c *cluster) entryAddress(id string) string {
