Shorten renewals: known entry VMs send id and incarnation only

A renewal cost 139 to 141 B/s for each entry VM, 14 KB/s at 100, above the 13 KB/s that a control daemon may spend. The description of an entry VM, the address of the leader and the Date header repeated what both ends know.

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -82,10 +82,8 @@
 }
 
 func (l *loop) renewRequest() *clusterpb.RenewRequest {
-	entry := proto.CloneOf(l.syncer.opts.Entry)
-	entry.Leaving = l.leaving
 	req := &clusterpb.RenewRequest{
-		Entry:            entry,
+		Entry:            l.describe(),
 		Revision:         l.state.Revision(),
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.Accepted(),
@@ -99,6 +97,17 @@
 	return req
 }
 
+// describe returns the description of this entry VM: the whole one unless the
+// configuration already has it.
+func (l *loop) describe() *catalogpb.Entry {
+	entry := proto.CloneOf(l.syncer.opts.Entry)
+	entry.Leaving = l.leaving
+	if l.view == nil || l.renew.failures > 0 || !proto.Equal(l.view.Entry(entry.Id), entry) {
+		return entry
+	}
+	return &catalogpb.Entry{Id: entry.Id, Incarnation: entry.Incarnation}
+}
+
 // target returns the address for the next renewal: a relay that worked, or, as
 // failures go on, the leader, the control VMs and entry VMs that relay.
 func (l *loop) target() (address string, relayed bool) {
@@ -141,6 +150,9 @@
 		l.renewalFailed()
 		return
 	}
+	if ev.resp.LeaderAddress == "" && ev.resp.LeaseMs > 0 && !ev.relayed {
+		ev.resp.LeaderAddress = ev.address
+	}
 	redirected := l.learnAddresses(ev.resp)
 	if ev.resp.LeaseMs > 0 {
 		l.syncer.silent.Store(&ev.resp.Silent)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -83,7 +83,16 @@
 
 // DistributionHandler serves entry VMs.
 func (s *Server) DistributionHandler() http.Handler {
-	return clusterpb.NewDistributionServer(&distribution{server: s})
+	return withoutDate(clusterpb.NewDistributionServer(&distribution{server: s}))
+}
+
+// withoutDate leaves the Date header out of answers: entry VMs do not use the
+// time of day, and it would be a third of a usual answer.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Run executes the loop until ctx ends. It is called once.
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -41,8 +41,8 @@
 
 // Renew grants a lease and returns what the entry VM lacks.
 func (d *distribution) Renew(ctx context.Context, req *clusterpb.RenewRequest) (*clusterpb.RenewResponse, error) {
-	if req.Entry.GetId() == "" || req.Entry.GetClusterAddress() == "" {
-		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id or cluster address"))
+	if req.Entry.GetId() == "" {
+		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id"))
 	}
 	r := &renewal{
 		request:  req,
@@ -82,7 +82,7 @@
 		l.redirect(r)
 		return
 	}
-	if !l.term.record(l.server.now(), r) {
+	if !l.term.complete(r.request) || !l.term.record(l.server.now(), r) {
 		l.redirect(r)
 		return
 	}
@@ -188,13 +188,15 @@
 	resp := &clusterpb.RenewResponse{
 		Revision:         t.config.Revision,
 		AcceptedRevision: t.tracker.Accepted(),
-		LeaderAddress:    st.LeaderAddress,
 		Silent:           t.silent(l.server.now()),
 	}
 	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
 	}
+	if !ok || req.Relayed {
+		resp.LeaderAddress = st.LeaderAddress
+	}
 	l.fill(resp, req, st)
 	r.reply <- resp
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -4,6 +4,7 @@
 	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/acceptance"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/freshness"
@@ -88,6 +89,20 @@
 	return nil
 }
 
+// complete fills in the registered description of an entry VM that sent only
+// its id and incarnation. It reports false when that incarnation is not known.
+func (t *term) complete(req *clusterpb.RenewRequest) bool {
+	if req.Entry.ClusterAddress != "" {
+		return true
+	}
+	known := t.registered(req.Entry.Id)
+	if known == nil || known.Incarnation != req.Entry.Incarnation {
+		return false
+	}
+	req.Entry = known
+	return true
+}
+
 // record notes a report. It reports false for one of an older incarnation.
 func (t *term) record(now time.Duration, r *renewal) bool {
 	e := r.request.Entry
