Measure the leader alone; plan cells only when their inputs change; table tests

It is skipped now when the configuration and the available entry VMs are the same as at the last plan that moved nothing.

--- /dev/null
+++ b/internal/acceptance/acceptance_test.go
@@ -0,0 +1,111 @@
+package acceptance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/freshness"
+)
+
+const (
+	longQuiet = time.Hour
+	renewedAt = 10 * time.Second
+	changedAt = renewedAt + 100*time.Millisecond
+	// leaseEnd is when the leases granted at renewedAt have run out.
+	leaseEnd = renewedAt + 3030*time.Millisecond
+)
+
+func setOf(n int) []freshness.Key {
+	set := make([]freshness.Key, n)
+	for i := range set {
+		set[i] = freshness.Key{ID: fmt.Sprintf("e%d", i), ClusterAddress: "a"}
+	}
+	return set
+}
+
+// renewed returns a tracker whose entry VMs all hold revision 1 and a lease,
+// with revision 2 committed.
+func renewed(set []freshness.Key) *Tracker {
+	t := New(0, Revision{Number: 1, Set: set})
+	for _, key := range set {
+		t.Ack(renewedAt, key, 1, longQuiet)
+		t.Grant(renewedAt, renewedAt, renewedAt, key)
+	}
+	t.Advance(renewedAt)
+	t.Publish(Revision{Number: 2, Set: set})
+	return t
+}
+
+func TestWhenAccepted(t *testing.T) {
+	const never = time.Duration(-1)
+	for _, tc := range []struct {
+		name    string
+		entries int
+		acked   int
+		quiet   time.Duration
+		want    time.Duration
+	}{
+		{"all acknowledge", 20, 20, longQuiet, changedAt},
+		{"one is silent", 20, 19, longQuiet, leaseEnd},
+		{"half are silent", 20, 10, longQuiet, leaseEnd},
+		{"a majority is silent", 20, 9, longQuiet, never},
+		{"all acknowledge, all confirmed just before", 20, 20, 0, changedAt + 2020*time.Millisecond},
+		{"alone in its set", 1, 1, 0, changedAt},
+		{"no entry VM", 0, 0, 0, changedAt},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			set := setOf(tc.entries)
+			tr := renewed(set)
+			for _, key := range set[:tc.acked] {
+				tr.Ack(changedAt, key, 2, tc.quiet)
+			}
+			got := never
+			for now := changedAt; now < changedAt+time.Minute; now += 10 * time.Millisecond {
+				if tr.Advance(now) == 2 {
+					got = now
+					break
+				}
+			}
+			assert.Equal(t, got, tc.want)
+			assert.Equal(t, len(tr.Missing(2)), tc.entries-tc.acked)
+		})
+	}
+}
+
+func TestNewLeaderWaitsForOldLeases(t *testing.T) {
+	set := setOf(3)
+	tr := New(0, Revision{Number: 5, Set: set})
+	for _, key := range set[:2] {
+		tr.Ack(0, key, 5, longQuiet)
+	}
+	oldLeases := freshness.Lengthen(freshness.Lease + freshness.QuorumAge)
+	assert.Equal(t, tr.Advance(oldLeases-1), uint64(0))
+	assert.Equal(t, tr.Advance(oldLeases), uint64(5))
+}
+
+func TestGrantNeedsQuorumAndRegistration(t *testing.T) {
+	set := setOf(2)
+	tr := New(0, Revision{Number: 1, Set: set[:1]})
+	_, ok := tr.Grant(renewedAt, renewedAt, renewedAt-freshness.QuorumAge, set[0])
+	assert.Assert(t, ok)
+	_, ok = tr.Grant(renewedAt, renewedAt, renewedAt-freshness.QuorumAge-1, set[0])
+	assert.Assert(t, !ok)
+	_, ok = tr.Grant(renewedAt, renewedAt, renewedAt, set[1])
+	assert.Assert(t, !ok)
+}
+
+// TestEndedEntriesDoNotBlock removes a silent majority whose processes have
+// ended for good.
+func TestEndedEntriesDoNotBlock(t *testing.T) {
+	set := setOf(3)
+	tr := renewed(set)
+	tr.Ack(changedAt, set[0], 2, longQuiet)
+	assert.Equal(t, tr.Advance(changedAt+time.Minute), uint64(1))
+	tr.Publish(Revision{Number: 3, Set: set[:2], SetRevision: 3, PreviousSet: set[:2]})
+	tr.Publish(Revision{Number: 4, Set: set[:1], SetRevision: 4, PreviousSet: set[:1]})
+	tr.Ack(changedAt+time.Minute, set[0], 4, longQuiet)
+	assert.Equal(t, tr.Advance(changedAt+time.Minute), uint64(4))
+}
--- /dev/null
+++ b/internal/acceptance/measure_test.go
@@ -0,0 +1,34 @@
+package acceptance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/freshness"
+)
+
+// BenchmarkRenewal measures what one renewal costs the leader's tracker, with
+// nothing pending and with a revision pending.
+func BenchmarkRenewal(b *testing.B) {
+	for _, n := range []int{20, 100} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			var set []freshness.Key
+			for i := range n {
+				id := fmt.Sprintf("entry-%03d", i)
+				set = append(set, freshness.Key{ID: id, ClusterAddress: id})
+			}
+			t := New(0, Revision{Number: 1, Set: set})
+			now := time.Duration(0)
+			i := 0
+			for b.Loop() {
+				now += time.Second / time.Duration(n)
+				key := set[i%n]
+				i++
+				t.Ack(now, key, 1, time.Hour)
+				t.Grant(now, now, now, key)
+				t.Advance(now)
+			}
+		})
+	}
+}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -21,7 +21,7 @@
 
 // machine applies commands at successive indexes.
 type machine struct {
-	t *testing.T
+	t testing.TB
 	*Catalog
 	last uint64
 }
--- a/internal/catalog/measure_test.go
+++ b/internal/catalog/measure_test.go
@@ -8,10 +8,11 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/assign"
+	"balsamcourse.example/balsamcourse/internal/view"
 )
 
 // grown returns a catalog with the given sizes and every cell assigned.
-func grown(t *testing.T, services, zones, entries int) *machine {
+func grown(t testing.TB, services, zones, entries int) *machine {
 	m := &machine{t: t, Catalog: New()}
 	number := uint64(0)
 	change := func(c *catalogpb.Change) {
@@ -78,3 +79,44 @@
 			size[0], size[1], size[2], proto.Size(base), len(snap), zone, len(own), proto.Size(Delta(base, m.Config())))
 	}
 }
+
+// BenchmarkTarget measures the steps of one change at 140 services, 8
+// availability zones and 100 entry VMs, and the plan of cells.
+func BenchmarkTarget(b *testing.B) {
+	m := grown(b, 140, 8, 100)
+	base := m.Config()
+	m.change("ann", 1_000_000, 0, zoneState(base.Zones[0].Name, catalogpb.ZoneState_ZONE_STATE_LEAVING))
+	next := m.Config()
+	delta := Delta(base, next)
+	var available []assign.Entry
+	for _, e := range next.Entries {
+		available = append(available, assign.Entry{ID: e.Id, Zone: e.Zone, Incarnation: e.Incarnation})
+	}
+	steps := map[string]func(){
+		"apply": func() {
+			number := m.last + 2_000_000
+			m.change("ann", number, 0, putZoneChange(base.Zones[0].Name))
+		},
+		"delta": func() { Delta(base, next) },
+		"patch": func() {
+			if _, err := Patch(base, delta); err != nil {
+				b.Fatal(err)
+			}
+		},
+		"view": func() { view.New(next) },
+		"plan": func() { assign.Cells(next, available) },
+		"snapshot": func() {
+			if _, err := m.Snapshot(); err != nil {
+				b.Fatal(err)
+			}
+		},
+	}
+	for name, step := range steps {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+			}
+		})
+	}
+}
--- a/internal/configsync/measure_test.go
+++ b/internal/configsync/measure_test.go
@@ -61,16 +61,20 @@
 }
 
 func (c *cluster) createCells(services int) {
-	for i := range 4 {
+	c.createCellsIn(4, services)
+	eventually(c.t, "all cells are assigned", func() bool {
+		return len(c.entries[0].View().Config.Cells) == 4*services
+	})
+}
+
+func (c *cluster) createCellsIn(zones, services int) {
+	for i := range zones {
 		c.apply(uint64(1+i), &catalogpb.Change{Kind: &catalogpb.Change_PutZone{PutZone: &catalogpb.Zone{Name: string(rune('a' + i))}}})
 	}
 	for i := range services {
 		name := fmt.Sprintf("service-%03d", i)
-		c.apply(uint64(10+i), &catalogpb.Change{Kind: &catalogpb.Change_PutService{PutService: &catalogpb.Service{Name: name, PathPrefix: "/" + name}}})
+		c.apply(uint64(100+i), &catalogpb.Change{Kind: &catalogpb.Change_PutService{PutService: &catalogpb.Service{Name: name, PathPrefix: "/" + name}}})
 	}
-	eventually(c.t, "all cells are assigned", func() bool {
-		return len(c.entries[0].View().Config.Cells) == 4*services
-	})
 }
 
 // BenchmarkIdle reports, for each entry VM, the bytes a second on its
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -26,6 +26,12 @@
 	proposeTimeout = 3 * time.Second
 )
 
+// planInputs is what a plan of cells depends on.
+type planInputs struct {
+	config    *catalogpb.Config
+	available []assign.Entry
+}
+
 // proposed says that a proposal of the loop has ended.
 type proposed struct {
 	term uint64
@@ -120,9 +126,16 @@
 	return list
 }
 
+// cellPlan returns the command that moves cells, or nil. A plan that moved
+// nothing is not made again over the same inputs.
 func (t *term) cellPlan(now time.Duration) *catalogpb.Command {
-	moved := assign.Cells(t.config, t.available(now, liveTimeout, false))
+	available := t.available(now, liveTimeout, false)
+	if t.planned.config == t.config && slices.Equal(t.planned.available, available) {
+		return nil
+	}
+	moved := assign.Cells(t.config, available)
 	if len(moved) == 0 {
+		t.planned = planInputs{t.config, available}
 		return nil
 	}
 	cells := &catalogpb.AssignCells{Cells: moved}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -145,7 +145,8 @@
 // stale reports whether the configuration does not have the entry VM as it
 // reports itself.
 func (l *loop) stale(e *catalogpb.Entry) bool {
-	return !proto.Equal(l.term.registered(e.Id), e)
+	known := l.term.registered(e.Id)
+	return known != e && !proto.Equal(known, e)
 }
 
 // flush answers the held renewals that are due.
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -25,6 +25,8 @@
 	proposing      bool
 	lastRegistered time.Duration
 	nextPlan       time.Duration
+	// planned holds the inputs of the last plan that moved nothing.
+	planned planInputs
 }
 
 // heard is the last report of one entry VM.
