Add a guarded way to rebuild a lost control quorum

A replica that has outlived its quorum becomes a group of its own at a log index and term beyond the old group's. The newest configuration is taken from the entry VMs, of which a majority must answer; those registered in a newer configuration are asked in turn.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -32,6 +32,7 @@
 		}),
 	}
 	addSettingsFlag(cmd, &file)
+	cmd.AddCommand(newRebuild(c))
 	return cmd
 }
 
--- /dev/null
+++ b/internal/rebuild/entries.go
@@ -0,0 +1,84 @@
+package rebuild
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// askTimeout bounds the answer of one entry VM.
+const askTimeout = 3 * time.Second
+
+// Asked is what the entry VMs answered.
+type Asked struct {
+	Registered int
+	Answered   int
+	// Newest is the newest configuration that one of them holds; nil when none
+	// is newer than that of the replica.
+	Newest *catalogpb.Config
+	// Missing lists the entry VMs that did not answer.
+	Missing []string
+}
+
+// Ask asks the registered entry VMs which configuration they hold. When one
+// holds a newer configuration, those registered there are asked in turn.
+func (s *Survey) Ask(ctx context.Context, client *http.Client) Asked {
+	known := s.Config()
+	for {
+		a := askAll(ctx, client, known)
+		if a.Newest == nil {
+			if known.GetRevision() > s.Config().GetRevision() {
+				a.Newest = known
+			}
+			return a
+		}
+		known = a.Newest
+	}
+}
+
+// askAll asks the entry VMs registered in known for a newer configuration.
+func askAll(ctx context.Context, client *http.Client, known *catalogpb.Config) Asked {
+	entries := known.GetEntries()
+	answers := iter.Map(entries, func(e **catalogpb.Entry) *clusterpb.ConfirmResponse {
+		return askOne(ctx, client, (*e).GetClusterAddress(), known.GetRevision())
+	})
+	a := Asked{Registered: len(entries)}
+	for i, answer := range answers {
+		if !answer.GetSynced() {
+			a.Missing = append(a.Missing, entries[i].GetId())
+			continue
+		}
+		a.Answered++
+		if config := answer.GetConfig(); config.GetRevision() > max(known.GetRevision(), a.Newest.GetRevision()) {
+			a.Newest = config
+		}
+	}
+	return a
+}
+
+// askOne returns nil when the entry VM does not answer.
+func askOne(ctx context.Context, client *http.Client, address string, revision uint64) *clusterpb.ConfirmResponse {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	entry := clusterpb.NewDistributionProtobufClient("http://"+address, client)
+	resp, err := entry.Confirm(ctx, &clusterpb.ConfirmRequest{Revision: revision})
+	if err != nil {
+		return nil
+	}
+	return resp
+}
+
+// Check returns an error unless a majority of the entry VMs has answered: any
+// majority holds every accepted change.
+func (a Asked) Check() error {
+	if 2*a.Answered > a.Registered {
+		return nil
+	}
+	return fault.New(fault.NoQuorum, "%d of %d entry VMs answered; missing: %v", a.Answered, a.Registered, a.Missing)
+}
--- /dev/null
+++ b/internal/rebuild/rebuild.go
@@ -0,0 +1,155 @@
+// Package rebuild makes a new control group of one replica out of a replica
+// that has outlived its quorum.
+//
+// The new group starts from the newest configuration that the replica or one of
+// the entry VMs holds, at a log index and a term beyond any that the old group
+// can have reached. It therefore never takes back an accepted change, as long
+// as a majority of the entry VMs was asked, and every entry VM adopts it.
+package rebuild
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+const (
+	// indexGap lies between the newest known log index and the new group's.
+	indexGap = 1_000_000
+	// termGap lies between the newest known term and the new group's.
+	termGap = 1_000
+)
+
+// Survey is what a replica's log holds.
+type Survey struct {
+	ID        uint64
+	Disk      uint64
+	Term      uint64
+	LastIndex uint64
+	Members   []*catalogpb.ControlMember
+	catalog   *catalog.Catalog
+}
+
+// Read returns what the log record of replica id holds. Changes that may not
+// have been committed count: their outcome was never reported as refused.
+func Read(id uint64, rec *clusterpb.LogRecord) (*Survey, error) {
+	snap := rec.GetSnapshot()
+	s := &Survey{
+		ID:        id,
+		Disk:      rec.GetDiskId(),
+		Term:      max(rec.GetState().GetTerm(), rec.GetBaseTerm(), snap.GetTerm()),
+		LastIndex: max(rec.GetBaseIndex(), snap.GetIndex()),
+		Members:   snap.GetMembers().GetMembers(),
+		catalog:   catalog.New(),
+	}
+	if data := snap.GetData(); len(data) > 0 {
+		if err := s.catalog.Restore(data); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for _, e := range rec.GetEntries() {
+		if e.GetIndex() > snap.GetIndex() {
+			s.add(e)
+		}
+	}
+	return s, nil
+}
+
+func (s *Survey) add(e *clusterpb.LogEntry) {
+	s.LastIndex = e.GetIndex()
+	s.Term = max(s.Term, e.GetTerm())
+	if m := e.GetMembers(); m != nil {
+		s.Members = m.GetMembers()
+	}
+	s.catalog.Apply(e.GetIndex(), e.GetData())
+}
+
+// Config returns the newest configuration in the log.
+func (s *Survey) Config() *catalogpb.Config { return s.catalog.Config() }
+
+// Others returns the ids of the other members in ascending order.
+func (s *Survey) Others() []uint64 {
+	var ids []uint64
+	for _, m := range s.Members {
+		if m.GetReplicaId() != s.ID {
+			ids = append(ids, m.GetReplicaId())
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// CheckRemoved returns an error unless removed names exactly the other members
+// and this replica is a voter.
+func (s *Survey) CheckRemoved(removed []uint64) error {
+	self := s.self()
+	if self == nil || self.GetLearner() {
+		return fault.New(fault.InvalidChange, "replica %d is no voter of its group", s.ID)
+	}
+	given := slices.Sorted(slices.Values(removed))
+	if !slices.Equal(given, s.Others()) {
+		return fault.New(fault.InvalidChange, "the other members are %v, not %v", s.Others(), given)
+	}
+	return nil
+}
+
+func (s *Survey) self() *catalogpb.ControlMember {
+	for _, m := range s.Members {
+		if m.GetReplicaId() == s.ID {
+			return m
+		}
+	}
+	return nil
+}
+
+// Rewrite returns the log of the new group, in which this replica is the only
+// member and newest is in force. A nil newest stands for the configuration in
+// the log.
+func (s *Survey) Rewrite(newest *catalogpb.Config) (*clusterpb.LogRecord, error) {
+	if newest == nil || newest.GetRevision() < s.Config().GetRevision() {
+		newest = s.Config()
+	}
+	index := max(s.LastIndex, newest.GetRevision()) + indexGap
+	term := s.Term + termGap
+	data, err := s.encode(newest, index)
+	if err != nil {
+		return nil, err
+	}
+	self := proto.CloneOf(s.self())
+	self.DiskId = s.Disk
+	return &clusterpb.LogRecord{
+		DiskId: s.Disk,
+		State:  &clusterpb.HardState{Term: term, Vote: s.ID},
+		Snapshot: &clusterpb.ConsensusSnapshot{
+			Index:   index,
+			Term:    term,
+			Members: &clusterpb.Membership{Members: []*catalogpb.ControlMember{self}},
+			Data:    data,
+		},
+		BaseIndex: index,
+		BaseTerm:  term,
+	}, nil
+}
+
+// encode returns the state of the catalog at index with config in force.
+func (s *Survey) encode(config *catalogpb.Config, index uint64) ([]byte, error) {
+	data, err := s.catalog.Snapshot()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var snap catalogpb.Snapshot
+	if err := proto.Unmarshal(data, &snap); err != nil {
+		return nil, errors.Trace(err)
+	}
+	snap.Config = proto.CloneOf(config)
+	snap.Config.Revision = index
+	snap.AppliedIndex = index
+	data, err = proto.Marshal(&snap)
+	return data, errors.Annotate(err, "encode catalog")
+}
--- a/internal/replica/join_test.go
+++ b/internal/replica/join_test.go
@@ -15,7 +15,7 @@
 func TestReplacementOfALostDisk(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	hosts := startGroup(t, 3)
+	hosts := startGroup(t, 3, Options{})
 	leader := waitLeader(t, hosts)
 	_, index, err := leader.node.Propose(ctx, []byte("before"))
 	assert.NilError(t, err)
