--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -11,9 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/view"
@@ -58,6 +60,7 @@
 	scope   tally.Scope
 
 	timeline atomic.Pointer[claim.Timeline]
+	epoch    atomic.Pointer[catalogpb.ClaimEpoch]
 	entries  atomic.Pointer[entries]
 
 	mu    sync.Mutex
@@ -78,7 +81,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Service{
+	s := &Service{
 		opts:    opts,
 		self:    self,
 		started: time.Now(),
@@ -87,6 +90,8 @@
 		peers:   make(map[string]*peer),
 		stop:    make(chan struct{}),
 	}
+	s.entries.Store(&entries{})
+	return s
 }
 
 // Handler serves the claim protocol to other entry VMs.
@@ -115,12 +120,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries.Store(entriesOf(v))
+	s.adopt(v.Config.ClaimEpoch)
+}
+
+// learn adopts an epoch that another entry VM has received before this one.
+func (s *Service) learn(ce *catalogpb.ClaimEpoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adopt(ce)
+}
+
+// adopt moves on to an epoch if it is newer. The caller holds the lock.
+func (s *Service) adopt(ce *catalogpb.ClaimEpoch) {
 	old := s.timeline.Load()
-	t := claim.NewTimeline(old, v.Config.ClaimEpoch)
+	t := claim.NewTimeline(old, ce)
 	if t == old {
 		return
 	}
 	s.store.Adopt(s.now(), t)
+	s.epoch.Store(ce)
 	s.timeline.Store(t)
 }
 
@@ -150,7 +168,12 @@
 	s.scope.Gauge("records").Update(float64(s.store.Claims()))
 	s.scope.Gauge("kept_bytes").Update(float64(s.store.AnswerBytes()))
 	s.mu.Unlock()
+	told := make(map[string]bool)
 	for _, m := range pulls {
+		if !told[m.To] {
+			told[m.To] = true
+			m.ClaimEpoch = s.epoch.Load()
+		}
 		s.send(m, s.onPulled)
 	}
 }
@@ -185,10 +208,21 @@
 	if isReply(m.Kind) {
 		return &clusterpb.ClaimMessage{}
 	}
-	if r := s.store.Handle(s.now(), m); r != nil {
-		return r
+	if m.ClaimEpoch != nil {
+		s.adopt(m.ClaimEpoch)
 	}
-	return &clusterpb.ClaimMessage{}
+	r := s.store.Handle(s.now(), m)
+	if r == nil {
+		return &clusterpb.ClaimMessage{}
+	}
+	if isClaim(m.Kind) && m.Epoch < s.store.Epoch() && !r.Granted && r.Record == nil {
+		r.ClaimEpoch = s.epoch.Load()
+	}
+	return r
+}
+
+func isClaim(k clusterpb.ClaimMessageKind) bool {
+	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_CLAIM
 }
 
 // isReply keeps a caller of Step from passing off an answer.
@@ -206,13 +240,16 @@
 		done(r, nil)
 		return
 	}
-	s.peer(m.To).send(pending{m, done})
+	address, ok := s.entries.Load().addresses[m.To]
+	if !ok {
+		done(nil, errors.NotFoundf("address of entry VM %q", m.To))
+		return
+	}
+	s.peer(address).send(pending{m, done})
 }
 
-// peer returns the sender to a member. A member that moves to another address
-// gets a new one.
-func (s *Service) peer(id string) *peer {
-	address := s.entries.Load().addresses[id]
+// peer returns the sender to an address.
+func (s *Service) peer(address string) *peer {
 	s.peersMu.Lock()
 	defer s.peersMu.Unlock()
 	p := s.peers[address]
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"context"
-
 	"github.com/twitchtv/twirp"
 
+	"context"
+
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -62,8 +62,3 @@
 	}
 	return resp
 }
-
-// ReleaseQuarantine is not offered by control VMs yet.
-func (a *admin) ReleaseQuarantine(context.Context, *adminpb.ReleaseQuarantineRequest) (*adminpb.ReleaseQuarantineResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "release of a quarantined request")
-}
