Count calls by method on control VMs; drop settings and metrics that nothing used

quarantine.window_ms had no reader, and announce_ttl_ms only set the interval asked of upstreams while the silence that counts is fixed on all VMs; it is now announce_every_ms. Control VMs had a scrape endpoint without metrics of their own.

--- a/internal/cli/admin_zone.go
+++ b/internal/cli/admin_zone.go
@@ -47,7 +47,7 @@
 func newZoneDelete(a *admin) *cobra.Command {
 	return &cobra.Command{
 		Use:     "delete NAME",
-		Short:   "Delete an availability zone",
+		Short:   "Delete an availability zone that is out",
 		Example: "  balsamcourse admin zone delete jm-south-a",
 		Args:    cobra.ExactArgs(1),
 		RunE: withKind(func(cmd *cobra.Command, args []string) error {
--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -63,6 +63,7 @@
 	}
 	var workers conc.WaitGroup
 	workers.Go(func() { d.control.Run(runCtx) })
+	workers.Go(func() { d.sampleReplica(runCtx) })
 	d.watchKeys(runCtx, &workers)
 	d.log.Log(event.Started).Str("cluster", s.ClusterAddress).Send()
 	d.wait(ctx, planned)
@@ -153,10 +154,10 @@
 	cluster.Handle(adminpb.AdminPathPrefix, d.control.PeerAdminHandler())
 	operators := http.NewServeMux()
 	operators.Handle(adminpb.AdminPathPrefix, d.control.AdminHandler())
-	if err := d.serve(d.settings.ClusterListen, access.NewGuard(d.keys.cluster, d.log, nil).Wrap(cluster)); err != nil {
+	if err := d.serve(d.settings.ClusterListen, access.NewGuard(d.keys.cluster, d.log, nil).Wrap(telemetry.CountCalls(d.metrics, cluster))); err != nil {
 		return err
 	}
-	if err := d.serve(d.settings.OperatorListen, access.NewGuard(d.keys.operators, d.log, nil).Wrap(operators)); err != nil {
+	if err := d.serve(d.settings.OperatorListen, access.NewGuard(d.keys.operators, d.log, nil).Wrap(telemetry.CountCalls(d.metrics, operators))); err != nil {
 		return err
 	}
 	if d.settings.MetricsListen == "" {
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -28,9 +28,6 @@
 	startWithin  = 30 * time.Second
 	// openRetention is added to the retention for claims without an outcome.
 	openRetention = 24 * time.Hour
-	// announceParts is the number of announcements an upstream makes before
-	// its silence counts as leaving.
-	announceParts = 6
 )
 
 // build connects the parts. Nothing runs yet.
@@ -150,7 +147,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/announce", &announce.Handler{
 		Sink:    announceSink{d.dispatcher},
-		EveryMs: int(d.settings.AnnounceTTLMs) / announceParts,
+		EveryMs: int(d.settings.AnnounceEveryMs),
 	})
 	refuse := func(w http.ResponseWriter, _ *http.Request, err *fault.Error) { fault.WriteHTTP(w, err) }
 	return access.NewGuard(d.keys.upstreams, d.log, refuse).Wrap(mux)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -12,6 +12,10 @@
 // cost the lease.
 const maxRenewMs = 1_000
 
+// maxAnnounceMs bounds the interval between announcements, so that two lost
+// ones do not let an upstream count as gone.
+const maxAnnounceMs = 1_000
+
 // Entry holds the settings of an entry VM.
 type Entry struct {
 	ID     string `toml:"id"`
@@ -33,9 +37,10 @@
 	// DrainMs bounds the wait for calls in flight at a planned stop, after
 	// the longest look-up answer has run out.
 	DrainMs Millis `toml:"drain_ms"`
-	// AnnounceTTLMs is the silence after which an upstream counts as leaving.
-	AnnounceTTLMs  Millis `toml:"announce_ttl_ms"`
-	DispatchPolicy string `toml:"dispatch_policy"`
+	// AnnounceEveryMs is the interval at which upstreams are asked to announce
+	// themselves.
+	AnnounceEveryMs Millis `toml:"announce_every_ms"`
+	DispatchPolicy  string `toml:"dispatch_policy"`
 	// RenewMs is the interval between renewals of the configuration lease.
 	RenewMs    Millis     `toml:"renew_ms"`
 	Limits     Limits     `toml:"limits"`
@@ -64,9 +69,8 @@
 type Quarantine struct {
 	// Threshold is the number of broken connections that quarantines a request.
 	Threshold int `toml:"threshold"`
-	// WindowMs is the period over which broken connections are counted.
-	WindowMs Millis `toml:"window_ms"`
-	// HoldMs is how long a quarantined request is refused.
+	// HoldMs is how long a broken connection counts, and thus how long a
+	// quarantined request is refused.
 	HoldMs Millis `toml:"hold_ms"`
 	// MaxRequests bounds the requests that are remembered.
 	MaxRequests int `toml:"max_requests"`
@@ -81,19 +85,19 @@
 // DefaultEntry returns the settings that apply where the file is silent.
 func DefaultEntry() Entry {
 	return Entry{
-		LookupTTLMs:    5_000,
-		DrainMs:        30_000,
-		AnnounceTTLMs:  3_000,
-		DispatchPolicy: PolicyCell,
-		RenewMs:        1_000,
-		Limits:         defaultLimits(),
+		LookupTTLMs:     5_000,
+		DrainMs:         30_000,
+		AnnounceEveryMs: 500,
+		DispatchPolicy:  PolicyCell,
+		RenewMs:         1_000,
+		Limits:          defaultLimits(),
 		Claims: Claims{
 			RetentionMs:   600_000,
 			MaxClaims:     100_000,
 			MaxKeptBytes:  16 << 10,
 			MaxTotalBytes: 32 << 20,
 		},
-		Quarantine: Quarantine{Threshold: 2, WindowMs: 60_000, HoldMs: 600_000, MaxRequests: 10_000},
+		Quarantine: Quarantine{Threshold: 2, HoldMs: 600_000, MaxRequests: 10_000},
 		Log:        Log{Level: "info"},
 		Trace:      defaultTrace(),
 	}
@@ -145,7 +149,7 @@
 	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
 	c.between("drain_ms", int64(s.DrainMs), 0, 3_600_000)
 	c.between("renew_ms", int64(s.RenewMs), 50, maxRenewMs)
-	c.between("announce_ttl_ms", int64(s.AnnounceTTLMs), 50, 60_000)
+	c.between("announce_every_ms", int64(s.AnnounceEveryMs), 50, maxAnnounceMs)
 }
 
 func (s Claims) check(c *checker) {
@@ -157,7 +161,6 @@
 
 func (s Quarantine) check(c *checker) {
 	c.between("quarantine.threshold", int64(s.Threshold), 1, 100)
-	c.between("quarantine.window_ms", int64(s.WindowMs), 100, 86_400_000)
 	c.between("quarantine.hold_ms", int64(s.HoldMs), 100, 86_400_000)
 	c.between("quarantine.max_requests", int64(s.MaxRequests), 1, 10_000_000)
 }
--- a/internal/telemetry/roles.go
+++ b/internal/telemetry/roles.go
@@ -30,19 +30,11 @@
 	Upstream tally.Histogram
 	// Connections counts new connections to upstreams.
 	Connections tally.Counter
-	// Probes counts probes, ProbeMs the slot time they were charged.
-	Probes  tally.Counter
-	ProbeMs tally.Counter
-	// Retries counts further attempts, Hedges those made in parallel.
+	// Retries counts further attempts.
 	Retries tally.Counter
-	Hedges  tally.Counter
 	// Revision is the configuration in force; Fresh is 1 while it is confirmed.
 	Revision tally.Gauge
 	Fresh    tally.Gauge
-	// Cells is the number of cells that this VM dispatches.
-	Cells tally.Gauge
-	// Claims is the number of claims that this VM keeps.
-	Claims tally.Gauge
 }
 
 // NewEntryMetrics makes the metrics of an entry VM.
@@ -55,14 +47,9 @@
 		Claim:       latency(s, "claim_seconds"),
 		Upstream:    latency(s, "upstream_seconds"),
 		Connections: s.Counter("upstream_connections_opened"),
-		Probes:      s.Counter("probes"),
-		ProbeMs:     s.Counter("probe_slot_ms"),
 		Retries:     s.Counter("retries"),
-		Hedges:      s.Counter("hedges"),
 		Revision:    s.Gauge("config_revision"),
 		Fresh:       s.Gauge("config_fresh"),
-		Cells:       s.Gauge("cells_dispatched"),
-		Claims:      s.Gauge("claims_kept"),
 	}
 	m.answers[""] = answerCounter(s, answerOK)
 	for _, kind := range fault.Kinds() {
@@ -83,35 +70,24 @@
 // ControlMetrics are the metrics of a control VM.
 type ControlMetrics struct {
 	// Leader is 1 while this replica leads.
-	Leader           tally.Gauge
-	Term             tally.Gauge
-	Commit           tally.Gauge
-	Revision         tally.Gauge
-	AcceptedRevision tally.Gauge
-	// LiveEntries is the number of entry VMs heard within the lease.
-	LiveEntries tally.Gauge
-	// Changes counts operators' changes, Renewals lease renewals.
-	Changes  tally.Counter
-	Renewals tally.Counter
-	// Sync is the time of one sync of the log.
-	Sync tally.Histogram
-	// Accept is the time from an operator's call until its change is accepted.
-	Accept tally.Histogram
+	Leader tally.Gauge
+	Term   tally.Gauge
+	// Commit is the index of the last committed log entry.
+	Commit tally.Gauge
+	// Members is the number of replicas, LiveMembers that of those heard by
+	// the leader.
+	Members     tally.Gauge
+	LiveMembers tally.Gauge
 }
 
 // NewControlMetrics makes the metrics of a control VM.
 func NewControlMetrics(s tally.Scope) *ControlMetrics {
 	return &ControlMetrics{
-		Leader:           s.Gauge("control_leader"),
-		Term:             s.Gauge("control_term"),
-		Commit:           s.Gauge("control_commit_index"),
-		Revision:         s.Gauge("config_revision"),
-		AcceptedRevision: s.Gauge("config_accepted_revision"),
-		LiveEntries:      s.Gauge("entries_live"),
-		Changes:          s.Counter("operator_changes"),
-		Renewals:         s.Counter("lease_renewals"),
-		Sync:             latency(s, "log_sync_seconds"),
-		Accept:           latency(s, "change_accept_seconds"),
+		Leader:      s.Gauge("control_leader"),
+		Term:        s.Gauge("control_term"),
+		Commit:      s.Gauge("control_commit_index"),
+		Members:     s.Gauge("control_members"),
+		LiveMembers: s.Gauge("control_members_live"),
 	}
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"gotest.tools/v3/assert"
 
@@ -129,3 +130,28 @@
 	assert.NilError(t, tr.Shutdown(ctx))
 	assert.Equal(t, <-got, "/v1/traces")
 }
+
+func TestCallsAreCountedByMethod(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	h := CountCalls(scope, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "Nothing") {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		if r.Header.Get("Fail") != "" {
+			w.WriteHeader(http.StatusConflict)
+		}
+	}))
+	call := func(path, fail string) {
+		r := httptest.NewRequest(http.MethodPost, path, nil)
+		r.Header.Set("Fail", fail)
+		h.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	call("/twirp/x.Admin/Apply", "")
+	call("/twirp/x.Admin/Apply", "yes")
+	call("/twirp/x.Admin/Nothing", "")
+	call("/other", "")
+	counters := scope.Snapshot().Counters()
+	assert.Equal(t, counters["rpc_calls+method=Apply"].Value(), int64(2))
+	assert.Equal(t, counters["rpc_failed+method=Apply"].Value(), int64(1))
+	assert.Equal(t, len(counters), 2)
+}
