--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -5,8 +5,8 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/juju/errors"
 
@@ -82,12 +82,9 @@
 	if err := checkNames(a.Service, a.Zone, a.ID); err != nil {
 		return err
 	}
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil {
-		return errors.NotValidf("address %q", a.Address)
-	}
-	if net.ParseIP(host) == nil {
-		return errors.NotValidf("address %q: not an IP address", a.Address)
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil || address.Port() == 0 {
+		return errors.NotValidf("address %q: no IP address and port", a.Address)
 	}
 	if a.Slots > maxSlots || a.Connections > maxConnections {
 		return errors.NotValidf("slots %d, connections %d", a.Slots, a.Connections)
