--- a/internal/claims/peer.go
+++ b/internal/claims/peer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
@@ -15,6 +14,8 @@
 const (
 	// maxBatch bounds the messages in one call.
 	maxBatch = 64
+	// maxQueue bounds the messages that wait for a call.
+	maxQueue = 4096
 	// maxCalls bounds the calls in flight to one member.
 	maxCalls = 4
 	// callTimeout bounds one call.
@@ -32,26 +33,38 @@
 // are in flight share the next call.
 type peer struct {
 	client clusterpb.Claims
-	group  *conc.WaitGroup
+	spawn  func(func()) bool
 
 	mu    sync.Mutex
 	queue []pending
 	calls int
 }
 
-func newPeer(address string, client *http.Client, group *conc.WaitGroup) *peer {
-	return &peer{client: clusterpb.NewClaimsProtobufClient("http://"+address, client), group: group}
+func newPeer(address string, client *http.Client, spawn func(func()) bool) *peer {
+	return &peer{client: clusterpb.NewClaimsProtobufClient("http://"+address, client), spawn: spawn}
 }
 
 // send queues a message and returns at once.
 func (p *peer) send(m pending) {
+	if !p.enqueue(m) {
+		m.done(nil, errors.New("too many messages wait, or the service has stopped"))
+	}
+}
+
+func (p *peer) enqueue(m pending) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue = append(p.queue, m)
+	if len(p.queue) >= maxQueue {
+		return false
+	}
 	if p.calls < maxCalls {
+		if !p.spawn(p.drain) {
+			return false
+		}
 		p.calls++
-		p.group.Go(p.drain)
 	}
+	p.queue = append(p.queue, m)
+	return true
 }
 
 // drain makes calls until the queue is empty.
@@ -74,24 +87,12 @@
 		p.calls--
 		return nil
 	}
-	n := batchSize(p.queue)
+	n := min(len(p.queue), maxBatch)
 	batch := p.queue[:n:n]
 	p.queue = p.queue[n:]
 	return batch
 }
 
-// batchSize returns the number of messages for the next call. A sync ends a
-// batch, because its answer can be large.
-func batchSize(queue []pending) int {
-	n := min(len(queue), maxBatch)
-	for i, m := range queue[:n] {
-		if m.message.Kind == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC {
-			return i + 1
-		}
-	}
-	return n
-}
-
 func (p *peer) call(batch []pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
@@ -54,6 +55,7 @@
 	noEjectCap    bool
 	noHoldDown    bool
 	noExpiry      bool
+	noWaitLimit   bool
 }
 
 // New returns a cell that starts at time now. It grants no slot before it is
@@ -244,10 +246,16 @@
 	}
 }
 
+// configure replaces the settings. The upstreams of an availability zone that
+// returns start cold, whatever they were when it left.
 func (c *Cell) configure(e Configure) {
+	returning := e.Config.Open && !c.cfg.Open
 	c.cfg = e.Config.withDefaults()
-	for _, u := range c.upstreams {
+	for _, u := range slices.Clone(c.upstreams) {
 		c.setSlots(u, u.announcedSlots)
+		if returning && u.state != stateDraining {
+			c.fire(u, eventRestarted)
+		}
 	}
 }
 
@@ -260,6 +268,9 @@
 
 // expireWaiters refuses requests that have waited too long.
 func (c *Cell) expireWaiters() {
+	if c.rules.noWaitLimit {
+		return
+	}
 	for i := 0; i < c.queue.len(); {
 		if c.queue.at(i).until > c.now {
 			i++
