--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -120,6 +120,7 @@
 
 // reconcile holds exactly the cells that v assigns to this process.
 func (s *Server) reconcile(v *view.View) {
+	s.holders.update(v, s.Now())
 	for key, c := range s.cells {
 		if !s.assigned(v, key, c.epoch) {
 			s.drop(c)
@@ -155,9 +156,11 @@
 }
 
 func (s *Server) take(v *view.View, key view.CellKey, epoch uint64) {
+	cfg := cellConfig(v, key)
+	cfg.Holders = s.holders.list(v)
 	c := &cell{
 		key: key, epoch: epoch, revision: v.Revision(),
-		state:   dispatch.New(cellConfig(v, key), s.Now(), s.opts.Seed^epoch),
+		state:   dispatch.New(cfg, s.Now(), s.opts.Seed^epoch),
 		waiting: make(map[dispatch.Key]chan<- Answer),
 	}
 	s.cells[key] = c
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -61,6 +61,7 @@
 	inbox   chan message
 	stopped chan struct{}
 	cells   map[view.CellKey]*cell
+	holders holders
 	relay   *relay
 	metrics metrics
 	// holding is the set of cells held here, for reading by other goroutines.
@@ -125,6 +126,7 @@
 		inbox:   make(chan message, inboxSize),
 		stopped: make(chan struct{}),
 		cells:   make(map[view.CellKey]*cell),
+		holders: newHolders(),
 		metrics: newMetrics(opts.Metrics),
 	}
 	s.relay = newRelay(opts)
--- a/internal/dispatcher/settings.go
+++ b/internal/dispatcher/settings.go
@@ -13,9 +13,6 @@
 // cellConfig returns the settings of a cell in v.
 func cellConfig(v *view.View, key view.CellKey) dispatch.Config {
 	cfg := dispatch.Config{Open: v.ZoneOpen(key.Zone)}
-	for _, e := range v.Config.Entries {
-		cfg.Holders = append(cfg.Holders, e.Id)
-	}
 	svc := v.Service(key.Service)
 	if svc == nil {
 		return dispatch.Config{}
--- /dev/null
+++ b/internal/slot/bench_test.go
@@ -0,0 +1,38 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+)
+
+// benchmarkGrant measures a grant at entry VM 0 and its release, of an upstream
+// in a cell that the given entry VM dispatches.
+func benchmarkGrant(b *testing.B, dispatcher int) {
+	cl := newCluster(b, 2, &catalogpb.Service{Name: "s", ColdSlots: 64, Slots: 64})
+	cl.cfg.Cells = cl.cfg.Cells[dispatcher : dispatcher+1]
+	cl.push()
+	zone := cl.cfg.Zones[dispatcher].Name
+	announce := func() { cl.announce(dispatcher, "u", zone, 64) }
+	announce()
+	g := cl.eventually(0)
+	cl.vms[0].client.Release(g, ok(time.Millisecond))
+	b.ReportAllocs()
+	last := time.Now()
+	for b.Loop() {
+		if time.Since(last) > time.Second {
+			announce()
+			last = time.Now()
+		}
+		g, err := cl.acquire(0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		cl.vms[0].client.Release(g, ok(time.Millisecond))
+	}
+}
+
+func BenchmarkGrantLocal(b *testing.B) { benchmarkGrant(b, 0) }
+
+func BenchmarkGrantRemote(b *testing.B) { benchmarkGrant(b, 1) }
--- a/internal/slot/held.go
+++ b/internal/slot/held.go
@@ -9,6 +9,10 @@
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
+// maxLimits bounds the limits that are remembered; beyond it all are forgotten,
+// and a new dispatcher starts the upstreams cold.
+const maxLimits = 16_384
+
 // heldGrant is a grant in use.
 type heldGrant struct {
 	grant    Grant
@@ -53,6 +57,9 @@
 	if old != nil && (g.Epoch < old.Epoch || g.Epoch == old.Epoch && from.Version <= old.Version) {
 		return
 	}
+	if old == nil && len(h.limits) >= maxLimits {
+		clear(h.limits)
+	}
 	h.limits[k] = &clusterpb.UpstreamLimit{
 		Upstream: g.Upstream, Incarnation: from.Incarnation, Limit: uint32(from.Limit),
 		Epoch: g.Epoch, Version: from.Version,
