--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -96,11 +96,14 @@
 // group when only is nil. It returns at once.
 func (s *Service) report(a *claim.Attempt, r *clusterpb.ClaimRecord, only map[string]bool) {
 	s.reports.Add(1)
-	s.calls.Go(func() {
+	started := s.spawn(func() {
 		defer s.reports.Add(-1)
 		rep := &report{service: s, attempt: a, record: r, only: only, acked: make(map[string]bool)}
 		rep.run()
 	})
+	if !started {
+		s.reports.Add(-1)
+	}
 }
 
 // report is the delivery of one outcome.
@@ -160,15 +163,20 @@
 	r.acked[id] = true
 }
 
+// targets returns the members that are to know; one that has been removed can
+// no longer be told.
 func (r *report) targets() []string {
+	t := r.service.timeline.Load()
 	var ids []string
-	if r.only != nil {
-		for id := range r.only {
+	for id := range r.only {
+		if _, ok := t.Member(id); ok {
 			ids = append(ids, id)
 		}
+	}
+	if r.only != nil {
 		return ids
 	}
-	for _, m := range r.attempt.Group(r.service.timeline.Load()) {
+	for _, m := range r.attempt.Group(t) {
 		ids = append(ids, m.ID)
 	}
 	return ids
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -41,8 +41,8 @@
 
 // Renew grants a lease and returns what the entry VM lacks.
 func (d *distribution) Renew(ctx context.Context, req *clusterpb.RenewRequest) (*clusterpb.RenewResponse, error) {
-	if req.Entry.GetId() == "" || req.Entry.GetClusterAddress() == "" {
-		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id or cluster address"))
+	if req.Entry.GetId() == "" {
+		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id"))
 	}
 	r := &renewal{
 		request:  req,
@@ -82,7 +82,7 @@
 		l.redirect(r)
 		return
 	}
-	if !l.term.record(l.server.now(), r) {
+	if !l.term.complete(r.request) || !l.term.record(l.server.now(), r) {
 		l.redirect(r)
 		return
 	}
@@ -145,7 +145,8 @@
 // stale reports whether the configuration does not have the entry VM as it
 // reports itself.
 func (l *loop) stale(e *catalogpb.Entry) bool {
-	return !proto.Equal(l.term.registered(e.Id), e)
+	known := l.term.registered(e.Id)
+	return known != e && !proto.Equal(known, e)
 }
 
 // flush answers the held renewals that are due.
@@ -188,13 +189,15 @@
 	resp := &clusterpb.RenewResponse{
 		Revision:         t.config.Revision,
 		AcceptedRevision: t.tracker.Accepted(),
-		LeaderAddress:    st.LeaderAddress,
 		Silent:           t.silent(l.server.now()),
 	}
 	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
 	}
+	if !ok || req.Relayed {
+		resp.LeaderAddress = st.LeaderAddress
+	}
 	l.fill(resp, req, st)
 	r.reply <- resp
 }
