--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -33,9 +33,16 @@
 	net         []packet
 	open        bool
 	nextID      uint64
+	restarted   bool
 	err         error
 	// pending lists the requests that a dispatcher has taken in.
-	pending map[Key]time.Duration
+	pending map[Key]pendingModel
+}
+
+// pendingModel is a request that a dispatcher has taken in.
+type pendingModel struct {
+	at    *dispatcherModel
+	until time.Duration
 }
 
 type dispatcherModel struct {
@@ -88,7 +95,7 @@
 }
 
 func newModel(pick choose, off rules) *model {
-	m := &model{pick: pick, rules: off, open: true, pending: make(map[Key]time.Duration)}
+	m := &model{pick: pick, rules: off, open: true, pending: make(map[Key]pendingModel)}
 	for i := range 3 {
 		e := &entryModel{name: fmt.Sprintf("e%d", i), incarnation: 1, epoch: 1}
 		e.reset()
@@ -238,7 +245,7 @@
 		}
 		a.Deadline += m.now
 		p.event = a
-		m.pending[a.Key] = m.now + a.MaxWait
+		m.pending[a.Key] = pendingModel{d, m.now + a.MaxWait}
 	}
 	m.note(d, p.event)
 	m.act(d, d.cell.Step(m.now, p.event))
@@ -392,31 +399,40 @@
 			}
 		}
 	}
-	for k, until := range m.pending {
-		if m.now > until+50*ms && m.dispatchers[0].live == m.current().live {
+	for k, p := range m.pending {
+		if m.now > p.until+50*ms {
 			m.fail("request %v has no answer", k)
 		}
 	}
 }
 
-// move assigns the cell to a second dispatcher, or ends the lease of the first
-// one and lets the second begin.
+// move assigns the cell to a further dispatcher, ends the lease of an earlier
+// one, or lets the last one begin once no earlier one holds a lease.
 func (m *model) move() {
-	if len(m.dispatchers) == 1 {
-		if m.pick(4) == 0 {
-			m.assign()
-		}
+	last := m.current()
+	if len(m.dispatchers) < 3 && m.pick(4) == 0 {
+		m.assign()
 		return
 	}
-	old, d := m.dispatchers[0], m.current()
-	if old.live {
-		old.live = false
-		clear(m.pending)
-		old.cell.Step(m.now, Close{})
-		return
+	for _, d := range m.dispatchers {
+		if d != last && d.live {
+			m.end(d)
+			return
+		}
 	}
-	if !d.accepted {
-		d.accept(m)
+	if !last.accepted {
+		last.accept(m)
+	}
+}
+
+// end takes the lease from a dispatcher: it refuses what waits.
+func (m *model) end(d *dispatcherModel) {
+	d.live = false
+	d.cell.Step(m.now, Close{})
+	for k, p := range m.pending {
+		if p.at == d {
+			delete(m.pending, k)
+		}
 	}
 }
 
@@ -427,6 +443,7 @@
 		return
 	}
 	e.epoch = d.epoch
+	// Only the process that runs now vouches for what it holds.
 	ev := Reregister{Entry: e.name, Incarnation: e.incarnation}
 	for id, r := range e.held {
 		ev.Held = append(ev.Held, Held{ID: id, Upstream: r.up.id, Deadline: r.deadline + 20*ms})
@@ -437,13 +454,16 @@
 	m.send(packet{epoch: d.epoch, event: ev})
 }
 
-// trouble kills an entry VM for good, drains an upstream, or closes the zone.
+// trouble kills an entry VM for good, restarts one, drains an upstream, or
+// closes the zone.
 func (m *model) trouble() {
 	switch m.pick(24) {
 	case 0:
 		m.entries[2].dead = true
 	case 1:
 		m.upstreams[1].draining = true
+	case 3:
+		m.restart(m.entries[1])
 	case 2:
 		m.open = false
 		for _, d := range m.dispatchers {
@@ -453,10 +473,24 @@
 	}
 }
 
+// restart brings an entry VM back as a new process. Its connections are closed,
+// which upstreams notice within the grace.
+func (m *model) restart(e *entryModel) {
+	for _, r := range e.held {
+		r.deadline = min(r.deadline, m.now+restartGrace-100*ms)
+	}
+	e.reset()
+	e.incarnation++
+	m.restarted = true
+	m.adopt(e)
+}
+
 // settle lets all requests end and checks that no slot stays taken: at once
 // when every entry VM is alive, after the deadlines when one is lost.
 func (m *model) settle() {
-	m.dispatchers[0].live = len(m.dispatchers) == 1
+	for _, d := range m.dispatchers[:len(m.dispatchers)-1] {
+		m.end(d)
+	}
 	if d := m.current(); !d.accepted {
 		d.accept(m)
 	}
@@ -466,7 +500,7 @@
 	for range 4 {
 		m.rest()
 	}
-	if !m.entries[2].dead {
+	if !m.entries[2].dead && !m.restarted {
 		m.noneTaken()
 	}
 	m.now += modelTimeout + time.Second
@@ -486,7 +520,7 @@
 	}
 	for _, u := range m.upstreams {
 		for _, r := range u.running {
-			if m.now >= r.deadline || !m.entry(r.key.Entry).dead {
+			if e := m.entry(r.key.Entry); m.now >= r.deadline || !e.dead && e.incarnation == r.key.Incarnation {
 				m.finish(r, clusterpb.Outcome_OUTCOME_OK)
 			}
 		}
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -18,7 +18,7 @@
 	Avoid []string
 	// Repeatable is set when the request may be sent more than once.
 	Repeatable bool
-	// Hash selects a shard of the service.
+	// Hash selects a shard of the service; zero selects one at random.
 	Hash uint64
 }
 
--- a/internal/slot/spill.go
+++ b/internal/slot/spill.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -63,8 +64,11 @@
 }
 
 // candidates returns one cell per open availability zone: the shards of a zone
-// share its requests by hash. The own zone comes first.
+// share its requests by hash, or at random without one.
 func (c *Client) candidates(v *view.View, svc *catalogpb.Service, hash uint64) ([]*catalogpb.Cell, error) {
+	if hash == 0 {
+		hash = rand.Uint64()
+	}
 	shard := uint32(hash % uint64(max(1, svc.Shards)))
 	var cells []*catalogpb.Cell
 	open := false
