--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Packages with property tests.
 PROOFS := $(shell grep -rl --include='*_test.go' 'internal/proof"' internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
 
-.PHONY: run test fmt lint proofs generate
+.PHONY: run test fmt lint proofs generate measure
 
 run:
 	go run ./cmd/balsamcourse dev
@@ -29,3 +29,7 @@
 generate:
 	cd tools/gen && go build -o bin/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
 	PATH=$(CURDIR)/tools/gen/bin:$$PATH tools/gen/bin/buf generate
+
+# The experiment table of docs/MEASUREMENTS.md: takes about 15 minutes.
+measure:
+	go run ./cmd/balsamcourse load experiment --json measure.json
