Judge freshness and acceptance by region

Cause: the majority was taken over all registered entry VMs. At the target's three regions, a region that loses the others for an hour has no majority and would refuse all calls for that hour. Ways weighed: one control group a region (at least three replicas each, nine VMs of the seven allowed); admitting on an old configuration after a cut (breaks the promise on accepted changes); majorities by region (chosen). Change: an entry VM needs a majority of its own region; a revision is accepted in a region, and everywhere once it is in all; cells stay in their region, as their dispatchers rest on the region's acceptance alone; the registered set may change in one region beside a cut. Before: TestRegionThatIsCutOffServesOn does not pass on one majority.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -49,10 +49,11 @@
 
 // Tracker follows one term of a leader. It is not safe for concurrent use.
 type Tracker struct {
-	members  map[freshness.Key]*member
-	current  Revision
-	pending  []pending
-	accepted uint64
+	members map[freshness.Key]*member
+	current Revision
+	pending []pending
+	// accepted holds the newest accepted revision of each region.
+	accepted map[string]uint64
 	// lease and confirm are the waits for the promises of entry VMs to end.
 	lease   time.Duration
 	confirm time.Duration
@@ -63,9 +64,10 @@
 // taken to hold a lease from the previous leader.
 func New(since time.Duration, current Revision) *Tracker {
 	t := &Tracker{
-		members: make(map[freshness.Key]*member),
-		lease:   freshness.Lengthen(freshness.Lease),
-		confirm: freshness.Lengthen(freshness.Confirm),
+		members:  make(map[freshness.Key]*member),
+		accepted: make(map[string]uint64),
+		lease:    freshness.Lengthen(freshness.Lease),
+		confirm:  freshness.Lengthen(freshness.Confirm),
 	}
 	until := since + freshness.Lengthen(freshness.QuorumAge+freshness.Lease)
 	for _, key := range union(current.Set, current.PreviousSet) {
@@ -144,45 +146,93 @@
 	return freshness.Lease, true
 }
 
-// Learn records that a revision was accepted, as an earlier leader found.
-func (t *Tracker) Learn(revision uint64) {
-	t.accept(min(revision, t.current.Number))
+// Learn records that a revision was accepted in a region, as an earlier leader
+// found.
+func (t *Tracker) Learn(revision uint64, region string) {
+	t.accept(min(revision, t.current.Number), region)
 }
 
-func (t *Tracker) accept(revision uint64) {
-	t.accepted = max(t.accepted, revision)
-	t.pending = slices.DeleteFunc(t.pending, func(p pending) bool { return p.Number <= t.accepted })
+func (t *Tracker) accept(revision uint64, region string) {
+	t.accepted[region] = max(t.accepted[region], revision)
+	everywhere := t.Accepted()
+	t.pending = slices.DeleteFunc(t.pending, func(p pending) bool { return p.Number <= everywhere })
 }
 
-// Accepted returns the newest accepted revision.
-func (t *Tracker) Accepted() uint64 { return t.accepted }
+// AcceptedIn returns the newest revision accepted in a region: no entry VM of
+// the region can admit work on an older one any more.
+func (t *Tracker) AcceptedIn(region string) uint64 { return t.accepted[region] }
+
+// Accepted returns the newest revision accepted in all regions.
+func (t *Tracker) Accepted() uint64 {
+	lowest := t.current.Number
+	for _, region := range t.regions() {
+		lowest = min(lowest, t.accepted[region])
+	}
+	return lowest
+}
+
+// regions returns the regions in which an entry VM may hold an older revision.
+func (t *Tracker) regions() []string {
+	var regions []string
+	for _, key := range union(t.current.Set, t.current.PreviousSet) {
+		if !slices.Contains(regions, key.Region) {
+			regions = append(regions, key.Region)
+		}
+	}
+	return regions
+}
+
+// SetOpen reports whether the registered set may change: the last change is
+// accepted in every region whose entry VMs it changed.
+func (t *Tracker) SetOpen() bool {
+	for _, region := range t.regions() {
+		if t.accepted[region] >= t.current.SetRevision {
+			continue
+		}
+		before := freshness.InRegion(t.current.PreviousSet, region)
+		if !slices.Equal(before, freshness.InRegion(t.current.Set, region)) {
+			return false
+		}
+	}
+	return true
+}
 
 // Current returns the newest committed revision.
 func (t *Tracker) Current() Revision { return t.current }
 
-// Advance accepts what can be accepted at now and returns the newest accepted
-// revision.
+// Advance accepts what can be accepted at now and returns the newest revision
+// accepted in all regions.
 func (t *Tracker) Advance(now time.Duration) uint64 {
+	for _, region := range t.regions() {
+		t.advanceIn(now, region)
+	}
+	return t.Accepted()
+}
+
+func (t *Tracker) advanceIn(now time.Duration, region string) {
 	for i := len(t.pending) - 1; i >= 0; i-- {
-		if t.acceptable(now, &t.pending[i]) {
-			t.accept(t.pending[i].Number)
-			break
+		p := &t.pending[i]
+		if p.Number <= t.accepted[region] {
+			return
+		}
+		if t.acceptable(now, p, region) {
+			t.accept(p.Number, region)
+			return
 		}
 	}
-	return t.accepted
 }
 
-// acceptable reports whether nobody can admit work on a revision older than p:
-// neither by confirmations, since no majority has failed to acknowledge p, nor
-// by a lease.
-func (t *Tracker) acceptable(now time.Duration, p *pending) bool {
-	if !p.blocks(now, p.Set) {
+// acceptable reports whether no entry VM of the region can admit work on a
+// revision older than p: neither by confirmations, since no majority of the
+// region has failed to acknowledge p, nor by a lease.
+func (t *Tracker) acceptable(now time.Duration, p *pending, region string) bool {
+	if !p.blocks(now, freshness.InRegion(p.Set, region)) {
 		return false
 	}
-	if p.SetRevision > t.accepted && !p.blocks(now, p.PreviousSet) {
+	if p.SetRevision > t.accepted[region] && !p.blocks(now, freshness.InRegion(p.PreviousSet, region)) {
 		return false
 	}
-	return !t.leased(now, p.Number)
+	return !t.leased(now, p.Number, region)
 }
 
 // blocks reports whether the keys of set that may have confirmed an older
@@ -199,11 +249,11 @@
 	return open < freshness.Majority(len(set))
 }
 
-// leased reports whether an entry VM that has not acknowledged the revision
-// may hold a lease on an older one.
-func (t *Tracker) leased(now time.Duration, revision uint64) bool {
-	for _, m := range t.members {
-		if m.acked >= revision {
+// leased reports whether an entry VM of the region that has not acknowledged
+// the revision may hold a lease on an older one.
+func (t *Tracker) leased(now time.Duration, revision uint64, region string) bool {
+	for key, m := range t.members {
+		if key.Region != region || m.acked >= revision {
 			continue
 		}
 		for _, g := range m.grants {
--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -20,20 +20,25 @@
 type Entry struct {
 	ID          string
 	Zone        string
+	Region      string
 	Incarnation uint64
 }
 
 // planner holds the work of one plan.
 type planner struct {
 	entries map[string]Entry
-	// byZone lists the ids in each availability zone in order.
-	byZone map[string][]string
-	all    []string
-	load   map[string]int
+	// byZone lists the ids in each availability zone, and byRegion those in each
+	// region, in order.
+	byZone   map[string][]string
+	byRegion map[string][]string
+	regions  map[string]string
+	load     map[string]int
 }
 
 // Cells returns the assignments to replace so that each cell of cfg has one of
-// the available entry VMs, in its own availability zone if there is one there.
+// the available entry VMs of its region, in its own availability zone if there is
+// one there. A cell never leaves its region: its assignment is accepted there
+// alone, whatever becomes of the others.
 // Cells whose entry VM is available stay where they are, but for a bounded
 // number that moves to even out the load. It returns nil when nothing changes
 // or no entry VM is available.
@@ -41,7 +46,7 @@
 	if len(available) == 0 {
 		return nil
 	}
-	p := newPlanner(available)
+	p := newPlanner(cfg, available)
 	wanted := wantedCells(cfg)
 	kept := make([]*catalogpb.Cell, 0, len(wanted))
 	var orphans []*catalogpb.Cell
@@ -55,26 +60,35 @@
 	}
 	var plan []*catalogpb.Cell
 	for _, c := range orphans {
-		plan = append(plan, p.assign(c))
+		if ids := p.candidates(c.Zone); len(ids) > 0 {
+			plan = append(plan, p.assign(c, ids))
+		}
 	}
 	return append(plan, p.rebalance(kept, len(wanted))...)
 }
 
-func newPlanner(available []Entry) *planner {
+func newPlanner(cfg *catalogpb.Config, available []Entry) *planner {
 	p := &planner{
-		entries: make(map[string]Entry, len(available)),
-		byZone:  make(map[string][]string),
-		load:    make(map[string]int, len(available)),
+		entries:  make(map[string]Entry, len(available)),
+		byZone:   make(map[string][]string),
+		byRegion: make(map[string][]string),
+		regions:  make(map[string]string, len(cfg.Zones)),
+		load:     make(map[string]int, len(available)),
+	}
+	for _, z := range cfg.Zones {
+		p.regions[z.Name] = z.Region
 	}
 	for _, e := range available {
 		p.entries[e.ID] = e
 		p.byZone[e.Zone] = append(p.byZone[e.Zone], e.ID)
-		p.all = append(p.all, e.ID)
+		p.byRegion[e.Region] = append(p.byRegion[e.Region], e.ID)
 	}
-	slices.Sort(p.all)
 	for _, ids := range p.byZone {
 		slices.Sort(ids)
 	}
+	for _, ids := range p.byRegion {
+		slices.Sort(ids)
+	}
 	return p
 }
 
@@ -111,7 +125,7 @@
 // same incarnation, and in the cell's availability zone if any is.
 func (p *planner) canKeep(c *catalogpb.Cell) bool {
 	e, ok := p.entries[c.Entry]
-	if !ok || e.Incarnation != c.Incarnation {
+	if !ok || e.Incarnation != c.Incarnation || e.Region != p.regions[c.Zone] {
 		return false
 	}
 	return e.Zone == c.Zone || len(p.byZone[c.Zone]) == 0
@@ -119,16 +133,21 @@
 
 // candidates returns the entry VMs that may dispatch cells of the zone.
 func (p *planner) candidates(zone string) []string {
-	if ids := p.byZone[zone]; len(ids) > 0 {
-		return ids
+	var near []string
+	for _, id := range p.byZone[zone] {
+		if p.entries[id].Region == p.regions[zone] {
+			near = append(near, id)
+		}
+	}
+	if len(near) > 0 {
+		return near
 	}
-	return p.all
+	return p.byRegion[p.regions[zone]]
 }
 
 // assign gives the cell to the candidate with the fewest cells. A restarted
 // entry VM gets its own cell back unless it has more than another.
-func (p *planner) assign(c *catalogpb.Cell) *catalogpb.Cell {
-	ids := p.candidates(c.Zone)
+func (p *planner) assign(c *catalogpb.Cell, ids []string) *catalogpb.Cell {
 	best := slices.MinFunc(ids, func(a, b string) int {
 		return cmp.Or(
 			cmp.Compare(p.load[a], p.load[b]),
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -14,7 +14,7 @@
 func Set(cfg *catalogpb.Config) []*catalogpb.EntryKey {
 	set := make([]*catalogpb.EntryKey, len(cfg.Entries))
 	for i, e := range cfg.Entries {
-		set[i] = &catalogpb.EntryKey{Id: e.Id, ClusterAddress: e.ClusterAddress}
+		set[i] = &catalogpb.EntryKey{Id: e.Id, ClusterAddress: e.ClusterAddress, Region: e.Region}
 	}
 	return set
 }
@@ -33,7 +33,7 @@
 	if known && e.Incarnation < old.Incarnation {
 		return fault.New(fault.StaleRevision, "entry VM %q has a newer incarnation", e.Id)
 	}
-	if !known || old.ClusterAddress != e.ClusterAddress {
+	if !known || old.ClusterAddress != e.ClusterAddress || old.Region != e.Region {
 		if err := changeSet(next, index, cmd.SetRevision, Set(next)); err != nil {
 			return err
 		}
--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -89,7 +89,7 @@
 	l.publish()
 }
 
-// peerKeys returns the other registered entry VMs, or those of the settings
+// peerKeys returns the other registered entry VMs of the region, or those of the settings
 // when no configuration is held.
 func (l *loop) peerKeys() []freshness.Key {
 	self := l.syncer.self()
@@ -100,7 +100,7 @@
 		}
 		return keys
 	}
-	for _, key := range keysOf(l.view.Config) {
+	for _, key := range freshness.InRegion(keysOf(l.view.Config), self.Region) {
 		if key != self {
 			keys = append(keys, key)
 		}
--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -111,7 +111,7 @@
 	set := catalog.Set(cfg)
 	keys := make([]freshness.Key, len(set))
 	for i, k := range set {
-		keys[i] = freshness.Key{ID: k.Id, ClusterAddress: k.ClusterAddress}
+		keys[i] = freshness.Key{ID: k.Id, ClusterAddress: k.ClusterAddress, Region: k.Region}
 	}
 	return keys
 }
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -156,6 +156,7 @@
 	redirected := l.learnAddresses(ev.resp)
 	if ev.resp.LeaseMs > 0 {
 		l.syncer.silent.Store(&ev.resp.Silent)
+		l.syncer.everywhere.Store(max(l.syncer.everywhere.Load(), ev.resp.AcceptedEverywhere))
 	}
 	news := l.apply(ev.resp)
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -50,7 +50,9 @@
 	start  time.Time
 	held   atomic.Pointer[held]
 	silent atomic.Pointer[[]string]
-	leader atomic.Pointer[string]
+	// everywhere is the newest revision accepted in all regions.
+	everywhere atomic.Uint64
+	leader     atomic.Pointer[string]
 	// given is the reading of the clock, in nanoseconds, when a revision was
 	// last confirmed to another entry VM; at first that of the start.
 	given     atomic.Int64
@@ -127,7 +129,12 @@
 	return silent == nil || !slices.Contains(*silent, entry)
 }
 
-// AcceptedRevision returns the newest revision known to be accepted.
+// AcceptedEverywhere returns the newest revision known to be accepted in all
+// regions.
+func (s *Syncer) AcceptedEverywhere() uint64 { return s.everywhere.Load() }
+
+// AcceptedRevision returns the newest revision known to be accepted in the own
+// region.
 func (s *Syncer) AcceptedRevision() uint64 { return s.held.Load().accepted }
 
 // Dispatches reports whether this entry VM may grant slots of the cell now:
@@ -156,7 +163,7 @@
 func (s *Syncer) now() time.Duration { return time.Since(s.start) }
 
 func (s *Syncer) self() freshness.Key {
-	return freshness.Key{ID: s.opts.Entry.Id, ClusterAddress: s.opts.Entry.ClusterAddress}
+	return freshness.Key{ID: s.opts.Entry.Id, ClusterAddress: s.opts.Entry.ClusterAddress, Region: s.opts.Entry.Region}
 }
 
 // revision returns the revision held; 0 when none.
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -64,7 +64,8 @@
 }
 
 // registration returns the command that registers an entry VM as it reports
-// itself. The set of entry VMs changes only once its last change is accepted.
+// itself. The set of entry VMs changes only once its last change is accepted
+// in the regions that it concerned.
 func (l *loop) registration() *catalogpb.Command {
 	t := l.term
 	for _, id := range sortedIDs(t.heard) {
@@ -73,8 +74,8 @@
 			continue
 		}
 		old := t.registered(id)
-		changesSet := old == nil || old.ClusterAddress != h.entry.ClusterAddress
-		if changesSet && t.tracker.Accepted() < t.config.SetRevision {
+		changesSet := old == nil || keyOf(old) != keyOf(h.entry)
+		if changesSet && !t.tracker.SetOpen() {
 			continue
 		}
 		reg := &catalogpb.RegisterEntry{Entry: h.entry, SetRevision: t.config.SetRevision}
@@ -121,7 +122,7 @@
 		if t.silence(now, e.Id) > timeout || (e.Leaving && !leaving) {
 			continue
 		}
-		list = append(list, assign.Entry{ID: e.Id, Zone: e.Zone, Incarnation: e.Incarnation})
+		list = append(list, assign.Entry{ID: e.Id, Zone: e.Zone, Region: e.Region, Incarnation: e.Incarnation})
 	}
 	return list
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -132,7 +132,7 @@
 	if l.stale(req.Entry) {
 		return false
 	}
-	if !req.Synced || req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.Accepted() {
+	if !req.Synced || req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.AcceptedIn(req.Entry.Region) {
 		return true
 	}
 	return l.server.now() >= r.received+hold(req)
@@ -187,9 +187,10 @@
 	}
 	req := r.request
 	resp := &clusterpb.RenewResponse{
-		Revision:         t.config.Revision,
-		AcceptedRevision: t.tracker.Accepted(),
-		Silent:           t.silent(l.server.now()),
+		Revision:           t.config.Revision,
+		AcceptedRevision:   t.tracker.AcceptedIn(req.Entry.Region),
+		AcceptedEverywhere: t.tracker.Accepted(),
+		Silent:             t.silent(l.server.now()),
 	}
 	lease, ok := t.tracker.Grant(l.server.now(), r.received, l.server.at(st.LastQuorum), keyOf(req.Entry))
 	if ok {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -39,7 +39,7 @@
 	return setState{
 		leading:  true,
 		revision: t.config.SetRevision,
-		accepted: t.tracker.Accepted() >= t.config.SetRevision,
+		accepted: t.tracker.SetOpen(),
 	}
 }
 
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -72,13 +72,13 @@
 func keysOf(list []*catalogpb.EntryKey) []freshness.Key {
 	keys := make([]freshness.Key, len(list))
 	for i, k := range list {
-		keys[i] = freshness.Key{ID: k.Id, ClusterAddress: k.ClusterAddress}
+		keys[i] = freshness.Key{ID: k.Id, ClusterAddress: k.ClusterAddress, Region: k.Region}
 	}
 	return keys
 }
 
 func keyOf(e *catalogpb.Entry) freshness.Key {
-	return freshness.Key{ID: e.Id, ClusterAddress: e.ClusterAddress}
+	return freshness.Key{ID: e.Id, ClusterAddress: e.ClusterAddress, Region: e.Region}
 }
 
 // registered returns the entry of the configuration with the given id, or nil.
@@ -126,6 +126,6 @@
 	h.at = now
 	quiet := time.Duration(r.request.QuietMs) * time.Millisecond
 	t.tracker.Ack(r.received, keyOf(e), r.request.Revision, quiet)
-	t.tracker.Learn(r.request.AcceptedRevision)
+	t.tracker.Learn(r.request.AcceptedRevision, e.Region)
 	return true
 }
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -114,6 +114,7 @@
 		self: &catalogpb.Entry{
 			Id:            s.ID,
 			Zone:          s.Zone,
+			Region:        s.Region,
 			CallerAddress: s.CallerAddress,
 			// The start time grows with each start of the process.
 			Incarnation:    uint64(time.Now().UnixNano()),
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -61,7 +61,7 @@
 	limited, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	left := uint64(0)
-	for left == 0 || d.config.AcceptedRevision() < left {
+	for left == 0 || d.config.AcceptedEverywhere() < left {
 		if left == 0 {
 			left = d.leavingSince()
 		}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -2,8 +2,10 @@
 // on the configuration that it holds.
 //
 // Work may be admitted under a lease from the control leader, or while a
-// majority of the registered entry VMs has confirmed in the recent past that
-// none of them holds a newer revision. Configurations only move forward.
+// majority of the registered entry VMs of its region has confirmed in the
+// recent past that none of them holds a newer revision. Regions are judged
+// apart, so that one that is cut off from the others goes on. Configurations
+// only move forward.
 // Times are readings of the monotonic clock of the entry VM.
 package freshness
 
@@ -41,13 +43,26 @@
 type Key struct {
 	ID             string
 	ClusterAddress string
+	Region         string
+}
+
+// InRegion returns the keys of set that are in the region.
+func InRegion(set []Key, region string) []Key {
+	var in []Key
+	for _, key := range set {
+		if key.Region == region {
+			in = append(in, key)
+		}
+	}
+	return in
 }
 
 // State is what one process of an entry VM knows. It is not safe for
 // concurrent use.
 type State struct {
-	self       Key
-	revision   uint64
+	self     Key
+	revision uint64
+	// set holds the registered entry VMs of the own region.
 	set        []Key
 	registered bool
 	synced     bool
@@ -82,7 +97,7 @@
 		return false
 	}
 	s.revision = revision
-	s.set = set
+	s.set = InRegion(set, s.self.Region)
 	s.registered = slices.Contains(set, s.self)
 	return true
 }
