Say unknown, not 'not run', to a keyed request whose claim is undecided

Cause: a resend refused before its key was looked up (stale, overloaded, queue full) was told 'not run', while an earlier attempt with the key may have run; its caller could pay again under a new key. Such refusals now say unknown, unless the claim was granted or the request will never be accepted. TestRefusalBeforeClaimSaysUnknown fails before and passes after.

--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -73,6 +73,7 @@
 		EntryID:     d.settings.ID,
 		Incarnation: d.self.Incarnation,
 		Client:      client,
+		Fresh:       d.config.Fresh,
 		Limits: claim.Limits{
 			Retention:      c.RetentionMs.Duration(),
 			OpenRetention:  openRetention + c.RetentionMs.Duration(),
--- a/internal/entryd/quarantine.go
+++ b/internal/entryd/quarantine.go
@@ -58,8 +58,8 @@
 
 // Crashed implements forward.Try. The permit is held until the other entry VMs
 // know of the crash.
-func (t *try) Crashed(upstream string) {
-	t.guard.gossip.Crashed(t.request, quarantine.Crash{Upstream: upstream})
+func (t *try) Crashed(upstream string, incarnation uint64) {
+	t.guard.gossip.Crashed(t.request, quarantine.Crash{Upstream: upstream, Incarnation: incarnation})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 		defer cancel()
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -50,6 +50,10 @@
 			return
 		}
 	}
+	// The outcomes of the last calls must reach the members of their claims.
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	_ = d.claims.Drain(limited)
 	d.life.step("idle")
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -89,6 +89,9 @@
 	Detail string
 	// RetryAfter overrides the default of the kind when it is not zero.
 	RetryAfter time.Duration
+	// MayHaveRun is set when an earlier attempt at the request may have run,
+	// although this one did not.
+	MayHaveRun bool
 }
 
 // New returns an error of kind k with a formatted detail.
@@ -115,6 +118,9 @@
 	if e.RetryAfter > 0 {
 		a.RetryAfter = e.RetryAfter
 	}
+	if e.MayHaveRun && a.Run == NotRun {
+		a.Run = Unknown
+	}
 	return a
 }
 
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -229,7 +229,7 @@
 // refuse answers that the request was given up on.
 func (c *call) refuse() chart.Event {
 	c.endClaim()
-	c.f.refuse(c.w, c.err)
+	c.f.refuse(c.w, c.undecided(c.err))
 	return ""
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -51,7 +51,10 @@
 	grant    slot.Grant
 	granted  bool
 	claim    Claim
-	try      Try
+	// claimed is set once the claim was granted: no earlier attempt with the key
+	// has run.
+	claimed bool
+	try     Try
 	kept     *clusterpb.KeptAnswer
 	answer   *answer
 	avoid    []string
@@ -181,6 +184,15 @@
 	return "refused"
 }
 
+// undecided returns err as the refusal of a call whose claim has not been
+// decided, if it needs one.
+func (c *call) undecided(err error) error {
+	if !c.needsClaim() || c.claimed {
+		return err
+	}
+	return mayHaveRun(err)
+}
+
 // askClaim claims the key. The slot is asked for at the same time.
 func (c *call) askClaim() chart.Event {
 	c.pending = make(chan acquired, 1)
@@ -200,6 +212,7 @@
 		return "kept"
 	}
 	c.claim = claim
+	c.claimed = true
 	return "claimed"
 }
 
@@ -272,7 +285,7 @@
 	switch {
 	case try == nil:
 	case outcome == clusterpb.Outcome_OUTCOME_BROKEN:
-		try.Crashed(c.grant.Upstream)
+		try.Crashed(c.grant.Upstream, c.grant.Incarnation)
 	case outcome == clusterpb.Outcome_OUTCOME_OK, outcome == clusterpb.Outcome_OUTCOME_FAILED:
 		try.Completed()
 	default:
--- a/internal/forward/collaborators.go
+++ b/internal/forward/collaborators.go
@@ -40,7 +40,7 @@
 // ends it; none of them blocks.
 type Try interface {
 	// Crashed reports that the connection to the upstream broke.
-	Crashed(upstream string)
+	Crashed(upstream string, incarnation uint64)
 	// Completed reports a whole answer, of any status.
 	Completed()
 	// Abandoned reports that the attempt says nothing about the request.
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -165,7 +165,7 @@
 
 type fakeTry struct{ q *fakeQuarantine }
 
-func (t fakeTry) Crashed(string) {
+func (t fakeTry) Crashed(string, uint64) {
 	t.q.mu.Lock()
 	defer t.q.mu.Unlock()
 	t.q.broken++
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,12 +64,12 @@
 	started := time.Now()
 	c, err := f.newCall(w, r, started)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, resendFault(r, err))
 		return
 	}
 	defer c.close()
 	if !f.opts.Limiter.Acquire(c.service.Name) {
-		f.refuse(w, fault.New(fault.Overloaded, "service %q", c.service.Name))
+		f.refuse(w, c.undecided(fault.New(fault.Overloaded, "service %q", c.service.Name)))
 		return
 	}
 	defer f.opts.Limiter.Release(c.service.Name)
@@ -77,6 +77,22 @@
 	f.opts.Metrics.Call.RecordDuration(time.Since(started))
 }
 
+// resendFault returns err for a request whose key has not been looked up. An
+// earlier attempt with the key may have run: unless the request will never be
+// accepted as it is, the refusal must not say that it did not run.
+func resendFault(r *http.Request, err error) error {
+	if r.Header.Get(headerKey) == "" || isSafe(r.Method) {
+		return err
+	}
+	return mayHaveRun(err)
+}
+
+func mayHaveRun(err error) error {
+	e := *fault.Of(err)
+	e.MayHaveRun = e.Answer().RetryAfter > 0
+	return &e
+}
+
 // refuse answers that a request was given up on.
 func (f *Forwarder) refuse(w http.ResponseWriter, err error) {
 	f.opts.Metrics.Answer(fault.KindOf(err))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -128,6 +128,20 @@
 	assert.DeepEqual(t, rig.slots.ended(), []clusterpb.Outcome{clusterpb.Outcome_OUTCOME_UNUSED})
 }
 
+// Before its key has been looked up, a request may be a resend of one that ran.
+func TestRefusalBeforeClaimSaysUnknown(t *testing.T) {
+	rig := newRig(t)
+	rig.source.setStale()
+	resp, _ := do(t, "POST", rig.front.URL+"/s/x", "k", "b")
+	assert.Equal(t, resp.Header.Get(fault.HeaderKind), string(fault.NotFresh))
+	assert.Equal(t, resp.Header.Get(fault.HeaderRun), "unknown")
+	resp, _ = do(t, "POST", rig.front.URL+"/s/x", "", "b")
+	assert.Equal(t, resp.Header.Get(fault.HeaderRun), "not run")
+	resp, _ = do(t, "POST", newRig(t).front.URL+"/s/x", "k", "b")
+	assert.Equal(t, resp.Header.Get(fault.HeaderKind), string(fault.NoUpstream))
+	assert.Equal(t, resp.Header.Get(fault.HeaderRun), "not run")
+}
+
 func TestShedIsRetriedElsewhere(t *testing.T) {
 	shed := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(fault.HeaderRun, string(fault.NotRun))
--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -176,7 +176,7 @@
 	}
 	g := Grant{
 		Cell: key, Epoch: a.Epoch, Ticket: o.id, Upstream: a.Grant.Upstream,
-		Address: a.Grant.Address, Dispatcher: cell.Entry,
+		Address: a.Grant.Address, Incarnation: a.Grant.Incarnation, Dispatcher: cell.Entry,
 	}
 	return c.keep(g, a.Grant, o.deadline)
 }
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -28,6 +28,8 @@
 	Epoch    uint64
 	Ticket   uint64
 	Upstream string
+	// Incarnation is that of the upstream's process.
+	Incarnation uint64
 	// Address is the host and port of the upstream.
 	Address string
 	// Dispatcher is the entry VM that gave the grant.
--- a/internal/testbed/process_test.go
+++ b/internal/testbed/process_test.go
@@ -207,13 +207,31 @@
 	}
 }
 
+// Ports for the processes. They lie below the range from which the operating
+// system takes ports for outgoing connections, so that none of those can take
+// one before its process listens.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// nextPort is the next port to try.
+var nextPort = os.Getpid() * 131 % portCount
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portCount)
+		nextPort++
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // admin runs the operators' command line against all control VMs.
