Test the limits and the shutdown of HTTP servers

internal/httpnet had no tests. They check the header size, the read-header timeout against a header that stops half way, the connection limit, that a server at its limit can be closed, and that Shutdown waits for a call in flight and cuts it off at the end of its context.

--- /dev/null
+++ b/internal/httpnet/server_test.go
@@ -0,0 +1,152 @@
+package httpnet
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// patience bounds waits for what must happen.
+const patience = 20 * time.Second
+
+func listen(t *testing.T, h http.HandlerFunc, limits Limits) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", h, limits)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(patience)))
+	return conn
+}
+
+func ok(http.ResponseWriter, *http.Request) {}
+
+// exchange sends a request on conn and returns the status of the answer, or 0
+// without one.
+func exchange(conn net.Conn, header string) int {
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+header+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func TestHeaderSize(t *testing.T) {
+	const limit, slack = 2 << 10, 4 << 10
+	s := listen(t, ok, Limits{MaxHeaderBytes: limit})
+	cases := []struct {
+		name  string
+		bytes int
+		want  int
+	}{
+		{"within", limit / 2, http.StatusOK},
+		{"over", limit + 2*slack, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := exchange(dial(t, s), "X: "+strings.Repeat("x", tc.bytes)+"\r\n")
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
+
+func TestSlowHeaderIsCutOff(t *testing.T) {
+	s := listen(t, ok, Limits{ReadHeaderTimeout: 50 * time.Millisecond})
+	conn := dial(t, s)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n")
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, conn)
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the server must close: %v", err)
+}
+
+// TestConnectionLimit checks that a connection over the limit is served only
+// when another one has closed.
+func TestConnectionLimit(t *testing.T) {
+	s := listen(t, ok, Limits{MaxConnections: 1})
+	first := dial(t, s)
+	assert.Equal(t, exchange(first, ""), http.StatusOK)
+	second := dial(t, s)
+	served := make(chan int, 1)
+	go func() { served <- exchange(second, "") }()
+	select {
+	case <-served:
+		t.Fatal("served over the limit")
+	case <-time.After(100 * time.Millisecond):
+	}
+	assert.NilError(t, first.Close())
+	assert.Equal(t, <-served, http.StatusOK)
+}
+
+func TestCloseWhileAtConnectionLimit(t *testing.T) {
+	s := listen(t, ok, Limits{MaxConnections: 1})
+	assert.Equal(t, exchange(dial(t, s), ""), http.StatusOK)
+	assert.NilError(t, s.Close())
+	select {
+	case err := <-s.Failed():
+		t.Fatalf("a closed server reports %v", err)
+	default:
+	}
+}
+
+// heldCall starts a call whose handler waits for release.
+func heldCall(t *testing.T) (s *Server, release chan struct{}, status chan int) {
+	t.Helper()
+	entered := make(chan struct{})
+	release, status = make(chan struct{}), make(chan int, 1)
+	s = listen(t, func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-release
+	}, Limits{})
+	client := NewClient(nil)
+	go func() {
+		resp, err := client.Get("http://" + s.Address())
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	<-entered
+	return s, release, status
+}
+
+func TestShutdownWaitsForCalls(t *testing.T) {
+	s, release, status := heldCall(t)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a call in flight: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	assert.NilError(t, <-ended)
+	assert.Equal(t, <-status, http.StatusOK)
+}
+
+func TestShutdownCutsAtEndOfContext(t *testing.T) {
+	s, release, status := heldCall(t)
+	defer close(release)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.Canceled)
+	assert.Equal(t, <-status, 0)
+}
