--- /dev/null
+++ b/internal/lookup/lookup_test.go
@@ -0,0 +1,152 @@
+package lookup
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/view"
+)
+
+// source is a configuration that may be stale or missing.
+type source struct {
+	view  *view.View
+	stale bool
+}
+
+func (s source) View() *view.View { return s.view }
+func (s source) Fresh() bool      { return !s.stale }
+
+// silent names the entry VMs that do not answer.
+type silent map[string]bool
+
+func (s silent) Reachable(entry string) bool { return !s[entry] }
+
+func entry(id, zone string) *catalogpb.Entry {
+	return &catalogpb.Entry{Id: id, Zone: zone, CallerAddress: id + ":80"}
+}
+
+// config has two entry VMs in each of two availability zones; a2 dispatches
+// the cell of zone a and b1 that of zone b.
+func config() *catalogpb.Config {
+	return &catalogpb.Config{
+		Services: []*catalogpb.Service{{Name: "photos", PathPrefix: "/photos"}},
+		Zones: []*catalogpb.Zone{
+			{Name: "a", State: catalogpb.ZoneState_ZONE_STATE_IN},
+			{Name: "b", State: catalogpb.ZoneState_ZONE_STATE_IN},
+		},
+		Entries: []*catalogpb.Entry{entry("a1", "a"), entry("a2", "a"), entry("b1", "b"), entry("b2", "b")},
+		Cells: []*catalogpb.Cell{
+			{Service: "photos", Zone: "a", Entry: "a2"},
+			{Service: "photos", Zone: "b", Entry: "b1"},
+		},
+	}
+}
+
+func get(h *Handler, query string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/entries?"+query, nil))
+	return w
+}
+
+func handler(s view.Source) *Handler {
+	return &Handler{
+		Self:    "a1",
+		Zone:    "a",
+		Source:  s,
+		Health:  silent{},
+		TTL:     1500 * time.Millisecond,
+		Leaving: func() bool { return false },
+	}
+}
+
+// weighted is an entry VM and its weight.
+type weighted struct {
+	id     string
+	weight int
+}
+
+func TestEntries(t *testing.T) {
+	all := []weighted{{"a2", 8}, {"a1", 2}, {"b1", 1}, {"b2", 1}}
+	cases := []struct {
+		name   string
+		query  string
+		change func(*catalogpb.Config, *Handler)
+		want   []weighted
+	}{
+		{"own zone", "service=photos", nil, all},
+		{"zone of the caller", "service=photos&zone=b", nil, []weighted{{"b1", 8}, {"b2", 2}, {"a1", 1}, {"a2", 1}}},
+		{"unknown zone", "service=photos&zone=x", nil, []weighted{{"a1", 1}, {"a2", 1}, {"b1", 1}, {"b2", 1}}},
+		{"leaving", "service=photos", func(c *catalogpb.Config, _ *Handler) { c.Entries[1].Leaving = true },
+			[]weighted{{"a1", 2}, {"b1", 1}, {"b2", 1}}},
+		{"self leaving", "service=photos", func(_ *catalogpb.Config, h *Handler) { h.Leaving = func() bool { return true } },
+			[]weighted{{"a2", 8}, {"b1", 1}, {"b2", 1}}},
+		{"silent", "service=photos", func(_ *catalogpb.Config, h *Handler) { h.Health = silent{"b1": true} },
+			[]weighted{{"a2", 8}, {"a1", 2}, {"b2", 1}}},
+		{"zone out", "service=photos", func(c *catalogpb.Config, _ *Handler) { c.Zones[1].State = catalogpb.ZoneState_ZONE_STATE_OUT },
+			[]weighted{{"a2", 8}, {"a1", 2}}},
+		{"all others silent", "service=photos", func(_ *catalogpb.Config, h *Handler) {
+			h.Health = silent{"a1": true, "a2": true, "b1": true, "b2": true}
+		}, []weighted{{"a1", 2}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			cfg := config()
+			h := handler(nil)
+			if tc.change != nil {
+				tc.change(cfg, h)
+			}
+			h.Source = source{view: view.New(cfg)}
+			w := get(h, tc.query)
+			assert.Equal(t, w.Code, http.StatusOK)
+			var answer Answer
+			assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+			assert.Equal(t, answer.TTLMs, int64(1500))
+			assert.Equal(t, len(answer.Entries), len(tc.want))
+			for i, e := range answer.Entries {
+				assert.Equal(t, weighted{e.ID, e.Weight}, tc.want[i])
+				assert.Equal(t, e.Address, e.ID+":80")
+			}
+		})
+	}
+}
+
+func TestAnswerIsBounded(t *testing.T) {
+	cfg := config()
+	for id := byte('c'); id < 'c'+2*maxEntries; id++ {
+		cfg.Entries = append(cfg.Entries, entry(string(id), "b"))
+	}
+	var answer Answer
+	w := get(handler(source{view: view.New(cfg)}), "service=photos")
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	assert.Equal(t, len(answer.Entries), maxEntries)
+	assert.Equal(t, answer.Entries[0].ID, "a2")
+}
+
+func TestRefusals(t *testing.T) {
+	v := view.New(config())
+	cases := []struct {
+		name   string
+		source source
+		query  string
+		want   fault.Kind
+	}{
+		{"no configuration", source{}, "service=photos", fault.NotFresh},
+		{"stale", source{view: v, stale: true}, "service=photos", fault.NotFresh},
+		{"unknown service", source{view: v}, "service=video", fault.UnknownService},
+		{"no service", source{view: v}, "", fault.UnknownService},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			w := get(handler(tc.source), tc.query)
+			assert.Equal(t, w.Header().Get(fault.HeaderKind), string(tc.want))
+			assert.Assert(t, w.Code >= http.StatusBadRequest)
+		})
+	}
+}
