--- /dev/null
+++ b/internal/entryd/lifecycle_test.go
@@ -0,0 +1,59 @@
+package entryd
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/chart"
+)
+
+func TestLifecycle(t *testing.T) {
+	cases := []struct {
+		events  string
+		state   chart.State
+		leaving bool
+		closed  bool
+	}{
+		{"", "starting", false, false},
+		{"synced", "starting", false, false},
+		{"listening", "syncing", false, false},
+		{"listening lease_lost", "syncing", false, false},
+		{"listening stop", stateLeaving, true, false},
+		{"listening synced", stateServing, false, false},
+		{"listening synced synced", stateServing, false, false},
+		{"listening synced lease_lost", "stale", false, false},
+		{"listening synced lease_lost synced", stateServing, false, false},
+		{"listening synced lease_lost stop", stateLeaving, true, false},
+		{"listening synced stop", stateLeaving, true, false},
+		{"listening synced stop synced", stateLeaving, true, false},
+		{"listening synced stop lease_lost", stateLeaving, true, false},
+		{"listening synced stop idle", stateLeaving, true, false},
+		{"listening synced stop answers_expired", stateDraining, true, true},
+		{"listening synced stop answers_expired synced", stateDraining, true, true},
+		{"listening synced stop answers_expired idle", stateStopped, true, true},
+		{"listening synced stop stop", stateStopped, true, true},
+		{"listening synced stop answers_expired stop", stateStopped, true, true},
+		{"listening synced stop answers_expired idle listening", stateStopped, true, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.events, func(t *testing.T) {
+			l := newLifecycle()
+			for _, ev := range strings.Fields(tc.events) {
+				l.step(chart.Event(ev))
+			}
+			assert.Assert(t, l.in(tc.state), "state %s", l.state)
+			assert.Equal(t, l.leaving(), tc.leaving)
+			assert.Equal(t, l.closed(), tc.closed)
+		})
+	}
+}
+
+func TestLifecycleActions(t *testing.T) {
+	l := newLifecycle()
+	assert.DeepEqual(t, l.step("listening"), []chart.Action{"fetch_config"})
+	assert.DeepEqual(t, l.step("synced"), []chart.Action{"admit_work"})
+	assert.Equal(t, len(l.step("synced")), 0)
+	assert.DeepEqual(t, l.step("lease_lost"), []chart.Action{"refuse_work"})
+}
