Let cold and suspect upstreams resolve at a low load

Cause: at a low load an upstream in cold start never got a request: the choice divided by its limit, and one slow first request kept its mean high for good; a suspect one was not decided for lack of requests. Change: the share of slots in use is taken of all slots; past slowness fades over 2 s without requests; a suspect without requests for 1 s is left to the probes; service times under 2 ms count alike.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -20,6 +20,7 @@
 	deployments []string
 	faults      []string
 	json        string
+	added       bool
 }
 
 func newExperiment(c *command) *cobra.Command {
@@ -45,6 +46,7 @@
 	f.BoolVar(&o.plan.Heavy, "heavy", true, "add runs with heavy-tailed service times")
 	f.DurationVar(&o.plan.Duration, "duration", 15*time.Second, "length of one run")
 	f.DurationVar(&o.plan.Warmup, "warmup", 3*time.Second, "start of each run that is left out")
+	f.BoolVar(&o.added, "added", false, "measure instead what an entry VM adds to a call with idle upstreams")
 	f.StringVar(&o.json, "json", "", "file for the full results")
 	return cmd
 }
@@ -65,6 +67,9 @@
 			o.plan.Faults = append(o.plan.Faults, experiment.Fault(f))
 		}
 	}
+	if o.added {
+		return o.runAdded(ctx, c)
+	}
 	rows, err := experiment.Run(ctx, o.plan, c.out)
 	if err != nil {
 		return errors.Trace(err)
@@ -78,3 +83,14 @@
 	}
 	return errors.Trace(os.WriteFile(o.json, data, 0o600))
 }
+
+func (o *experimentOptions) runAdded(ctx context.Context, c *command) error {
+	for _, d := range o.plan.Deployments {
+		for _, policy := range o.plan.Policies {
+			if err := experiment.Added(ctx, d, policy, o.plan.Duration, c.out); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -47,6 +47,11 @@
 	peerFailShare = 0.25
 	failWindow    = 8
 	minFailures   = 4
+	// minTime is the service time below which all count alike.
+	minTime = 2 * time.Millisecond
+	// suspectFor bounds the time for which requests may decide about a
+	// suspect upstream.
+	suspectFor = time.Second
 	// calmSamples is the number of requests that can clear a suspicion.
 	calmSamples = 4
 )
@@ -85,7 +90,9 @@
 	f.share += (x - f.share) / float64(min(f.n, failWindow))
 }
 
-func logTime(d time.Duration) float64 { return math.Log(max(1, float64(d))) }
+// logTime returns the logarithm of a service time. Differences below minTime say
+// nothing about an upstream.
+func logTime(d time.Duration) float64 { return math.Log(float64(max(minTime, d))) }
 
 // observe learns from the end of a request.
 func (c *Cell) observe(u *upstream, t *ticket, e Release) {
@@ -146,6 +153,7 @@
 		c.spread += (math.Abs(x-ref) - c.spread) / spreadWindow
 	}
 	u.stats.add(x, window)
+	u.sampledAt = c.now
 	c.base.add(x, baseWindow)
 }
 
@@ -210,6 +218,19 @@
 	}
 }
 
+// resolve decides about an upstream that stays suspect for lack of requests: it
+// is left to the probes, or tried as a cold one where the cap forbids that.
+func (c *Cell) resolve(u *upstream) {
+	if u.state != stateSuspect || c.now-u.since < suspectFor || u.inFlight > 0 {
+		return
+	}
+	if c.mayEject() {
+		c.fire(u, eventConfirmed)
+		return
+	}
+	c.fire(u, eventRecovered)
+}
+
 // slow reports whether the upstream takes longer than its cell by more than
 // chance explains, and whether by so much that it is a straggler.
 func (c *Cell) slow(u *upstream, running []time.Duration) (slow, straggler bool) {
--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -150,3 +150,25 @@
 	assert.Equal(t, w.limit("a"), 1)
 	assert.Equal(t, w.state("a"), "cold")
 }
+
+func TestColdUpstreamWarmsUpAtLowLoad(t *testing.T) {
+	w := warmWorld(t)
+	w.now += ms
+	w.announce("a", 2, ReportCold)
+	w.now += ms
+	w.announce("a", 2, ReportWarm)
+	w.run(100, 10*ms)
+	assert.Equal(t, w.state("a"), "warm")
+}
+
+func TestSuspectWithoutRequestsIsProbed(t *testing.T) {
+	w := warmWorld(t)
+	for range 3 {
+		w.c.upstream("a").fails.add(true)
+	}
+	w.c.judge(w.c.upstream("a"), nil)
+	assert.Equal(t, w.state("a"), "suspect")
+	w.now += suspectFor
+	w.c.Step(w.now, Tick{})
+	assert.Equal(t, w.state("a"), "ejected")
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -9,13 +10,17 @@
 // against the share of its slots in use.
 const slowWeight = 0.25
 
+// forgetAfter is the time after which a past service time has no weight.
+const forgetAfter = 2 * time.Second
+
 // usable reports whether the upstream may be granted at all at this moment.
 func (c *Cell) usable(u *upstream) bool {
 	return u.limit >= u.slots || c.rules.noSettle || c.settle.coldOpen(c.now)
 }
 
 // pick returns the upstream with room that should run w, or nil. It prefers a
-// low share of slots in use, then a short service time.
+// low share of slots in use, then a short service time. One in cold start takes
+// part, so that it warms up at a low load too; a suspect one comes last.
 func (c *Cell) pick(w *waiter) *upstream {
 	n := len(c.upstreams)
 	if n == 0 {
@@ -37,11 +42,26 @@
 }
 
 func (c *Cell) cost(u *upstream) float64 {
-	used := float64(u.inFlight+len(u.held)+1) / float64(u.limit)
+	used := float64(u.inFlight+len(u.held)+1) / float64(u.slots)
+	if u.state == stateSuspect {
+		used++
+	}
+	return used + slowWeight*c.slowness(u)
+}
+
+// slowness returns by how much the upstream was slower than the cell, as a
+// logarithm. It fades while the upstream gets no requests, so that one slow
+// request does not keep it idle.
+func (c *Cell) slowness(u *upstream) float64 {
 	if u.stats.n == 0 || c.base.n == 0 {
-		return used
+		return 0
+	}
+	excess := u.stats.mean - c.base.mean
+	if u.state == stateCold {
+		excess -= math.Log(coldRatio)
 	}
-	return used + slowWeight*max(0, u.stats.mean-c.base.mean)
+	fresh := 1 - float64(c.now-u.sampledAt)/float64(forgetAfter)
+	return max(0, excess) * max(0, fresh)
 }
 
 // free returns the number of slots that can be granted now.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -66,8 +66,10 @@
 	// held lists the times until which slots of failed requests stay closed.
 	held  []time.Duration
 	stats stats
-	fails failures
-	probe probeState
+	// sampledAt is the time of the newest sample.
+	sampledAt time.Duration
+	fails     failures
+	probe     probeState
 }
 
 // room returns the number of requests the upstream can take.
@@ -288,6 +290,7 @@
 		}
 		u.held = slices.DeleteFunc(u.held, func(t time.Duration) bool { return t <= c.now })
 		c.judge(u, running[u.id])
+		c.resolve(u)
 		c.checkProbe(u)
 	}
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -144,17 +144,22 @@
 
 // load sends calls at a share of the capacity.
 func (s *system) load(ctx context.Context, share float64, duration, warmup time.Duration) (load.Report, error) {
-	var targets []lookup.Entry
-	for i, c := range s.callers {
-		targets = append(targets, lookup.Entry{ID: fmt.Sprintf("entry-%02d", i), Address: c, Weight: 1})
-	}
 	return load.Run(ctx, load.Plan{
-		Service: s.d.Service, Targets: targets, Rate: share * s.d.capacity(),
+		Service: s.d.Service, Targets: s.targets(), Rate: share * s.d.capacity(),
 		Duration: duration, Warmup: warmup, Path: "/" + s.d.Service + "/list",
 		Timeout: callTimeout, Seed: loadSeed,
 	})
 }
 
+// targets returns the callers' side of all entry VMs.
+func (s *system) targets() []lookup.Entry {
+	var all []lookup.Entry
+	for i, c := range s.callers {
+		all = append(all, lookup.Entry{ID: fmt.Sprintf("entry-%02d", i), Address: c, Weight: 1})
+	}
+	return all
+}
+
 // loadSeed fixes the arrivals, so that all policies get the same.
 const loadSeed = 11
 
