--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +53,9 @@
 	hints  hints
 	held   held
 	outbox outbox
-	wg     conc.WaitGroup
+	// peers holds Twirp clients by peerKey.
+	peers sync.Map
+	wg    conc.WaitGroup
 }
 
 // NewClient returns a client; Run starts it.
--- a/internal/slot/remote.go
+++ b/internal/slot/remote.go
@@ -13,13 +13,24 @@
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
+// peerKey names a Twirp client.
+type peerKey struct {
+	address string
+	client  *http.Client
+}
+
 // peer returns the Twirp client of another entry VM, or nil.
 func (c *Client) peer(v *view.View, entry string, hc *http.Client) clusterpb.Dispatch {
 	e := v.Entry(entry)
 	if e == nil {
 		return nil
 	}
-	return clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc)
+	key := peerKey{e.ClusterAddress, hc}
+	if p, ok := c.peers.Load(key); ok {
+		return p.(clusterpb.Dispatch)
+	}
+	p, _ := c.peers.LoadOrStore(key, clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc))
+	return p.(clusterpb.Dispatch)
 }
 
 // remote asks a dispatcher in another process. When no answer comes, the
