Judge deadlines by the geometric mean of service times

Cause: with one long upload in ten, the arithmetic mean was above the deadline of short reads: each that had to wait was refused as hopeless at once (test TestLongRequestsDoNotMakeShortDeadlinesHopeless, fails before with deadline_too_short). Change: geometric mean for deadlines and for the slots of fast failures, twice that for the expected wait.

--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -39,9 +39,7 @@
 	spread float64
 	// base is the mean of the logarithms over the whole cell.
 	base stats
-	// serviceNs is the mean service time in nanoseconds.
-	serviceNs float64
-	out       []Action
+	out  []Action
 }
 
 // rules switches single rules off in tests.
--- a/internal/dispatch/cell_test.go
+++ b/internal/dispatch/cell_test.go
@@ -161,3 +161,17 @@
 	w.c.Step(w.now, Configure{cfg})
 	assert.Equal(t, w.limit("u"), 1)
 }
+
+func TestLongRequestsDoNotMakeShortDeadlinesHopeless(t *testing.T) {
+	w := newWorld(t, Config{ColdSlots: 1, WarmAfter: 4})
+	w.announce("u", 1, ReportWarm)
+	for range 10 {
+		w.run(9, 20*ms)
+		w.announce("u", 1, ReportWarm)
+		w.run(1, 20*time.Second)
+		w.announce("u", 1, ReportWarm)
+	}
+	w.acquire(0)
+	_, a := w.acquire(500 * ms)
+	assert.Assert(t, a == nil, "%v", a)
+}
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -103,8 +103,8 @@
 	stale := t.inherited || t.granted < u.since
 	switch e.Outcome {
 	case clusterpb.Outcome_OUTCOME_OK:
-		c.observeTime(elapsed)
 		if stale {
+			c.base.add(logTime(elapsed), baseWindow)
 			return
 		}
 		c.addSample(u, elapsed)
@@ -138,14 +138,6 @@
 	}
 }
 
-// observeTime updates the typical service time of the cell.
-func (c *Cell) observeTime(d time.Duration) {
-	if c.serviceNs == 0 {
-		c.serviceNs = float64(d)
-	}
-	c.serviceNs += (float64(d) - c.serviceNs) / baseWindow
-}
-
 func (c *Cell) addSample(u *upstream, d time.Duration) {
 	x := logTime(d)
 	if ref, ok := c.reference(u); ok {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -10,6 +10,9 @@
 // against the share of its slots in use.
 const slowWeight = 0.25
 
+// waitFactor is the assumed ratio of the mean service time to the geometric one.
+const waitFactor = 2
+
 // forgetAfter is the time after which a past service time has no weight.
 const forgetAfter = 2 * time.Second
 
@@ -86,8 +89,14 @@
 	return n
 }
 
-// typicalService returns the mean service time of the cell; zero if unknown.
-func (c *Cell) typicalService() time.Duration { return time.Duration(c.serviceNs) }
+// typicalService returns the geometric mean of service times, which a few long
+// requests do not raise much; zero if unknown.
+func (c *Cell) typicalService() time.Duration {
+	if c.base.n == 0 {
+		return 0
+	}
+	return time.Duration(math.Exp(c.base.mean))
+}
 
 // expectedWait estimates the wait of a request that arrives now.
 func (c *Cell) expectedWait() time.Duration {
@@ -95,5 +104,5 @@
 		return 0
 	}
 	ahead := (c.queue.work + 1) / float64(max(1, c.capacity()))
-	return time.Duration(c.serviceNs * ahead)
+	return time.Duration(waitFactor * ahead * float64(c.typicalService()))
 }
