--- a/internal/dispatch/proof_test.go
+++ b/internal/dispatch/proof_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	modelSteps = 300
+	modelSteps = 500
 	// offTries bounds the cases tried to see a switched-off rule fail.
 	offTries = 3000
 )
