--- /dev/null
+++ b/internal/testbed/slopes_test.go
@@ -0,0 +1,185 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/load"
+	"balsamcourse.example/balsamcourse/internal/lookup"
+)
+
+// measureVariable turns the measurements on. They give figures, no verdicts.
+const measureVariable = "BALSAMCOURSE_MEASURE"
+
+// Sizes of the measurements.
+const (
+	addedCalls   = 2000
+	slopeTime    = 6 * time.Second
+	slopeWarmup  = time.Second
+	idleTime     = 10 * time.Second
+	clockTicks   = 100
+	mebibyte     = 1 << 20
+	upstreamFast = 4
+)
+
+// usage is what a process has used.
+type usage struct {
+	cpu time.Duration
+	rss int64
+}
+
+// usage reads the processor time and the resident memory of the process.
+func (p *process) usage() usage {
+	pid := strconv.Itoa(p.cmd.Process.Pid)
+	stat, err := os.ReadFile(filepath.Join("/proc", pid, "stat"))
+	assert.NilError(p.t, err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return usage{
+		cpu: time.Duration(user+system) * time.Second / clockTicks,
+		rss: pages * int64(os.Getpagesize()),
+	}
+}
+
+// measured starts a cluster with quick upstreams for a measurement.
+func measured(t *testing.T) (*cluster, []*Upstream) {
+	t.Helper()
+	if os.Getenv(measureVariable) == "" {
+		t.Skip("set " + measureVariable + "=1 to measure")
+	}
+	c := newCluster(t, 3, 4)
+	c.configure()
+	var ups []*Upstream
+	for i := range upstreamFast {
+		u, err := StartUpstream(UpstreamOptions{
+			Service: "booking", Zone: zones[i%2], ID: fmt.Sprintf("up-%d", i+1), Slots: 64, ColdSlots: 64,
+			StartWarm: true, Entries: c.announces, Seed: uint64(i), Key: upstreamKey,
+		})
+		assert.NilError(t, err)
+		t.Cleanup(u.Kill)
+		ups = append(ups, u)
+	}
+	for i := range c.entries {
+		waitFor(t, "call", func() string { return c.serves(i) })
+	}
+	return c, ups
+}
+
+// TestMeasureAddedTime compares calls through entry VMs with calls straight to
+// an idle upstream, one at a time and in turn.
+func TestMeasureAddedTime(t *testing.T) {
+	c, ups := measured(t)
+	routes := []struct {
+		name, address, method, path string
+		key                         bool
+		times                       []time.Duration
+	}{
+		{name: "straight to the upstream", address: ups[0].Address(), method: "GET", path: "/booking/dates"},
+		{name: "entry VM that dispatches", address: c.callers[0], method: "GET", path: "/booking/dates"},
+		{name: "another entry VM", address: c.callers[2], method: "GET", path: "/booking/dates"},
+		{name: "dispatcher, with a claim", address: c.callers[0], method: "POST", path: "/booking/pay/1", key: true},
+	}
+	client := &http.Client{Timeout: callTimeout}
+	for n := range addedCalls {
+		for i := range routes {
+			r := &routes[i]
+			req, err := http.NewRequest(r.method, "http://"+r.address+r.path, nil)
+			assert.NilError(t, err)
+			if r.key {
+				req.Header.Set("Idempotency-Key", fmt.Sprintf("added-%d", n))
+			}
+			begun := time.Now()
+			resp, err := client.Do(req)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			r.times = append(r.times, time.Since(begun))
+		}
+	}
+	base := [2]time.Duration{}
+	for i, r := range routes {
+		p50, p99 := quantile(r.times, 500), quantile(r.times, 990)
+		if i == 0 {
+			base = [2]time.Duration{p50, p99}
+		}
+		t.Logf("%-26s p50 %6.3f ms, p99 %6.3f ms, added %6.3f and %6.3f ms", r.name,
+			millis(p50), millis(p99), millis(p50-base[0]), millis(p99-base[1]))
+	}
+}
+
+func quantile(times []time.Duration, permille int) time.Duration {
+	sorted := slices.Sorted(slices.Values(times))
+	return sorted[len(sorted)*permille/1000]
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// TestMeasureCallSlope gives the processor time of an entry VM for each call.
+func TestMeasureCallSlope(t *testing.T) {
+	c, _ := measured(t)
+	for _, kind := range []struct {
+		name, method, path string
+		entry              int
+		key                bool
+	}{
+		{"dispatcher", "GET", "/booking/dates", 0, false},
+		{"another entry VM", "GET", "/booking/dates", 2, false},
+		{"dispatcher, with a claim", "POST", "/booking/pay/1", 0, true},
+	} {
+		for _, rate := range []float64{250, 500, 1000} {
+			before := c.usages()
+			report, err := load.Run(context.Background(), load.Plan{
+				Service: "booking", Targets: []lookup.Entry{{ID: "x", Address: c.callers[kind.entry], Weight: 1}},
+				Rate: rate, Duration: slopeTime, Warmup: slopeWarmup, Method: kind.method, Path: kind.path,
+				Key: kind.key, Timeout: callTimeout, MaxInFlight: 1000,
+			})
+			assert.NilError(t, err)
+			after := c.usages()
+			calls := rate * slopeTime.Seconds()
+			sum := time.Duration(0)
+			for i := range after {
+				sum += after[i].cpu - before[i].cpu
+			}
+			own := after[kind.entry].cpu - before[kind.entry].cpu
+			t.Logf("%-26s %5.0f/s: own %6.1f us, all entry VMs %6.1f us a call, p99 %.2f ms, resident %.1f MB", kind.name, rate,
+				float64(own.Microseconds())/calls, float64(sum.Microseconds())/calls, report.Latency.P99Ms, float64(after[kind.entry].rss)/mebibyte)
+		}
+	}
+}
+
+// usages returns the usage of every entry VM.
+func (c *cluster) usages() []usage {
+	out := make([]usage, len(c.entries))
+	for i, p := range c.entries {
+		out[i] = p.usage()
+	}
+	return out
+}
+
+// TestMeasureIdle gives what idle processes use.
+func TestMeasureIdle(t *testing.T) {
+	c, _ := measured(t)
+	all := append(append([]*process(nil), c.controls...), c.entries...)
+	before := make([]usage, len(all))
+	for i, p := range all {
+		before[i] = p.usage()
+	}
+	time.Sleep(idleTime)
+	for i, p := range all {
+		u := p.usage()
+		t.Logf("%-10s %.2f%% of a core, resident %.1f MB", p.name, 100*(u.cpu-before[i].cpu).Seconds()/idleTime.Seconds(), float64(u.rss)/mebibyte)
+	}
+}
