--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -47,14 +47,14 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 
-	pending  chan acquired
-	grant    slot.Grant
-	granted  bool
-	claim    Claim
+	pending chan acquired
+	grant   slot.Grant
+	granted bool
+	claim   Claim
 	// claimed is set once the claim was granted: no earlier attempt with the key
 	// has run.
-	claimed bool
-	try     Try
+	claimed  bool
+	try      Try
 	kept     *clusterpb.KeptAnswer
 	answer   *answer
 	avoid    []string
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -183,9 +183,8 @@
 	front      *httptest.Server
 }
 
-// newRig starts a forwarder that sends requests below /s to the addresses.
-func newRig(t *testing.T, addresses ...string) *rig {
-	t.Helper()
+// newFakes returns the fakes for requests below /s that go to the addresses.
+func newFakes(addresses ...string) *rig {
 	cfg := &catalogpb.Config{
 		Revision: 1,
 		Services: []*catalogpb.Service{{Name: "s", PathPrefix: "/s", TimeoutMs: 5000}},
@@ -195,13 +194,17 @@
 			{Service: "s", Name: "pay", Method: "POST", PathPattern: "/pay/:id", KeyRequired: true},
 		},
 	}
-	r := &rig{
+	return &rig{
 		source:     &fakeSource{view: view.New(cfg)},
 		slots:      &fakeSlots{addresses: addresses},
 		claims:     newFakeClaims(),
 		quarantine: &fakeQuarantine{},
 	}
-	f := New(Options{
+}
+
+// newForwarder returns a forwarder over the fakes.
+func newForwarder(r *rig) *Forwarder {
+	return New(Options{
 		Source:          r.source,
 		Slots:           r.slots,
 		Claims:          r.claims,
@@ -216,7 +219,13 @@
 		MaxKeptBytes:    16 << 10,
 		MaxAttempts:     3,
 	})
-	r.front = httptest.NewServer(f)
+}
+
+// newRig starts a forwarder that sends requests below /s to the addresses.
+func newRig(t *testing.T, addresses ...string) *rig {
+	t.Helper()
+	r := newFakes(addresses...)
+	r.front = httptest.NewServer(newForwarder(r))
 	t.Cleanup(r.front.Close)
 	return r
 }
