Handle broken attempts and broken answers in one place

sendFailed and answerBroken told a caller that went away, a deadline that passed and a broken upstream apart with the same lines. Both now call broken; what happens is unchanged (go test -race ./internal/forward).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -92,12 +92,7 @@
 
 func (c *call) answerBroken(a *attempt, resp *http.Response, err *fault.Error) chart.Event {
 	_ = resp.Body.Close()
-	if c.ctx.Err() != nil {
-		c.release(clusterpb.Outcome_OUTCOME_CANCELLED, time.Since(a.started), a.newConn.Load())
-		return c.lost(c.cancelFault())
-	}
-	c.release(clusterpb.Outcome_OUTCOME_BROKEN, time.Since(a.started), a.newConn.Load())
-	return c.retryOrLose(err)
+	return c.broken(a, err)
 }
 
 // finish frees the slot and keeps the answer. The answer has been read whole.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -154,16 +154,21 @@
 
 // sendFailed sorts out an attempt without an answer.
 func (c *call) sendFailed(a *attempt, err error) chart.Event {
-	took := time.Since(a.started)
 	if !a.connected.Load() {
 		return c.notRun(clusterpb.Outcome_OUTCOME_UNREACHABLE, a, fault.New(fault.NoUpstream, "connecting to %s: %v", c.grant.Upstream, err))
 	}
+	return c.broken(a, fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
+}
+
+// broken handles an attempt that may have run and gave no whole answer.
+func (c *call) broken(a *attempt, err *fault.Error) chart.Event {
+	took := time.Since(a.started)
 	if c.ctx.Err() != nil {
 		c.release(clusterpb.Outcome_OUTCOME_CANCELLED, took, a.newConn.Load())
 		return c.lost(c.cancelFault())
 	}
 	c.release(clusterpb.Outcome_OUTCOME_BROKEN, took, a.newConn.Load())
-	return c.retryOrLose(fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
+	return c.retryOrLose(err)
 }
 
 // cancelFault tells a caller that went away from a deadline that passed.
