Describe the spans of a call

Cause: spans carried a name only, so a trace did not say which upstream an attempt went to or why it was given up. telemetry.Describe had no caller.

Call spans now carry the service and whether there is a key (never the key); claim, grant and upstream spans the service, the upstream, its availability zone and the kind of the fault. The call span also reported the fault of an earlier attempt after a retry had succeeded, and none for a kept answer too large to keep, an answer cut off or the limit on calls in flight: the error of the call is now set and cleared in these places. Answers are unchanged.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -133,6 +133,7 @@
 // deliver passes the answer on to the caller.
 func (c *call) deliver() chart.Event {
 	ans := c.answer
+	c.err = nil
 	c.f.opts.Metrics.Answer("")
 	writeHead(c.w, ans.resp)
 	if ans.whole {
@@ -187,6 +188,7 @@
 		c.claim.Unknown()
 		c.claim = nil
 	}
+	c.err = fault.New(fault.UpstreamBroken, "%s: answer cut off", c.grant.Upstream)
 	c.f.opts.Metrics.Answer(fault.UpstreamBroken)
 	panic(http.ErrAbortHandler)
 }
@@ -237,7 +239,8 @@
 // answerKept answers a resend with the answer of the first run.
 func (c *call) answerKept() chart.Event {
 	if c.kept.Truncated {
-		c.f.refuse(c.w, fault.New(fault.AlreadyRan, "status %d", c.kept.Status))
+		c.err = fault.New(fault.AlreadyRan, "status %d", c.kept.Status)
+		c.f.refuse(c.w, c.err)
 		return ""
 	}
 	h := c.w.Header()
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -145,7 +145,9 @@
 	if c.needsClaim() {
 		parent = context.WithoutCancel(parent)
 	}
-	parent, c.span = c.f.opts.Tracing.StartServer(parent, c.r.Header, "call")
+	parent, c.span = c.f.opts.Tracing.StartServer(parent, c.r.Header, telemetry.SpanCall)
+	telemetry.Describe(c.span, telemetry.AttrService, c.service.Name)
+	telemetry.Describe(c.span, telemetry.AttrKeyed, strconv.FormatBool(c.key != ""))
 	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
 	return nil
 }
@@ -198,9 +200,9 @@
 	c.pending = make(chan acquired, 1)
 	go c.acquire(c.pending)
 	begun := time.Now()
-	ctx, span := c.f.opts.Tracing.Start(c.ctx, "claim")
+	ctx, span := c.startSpan(telemetry.SpanClaim)
 	claim, kept, err := c.f.opts.Claims.Begin(ctx, c.service.Name, c.key, contentDigest(c.r, c.body.digest))
-	span.End()
+	endSpan(span, err)
 	c.f.opts.Metrics.Claim.RecordDuration(time.Since(begun))
 	switch {
 	case err != nil:
@@ -230,14 +232,17 @@
 
 func (c *call) acquire(out chan<- acquired) {
 	begun := time.Now()
-	ctx, span := c.f.opts.Tracing.Start(c.ctx, "grant")
+	ctx, span := c.startSpan(telemetry.SpanGrant)
 	g, err := c.f.opts.Slots.Acquire(ctx, slot.Request{
 		Service:    c.service.Name,
 		Deadline:   c.deadline,
 		Avoid:      c.avoid,
 		Repeatable: c.policy.repeatable,
 	})
-	span.End()
+	if err == nil {
+		describeGrant(span, g)
+	}
+	telemetry.End(span, err)
 	c.f.opts.Metrics.Grant.RecordDuration(time.Since(begun))
 	out <- acquired{g, err}
 }
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -180,6 +180,7 @@
 	slots      *fakeSlots
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
+	tracing    *telemetry.Tracing
 	front      *httptest.Server
 }
 
@@ -199,6 +200,7 @@
 		slots:      &fakeSlots{addresses: addresses},
 		claims:     newFakeClaims(),
 		quarantine: &fakeQuarantine{},
+		tracing:    telemetry.Off(),
 	}
 }
 
@@ -211,7 +213,7 @@
 		Quarantine:      r.quarantine,
 		Limiter:         admit.NewLimiter(100),
 		Transport:       NewTransport(nil),
-		Tracing:         telemetry.Off(),
+		Tracing:         r.tracing,
 		Metrics:         telemetry.NewEntryMetrics(tally.NoopScope),
 		Leaving:         func() bool { return false },
 		MaxBodyBytes:    256 << 20,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,7 +69,8 @@
 	}
 	defer c.close()
 	if !f.opts.Limiter.Acquire(c.service.Name) {
-		f.refuse(w, c.undecided(fault.New(fault.Overloaded, "service %q", c.service.Name)))
+		c.err = fault.New(fault.Overloaded, "service %q", c.service.Name)
+		c.refuse()
 		return
 	}
 	defer f.opts.Limiter.Release(c.service.Name)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/chart"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
 // attempt watches one request on its way to one upstream.
@@ -24,6 +25,8 @@
 	// request may have reached the upstream.
 	connected atomic.Bool
 	newConn   atomic.Bool
+	// err is set when the attempt gave no answer to pass on.
+	err *fault.Error
 }
 
 // send makes one attempt at the granted upstream.
@@ -37,9 +40,10 @@
 		return ev
 	}
 	c.attempts++
-	ctx, span := c.f.opts.Tracing.Start(c.ctx, "upstream")
-	defer span.End()
+	ctx, span := c.startSpan(telemetry.SpanUpstream)
+	describeGrant(span, c.grant)
 	a := &attempt{started: time.Now()}
+	defer func() { endSpan(span, a.err) }()
 	resp, err := c.f.opts.Transport.RoundTrip(c.request(a.trace(ctx, c.w)))
 	c.f.opts.Metrics.Upstream.RecordDuration(time.Since(a.started))
 	if a.newConn.Load() {
@@ -164,9 +168,11 @@
 func (c *call) broken(a *attempt, err *fault.Error) chart.Event {
 	took := time.Since(a.started)
 	if c.ctx.Err() != nil {
+		a.err = c.cancelFault()
 		c.release(clusterpb.Outcome_OUTCOME_CANCELLED, took, a.newConn.Load())
-		return c.lost(c.cancelFault())
+		return c.lost(a.err)
 	}
+	a.err = err
 	c.release(clusterpb.Outcome_OUTCOME_BROKEN, took, a.newConn.Load())
 	return c.retryOrLose(err)
 }
@@ -181,6 +187,7 @@
 
 // notRun handles an attempt that the upstream did not run.
 func (c *call) notRun(outcome clusterpb.Outcome, a *attempt, err *fault.Error) chart.Event {
+	a.err = err
 	c.release(outcome, time.Since(a.started), a.newConn.Load())
 	if c.mayRetry() {
 		c.err = err
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -38,6 +38,9 @@
 	AttrZone     = "balsam.zone"
 	AttrUpstream = "balsam.upstream"
 	AttrFault    = "balsam.fault"
+	// AttrKeyed is "true" for a request with an idempotency key. The key itself
+	// is not recorded.
+	AttrKeyed = "balsam.keyed"
 )
 
 // noSpan records nothing.
