--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -129,3 +129,32 @@
 	assert.Equal(t, len(l.plan()), 0)
 	assert.Assert(t, Cells(l.cfg, nil) == nil)
 }
+
+// probe records a failed check.
+type probe struct {
+	failed bool
+}
+
+func (p *probe) FailNow()   { p.failed = true }
+func (p *probe) Fail()      { p.failed = true }
+func (p *probe) Log(...any) {}
+
+// TestCheckNoticesRulesOff keeps cells where a rule would move them.
+func TestCheckNoticesRulesOff(t *testing.T) {
+	for name, change := range map[string]func(l *layout){
+		"a restarted entry VM keeps its cells": func(l *layout) { l.add("e0", 0, 2) },
+		"a lost entry VM keeps its cells":      func(l *layout) { delete(l.available, "e0") },
+		"cells stay away from home":            func(l *layout) { l.add("e1", 1, 1) },
+		"a new service has no cells":           func(l *layout) { l.cfg.Services = append(l.cfg.Services, &catalogpb.Service{Name: "t"}) },
+	} {
+		l := newLayout(2, 2)
+		l.add("e0", 0, 1)
+		l.add("e2", 0, 1)
+		l.settle(t)
+		l.check(t)
+		change(l)
+		var p probe
+		l.check(&p)
+		assert.Assert(t, p.failed, name)
+	}
+}
