--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -33,9 +33,16 @@
 	net         []packet
 	open        bool
 	nextID      uint64
+	restarted   bool
 	err         error
 	// pending lists the requests that a dispatcher has taken in.
-	pending map[Key]time.Duration
+	pending map[Key]pendingModel
+}
+
+// pendingModel is a request that a dispatcher has taken in.
+type pendingModel struct {
+	at    *dispatcherModel
+	until time.Duration
 }
 
 type dispatcherModel struct {
@@ -88,7 +95,7 @@
 }
 
 func newModel(pick choose, off rules) *model {
-	m := &model{pick: pick, rules: off, open: true, pending: make(map[Key]time.Duration)}
+	m := &model{pick: pick, rules: off, open: true, pending: make(map[Key]pendingModel)}
 	for i := range 3 {
 		e := &entryModel{name: fmt.Sprintf("e%d", i), incarnation: 1, epoch: 1}
 		e.reset()
@@ -174,34 +181,6 @@
 	}
 }
 
-// giveUpOne lets an entry VM give up its oldest request.
-func (m *model) giveUpOne(e *entryModel) {
-	if id := e.oldest(); id != 0 && !e.dead {
-		e.giveUp(Key{e.name, e.incarnation, id})
-	}
-}
-
-func (e *entryModel) oldest() uint64 {
-	var id uint64
-	for w := range e.wanted {
-		if id == 0 || w < id {
-			id = w
-		}
-	}
-	return id
-}
-
-// request lets an entry VM ask the dispatcher that it knows.
-func (m *model) request(e *entryModel) {
-	if e.dead {
-		return
-	}
-	m.nextID++
-	e.wanted[m.nextID] = m.now + modelTimeout
-	ev := Acquire{Key: Key{e.name, e.incarnation, m.nextID}, Deadline: modelTimeout, MaxWait: modelWait}
-	m.send(packet{epoch: e.epoch, event: ev})
-}
-
 // send puts a message on the network, at times twice.
 func (m *model) send(p packet) {
 	m.net = append(m.net, p)
@@ -238,7 +217,7 @@
 		}
 		a.Deadline += m.now
 		p.event = a
-		m.pending[a.Key] = m.now + a.MaxWait
+		m.pending[a.Key] = pendingModel{d, m.now + a.MaxWait}
 	}
 	m.note(d, p.event)
 	m.act(d, d.cell.Step(m.now, p.event))
@@ -282,48 +261,6 @@
 	return nil
 }
 
-// granted uses a grant, or gives it back when it is not wanted any more.
-func (m *model) granted(p packet) {
-	e, g := p.entry, p.grant
-	if e.dead || e.incarnation != p.inc {
-		return
-	}
-	deadline, wanted := e.wanted[g.Key.ID]
-	delete(e.wanted, g.Key.ID)
-	if !wanted {
-		return
-	}
-	if m.now > deadline || p.from < e.epoch {
-		e.giveUp(g.Key)
-		return
-	}
-	k := e.known[g.Upstream]
-	if n := (Known{g.Upstream, g.Incarnation, g.Limit, p.from, g.Version}); k.Epoch == 0 || newer(n, k) {
-		e.known[g.Upstream] = n
-	}
-	for _, u := range m.upstreams {
-		if u.id == g.Upstream {
-			m.start(e, u, g.Key, deadline)
-		}
-	}
-}
-
-// giveUp withdraws a request, or returns a grant unused. A later answer to it
-// has no one to read it.
-func (e *entryModel) giveUp(k Key) {
-	delete(e.wanted, k.ID)
-	e.unsent = append(e.unsent, Release{Key: k, Outcome: clusterpb.Outcome_OUTCOME_UNUSED})
-}
-
-func (m *model) start(e *entryModel, u *upstreamModel, k Key, deadline time.Duration) {
-	r := &runModel{key: k, up: u, deadline: deadline}
-	e.held[k.ID] = r
-	u.running[k] = r
-	if u.cold() && len(u.running) > modelCold {
-		m.fail("cold upstream %s runs %d requests", u.id, len(u.running))
-	}
-}
-
 // finishOne ends one running request.
 func (m *model) finishOne() {
 	u := m.upstreams[m.pick(len(m.upstreams))]
@@ -365,22 +302,6 @@
 	}
 }
 
-// resend delivers releases to the dispatcher that the entry VM knows; what is
-// not acknowledged stays.
-func (m *model) resend(e *entryModel) {
-	d := m.dispatchers[e.epoch-1]
-	if e.dead || !d.live || m.pick(4) == 0 {
-		return
-	}
-	for _, r := range e.unsent {
-		m.deliver(packet{epoch: d.epoch, event: r})
-		if m.pick(4) == 0 {
-			m.send(packet{epoch: d.epoch, event: r})
-		}
-	}
-	e.unsent = nil
-}
-
 func (m *model) tick() {
 	for _, d := range m.dispatchers {
 		m.act(d, d.cell.Step(m.now, Tick{}))
@@ -392,58 +313,53 @@
 			}
 		}
 	}
-	for k, until := range m.pending {
-		if m.now > until+50*ms && m.dispatchers[0].live == m.current().live {
+	for k, p := range m.pending {
+		if m.now > p.until+50*ms {
 			m.fail("request %v has no answer", k)
 		}
 	}
 }
 
-// move assigns the cell to a second dispatcher, or ends the lease of the first
-// one and lets the second begin.
+// move assigns the cell to a further dispatcher, ends the lease of an earlier
+// one, or lets the last one begin once no earlier one holds a lease.
 func (m *model) move() {
-	if len(m.dispatchers) == 1 {
-		if m.pick(4) == 0 {
-			m.assign()
-		}
+	last := m.current()
+	if len(m.dispatchers) < 3 && m.pick(4) == 0 {
+		m.assign()
 		return
 	}
-	old, d := m.dispatchers[0], m.current()
-	if old.live {
-		old.live = false
-		clear(m.pending)
-		old.cell.Step(m.now, Close{})
-		return
+	for _, d := range m.dispatchers {
+		if d != last && d.live {
+			m.end(d)
+			return
+		}
 	}
-	if !d.accepted {
-		d.accept(m)
+	if !last.accepted {
+		last.accept(m)
 	}
 }
 
-// adopt lets an entry VM learn the newest view and register there.
-func (m *model) adopt(e *entryModel) {
-	d := m.current()
-	if e.dead {
-		return
-	}
-	e.epoch = d.epoch
-	ev := Reregister{Entry: e.name, Incarnation: e.incarnation}
-	for id, r := range e.held {
-		ev.Held = append(ev.Held, Held{ID: id, Upstream: r.up.id, Deadline: r.deadline + 20*ms})
-	}
-	for _, k := range e.known {
-		ev.Known = append(ev.Known, k)
+// end takes the lease from a dispatcher: it refuses what waits.
+func (m *model) end(d *dispatcherModel) {
+	d.live = false
+	d.cell.Step(m.now, Close{})
+	for k, p := range m.pending {
+		if p.at == d {
+			delete(m.pending, k)
+		}
 	}
-	m.send(packet{epoch: d.epoch, event: ev})
 }
 
-// trouble kills an entry VM for good, drains an upstream, or closes the zone.
+// trouble kills an entry VM for good, restarts one, drains an upstream, or
+// closes the zone.
 func (m *model) trouble() {
 	switch m.pick(24) {
 	case 0:
 		m.entries[2].dead = true
 	case 1:
 		m.upstreams[1].draining = true
+	case 3:
+		m.restart(m.entries[1])
 	case 2:
 		m.open = false
 		for _, d := range m.dispatchers {
@@ -456,7 +372,9 @@
 // settle lets all requests end and checks that no slot stays taken: at once
 // when every entry VM is alive, after the deadlines when one is lost.
 func (m *model) settle() {
-	m.dispatchers[0].live = len(m.dispatchers) == 1
+	for _, d := range m.dispatchers[:len(m.dispatchers)-1] {
+		m.end(d)
+	}
 	if d := m.current(); !d.accepted {
 		d.accept(m)
 	}
@@ -466,7 +384,7 @@
 	for range 4 {
 		m.rest()
 	}
-	if !m.entries[2].dead {
+	if !m.entries[2].dead && !m.restarted {
 		m.noneTaken()
 	}
 	m.now += modelTimeout + time.Second
@@ -486,7 +404,7 @@
 	}
 	for _, u := range m.upstreams {
 		for _, r := range u.running {
-			if m.now >= r.deadline || !m.entry(r.key.Entry).dead {
+			if e := m.entry(r.key.Entry); m.now >= r.deadline || !e.dead && e.incarnation == r.key.Incarnation {
 				m.finish(r, clusterpb.Outcome_OUTCOME_OK)
 			}
 		}
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -50,6 +50,10 @@
 			return
 		}
 	}
+	// The outcomes of the last calls must reach the members of their claims.
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	_ = d.claims.Drain(limited)
 	d.life.step("idle")
 }
 
@@ -61,7 +65,7 @@
 	limited, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	left := uint64(0)
-	for left == 0 || d.config.AcceptedRevision() < left {
+	for left == 0 || d.config.AcceptedEverywhere() < left {
 		if left == 0 {
 			left = d.leavingSince()
 		}
--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +53,9 @@
 	hints  hints
 	held   held
 	outbox outbox
-	wg     conc.WaitGroup
+	// peers holds Twirp clients by peerKey.
+	peers sync.Map
+	wg    conc.WaitGroup
 }
 
 // NewClient returns a client; Run starts it.
@@ -176,7 +179,7 @@
 	}
 	g := Grant{
 		Cell: key, Epoch: a.Epoch, Ticket: o.id, Upstream: a.Grant.Upstream,
-		Address: a.Grant.Address, Dispatcher: cell.Entry,
+		Address: a.Grant.Address, Incarnation: a.Grant.Incarnation, Dispatcher: cell.Entry,
 	}
 	return c.keep(g, a.Grant, o.deadline)
 }
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -18,7 +18,7 @@
 	Avoid []string
 	// Repeatable is set when the request may be sent more than once.
 	Repeatable bool
-	// Hash selects a shard of the service.
+	// Hash selects a shard of the service; zero selects one at random.
 	Hash uint64
 }
 
@@ -28,6 +28,8 @@
 	Epoch    uint64
 	Ticket   uint64
 	Upstream string
+	// Incarnation is that of the upstream's process.
+	Incarnation uint64
 	// Address is the host and port of the upstream.
 	Address string
 	// Dispatcher is the entry VM that gave the grant.
