--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -48,7 +48,7 @@
 	}
 	r.disk.busy = true
 	r.disk.writing = r.log.last()
-	r.disk.writingState = r.disk.stateDirty || r.disk.replace
+	r.disk.writingState = r.disk.stateDirty
 	r.disk.stateDirty, r.disk.replace = false, false
 	r.log.dirty, r.formation.dirty = 0, false
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -7,7 +7,7 @@
 // resetElection draws a new election timeout. A replica that is the only voter
 // has nobody to wait for.
 func (r *Replica) resetElection() {
-	if voters := r.voters(); len(voters) == 1 && voters[0] == r.cfg.ID {
+	if r.role == Follower && len(r.voters()) == 1 && r.isVoter() {
 		r.electionDeadline = r.now
 		return
 	}
@@ -15,6 +15,16 @@
 	r.electionDeadline = r.now + r.cfg.Election + timeout(spread)
 }
 
+// electionTimeout opens an election, but not a second one before the vote of
+// the first is durable: a slow disk would never catch up with the terms.
+func (r *Replica) electionTimeout() {
+	if r.role == Candidate && !r.stateDurable() {
+		r.resetElection()
+		return
+	}
+	r.fire("election_timeout")
+}
+
 // askPreVotes asks whether an election could be won, without a new term.
 func (r *Replica) askPreVotes() {
 	r.leader = 0
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -48,7 +48,7 @@
 
 // tickLeader steps down without a quorum, and starts what is due.
 func (r *Replica) tickLeader() {
-	if r.now-r.lead.quorumAt >= r.cfg.Election {
+	if r.now >= r.quorumDeadline() {
 		r.fire("quorum_lost")
 		return
 	}
@@ -60,7 +60,13 @@
 }
 
 func (r *Replica) leaderDeadline() time.Duration {
-	return min(r.lead.nextRound, r.lead.quorumAt+r.cfg.Election)
+	return min(r.lead.nextRound, r.quorumDeadline())
+}
+
+// quorumDeadline is when a leader steps down unless a quorum answers before.
+// A new leader has the whole time, however long its votes took.
+func (r *Replica) quorumDeadline() time.Duration {
+	return max(r.lead.quorumAt, r.lead.since) + r.cfg.Election
 }
 
 // propose appends data unless too much is still uncommitted.
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -159,7 +159,7 @@
 		r.tickLeader()
 	case Follower, PreCandidate, Candidate:
 		if r.now >= r.electionDeadline {
-			r.fire("election_timeout")
+			r.electionTimeout()
 		}
 	}
 }
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -139,3 +139,46 @@
 	assert.Equal(t, on.served, 0)
 	assert.Assert(t, runDeposedRead(t, ruleReadQuorum).fault != "")
 }
+
+func TestSlowDiskStillElects(t *testing.T) {
+	for _, replicas := range []int{1, 3} {
+		s := newSim(replicas, 1, 0)
+		for _, n := range s.nodes {
+			n.slowest = 3 * simElection
+		}
+		s.advance(10 * time.Second)
+		lead := s.leader()
+		assert.Assert(t, lead != nil)
+		if replicas == 1 {
+			assert.Equal(t, lead.r.term, uint64(1))
+		}
+	}
+}
+
+// runLostDisk commits an entry at replicas 1 and 2, then gives 2 an empty disk
+// and leaves it alone with 3, which has missed the entry.
+func runLostDisk(t *testing.T, off rule) *oracle {
+	s := newSim(3, 1, off)
+	s.advance(2 * time.Second)
+	s.elect(1)
+	s.advance(100 * time.Millisecond)
+	s.mute(3)
+	s.deafen(3)
+	s.propose(s.node(1))
+	s.advance(100 * time.Millisecond)
+	assert.Equal(t, s.node(1).r.commit, s.node(1).r.log.last())
+	lost := s.node(2)
+	s.crash(lost)
+	s.emptyDisk(lost)
+	s.start(lost)
+	clear(s.cut)
+	s.mute(1)
+	s.deafen(1)
+	s.advance(5 * time.Second)
+	return s.oracle
+}
+
+func TestLostDiskDoesNotVote(t *testing.T) {
+	assert.Equal(t, runLostDisk(t, 0).fault, "")
+	assert.Assert(t, runLostDisk(t, ruleDiskIdentity).fault != "")
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -48,7 +48,7 @@
 // collect takes first and what else has arrived, up to the batch limit.
 func (n *Node) collect(first request) []consensus.Event {
 	batch := []consensus.Event{n.register(first)}
-	for len(batch) < n.opts.MaxBatch {
+	for len(batch) < maxBatchEvents {
 		select {
 		case r := <-n.inbox:
 			batch = append(batch, n.register(r))
@@ -150,7 +150,9 @@
 
 // compaction returns a Compact event when a snapshot is due.
 func (n *Node) compaction() []consensus.Event {
-	if n.applied < n.snapshot+n.opts.SnapshotEvery {
+	every := n.opts.SnapshotEvery
+	every += every / 2 * (n.opts.ID % snapshotPhases) / snapshotPhases
+	if n.applied < n.snapshot+every {
 		return nil
 	}
 	n.snapshot = n.applied
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -21,6 +21,8 @@
 const (
 	inboxEvents    = 4096
 	maxBatchEvents = 1024
+	// snapshotPhases spreads the snapshots of replicas with adjacent ids.
+	snapshotPhases = 8
 )
 
 // Node is a running replica. Its methods are safe for concurrent use.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -55,14 +55,13 @@
 	// leader before an election.
 	Heartbeat time.Duration
 	Election  time.Duration
-	// SnapshotEvery is the number of entries between snapshots.
+	// SnapshotEvery is the least number of entries between snapshots. Replicas
+	// wait up to half as many more, so that they do not all write at once.
 	SnapshotEvery uint64
 	// Seed feeds the election timeouts.
 	Seed uint64
 	// FS is the file system; the zero value is that of the operating system.
 	FS storage.FS
-	// MaxBatch bounds the events that share one sync; 0 means the default.
-	MaxBatch int
 }
 
 // withDefaults checks the options and fills in defaults.
@@ -91,9 +90,6 @@
 	if o.FS == nil {
 		o.FS = storage.OS{}
 	}
-	if o.MaxBatch == 0 {
-		o.MaxBatch = maxBatchEvents
-	}
 	return o, nil
 }
 
