--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
@@ -33,7 +34,7 @@
 	for _, c := range goneCells {
 		d.DeletedCells = append(d.DeletedCells, &catalogpb.Cell{Service: c.Service, Zone: c.Zone, Shard: c.Shard})
 	}
-	if base.ClaimEpoch.GetEpoch() != next.ClaimEpoch.GetEpoch() {
+	if !proto.Equal(base.ClaimEpoch, next.ClaimEpoch) {
 		d.ClaimEpoch = next.ClaimEpoch
 	}
 	if base.SetRevision != next.SetRevision {
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -15,10 +15,10 @@
 	reportRetry = 100 * time.Millisecond
 	// maxReportRetry bounds the pause.
 	maxReportRetry = 5 * time.Second
-	// reportTries bounds the reports of one outcome.
-	reportTries = 10
-	// quorumTries bounds them once a quorum has acknowledged.
-	quorumTries = 3
+	// quorumTries bounds the reports of one outcome that a quorum has
+	// acknowledged. One without a quorum is reported until the process stops:
+	// otherwise its key could stay claimed by a request that never ran.
+	quorumTries = 8
 )
 
 // Claim is the right to send one request. Exactly one of Finish, Release and
@@ -96,11 +96,14 @@
 // group when only is nil. It returns at once.
 func (s *Service) report(a *claim.Attempt, r *clusterpb.ClaimRecord, only map[string]bool) {
 	s.reports.Add(1)
-	s.calls.Go(func() {
+	started := s.spawn(func() {
 		defer s.reports.Add(-1)
 		rep := &report{service: s, attempt: a, record: r, only: only, acked: make(map[string]bool)}
 		rep.run()
 	})
+	if !started {
+		s.reports.Add(-1)
+	}
 }
 
 // report is the delivery of one outcome.
@@ -160,15 +163,20 @@
 	r.acked[id] = true
 }
 
+// targets returns the members that are to know; one that has been removed can
+// no longer be told.
 func (r *report) targets() []string {
+	t := r.service.timeline.Load()
 	var ids []string
-	if r.only != nil {
-		for id := range r.only {
+	for id := range r.only {
+		if _, ok := t.Member(id); ok {
 			ids = append(ids, id)
 		}
+	}
+	if r.only != nil {
 		return ids
 	}
-	for _, m := range r.attempt.Group(r.service.timeline.Load()) {
+	for _, m := range r.attempt.Group(t) {
 		ids = append(ids, m.ID)
 	}
 	return ids
@@ -186,12 +194,13 @@
 	return ids
 }
 
-// done reports whether the delivery has reached all members, or as many as can
-// be expected after this many tries.
+// done reports whether the delivery has reached all members, or after many
+// tries so many that the others are no quorum.
 func (r *report) done(try int) bool {
 	missing := len(r.missing())
-	if missing == 0 || try >= reportTries {
+	if missing == 0 {
 		return true
 	}
-	return try >= quorumTries && missing <= (len(r.targets())-1)/2
+	quorum := r.attempt.Group(r.service.timeline.Load()).Quorum()
+	return try >= quorumTries && missing < quorum
 }
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -14,13 +14,18 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
-	"balsamcourse.example/balsamcourse/internal/view"
 )
 
-// tick is the pace of syncs and of forgetting expired records.
-const tick = 50 * time.Millisecond
+const (
+	// tick is the pace of syncs and of forgetting expired records.
+	tick = 50 * time.Millisecond
+	// maxRecords is the number of records in one batch above which syncs stay
+	// unanswered; they are asked again.
+	maxRecords = 10000
+)
 
 // Options configures a Service.
 type Options struct {
@@ -34,8 +39,8 @@
 	MaxKeptBytes int
 	// Timeout bounds the decision on a claim.
 	Timeout time.Duration
-	// StartWithin bounds the time from the claim to the first byte sent. It
-	// must be below Limits.Retention.
+	// StartWithin bounds the time from the claim to the first byte sent. Half
+	// of Limits.Retention bounds it as well.
 	StartWithin time.Duration
 	// Fresh reports whether the configuration in force may be used to admit
 	// work; nil means always.
@@ -53,6 +58,7 @@
 	scope   tally.Scope
 
 	timeline atomic.Pointer[claim.Timeline]
+	epoch    atomic.Pointer[catalogpb.ClaimEpoch]
 	entries  atomic.Pointer[entries]
 
 	mu    sync.Mutex
@@ -61,9 +67,13 @@
 	peersMu sync.Mutex
 	peers   map[string]*peer
 
-	calls   conc.WaitGroup
 	reports atomic.Int64
 	stop    chan struct{}
+
+	// spawnMu keeps goroutines from being added while Run waits for them.
+	spawnMu sync.Mutex
+	stopped bool
+	calls   conc.WaitGroup
 }
 
 // New returns a Service that knows no members before the first OnConfig.
@@ -73,7 +83,8 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Service{
+	opts.StartWithin = min(opts.StartWithin, opts.Limits.Retention/2)
+	s := &Service{
 		opts:    opts,
 		self:    self,
 		started: time.Now(),
@@ -82,46 +93,13 @@
 		peers:   make(map[string]*peer),
 		stop:    make(chan struct{}),
 	}
+	s.entries.Store(&entries{})
+	return s
 }
 
 // Handler serves the claim protocol to other entry VMs.
 func (s *Service) Handler() http.Handler { return clusterpb.NewClaimsServer(s) }
 
-// entries is what the service uses of the registered entry VMs.
-type entries struct {
-	addresses map[string]string
-	// leaving holds the processes that finish their requests before they stop.
-	leaving map[string]bool
-}
-
-func entriesOf(v *view.View) *entries {
-	e := &entries{addresses: make(map[string]string, len(v.Config.Entries)), leaving: make(map[string]bool)}
-	for _, entry := range v.Config.Entries {
-		e.addresses[entry.Id] = entry.ClusterAddress
-		if entry.Leaving {
-			e.leaving[claim.ProcessName(entry.Id, entry.Incarnation)] = true
-		}
-	}
-	return e
-}
-
-// OnConfig adopts the members of a configuration. Revisions must not go back.
-func (s *Service) OnConfig(v *view.View) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entries.Store(entriesOf(v))
-	old := s.timeline.Load()
-	t := claim.NewTimeline(old, v.Config.ClaimEpoch)
-	if t == old {
-		return
-	}
-	s.store.Adopt(s.now(), t)
-	s.timeline.Store(t)
-}
-
-// leaving reports whether a process has announced a planned stop.
-func (s *Service) leaving(process string) bool { return s.entries.Load().leaving[process] }
-
 // Run syncs partitions and forgets expired records until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -129,8 +107,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			close(s.stop)
-			s.calls.Wait()
+			s.shutDown()
 			return
 		case <-ticker.C:
 			s.tick()
@@ -144,8 +121,14 @@
 	pulls := s.store.Pulls(s.now())
 	s.scope.Gauge("records").Update(float64(s.store.Claims()))
 	s.scope.Gauge("kept_bytes").Update(float64(s.store.AnswerBytes()))
+	s.scope.Gauge("unsynced_partitions").Update(float64(s.store.Pending(s.now())))
 	s.mu.Unlock()
+	told := make(map[string]bool)
 	for _, m := range pulls {
+		if !told[m.To] {
+			told[m.To] = true
+			m.ClaimEpoch = s.epoch.Load()
+		}
 		s.send(m, s.onPulled)
 	}
 }
@@ -164,8 +147,14 @@
 	out := &clusterpb.ClaimBatch{Messages: make([]*clusterpb.ClaimMessage, len(in.Messages))}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	records := 0
 	for i, m := range in.Messages {
+		if records >= maxRecords && m.Kind == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC {
+			out.Messages[i] = &clusterpb.ClaimMessage{}
+			continue
+		}
 		out.Messages[i] = s.handle(m)
+		records += len(out.Messages[i].Records)
 	}
 	return out, nil
 }
@@ -174,10 +163,21 @@
 	if isReply(m.Kind) {
 		return &clusterpb.ClaimMessage{}
 	}
-	if r := s.store.Handle(s.now(), m); r != nil {
-		return r
+	if m.ClaimEpoch != nil {
+		s.adopt(m.ClaimEpoch)
+	}
+	r := s.store.Handle(s.now(), m)
+	if r == nil {
+		return &clusterpb.ClaimMessage{}
+	}
+	if isClaim(m.Kind) && m.Epoch < s.store.Epoch() && !r.Granted && r.Record == nil {
+		r.ClaimEpoch = s.epoch.Load()
 	}
-	return &clusterpb.ClaimMessage{}
+	return r
+}
+
+func isClaim(k clusterpb.ClaimMessageKind) bool {
+	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_CLAIM
 }
 
 // isReply keeps a caller of Step from passing off an answer.
@@ -185,33 +185,6 @@
 	return k == clusterpb.ClaimMessageKind_CLAIM_MESSAGE_KIND_SYNC_REPLY
 }
 
-// send delivers a message; done gets the answer on some goroutine, which it
-// must not block.
-func (s *Service) send(m *clusterpb.ClaimMessage, done func(*clusterpb.ClaimMessage, error)) {
-	if m.To == s.self.ID {
-		s.mu.Lock()
-		r := s.handle(m)
-		s.mu.Unlock()
-		done(r, nil)
-		return
-	}
-	s.peer(m.To).send(pending{m, done})
-}
-
-// peer returns the sender to a member. A member that moves to another address
-// gets a new one.
-func (s *Service) peer(id string) *peer {
-	address := s.entries.Load().addresses[id]
-	s.peersMu.Lock()
-	defer s.peersMu.Unlock()
-	p := s.peers[address]
-	if p == nil {
-		p = newPeer(address, s.opts.Client, &s.calls)
-		s.peers[address] = p
-	}
-	return p
-}
-
 // now returns the time on the monotonic clock of the process.
 func (s *Service) now() time.Duration { return time.Since(s.started) }
 
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -32,6 +32,7 @@
 		}),
 	}
 	addSettingsFlag(cmd, &file)
+	cmd.AddCommand(newRebuild(c))
 	return cmd
 }
 
@@ -119,3 +120,16 @@
 		cancel()
 	}
 }
+
+// endWith returns a context that ends with ctx or when planned is closed.
+func endWith(ctx context.Context, planned <-chan struct{}) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-planned:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx
+}
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// holdTime is the time for which the leader may hold a renewal.
-	holdTime = time.Second
-	// probeHoldTime is the same after a failure, when the next address should
-	// be tried soon.
+	// probeHoldTime is the time for which a renewal may be held after a
+	// failure, when the next address should be tried soon.
 	probeHoldTime = 300 * time.Millisecond
 	// callTimeout bounds a call beyond the time it may be held.
 	callTimeout = 600 * time.Millisecond
@@ -31,6 +29,7 @@
 // renewState is the state of renewals. One is under way at a time.
 type renewState struct {
 	running bool
+	sent    time.Duration
 	cancel  context.CancelFunc
 	// number tells the answer to the current renewal from that of a cancelled
 	// one.
@@ -67,7 +66,8 @@
 	timeout := time.Duration(req.WaitMs)*time.Millisecond + callTimeout
 	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	r.cancel = cancel
-	ev := &renewed{number: r.number, sent: l.syncer.now(), address: address, relayed: relayed}
+	r.sent = l.syncer.now()
+	ev := &renewed{number: r.number, sent: r.sent, address: address, relayed: relayed}
 	l.workers.Go(func() {
 		defer cancel()
 		ev.resp, ev.err = l.syncer.client(address).Renew(ctx, req)
@@ -82,22 +82,32 @@
 }
 
 func (l *loop) renewRequest() *clusterpb.RenewRequest {
-	entry := proto.CloneOf(l.syncer.opts.Entry)
-	entry.Leaving = l.leaving
 	req := &clusterpb.RenewRequest{
-		Entry:            entry,
+		Entry:            l.describe(),
 		Revision:         l.state.Revision(),
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.Accepted(),
+		QuietMs:          uint32(l.syncer.quiet().Milliseconds()),
 	}
-	wait := holdTime
+	wait := l.syncer.opts.RenewEvery
 	if l.renew.failures > 0 {
-		wait = probeHoldTime
+		wait = min(wait, probeHoldTime)
 	}
 	req.WaitMs = uint32(wait.Milliseconds())
 	return req
 }
 
+// describe returns the description of this entry VM: the whole one unless the
+// configuration already has it.
+func (l *loop) describe() *catalogpb.Entry {
+	entry := proto.CloneOf(l.syncer.opts.Entry)
+	entry.Leaving = l.leaving
+	if l.view == nil || l.renew.failures > 0 || !proto.Equal(l.view.Entry(entry.Id), entry) {
+		return entry
+	}
+	return &catalogpb.Entry{Id: entry.Id, Incarnation: entry.Incarnation}
+}
+
 // target returns the address for the next renewal: a relay that worked, or, as
 // failures go on, the leader, the control VMs and entry VMs that relay.
 func (l *loop) target() (address string, relayed bool) {
@@ -140,7 +150,14 @@
 		l.renewalFailed()
 		return
 	}
+	if ev.resp.LeaderAddress == "" && ev.resp.LeaseMs > 0 && !ev.relayed {
+		ev.resp.LeaderAddress = ev.address
+	}
 	redirected := l.learnAddresses(ev.resp)
+	if ev.resp.LeaseMs > 0 {
+		l.syncer.silent.Store(&ev.resp.Silent)
+		l.syncer.everywhere.Store(max(l.syncer.everywhere.Load(), ev.resp.AcceptedEverywhere))
+	}
 	news := l.apply(ev.resp)
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
 	granted := l.state.Grant(ev.sent, lease, ev.resp.Revision)
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,20 +33,32 @@
 	// Peers lists cluster addresses of other entry VMs, to learn a
 	// configuration from when no control VM answers; it may be empty.
 	Peers []string
+	// RenewEvery is the time for which the leader may hold a renewal, and so
+	// their pace; 0 means DefaultRenewEvery, which is also the maximum.
+	RenewEvery time.Duration
 	// Client carries the calls; nil means http.DefaultClient.
 	Client *http.Client
 	Log    event.Logger
 }
 
+// DefaultRenewEvery leaves time for another attempt before a lease ends.
+const DefaultRenewEvery = time.Second
+
 // Syncer follows the configuration. It implements view.Source.
 type Syncer struct {
-	opts      Options
-	start     time.Time
-	held      atomic.Pointer[held]
-	leader    atomic.Pointer[string]
+	opts   Options
+	start  time.Time
+	held   atomic.Pointer[held]
+	silent atomic.Pointer[[]string]
+	// everywhere is the newest revision accepted in all regions.
+	everywhere atomic.Uint64
+	leader     atomic.Pointer[string]
+	// given is the reading of the clock, in nanoseconds, when a revision was
+	// last confirmed to another entry VM; at first that of the start.
+	given     atomic.Int64
 	events    chan any
 	done      chan struct{}
-	listeners []func(v *view.View, accepted uint64)
+	listeners []func(v *view.View)
 }
 
 // held is what traffic goroutines see.
@@ -64,6 +77,9 @@
 	if opts.Client == nil {
 		opts.Client = http.DefaultClient
 	}
+	if opts.RenewEvery <= 0 || opts.RenewEvery > DefaultRenewEvery {
+		opts.RenewEvery = DefaultRenewEvery
+	}
 	opts.Entry = proto.CloneOf(opts.Entry)
 	s := &Syncer{
 		opts:   opts,
@@ -78,7 +94,7 @@
 // OnChange adds a function that is called, from the loop, after each change of
 // the configuration or of the accepted revision. It must not block, and must
 // be added before Run.
-func (s *Syncer) OnChange(f func(v *view.View, accepted uint64)) {
+func (s *Syncer) OnChange(f func(v *view.View)) {
 	s.listeners = append(s.listeners, f)
 }
 
@@ -106,7 +122,19 @@
 	return h.view, s.now() < h.deadline
 }
 
-// AcceptedRevision returns the newest revision known to be accepted.
+// Reachable reports whether the leader has heard of the entry VM of late, as
+// far as this one knows.
+func (s *Syncer) Reachable(entry string) bool {
+	silent := s.silent.Load()
+	return silent == nil || !slices.Contains(*silent, entry)
+}
+
+// AcceptedEverywhere returns the newest revision known to be accepted in all
+// regions.
+func (s *Syncer) AcceptedEverywhere() uint64 { return s.everywhere.Load() }
+
+// AcceptedRevision returns the newest revision known to be accepted in the own
+// region.
 func (s *Syncer) AcceptedRevision() uint64 { return s.held.Load().accepted }
 
 // Dispatches reports whether this entry VM may grant slots of the cell now:
@@ -135,7 +163,21 @@
 func (s *Syncer) now() time.Duration { return time.Since(s.start) }
 
 func (s *Syncer) self() freshness.Key {
-	return freshness.Key{ID: s.opts.Entry.Id, ClusterAddress: s.opts.Entry.ClusterAddress}
+	return freshness.Key{ID: s.opts.Entry.Id, ClusterAddress: s.opts.Entry.ClusterAddress, Region: s.opts.Entry.Region}
+}
+
+// revision returns the revision held; 0 when none.
+func (s *Syncer) revision() uint64 {
+	if v := s.View(); v != nil {
+		return v.Revision()
+	}
+	return 0
+}
+
+// quiet returns the time since a revision was last confirmed to another entry
+// VM, bounded to fit a message.
+func (s *Syncer) quiet() time.Duration {
+	return min(s.now()-time.Duration(s.given.Load()), time.Hour)
 }
 
 // post hands an event to the loop unless it has ended.
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -22,10 +22,16 @@
 	settleTime = 300 * time.Millisecond
 	// planInterval is the pace of plans.
 	planInterval = 250 * time.Millisecond
-	// proposeTimeout bounds a proposal or confirmed read of the loop.
+	// proposeTimeout bounds a proposal of the loop, and the read that opens a term.
 	proposeTimeout = 3 * time.Second
 )
 
+// planInputs is what a plan of cells depends on.
+type planInputs struct {
+	config    *catalogpb.Config
+	available []assign.Entry
+}
+
 // proposed says that a proposal of the loop has ended.
 type proposed struct {
 	term uint64
@@ -58,7 +64,8 @@
 }
 
 // registration returns the command that registers an entry VM as it reports
-// itself. The set of entry VMs changes only once its last change is accepted.
+// itself. The set of entry VMs changes only once its last change is accepted
+// in the regions that it concerned.
 func (l *loop) registration() *catalogpb.Command {
 	t := l.term
 	for _, id := range sortedIDs(t.heard) {
@@ -67,8 +74,8 @@
 			continue
 		}
 		old := t.registered(id)
-		changesSet := old == nil || old.ClusterAddress != h.entry.ClusterAddress
-		if changesSet && t.tracker.Accepted() < t.config.SetRevision {
+		changesSet := old == nil || keyOf(old) != keyOf(h.entry)
+		if changesSet && !t.tracker.SetOpen() {
 			continue
 		}
 		reg := &catalogpb.RegisterEntry{Entry: h.entry, SetRevision: t.config.SetRevision}
@@ -96,6 +103,18 @@
 	return now - last
 }
 
+// silent returns the ids of the registered entry VMs that were not heard of
+// late.
+func (t *term) silent(now time.Duration) []string {
+	var ids []string
+	for _, e := range t.config.Entries {
+		if t.silence(now, e.Id) > liveTimeout {
+			ids = append(ids, e.Id)
+		}
+	}
+	return ids
+}
+
 // available returns the registered entry VMs that were heard within timeout.
 func (t *term) available(now, timeout time.Duration, leaving bool) []assign.Entry {
 	var list []assign.Entry
@@ -103,14 +122,21 @@
 		if t.silence(now, e.Id) > timeout || (e.Leaving && !leaving) {
 			continue
 		}
-		list = append(list, assign.Entry{ID: e.Id, Zone: e.Zone, Incarnation: e.Incarnation})
+		list = append(list, assign.Entry{ID: e.Id, Zone: e.Zone, Region: e.Region, Incarnation: e.Incarnation})
 	}
 	return list
 }
 
+// cellPlan returns the command that moves cells, or nil. A plan that moved
+// nothing is not made again over the same inputs.
 func (t *term) cellPlan(now time.Duration) *catalogpb.Command {
-	moved := assign.Cells(t.config, t.available(now, liveTimeout, false))
+	available := t.available(now, liveTimeout, false)
+	if t.planned.config == t.config && slices.Equal(t.planned.available, available) {
+		return nil
+	}
+	moved := assign.Cells(t.config, available)
 	if len(moved) == 0 {
+		t.planned = planInputs{t.config, available}
 		return nil
 	}
 	cells := &catalogpb.AssignCells{Cells: moved}
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
@@ -38,9 +39,7 @@
 	spread float64
 	// base is the mean of the logarithms over the whole cell.
 	base stats
-	// serviceNs is the mean service time in nanoseconds.
-	serviceNs float64
-	out       []Action
+	out  []Action
 }
 
 // rules switches single rules off in tests.
@@ -54,6 +53,7 @@
 	noEjectCap    bool
 	noHoldDown    bool
 	noExpiry      bool
+	noWaitLimit   bool
 }
 
 // New returns a cell that starts at time now. It grants no slot before it is
@@ -159,7 +159,7 @@
 		c.refuse(e.Key, kind, 0)
 		return
 	}
-	w := waiter{key: e.Key, deadline: e.Deadline, until: c.waitUntil(e), avoid: e.Avoid}
+	w := waiter{key: e.Key, deadline: e.Deadline, until: c.waitUntil(e), avoid: e.Avoid, share: 1 / float64(max(1, e.Queues))}
 	if c.queue.len() == 0 {
 		if u := c.pick(&w); u != nil {
 			c.grant(&w, u)
@@ -196,7 +196,7 @@
 	if e.Deadline-c.typicalService() < c.now {
 		return fault.DeadlineTooShort
 	}
-	if c.queue.len() >= c.cfg.QueueLimit {
+	if c.queue.work >= float64(c.cfg.QueueLimit) || c.queue.len() >= maxQueues*c.cfg.QueueLimit {
 		return fault.QueueFull
 	}
 	if e.MaxWait == 0 {
@@ -244,10 +244,16 @@
 	}
 }
 
+// configure replaces the settings. The upstreams of an availability zone that
+// returns start cold, whatever they were when it left.
 func (c *Cell) configure(e Configure) {
+	returning := e.Config.Open && !c.cfg.Open
 	c.cfg = e.Config.withDefaults()
-	for _, u := range c.upstreams {
+	for _, u := range slices.Clone(c.upstreams) {
 		c.setSlots(u, u.announcedSlots)
+		if returning && u.state != stateDraining {
+			c.fire(u, eventRestarted)
+		}
 	}
 }
 
@@ -260,6 +266,9 @@
 
 // expireWaiters refuses requests that have waited too long.
 func (c *Cell) expireWaiters() {
+	if c.rules.noWaitLimit {
+		return
+	}
 	for i := 0; i < c.queue.len(); {
 		if c.queue.at(i).until > c.now {
 			i++
--- a/internal/dispatch/cell_test.go
+++ b/internal/dispatch/cell_test.go
@@ -71,9 +71,11 @@
 	assert.Equal(t, w.limit("u"), 1)
 	w.release(Key{"e", 1, 1}, clusterpb.Outcome_OUTCOME_OK, 10*ms)
 	w.c.Step(w.now, Cancel{k})
+	w.run(4, 10*ms)
+	assert.Equal(t, w.limit("u"), 1)
 	w.run(1, 10*ms)
 	assert.Equal(t, w.limit("u"), 2)
-	w.run(4, 10*ms)
+	w.run(3, 10*ms)
 	assert.Equal(t, w.limit("u"), 4)
 	assert.Equal(t, w.c.Upstreams()[0].State, "warm")
 }
@@ -146,3 +148,30 @@
 	w.c.Step(0, Release{Key: Key{"e", 1, 100}, Outcome: clusterpb.Outcome_OUTCOME_OK, ServiceTime: ms})
 	assert.Equal(t, w.c.InFlight("u"), 1)
 }
+
+func TestReturningZoneStartsCold(t *testing.T) {
+	cfg := Config{ColdSlots: 1, WarmAfter: 4, Open: true}
+	w := newWorld(t, cfg)
+	w.announce("u", 4, ReportWarm)
+	w.run(8, 10*ms)
+	assert.Equal(t, w.limit("u"), 4)
+	cfg.Open = false
+	w.c.Step(w.now, Configure{cfg})
+	cfg.Open = true
+	w.c.Step(w.now, Configure{cfg})
+	assert.Equal(t, w.limit("u"), 1)
+}
+
+func TestLongRequestsDoNotMakeShortDeadlinesHopeless(t *testing.T) {
+	w := newWorld(t, Config{ColdSlots: 1, WarmAfter: 4})
+	w.announce("u", 1, ReportWarm)
+	for range 10 {
+		w.run(9, 20*ms)
+		w.announce("u", 1, ReportWarm)
+		w.run(1, 20*time.Second)
+		w.announce("u", 1, ReportWarm)
+	}
+	w.acquire(0)
+	_, a := w.acquire(500 * ms)
+	assert.Assert(t, a == nil, "%v", a)
+}
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -24,10 +23,11 @@
 	c.emitGrant(w.key, u)
 }
 
-// repeatGrant answers a doubled request with the slot it already has.
+// repeatGrant answers a doubled request with the slot it already has, unless
+// new work may not be sent there any more.
 func (c *Cell) repeatGrant(k Key, t *ticket) {
 	u := c.upstream(t.upstream)
-	if u == nil || t.inherited {
+	if u == nil || t.inherited || u.limit == 0 || !c.cfg.Open {
 		c.refuse(k, fault.NoUpstream, minRetryAfter)
 		return
 	}
@@ -115,9 +115,14 @@
 }
 
 func (c *Cell) entryLost(e EntryLost) {
-	c.queue.items = slices.DeleteFunc(c.queue.items, func(w waiter) bool {
-		return w.key.Entry == e.Entry && w.key.Incarnation <= e.Incarnation
-	})
+	for i := 0; i < c.queue.len(); {
+		k := c.queue.at(i).key
+		if k.Entry == e.Entry && k.Incarnation <= e.Incarnation {
+			c.queue.remove(i)
+			continue
+		}
+		i++
+	}
 }
 
 // recent remembers ended requests for at least doneFor.
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -55,7 +55,8 @@
 		c.accepted = true
 		s.step(c, dispatch.Accepted{})
 	}
-	if c.accepted && s.holds(c) && s.opts.View.Fresh() {
+	// Freshness is read first: it then holds for the view, or for an older one.
+	if c.accepted && s.opts.View.Fresh() && s.holds(c) {
 		return true
 	}
 	if c.state.Queued() > 0 {
@@ -90,8 +91,11 @@
 				Str("upstream", a.Upstream).Str("from", string(a.From)).Str("to", string(a.To)).Send()
 		}
 	}
-	if cancel, ok := ev.(dispatch.Cancel); ok {
-		delete(c.waiting, cancel.Key)
+	switch e := ev.(type) {
+	case dispatch.Cancel:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
+	case dispatch.Release:
+		s.answer(c, e.Key, refusal(e.Key, fault.CallerGone))
 	}
 }
 
@@ -116,6 +120,7 @@
 
 // reconcile holds exactly the cells that v assigns to this process.
 func (s *Server) reconcile(v *view.View) {
+	s.holders.update(v, s.Now())
 	for key, c := range s.cells {
 		if !s.assigned(v, key, c.epoch) {
 			s.drop(c)
@@ -151,9 +156,11 @@
 }
 
 func (s *Server) take(v *view.View, key view.CellKey, epoch uint64) {
+	cfg := cellConfig(v, key)
+	cfg.Holders = s.holders.list(v)
 	c := &cell{
 		key: key, epoch: epoch, revision: v.Revision(),
-		state:   dispatch.New(cellConfig(v, key), s.Now(), s.opts.Seed^epoch),
+		state:   dispatch.New(cfg, s.Now(), s.opts.Seed^epoch),
 		waiting: make(map[dispatch.Key]chan<- Answer),
 	}
 	s.cells[key] = c
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -28,6 +28,7 @@
 	NotAccepted       Kind = "not_accepted"
 	NotLeader         Kind = "not_leader"
 	NoQuorum          Kind = "no_quorum"
+	Unreachable       Kind = "unreachable"
 	NotFresh          Kind = "not_fresh"
 	ZoneOut           Kind = "zone_out"
 	NoUpstream        Kind = "no_upstream"
@@ -88,6 +89,9 @@
 	Detail string
 	// RetryAfter overrides the default of the kind when it is not zero.
 	RetryAfter time.Duration
+	// MayHaveRun is set when an earlier attempt at the request may have run,
+	// although this one did not.
+	MayHaveRun bool
 }
 
 // New returns an error of kind k with a formatted detail.
@@ -114,6 +118,9 @@
 	if e.RetryAfter > 0 {
 		a.RetryAfter = e.RetryAfter
 	}
+	if e.MayHaveRun && a.Run == NotRun {
+		a.Run = Unknown
+	}
 	return a
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,14 +8,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
-
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/event"
@@ -50,6 +47,12 @@
 	Logger event.Logger
 }
 
+// fresh is a report that has not been pushed yet.
+type fresh struct {
+	report *clusterpb.CrashReport
+	at     time.Duration
+}
+
 // Service holds the evidence of this entry VM and shares it.
 type Service struct {
 	opts Options
@@ -58,12 +61,10 @@
 	started  time.Time
 	sequence atomic.Uint64
 	// pushed is the newest sequence whose push has ended.
-	pushed atomic.Uint64
-	queue  chan *clusterpb.CrashReport
-	peers  atomic.Pointer[[]string]
-	// active is set while there is any evidence, so that calls need no lock
-	// otherwise.
-	active atomic.Bool
+	pushed   atomic.Uint64
+	queue    chan fresh
+	peers    atomic.Pointer[[]string]
+	verdicts atomic.Pointer[quarantine.Verdicts]
 
 	mu    sync.Mutex
 	state *quarantine.State
@@ -75,10 +76,11 @@
 		opts:    opts,
 		origin:  claim.ProcessName(opts.EntryID, opts.Incarnation),
 		started: time.Now(),
-		queue:   make(chan *clusterpb.CrashReport, queueSize),
+		queue:   make(chan fresh, queueSize),
 		state:   quarantine.New(opts.Limits),
 	}
 	s.peers.Store(&[]string{})
+	s.show()
 	return s
 }
 
@@ -98,12 +100,7 @@
 
 // Blocked returns the refusal for a quarantined request, or nil.
 func (s *Service) Blocked(r quarantine.Request) *fault.Error {
-	if !s.active.Load() {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	left, ok := s.state.Blocked(s.now(), r)
+	left, ok := s.verdicts.Load().Blocked(s.now(), r)
 	if !ok {
 		return nil
 	}
@@ -113,12 +110,7 @@
 // Suspect reports whether at most one attempt at the request should run at a
 // time.
 func (s *Service) Suspect(r quarantine.Request) bool {
-	if !s.active.Load() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Suspect(s.now(), r)
+	return s.verdicts.Load().Suspect(s.now(), r)
 }
 
 // Crashed reports that the connection to an upstream broke with the request in
@@ -141,18 +133,14 @@
 }
 
 // Quarantined returns the requests that are held off.
-func (s *Service) Quarantined() []quarantine.Held {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Quarantined(s.now())
-}
+func (s *Service) Quarantined() []quarantine.Held { return s.verdicts.Load().Quarantined(s.now()) }
 
 func (s *Service) publish(r *clusterpb.CrashReport) {
 	r.Entry = s.origin
 	r.Sequence = s.sequence.Add(1)
 	s.merge([]*clusterpb.CrashReport{r})
 	select {
-	case s.queue <- r:
+	case s.queue <- fresh{r, s.now()}:
 	default:
 	}
 }
@@ -164,7 +152,13 @@
 	for _, r := range s.state.Merge(now, reports) {
 		s.log(now, r)
 	}
-	s.active.Store(s.state.Hash() != 0)
+	s.show()
+}
+
+// show lets calls see the verdicts. The caller holds the lock.
+func (s *Service) show() {
+	v := s.state.Verdicts()
+	s.verdicts.Store(&v)
 }
 
 func (s *Service) log(now time.Duration, r *clusterpb.CrashReport) {
@@ -172,7 +166,7 @@
 		return
 	}
 	e := event.RequestSuspect
-	if _, held := s.state.Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); held {
+	if _, held := s.state.Verdicts().Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); held {
 		e = event.RequestHeldOff
 	}
 	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).Send()
@@ -189,8 +183,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-s.queue:
-			batch := s.gather(r)
+		case first := <-s.queue:
+			batch := s.gather(first)
 			s.push(ctx, batch)
 			s.pushed.Store(batch[len(batch)-1].Sequence)
 		case <-ticker.C:
@@ -199,19 +193,6 @@
 	}
 }
 
-// gather returns the report and all others that wait.
-func (s *Service) gather(r *clusterpb.CrashReport) []*clusterpb.CrashReport {
-	batch := []*clusterpb.CrashReport{r}
-	for {
-		select {
-		case next := <-s.queue:
-			batch = append(batch, next)
-		default:
-			return batch
-		}
-	}
-}
-
 // Flush waits until the reports made so far have been pushed to all entry VMs
 // that answer, or ctx ends.
 func (s *Service) Flush(ctx context.Context) error {
@@ -226,67 +207,3 @@
 	}
 	return nil
 }
-
-// push sends reports to all other entry VMs.
-func (s *Service) push(ctx context.Context, reports []*clusterpb.CrashReport) {
-	p := pool.New().WithMaxGoroutines(maxPushes)
-	for _, address := range *s.peers.Load() {
-		p.Go(func() { s.exchange(ctx, address, reports) })
-	}
-	p.Wait()
-}
-
-// compare exchanges evidence with one other entry VM.
-func (s *Service) compare(ctx context.Context) {
-	s.mu.Lock()
-	s.state.Tick(s.now())
-	s.active.Store(s.state.Hash() != 0)
-	s.mu.Unlock()
-	peers := *s.peers.Load()
-	if len(peers) == 0 {
-		return
-	}
-	address := peers[rand.IntN(len(peers))]
-	if answer := s.exchange(ctx, address, nil); answer == nil || answer.StateHash == s.hash() {
-		return
-	}
-	s.mu.Lock()
-	reports := s.state.Reports(s.now())
-	s.mu.Unlock()
-	s.exchange(ctx, address, reports)
-}
-
-func (s *Service) hash() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Hash()
-}
-
-// exchange calls one entry VM and takes in what it returns; nil on failure.
-func (s *Service) exchange(ctx context.Context, address string, reports []*clusterpb.CrashReport) *clusterpb.ExchangeResponse {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	client := clusterpb.NewGossipProtobufClient(address, s.opts.Client)
-	answer, err := client.Exchange(ctx, &clusterpb.ExchangeRequest{Entry: s.opts.EntryID, Crashes: reports, StateHash: s.hash()})
-	if err != nil {
-		return nil
-	}
-	if len(answer.Crashes) > 0 {
-		s.merge(answer.Crashes)
-	}
-	return answer
-}
-
-// Exchange implements clusterpb.Gossip.
-func (s *Service) Exchange(_ context.Context, in *clusterpb.ExchangeRequest) (*clusterpb.ExchangeResponse, error) {
-	if len(in.Crashes) > 0 {
-		s.merge(in.Crashes)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := &clusterpb.ExchangeResponse{StateHash: s.state.Hash()}
-	if len(in.Crashes) == 0 && in.StateHash != out.StateHash {
-		out.Crashes = s.state.Reports(s.now())
-	}
-	return out, nil
-}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -75,7 +75,8 @@
 	t.receiver = r
 }
 
-// Send implements Transport.
+// Send implements Transport. Messages to a replica without an address travel
+// only in responses to it.
 func (t *TwirpTransport) Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage) {
 	t.peer(to.GetReplicaId()).push(to.GetAddress(), msgs)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -8,6 +8,14 @@
 	PolicyP2CShared = "p2c_shared"
 )
 
+// maxRenewMs bounds the interval between renewals, so that a lost one does not
+// cost the lease.
+const maxRenewMs = 1_000
+
+// maxAnnounceMs bounds the interval between announcements, so that two lost
+// ones do not let an upstream count as gone.
+const maxAnnounceMs = 1_000
+
 // Entry holds the settings of an entry VM.
 type Entry struct {
 	ID     string `toml:"id"`
@@ -29,31 +37,23 @@
 	// DrainMs bounds the wait for calls in flight at a planned stop, after
 	// the longest look-up answer has run out.
 	DrainMs Millis `toml:"drain_ms"`
-	// AnnounceTTLMs is the silence after which an upstream counts as leaving.
-	AnnounceTTLMs  Millis     `toml:"announce_ttl_ms"`
-	DispatchPolicy string     `toml:"dispatch_policy"`
-	Lease          EntryLease `toml:"lease"`
-	Limits         Limits     `toml:"limits"`
-	Claims         Claims     `toml:"claims"`
-	Quarantine     Quarantine `toml:"quarantine"`
-	Keys           EntryKeys  `toml:"keys"`
-	Log            Log        `toml:"log"`
-	Trace          Trace      `toml:"trace"`
+	// AnnounceEveryMs is the interval at which upstreams are asked to announce
+	// themselves.
+	AnnounceEveryMs Millis `toml:"announce_every_ms"`
+	DispatchPolicy  string `toml:"dispatch_policy"`
+	// RenewMs is the interval between renewals of the configuration lease.
+	RenewMs    Millis     `toml:"renew_ms"`
+	Limits     Limits     `toml:"limits"`
+	Claims     Claims     `toml:"claims"`
+	Quarantine Quarantine `toml:"quarantine"`
+	Keys       EntryKeys  `toml:"keys"`
+	Log        Log        `toml:"log"`
+	Trace      Trace      `toml:"trace"`
 	// Open turns keys off. Only code can set it, and only for listeners on
 	// loopback.
 	Open bool `toml:"-"`
 }
 
-// EntryLease configures how an entry VM keeps its configuration confirmed.
-type EntryLease struct {
-	// RenewMs is the interval between renewals.
-	RenewMs Millis `toml:"renew_ms"`
-	// ConfirmMs is the age up to which a confirmation by other entry VMs counts.
-	ConfirmMs Millis `toml:"confirm_ms"`
-	// DriftPermille bounds the difference in rate between two clocks.
-	DriftPermille int `toml:"drift_permille"`
-}
-
 // Claims configures the claims on idempotency keys that this VM keeps.
 type Claims struct {
 	// RetentionMs is how long a claim is kept after it was made.
@@ -69,9 +69,8 @@
 type Quarantine struct {
 	// Threshold is the number of broken connections that quarantines a request.
 	Threshold int `toml:"threshold"`
-	// WindowMs is the period over which broken connections are counted.
-	WindowMs Millis `toml:"window_ms"`
-	// HoldMs is how long a quarantined request is refused.
+	// HoldMs is how long a broken connection counts, and thus how long a
+	// quarantined request is refused.
 	HoldMs Millis `toml:"hold_ms"`
 	// MaxRequests bounds the requests that are remembered.
 	MaxRequests int `toml:"max_requests"`
@@ -86,19 +85,19 @@
 // DefaultEntry returns the settings that apply where the file is silent.
 func DefaultEntry() Entry {
 	return Entry{
-		LookupTTLMs:    5_000,
-		DrainMs:        30_000,
-		AnnounceTTLMs:  3_000,
-		DispatchPolicy: PolicyCell,
-		Lease:          EntryLease{RenewMs: 500, ConfirmMs: 2_000, DriftPermille: 10},
-		Limits:         defaultLimits(),
+		LookupTTLMs:     5_000,
+		DrainMs:         30_000,
+		AnnounceEveryMs: 500,
+		DispatchPolicy:  PolicyCell,
+		RenewMs:         1_000,
+		Limits:          defaultLimits(),
 		Claims: Claims{
 			RetentionMs:   600_000,
 			MaxClaims:     100_000,
 			MaxKeptBytes:  16 << 10,
 			MaxTotalBytes: 32 << 20,
 		},
-		Quarantine: Quarantine{Threshold: 2, WindowMs: 60_000, HoldMs: 600_000, MaxRequests: 10_000},
+		Quarantine: Quarantine{Threshold: 2, HoldMs: 600_000, MaxRequests: 10_000},
 		Log:        Log{Level: "info"},
 		Trace:      defaultTrace(),
 	}
@@ -149,10 +148,8 @@
 func (s Entry) checkTimes(c *checker) {
 	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
 	c.between("drain_ms", int64(s.DrainMs), 0, 3_600_000)
-	c.between("announce_ttl_ms", int64(s.AnnounceTTLMs), 50, 60_000)
-	c.between("lease.renew_ms", int64(s.Lease.RenewMs), 10, 60_000)
-	c.between("lease.confirm_ms", int64(s.Lease.ConfirmMs), 2*int64(s.Lease.RenewMs), 60_000)
-	c.between("lease.drift_permille", int64(s.Lease.DriftPermille), 1, 200)
+	c.between("renew_ms", int64(s.RenewMs), 50, maxRenewMs)
+	c.between("announce_every_ms", int64(s.AnnounceEveryMs), 50, maxAnnounceMs)
 }
 
 func (s Claims) check(c *checker) {
@@ -164,7 +161,6 @@
 
 func (s Quarantine) check(c *checker) {
 	c.between("quarantine.threshold", int64(s.Threshold), 1, 100)
-	c.between("quarantine.window_ms", int64(s.WindowMs), 100, 86_400_000)
 	c.between("quarantine.hold_ms", int64(s.HoldMs), 100, 86_400_000)
 	c.between("quarantine.max_requests", int64(s.MaxRequests), 1, 10_000_000)
 }
--- a/internal/slot/remote.go
+++ b/internal/slot/remote.go
@@ -13,30 +13,41 @@
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
+// peerKey names a Twirp client.
+type peerKey struct {
+	address string
+	client  *http.Client
+}
+
 // peer returns the Twirp client of another entry VM, or nil.
-func (c *Client) peer(v *view.View, entry string) clusterpb.Dispatch {
+func (c *Client) peer(v *view.View, entry string, hc *http.Client) clusterpb.Dispatch {
 	e := v.Entry(entry)
 	if e == nil {
 		return nil
 	}
-	hc := c.opts.HTTP
-	if hc == nil {
-		hc = http.DefaultClient
+	key := peerKey{e.ClusterAddress, hc}
+	if p, ok := c.peers.Load(key); ok {
+		return p.(clusterpb.Dispatch)
 	}
-	return clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc)
+	p, _ := c.peers.LoadOrStore(key, clusterpb.NewDispatchProtobufClient("http://"+e.ClusterAddress, hc))
+	return p.(clusterpb.Dispatch)
 }
 
 // remote asks a dispatcher in another process. When no answer comes, the
 // request is withdrawn, for the slot may have been granted.
 func (c *Client) remote(ctx context.Context, v *view.View, cell *catalogpb.Cell, ev dispatch.Acquire, deadline time.Time) dispatcher.Answer {
-	peer := c.peer(v, cell.Entry)
+	hc := c.opts.HTTP
+	if ev.MaxWait > 0 {
+		hc = c.opts.Waits
+	}
+	peer := c.peer(v, cell.Entry, hc)
 	if peer == nil {
 		return dispatcher.Answer{Refuse: dispatch.Refuse{Kind: fault.NoDispatcher}}
 	}
 	resp, err := peer.Acquire(ctx, &clusterpb.AcquireRequest{
 		Cell: idOf(keyOf(cell)), Epoch: cell.Epoch, Entry: ev.Key.Entry, Incarnation: ev.Key.Incarnation,
 		RequestId: ev.Key.ID, DeadlineMs: uint32(time.Until(deadline).Milliseconds()),
-		MaxWaitMs: uint32(ev.MaxWait.Milliseconds()), Avoid: ev.Avoid,
+		MaxWaitMs: uint32(ev.MaxWait.Milliseconds()), Avoid: ev.Avoid, Queues: uint32(ev.Queues),
 	})
 	if err != nil {
 		c.outbox.put(c, release{
