--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,7 +81,7 @@
 	if heavy {
 		draw, times, loads = heavyTailed, "heavy", []float64{plan.FaultLoad}
 	}
-	s, err := start(ctx, d, policy, draw)
+	s, err := startAgain(ctx, d, policy, draw)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -116,6 +117,22 @@
 	return rows, nil
 }
 
+// startTries bounds the attempts to start a system: another process may take a
+// port between its reservation and its use.
+const startTries = 3
+
+func startAgain(ctx context.Context, d Deployment, policy string, draw func(*rand.Rand) time.Duration) (*system, error) {
+	var last error
+	for range startTries {
+		s, err := start(ctx, d, policy, draw)
+		if err == nil {
+			return s, nil
+		}
+		last = err
+	}
+	return nil, errors.Trace(last)
+}
+
 // measure runs one load under one fault.
 func (s *system) measure(ctx context.Context, plan Plan, share float64, f Fault) (Row, error) {
 	for _, u := range s.upstreams {
