Send a slow repeatable request to a second upstream with a free slot

Change: a request that may be repeated, has no claim and is in memory is sent to a second upstream after 2.3 times the mean time, if a slot is free at once and the retry budget allows; the first answer wins and the other is cancelled.

--- a/internal/baseline/source.go
+++ b/internal/baseline/source.go
@@ -112,6 +112,9 @@
 
 // Acquire picks an upstream at once.
 func (s *Source) Acquire(_ context.Context, r slot.Request) (slot.Grant, error) {
+	if r.NoWait {
+		return slot.Grant{}, fault.New(fault.QueueFull, "this policy does not know free slots")
+	}
 	v := s.opts.View.View()
 	if v == nil || !s.opts.View.Fresh() {
 		return slot.Grant{}, fault.New(fault.NotFresh, "no confirmed configuration")
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -11,6 +11,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/lookup"
+	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
 // maxAttempts bounds the upstreams that one call may be sent to.
@@ -42,6 +43,7 @@
 		BodyIdleTimeout: limits.ReadBodyTimeoutMs.Duration(),
 		MaxKeptBytes:    d.settings.Claims.MaxKeptBytes,
 		MaxAttempts:     maxAttempts,
+		Hedges:          d.settings.DispatchPolicy == settings.PolicyCell,
 	})
 	answers := &lookup.Handler{
 		Self:    d.settings.ID,
--- a/internal/entryd/policy.go
+++ b/internal/entryd/policy.go
@@ -24,7 +24,7 @@
 		Metrics:     d.metrics.Scope,
 		Seed:        d.self.Incarnation,
 	}
-	if d.settings.DispatchPolicy != settings.PolicyCell {
+	if !d.cells() {
 		d.baseline = baseline.New(baseline.Options{
 			Policy: baseline.Policy(d.settings.DispatchPolicy),
 			Entry:  d.settings.ID,
@@ -48,6 +48,12 @@
 	})
 }
 
+// cells reports whether slots are granted by the dispatchers of cells.
+func (d *Daemon) cells() bool {
+	p := d.settings.DispatchPolicy
+	return p == settings.PolicyCell || p == settings.PolicyCellPlain
+}
+
 // source returns what grants slots to calls.
 func (d *Daemon) source() slot.Source {
 	if d.baseline != nil {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -111,6 +111,7 @@
 		outcome = clusterpb.Outcome_OUTCOME_FAILED
 	} else {
 		c.f.retries.earn(c.service)
+		c.f.paces.add(c.service.Name, time.Since(ans.attempt.started))
 	}
 	c.release(outcome, time.Since(ans.attempt.started), ans.attempt.newConn.Load())
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -63,6 +63,7 @@
 	// mayHaveRun is the error of an attempt that may have run. No later refusal
 	// may then say that the request did not run.
 	mayHaveRun error
+	interim    interim
 }
 
 // acquired is the outcome of asking for a slot.
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -141,9 +141,11 @@
 
 // fakeQuarantine counts broken requests.
 type fakeQuarantine struct {
-	mu      sync.Mutex
-	broken  int
-	blocked *fault.Error
+	mu     sync.Mutex
+	broken int
+	// onBroken, when set, is called for each broken request.
+	onBroken func()
+	blocked  *fault.Error
 }
 
 func (q *fakeQuarantine) Blocked(string, string) *fault.Error {
@@ -169,6 +171,9 @@
 	t.q.mu.Lock()
 	defer t.q.mu.Unlock()
 	t.q.broken++
+	if t.q.onBroken != nil {
+		t.q.onBroken()
+	}
 }
 
 func (fakeTry) Completed() {}
@@ -181,6 +186,7 @@
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
 	tracing    *telemetry.Tracing
+	forwarder  *Forwarder
 	front      *httptest.Server
 }
 
@@ -220,6 +226,7 @@
 		BodyIdleTimeout: 5 * time.Second,
 		MaxKeptBytes:    16 << 10,
 		MaxAttempts:     3,
+		Hedges:          true,
 	})
 }
 
@@ -227,7 +234,8 @@
 func newRig(t *testing.T, addresses ...string) *rig {
 	t.Helper()
 	r := newFakes(addresses...)
-	r.front = httptest.NewServer(newForwarder(r))
+	r.forwarder = newForwarder(r)
+	r.front = httptest.NewServer(r.forwarder)
 	t.Cleanup(r.front.Close)
 	return r
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,9 @@
 	MaxKeptBytes int
 	// MaxAttempts bounds the upstreams that one call may be sent to.
 	MaxAttempts int
+	// Hedges lets a slow request that may be repeated be sent to a second
+	// upstream that has a free slot.
+	Hedges bool
 }
 
 // Forwarder is the handler for callers' requests.
@@ -45,6 +48,7 @@
 	chart   *chart.Chart
 	actions map[chart.Action]func(*call) chart.Event
 	retries *retryBudgets
+	paces   *paces
 	rules   ruleCache
 }
 
@@ -55,6 +59,7 @@
 		chart:   charts.MustLoad("call"),
 		actions: callActions(),
 		retries: newRetryBudgets(),
+		paces:   newPaces(),
 	}
 }
 
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -47,6 +47,13 @@
 	return true
 }
 
+// refund gives back what a retry that was not made has paid.
+func (b *retryBudgets) refund(s *catalogpb.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance[s.Name] = min(maxRetryBalance, b.get(s.Name)+retryCost)
+}
+
 func (b *retryBudgets) get(service string) int {
 	have, ok := b.balance[service]
 	if !ok {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/chart"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -42,9 +43,8 @@
 	c.attempts++
 	ctx, span := c.startSpan(telemetry.SpanUpstream)
 	describeGrant(span, c.grant)
-	a := &attempt{started: time.Now()}
+	a, resp, err := c.exchange(ctx)
 	defer func() { endSpan(span, a.err) }()
-	resp, err := c.f.opts.Transport.RoundTrip(c.request(a.trace(ctx, c.w)))
 	c.f.opts.Metrics.Upstream.RecordDuration(time.Since(a.started))
 	if a.newConn.Load() {
 		c.f.opts.Metrics.Connections.Inc(1)
@@ -62,8 +62,7 @@
 // recheck makes sure that the grant may still be used: the process may have
 // been stopped for longer than its lease since the call was admitted.
 func (c *call) recheck() chart.Event {
-	src := c.f.opts.Source
-	if !src.Fresh() || !src.View().ZoneOpen(c.grant.Cell.Zone) {
+	if !c.usable(c.grant) {
 		return c.unsent(fault.New(fault.NotFresh, "configuration changed before the request was sent"))
 	}
 	if c.ctx.Err() != nil {
@@ -93,11 +92,11 @@
 	}
 }
 
-// request builds the request for the upstream.
-func (c *call) request(ctx context.Context) *http.Request {
+// request builds the request for the granted upstream.
+func (c *call) request(ctx context.Context, g slot.Grant) *http.Request {
 	out := &http.Request{
 		Method:        c.r.Method,
-		URL:           &url.URL{Scheme: "http", Host: c.grant.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
+		URL:           &url.URL{Scheme: "http", Host: g.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
 		Host:          c.r.Host,
 		Header:        copyEndToEnd(c.r.Header),
 		Body:          c.body.open(),
@@ -137,21 +136,14 @@
 
 // trace returns ctx with hooks that watch the attempt, and that pass interim
 // answers on to the caller.
-func (a *attempt) trace(ctx context.Context, w http.ResponseWriter) context.Context {
+func (a *attempt) trace(ctx context.Context, c *call) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.connected.Store(true)
 			a.newConn.Store(!info.Reused)
 		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
-			if code == http.StatusContinue {
-				return nil
-			}
-			for name, values := range header {
-				w.Header()[name] = values
-			}
-			w.WriteHeader(code)
-			return nil
+			return c.interim.pass(c.w, code, header)
 		},
 	})
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -3,6 +3,7 @@
 // Dispatch policies.
 const (
 	PolicyCell      = "cell"
+	PolicyCellPlain = "cell_plain"
 	PolicyRandom    = "random"
 	PolicyP2C       = "p2c"
 	PolicyP2CShared = "p2c_shared"
@@ -112,7 +113,7 @@
 	c.name("region", s.Region)
 	s.checkAddresses(c)
 	s.checkTimes(c)
-	c.oneOf("dispatch_policy", s.DispatchPolicy, PolicyCell, PolicyRandom, PolicyP2C, PolicyP2CShared)
+	c.oneOf("dispatch_policy", s.DispatchPolicy, PolicyCell, PolicyCellPlain, PolicyRandom, PolicyP2C, PolicyP2CShared)
 	s.Limits.check(c, "limits")
 	s.Claims.check(c)
 	s.Quarantine.check(c)
--- a/internal/slot/client.go
+++ b/internal/slot/client.go
@@ -127,7 +127,7 @@
 // several.
 func (c *Client) ask(ctx context.Context, v *view.View, cells []*catalogpb.Cell, r Request) (Grant, error) {
 	var last refusals
-	if len(cells) > 1 {
+	if len(cells) > 1 || r.NoWait {
 		for _, cell := range c.quick(cells) {
 			g, refused := c.askCell(ctx, v, cell, c.quickOffer(r))
 			if refused == nil {
@@ -136,6 +136,9 @@
 			last.add(refused)
 		}
 	}
+	if r.NoWait {
+		return Grant{}, last.err()
+	}
 	g, ok := c.wait(ctx, v, cells, r, &last)
 	if ok {
 		return g, nil
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -18,6 +18,8 @@
 	Avoid []string
 	// Repeatable is set when the request may be sent more than once.
 	Repeatable bool
+	// NoWait asks for a slot that is free at once, at a small cost to others.
+	NoWait bool
 	// Hash selects a shard of the service; zero selects one at random.
 	Hash uint64
 }
--- a/internal/telemetry/roles.go
+++ b/internal/telemetry/roles.go
@@ -30,8 +30,9 @@
 	Upstream tally.Histogram
 	// Connections counts new connections to upstreams.
 	Connections tally.Counter
-	// Retries counts further attempts.
+	// Retries counts further attempts, Hedges those made in parallel.
 	Retries tally.Counter
+	Hedges  tally.Counter
 	// Revision is the configuration in force; Fresh is 1 while it is confirmed.
 	Revision tally.Gauge
 	Fresh    tally.Gauge
@@ -48,6 +49,7 @@
 		Upstream:    latency(s, "upstream_seconds"),
 		Connections: s.Counter("upstream_connections_opened"),
 		Retries:     s.Counter("retries"),
+		Hedges:      s.Counter("hedges"),
 		Revision:    s.Gauge("config_revision"),
 		Fresh:       s.Gauge("config_fresh"),
 	}
