--- a/internal/replica/measure_test.go
+++ b/internal/replica/measure_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -242,3 +243,41 @@
 	}
 	return hosts
 }
+
+func TestMeasureFailover(t *testing.T) {
+	needMeasure(t)
+	for _, planned := range []bool{false, true} {
+		var times []time.Duration
+		for range 10 {
+			times = append(times, measureFailover(t, planned))
+		}
+		slices.Sort(times)
+		t.Logf("planned %t: time to the next committed change p50 %v, max %v", planned, times[4], times[9])
+	}
+}
+
+// measureFailover returns the time from the loss of the leader to the next
+// committed change.
+func measureFailover(t *testing.T, planned bool) time.Duration {
+	hosts := startGroup(t, 3, Options{})
+	lead := waitLeader(t, hosts)
+	_, _, err := lead.node.Propose(context.Background(), change(0))
+	assert.NilError(t, err)
+	begin := time.Now()
+	if planned {
+		assert.NilError(t, lead.node.TransferLeadership(context.Background()))
+	}
+	lead.stop()
+	rest := others(hosts, lead)
+	for {
+		next := waitLeader(t, rest)
+		if _, _, err := next.node.Propose(context.Background(), change(1)); err == nil {
+			break
+		}
+	}
+	took := time.Since(begin)
+	for _, h := range rest {
+		h.stop()
+	}
+	return took
+}
