--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -21,6 +21,9 @@
 	retryInterval = 150 * time.Millisecond
 	// minInterval bounds the pace of renewals that bring nothing new.
 	minInterval = 200 * time.Millisecond
+	// avoidTime is the time for which an address that did not answer is left
+	// out.
+	avoidTime = 3 * time.Second
 	// maxRelayUses is the number of renewals through a relay after which the
 	// leader is tried again directly.
 	maxRelayUses = 30
@@ -38,6 +41,11 @@
 	failures int
 	leader   string
 	control  []string
+	// tried counts the control VMs tried while no leader is known.
+	tried int
+	// avoid holds the times until which addresses that did not answer are left
+	// out while there are others.
+	avoid map[string]time.Duration
 	// peer counts the entry VMs tried as relays.
 	peer int
 	// relay is the entry VM that relays at present, or "".
@@ -108,26 +116,52 @@
 	return &catalogpb.Entry{Id: entry.Id, Incarnation: entry.Incarnation}
 }
 
-// target returns the address for the next renewal: a relay that worked, or, as
-// failures go on, the leader, the control VMs and entry VMs that relay.
+// target returns the address for the next renewal: a relay that worked, or the
+// leader, or, as failures go on, the control VMs in turn and entry VMs that
+// relay.
 func (l *loop) target() (address string, relayed bool) {
 	r := &l.renew
 	if r.relay != "" {
 		return r.relay, true
 	}
-	step := r.failures % 3
-	if step == 0 && r.leader != "" {
+	if r.leader != "" {
 		return r.leader, false
 	}
-	if step == 2 {
+	if r.failures%4 == 3 {
 		if peer := l.nextPeer(); peer != "" {
 			return peer, true
 		}
 	}
+	return l.nextControl(), false
+}
+
+// nextControl returns the address of a control VM, one that answered of late
+// if there is any.
+func (l *loop) nextControl() string {
+	r := &l.renew
+	for range r.control {
+		r.tried++
+		address := r.control[r.tried%len(r.control)]
+		if !l.avoided(address) {
+			return address
+		}
+	}
 	if len(r.control) == 0 {
-		return "", false
+		return ""
+	}
+	return r.control[r.tried%len(r.control)]
+}
+
+func (l *loop) avoided(address string) bool {
+	return l.syncer.now() < l.renew.avoid[address]
+}
+
+// forgetLeader is called when the address did not answer or did not lead.
+func (l *loop) forgetLeader(address string) {
+	if l.renew.leader == address {
+		l.renew.leader = ""
+		l.syncer.leader.Store(nil)
 	}
-	return r.control[(r.failures-r.failures/3)%len(r.control)], false
 }
 
 // nextPeer returns the address of another entry VM, or "".
@@ -147,6 +181,8 @@
 	}
 	r.running = false
 	if ev.err != nil {
+		r.avoid[ev.address] = l.syncer.now() + avoidTime
+		l.forgetLeader(ev.address)
 		l.renewalFailed()
 		return
 	}
@@ -169,6 +205,7 @@
 		r.failures = 0
 		r.next = l.syncer.now()
 	default:
+		l.forgetLeader(ev.address)
 		l.renewalFailed()
 	}
 	if l.syncer.now() >= r.next {
@@ -208,7 +245,7 @@
 	if len(resp.ControlAddresses) > 0 {
 		r.control = resp.ControlAddresses
 	}
-	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leader {
+	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leader || l.avoided(resp.LeaderAddress) {
 		return false
 	}
 	r.leader = resp.LeaderAddress
