--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -213,10 +213,12 @@
 		resp.Config = t.config
 	}
 	h := t.heard[req.Entry.Id]
-	if !req.Synced || h.answers%addressesEvery == 0 {
+	if !req.Synced || h == nil || h.answers%addressesEvery == 0 {
 		resp.ControlAddresses = addresses(st)
 	}
-	h.answers++
+	if h != nil {
+		h.answers++
+	}
 }
 
 func addresses(st Status) []string {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -54,12 +54,27 @@
 	if cfg.Revision <= t.config.Revision {
 		return false
 	}
+	t.forgetRemoved(cfg)
 	t.config = cfg
 	t.history.add(cfg)
 	t.tracker.Publish(revisionOf(cfg))
 	return true
 }
 
+// forgetRemoved drops the reports of entry VMs that cfg has no more. One that
+// still runs registers again by its next renewal.
+func (t *term) forgetRemoved(cfg *catalogpb.Config) {
+	kept := make(map[string]bool, len(cfg.Entries))
+	for _, e := range cfg.Entries {
+		kept[e.Id] = true
+	}
+	for _, e := range t.config.Entries {
+		if !kept[e.Id] {
+			delete(t.heard, e.Id)
+		}
+	}
+}
+
 func revisionOf(cfg *catalogpb.Config) acceptance.Revision {
 	return acceptance.Revision{
 		Number:      cfg.Revision,
