--- a/internal/testbed/process_test.go
+++ b/internal/testbed/process_test.go
@@ -17,6 +17,7 @@
 // Keys in the files that the processes read.
 const (
 	operatorKey = "operator-key-0123456789"
+	anotherKey  = "another-operator-key-0123456789"
 	upstreamKey = "upstream-key-0123456789"
 	clusterKey  = "cluster-key-0123456789"
 )
@@ -102,6 +103,10 @@
 	// Addresses by number of the process.
 	controlCluster  []string
 	controlOperator []string
+	// founders is the number of control processes that form the group.
+	founders int
+	// controlSettings are added to the settings of each control process.
+	controlSettings string
 	callers         []string
 	announces       []string
 }
@@ -112,7 +117,13 @@
 // newCluster writes settings for the processes and starts them.
 func newCluster(t *testing.T, controls, entries int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir()}
+	return newClusterWith(t, controls, entries, "")
+}
+
+// newClusterWith is newCluster with more settings for the control processes.
+func newClusterWith(t *testing.T, controls, entries int, controlSettings string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), founders: controls, controlSettings: controlSettings}
 	c.writeKeys()
 	for range controls {
 		c.controlCluster = append(c.controlCluster, freeAddress(t))
@@ -154,9 +165,10 @@
 }
 
 func (c *cluster) writeKeys() {
-	for name, key := range map[string]string{"operators": operatorKey, "upstreams": upstreamKey, "cluster": clusterKey} {
+	for name, key := range map[string]string{"upstreams": upstreamKey, "cluster": clusterKey} {
 		c.write(name+".keys", "tester "+key+"\n")
 	}
+	c.write("operators.keys", "tester "+operatorKey+"\nanother "+anotherKey+"\n")
 }
 
 func (c *cluster) write(name, content string) string {
@@ -168,15 +180,21 @@
 
 func (c *cluster) newControl(i int) *process {
 	var b strings.Builder
-	fmt.Fprintf(&b, "id = %d\nzone = %q\ndata_dir = %q\n", i+1, zones[i%len(zones)], filepath.Join(c.dir, fmt.Sprintf("control-%d", i+1)))
+	b.WriteString(c.controlSettings)
+	fmt.Fprintf(&b, "id = %d\nzone = %q\ndata_dir = %q\n", i+1, zones[i%len(zones)], c.dataDir(i))
 	fmt.Fprintf(&b, "cluster_listen = %q\ncluster_address = %q\noperator_listen = %q\n", c.controlCluster[i], c.controlCluster[i], c.controlOperator[i])
-	for j, a := range c.controlCluster {
+	for j, a := range c.controlCluster[:c.founders] {
 		fmt.Fprintf(&b, "[[members]]\nid = %d\naddress = %q\nzone = %q\n", j+1, a, zones[j%len(zones)])
 	}
 	fmt.Fprintf(&b, "[keys]\noperators_file = %q\ncluster_file = %q\n", filepath.Join(c.dir, "operators.keys"), filepath.Join(c.dir, "cluster.keys"))
 	return c.newProcess("control", fmt.Sprintf("control-%d", i+1), b.String())
 }
 
+// dataDir is the data folder of a control process.
+func (c *cluster) dataDir(i int) string {
+	return filepath.Join(c.dir, fmt.Sprintf("control-%d", i+1))
+}
+
 func (c *cluster) newEntry(i int) *process {
 	address := freeAddress(c.t)
 	var b strings.Builder
