Take the actions of an entry VM from its chart

Cause: the entry chart listed seven actions and no code ran any of them; the daemon only looked whether there were some. A reader of the chart was misled.

The chart now names the three actions that a transition takes (note that the configuration is fresh or stale, leave the look-up answers) and the daemon runs them; the steps of a planned stop that have no transition of their own stay in leave.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -84,7 +84,7 @@
 		return errors.Trace(err)
 	}
 	d.start(runCtx)
-	d.life.step("listening")
+	d.step(eventListening)
 	d.log.Log(event.Started).Str("callers", s.CallerAddress).Send()
 	select {
 	case <-ctx.Done():
@@ -182,13 +182,9 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		if len(d.life.step("synced")) > 0 {
-			d.log.Log(event.LeaseRegained).Send()
-		}
+		d.step(eventSynced)
 		return
 	}
 	d.entry.Fresh.Update(0)
-	if len(d.life.step("lease_lost")) > 0 {
-		d.log.Log(event.LeaseLost).Send()
-	}
+	d.step(eventLeaseLost)
 }
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -5,6 +5,7 @@
 
 	"balsamcourse.example/balsamcourse/charts"
 	"balsamcourse.example/balsamcourse/internal/chart"
+	"balsamcourse.example/balsamcourse/internal/event"
 )
 
 // States of the entry chart that the code asks for.
@@ -15,6 +16,23 @@
 	stateStopped  chart.State = "stopped"
 )
 
+// Events of the entry chart.
+const (
+	eventListening      chart.Event = "listening"
+	eventSynced         chart.Event = "synced"
+	eventLeaseLost      chart.Event = "lease_lost"
+	eventStop           chart.Event = "stop"
+	eventAnswersExpired chart.Event = "answers_expired"
+	eventIdle           chart.Event = "idle"
+)
+
+// Actions of the entry chart.
+const (
+	actionNoteFresh   chart.Action = "note_fresh"
+	actionNoteStale   chart.Action = "note_stale"
+	actionLeaveLookup chart.Action = "leave_lookup"
+)
+
 // lifecycle is the state of the daemon. It is safe for concurrent use.
 type lifecycle struct {
 	mu    sync.Mutex
@@ -57,3 +75,17 @@
 
 // closed reports whether calls are no longer admitted.
 func (l *lifecycle) closed() bool { return l.in(stateDraining, stateStopped) }
+
+// step moves the daemon on event ev and takes the actions that follow.
+func (d *Daemon) step(ev chart.Event) {
+	for _, a := range d.life.step(ev) {
+		switch a {
+		case actionNoteFresh:
+			d.log.Log(event.LeaseRegained).Send()
+		case actionNoteStale:
+			d.log.Log(event.LeaseLost).Send()
+		case actionLeaveLookup:
+			d.config.SetLeaving()
+		}
+	}
+}
--- a/internal/entryd/lifecycle_test.go
+++ b/internal/entryd/lifecycle_test.go
@@ -52,8 +52,21 @@
 
 func TestLifecycleActions(t *testing.T) {
 	l := newLifecycle()
-	assert.DeepEqual(t, l.step("listening"), []chart.Action{"fetch_config"})
-	assert.DeepEqual(t, l.step("synced"), []chart.Action{"admit_work"})
-	assert.Equal(t, len(l.step("synced")), 0)
-	assert.DeepEqual(t, l.step("lease_lost"), []chart.Action{"refuse_work"})
+	steps := []struct {
+		on   chart.Event
+		want []chart.Action
+	}{
+		{eventListening, nil},
+		{eventSynced, []chart.Action{actionNoteFresh}},
+		{eventSynced, nil},
+		{eventLeaseLost, []chart.Action{actionNoteStale}},
+		{eventLeaseLost, nil},
+		{eventStop, []chart.Action{actionLeaveLookup}},
+		{eventSynced, nil},
+		{eventAnswersExpired, nil},
+		{eventIdle, nil},
+	}
+	for _, s := range steps {
+		assert.DeepEqual(t, l.step(s.on), s.want)
+	}
 }
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -36,14 +36,13 @@
 // the stop short.
 func (d *Daemon) leave(ctx context.Context) {
 	d.log.Log(event.Stopping).Send()
-	d.life.step("stop")
-	d.config.SetLeaving()
+	d.step(eventStop)
 	d.awaitDeparture(ctx)
 	if !sleep(ctx, d.settings.LookupTTLMs.Duration()) {
 		return
 	}
 	d.handOver(ctx)
-	d.life.step("answers_expired")
+	d.step(eventAnswersExpired)
 	limit := time.Now().Add(d.settings.DrainMs.Duration())
 	for !d.callers.drained() && time.Now().Before(limit) {
 		if !sleep(ctx, drainPoll) {
@@ -54,7 +53,7 @@
 	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	_ = d.claims.Drain(limited)
-	d.life.step("idle")
+	d.step(eventIdle)
 }
 
 // awaitDeparture waits until no entry VM names this one in its look-up answers
