Remove catalog.ResultError

Only a test called it; the command line maps outcomes to errors itself, with the operator revision in the detail. The test already checks the outcome of each refused change, which is as strict, so the line about the removed function goes.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -114,7 +114,6 @@
 		result := m.change("ann", number, 0, c)
 		assert.Equal(t, result.Outcome, refused, name)
 		assert.Equal(t, m.Config(), before, name)
-		assert.Equal(t, ResultError(result).Kind, fault.InvalidChange, name)
 	}
 }
 
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -5,7 +5,6 @@
 	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
-	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
 // applyChange executes an operator's change once. A resend gets the result of
@@ -107,19 +106,3 @@
 	}
 	return xxhash.Sum64(data)
 }
-
-// ResultError returns the error that result stands for, or nil when the change
-// was applied.
-func ResultError(result *catalogpb.ChangeResult) *fault.Error {
-	switch result.Outcome {
-	case catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED:
-		return nil
-	case catalogpb.ChangeOutcome_CHANGE_OUTCOME_CONFLICT:
-		return fault.New(fault.Conflict, "%s", result.Detail)
-	case catalogpb.ChangeOutcome_CHANGE_OUTCOME_STALE:
-		return fault.New(fault.StaleRevision, "%s", result.Detail)
-	case catalogpb.ChangeOutcome_CHANGE_OUTCOME_EXPIRED:
-		return fault.New(fault.ChangeExpired, "%s", result.Detail)
-	}
-	return fault.New(fault.InvalidChange, "%s", result.Detail)
-}
