List and change by name in one place each in the command line

duplicates named the list, delete and state commands of services, rules and zones (5 pairs, up to 18 lines).

The help pages are the same byte for byte, and so is the output of the old and the new binary against one dev system (list as text and JSON, refused deletes).

--- a/internal/cli/admin_rule.go
+++ b/internal/cli/admin_rule.go
@@ -45,42 +45,30 @@
 }
 
 func newRuleDelete(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "delete SERVICE/RULE",
-		Short:   "Delete a rule",
-		Example: "  balsamcourse admin rule delete booking/pay",
-		Args:    cobra.ExactArgs(1),
-		RunE: withKind(func(cmd *cobra.Command, args []string) error {
-			name, err := ruleName(args[0])
+	return newChangeByName(a, "delete SERVICE/RULE", "Delete a rule", "  balsamcourse admin rule delete booking/pay",
+		func(text string) (*catalogpb.Change, error) {
+			name, err := ruleName(text)
 			if err != nil {
-				return err
+				return nil, err
 			}
-			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_DeleteRule{DeleteRule: name}})
-		}),
-	}
+			return &catalogpb.Change{Kind: &catalogpb.Change_DeleteRule{DeleteRule: name}}, nil
+		})
 }
 
 func newRuleList(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the rules",
-		Example: "  balsamcourse admin rule list",
-		Args:    cobra.NoArgs,
-		RunE: withKind(func(cmd *cobra.Command, _ []string) error {
-			config, err := a.config(cmd.Context())
-			if err != nil {
-				return err
-			}
-			if a.output == outputJSON {
-				return printMessage(a.out, &catalogpb.Config{Revision: config.Revision, Rules: config.Rules})
-			}
-			t := newTable(a.out, "RULE", "METHOD", "PATH", "REPEATABLE", "KEY REQUIRED")
-			for _, r := range config.Rules {
+	return newConfigList(a, configList{
+		short:   "List the rules",
+		example: "  balsamcourse admin rule list",
+		part: func(c *catalogpb.Config) *catalogpb.Config {
+			return &catalogpb.Config{Revision: c.Revision, Rules: c.Rules}
+		},
+		header: []any{"RULE", "METHOD", "PATH", "REPEATABLE", "KEY REQUIRED"},
+		rows: func(t table, c *catalogpb.Config) {
+			for _, r := range c.Rules {
 				t.row(r.Service+"/"+r.Name, r.Method, r.PathPattern, r.Repeatable, r.KeyRequired)
 			}
-			return t.flush()
-		}),
-	}
+		},
+	})
 }
 
 func ruleName(text string) (*catalogpb.RuleName, error) {
--- a/internal/cli/admin_service.go
+++ b/internal/cli/admin_service.go
@@ -44,36 +44,24 @@
 }
 
 func newServiceDelete(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "delete NAME",
-		Short:   "Delete a service",
-		Example: "  balsamcourse admin service delete booking",
-		Args:    cobra.ExactArgs(1),
-		RunE: withKind(func(cmd *cobra.Command, args []string) error {
-			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_DeleteService{DeleteService: args[0]}})
-		}),
-	}
+	return newChangeByName(a, "delete NAME", "Delete a service", "  balsamcourse admin service delete booking",
+		func(name string) (*catalogpb.Change, error) {
+			return &catalogpb.Change{Kind: &catalogpb.Change_DeleteService{DeleteService: name}}, nil
+		})
 }
 
 func newServiceList(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the services",
-		Example: "  balsamcourse admin service list --output json",
-		Args:    cobra.NoArgs,
-		RunE: withKind(func(cmd *cobra.Command, _ []string) error {
-			config, err := a.config(cmd.Context())
-			if err != nil {
-				return err
-			}
-			if a.output == outputJSON {
-				return printMessage(a.out, &catalogpb.Config{Revision: config.Revision, Services: config.Services})
-			}
-			t := newTable(a.out, "NAME", "PREFIX", "SLOTS", "COLD", "WARM AFTER", "QUEUE", "TIMEOUT MS", "SHARDS")
-			for _, s := range config.Services {
+	return newConfigList(a, configList{
+		short:   "List the services",
+		example: "  balsamcourse admin service list --output json",
+		part: func(c *catalogpb.Config) *catalogpb.Config {
+			return &catalogpb.Config{Revision: c.Revision, Services: c.Services}
+		},
+		header: []any{"NAME", "PREFIX", "SLOTS", "COLD", "WARM AFTER", "QUEUE", "TIMEOUT MS", "SHARDS"},
+		rows: func(t table, c *catalogpb.Config) {
+			for _, s := range c.Services {
 				t.row(s.Name, s.PathPrefix, s.Slots, s.ColdSlots, s.WarmAfter, s.QueueLimit, s.TimeoutMs, max(s.Shards, 1))
 			}
-			return t.flush()
-		}),
-	}
+		},
+	})
 }
--- a/internal/cli/admin_zone.go
+++ b/internal/cli/admin_zone.go
@@ -45,51 +45,34 @@
 }
 
 func newZoneDelete(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "delete NAME",
-		Short:   "Delete an availability zone that is out",
-		Example: "  balsamcourse admin zone delete jm-south-a",
-		Args:    cobra.ExactArgs(1),
-		RunE: withKind(func(cmd *cobra.Command, args []string) error {
-			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_DeleteZone{DeleteZone: args[0]}})
-		}),
-	}
+	return newChangeByName(a, "delete NAME", "Delete an availability zone that is out", "  balsamcourse admin zone delete jm-south-a",
+		func(name string) (*catalogpb.Change, error) {
+			return &catalogpb.Change{Kind: &catalogpb.Change_DeleteZone{DeleteZone: name}}, nil
+		})
 }
 
 func newZoneState(a *admin, verb, short string, state catalogpb.ZoneState) *cobra.Command {
-	return &cobra.Command{
-		Use:     verb + " NAME",
-		Short:   short,
-		Example: "  balsamcourse admin zone " + verb + " jm-south-b",
-		Args:    cobra.ExactArgs(1),
-		RunE: withKind(func(cmd *cobra.Command, args []string) error {
-			set := &catalogpb.SetZoneState{Zone: args[0], State: state}
-			return a.apply(cmd.Context(), &catalogpb.Change{Kind: &catalogpb.Change_SetZoneState{SetZoneState: set}})
-		}),
-	}
+	return newChangeByName(a, verb+" NAME", short, "  balsamcourse admin zone "+verb+" jm-south-b",
+		func(name string) (*catalogpb.Change, error) {
+			set := &catalogpb.SetZoneState{Zone: name, State: state}
+			return &catalogpb.Change{Kind: &catalogpb.Change_SetZoneState{SetZoneState: set}}, nil
+		})
 }
 
 func newZoneList(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the availability zones",
-		Example: "  balsamcourse admin zone list",
-		Args:    cobra.NoArgs,
-		RunE: withKind(func(cmd *cobra.Command, _ []string) error {
-			config, err := a.config(cmd.Context())
-			if err != nil {
-				return err
-			}
-			if a.output == outputJSON {
-				return printMessage(a.out, &catalogpb.Config{Revision: config.Revision, Zones: config.Zones})
-			}
-			t := newTable(a.out, "NAME", "REGION", "STATE")
-			for _, z := range config.Zones {
+	return newConfigList(a, configList{
+		short:   "List the availability zones",
+		example: "  balsamcourse admin zone list",
+		part: func(c *catalogpb.Config) *catalogpb.Config {
+			return &catalogpb.Config{Revision: c.Revision, Zones: c.Zones}
+		},
+		header: []any{"NAME", "REGION", "STATE"},
+		rows: func(t table, c *catalogpb.Config) {
+			for _, z := range c.Zones {
 				t.row(z.Name, z.Region, zoneStateText(z.State))
 			}
-			return t.flush()
-		}),
-	}
+		},
+	})
 }
 
 func zoneStateText(s catalogpb.ZoneState) string {
