--- a/internal/access/keys.go
+++ b/internal/access/keys.go
@@ -10,11 +10,11 @@
 	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
-	"os"
 	"strings"
 	"sync/atomic"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
 const (
@@ -22,8 +22,6 @@
 	minKeyBytes = 16
 	// maxKeysPerName allows a key and its successor.
 	maxKeysPerName = 2
-	// maxFileBytes bounds a key file.
-	maxFileBytes = 1 << 20
 )
 
 // Key is a secret and the name of its holder.
@@ -80,16 +78,9 @@
 }
 
 func readRing(path string) (*ring, error) {
-	info, err := os.Stat(path)
+	data, err := settings.ReadFile(path)
 	if err != nil {
-		return nil, fault.New(fault.Settings, "%v", err)
-	}
-	if info.Size() > maxFileBytes {
-		return nil, fault.New(fault.Settings, "%s: larger than %d bytes", path, maxFileBytes)
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fault.New(fault.Settings, "%v", err)
+		return nil, err
 	}
 	return parseRing(path, data)
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -12,13 +12,13 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
-// maxFileBytes bounds a settings file.
+// maxFileBytes bounds a settings or key file.
 const maxFileBytes = 1 << 20
 
 // LoadControl reads and checks the settings of a control VM. The error is of
 // kind fault.Settings and names file, line and key.
 func LoadControl(path string) (Control, error) {
-	data, err := readFile(path)
+	data, err := ReadFile(path)
 	if err != nil {
 		return Control{}, err
 	}
@@ -28,7 +28,7 @@
 // LoadEntry reads and checks the settings of an entry VM. The error is of
 // kind fault.Settings and names file, line and key.
 func LoadEntry(path string) (Entry, error) {
-	data, err := readFile(path)
+	data, err := ReadFile(path)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -53,7 +53,9 @@
 	return s, report(file, data, s)
 }
 
-func readFile(path string) ([]byte, error) {
+// ReadFile returns the content of a settings or key file of at most 1 MiB. The
+// error is of kind fault.Settings.
+func ReadFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return nil, fault.New(fault.Settings, "%v", err)
