--- a/internal/access/reload.go
+++ b/internal/access/reload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // stamp tells versions of a file apart.
@@ -20,17 +21,8 @@
 	if k == nil {
 		return
 	}
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
 	var seen stamp
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			seen = k.reload(seen, log)
-		}
-	}
+	wait.Every(ctx, every, func() { seen = k.reload(seen, log) })
 }
 
 // reload reads the file when its stamp differs from seen.
--- a/internal/baseline/source.go
+++ b/internal/baseline/source.go
@@ -14,6 +14,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/view"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -180,16 +181,7 @@
 		<-ctx.Done()
 		return
 	}
-	tick := time.NewTicker(shareEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.share(ctx)
-		}
-	}
+	wait.Every(ctx, shareEvery, func() { s.share(ctx) })
 }
 
 func (s *Source) share(ctx context.Context) {
--- a/internal/cli/group.go
+++ b/internal/cli/group.go
@@ -9,6 +9,7 @@
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	"balsamcourse.example/balsamcourse/internal/access"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -65,7 +66,7 @@
 	end := time.Now().Add(g.wait)
 	for {
 		resp, err := callRound(ctx, g, method, req)
-		if err == nil || !tryNext(err) || time.Now().After(end) || !pause(ctx, failoverPause) {
+		if err == nil || !tryNext(err) || time.Now().After(end) || !wait.For(ctx, failoverPause) {
 			return resp, err
 		}
 	}
@@ -111,14 +112,3 @@
 		return false
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // sampleEvery is the interval at which the state of the replica is noted.
@@ -13,16 +14,7 @@
 // sampleReplica keeps the metrics of the replica up to date until ctx ends.
 func (d *Daemon) sampleReplica(ctx context.Context) {
 	m := telemetry.NewControlMetrics(d.metrics)
-	ticker := time.NewTicker(sampleEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.noteReplica(m)
-		}
-	}
+	wait.Every(ctx, sampleEvery, func() { d.noteReplica(m) })
 }
 
 func (d *Daemon) noteReplica(m *telemetry.ControlMetrics) {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -25,6 +25,7 @@
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // Options holds what an entry VM needs beyond its settings.
@@ -160,16 +161,7 @@
 
 // watchFreshness follows whether the configuration is confirmed.
 func (d *Daemon) watchFreshness(ctx context.Context) {
-	tick := time.NewTicker(freshnessEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			d.noteFreshness()
-		}
-	}
+	wait.Every(ctx, freshnessEvery, d.noteFreshness)
 }
 
 // freshnessEvery is the interval at which the state of the lease is noted.
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -6,6 +6,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // Times of a planned stop.
@@ -38,14 +39,14 @@
 	d.log.Log(event.Stopping).Send()
 	d.step(eventStop)
 	d.awaitDeparture(ctx)
-	if !sleep(ctx, d.settings.LookupTTLMs.Duration()) {
+	if !wait.For(ctx, d.settings.LookupTTLMs.Duration()) {
 		return
 	}
 	d.handOver(ctx)
 	d.step(eventAnswersExpired)
 	limit := time.Now().Add(d.settings.DrainMs.Duration())
 	for !d.callers.drained() && time.Now().Before(limit) {
-		if !sleep(ctx, drainPoll) {
+		if !wait.For(ctx, drainPoll) {
 			return
 		}
 	}
@@ -68,7 +69,7 @@
 		if left == 0 {
 			left = d.leavingSince()
 		}
-		if !sleep(limited, drainPoll) {
+		if !wait.For(limited, drainPoll) {
 			return
 		}
 	}
@@ -93,7 +94,7 @@
 	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	for d.holdsCells() {
-		if !sleep(limited, drainPoll) {
+		if !wait.For(limited, drainPoll) {
 			break
 		}
 	}
@@ -132,15 +133,3 @@
 	_ = d.metrics.Close()
 	d.log.Log(event.Stopped).Send()
 }
-
-// sleep waits for d; it reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // Outcomes besides the kinds of refusals.
@@ -96,7 +97,7 @@
 		tried = append(tried, address)
 		a := c.send(ctx, address, request)
 		s.outcome, s.refused, s.run = a.outcome, a.refused, a.run
-		if s.resends >= c.plan.Resends || !c.mayResend(a) || !sleep(ctx, a.retryAfter) {
+		if s.resends >= c.plan.Resends || !c.mayResend(a) || !wait.For(ctx, a.retryAfter) {
 			break
 		}
 		s.resends++
@@ -197,14 +198,3 @@
 	}
 	return min(max(time.Duration(seconds)*time.Second, 0), maxRetryAfter)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
