--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -68,8 +68,8 @@
 	targets *targets
 	client  *http.Client
 	body    []byte
-	// session tells the keys of two runs apart.
-	session string
+	// runID tells the keys of two runs apart.
+	runID string
 }
 
 func newCaller(plan *Plan, targets *targets) *caller {
@@ -78,7 +78,7 @@
 		targets: targets,
 		client:  &http.Client{Transport: plan.Transport, CheckRedirect: keepRedirect},
 		body:    bytes.Repeat([]byte("x"), plan.BodyBytes),
-		session: fmt.Sprintf("%016x", rand.Uint64()),
+		runID:   fmt.Sprintf("%016x", rand.Uint64()),
 	}
 }
 
@@ -146,7 +146,7 @@
 	number := strconv.FormatUint(request, 10)
 	req.Header.Set(HeaderRequest, number)
 	if c.plan.Key {
-		req.Header.Set(headerKey, c.session+"-"+number)
+		req.Header.Set(headerKey, c.runID+"-"+number)
 	}
 	return req, nil
 }
