--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // Outcomes besides the kinds of refusals.
@@ -67,8 +68,8 @@
 	targets *targets
 	client  *http.Client
 	body    []byte
-	// session tells the keys of two runs apart.
-	session string
+	// runID tells the keys of two runs apart.
+	runID string
 }
 
 func newCaller(plan *Plan, targets *targets) *caller {
@@ -77,7 +78,7 @@
 		targets: targets,
 		client:  &http.Client{Transport: plan.Transport, CheckRedirect: keepRedirect},
 		body:    bytes.Repeat([]byte("x"), plan.BodyBytes),
-		session: fmt.Sprintf("%016x", rand.Uint64()),
+		runID:   fmt.Sprintf("%016x", rand.Uint64()),
 	}
 }
 
@@ -96,7 +97,7 @@
 		tried = append(tried, address)
 		a := c.send(ctx, address, request)
 		s.outcome, s.refused, s.run = a.outcome, a.refused, a.run
-		if s.resends >= c.plan.Resends || !c.mayResend(a) || !sleep(ctx, a.retryAfter) {
+		if s.resends >= c.plan.Resends || !c.mayResend(a) || !wait.For(ctx, a.retryAfter) {
 			break
 		}
 		s.resends++
@@ -145,7 +146,7 @@
 	number := strconv.FormatUint(request, 10)
 	req.Header.Set(HeaderRequest, number)
 	if c.plan.Key {
-		req.Header.Set(headerKey, c.session+"-"+number)
+		req.Header.Set(headerKey, c.runID+"-"+number)
 	}
 	return req, nil
 }
@@ -197,14 +198,3 @@
 	}
 	return min(max(time.Duration(seconds)*time.Second, 0), maxRetryAfter)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
