--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -141,9 +141,11 @@
 
 // fakeQuarantine counts broken requests.
 type fakeQuarantine struct {
-	mu      sync.Mutex
-	broken  int
-	blocked *fault.Error
+	mu     sync.Mutex
+	broken int
+	// onBroken, when set, is called for each broken request.
+	onBroken func()
+	blocked  *fault.Error
 }
 
 func (q *fakeQuarantine) Blocked(string, string) *fault.Error {
@@ -169,6 +171,9 @@
 	t.q.mu.Lock()
 	defer t.q.mu.Unlock()
 	t.q.broken++
+	if t.q.onBroken != nil {
+		t.q.onBroken()
+	}
 }
 
 func (fakeTry) Completed() {}
@@ -180,6 +185,8 @@
 	slots      *fakeSlots
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
+	tracing    *telemetry.Tracing
+	forwarder  *Forwarder
 	front      *httptest.Server
 }
 
@@ -199,6 +206,7 @@
 		slots:      &fakeSlots{addresses: addresses},
 		claims:     newFakeClaims(),
 		quarantine: &fakeQuarantine{},
+		tracing:    telemetry.Off(),
 	}
 }
 
@@ -211,13 +219,14 @@
 		Quarantine:      r.quarantine,
 		Limiter:         admit.NewLimiter(100),
 		Transport:       NewTransport(nil),
-		Tracing:         telemetry.Off(),
+		Tracing:         r.tracing,
 		Metrics:         telemetry.NewEntryMetrics(tally.NoopScope),
 		Leaving:         func() bool { return false },
 		MaxBodyBytes:    256 << 20,
 		BodyIdleTimeout: 5 * time.Second,
 		MaxKeptBytes:    16 << 10,
 		MaxAttempts:     3,
+		Hedges:          true,
 	})
 }
 
@@ -225,7 +234,8 @@
 func newRig(t *testing.T, addresses ...string) *rig {
 	t.Helper()
 	r := newFakes(addresses...)
-	r.front = httptest.NewServer(newForwarder(r))
+	r.forwarder = newForwarder(r)
+	r.front = httptest.NewServer(r.forwarder)
 	t.Cleanup(r.front.Close)
 	return r
 }
