--- a/internal/testbed/caller_test.go
+++ b/internal/testbed/caller_test.go
@@ -24,6 +24,9 @@
 	fault  string
 	body   string
 	err    error
+	// sent and received bound the time of the call.
+	sent     time.Time
+	received time.Time
 }
 
 // answered reports whether the reply is a whole answer of an upstream.
@@ -81,6 +84,13 @@
 	if address == "" {
 		address = u.address()
 	}
+	sent := time.Now()
+	r := u.exchange(address, method, path, key)
+	r.sent, r.received = sent, time.Now()
+	return r
+}
+
+func (u *caller) exchange(address, method, path, key string) reply {
 	req, err := http.NewRequest(method, "http://"+address+path, nil)
 	if err != nil {
 		return reply{key: key, err: err}
--- a/internal/testbed/fault_test.go
+++ b/internal/testbed/fault_test.go
@@ -28,8 +28,10 @@
 	replies map[string][]reply
 }
 
-func (p *payer) run(c *cluster) {
-	for i := range payments {
+// run sends at least the given number of payments, and goes on until the faults
+// have ended.
+func (p *payer) run(c *cluster, faults <-chan struct{}) {
+	for i := 0; i < payments || !ended(faults); i++ {
 		key := fmt.Sprintf("pay-%d-%d", p.number, i)
 		for try := range resends {
 			address := c.callers[(p.number+i+try)%len(c.callers)]
@@ -40,8 +42,18 @@
 	}
 }
 
-// payAll runs the payers and returns all replies by key.
-func payAll(c *cluster) map[string][]reply {
+func ended(faults <-chan struct{}) bool {
+	select {
+	case <-faults:
+		return true
+	default:
+		return false
+	}
+}
+
+// payAll runs the payers until the faults have ended and returns all replies
+// by key.
+func payAll(c *cluster, faults <-chan struct{}) map[string][]reply {
 	list := make([]*payer, payers)
 	var done sync.WaitGroup
 	for i := range list {
@@ -50,7 +62,7 @@
 		go func(p *payer) {
 			defer done.Done()
 			defer p.caller.client.CloseIdleConnections()
-			p.run(c)
+			p.run(c, faults)
 		}(list[i])
 	}
 	done.Wait()
@@ -68,11 +80,16 @@
 	t.Helper()
 	answered, none := 0, 0
 	for key, replies := range all {
-		runs := 0
+		var times []time.Time
 		for _, u := range ups {
-			runs += u.RunsOf(key)
+			times = append(times, u.RunTimes(key)...)
 		}
+		runs := len(times)
 		assert.Assert(t, runs <= 1, "%s ran %d times: %v", key, runs, replies)
+		for _, ran := range times {
+			why := untrueRefusal(replies, ran)
+			assert.Assert(t, why == "", "%s: %s: %v", key, why, replies)
+		}
 		body, ok := wholeAnswer(t, key, replies)
 		if ok {
 			answered++
@@ -110,6 +127,25 @@
 	return true
 }
 
+// untrueRefusal looks for a refusal as not run that a run of the key
+// contradicts: one that was received after the run began, or that answers the
+// only attempts that can have led to the run.
+func untrueRefusal(replies []reply, ran time.Time) string {
+	explained := false
+	for i, r := range replies {
+		if r.notRun() && !ran.After(r.received) {
+			return fmt.Sprintf("reply %d said not run after the run had begun", i)
+		}
+		if !r.notRun() && !ran.Before(r.sent) {
+			explained = true
+		}
+	}
+	if !explained {
+		return "every attempt before the run said not run"
+	}
+	return ""
+}
+
 // TestPaymentsRunAtMostOnce resends payments through other entry VMs while one
 // entry VM is killed and restarted, one is frozen for longer than its lease,
 // and the leader of the control group is killed.
@@ -131,8 +167,7 @@
 		c.entries[1].signal(syscall.SIGCONT)
 		c.controls[0].start()
 	}()
-	all := payAll(c)
-	<-faults
+	all := payAll(c, faults)
 	checkPayments(t, ups, all)
 	for i := range c.entries {
 		waitFor(t, "call after the faults", func() string { return c.serves(i) })
--- a/internal/testbed/freeze_test.go
+++ b/internal/testbed/freeze_test.go
@@ -1,6 +1,9 @@
 package testbed
 
 import (
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +15,10 @@
 const (
 	waitingCalls = 16
 	queueTime    = 500 * time.Millisecond
+	// longFreeze is twice the lease of a configuration.
+	longFreeze = 6 * time.Second
+	// callsAfter is the number of calls at once after the freeze.
+	callsAfter = 200
 )
 
 // TestFrozenEntryAdmitsNothingOld stops an entry VM's process, takes an
@@ -40,3 +47,61 @@
 	waitFor(t, "call through the entry VM that was frozen", func() string { return c.serves(0) })
 	assert.Equal(t, runsIn(ups, "b"), before, "runs in an availability zone after its departure was accepted")
 }
+
+// TestFrozenEntryWakesUnderLoad freezes an entry VM with calls in flight for
+// longer than its lease, while an availability zone is taken out. Calls sent as
+// soon as the process goes on must not reach that zone, and each whole answer
+// comes from the other one.
+func TestFrozenEntryWakesUnderLoad(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	c.configure()
+	ups := c.startUpstreams(4)
+	for i := range c.entries {
+		waitFor(t, "call", func() string { return c.serves(i) })
+	}
+	var stop atomic.Bool
+	var load conc.WaitGroup
+	for range waitingCalls {
+		load.Go(func() {
+			for !stop.Load() {
+				call(c.callers[0], "GET", "/booking/dates", "")
+			}
+		})
+	}
+	waitFor(t, "work through the entry VM", func() string {
+		if runsIn(ups, "b") < waitingCalls {
+			return "too few runs"
+		}
+		return ""
+	})
+	frozen := c.entries[0]
+	frozen.signal(syscall.SIGSTOP)
+	end := time.Now().Add(longFreeze)
+	c.mustAdmin("zone", "take-out", "b")
+	time.Sleep(time.Until(end))
+	before := runsIn(ups, "b")
+	frozen.signal(syscall.SIGCONT)
+	u := newCaller(c)
+	for range callsAfter {
+		r := u.send(c.callers[0], "GET", "/booking/dates", "")
+		if r.err == nil && r.status == http.StatusOK {
+			id := strings.TrimSpace(r.body[strings.LastIndex(r.body, "up-"):])
+			assert.Assert(t, zoneOf(ups, id) != "b", "answered by %s", id)
+		}
+	}
+	waitFor(t, "call through the entry VM that was frozen", func() string { return c.serves(0) })
+	stop.Store(true)
+	load.Wait()
+	u.client.CloseIdleConnections()
+	assert.Equal(t, runsIn(ups, "b"), before, "runs in an availability zone after its departure was accepted")
+}
+
+// zoneOf returns the availability zone of an upstream.
+func zoneOf(ups []*Upstream, id string) string {
+	for _, u := range ups {
+		if u.ID() == id {
+			return u.opts.Zone
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/testbed/loss_test.go
@@ -0,0 +1,74 @@
+package testbed
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestUntrueRefusals fixes the verdicts of the oracle on refusals.
+func TestUntrueRefusals(t *testing.T) {
+	start := time.Now()
+	at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	refused := func(sent, received int) reply { return reply{run: "not run", sent: at(sent), received: at(received)} }
+	other := func(sent, received int) reply { return reply{sent: at(sent), received: at(received)} }
+	for _, tc := range []struct {
+		name    string
+		replies []reply
+		untrue  bool
+	}{
+		{"answered", []reply{other(4, 6)}, false},
+		{"refused, then answered", []reply{refused(1, 2), other(4, 6)}, false},
+		{"answered, then refused", []reply{other(4, 6), refused(7, 8)}, true},
+		{"refused while it ran", []reply{other(1, 9), refused(4, 6)}, true},
+		{"refused, then ran", []reply{refused(1, 2), other(6, 7)}, true},
+	} {
+		why := untrueRefusal(tc.replies, at(5))
+		assert.Equal(t, why != "", tc.untrue, "%s: %s", tc.name, why)
+	}
+}
+
+// TestPaymentsThroughLosses kills two entry VMs at once under resending payers,
+// and another one as soon as a restarted one serves again.
+func TestPaymentsThroughLosses(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	c.configure()
+	ups := c.startUpstreams(4)
+	for i := range c.entries {
+		waitFor(t, "call", func() string { return c.serves(i) })
+	}
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		time.Sleep(resendPause)
+		c.entries[0].kill()
+		c.entries[1].kill()
+		c.entries[0].start()
+		if !c.servesWithin(0, waitLimit) {
+			t.Errorf("the restarted entry VM does not serve")
+			return
+		}
+		c.entries[2].kill()
+		c.entries[1].start()
+		c.entries[2].start()
+	}()
+	all := payAll(c, faults)
+	checkPayments(t, ups, all)
+	for i := range c.entries {
+		waitFor(t, "call after the faults", func() string { return c.serves(i) })
+	}
+}
+
+// servesWithin waits until the entry VM serves. Unlike waitFor it may be used
+// outside the goroutine of the test.
+func (c *cluster) servesWithin(entry int, limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		if c.serves(entry) == "" {
+			return true
+		}
+		time.Sleep(resendPause)
+	}
+	return false
+}
--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -87,7 +87,7 @@
 	slots chan struct{}
 	mu    sync.Mutex
 	rng   *rand.Rand
-	keys  map[string]int
+	keys  map[string][]time.Time
 }
 
 // StartUpstream starts a stand-in that announces itself until Stop or Kill.
@@ -104,7 +104,7 @@
 		listener: l,
 		slots:    make(chan struct{}, opts.Slots),
 		rng:      rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.ID)))),
-		keys:     make(map[string]int),
+		keys:     make(map[string][]time.Time),
 	}
 	u.slowFactor.Store(1)
 	u.incarnation.Store(uint64(time.Now().UnixNano()))
@@ -169,7 +169,14 @@
 func (u *Upstream) RunsOf(key string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.keys[key]
+	return len(u.keys[key])
+}
+
+// RunTimes returns when the runs of requests with the key began.
+func (u *Upstream) RunTimes(key string) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]time.Time(nil), u.keys[key]...)
 }
 
 // Keys returns how often each key ran.
@@ -177,8 +184,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := make(map[string]int, len(u.keys))
-	for k, n := range u.keys {
-		out[k] = n
+	for k, runs := range u.keys {
+		out[k] = len(runs)
 	}
 	return out
 }
@@ -300,5 +307,5 @@
 func (u *Upstream) count(key string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.keys[key]++
+	u.keys[key] = append(u.keys[key], time.Now())
 }
