--- a/internal/baseline/source.go
+++ b/internal/baseline/source.go
@@ -14,6 +14,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/view"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -112,6 +113,9 @@
 
 // Acquire picks an upstream at once.
 func (s *Source) Acquire(_ context.Context, r slot.Request) (slot.Grant, error) {
+	if r.NoWait {
+		return slot.Grant{}, fault.New(fault.QueueFull, "this policy does not know free slots")
+	}
 	v := s.opts.View.View()
 	if v == nil || !s.opts.View.Fresh() {
 		return slot.Grant{}, fault.New(fault.NotFresh, "no confirmed configuration")
@@ -180,16 +184,7 @@
 		<-ctx.Done()
 		return
 	}
-	tick := time.NewTicker(shareEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.share(ctx)
-		}
-	}
+	wait.Every(ctx, shareEvery, func() { s.share(ctx) })
 }
 
 func (s *Source) share(ctx context.Context) {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -25,6 +25,7 @@
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 // Options holds what an entry VM needs beyond its settings.
@@ -84,7 +85,7 @@
 		return errors.Trace(err)
 	}
 	d.start(runCtx)
-	d.life.step("listening")
+	d.step(eventListening)
 	d.log.Log(event.Started).Str("callers", s.CallerAddress).Send()
 	select {
 	case <-ctx.Done():
@@ -160,16 +161,7 @@
 
 // watchFreshness follows whether the configuration is confirmed.
 func (d *Daemon) watchFreshness(ctx context.Context) {
-	tick := time.NewTicker(freshnessEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			d.noteFreshness()
-		}
-	}
+	wait.Every(ctx, freshnessEvery, d.noteFreshness)
 }
 
 // freshnessEvery is the interval at which the state of the lease is noted.
@@ -182,13 +174,9 @@
 	}
 	if d.config.Fresh() {
 		d.entry.Fresh.Update(1)
-		if len(d.life.step("synced")) > 0 {
-			d.log.Log(event.LeaseRegained).Send()
-		}
+		d.step(eventSynced)
 		return
 	}
 	d.entry.Fresh.Update(0)
-	if len(d.life.step("lease_lost")) > 0 {
-		d.log.Log(event.LeaseLost).Send()
-	}
+	d.step(eventLeaseLost)
 }
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -141,9 +141,11 @@
 
 // fakeQuarantine counts broken requests.
 type fakeQuarantine struct {
-	mu      sync.Mutex
-	broken  int
-	blocked *fault.Error
+	mu     sync.Mutex
+	broken int
+	// onBroken, when set, is called for each broken request.
+	onBroken func()
+	blocked  *fault.Error
 }
 
 func (q *fakeQuarantine) Blocked(string, string) *fault.Error {
@@ -169,6 +171,9 @@
 	t.q.mu.Lock()
 	defer t.q.mu.Unlock()
 	t.q.broken++
+	if t.q.onBroken != nil {
+		t.q.onBroken()
+	}
 }
 
 func (fakeTry) Completed() {}
@@ -180,12 +185,13 @@
 	slots      *fakeSlots
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
+	tracing    *telemetry.Tracing
+	forwarder  *Forwarder
 	front      *httptest.Server
 }
 
-// newRig starts a forwarder that sends requests below /s to the addresses.
-func newRig(t *testing.T, addresses ...string) *rig {
-	t.Helper()
+// newFakes returns the fakes for requests below /s that go to the addresses.
+func newFakes(addresses ...string) *rig {
 	cfg := &catalogpb.Config{
 		Revision: 1,
 		Services: []*catalogpb.Service{{Name: "s", PathPrefix: "/s", TimeoutMs: 5000}},
@@ -195,28 +201,41 @@
 			{Service: "s", Name: "pay", Method: "POST", PathPattern: "/pay/:id", KeyRequired: true},
 		},
 	}
-	r := &rig{
+	return &rig{
 		source:     &fakeSource{view: view.New(cfg)},
 		slots:      &fakeSlots{addresses: addresses},
 		claims:     newFakeClaims(),
 		quarantine: &fakeQuarantine{},
+		tracing:    telemetry.Off(),
 	}
-	f := New(Options{
+}
+
+// newForwarder returns a forwarder over the fakes.
+func newForwarder(r *rig) *Forwarder {
+	return New(Options{
 		Source:          r.source,
 		Slots:           r.slots,
 		Claims:          r.claims,
 		Quarantine:      r.quarantine,
 		Limiter:         admit.NewLimiter(100),
 		Transport:       NewTransport(nil),
-		Tracing:         telemetry.Off(),
+		Tracing:         r.tracing,
 		Metrics:         telemetry.NewEntryMetrics(tally.NoopScope),
 		Leaving:         func() bool { return false },
 		MaxBodyBytes:    256 << 20,
 		BodyIdleTimeout: 5 * time.Second,
 		MaxKeptBytes:    16 << 10,
 		MaxAttempts:     3,
+		Hedges:          true,
 	})
-	r.front = httptest.NewServer(f)
+}
+
+// newRig starts a forwarder that sends requests below /s to the addresses.
+func newRig(t *testing.T, addresses ...string) *rig {
+	t.Helper()
+	r := newFakes(addresses...)
+	r.forwarder = newForwarder(r)
+	r.front = httptest.NewServer(r.forwarder)
 	t.Cleanup(r.front.Close)
 	return r
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,8 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/chart"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/slot"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
 // attempt watches one request on its way to one upstream.
@@ -24,6 +26,8 @@
 	// request may have reached the upstream.
 	connected atomic.Bool
 	newConn   atomic.Bool
+	// err is set when the attempt gave no answer to pass on.
+	err *fault.Error
 }
 
 // send makes one attempt at the granted upstream.
@@ -37,10 +41,10 @@
 		return ev
 	}
 	c.attempts++
-	ctx, span := c.f.opts.Tracing.Start(c.ctx, "upstream")
-	defer span.End()
-	a := &attempt{started: time.Now()}
-	resp, err := c.f.opts.Transport.RoundTrip(c.request(a.trace(ctx, c.w)))
+	ctx, span := c.startSpan(telemetry.SpanUpstream)
+	describeGrant(span, c.grant)
+	a, resp, err := c.exchange(ctx)
+	defer func() { endSpan(span, a.err) }()
 	c.f.opts.Metrics.Upstream.RecordDuration(time.Since(a.started))
 	if a.newConn.Load() {
 		c.f.opts.Metrics.Connections.Inc(1)
@@ -58,8 +62,7 @@
 // recheck makes sure that the grant may still be used: the process may have
 // been stopped for longer than its lease since the call was admitted.
 func (c *call) recheck() chart.Event {
-	src := c.f.opts.Source
-	if !src.Fresh() || !src.View().ZoneOpen(c.grant.Cell.Zone) {
+	if !c.usable(c.grant) {
 		return c.unsent(fault.New(fault.NotFresh, "configuration changed before the request was sent"))
 	}
 	if c.ctx.Err() != nil {
@@ -89,11 +92,11 @@
 	}
 }
 
-// request builds the request for the upstream.
-func (c *call) request(ctx context.Context) *http.Request {
+// request builds the request for the granted upstream.
+func (c *call) request(ctx context.Context, g slot.Grant) *http.Request {
 	out := &http.Request{
 		Method:        c.r.Method,
-		URL:           &url.URL{Scheme: "http", Host: c.grant.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
+		URL:           &url.URL{Scheme: "http", Host: g.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
 		Host:          c.r.Host,
 		Header:        copyEndToEnd(c.r.Header),
 		Body:          c.body.open(),
@@ -133,37 +136,37 @@
 
 // trace returns ctx with hooks that watch the attempt, and that pass interim
 // answers on to the caller.
-func (a *attempt) trace(ctx context.Context, w http.ResponseWriter) context.Context {
+func (a *attempt) trace(ctx context.Context, c *call) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.connected.Store(true)
 			a.newConn.Store(!info.Reused)
 		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
-			if code == http.StatusContinue {
-				return nil
-			}
-			for name, values := range header {
-				w.Header()[name] = values
-			}
-			w.WriteHeader(code)
-			return nil
+			return c.interim.pass(c.w, code, header)
 		},
 	})
 }
 
 // sendFailed sorts out an attempt without an answer.
 func (c *call) sendFailed(a *attempt, err error) chart.Event {
-	took := time.Since(a.started)
 	if !a.connected.Load() {
 		return c.notRun(clusterpb.Outcome_OUTCOME_UNREACHABLE, a, fault.New(fault.NoUpstream, "connecting to %s: %v", c.grant.Upstream, err))
 	}
+	return c.broken(a, fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
+}
+
+// broken handles an attempt that may have run and gave no whole answer.
+func (c *call) broken(a *attempt, err *fault.Error) chart.Event {
+	took := time.Since(a.started)
 	if c.ctx.Err() != nil {
+		a.err = c.cancelFault()
 		c.release(clusterpb.Outcome_OUTCOME_CANCELLED, took, a.newConn.Load())
-		return c.lost(c.cancelFault())
+		return c.lost(a.err)
 	}
+	a.err = err
 	c.release(clusterpb.Outcome_OUTCOME_BROKEN, took, a.newConn.Load())
-	return c.retryOrLose(fault.New(fault.UpstreamBroken, "%s: %v", c.grant.Upstream, err))
+	return c.retryOrLose(err)
 }
 
 // cancelFault tells a caller that went away from a deadline that passed.
@@ -176,6 +179,7 @@
 
 // notRun handles an attempt that the upstream did not run.
 func (c *call) notRun(outcome clusterpb.Outcome, a *attempt, err *fault.Error) chart.Event {
+	a.err = err
 	c.release(outcome, time.Since(a.started), a.newConn.Load())
 	if c.mayRetry() {
 		c.err = err
