Ask for a repair while the new replica stands still, resend an early change

The repair must not be reported complete while the new control process is stopped: reported early (one condition in control.AddMember forced to true), the test fails; before, the learner caught up before the command ended and the test could not tell.

--- a/internal/testbed/disk_test.go
+++ b/internal/testbed/disk_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -88,9 +89,13 @@
 	c.checkInert()
 	wiped.kill()
 
-	c.addControl()
+	added := c.addControl()
+	added.signal(syscall.SIGSTOP)
+	out, err := c.replaceControl(shortWait)
+	assert.Assert(t, err != nil, "the repair was reported complete while the new replica stood still:\n%s", out)
+	added.signal(syscall.SIGCONT)
 	waitFor(t, "repair", func() string {
-		out, err := c.admin("member", "add", "4", "--address", c.controlCluster[3], "--zone", zones[3], "--replaces", "2", "--wait", repairWait)
+		out, err := c.replaceControl(repairWait)
 		if err != nil {
 			return out
 		}
@@ -101,6 +106,11 @@
 	c.checkServices(names)
 }
 
+// replaceControl asks for replica 4 in place of replica 2.
+func (c *cluster) replaceControl(wait string) (string, error) {
+	return c.admin("member", "add", "4", "--address", c.controlCluster[3], "--zone", zones[3], "--replaces", "2", "--wait", wait)
+}
+
 // checkInert fails when the wiped replica stands as live or has caught up.
 func (c *cluster) checkInert() {
 	c.t.Helper()
--- a/internal/testbed/restart_test.go
+++ b/internal/testbed/restart_test.go
@@ -111,10 +111,10 @@
 	c := newClusterWith(t, 3, 2, "snapshot_every = 100\n")
 	c.configure()
 	o := newOperator(c, "tester", operatorKey)
-	var last *catalogpb.ChangeResult
-	for n := range manyChanges {
-		last = o.apply(uint64(n+1), ruleOf(n))
-		assert.Equal(t, last.GetOutcome(), catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED)
+	results := make([]*catalogpb.ChangeResult, manyChanges)
+	for n := range results {
+		results[n] = o.apply(uint64(n+1), ruleOf(n))
+		assert.Equal(t, results[n].GetOutcome(), catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED)
 	}
 	for _, p := range c.controls {
 		p.signal(syscall.SIGKILL)
@@ -126,14 +126,16 @@
 		p.start()
 	}
 	checkRules(t, o.config())
-	again := o.apply(manyChanges, ruleOf(manyChanges-1))
-	assert.Assert(t, proto.Equal(again, last), "resend answered %v after %v", again, last)
+	for _, n := range []int{0, manyChanges - 1} {
+		again := o.apply(uint64(n+1), ruleOf(n))
+		assert.Assert(t, proto.Equal(again, results[n]), "resend answered %v after %v", again, results[n])
+	}
 	other := o.apply(manyChanges, ruleOf(0))
 	assert.Equal(t, other.GetOutcome(), catalogpb.ChangeOutcome_CHANGE_OUTCOME_CONFLICT)
 	added := &catalogpb.Rule{Service: "booking", Name: "added", Method: "GET", PathPattern: "/added"}
 	foreign := newOperator(c, "another", anotherKey).apply(manyChanges, added)
 	assert.Equal(t, foreign.GetOutcome(), catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED)
-	assert.Assert(t, foreign.GetRevision() > last.GetRevision())
+	assert.Assert(t, foreign.GetRevision() > results[manyChanges-1].GetRevision())
 	checkRules(t, o.config())
 }
 
