--- a/internal/testbed/freeze_test.go
+++ b/internal/testbed/freeze_test.go
@@ -48,10 +48,10 @@
 	assert.Equal(t, runsIn(ups, "b"), before, "runs in an availability zone after its departure was accepted")
 }
 
-// TestFrozenEntryWakesUnderLoad freezes an entry VM with calls in flight for
-// longer than its lease, while an availability zone is taken out. Calls sent as
-// soon as the process goes on must not reach that zone, and each whole answer
-// comes from the other one.
+// TestFrozenEntryWakesUnderLoad freezes the entry VM that dispatches the cell
+// of an availability zone, with calls in flight and for longer than its lease,
+// while that zone is taken out. Calls sent as soon as the process goes on must
+// not reach that zone, and each whole answer comes from the other one.
 func TestFrozenEntryWakesUnderLoad(t *testing.T) {
 	c := newCluster(t, 3, 4)
 	c.configure()
@@ -59,12 +59,13 @@
 	for i := range c.entries {
 		waitFor(t, "call", func() string { return c.serves(i) })
 	}
+	frozen := c.dispatcherOf("booking", "b")
 	var stop atomic.Bool
 	var load conc.WaitGroup
 	for range waitingCalls {
 		load.Go(func() {
 			for !stop.Load() {
-				call(c.callers[0], "GET", "/booking/dates", "")
+				call(c.callers[frozen], "GET", "/booking/dates", "")
 			}
 		})
 	}
@@ -74,28 +75,44 @@
 		}
 		return ""
 	})
-	frozen := c.entries[0]
-	frozen.signal(syscall.SIGSTOP)
+	c.entries[frozen].signal(syscall.SIGSTOP)
 	end := time.Now().Add(longFreeze)
 	c.mustAdmin("zone", "take-out", "b")
 	time.Sleep(time.Until(end))
 	before := runsIn(ups, "b")
-	frozen.signal(syscall.SIGCONT)
+	c.entries[frozen].signal(syscall.SIGCONT)
 	u := newCaller(c)
 	for range callsAfter {
-		r := u.send(c.callers[0], "GET", "/booking/dates", "")
+		r := u.send(c.callers[frozen], "GET", "/booking/dates", "")
 		if r.err == nil && r.status == http.StatusOK {
 			id := strings.TrimSpace(r.body[strings.LastIndex(r.body, "up-"):])
 			assert.Assert(t, zoneOf(ups, id) != "b", "answered by %s", id)
 		}
 	}
-	waitFor(t, "call through the entry VM that was frozen", func() string { return c.serves(0) })
+	waitFor(t, "call through the entry VM that was frozen", func() string { return c.serves(frozen) })
 	stop.Store(true)
 	load.Wait()
 	u.client.CloseIdleConnections()
 	assert.Equal(t, runsIn(ups, "b"), before, "runs in an availability zone after its departure was accepted")
 }
 
+// dispatcherOf returns the number of the entry VM that dispatches a cell.
+func (c *cluster) dispatcherOf(service, zone string) int {
+	c.t.Helper()
+	for _, cell := range newOperator(c, "tester", operatorKey).config().GetCells() {
+		if cell.GetService() != service || cell.GetZone() != zone {
+			continue
+		}
+		for i, p := range c.entries {
+			if p.name == cell.GetEntry() {
+				return i
+			}
+		}
+	}
+	c.t.Fatalf("no entry VM dispatches %s in %s", service, zone)
+	return 0
+}
+
 // zoneOf returns the availability zone of an upstream.
 func zoneOf(ups []*Upstream, id string) string {
 	for _, u := range ups {
--- a/internal/testbed/loss_test.go
+++ b/internal/testbed/loss_test.go
@@ -30,7 +30,8 @@
 }
 
 // TestPaymentsThroughLosses kills two entry VMs at once under resending payers,
-// and another one as soon as a restarted one serves again.
+// and another one as soon as a restarted one serves again. Each payment is sent
+// once more after the losses.
 func TestPaymentsThroughLosses(t *testing.T) {
 	c := newCluster(t, 3, 6)
 	c.configure()
@@ -54,10 +55,20 @@
 		c.entries[2].start()
 	}()
 	all := payAll(c, faults)
-	checkPayments(t, ups, all)
 	for i := range c.entries {
 		waitFor(t, "call after the faults", func() string { return c.serves(i) })
 	}
+	c.resendAll(all)
+	checkPayments(t, ups, all)
+}
+
+// resendAll sends each payment once more.
+func (c *cluster) resendAll(all map[string][]reply) {
+	u := newCaller(c)
+	defer u.client.CloseIdleConnections()
+	for key := range all {
+		all[key] = append(all[key], u.send("", "POST", "/booking/pay/7", key))
+	}
 }
 
 // servesWithin waits until the entry VM serves. Unlike waitFor it may be used
