--- a/internal/cli/admin_service.go
+++ b/internal/cli/admin_service.go
@@ -38,7 +38,7 @@
 	f.Uint32Var(&s.ProbeCostMs, "probe-cost-ms", 6, "slot time that one probe is charged")
 	f.Uint32Var(&s.QueueLimit, "queue-limit", 64, "most requests that wait for a slot in one cell")
 	f.Uint32Var(&s.TimeoutMs, "timeout-ms", 10_000, "time for one call when the caller states no deadline")
-	f.Uint32Var(&s.RetryBudgetPermille, "retry-budget-permille", 100, "retries as a share of successful answers")
+	f.Uint32Var(&s.RetryBudgetPermille, "retry-budget-permille", 100, "retries and hedges as a share of successful answers")
 	f.Uint32Var(&s.Shards, "shards", 1, "cells for each availability zone")
 	return cmd
 }
