--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -42,8 +42,8 @@
 	}
 	c.attempts++
 	ctx, span := c.startSpan(telemetry.SpanUpstream)
-	describeGrant(span, c.grant)
 	a, resp, err := c.exchange(ctx)
+	describeGrant(span, c.grant)
 	defer func() { endSpan(span, a.err) }()
 	c.f.opts.Metrics.Upstream.RecordDuration(time.Since(a.started))
 	if a.newConn.Load() {
