Keep what entry VMs hold when a control group is rebuilt from a false branch

Cause: the survivor's log may end in changes of a leader that was cut off and never committed them, at revisions beyond those that the lost majority got accepted; the newer number won, and an accepted change was taken back. Found by reading. Now the log's end counts only if the log leads through the newest configuration that the entry VMs hold; TestAnUncommittedBranchGivesWay fails before and passes after. Also: a control daemon whose replica ends by itself (a failed disk) exits with an error, it makes spans for operators' calls, and a hedge that was not sent gives its budget back.

--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -18,6 +18,7 @@
 	"balsamcourse.example/balsamcourse/internal/access"
 	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/replica"
 	"balsamcourse.example/balsamcourse/internal/settings"
@@ -36,6 +37,7 @@
 	settings settings.Control
 	log      event.Logger
 	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
 	keys     keys
 	node     *replica.Node
 	peers    *replica.TwirpTransport
@@ -66,12 +68,12 @@
 	workers.Go(func() { d.sampleReplica(runCtx) })
 	d.watchKeys(runCtx, &workers)
 	d.log.Log(event.Started).Str("cluster", s.ClusterAddress).Send()
-	d.wait(ctx, planned)
+	ended := d.wait(ctx, planned)
 	d.close(ctx)
 	cancel()
 	workers.Wait()
 	d.log.Log(event.Stopped).Send()
-	return nil
+	return ended
 }
 
 func newDaemon(s settings.Control, logs io.Writer) (*Daemon, error) {
@@ -80,7 +82,12 @@
 		return nil, errors.Trace(err)
 	}
 	id := formatID(s.ID)
+	tracing, err := telemetry.NewTracing(context.Background(), s.Trace, "control", formatID(s.ID))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	d := &Daemon{
+		tracing:  tracing,
 		settings: s,
 		log:      event.NewLogger(logs, level, "control", id),
 		metrics:  telemetry.NewMetrics("control", id),
@@ -153,7 +160,7 @@
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.control.DistributionHandler())
 	cluster.Handle(adminpb.AdminPathPrefix, d.control.PeerAdminHandler())
 	operators := http.NewServeMux()
-	operators.Handle(adminpb.AdminPathPrefix, d.control.AdminHandler())
+	operators.Handle(adminpb.AdminPathPrefix, d.tracing.Wrap("admin", d.control.AdminHandler()))
 	if err := d.serve(d.settings.ClusterListen, access.NewGuard(d.keys.cluster, d.log, nil).Wrap(telemetry.CountCalls(d.metrics, cluster))); err != nil {
 		return err
 	}
@@ -190,12 +197,16 @@
 	}
 }
 
-// wait returns when the daemon is asked to stop or its replica has ended.
-func (d *Daemon) wait(ctx context.Context, planned <-chan struct{}) {
+// wait returns when the daemon is asked to stop, or with an error when its
+// replica has ended by itself.
+func (d *Daemon) wait(ctx context.Context, planned <-chan struct{}) error {
 	select {
 	case <-ctx.Done():
+		return nil
 	case <-planned:
+		return nil
 	case <-d.node.Done():
+		return fault.New(fault.DiskFailed, "the replica has ended; see the event log")
 	}
 }
 
@@ -214,5 +225,6 @@
 	}
 	_ = d.node.Stop(stop)
 	d.peers.Close()
+	_ = d.tracing.Shutdown(stop)
 	_ = d.metrics.Close()
 }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -90,6 +90,7 @@
 		if try != nil {
 			try.Abandoned()
 		}
+		c.f.retries.refund(c.service)
 		c.f.opts.Slots.Release(g, slot.Result{Outcome: clusterpb.Outcome_OUTCOME_UNUSED})
 		return nil
 	}
--- a/internal/rebuild/entries.go
+++ b/internal/rebuild/entries.go
@@ -20,7 +20,7 @@
 	Registered int
 	Answered   int
 	// Newest is the newest configuration that one of them holds; nil when none
-	// is newer than that of the replica.
+	// answered.
 	Newest *catalogpb.Config
 	// Missing lists the entry VMs that did not answer.
 	Missing []string
@@ -32,21 +32,19 @@
 	known := s.Config()
 	for {
 		a := askAll(ctx, client, known)
-		if a.Newest == nil {
-			if known.GetRevision() > s.Config().GetRevision() {
-				a.Newest = known
-			}
+		if a.Newest.GetRevision() <= known.GetRevision() {
 			return a
 		}
 		known = a.Newest
 	}
 }
 
-// askAll asks the entry VMs registered in known for a newer configuration.
+// askAll asks the entry VMs registered in known for their configurations. Only
+// committed ones reach entry VMs.
 func askAll(ctx context.Context, client *http.Client, known *catalogpb.Config) Asked {
 	entries := known.GetEntries()
 	answers := iter.Map(entries, func(e **catalogpb.Entry) *clusterpb.ConfirmResponse {
-		return askOne(ctx, client, (*e).GetClusterAddress(), known.GetRevision())
+		return askOne(ctx, client, (*e).GetClusterAddress())
 	})
 	a := Asked{Registered: len(entries)}
 	for i, answer := range answers {
@@ -55,19 +53,20 @@
 			continue
 		}
 		a.Answered++
-		if config := answer.GetConfig(); config.GetRevision() > max(known.GetRevision(), a.Newest.GetRevision()) {
+		if config := answer.GetConfig(); config.GetRevision() > a.Newest.GetRevision() {
 			a.Newest = config
 		}
 	}
 	return a
 }
 
-// askOne returns nil when the entry VM does not answer.
-func askOne(ctx context.Context, client *http.Client, address string, revision uint64) *clusterpb.ConfirmResponse {
+// askOne asks for a configuration of any revision. It returns nil when the
+// entry VM does not answer.
+func askOne(ctx context.Context, client *http.Client, address string) *clusterpb.ConfirmResponse {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	entry := clusterpb.NewDistributionProtobufClient("http://"+address, client)
-	resp, err := entry.Confirm(ctx, &clusterpb.ConfirmRequest{Revision: revision})
+	resp, err := entry.Confirm(ctx, &clusterpb.ConfirmRequest{})
 	if err != nil {
 		return nil
 	}
--- a/internal/rebuild/rebuild.go
+++ b/internal/rebuild/rebuild.go
@@ -1,8 +1,8 @@
 // Package rebuild makes a new control group of one replica out of a replica
 // that has outlived its quorum.
 //
-// The new group starts from the newest configuration that the replica or one of
-// the entry VMs holds, at a log index and a term beyond any that the old group
+// The new group starts from the configuration of the replica's log, or from the
+// newest one that an entry VM holds when the log does not lead through it, at a log index and a term beyond any that the old group
 // can have reached. It therefore never takes back an accepted change, as long
 // as a majority of the entry VMs was asked, and every entry VM adopts it.
 package rebuild
@@ -34,6 +34,8 @@
 	LastIndex uint64
 	Members   []*catalogpb.ControlMember
 	catalog   *catalog.Catalog
+	// chain holds the configurations that the log leads through, oldest first.
+	chain []*catalogpb.Config
 }
 
 // Read returns what the log record of replica id holds. Changes that may not
@@ -53,6 +55,7 @@
 			return nil, errors.Trace(err)
 		}
 	}
+	s.chain = []*catalogpb.Config{s.Config()}
 	for _, e := range rec.GetEntries() {
 		if e.GetIndex() > snap.GetIndex() {
 			s.add(e)
@@ -68,6 +71,7 @@
 		s.Members = m.GetMembers()
 	}
 	s.catalog.Apply(e.GetIndex(), e.GetData())
+	s.chain = append(s.chain, s.Config())
 }
 
 // Config returns the newest configuration in the log.
@@ -108,13 +112,28 @@
 	return nil
 }
 
-// Rewrite returns the log of the new group, in which this replica is the only
-// member and newest is in force. A nil newest stands for the configuration in
-// the log.
-func (s *Survey) Rewrite(newest *catalogpb.Config) (*clusterpb.LogRecord, error) {
-	if newest == nil || newest.GetRevision() < s.Config().GetRevision() {
-		newest = s.Config()
+// choose returns the configuration for the new group, where held is the newest
+// one that an entry VM holds; nil when none answered. The end of the log may be
+// a branch that never was committed, of a leader that was cut off: it counts
+// only if the log leads through what the entry VMs hold.
+func (s *Survey) choose(held *catalogpb.Config) *catalogpb.Config {
+	if held == nil || held.GetRevision() < s.chain[0].GetRevision() {
+		return s.Config()
+	}
+	for _, c := range s.chain {
+		if c.GetRevision() == held.GetRevision() && proto.Equal(c, held) {
+			return s.Config()
+		}
 	}
+	return held
+}
+
+// Rewrite returns the log of the new group, in which this replica is the only
+// member. In force is what its log holds, or held, the newest configuration of
+// the entry VMs, when the log does not lead through it. A nil held stands for
+// no answer.
+func (s *Survey) Rewrite(held *catalogpb.Config) (*clusterpb.LogRecord, error) {
+	newest := s.choose(held)
 	index := max(s.LastIndex, newest.GetRevision()) + indexGap
 	term := s.Term + termGap
 	data, err := s.encode(newest, index)
--- a/internal/rebuild/rebuild_test.go
+++ b/internal/rebuild/rebuild_test.go
@@ -64,6 +64,31 @@
 	return names
 }
 
+// The end of the survivor's log is a branch that was never committed, while the
+// lost majority committed and got accepted another change.
+func TestAnUncommittedBranchGivesWay(t *testing.T) {
+	accepted := catalog.New()
+	accepted.Apply(2, putZone(t, 1, "a"))
+	common := proto.CloneOf(accepted.Config())
+	accepted.Apply(3, putZone(t, 2, "b"))
+	s, err := Read(1, record(putZone(t, 1, "a"), putZone(t, 3, "x"), putZone(t, 4, "y")))
+	assert.NilError(t, err)
+	assert.Assert(t, s.Config().GetRevision() > accepted.Config().GetRevision())
+
+	rec, err := s.Rewrite(accepted.Config())
+	assert.NilError(t, err)
+	after, err := Read(1, rec)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, zones(after.Config()), []string{"a", "b"})
+
+	// The log leads through what the entry VMs hold: its end is kept.
+	rec, err = s.Rewrite(common)
+	assert.NilError(t, err)
+	after, err = Read(1, rec)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, zones(after.Config()), []string{"a", "x", "y"})
+}
+
 func TestTheNewGroupKeepsTheNewestConfiguration(t *testing.T) {
 	ahead := catalog.New()
 	for i, name := range []string{"a", "b"} {
