--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -146,7 +146,7 @@
 // SetFalseLoad makes the stand-in report no load whatever it does.
 func (u *Upstream) SetFalseLoad(on bool) { u.falseLoad.Store(on) }
 
-// Stall stops all work for d, as a noisy neighbour does.
+// Stall stops all work for d, as an overloaded host does.
 func (u *Upstream) Stall(d time.Duration) {
 	u.stallUntil.Store(time.Now().Add(d).UnixNano())
 }
