--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -29,7 +29,7 @@
 // # Disks
 //
 // Each data folder carries a random disk id. The membership names a replica
-// by its id and its disk. A replica that lost its disk is therefore a stranger
-// to its group: its votes and acknowledgements do not count, and it must come
+// by its id and its disk. A replica that lost its disk is therefore no member
+// of its group: its votes and acknowledgements do not count, and it must come
 // back as a learner under a new replica id.
 package consensus
