Let an entry VM that holds an old configuration ask the others

Cause: a restarted entry VM, with the control quorum lost, got a configuration from the surviving control VM that did not yet hold its own registration (the last revision was committed, but its commit was not known there). Not being registered, it asked nobody, and stayed stale until control came back. Ruled out: its claims, and the answers of the others, which were never asked for. Change: it asks although it is not registered, and learns the newer revision from the answers; safety does not rest on who asks. After: the test and the tests of configsync pass once each; the race itself was not produced again.

--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -38,7 +38,10 @@
 }
 
 // confirmPeers starts a round when the lease is about to end. Confirmations
-// that could not be used are not asked for, since they delay acceptance.
+// that could not be used are not asked for, since they delay acceptance. An entry
+// VM that is not registered in the configuration it holds asks as well: it may
+// hold an old one, from a control VM without a quorum, and learns the newer one
+// from the answers.
 func (l *loop) confirmPeers(now time.Duration) {
 	if now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
 		return
@@ -46,9 +49,6 @@
 	if !l.renewalLate(now) {
 		return
 	}
-	if l.view != nil && !l.state.Registered() {
-		return
-	}
 	l.confirm.next = now + confirmInterval
 	l.askAll(l.peerKeys(), l.state.Revision())
 }
