End every attempt in one place, and hash a request once a call

Found on reading the whole change: hedges repeated the mapping from outcome to quarantine and slot that release already had; the fingerprint was hashed again for each attempt. Behaviour and tests are unchanged.

--- a/internal/forward/acquire.go
+++ b/internal/forward/acquire.go
@@ -95,25 +95,25 @@
 
 // release ends the grant and the attempt.
 func (c *call) release(outcome clusterpb.Outcome, took time.Duration, newConn bool) {
-	c.endTry(outcome)
 	if !c.granted {
 		return
 	}
-	c.granted = false
-	c.f.opts.Slots.Release(c.grant, slot.Result{Outcome: outcome, ServiceTime: took, NewConnection: newConn})
+	try := c.try
+	c.granted, c.try = false, nil
+	c.f.endAttempt(c.grant, try, slot.Result{Outcome: outcome, ServiceTime: took, NewConnection: newConn})
 }
 
-// endTry tells the quarantine how the attempt ended.
-func (c *call) endTry(outcome clusterpb.Outcome) {
-	try := c.try
-	c.try = nil
+// endAttempt tells the quarantine how an attempt ended and gives its slot back.
+// try is nil when the attempt ended before the quarantine was asked.
+func (f *Forwarder) endAttempt(g slot.Grant, try Try, r slot.Result) {
 	switch {
 	case try == nil:
-	case outcome == clusterpb.Outcome_OUTCOME_BROKEN:
-		try.Crashed(c.grant.Upstream, c.grant.Incarnation)
-	case outcome == clusterpb.Outcome_OUTCOME_OK, outcome == clusterpb.Outcome_OUTCOME_FAILED:
+	case r.Outcome == clusterpb.Outcome_OUTCOME_BROKEN:
+		try.Crashed(g.Upstream, g.Incarnation)
+	case r.Outcome == clusterpb.Outcome_OUTCOME_OK, r.Outcome == clusterpb.Outcome_OUTCOME_FAILED:
 		try.Completed()
 	default:
 		try.Abandoned()
 	}
+	f.opts.Slots.Release(g, r)
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,8 +38,10 @@
 	policy  policy
 	key     string
 	body    *requestBody
-	state   chart.State
-	span    trace.Span
+	// fingerprint identifies the request to the quarantine.
+	fingerprint string
+	state       chart.State
+	span        trace.Span
 
 	// ctx ends at the deadline and, unless the call holds a claim, when the
 	// caller goes away.
@@ -160,7 +162,8 @@
 		return c.fail(err)
 	}
 	c.body = body
-	if e := c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint()); e != nil {
+	c.fingerprint = fingerprint(c.r, body.digest)
+	if e := c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint); e != nil {
 		return c.fail(e)
 	}
 	if c.needsClaim() {
@@ -169,10 +172,6 @@
 	return "admitted"
 }
 
-func (c *call) fingerprint() string {
-	return fingerprint(c.r, c.body.digest)
-}
-
 func (c *call) fail(err error) chart.Event {
 	c.err = err
 	if c.mayHaveRun != nil {
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -85,7 +85,7 @@
 		c.f.retries.refund(c.service)
 		return nil
 	}
-	try, refusal := c.f.opts.Quarantine.Enter(ctx, c.service.Name, c.fingerprint())
+	try, refusal := c.f.opts.Quarantine.Enter(ctx, c.service.Name, c.fingerprint)
 	if refusal != nil || !c.usable(g) {
 		if try != nil {
 			try.Abandoned()
@@ -133,35 +133,31 @@
 	if s.resp != nil {
 		_ = s.resp.Body.Close()
 	}
-	took := time.Since(s.attempt.started)
-	c.f.paces.add(c.service.Name, took)
-	s.try.Abandoned()
-	c.f.opts.Slots.Release(s.grant, slot.Result{
-		Outcome:       clusterpb.Outcome_OUTCOME_CANCELLED,
-		ServiceTime:   took,
-		NewConnection: s.attempt.newConn.Load(),
-	})
+	c.f.paces.add(c.service.Name, time.Since(s.attempt.started))
+	c.endShot(s, clusterpb.Outcome_OUTCOME_CANCELLED)
 }
 
 // settle ends an attempt that failed while the other still runs.
 func (c *call) settle(s *shot) {
-	result := slot.Result{ServiceTime: time.Since(s.attempt.started), NewConnection: s.attempt.newConn.Load()}
+	c.avoid = append(c.avoid, s.grant.Upstream)
 	switch {
 	case s.err == nil:
 		drainAndClose(s.resp.Body)
-		result.Outcome = clusterpb.Outcome_OUTCOME_SHED
-		s.try.Abandoned()
+		c.endShot(s, clusterpb.Outcome_OUTCOME_SHED)
 	case !s.attempt.connected.Load():
-		result.Outcome = clusterpb.Outcome_OUTCOME_UNREACHABLE
-		s.try.Abandoned()
+		c.endShot(s, clusterpb.Outcome_OUTCOME_UNREACHABLE)
 	case c.ctx.Err() != nil:
-		result.Outcome = clusterpb.Outcome_OUTCOME_CANCELLED
-		s.try.Abandoned()
+		c.endShot(s, clusterpb.Outcome_OUTCOME_CANCELLED)
 	default:
-		result.Outcome = clusterpb.Outcome_OUTCOME_BROKEN
 		c.mayHaveRun = fault.New(fault.UpstreamBroken, "%s: %v", s.grant.Upstream, s.err)
-		s.try.Crashed(s.grant.Upstream, s.grant.Incarnation)
+		c.endShot(s, clusterpb.Outcome_OUTCOME_BROKEN)
 	}
-	c.avoid = append(c.avoid, s.grant.Upstream)
-	c.f.opts.Slots.Release(s.grant, result)
+}
+
+func (c *call) endShot(s *shot, outcome clusterpb.Outcome) {
+	c.f.endAttempt(s.grant, s.try, slot.Result{
+		Outcome:       outcome,
+		ServiceTime:   time.Since(s.attempt.started),
+		NewConnection: s.attempt.newConn.Load(),
+	})
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -32,7 +32,7 @@
 
 // send makes one attempt at the granted upstream.
 func (c *call) send() chart.Event {
-	try, refusal := c.f.opts.Quarantine.Enter(c.ctx, c.service.Name, c.fingerprint())
+	try, refusal := c.f.opts.Quarantine.Enter(c.ctx, c.service.Name, c.fingerprint)
 	if refusal != nil {
 		return c.unsent(refusal)
 	}
@@ -192,7 +192,7 @@
 
 // retryOrLose handles an attempt that may have run.
 func (c *call) retryOrLose(err *fault.Error) chart.Event {
-	if c.policy.repeatable && c.mayRetry() && c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint()) == nil {
+	if c.policy.repeatable && c.mayRetry() && c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint) == nil {
 		c.err = err
 		c.mayHaveRun = err
 		c.avoid = append(c.avoid, c.grant.Upstream)
