Use one piece of code for what stood twice: free addresses, ticker loop, serving waits

dev and experiment each reserved addresses; the relay wrote wait.Every again; eight process tests repeated the loop that waits until entry VMs serve. The tests keep their assertions.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -38,7 +37,7 @@
 		return errors.Trace(err)
 	}
 	defer cleanup()
-	addresses, err := reserve(3)
+	addresses, err := testbed.FreeAddresses(3)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -102,20 +101,6 @@
 	return tmp, func() { _ = os.RemoveAll(tmp) }, err
 }
 
-// reserve returns n loopback addresses that nobody listens on.
-func reserve(n int) ([]string, error) {
-	out := make([]string, n)
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		defer func() { _ = l.Close() }()
-		out[i] = l.Addr().String()
-	}
-	return out, nil
-}
-
 func controlSettings(o cli.DevOptions, dir, cluster string) settings.Control {
 	s := settings.DefaultControl()
 	s.ID = 1
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -11,6 +11,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/dispatch"
 	"balsamcourse.example/balsamcourse/internal/view"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -134,16 +135,7 @@
 }
 
 func (r *relay) run(ctx context.Context) {
-	tick := time.NewTicker(relayEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.flush(ctx)
-		}
-	}
+	wait.Every(ctx, relayEvery, func() { r.flush(ctx) })
 }
 
 // flush sends the fresh announcements to those who need them.
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -74,7 +73,7 @@
 }
 
 func (s *system) boot(ctx context.Context, policy string, draw func(*rand.Rand) time.Duration) error {
-	ports, err := reserve(2 + 3*s.d.Entries)
+	ports, err := testbed.FreeAddresses(2 + 3*s.d.Entries)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -247,17 +246,3 @@
 	s.client.CloseIdleConnections()
 	_ = os.RemoveAll(s.dir)
 }
-
-// reserve returns n loopback addresses that nobody listens on.
-func reserve(n int) ([]string, error) {
-	out := make([]string, n)
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		defer func() { _ = l.Close() }()
-		out[i] = l.Addr().String()
-	}
-	return out, nil
-}
--- a/internal/testbed/fault_test.go
+++ b/internal/testbed/fault_test.go
@@ -154,9 +154,7 @@
 	c := newCluster(t, 3, 5)
 	c.configure()
 	ups := c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	c.awaitClaims()
 	faults := make(chan struct{})
 	go func() {
@@ -171,9 +169,7 @@
 	}()
 	all := payAll(c, faults)
 	checkPayments(t, ups, all)
-	for i := range c.entries {
-		waitFor(t, "call after the faults", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call after the faults")
 }
 
 // TestCrashingRequestIsHeldOff sends a request that crashes every upstream
--- a/internal/testbed/freeze_test.go
+++ b/internal/testbed/freeze_test.go
@@ -28,9 +28,7 @@
 	c := newCluster(t, 3, 4)
 	c.configure()
 	ups := c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	frozen := c.entries[0]
 	frozen.signal(syscall.SIGSTOP)
 	start := time.Now()
@@ -56,9 +54,7 @@
 	c := newCluster(t, 3, 4)
 	c.configure()
 	ups := c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	frozen := c.dispatcherOf("booking", "b")
 	var stop atomic.Bool
 	var load conc.WaitGroup
--- a/internal/testbed/loss_test.go
+++ b/internal/testbed/loss_test.go
@@ -36,9 +36,7 @@
 	c := newCluster(t, 3, 6)
 	c.configure()
 	ups := c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	c.awaitClaims()
 	faults := make(chan struct{})
 	go func() {
@@ -61,9 +59,7 @@
 		c.entries[2].start()
 	}()
 	all := payAll(c, faults)
-	for i := range c.entries {
-		waitFor(t, "call after the faults", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call after the faults")
 	c.resendAll(all)
 	answered := checkPayments(t, ups, all)
 	assert.Assert(t, 2*answered > len(all), "%d of %d payments answered", answered, len(all))
--- a/internal/testbed/path_test.go
+++ b/internal/testbed/path_test.go
@@ -138,6 +138,14 @@
 	return ""
 }
 
+// awaitServing waits until every entry VM serves; what names the wait.
+func (c *cluster) awaitServing(what string) {
+	c.t.Helper()
+	for i := range c.entries {
+		waitFor(c.t, what, func() string { return c.serves(i) })
+	}
+}
+
 // TestWholePath carries calls through separate processes, and goes on through
 // the death of a control VM and of an entry VM.
 func TestWholePath(t *testing.T) {
@@ -151,9 +159,7 @@
 		}
 		return why
 	})
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	c.payOnce(ups, 0, 1, "pay-1")
 
 	c.controls[0].kill()
--- a/internal/testbed/quorum_test.go
+++ b/internal/testbed/quorum_test.go
@@ -21,9 +21,7 @@
 	c := newCluster(t, 3, 5)
 	c.configure()
 	c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	load := startTraffic(c, 4)
 	c.controls[0].kill()
 	c.controls[1].kill()
@@ -50,7 +48,5 @@
 	c.controls[1].start()
 	c.mustAdmin("service", "put", "proofs", "--path-prefix", "/proofs")
 	c.checkServices([]string{"booking", "proofs"})
-	for i := range c.entries {
-		waitFor(t, "call after the return", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call after the return")
 }
--- a/internal/testbed/slopes_test.go
+++ b/internal/testbed/slopes_test.go
@@ -72,9 +72,7 @@
 		t.Cleanup(u.Kill)
 		ups = append(ups, u)
 	}
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	return c, ups
 }
 
--- a/internal/testbed/stop_test.go
+++ b/internal/testbed/stop_test.go
@@ -17,9 +17,7 @@
 	c := newCluster(t, 3, 4)
 	c.configure()
 	c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	load := startTraffic(c, 4)
 	for i, p := range c.entries {
 		assert.NilError(t, p.stop())
@@ -43,9 +41,7 @@
 	c := newCluster(t, 3, 4)
 	c.configure()
 	ups := c.startUpstreams(4)
-	for i := range c.entries {
-		waitFor(t, "call", func() string { return c.serves(i) })
-	}
+	c.awaitServing("call")
 	load := startTraffic(c, 4)
 	c.mustAdmin("zone", "take-out", "b")
 	time.Sleep(departure)
