--- a/api/admin/v1/admin.twirp.go
+++ b/api/admin/v1/admin.twirp.go
@@ -56,6 +56,23 @@
 	// RemoveEntry removes an entry VM that will not come back.
 	RemoveEntry(context.Context, *RemoveEntryRequest) (*RemoveEntryResponse, error)
 
+	// ApplyState brings a whole desired state into force if its version is
+	// higher than the one held.
+	ApplyState(context.Context, *ApplyStateRequest) (*ApplyStateResponse, error)
+
+	// ReadState returns the desired state in force after a confirmed read.
+	ReadState(context.Context, *ReadStateRequest) (*ReadStateResponse, error)
+
+	// SetZoneOut stops new work to an availability zone, or ends that.
+	SetZoneOut(context.Context, *SetZoneOutRequest) (*SetZoneOutResponse, error)
+
+	// AnnounceUpstream records what an upstream says of itself. Every control
+	// VM takes announcements; one that does not lead passes news on.
+	AnnounceUpstream(context.Context, *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error)
+
+	// DropUpstream records that an upstream has left.
+	DropUpstream(context.Context, *DropUpstreamRequest) (*DropUpstreamResponse, error)
+
 	// ReleaseQuarantine lets a quarantined request run again.
 	ReleaseQuarantine(context.Context, *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error)
 }
@@ -66,7 +83,7 @@
 
 type adminProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [12]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -94,13 +111,18 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "balsamcourse.admin.v1", "Admin")
-	urls := [7]string{
+	urls := [12]string{
 		serviceURL + "Apply",
 		serviceURL + "GetConfig",
 		serviceURL + "GetStatus",
 		serviceURL + "AddMember",
 		serviceURL + "RemoveMember",
 		serviceURL + "RemoveEntry",
+		serviceURL + "ApplyState",
+		serviceURL + "ReadState",
+		serviceURL + "SetZoneOut",
+		serviceURL + "AnnounceUpstream",
+		serviceURL + "DropUpstream",
 		serviceURL + "ReleaseQuarantine",
 	}
 
@@ -388,6 +410,236 @@
 	return out, nil
 }
 
+func (c *adminProtobufClient) ApplyState(ctx context.Context, in *ApplyStateRequest) (*ApplyStateResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyState")
+	caller := c.callApplyState
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ApplyStateRequest) (*ApplyStateResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyStateRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyStateRequest) when calling interceptor")
+					}
+					return c.callApplyState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyStateResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyStateResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminProtobufClient) callApplyState(ctx context.Context, in *ApplyStateRequest) (*ApplyStateResponse, error) {
+	out := new(ApplyStateResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminProtobufClient) ReadState(ctx context.Context, in *ReadStateRequest) (*ReadStateResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadState")
+	caller := c.callReadState
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadStateRequest) (*ReadStateResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadStateRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadStateRequest) when calling interceptor")
+					}
+					return c.callReadState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadStateResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadStateResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminProtobufClient) callReadState(ctx context.Context, in *ReadStateRequest) (*ReadStateResponse, error) {
+	out := new(ReadStateResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminProtobufClient) SetZoneOut(ctx context.Context, in *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "SetZoneOut")
+	caller := c.callSetZoneOut
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SetZoneOutRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SetZoneOutRequest) when calling interceptor")
+					}
+					return c.callSetZoneOut(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SetZoneOutResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SetZoneOutResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminProtobufClient) callSetZoneOut(ctx context.Context, in *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+	out := new(SetZoneOutResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminProtobufClient) AnnounceUpstream(ctx context.Context, in *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceUpstream")
+	caller := c.callAnnounceUpstream
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceUpstreamRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceUpstreamRequest) when calling interceptor")
+					}
+					return c.callAnnounceUpstream(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceUpstreamResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceUpstreamResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminProtobufClient) callAnnounceUpstream(ctx context.Context, in *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+	out := new(AnnounceUpstreamResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminProtobufClient) DropUpstream(ctx context.Context, in *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "DropUpstream")
+	caller := c.callDropUpstream
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DropUpstreamRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DropUpstreamRequest) when calling interceptor")
+					}
+					return c.callDropUpstream(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DropUpstreamResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DropUpstreamResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminProtobufClient) callDropUpstream(ctx context.Context, in *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+	out := new(DropUpstreamResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *adminProtobufClient) ReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Admin")
@@ -419,7 +671,7 @@
 
 func (c *adminProtobufClient) callReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
 	out := new(ReleaseQuarantineResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -440,7 +692,7 @@
 
 type adminJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [12]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -468,13 +720,18 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "balsamcourse.admin.v1", "Admin")
-	urls := [7]string{
+	urls := [12]string{
 		serviceURL + "Apply",
 		serviceURL + "GetConfig",
 		serviceURL + "GetStatus",
 		serviceURL + "AddMember",
 		serviceURL + "RemoveMember",
 		serviceURL + "RemoveEntry",
+		serviceURL + "ApplyState",
+		serviceURL + "ReadState",
+		serviceURL + "SetZoneOut",
+		serviceURL + "AnnounceUpstream",
+		serviceURL + "DropUpstream",
 		serviceURL + "ReleaseQuarantine",
 	}
 
@@ -762,26 +1019,26 @@
 	return out, nil
 }
 
-func (c *adminJSONClient) ReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
+func (c *adminJSONClient) ApplyState(ctx context.Context, in *ApplyStateRequest) (*ApplyStateResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Admin")
-	ctx = ctxsetters.WithMethodName(ctx, "ReleaseQuarantine")
-	caller := c.callReleaseQuarantine
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyState")
+	caller := c.callApplyState
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
+		caller = func(ctx context.Context, req *ApplyStateRequest) (*ApplyStateResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReleaseQuarantineRequest)
+					typedReq, ok := req.(*ApplyStateRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReleaseQuarantineRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyStateRequest) when calling interceptor")
 					}
-					return c.callReleaseQuarantine(ctx, typedReq)
+					return c.callApplyState(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReleaseQuarantineResponse)
+				typedResp, ok := resp.(*ApplyStateResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseQuarantineResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyStateResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -791,8 +1048,8 @@
 	return caller(ctx, in)
 }
 
-func (c *adminJSONClient) callReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
-	out := new(ReleaseQuarantineResponse)
+func (c *adminJSONClient) callApplyState(ctx context.Context, in *ApplyStateRequest) (*ApplyStateResponse, error) {
+	out := new(ApplyStateResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -808,54 +1065,284 @@
 	return out, nil
 }
 
-// ====================
-// Admin Server Handler
-// ====================
-
-type adminServer struct {
-	Admin
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+func (c *adminJSONClient) ReadState(ctx context.Context, in *ReadStateRequest) (*ReadStateResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadState")
+	caller := c.callReadState
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadStateRequest) (*ReadStateResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadStateRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadStateRequest) when calling interceptor")
+					}
+					return c.callReadState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadStateResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadStateResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
 }
 
-// NewAdminServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewAdminServer(svc Admin, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *adminJSONClient) callReadState(ctx context.Context, in *ReadStateRequest) (*ReadStateResponse, error) {
+	out := new(ReadStateResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	return &adminServer{
-		Admin:            svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
-	}
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *adminServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
+	return out, nil
 }
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *adminServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
+func (c *adminJSONClient) SetZoneOut(ctx context.Context, in *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "SetZoneOut")
+	caller := c.callSetZoneOut
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SetZoneOutRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SetZoneOutRequest) when calling interceptor")
+					}
+					return c.callSetZoneOut(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SetZoneOutResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SetZoneOutResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminJSONClient) callSetZoneOut(ctx context.Context, in *SetZoneOutRequest) (*SetZoneOutResponse, error) {
+	out := new(SetZoneOutResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminJSONClient) AnnounceUpstream(ctx context.Context, in *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceUpstream")
+	caller := c.callAnnounceUpstream
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceUpstreamRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceUpstreamRequest) when calling interceptor")
+					}
+					return c.callAnnounceUpstream(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceUpstreamResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceUpstreamResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminJSONClient) callAnnounceUpstream(ctx context.Context, in *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
+	out := new(AnnounceUpstreamResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminJSONClient) DropUpstream(ctx context.Context, in *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "DropUpstream")
+	caller := c.callDropUpstream
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DropUpstreamRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DropUpstreamRequest) when calling interceptor")
+					}
+					return c.callDropUpstream(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DropUpstreamResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DropUpstreamResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminJSONClient) callDropUpstream(ctx context.Context, in *DropUpstreamRequest) (*DropUpstreamResponse, error) {
+	out := new(DropUpstreamResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *adminJSONClient) ReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.admin.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Admin")
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseQuarantine")
+	caller := c.callReleaseQuarantine
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseQuarantineRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseQuarantineRequest) when calling interceptor")
+					}
+					return c.callReleaseQuarantine(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseQuarantineResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseQuarantineResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *adminJSONClient) callReleaseQuarantine(ctx context.Context, in *ReleaseQuarantineRequest) (*ReleaseQuarantineResponse, error) {
+	out := new(ReleaseQuarantineResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Admin Server Handler
+// ====================
+
+type adminServer struct {
+	Admin
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewAdminServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewAdminServer(svc Admin, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &adminServer{
+		Admin:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *adminServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *adminServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
 	}
@@ -878,62 +1365,977 @@
 	ctx = ctxsetters.WithServiceName(ctx, "Admin")
 	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "balsamcourse.admin.v1.Admin" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Apply":
+		s.serveApply(ctx, resp, req)
+		return
+	case "GetConfig":
+		s.serveGetConfig(ctx, resp, req)
+		return
+	case "GetStatus":
+		s.serveGetStatus(ctx, resp, req)
+		return
+	case "AddMember":
+		s.serveAddMember(ctx, resp, req)
+		return
+	case "RemoveMember":
+		s.serveRemoveMember(ctx, resp, req)
+		return
+	case "RemoveEntry":
+		s.serveRemoveEntry(ctx, resp, req)
+		return
+	case "ApplyState":
+		s.serveApplyState(ctx, resp, req)
+		return
+	case "ReadState":
+		s.serveReadState(ctx, resp, req)
+		return
+	case "SetZoneOut":
+		s.serveSetZoneOut(ctx, resp, req)
+		return
+	case "AnnounceUpstream":
+		s.serveAnnounceUpstream(ctx, resp, req)
+		return
+	case "DropUpstream":
+		s.serveDropUpstream(ctx, resp, req)
+		return
+	case "ReleaseQuarantine":
+		s.serveReleaseQuarantine(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *adminServer) serveApply(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveApplyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveApplyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *adminServer) serveApplyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ApplyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Admin.Apply
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return s.Admin.Apply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplyResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveApplyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ApplyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Admin.Apply
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return s.Admin.Apply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplyResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveGetConfig(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGetConfigJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGetConfigProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *adminServer) serveGetConfigJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GetConfigRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Admin.GetConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return s.Admin.GetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveGetConfigProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GetConfigRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Admin.GetConfig
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+					}
+					return s.Admin.GetConfig(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetConfigResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetConfigResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveGetStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGetStatusJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGetStatusProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *adminServer) serveGetStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GetStatusRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Admin.GetStatus
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetStatusRequest) (*GetStatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+					}
+					return s.Admin.GetStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetStatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetStatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetStatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetStatusResponse and nil error while calling GetStatus. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveGetStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GetStatusRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Admin.GetStatus
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetStatusRequest) (*GetStatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+					}
+					return s.Admin.GetStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetStatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetStatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetStatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetStatusResponse and nil error while calling GetStatus. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveAddMember(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAddMemberJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAddMemberProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *adminServer) serveAddMemberJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AddMember")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AddMemberRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Admin.AddMember
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AddMemberRequest) (*MemberResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AddMemberRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AddMemberRequest) when calling interceptor")
+					}
+					return s.Admin.AddMember(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MemberResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MemberResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling AddMember. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveAddMemberProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AddMember")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AddMemberRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Admin.AddMember
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AddMemberRequest) (*MemberResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AddMemberRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AddMemberRequest) when calling interceptor")
+					}
+					return s.Admin.AddMember(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MemberResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MemberResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling AddMember. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveRemoveMember(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRemoveMemberJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRemoveMemberProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *adminServer) serveRemoveMemberJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveMember")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RemoveMemberRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Admin.RemoveMember
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RemoveMemberRequest) (*MemberResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RemoveMemberRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveMemberRequest) when calling interceptor")
+					}
+					return s.Admin.RemoveMember(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MemberResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MemberResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling RemoveMember. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *adminServer) serveRemoveMemberProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveMember")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RemoveMemberRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Admin.RemoveMember
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RemoveMemberRequest) (*MemberResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RemoveMemberRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveMemberRequest) when calling interceptor")
+					}
+					return s.Admin.RemoveMember(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MemberResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MemberResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
-
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling RemoveMember. nil responses are not supported"))
 		return
 	}
 
-	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
-	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.admin.v1.Admin" {
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-	if prefix != s.pathPrefix {
-		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
 
-	switch method {
-	case "Apply":
-		s.serveApply(ctx, resp, req)
-		return
-	case "GetConfig":
-		s.serveGetConfig(ctx, resp, req)
-		return
-	case "GetStatus":
-		s.serveGetStatus(ctx, resp, req)
-		return
-	case "AddMember":
-		s.serveAddMember(ctx, resp, req)
-		return
-	case "RemoveMember":
-		s.serveRemoveMember(ctx, resp, req)
-		return
-	case "RemoveEntry":
-		s.serveRemoveEntry(ctx, resp, req)
-		return
-	case "ReleaseQuarantine":
-		s.serveReleaseQuarantine(ctx, resp, req)
-		return
-	default:
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
+	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveApply(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveRemoveEntry(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -941,9 +2343,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveApplyJSON(ctx, resp, req)
+		s.serveRemoveEntryJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveApplyProtobuf(ctx, resp, req)
+		s.serveRemoveEntryProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -951,9 +2353,9 @@
 	}
 }
 
-func (s *adminServer) serveApplyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveRemoveEntryJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveEntry")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -966,29 +2368,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ApplyRequest)
+	reqContent := new(RemoveEntryRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.Apply
+	handler := s.Admin.RemoveEntry
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+		handler = func(ctx context.Context, req *RemoveEntryRequest) (*RemoveEntryResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ApplyRequest)
+					typedReq, ok := req.(*RemoveEntryRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveEntryRequest) when calling interceptor")
 					}
-					return s.Admin.Apply(ctx, typedReq)
+					return s.Admin.RemoveEntry(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ApplyResponse)
+				typedResp, ok := resp.(*RemoveEntryResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*RemoveEntryResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -997,7 +2399,7 @@
 	}
 
 	// Call service method
-	var respContent *ApplyResponse
+	var respContent *RemoveEntryResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1008,7 +2410,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RemoveEntryResponse and nil error while calling RemoveEntry. nil responses are not supported"))
 		return
 	}
 
@@ -1034,9 +2436,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveApplyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveRemoveEntryProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveEntry")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1048,28 +2450,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ApplyRequest)
+	reqContent := new(RemoveEntryRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.Apply
+	handler := s.Admin.RemoveEntry
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+		handler = func(ctx context.Context, req *RemoveEntryRequest) (*RemoveEntryResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ApplyRequest)
+					typedReq, ok := req.(*RemoveEntryRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveEntryRequest) when calling interceptor")
 					}
-					return s.Admin.Apply(ctx, typedReq)
+					return s.Admin.RemoveEntry(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ApplyResponse)
+				typedResp, ok := resp.(*RemoveEntryResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*RemoveEntryResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1078,7 +2480,7 @@
 	}
 
 	// Call service method
-	var respContent *ApplyResponse
+	var respContent *RemoveEntryResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1089,7 +2491,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RemoveEntryResponse and nil error while calling RemoveEntry. nil responses are not supported"))
 		return
 	}
 
@@ -1113,7 +2515,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveGetConfig(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveApplyState(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1121,9 +2523,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveGetConfigJSON(ctx, resp, req)
+		s.serveApplyStateJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveGetConfigProtobuf(ctx, resp, req)
+		s.serveApplyStateProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1131,9 +2533,9 @@
 	}
 }
 
-func (s *adminServer) serveGetConfigJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveApplyStateJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyState")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1146,29 +2548,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(GetConfigRequest)
+	reqContent := new(ApplyStateRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.GetConfig
+	handler := s.Admin.ApplyState
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+		handler = func(ctx context.Context, req *ApplyStateRequest) (*ApplyStateResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigRequest)
+					typedReq, ok := req.(*ApplyStateRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyStateRequest) when calling interceptor")
 					}
-					return s.Admin.GetConfig(ctx, typedReq)
+					return s.Admin.ApplyState(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*GetConfigResponse)
+				typedResp, ok := resp.(*ApplyStateResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyStateResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1177,7 +2579,7 @@
 	}
 
 	// Call service method
-	var respContent *GetConfigResponse
+	var respContent *ApplyStateResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1188,7 +2590,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyStateResponse and nil error while calling ApplyState. nil responses are not supported"))
 		return
 	}
 
@@ -1214,9 +2616,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveGetConfigProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveApplyStateProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfig")
+	ctx = ctxsetters.WithMethodName(ctx, "ApplyState")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1228,28 +2630,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(GetConfigRequest)
+	reqContent := new(ApplyStateRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.GetConfig
+	handler := s.Admin.ApplyState
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetConfigRequest) (*GetConfigResponse, error) {
+		handler = func(ctx context.Context, req *ApplyStateRequest) (*ApplyStateResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigRequest)
+					typedReq, ok := req.(*ApplyStateRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyStateRequest) when calling interceptor")
 					}
-					return s.Admin.GetConfig(ctx, typedReq)
+					return s.Admin.ApplyState(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*GetConfigResponse)
+				typedResp, ok := resp.(*ApplyStateResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*GetConfigResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyStateResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1258,7 +2660,7 @@
 	}
 
 	// Call service method
-	var respContent *GetConfigResponse
+	var respContent *ApplyStateResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1269,7 +2671,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetConfigResponse and nil error while calling GetConfig. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyStateResponse and nil error while calling ApplyState. nil responses are not supported"))
 		return
 	}
 
@@ -1293,7 +2695,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveGetStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveReadState(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1301,9 +2703,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveGetStatusJSON(ctx, resp, req)
+		s.serveReadStateJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveGetStatusProtobuf(ctx, resp, req)
+		s.serveReadStateProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1311,9 +2713,9 @@
 	}
 }
 
-func (s *adminServer) serveGetStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveReadStateJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadState")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1326,29 +2728,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(GetStatusRequest)
+	reqContent := new(ReadStateRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.GetStatus
+	handler := s.Admin.ReadState
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetStatusRequest) (*GetStatusResponse, error) {
+		handler = func(ctx context.Context, req *ReadStateRequest) (*ReadStateResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*ReadStateRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadStateRequest) when calling interceptor")
 					}
-					return s.Admin.GetStatus(ctx, typedReq)
+					return s.Admin.ReadState(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*GetStatusResponse)
+				typedResp, ok := resp.(*ReadStateResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*GetStatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadStateResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1357,7 +2759,7 @@
 	}
 
 	// Call service method
-	var respContent *GetStatusResponse
+	var respContent *ReadStateResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1368,7 +2770,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetStatusResponse and nil error while calling GetStatus. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadStateResponse and nil error while calling ReadState. nil responses are not supported"))
 		return
 	}
 
@@ -1394,9 +2796,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveGetStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveReadStateProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx = ctxsetters.WithMethodName(ctx, "ReadState")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1408,28 +2810,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(GetStatusRequest)
+	reqContent := new(ReadStateRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.GetStatus
+	handler := s.Admin.ReadState
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetStatusRequest) (*GetStatusResponse, error) {
+		handler = func(ctx context.Context, req *ReadStateRequest) (*ReadStateResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*ReadStateRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadStateRequest) when calling interceptor")
 					}
-					return s.Admin.GetStatus(ctx, typedReq)
+					return s.Admin.ReadState(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*GetStatusResponse)
+				typedResp, ok := resp.(*ReadStateResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*GetStatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadStateResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1438,7 +2840,7 @@
 	}
 
 	// Call service method
-	var respContent *GetStatusResponse
+	var respContent *ReadStateResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1449,7 +2851,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetStatusResponse and nil error while calling GetStatus. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadStateResponse and nil error while calling ReadState. nil responses are not supported"))
 		return
 	}
 
@@ -1473,7 +2875,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveAddMember(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveSetZoneOut(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1481,9 +2883,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveAddMemberJSON(ctx, resp, req)
+		s.serveSetZoneOutJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveAddMemberProtobuf(ctx, resp, req)
+		s.serveSetZoneOutProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1491,9 +2893,9 @@
 	}
 }
 
-func (s *adminServer) serveAddMemberJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveSetZoneOutJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AddMember")
+	ctx = ctxsetters.WithMethodName(ctx, "SetZoneOut")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1506,29 +2908,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(AddMemberRequest)
+	reqContent := new(SetZoneOutRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.AddMember
+	handler := s.Admin.SetZoneOut
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AddMemberRequest) (*MemberResponse, error) {
+		handler = func(ctx context.Context, req *SetZoneOutRequest) (*SetZoneOutResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AddMemberRequest)
+					typedReq, ok := req.(*SetZoneOutRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AddMemberRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SetZoneOutRequest) when calling interceptor")
 					}
-					return s.Admin.AddMember(ctx, typedReq)
+					return s.Admin.SetZoneOut(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*MemberResponse)
+				typedResp, ok := resp.(*SetZoneOutResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SetZoneOutResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1537,7 +2939,7 @@
 	}
 
 	// Call service method
-	var respContent *MemberResponse
+	var respContent *SetZoneOutResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1548,7 +2950,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling AddMember. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SetZoneOutResponse and nil error while calling SetZoneOut. nil responses are not supported"))
 		return
 	}
 
@@ -1574,9 +2976,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveAddMemberProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveSetZoneOutProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AddMember")
+	ctx = ctxsetters.WithMethodName(ctx, "SetZoneOut")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1588,28 +2990,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(AddMemberRequest)
+	reqContent := new(SetZoneOutRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.AddMember
+	handler := s.Admin.SetZoneOut
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AddMemberRequest) (*MemberResponse, error) {
+		handler = func(ctx context.Context, req *SetZoneOutRequest) (*SetZoneOutResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AddMemberRequest)
+					typedReq, ok := req.(*SetZoneOutRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AddMemberRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SetZoneOutRequest) when calling interceptor")
 					}
-					return s.Admin.AddMember(ctx, typedReq)
+					return s.Admin.SetZoneOut(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*MemberResponse)
+				typedResp, ok := resp.(*SetZoneOutResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SetZoneOutResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1618,7 +3020,7 @@
 	}
 
 	// Call service method
-	var respContent *MemberResponse
+	var respContent *SetZoneOutResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1629,7 +3031,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling AddMember. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SetZoneOutResponse and nil error while calling SetZoneOut. nil responses are not supported"))
 		return
 	}
 
@@ -1653,7 +3055,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveRemoveMember(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveAnnounceUpstream(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1661,9 +3063,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveRemoveMemberJSON(ctx, resp, req)
+		s.serveAnnounceUpstreamJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveRemoveMemberProtobuf(ctx, resp, req)
+		s.serveAnnounceUpstreamProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1671,9 +3073,9 @@
 	}
 }
 
-func (s *adminServer) serveRemoveMemberJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveAnnounceUpstreamJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "RemoveMember")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceUpstream")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1686,29 +3088,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(RemoveMemberRequest)
+	reqContent := new(AnnounceUpstreamRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.RemoveMember
+	handler := s.Admin.AnnounceUpstream
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RemoveMemberRequest) (*MemberResponse, error) {
+		handler = func(ctx context.Context, req *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RemoveMemberRequest)
+					typedReq, ok := req.(*AnnounceUpstreamRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RemoveMemberRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceUpstreamRequest) when calling interceptor")
 					}
-					return s.Admin.RemoveMember(ctx, typedReq)
+					return s.Admin.AnnounceUpstream(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*MemberResponse)
+				typedResp, ok := resp.(*AnnounceUpstreamResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceUpstreamResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1717,7 +3119,7 @@
 	}
 
 	// Call service method
-	var respContent *MemberResponse
+	var respContent *AnnounceUpstreamResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1728,7 +3130,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling RemoveMember. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceUpstreamResponse and nil error while calling AnnounceUpstream. nil responses are not supported"))
 		return
 	}
 
@@ -1754,9 +3156,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveRemoveMemberProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveAnnounceUpstreamProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "RemoveMember")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceUpstream")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1768,28 +3170,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(RemoveMemberRequest)
+	reqContent := new(AnnounceUpstreamRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.RemoveMember
+	handler := s.Admin.AnnounceUpstream
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RemoveMemberRequest) (*MemberResponse, error) {
+		handler = func(ctx context.Context, req *AnnounceUpstreamRequest) (*AnnounceUpstreamResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RemoveMemberRequest)
+					typedReq, ok := req.(*AnnounceUpstreamRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RemoveMemberRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceUpstreamRequest) when calling interceptor")
 					}
-					return s.Admin.RemoveMember(ctx, typedReq)
+					return s.Admin.AnnounceUpstream(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*MemberResponse)
+				typedResp, ok := resp.(*AnnounceUpstreamResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*MemberResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceUpstreamResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1798,7 +3200,7 @@
 	}
 
 	// Call service method
-	var respContent *MemberResponse
+	var respContent *AnnounceUpstreamResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1809,7 +3211,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *MemberResponse and nil error while calling RemoveMember. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceUpstreamResponse and nil error while calling AnnounceUpstream. nil responses are not supported"))
 		return
 	}
 
@@ -1833,7 +3235,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveRemoveEntry(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveDropUpstream(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1841,9 +3243,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveRemoveEntryJSON(ctx, resp, req)
+		s.serveDropUpstreamJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveRemoveEntryProtobuf(ctx, resp, req)
+		s.serveDropUpstreamProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1851,9 +3253,9 @@
 	}
 }
 
-func (s *adminServer) serveRemoveEntryJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveDropUpstreamJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "RemoveEntry")
+	ctx = ctxsetters.WithMethodName(ctx, "DropUpstream")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1866,29 +3268,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(RemoveEntryRequest)
+	reqContent := new(DropUpstreamRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Admin.RemoveEntry
+	handler := s.Admin.DropUpstream
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RemoveEntryRequest) (*RemoveEntryResponse, error) {
+		handler = func(ctx context.Context, req *DropUpstreamRequest) (*DropUpstreamResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RemoveEntryRequest)
+					typedReq, ok := req.(*DropUpstreamRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RemoveEntryRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DropUpstreamRequest) when calling interceptor")
 					}
-					return s.Admin.RemoveEntry(ctx, typedReq)
+					return s.Admin.DropUpstream(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*RemoveEntryResponse)
+				typedResp, ok := resp.(*DropUpstreamResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*RemoveEntryResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DropUpstreamResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1897,7 +3299,7 @@
 	}
 
 	// Call service method
-	var respContent *RemoveEntryResponse
+	var respContent *DropUpstreamResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1908,7 +3310,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *RemoveEntryResponse and nil error while calling RemoveEntry. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DropUpstreamResponse and nil error while calling DropUpstream. nil responses are not supported"))
 		return
 	}
 
@@ -1934,9 +3336,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *adminServer) serveRemoveEntryProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *adminServer) serveDropUpstreamProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "RemoveEntry")
+	ctx = ctxsetters.WithMethodName(ctx, "DropUpstream")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1948,28 +3350,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(RemoveEntryRequest)
+	reqContent := new(DropUpstreamRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Admin.RemoveEntry
+	handler := s.Admin.DropUpstream
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *RemoveEntryRequest) (*RemoveEntryResponse, error) {
+		handler = func(ctx context.Context, req *DropUpstreamRequest) (*DropUpstreamResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*RemoveEntryRequest)
+					typedReq, ok := req.(*DropUpstreamRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*RemoveEntryRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DropUpstreamRequest) when calling interceptor")
 					}
-					return s.Admin.RemoveEntry(ctx, typedReq)
+					return s.Admin.DropUpstream(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*RemoveEntryResponse)
+				typedResp, ok := resp.(*DropUpstreamResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*RemoveEntryResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DropUpstreamResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1978,7 +3380,7 @@
 	}
 
 	// Call service method
-	var respContent *RemoveEntryResponse
+	var respContent *DropUpstreamResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1989,7 +3391,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *RemoveEntryResponse and nil error while calling RemoveEntry. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DropUpstreamResponse and nil error while calling DropUpstream. nil responses are not supported"))
 		return
 	}
 
@@ -2774,60 +4176,76 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 870 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x56, 0xeb, 0x8a, 0x23, 0x45,
-	0x14, 0xa6, 0x73, 0xcf, 0xc9, 0xcc, 0x32, 0x53, 0xee, 0x62, 0x9b, 0x45, 0x36, 0xb6, 0xae, 0x1b,
-	0x57, 0x48, 0x9c, 0x11, 0x54, 0xd4, 0x55, 0xc7, 0x45, 0x74, 0xc0, 0x41, 0x2c, 0xc1, 0x1f, 0x0a,
-	0x86, 0x9a, 0xee, 0xb3, 0x99, 0x82, 0xee, 0xea, 0xb6, 0xaa, 0x12, 0x77, 0xfc, 0x27, 0x0a, 0x3e,
-	0x8a, 0xcf, 0xe0, 0x3b, 0xf8, 0x50, 0xd2, 0x75, 0xe9, 0xed, 0xc4, 0xe9, 0x4c, 0xc0, 0x7f, 0x75,
-	0x4e, 0x9f, 0xef, 0x5c, 0xbe, 0x73, 0x49, 0xe0, 0x2e, 0x4b, 0x32, 0x2e, 0xe6, 0xeb, 0x93, 0xb9,
-	0x79, 0xcc, 0x0a, 0x99, 0xeb, 0x9c, 0xdc, 0xbb, 0x64, 0xa9, 0x62, 0x59, 0x9c, 0xaf, 0xa4, 0xc2,
-	0x99, 0xfd, 0xb2, 0x3e, 0x19, 0x87, 0x31, 0xd3, 0x2c, 0xcd, 0x97, 0xa5, 0xb9, 0x7b, 0x5a, 0x40,
-	0xf4, 0x5b, 0x00, 0x07, 0x67, 0x45, 0x91, 0x5e, 0x53, 0xfc, 0x79, 0x85, 0x4a, 0x93, 0x4f, 0xa1,
-	0x17, 0x5f, 0x31, 0xb1, 0xc4, 0x30, 0x98, 0x04, 0xd3, 0xd1, 0xe9, 0xa3, 0xd9, 0x86, 0x4b, 0x8f,
-	0x5e, 0x9f, 0xcc, 0xbe, 0x29, 0x50, 0x32, 0x9d, 0xcb, 0xa7, 0xc6, 0x9c, 0x3a, 0x18, 0x79, 0x19,
-	0xfa, 0x89, 0xbc, 0x5e, 0xc8, 0x95, 0x08, 0x5b, 0x93, 0x60, 0x3a, 0xa0, 0xbd, 0x44, 0x5e, 0xd3,
-	0x95, 0x28, 0x3f, 0xfc, 0xc2, 0xb8, 0x5e, 0x64, 0x2a, 0x6c, 0x4f, 0x82, 0xe9, 0x21, 0xed, 0x95,
-	0xe2, 0x85, 0x8a, 0xfe, 0x08, 0xe0, 0xd0, 0xe5, 0xa0, 0x8a, 0x5c, 0x28, 0x24, 0x4f, 0xa0, 0x27,
-	0x51, 0xad, 0x52, 0xed, 0x92, 0x78, 0xd8, 0x98, 0x84, 0x0b, 0x6e, 0x8c, 0xa9, 0x03, 0x91, 0x31,
-	0x0c, 0x58, 0x1c, 0x63, 0xa1, 0x31, 0x71, 0x39, 0x54, 0x32, 0x09, 0xa1, 0x9f, 0x71, 0xa5, 0xb8,
-	0x58, 0x86, 0xed, 0x49, 0x7b, 0x3a, 0xa4, 0x5e, 0x8c, 0x08, 0x1c, 0x7d, 0x89, 0xfa, 0x69, 0x2e,
-	0x9e, 0xf1, 0xa5, 0x63, 0x23, 0xfa, 0x1a, 0x8e, 0x6b, 0x3a, 0x97, 0xdd, 0xfb, 0xd0, 0x8b, 0x8d,
-	0xc6, 0x65, 0xf7, 0xa0, 0x39, 0x3b, 0x0b, 0x74, 0xe6, 0x2e, 0xc2, 0x77, 0x9a, 0xe9, 0x95, 0xf2,
-	0x11, 0xfe, 0x0a, 0x60, 0xf4, 0x85, 0xd0, 0xf2, 0xda, 0xaa, 0xc9, 0x1d, 0x68, 0xf1, 0xc4, 0x38,
-	0x1e, 0xd2, 0x16, 0x4f, 0x08, 0x81, 0xce, 0xaf, 0xb9, 0x40, 0x53, 0xc7, 0x90, 0x9a, 0x77, 0x59,
-	0x9f, 0xc4, 0x35, 0x57, 0x3c, 0x17, 0x86, 0xca, 0x0e, 0xad, 0xe4, 0xd2, 0x3e, 0xe5, 0x6b, 0x0c,
-	0x3b, 0xa6, 0x6e, 0xf3, 0x26, 0x13, 0x18, 0x71, 0x11, 0x33, 0x29, 0x98, 0x2e, 0x21, 0x5d, 0x03,
-	0xa9, 0xab, 0x48, 0x04, 0x87, 0x29, 0x53, 0x7a, 0x71, 0x85, 0x4c, 0x26, 0x65, 0x87, 0x7a, 0xd6,
-	0xa6, 0x54, 0x7e, 0x55, 0xea, 0x2e, 0x54, 0xf4, 0x7b, 0x00, 0x07, 0x17, 0x98, 0x5d, 0xa2, 0x74,
-	0xa9, 0x7e, 0x02, 0xbd, 0xcc, 0xc8, 0x8e, 0x87, 0x37, 0x77, 0xf1, 0xa0, 0x65, 0x9e, 0x5a, 0x34,
-	0x75, 0x28, 0xf2, 0x00, 0x46, 0x19, 0xd3, 0xf1, 0xd5, 0x82, 0x8b, 0x04, 0x9f, 0x9b, 0x0a, 0x3b,
-	0x14, 0x8c, 0xea, 0xbc, 0xd4, 0x54, 0xb5, 0xb4, 0x5f, 0xd4, 0x12, 0xfd, 0xd3, 0x32, 0x2d, 0xf1,
-	0x24, 0xba, 0x96, 0xbc, 0x0a, 0x20, 0xb1, 0x48, 0x79, 0xcc, 0x16, 0x8e, 0xbd, 0x0e, 0x1d, 0x3a,
-	0xcd, 0x79, 0x42, 0xee, 0xc3, 0x30, 0x45, 0x96, 0xa0, 0x2c, 0xbf, 0xda, 0x38, 0x03, 0xab, 0x38,
-	0x37, 0x0c, 0x6b, 0x94, 0x99, 0x63, 0xd2, 0xbc, 0xc9, 0x6b, 0x70, 0x10, 0xe7, 0x59, 0xc6, 0xb5,
-	0xcb, 0xad, 0x63, 0xe9, 0xb0, 0x3a, 0x9b, 0x5c, 0xbd, 0x09, 0xdd, 0xad, 0x26, 0xbc, 0x0d, 0xc7,
-	0x7e, 0xe0, 0x16, 0x95, 0x91, 0xa5, 0xf4, 0xc8, 0x7f, 0xa0, 0xde, 0xf8, 0x09, 0xf4, 0x2d, 0x21,
-	0x2a, 0xec, 0x4f, 0xda, 0xd3, 0xd1, 0xe9, 0xeb, 0xb3, 0x1b, 0xb7, 0x78, 0x56, 0x27, 0x9f, 0x7a,
-	0x0c, 0xf9, 0x18, 0xfa, 0x28, 0xb4, 0xe4, 0xa8, 0xc2, 0x81, 0x81, 0x47, 0x0d, 0xf0, 0xda, 0x94,
-	0x51, 0x0f, 0x89, 0xfe, 0x0c, 0xe0, 0xe8, 0x2c, 0x49, 0x5c, 0x67, 0xdc, 0x0d, 0xf8, 0xbf, 0x8d,
-	0x35, 0xd4, 0x14, 0x29, 0x8b, 0x51, 0x79, 0xb6, 0xbd, 0xdc, 0x7c, 0x05, 0x2e, 0xe0, 0x25, 0x8a,
-	0x59, 0xbe, 0xc6, 0xcd, 0x5c, 0x6e, 0xe9, 0x6c, 0xcd, 0x5d, 0x6b, 0xc3, 0x9d, 0x80, 0x3b, 0xde,
-	0x91, 0x9b, 0x91, 0xcf, 0x5e, 0xf0, 0x1c, 0x18, 0xa2, 0xf6, 0x2d, 0xab, 0xa2, 0x7a, 0x0c, 0x83,
-	0x38, 0xcf, 0x8a, 0x14, 0x35, 0xfa, 0xbb, 0xe2, 0xe5, 0xe8, 0x43, 0x20, 0x36, 0x7d, 0x43, 0xb3,
-	0xcf, 0x7e, 0x7b, 0x9b, 0xef, 0x42, 0x17, 0x45, 0x52, 0x9d, 0x25, 0x2b, 0x44, 0xf7, 0x7c, 0xe9,
-	0x0e, 0x6b, 0x13, 0x8e, 0xbe, 0x87, 0x90, 0x62, 0x8a, 0x4c, 0xe1, 0xb7, 0x2b, 0x26, 0x99, 0xd0,
-	0x5c, 0xa0, 0x77, 0x1c, 0x42, 0x5f, 0xa1, 0x5c, 0xf3, 0x18, 0x9d, 0x77, 0x2f, 0x96, 0xcb, 0xfe,
-	0x8c, 0x8b, 0x25, 0xca, 0x42, 0x72, 0xa1, 0xdd, 0xdd, 0xa8, 0xab, 0xa2, 0xfb, 0xf0, 0xca, 0x0d,
-	0x7e, 0x6d, 0xd0, 0xd3, 0xbf, 0xbb, 0xd0, 0x3d, 0x2b, 0x47, 0x86, 0x50, 0xe8, 0x9a, 0xab, 0x4c,
-	0x9a, 0xe6, 0xb1, 0xfe, 0xbb, 0x31, 0x7e, 0x63, 0xb7, 0x91, 0xeb, 0xc1, 0x4f, 0x30, 0xac, 0xee,
-	0x29, 0x79, 0xd4, 0x00, 0xd9, 0xbe, 0xc2, 0xe3, 0xe9, 0xed, 0x86, 0x1b, 0xfe, 0xdd, 0x7d, 0xda,
-	0xe1, 0x7f, 0xe3, 0x06, 0xef, 0xf2, 0xbf, 0x75, 0x67, 0x7e, 0x84, 0x61, 0xb5, 0x2d, 0x8d, 0xfe,
-	0xb7, 0xf7, 0x69, 0xfc, 0x70, 0xe7, 0x42, 0x57, 0xce, 0x19, 0x1c, 0xd4, 0x37, 0x80, 0x3c, 0x6e,
-	0x80, 0xdd, 0xb0, 0x26, 0xfb, 0x86, 0x48, 0x60, 0x54, 0x9b, 0x34, 0xf2, 0xd6, 0xce, 0x08, 0xf5,
-	0x49, 0x1e, 0x3f, 0xde, 0xc7, 0xd4, 0x45, 0x59, 0xc3, 0xf1, 0x7f, 0x06, 0x8c, 0xcc, 0x1b, 0x1d,
-	0xdc, 0x3c, 0xe2, 0xe3, 0x77, 0xf6, 0x07, 0xd8, 0xb8, 0x9f, 0x7f, 0xf0, 0xc3, 0x7b, 0x1b, 0x10,
-	0x7c, 0xce, 0xca, 0xed, 0x9c, 0xd7, 0x95, 0x73, 0x56, 0xf0, 0xb9, 0xff, 0xef, 0xf4, 0x91, 0x79,
-	0x14, 0x97, 0x97, 0x3d, 0xf3, 0x6f, 0xe8, 0xdd, 0x7f, 0x03, 0x00, 0x00, 0xff, 0xff, 0xe4, 0x53,
-	0x2d, 0xd6, 0x56, 0x09, 0x00, 0x00,
+	// 1126 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x57, 0xfd, 0x6e, 0x1b, 0x45,
+	0x10, 0x97, 0x13, 0x7f, 0x8e, 0xdd, 0x2a, 0xd9, 0xa6, 0xed, 0x71, 0x15, 0xaa, 0x7b, 0xa5, 0xd4,
+	0x6d, 0x25, 0x9b, 0x06, 0x89, 0xaf, 0x12, 0x20, 0xa4, 0x15, 0x44, 0x22, 0x6a, 0xb9, 0x0a, 0x04,
+	0x45, 0xc2, 0xda, 0xdc, 0x4d, 0x9d, 0x95, 0xee, 0xf6, 0x8e, 0xdd, 0xb5, 0x69, 0xf8, 0x0f, 0x81,
+	0xc4, 0xa3, 0xf0, 0x14, 0xbc, 0x01, 0x0f, 0x85, 0x6e, 0x77, 0xef, 0x7c, 0x76, 0x7c, 0x8e, 0x25,
+	0xfe, 0xdb, 0x99, 0x9b, 0xdf, 0x7c, 0xee, 0xfe, 0xc6, 0x86, 0x3d, 0x1a, 0xc6, 0x8c, 0x8f, 0x66,
+	0x8f, 0x47, 0xfa, 0x30, 0x4c, 0x45, 0xa2, 0x12, 0x72, 0xfd, 0x94, 0x46, 0x92, 0xc6, 0x41, 0x32,
+	0x15, 0x12, 0x87, 0xe6, 0xcb, 0xec, 0xb1, 0xeb, 0x04, 0x54, 0xd1, 0x28, 0x99, 0x64, 0xe6, 0xf6,
+	0x68, 0x00, 0xde, 0xef, 0x35, 0xe8, 0x1d, 0xa6, 0x69, 0x74, 0xee, 0xe3, 0x2f, 0x53, 0x94, 0x8a,
+	0x7c, 0x0e, 0xcd, 0xe0, 0x8c, 0xf2, 0x09, 0x3a, 0xb5, 0x7e, 0x6d, 0xd0, 0xdd, 0xbf, 0x3f, 0x5c,
+	0x70, 0x99, 0xa3, 0x67, 0x8f, 0x87, 0xcf, 0x53, 0x14, 0x54, 0x25, 0xe2, 0x48, 0x9b, 0xfb, 0x16,
+	0x46, 0x6e, 0x42, 0x2b, 0x14, 0xe7, 0x63, 0x31, 0xe5, 0xce, 0x56, 0xbf, 0x36, 0x68, 0xfb, 0xcd,
+	0x50, 0x9c, 0xfb, 0x53, 0x9e, 0x7d, 0xf8, 0x95, 0x32, 0x35, 0x8e, 0xa5, 0xb3, 0xdd, 0xaf, 0x0d,
+	0xae, 0xf8, 0xcd, 0x4c, 0x3c, 0x91, 0xde, 0x9f, 0x35, 0xb8, 0x62, 0x73, 0x90, 0x69, 0xc2, 0x25,
+	0x92, 0x03, 0x68, 0x0a, 0x94, 0xd3, 0x48, 0xd9, 0x24, 0xee, 0x55, 0x26, 0x61, 0x83, 0x6b, 0x63,
+	0xdf, 0x82, 0x88, 0x0b, 0x6d, 0x1a, 0x04, 0x98, 0x2a, 0x0c, 0x6d, 0x0e, 0x85, 0x4c, 0x1c, 0x68,
+	0xc5, 0x4c, 0x4a, 0xc6, 0x27, 0xce, 0x76, 0x7f, 0x7b, 0xd0, 0xf1, 0x73, 0xd1, 0x23, 0xb0, 0xf3,
+	0x15, 0xaa, 0xa3, 0x84, 0xbf, 0x66, 0x13, 0xdb, 0x0d, 0xef, 0x1b, 0xd8, 0x2d, 0xe9, 0x6c, 0x76,
+	0x1f, 0x42, 0x33, 0xd0, 0x1a, 0x9b, 0xdd, 0xed, 0xea, 0xec, 0x0c, 0xd0, 0x9a, 0xdb, 0x08, 0x2f,
+	0x15, 0x55, 0x53, 0x99, 0x47, 0xf8, 0xbb, 0x06, 0xdd, 0x67, 0x5c, 0x89, 0x73, 0xa3, 0x26, 0x57,
+	0x61, 0x8b, 0x85, 0xda, 0x71, 0xc7, 0xdf, 0x62, 0x21, 0x21, 0x50, 0xff, 0x2d, 0xe1, 0xa8, 0xeb,
+	0xe8, 0xf8, 0xfa, 0x9c, 0xd5, 0x27, 0x70, 0xc6, 0x24, 0x4b, 0xb8, 0x6e, 0x65, 0xdd, 0x2f, 0xe4,
+	0xcc, 0x3e, 0x62, 0x33, 0x74, 0xea, 0xba, 0x6e, 0x7d, 0x26, 0x7d, 0xe8, 0x32, 0x1e, 0x50, 0xc1,
+	0xa9, 0xca, 0x20, 0x0d, 0x0d, 0x29, 0xab, 0x88, 0x07, 0x57, 0x22, 0x2a, 0xd5, 0xf8, 0x0c, 0xa9,
+	0x08, 0xb3, 0x09, 0x35, 0x8d, 0x4d, 0xa6, 0xfc, 0x3a, 0xd3, 0x9d, 0x48, 0xef, 0x8f, 0x1a, 0xf4,
+	0x4e, 0x30, 0x3e, 0x45, 0x61, 0x53, 0xfd, 0x0c, 0x9a, 0xb1, 0x96, 0x6d, 0x1f, 0xde, 0x5d, 0xd7,
+	0x07, 0x25, 0x92, 0xc8, 0xa0, 0x7d, 0x8b, 0x22, 0xb7, 0xa1, 0x1b, 0x53, 0x15, 0x9c, 0x8d, 0x19,
+	0x0f, 0xf1, 0x8d, 0xae, 0xb0, 0xee, 0x83, 0x56, 0x1d, 0x67, 0x9a, 0xa2, 0x96, 0xed, 0x79, 0x2d,
+	0xde, 0xbf, 0x5b, 0x7a, 0x24, 0x79, 0x13, 0xed, 0x48, 0xde, 0x06, 0x10, 0x98, 0x46, 0x2c, 0xa0,
+	0x63, 0xdb, 0xbd, 0xba, 0xdf, 0xb1, 0x9a, 0xe3, 0x90, 0xdc, 0x82, 0x4e, 0x84, 0x34, 0x44, 0x91,
+	0x7d, 0x35, 0x71, 0xda, 0x46, 0x71, 0xac, 0x3b, 0xac, 0x50, 0xc4, 0xb6, 0x93, 0xfa, 0x4c, 0xee,
+	0x40, 0x2f, 0x48, 0xe2, 0x98, 0x29, 0x9b, 0x5b, 0xdd, 0xb4, 0xc3, 0xe8, 0x4c, 0x72, 0xe5, 0x21,
+	0x34, 0x96, 0x86, 0xf0, 0x08, 0x76, 0xf3, 0x0b, 0x37, 0x2e, 0x8c, 0x4c, 0x4b, 0x77, 0xf2, 0x0f,
+	0x7e, 0x6e, 0x7c, 0x00, 0x2d, 0xd3, 0x10, 0xe9, 0xb4, 0xfa, 0xdb, 0x83, 0xee, 0xfe, 0xdd, 0xe1,
+	0xca, 0x57, 0x3c, 0x2c, 0x37, 0xdf, 0xcf, 0x31, 0xe4, 0x53, 0x68, 0x21, 0x57, 0x82, 0xa1, 0x74,
+	0xda, 0x1a, 0xee, 0x55, 0xc0, 0x4b, 0xb7, 0xcc, 0xcf, 0x21, 0xde, 0x5f, 0x35, 0xd8, 0x39, 0x0c,
+	0x43, 0x3b, 0x19, 0xcb, 0x01, 0xff, 0x77, 0xb0, 0xba, 0x35, 0x69, 0x44, 0x03, 0x94, 0x79, 0xb7,
+	0x73, 0xb9, 0x9a, 0x05, 0x4e, 0xe0, 0x9a, 0x8f, 0x71, 0x32, 0xc3, 0xc5, 0x5c, 0x2e, 0x99, 0x6c,
+	0xc9, 0xdd, 0xd6, 0x82, 0x3b, 0x0e, 0x57, 0x73, 0x47, 0xf6, 0x8e, 0x7c, 0x31, 0xef, 0x73, 0x4d,
+	0x37, 0x6a, 0xd3, 0xb2, 0x8a, 0x56, 0xbb, 0xd0, 0x0e, 0x92, 0x38, 0x8d, 0x50, 0x61, 0xce, 0x2b,
+	0xb9, 0xec, 0x7d, 0x02, 0xc4, 0xa4, 0xaf, 0xdb, 0x9c, 0x67, 0xbf, 0xfc, 0x9a, 0xf7, 0xa0, 0x81,
+	0x3c, 0x2c, 0x68, 0xc9, 0x08, 0xde, 0xf5, 0xbc, 0x74, 0x8b, 0x35, 0x09, 0x7b, 0xdf, 0x83, 0xe3,
+	0x63, 0x84, 0x54, 0xe2, 0xb7, 0x53, 0x2a, 0x28, 0x57, 0x8c, 0x63, 0xee, 0xd8, 0x81, 0x96, 0x44,
+	0x31, 0x63, 0x01, 0x5a, 0xef, 0xb9, 0x98, 0x3d, 0xf6, 0xd7, 0x8c, 0x4f, 0x50, 0xa4, 0x82, 0x71,
+	0x65, 0x79, 0xa3, 0xac, 0xf2, 0x6e, 0xc1, 0x5b, 0x2b, 0xfc, 0xda, 0xa0, 0x0c, 0x76, 0x35, 0x17,
+	0x67, 0x17, 0xa5, 0x88, 0xf6, 0x04, 0x1a, 0x32, 0x93, 0x2f, 0xa5, 0xe3, 0xa7, 0x28, 0x99, 0xc0,
+	0xd0, 0x80, 0x0d, 0xa6, 0x72, 0x21, 0x78, 0x3f, 0x02, 0x29, 0x87, 0xb2, 0x63, 0x3a, 0x5a, 0xe2,
+	0xfe, 0x47, 0x9b, 0x05, 0x5b, 0xd8, 0x00, 0x19, 0xd3, 0xfa, 0x48, 0xc3, 0x72, 0x11, 0xde, 0x33,
+	0xd8, 0x2d, 0xe9, 0x6c, 0x34, 0x07, 0x5a, 0x33, 0x14, 0xfa, 0x7d, 0x9a, 0xbb, 0x95, 0x8b, 0xe4,
+	0x06, 0x34, 0x65, 0x32, 0x15, 0x81, 0x19, 0x75, 0xcf, 0xb7, 0x92, 0xf7, 0x02, 0x76, 0x5f, 0xa2,
+	0x7a, 0x95, 0x70, 0x7c, 0x3e, 0x55, 0xf3, 0x06, 0x2d, 0x6e, 0xcd, 0xbb, 0x95, 0x49, 0x97, 0xb0,
+	0x16, 0xe2, 0xed, 0x01, 0x29, 0x7b, 0xb4, 0x83, 0xf8, 0x01, 0x6e, 0x1e, 0x72, 0x9e, 0x4c, 0x79,
+	0x80, 0xdf, 0xa5, 0x52, 0x09, 0xa4, 0x71, 0x1e, 0xed, 0x00, 0xda, 0x53, 0xab, 0xb2, 0xf1, 0xee,
+	0x54, 0xc6, 0x2b, 0xb0, 0x05, 0xc4, 0x73, 0xc1, 0xb9, 0xe8, 0xd9, 0x46, 0x7d, 0x01, 0xd7, 0x9e,
+	0x8a, 0x24, 0x5d, 0x8e, 0xf8, 0x31, 0xd4, 0x43, 0x91, 0xa4, 0x97, 0xcf, 0xbf, 0x8c, 0xd5, 0x10,
+	0xef, 0x06, 0xec, 0x2d, 0x7a, 0x34, 0x91, 0xf6, 0xff, 0xe9, 0x40, 0xe3, 0x30, 0xe3, 0x26, 0xe2,
+	0x43, 0x43, 0xdf, 0x03, 0x52, 0x45, 0x7c, 0xe5, 0x1f, 0x28, 0xee, 0x3b, 0xeb, 0x8d, 0xec, 0x5c,
+	0x7f, 0x86, 0x4e, 0xb1, 0xb8, 0xc9, 0xfd, 0x0a, 0xc8, 0xf2, 0xba, 0x77, 0x07, 0x97, 0x1b, 0x2e,
+	0xf8, 0xb7, 0x8b, 0x70, 0x8d, 0xff, 0x85, 0x65, 0xbf, 0xce, 0xff, 0xd2, 0x42, 0xfb, 0x09, 0x3a,
+	0x05, 0x2d, 0x57, 0xfa, 0x5f, 0x26, 0x6e, 0xf7, 0xde, 0xda, 0xcd, 0x51, 0x38, 0xa7, 0xd0, 0x2b,
+	0x53, 0x2d, 0x79, 0x58, 0x01, 0x5b, 0xc1, 0xc7, 0x9b, 0x86, 0x08, 0xa1, 0x5b, 0xa2, 0x34, 0xf2,
+	0x60, 0x6d, 0x84, 0x32, 0x65, 0xba, 0x0f, 0x37, 0x31, 0x2d, 0x0a, 0x81, 0x39, 0x83, 0x90, 0xc1,
+	0xba, 0x9b, 0x51, 0xa6, 0x02, 0xf7, 0xc1, 0x06, 0x96, 0xf3, 0x41, 0x17, 0xac, 0x51, 0x39, 0x88,
+	0x65, 0xae, 0xa9, 0x1c, 0xf4, 0x45, 0x02, 0xa2, 0x00, 0xf3, 0xc7, 0x5f, 0x59, 0xc2, 0x05, 0xc6,
+	0xa9, 0x2c, 0xe1, 0x22, 0x93, 0x10, 0x09, 0x3b, 0xcb, 0xef, 0x9d, 0x0c, 0xab, 0x3a, 0xb0, 0x9a,
+	0x72, 0xdc, 0xd1, 0xc6, 0xf6, 0x36, 0xe8, 0x04, 0x7a, 0xe5, 0x67, 0x5f, 0x79, 0xc7, 0x56, 0xb0,
+	0x8d, 0xfb, 0x68, 0x23, 0x5b, 0x1b, 0x68, 0x96, 0xd1, 0xfa, 0xd2, 0x36, 0x23, 0xa3, 0xca, 0xfe,
+	0xaf, 0xde, 0xa7, 0xee, 0x7b, 0x9b, 0x03, 0x4c, 0xdc, 0x2f, 0x3f, 0x7a, 0xf5, 0xc1, 0x02, 0x04,
+	0xdf, 0xd0, 0xec, 0xa7, 0xc0, 0xa8, 0xac, 0x1c, 0xd1, 0x94, 0x8d, 0xf2, 0x3f, 0x6a, 0x4f, 0xf4,
+	0x21, 0x3d, 0x3d, 0x6d, 0xea, 0xbf, 0x5e, 0xef, 0xff, 0x17, 0x00, 0x00, 0xff, 0xff, 0x5c, 0x2c,
+	0x69, 0x80, 0xc3, 0x0d, 0x00, 0x00,
 }
--- a/cmd/balsamcourse/main.go
+++ b/cmd/balsamcourse/main.go
@@ -6,22 +6,36 @@
 	"context"
 	"os"
 
+	"github.com/spf13/cobra"
+
 	"balsamcourse.example/balsamcourse/internal/cli"
 	"balsamcourse.example/balsamcourse/internal/controld"
 	"balsamcourse.example/balsamcourse/internal/dev"
 	"balsamcourse.example/balsamcourse/internal/entryd"
+	"balsamcourse.example/balsamcourse/internal/gateway"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/platform"
 )
 
 func main() {
-	daemons := cli.Daemons{Control: runControl, Entry: runEntry, Dev: dev.Run}
+	daemons := cli.Daemons{
+		Control: runControl,
+		Entry:   runEntry,
+		Gateway: runGateway,
+		Dev:     dev.Run,
+		Extra:   []*cobra.Command{platform.Commands(os.Stdout)},
+	}
 	os.Exit(cli.Execute(context.Background(), os.Args[1:], daemons, os.Stdout, os.Stderr))
 }
 
 func runControl(ctx context.Context, planned <-chan struct{}, s settings.Control) error {
-	return controld.Run(ctx, planned, s, os.Stderr)
+	return controld.Run(ctx, planned, s, controld.Options{Logs: os.Stderr})
 }
 
 func runEntry(ctx context.Context, planned <-chan struct{}, s settings.Entry) error {
 	return entryd.Run(ctx, planned, s, entryd.Options{Logs: os.Stderr})
 }
+
+func runGateway(ctx context.Context, planned <-chan struct{}, s settings.Gateway) error {
+	return gateway.Run(ctx, planned, s, gateway.Options{Logs: os.Stdout})
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,6 +32,8 @@
 	index   atomic.Uint64
 	mu      sync.Mutex
 	changes *changeLog
+	// source is the text of the desired state in force.
+	source []byte
 }
 
 // New returns an empty catalog.
@@ -48,7 +50,9 @@
 func (c *Catalog) Index() uint64 { return c.index.Load() }
 
 // Apply executes the encoded command at the given log index. The result is a
-// *catalogpb.ChangeResult for an operator's change and an Applied otherwise.
+// *catalogpb.ChangeResult for an operator's change, a
+// *catalogpb.DesiredStateResult for a valid desired state and an Applied
+// otherwise.
 // Empty data changes nothing.
 func (c *Catalog) Apply(index uint64, data []byte) any {
 	c.mu.Lock()
@@ -69,6 +73,9 @@
 	if change := cmd.GetOperatorChange(); change != nil {
 		return c.applyChange(index, change)
 	}
+	if state := cmd.GetPutState(); state != nil {
+		return c.putState(index, state)
+	}
 	next := draft(c.Config())
 	if err := runCommand(next, index, &cmd); err != nil {
 		return c.refuse(err)
@@ -102,6 +109,12 @@
 		return assignCells(next, index, kind.AssignCells)
 	case *catalogpb.Command_SetClaimEpoch:
 		return setClaimEpoch(next, kind.SetClaimEpoch)
+	case *catalogpb.Command_PutUpstream:
+		return putUpstream(next, kind.PutUpstream)
+	case *catalogpb.Command_DropUpstream:
+		return dropUpstream(next, kind.DropUpstream)
+	case *catalogpb.Command_SetZoneOut:
+		return setZoneOut(next, kind.SetZoneOut)
 	}
 	return fault.New(fault.BadRequest, "empty command")
 }
@@ -120,6 +133,11 @@
 		ClaimEpoch:       cfg.ClaimEpoch,
 		SetRevision:      cfg.SetRevision,
 		PreviousSet:      cfg.PreviousSet,
+		StateVersion:     cfg.StateVersion,
+		Routes:           cfg.Routes,
+		Pools:            cfg.Pools,
+		CallerLimits:     cfg.CallerLimits,
+		Upstreams:        cfg.Upstreams,
 	}
 }
 
@@ -132,6 +150,7 @@
 		Changes:      slices.Clone(c.changes.order),
 		AppliedIndex: c.Index(),
 		Forgotten:    c.changes.forgottenIDs(),
+		StateSource:  c.source,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snap)
 	return data, errors.Annotate(err, "encode catalog")
@@ -150,6 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.changes = restoreChangeLog(snap.Changes, snap.Forgotten)
+	c.source = snap.StateSource
 	c.config.Store(cfg)
 	c.index.Store(snap.AppliedIndex)
 	return nil
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -34,6 +34,7 @@
 	for _, c := range goneCells {
 		d.DeletedCells = append(d.DeletedCells, &catalogpb.Cell{Service: c.Service, Zone: c.Zone, Shard: c.Shard})
 	}
+	deltaState(d, base, next)
 	if !proto.Equal(base.ClaimEpoch, next.ClaimEpoch) {
 		d.ClaimEpoch = next.ClaimEpoch
 	}
@@ -43,6 +44,36 @@
 	return d
 }
 
+// deltaState adds the differences in the desired state and the upstreams.
+func deltaState(d *catalogpb.ConfigDelta, base, next *catalogpb.Config) {
+	d.StateVersion = next.StateVersion
+	if base.StateVersion != next.StateVersion {
+		var goneRoutes []*catalogpb.Route
+		d.PutRoutes, goneRoutes = routes.compare(base.Routes, next.Routes)
+		d.DeletedRoutes = keys(routes, goneRoutes)
+		var gonePools []*catalogpb.Pool
+		d.PutPools, gonePools = pools.compare(base.Pools, next.Pools)
+		d.DeletedPools = keys(pools, gonePools)
+		if !proto.Equal(base.CallerLimits, next.CallerLimits) {
+			d.CallerLimits = next.CallerLimits
+		}
+	}
+	var goneUpstreams []*catalogpb.Upstream
+	d.PutUpstreams, goneUpstreams = upstreams.compare(base.Upstreams, next.Upstreams)
+	d.DeletedUpstreams = keys(upstreams, goneUpstreams)
+}
+
+// patchState makes the changes of deltaState in next.
+func patchState(next, base *catalogpb.Config, d *catalogpb.ConfigDelta) {
+	next.StateVersion = d.StateVersion
+	next.Routes = routes.merge(base.Routes, d.PutRoutes, d.DeletedRoutes)
+	next.Pools = pools.merge(base.Pools, d.PutPools, d.DeletedPools)
+	next.Upstreams = upstreams.merge(base.Upstreams, d.PutUpstreams, d.DeletedUpstreams)
+	if d.CallerLimits != nil {
+		next.CallerLimits = d.CallerLimits
+	}
+}
+
 // Patch returns the configuration that d makes of base. It refuses a delta
 // over another revision with an error that satisfies errors.IsNotValid.
 func Patch(base *catalogpb.Config, d *catalogpb.ConfigDelta) (*catalogpb.Config, error) {
@@ -57,6 +88,7 @@
 	next.Entries = entries.merge(base.Entries, d.PutEntries, d.DeletedEntries)
 	next.Rules = rules.merge(base.Rules, d.PutRules, ruleNames(d.DeletedRules))
 	next.Cells = cells.merge(base.Cells, d.PutCells, keys(cells, d.DeletedCells))
+	patchState(next, base, d)
 	if d.ClaimEpoch != nil {
 		next.ClaimEpoch = d.ClaimEpoch
 	}
--- a/internal/catalog/diff.go
+++ b/internal/catalog/diff.go
@@ -23,11 +23,16 @@
 	if _, gone := cells.compare(base.Cells, next.Cells); len(gone) > 0 {
 		lines = append(lines, fmt.Sprintf("- cells: %d", len(gone)))
 	}
-	if len(lines) > maxDiffLines {
-		more := fmt.Sprintf("... %d more", len(lines)-maxDiffLines)
-		lines = append(lines[:maxDiffLines:maxDiffLines], more)
+	return shorten(lines)
+}
+
+// shorten bounds the number of lines.
+func shorten(lines []string) []string {
+	if len(lines) <= maxDiffLines {
+		return lines
 	}
-	return lines
+	more := fmt.Sprintf("... %d more", len(lines)-maxDiffLines)
+	return append(lines[:maxDiffLines:maxDiffLines], more)
 }
 
 func describe[T proto.Message](t table[T], what string, base, next []T) []string {
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -22,6 +22,10 @@
 	entries  = table[*catalogpb.Entry]{func(e *catalogpb.Entry) string { return e.Id }}
 	rules    = table[*catalogpb.Rule]{func(r *catalogpb.Rule) string { return ruleKey(r.Service, r.Name) }}
 	cells    = table[*catalogpb.Cell]{cellKey}
+	routes   = table[*catalogpb.Route]{func(r *catalogpb.Route) string { return r.Name }}
+	pools    = table[*catalogpb.Pool]{func(p *catalogpb.Pool) string { return p.Name }}
+
+	upstreams = table[*catalogpb.Upstream]{func(u *catalogpb.Upstream) string { return u.Id }}
 )
 
 // separator cannot occur in a name.
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -62,6 +62,31 @@
 	return cmd
 }
 
+func newGateway(c *command) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "gateway --settings FILE",
+		Short: "Run a gateway, an entry VM for whole desired states",
+		Long: `Run a gateway: an entry VM that serves the routes of a whole desired state
+("balsamcourse admin apply") and asks upstreams for their load before it places
+work there. The first SIGTERM or SIGINT begins a planned stop; a second one
+stops at once.`,
+		Example: "  balsamcourse gateway --settings /etc/balsamcourse/gateway.toml",
+		Args:    cobra.NoArgs,
+		RunE: withKind(func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.LoadGateway(file)
+			if err != nil {
+				return err
+			}
+			ctx, planned, release := watchSignals(cmd.Context())
+			defer release()
+			return c.daemons.Gateway(ctx, planned, s)
+		}),
+	}
+	addSettingsFlag(cmd, &file)
+	return cmd
+}
+
 func newDev(c *command) *cobra.Command {
 	o := DevOptions{Out: c.out}
 	cmd := &cobra.Command{
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -20,6 +20,9 @@
 	Control func(ctx context.Context, planned <-chan struct{}, s settings.Control) error
 	Entry   func(ctx context.Context, planned <-chan struct{}, s settings.Entry) error
 	Dev     func(ctx context.Context, planned <-chan struct{}, o DevOptions) error
+	Gateway func(ctx context.Context, planned <-chan struct{}, s settings.Gateway) error
+	// Extra holds commands that other packages add.
+	Extra []*cobra.Command
 }
 
 // DevOptions configures the embedded system that runs in one process.
@@ -84,10 +87,11 @@
 	}
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
-		newControl(c), newEntry(c), newDev(c),
+		newControl(c), newEntry(c), newGateway(c), newDev(c),
 		newAdmin(c), newLookup(c), newLoad(c),
 		newSettings(c), newCharts(c), newDocs(c), newVersion(c),
 	)
+	root.AddCommand(c.daemons.Extra...)
 	return root
 }
 
--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -43,7 +43,7 @@
 // hold an old one, from a control VM without a quorum, and learns the newer one
 // from the answers.
 func (l *loop) confirmPeers(now time.Duration) {
-	if now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
+	if l.syncer.opts.ServesStale || now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
 		return
 	}
 	if !l.renewalLate(now) {
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -24,6 +25,9 @@
 	// avoidTime is the time for which an address that did not answer is left
 	// out.
 	avoidTime = 3 * time.Second
+	// seedsAfter is the number of failures in a row after which the seeds of the
+	// settings are read again.
+	seedsAfter = 8
 	// maxRelayUses is the number of renewals through a relay after which the
 	// leader is tried again directly.
 	maxRelayUses = 30
@@ -236,6 +240,9 @@
 	r := &l.renew
 	r.failures++
 	r.relay, r.relayUses = "", 0
+	if seeds := l.syncer.opts.Seeds; seeds != nil && r.failures%seedsAfter == 0 {
+		r.control = union(r.control, seeds())
+	}
 	r.next = l.syncer.now() + retryInterval
 }
 
@@ -243,7 +250,8 @@
 func (l *loop) learnAddresses(resp *clusterpb.RenewResponse) bool {
 	r := &l.renew
 	if len(resp.ControlAddresses) > 0 {
-		r.control = resp.ControlAddresses
+		// The given ones stay: they may be newer than what this VM was told.
+		r.control = union(resp.ControlAddresses, l.syncer.opts.Control)
 	}
 	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leader || l.avoided(resp.LeaderAddress) {
 		return false
@@ -253,6 +261,17 @@
 	return true
 }
 
+// union returns a followed by what only b has.
+func union(a, b []string) []string {
+	all := slices.Clone(a)
+	for _, address := range b {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // apply takes in the configuration and the accepted revision of an answer. It
 // reports whether either was new.
 func (l *loop) apply(resp *clusterpb.RenewResponse) bool {
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -30,12 +30,19 @@
 	Entry *catalogpb.Entry
 	// Control lists the cluster addresses of control VMs.
 	Control []string
+	// Seeds returns addresses of control VMs to try when those known do not
+	// answer; nil means none.
+	Seeds func() []string
 	// Peers lists cluster addresses of other entry VMs, to learn a
 	// configuration from when no control VM answers; it may be empty.
 	Peers []string
 	// RenewEvery is the time for which the leader may hold a renewal, and so
 	// their pace; 0 means DefaultRenewEvery, which is also the maximum.
 	RenewEvery time.Duration
+	// ServesStale is set when this entry VM admits work on the newest
+	// configuration that it holds, whether or not that is confirmed. It then
+	// asks no other entry VM for confirmation.
+	ServesStale bool
 	// Client carries the calls; nil means http.DefaultClient.
 	Client *http.Client
 	Log    event.Logger
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -9,7 +9,6 @@
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
-	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -171,12 +170,6 @@
 		Ended:       req.Ended,
 		Pending:     !set.accepted,
 	}
-	result, err := a.propose(ctx, &catalogpb.Command{Kind: &catalogpb.Command_RemoveEntry{RemoveEntry: remove}})
-	if err != nil {
-		return err
-	}
-	if applied, ok := result.(catalog.Applied); ok && applied.Err != nil {
-		return applied.Err
-	}
-	return nil
+	_, err := a.proposeApplied(ctx, &catalogpb.Command{Kind: &catalogpb.Command_RemoveEntry{RemoveEntry: remove}})
+	return err
 }
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -6,6 +6,7 @@
 	"context"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -30,13 +31,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, waitFor(req.WaitMs))
 	defer cancel()
-	complete, err := m.AddMember(ctx, req.Member, req.Replaces)
+	replaces := req.Replaces
+	if replaces == 0 {
+		replaces = a.holderOf(req.Member)
+	}
+	complete, err := m.AddMember(ctx, req.Member, replaces)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
 	return a.members(complete), nil
 }
 
+// holderOf returns the id of another replica at the address of member, or 0.
+// Two replicas cannot share an address: the other one has lost its disk.
+func (a *admin) holderOf(member *catalogpb.ControlMember) uint64 {
+	for _, m := range a.server.opts.Replica.Status().Members {
+		if m.Member.GetAddress() == member.GetAddress() && m.Member.GetReplicaId() != member.GetReplicaId() {
+			return m.Member.GetReplicaId()
+		}
+	}
+	return 0
+}
+
 // RemoveMember removes a control replica.
 func (a *admin) RemoveMember(ctx context.Context, req *adminpb.RemoveMemberRequest) (*adminpb.MemberResponse, error) {
 	resp, passed, err := toLeader(ctx, a.server, req, adminpb.Admin.RemoveMember)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -143,7 +143,12 @@
 	return &catalogpb.Command{Kind: &catalogpb.Command_AssignCells{AssignCells: cells}}
 }
 
+// claimPlan returns the command that changes the members for claims, or nil.
+// Claims are of use for services only; pools have none.
 func (t *term) claimPlan(now time.Duration) *catalogpb.Command {
+	if len(t.config.Services) == 0 {
+		return nil
+	}
 	members := assign.ClaimMembers(t.available(now, claimTimeout, false))
 	if slices.Equal(members, t.config.ClaimEpoch.GetMembers()) {
 		return nil
--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -35,6 +35,7 @@
 // Daemon is a running control VM.
 type Daemon struct {
 	settings settings.Control
+	opts     Options
 	log      event.Logger
 	metrics  *telemetry.Metrics
 	tracing  *telemetry.Tracing
@@ -42,6 +43,7 @@
 	node     *replica.Node
 	peers    *replica.TwirpTransport
 	control  *control.Server
+	client   *http.Client
 	servers  []*httpnet.Server
 }
 
@@ -51,10 +53,32 @@
 	cluster   *access.Keys
 }
 
+// Options holds what a control VM needs beyond its settings.
+type Options struct {
+	// Logs receives the event log.
+	Logs io.Writer
+	// Listeners returns further listeners over the operators' service; nil
+	// means none.
+	Listeners func(adminpb.Admin, event.Logger) []Listener
+	// Seeds returns the seeds as the settings name them now; nil means those
+	// of the start.
+	Seeds func() []string
+}
+
+// Listener is an address with what it serves.
+type Listener struct {
+	Address string
+	Handler http.Handler
+}
+
 // Run runs a control VM until planned is closed or ctx ends. Closing planned
 // hands leadership over first.
-func Run(ctx context.Context, planned <-chan struct{}, s settings.Control, logs io.Writer) error {
-	d, err := newDaemon(s, logs)
+func Run(ctx context.Context, planned <-chan struct{}, s settings.Control, o Options) error {
+	s, err := withIdentity(s)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	d, err := newDaemon(s, o)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -66,6 +90,9 @@
 	var workers conc.WaitGroup
 	workers.Go(func() { d.control.Run(runCtx) })
 	workers.Go(func() { d.sampleReplica(runCtx) })
+	if len(s.Seeds) > 0 && s.Join {
+		workers.Go(func() { d.join(runCtx) })
+	}
 	d.watchKeys(runCtx, &workers)
 	d.log.Log(event.Started).Str("cluster", s.ClusterAddress).Send()
 	ended := d.wait(ctx, planned)
@@ -76,7 +103,7 @@
 	return ended
 }
 
-func newDaemon(s settings.Control, logs io.Writer) (*Daemon, error) {
+func newDaemon(s settings.Control, o Options) (*Daemon, error) {
 	level, err := zerolog.ParseLevel(s.Log.Level)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -89,10 +116,11 @@
 	d := &Daemon{
 		tracing:  tracing,
 		settings: s,
-		log:      event.NewLogger(logs, level, "control", id),
+		opts:     o,
+		log:      event.NewLogger(o.Logs, level, "control", id),
 		metrics:  telemetry.NewMetrics("control", id),
 	}
-	if s.Open {
+	if s.Open || s.TrustNetwork {
 		return d, nil
 	}
 	if d.keys.operators, err = access.Load(s.Keys.OperatorsFile); err != nil {
@@ -107,6 +135,7 @@
 // open starts the replica and the listeners.
 func (d *Daemon) open() error {
 	client := replica.NewHTTPClient()
+	d.client = client
 	client.Transport = access.NewTransport(d.keys.cluster, client.Transport)
 	d.control = control.New(control.Options{
 		Client:   client,
@@ -167,6 +196,13 @@
 	if err := d.serve(d.settings.OperatorListen, access.NewGuard(d.keys.operators, d.log, nil).Wrap(telemetry.CountCalls(d.metrics, operators))); err != nil {
 		return err
 	}
+	if d.opts.Listeners != nil {
+		for _, l := range d.opts.Listeners(d.control.Admin(), d.log) {
+			if err := d.serve(l.Address, l.Handler); err != nil {
+				return err
+			}
+		}
+	}
 	if d.settings.MetricsListen == "" {
 		return nil
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -53,7 +53,7 @@
 	// The control VM outlives the entry VM, which hands over to it.
 	entryGone := make(chan struct{})
 	p := pool.New().WithErrors()
-	p.Go(func() error { return controld.Run(ctx, entryGone, control, file) })
+	p.Go(func() error { return controld.Run(ctx, entryGone, control, controld.Options{Logs: file}) })
 	p.Go(func() error {
 		defer close(entryGone)
 		return entryd.Run(ctx, planned, entry, entryd.Options{Logs: file})
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -78,7 +78,7 @@
 		return errors.Trace(err)
 	}
 	s.control, s.operators = ports[0], ports[1]
-	s.wg.Go(func() { _ = controld.Run(ctx, ctx.Done(), s.controlSettings(), io.Discard) })
+	s.wg.Go(func() { _ = controld.Run(ctx, ctx.Done(), s.controlSettings(), controld.Options{Logs: io.Discard}) })
 	for i := range s.d.Entries {
 		e := s.entrySettings(i, policy, ports[2+3*i:5+3*i])
 		opts := entryd.Options{
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -18,6 +18,7 @@
 	BadRequest        Kind = "bad_request"
 	NotFound          Kind = "not_found"
 	UnknownService    Kind = "unknown_service"
+	NoRoute           Kind = "no_route"
 	TooLarge          Kind = "too_large"
 	UpgradeRefused    Kind = "upgrade_refused"
 	Unauthorized      Kind = "unauthorized"
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -28,6 +28,16 @@
 // WriteHTTP answers a request with err. The answer carries the kind, whether
 // the request ran, and when a new attempt makes sense.
 func WriteHTTP(w http.ResponseWriter, err error) {
+	write(w, err, func(d time.Duration) string { return strconv.FormatInt(wholeSeconds(d), 10) })
+}
+
+// WriteExact is WriteHTTP for callers that take fractions of a second in
+// Retry-After.
+func WriteExact(w http.ResponseWriter, err error) {
+	write(w, err, func(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) })
+}
+
+func write(w http.ResponseWriter, err error, seconds func(time.Duration) string) {
 	e := Of(err)
 	a := e.Answer()
 	h := w.Header()
@@ -36,7 +46,7 @@
 	h.Set(HeaderKind, string(e.Kind))
 	h.Set(HeaderRun, string(a.Run))
 	if a.RetryAfter > 0 {
-		h.Set(HeaderRetryAfter, strconv.FormatInt(wholeSeconds(a.RetryAfter), 10))
+		h.Set(HeaderRetryAfter, seconds(a.RetryAfter))
 		h.Set(HeaderRetryAfterMs, strconv.FormatInt(a.RetryAfter.Milliseconds(), 10))
 	}
 	w.WriteHeader(a.Status)
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -32,6 +32,7 @@
 	BadRequest:        {http.StatusBadRequest, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the request is malformed"},
 	NotFound:          {http.StatusNotFound, twirp.NotFound, NotRun, 0, ExitRefused, "the named object does not exist"},
 	UnknownService:    {http.StatusNotFound, twirp.NotFound, NotRun, 0, ExitRefused, "no service has this path prefix"},
+	NoRoute:           {http.StatusNotFound, twirp.NotFound, NotRun, 0, ExitRefused, "no route has this host and path prefix"},
 	TooLarge:          {http.StatusRequestEntityTooLarge, twirp.InvalidArgument, NotRun, 0, ExitUsage, "the request exceeds a size limit"},
 	UpgradeRefused:    {http.StatusNotImplemented, twirp.Unimplemented, NotRun, 0, ExitRefused, "protocol upgrades are not supported"},
 	Unauthorized:      {http.StatusUnauthorized, twirp.Unauthenticated, NotRun, 0, ExitRefused, "the key is missing or wrong"},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -123,7 +123,7 @@
 		return kept
 	}
 	kept.Body = ans.head
-	for name, values := range copyEndToEnd(ans.resp.Header) {
+	for name, values := range EndToEnd(ans.resp.Header) {
 		for _, v := range values {
 			kept.Headers = append(kept.Headers, &clusterpb.Header{Name: name, Value: v})
 		}
@@ -151,7 +151,7 @@
 	for name := range h {
 		delete(h, name)
 	}
-	for name, values := range copyEndToEnd(resp.Header) {
+	for name, values := range EndToEnd(resp.Header) {
 		h[name] = values
 	}
 	for name := range resp.Trailer {
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -35,7 +35,7 @@
 		return &requestBody{}, nil
 	}
 	body := http.MaxBytesReader(w, r.Body, opts.MaxBodyBytes)
-	src := &patientReader{r: body, control: http.NewResponseController(w), idle: opts.BodyIdleTimeout}
+	src := NewBodyReader(w, body, opts.BodyIdleTimeout)
 	head, err := io.ReadAll(io.LimitReader(src, bufferedBytes))
 	if err != nil {
 		return nil, bodyFault(err)
@@ -43,7 +43,7 @@
 	b := &requestBody{head: head, digest: sha256.Sum256(head), length: r.ContentLength}
 	if len(head) < bufferedBytes {
 		b.length = int64(len(head))
-		src.stop()
+		src.Stop()
 		return b, nil
 	}
 	b.rest = src
@@ -78,27 +78,33 @@
 // Close does nothing; the server closes the caller's body.
 func (onceReader) Close() error { return nil }
 
-// patientReader reads a body and gives up when no bytes come for a while.
-type patientReader struct {
+// BodyReader reads a body and gives up when no bytes come for a while.
+type BodyReader struct {
 	r       io.Reader
 	control *http.ResponseController
 	idle    time.Duration
 }
 
+// NewBodyReader returns a reader over the body of the request that w answers.
+// It gives up when no bytes come for idle; 0 means never.
+func NewBodyReader(w http.ResponseWriter, body io.Reader, idle time.Duration) *BodyReader {
+	return &BodyReader{r: body, control: http.NewResponseController(w), idle: idle}
+}
+
 // Read implements io.Reader.
-func (p *patientReader) Read(b []byte) (int, error) {
+func (p *BodyReader) Read(b []byte) (int, error) {
 	if p.idle > 0 {
 		_ = p.control.SetReadDeadline(time.Now().Add(p.idle))
 	}
 	n, err := p.r.Read(b)
 	if err == io.EOF {
-		p.stop()
+		p.Stop()
 	}
 	return n, err
 }
 
-// stop lifts the deadline so that it does not hit the wait for the answer.
-func (p *patientReader) stop() {
+// Stop lifts the deadline so that it does not hit the wait for the answer.
+func (p *BodyReader) Stop() {
 	if p.idle > 0 {
 		_ = p.control.SetReadDeadline(time.Time{})
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -98,7 +98,7 @@
 		Method:        c.r.Method,
 		URL:           &url.URL{Scheme: "http", Host: g.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery},
 		Host:          c.r.Host,
-		Header:        copyEndToEnd(c.r.Header),
+		Header:        EndToEnd(c.r.Header),
 		Body:          c.body.open(),
 		ContentLength: c.body.length,
 		Trailer:       c.r.Trailer,
--- /dev/null
+++ b/internal/gateway/daemon.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/access"
+	"balsamcourse.example/balsamcourse/internal/admit"
+	"balsamcourse.example/balsamcourse/internal/configsync"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/gossip"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/lookup"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/retry"
+	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/upconn"
+	"balsamcourse.example/balsamcourse/internal/view"
+	"balsamcourse.example/balsamcourse/internal/wait"
+)
+
+// Options holds what a gateway needs beyond its settings.
+type Options struct {
+	// Logs receives the event log.
+	Logs io.Writer
+	// Dialect names the headers; the zero value is OwnDialect.
+	Dialect Dialect
+	// Listeners returns further listeners; nil means none.
+	Listeners func(*Daemon) []Listener
+	// Seeds returns the seeds as the settings name them now; nil means those
+	// of the start.
+	Seeds func() []string
+	// Dial opens connections to upstreams; nil uses the network.
+	Dial upconn.Dialer
+}
+
+// Listener is an address with what it serves.
+type Listener struct {
+	Address string
+	Handler http.Handler
+}
+
+// Daemon is a running gateway.
+type Daemon struct {
+	settings settings.Gateway
+	opts     Options
+	log      event.Logger
+	metrics  *telemetry.Metrics
+	entry    *telemetry.EntryMetrics
+	keys     *access.Keys
+
+	world   *world
+	conns   *upconn.Pool
+	config  *configsync.Syncer
+	gossip  *gossip.Service
+	limiter *admit.Limiter
+	callers *httpnet.Server
+	servers []*httpnet.Server
+	// leaving is set when the stop has begun, closed when no new calls are
+	// taken any more.
+	leaving, closed atomic.Bool
+	workers         conc.WaitGroup
+}
+
+// Times of a gateway.
+const (
+	sweepEvery      = time.Second
+	shutdownTimeout = time.Second
+	keyReload       = 2 * time.Second
+)
+
+// Run runs a gateway until planned is closed or ctx ends. Closing planned
+// finishes the calls in flight; the end of ctx cuts them off.
+func Run(ctx context.Context, planned <-chan struct{}, s settings.Gateway, o Options) error {
+	d, err := newDaemon(s, o)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := d.listen(); err != nil {
+		return errors.Trace(err)
+	}
+	d.start(runCtx)
+	d.log.Log(event.Started).Str("callers", s.CallerAddress).Send()
+	select {
+	case <-ctx.Done():
+	case <-planned:
+		d.leave(ctx)
+	}
+	d.close(cancel)
+	return nil
+}
+
+func newDaemon(s settings.Gateway, o Options) (*Daemon, error) {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.Dialect.ParseLoad == nil {
+		o.Dialect = OwnDialect()
+	}
+	d := &Daemon{
+		settings: s,
+		opts:     o,
+		log:      event.NewLogger(o.Logs, level, "gateway", s.ID),
+		metrics:  telemetry.NewMetrics("gateway", s.ID),
+		conns:    upconn.NewPool(o.Dial),
+		limiter:  admit.NewLimiter(s.Limits.MaxInFlight),
+	}
+	d.entry = telemetry.NewEntryMetrics(d.metrics.Scope)
+	if !s.TrustNetwork {
+		if d.keys, err = access.Load(s.ClusterFile); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	d.build()
+	return d, nil
+}
+
+// build connects the parts. Nothing runs yet.
+func (d *Daemon) build() {
+	s := d.settings
+	self := &catalogpb.Entry{
+		Id:             s.ID,
+		Zone:           s.Zone,
+		Region:         s.Region,
+		CallerAddress:  s.CallerAddress,
+		ClusterAddress: s.ClusterAddress,
+		// The start time grows with each start of the process.
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	d.world = newWorld(s.ID, s.Zone, s.ColdShare, retry.Limits{
+		Ratio:  s.Retry.Ratio,
+		Slack:  s.Retry.Slack,
+		Window: s.Retry.WindowMs.Duration(),
+	})
+	client := httpnet.NewClient(nil)
+	client.Transport = access.NewTransport(d.keys, client.Transport)
+	d.config = configsync.New(configsync.Options{
+		Entry:       self,
+		Control:     s.Control,
+		Seeds:       d.opts.Seeds,
+		Client:      client,
+		Log:         d.log,
+		ServesStale: true,
+	})
+	d.world.reachable = d.config.Reachable
+	d.gossip = gossip.New(gossip.Options{
+		EntryID:     s.ID,
+		Incarnation: self.Incarnation,
+		Client:      client,
+		Limits: quarantine.Limits{
+			Crashes:    s.Quarantine.Threshold,
+			Hold:       s.Quarantine.HoldMs.Duration(),
+			MaxReports: s.Quarantine.MaxRequests,
+		},
+		Logger: d.log,
+	})
+	d.config.OnChange(func(v *view.View) {
+		d.world.adopt(v)
+		d.gossip.OnConfig(v)
+		d.entry.Revision.Update(float64(v.Revision()))
+	})
+}
+
+// Ready reports whether callers may be sent here: a desired state is held and
+// no stop has begun.
+func (d *Daemon) Ready() bool { return d.world.table.Load() != nil && !d.leaving.Load() }
+
+// Named returns the addresses that a caller in the zone should use, and for
+// how long it may keep them; none while no configuration is held.
+func (d *Daemon) Named(zone string) ([]string, time.Duration) {
+	v := d.config.View()
+	if v == nil {
+		return nil, 0
+	}
+	named := lookup.Named(v.Config.Entries, lookup.Preference{
+		Zone:    zone,
+		PerZone: d.settings.NamedPerZone,
+		Usable: func(e *catalogpb.Entry) bool {
+			if e.Id == d.settings.ID {
+				return !d.leaving.Load()
+			}
+			return !e.Leaving && d.config.Reachable(e.Id)
+		},
+	})
+	return named, d.settings.LookupTTLMs.Duration()
+}
+
+func (d *Daemon) listen() error {
+	s := d.settings
+	cluster := http.NewServeMux()
+	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
+	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
+	if err := d.open(s.ClusterListen, httpnet.Limits{}, access.NewGuard(d.keys, d.log, nil).Wrap(cluster)); err != nil {
+		return err
+	}
+	if d.opts.Listeners != nil {
+		for _, l := range d.opts.Listeners(d) {
+			if err := d.open(l.Address, httpnet.Limits{}, l.Handler); err != nil {
+				return err
+			}
+		}
+	}
+	if s.MetricsListen != "" {
+		if err := d.open(s.MetricsListen, httpnet.Limits{}, d.metrics.Handler()); err != nil {
+			return err
+		}
+	}
+	limits := httpnet.Limits{
+		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
+		ReadHeaderTimeout: s.Limits.ReadHeaderTimeoutMs.Duration(),
+		IdleTimeout:       s.Limits.IdleTimeoutMs.Duration(),
+		MaxConnections:    s.Limits.MaxConnections,
+	}
+	if err := d.open(s.CallerListen, limits, d.callerHandler()); err != nil {
+		return err
+	}
+	d.callers = d.servers[len(d.servers)-1]
+	return nil
+}
+
+func (d *Daemon) open(address string, limits httpnet.Limits, h http.Handler) error {
+	s, err := httpnet.Listen(address, h, limits)
+	if err != nil {
+		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
+		return errors.Trace(err)
+	}
+	d.servers = append(d.servers, s)
+	return nil
+}
+
+func (d *Daemon) callerHandler() http.Handler {
+	calls := newForwarder(d.world, d.conns, ForwarderOptions{
+		Dialect:         d.opts.Dialect,
+		Crashes:         d.gossip,
+		Limiter:         d.limiter,
+		Metrics:         d.entry,
+		Events:          d.log,
+		Leaving:         d.closed.Load,
+		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		defer d.recoverCall(w)
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// recoverCall turns a panic into an answer.
+func (d *Daemon) recoverCall(w http.ResponseWriter) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	err := fault.New(fault.Internal, "%v", p)
+	d.log.Log(event.CallPanic).Err(err).Send()
+	fault.WriteHTTP(w, err)
+}
+
+func (d *Daemon) start(ctx context.Context) {
+	d.workers.Go(func() { d.config.Run(ctx) })
+	d.workers.Go(func() { d.gossip.Run(ctx) })
+	d.workers.Go(func() { wait.Every(ctx, sweepEvery, d.sweep) })
+	if d.keys != nil {
+		d.workers.Go(func() { d.keys.Watch(ctx, keyReload, d.log) })
+	}
+}
+
+// sweep closes connections that have been idle for too long or lead to
+// upstreams that have left.
+func (d *Daemon) sweep() {
+	known := make(map[string]bool)
+	if cfg := d.world.config.Load(); cfg != nil {
+		for _, u := range cfg.Upstreams {
+			known[u.Address] = u.State == catalogpb.UpstreamState_UPSTREAM_STATE_READY
+		}
+	}
+	d.conns.Sweep(func(address string) bool { return known[address] })
+	d.entry.InFlight.Update(float64(d.limiter.Total()))
+}
+
+// leave carries out a planned stop: look-ups stop naming this gateway, which
+// serves on for as long as callers may keep an answer, then takes no new calls
+// and finishes those in flight.
+func (d *Daemon) leave(ctx context.Context) {
+	begun := time.Now()
+	d.log.Log(event.Stopping).Send()
+	d.leaving.Store(true)
+	d.config.SetLeaving()
+	if !wait.For(ctx, d.settings.ServeMs.Duration()) {
+		return
+	}
+	d.closed.Store(true)
+	limited, cancel := context.WithDeadline(ctx, begun.Add(d.settings.StopMs.Duration()))
+	defer cancel()
+	// Stops listening and closes idle connections at once.
+	if err := d.callers.Shutdown(limited); err != nil {
+		d.log.Log(event.StoppedHard).Uint64("calls_cut", uint64(d.limiter.Total())).Err(err).Send()
+	}
+}
+
+// close stops the listeners and the background work.
+func (d *Daemon) close(cancel context.CancelFunc) {
+	limited, done := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer done()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	cancel()
+	ended := make(chan struct{})
+	go func() {
+		d.workers.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-limited.Done():
+	}
+	_ = d.metrics.Close()
+	d.log.Log(event.Stopped).Send()
+}
--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,141 @@
+package place
+
+import (
+	"time"
+)
+
+// Verdict says what becomes of a request for the moment.
+type Verdict int
+
+// The verdicts.
+const (
+	// Place: the request goes to the upstream at once.
+	Place Verdict = iota
+	// Wait: upstreams answer, but none has room; ask again in a moment.
+	Wait
+	// None: no upstream of the pool takes new work.
+	None
+)
+
+// Choice is a decision with what it rests on.
+type Choice struct {
+	Verdict  Verdict
+	Upstream Upstream
+	// Cost is the estimate for the upstream, in percent of the usual time.
+	Cost float64
+	Load Load
+	// Age is how old the report is that decided.
+	Age time.Duration
+}
+
+// Good reports whether an upstream that has just reported is good enough to be
+// taken without waiting for the others that were asked.
+func (b *Board) Good(now time.Duration, id string) bool {
+	u := b.upstreams[id]
+	if u == nil || !b.usable(now, u) || u.ill {
+		return false
+	}
+	return u.load.Running == 0 && u.load.Waiting == 0 && u.load.SlowPercent <= goodPercent
+}
+
+// goodPercent is the speed up to which an idle upstream is taken at once.
+const goodPercent = 120
+
+// usable reports whether the upstream may be given a request now, apart from
+// its load.
+func (b *Board) usable(now time.Duration, u *upstream) bool {
+	return b.open(u) && now >= u.coldUntil && u.reported
+}
+
+// Choose decides among the upstreams in ids, which have been asked for their
+// load. mayQueue allows an upstream without a free slot whose queue is short:
+// it is set when the search among the others has failed.
+func (b *Board) Choose(now time.Duration, ids []string, mayQueue bool) Choice {
+	choice := Choice{Verdict: None}
+	for _, id := range ids {
+		u := b.upstreams[id]
+		if u == nil || !b.usable(now, u) {
+			continue
+		}
+		if !roomy(u, mayQueue) {
+			if choice.Verdict == None {
+				choice.Verdict = Wait
+			}
+			continue
+		}
+		cost := b.cost(now, u)
+		if choice.Verdict != Place || cost < choice.Cost {
+			choice = Choice{Place, u.Upstream, cost, u.load, now - u.loadAt}
+		}
+	}
+	return choice
+}
+
+// roomy reports whether the upstream has a free slot, or, with mayQueue, a
+// queue that is shorter than its slots. Upstreams that are full reset
+// connections, after which nobody knows whether a request has run.
+func roomy(u *upstream, mayQueue bool) bool {
+	if u.load.Running < u.load.Slots {
+		return true
+	}
+	return mayQueue && u.load.Waiting < max(1, u.load.Slots/2)
+}
+
+// bucket pays out requests to a cold upstream at a steady rate.
+type bucket struct {
+	tokens float64
+	since  time.Duration
+}
+
+// coldBurst bounds what a bucket saves up. With one, the requests in any
+// second stay below one more than the rate; and the bound holds still when two
+// or three entry VMs take themselves for the owner while they learn of each
+// other.
+const coldBurst = 1
+
+// take pays for one request at rate a second.
+func (c *bucket) take(now time.Duration, rate float64) bool {
+	c.tokens = min(coldBurst, c.tokens+rate*(now-c.since).Seconds())
+	c.since = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// ChooseCold decides for a cold upstream when no warm one has room. Only the
+// owner of an upstream may send to it, at the rate that it bears. A bucket is
+// empty when its entry VM starts, since what an earlier process has sent is not
+// known.
+func (b *Board) ChooseCold(now time.Duration, ids []string) Choice {
+	for _, id := range ids {
+		u := b.upstreams[id]
+		if u == nil || !b.open(u) || !u.reported || now >= u.coldUntil || u.load.Running >= u.load.Slots {
+			continue
+		}
+		if b.owner == nil || !b.owner(id) {
+			u.cold = bucket{since: now}
+			continue
+		}
+		if u.cold.take(now, b.coldRate[u.Pool]) {
+			return Choice{Place, u.Upstream, b.cost(now, u), u.load, now - u.loadAt}
+		}
+	}
+	return Choice{Verdict: None}
+}
+
+// Size returns how many upstreams of the pool may get new work, and how many
+// of them are neither cold nor held.
+func (b *Board) Size(now time.Duration, pool string) (open, ready int) {
+	for _, u := range b.pools[pool] {
+		if !b.open(u) {
+			continue
+		}
+		open++
+		if now >= u.coldUntil && now >= u.heldUntil {
+			ready++
+		}
+	}
+	return open, ready
+}
--- /dev/null
+++ b/internal/place/observe.go
@@ -0,0 +1,91 @@
+package place
+
+import (
+	"time"
+)
+
+// Report is the answer of an upstream that was asked for its load.
+type Report struct {
+	Load Load
+	// Ill is set when the upstream says that it is not well or is leaving.
+	Ill bool
+	// Cold is how long it stays cold.
+	Cold time.Duration
+}
+
+// Observe takes in a report.
+func (b *Board) Observe(now time.Duration, id string, r Report) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.load, u.loadAt, u.reported, u.ill = r.Load, now, true, r.Ill
+	if u.load.Slots == 0 {
+		u.load.Slots = u.Slots
+	}
+	if u.load.SlowPercent == 0 {
+		u.load.SlowPercent = usualSlowPercent
+	}
+	// The upstream's own word on its cold start is newer than its announcement.
+	u.coldUntil = now + r.Cold
+	if r.Cold == 0 {
+		u.coldUntil = 0
+	}
+}
+
+// Unreachable records that an upstream did not answer when it was asked.
+func (b *Board) Unreachable(now time.Duration, id string) (held time.Duration) {
+	return b.hold(now, id)
+}
+
+// Failed records that an upstream failed a request that it was sent.
+func (b *Board) Failed(now time.Duration, id string) (held time.Duration) {
+	return b.hold(now, id)
+}
+
+func (b *Board) hold(now time.Duration, id string) time.Duration {
+	u := b.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	held := firstHold << min(u.failures, 10)
+	held = min(held, longestHold)
+	u.failures++
+	u.heldUntil = max(u.heldUntil, now+held)
+	u.reported = false
+	return held
+}
+
+// Answered records a whole answer. took and usual are the time of this answer
+// and the usual one of its route, as the pool answers it.
+func (b *Board) Answered(id string, took, usual time.Duration) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.failures = 0
+	u.heldUntil = 0
+	if usual > 0 {
+		pace := min(float64(took)/float64(usual), maxPace)
+		u.pace += paceWeight * (pace - u.pace)
+	}
+}
+
+// maxPace bounds what one slow answer says of an upstream.
+const maxPace = 8
+
+// Began counts a request that is sent to the upstream.
+func (b *Board) Began(id string) {
+	if u := b.upstreams[id]; u != nil {
+		u.inFlight++
+		u.load.Running++
+	}
+}
+
+// Ended counts the end of a request that Began has counted.
+func (b *Board) Ended(id string) {
+	if u := b.upstreams[id]; u != nil && u.inFlight > 0 {
+		u.inFlight--
+		u.load.Running = max(0, u.load.Running-1)
+	}
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,235 @@
+// Package place decides at which upstream a request is placed, when it has to
+// wait, and when it is turned away.
+//
+// Upstreams share their VMs with others, so that their speed changes several
+// times a second, and requests reach them from many entry VMs. What an entry VM
+// remembers of an upstream is therefore stale by the time of the next request.
+// The decision is made in two steps: a few upstreams are chosen to be asked for
+// their load at this moment, and the request is placed at the best of those
+// that answer.
+//
+// The package is pure: it has no clock, network, goroutine or source of
+// randomness. Times are readings of the monotonic clock of the caller.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load is what an upstream says of its load.
+type Load struct {
+	// Running and Waiting count the requests at the upstream, Slots those that
+	// it runs at once.
+	Running, Waiting, Slots int
+	// SlowPercent is how long work takes at the moment; 100 is the usual.
+	SlowPercent int
+}
+
+// Upstream describes an upstream as it has announced itself.
+type Upstream struct {
+	ID      string
+	Address string
+	Zone    string
+	Pool    string
+	// Started is the Unix time of its start, in milliseconds.
+	Started uint64
+	Slots   int
+	// Draining upstreams get no new work.
+	Draining bool
+	// Cold is how long it stays cold, counted from when this was learned.
+	Cold time.Duration
+}
+
+// Constants of the judgement of upstreams.
+const (
+	// usualSlowPercent stands for the speed of an upstream that has not said
+	// how fast it is at the moment: the mean over spells in which work takes
+	// four times as long for a quarter to a third of the time.
+	usualSlowPercent = 190
+	// loadKept is the age up to which a report counts in the choice of whom to
+	// ask; spells last about 300 ms.
+	loadKept = 150 * time.Millisecond
+	// kneeShare is the share of slots above which upstreams slow down, and
+	// kneePercent by how much, as the operators have stated.
+	kneeShare   = 0.8
+	kneePercent = 170
+	// illPercent burdens an upstream that says it is not well, but answers: it
+	// is used only when no other is free.
+	illPercent = 1000
+	// farPercent burdens upstreams in another availability zone, by the cost
+	// of bytes between zones; it decides only between upstreams that are
+	// otherwise about equal.
+	farPercent = 15
+	// firstHold is the time for which an upstream gets no work after a failure;
+	// it doubles with each further one up to longestHold.
+	firstHold   = 500 * time.Millisecond
+	longestHold = 8 * time.Second
+	// paceWeight is the weight of a new observation of an upstream's pace.
+	paceWeight = 0.3
+)
+
+// upstream is what the board knows of one upstream.
+type upstream struct {
+	Upstream
+	// inFlight counts the requests of this entry VM.
+	inFlight int
+	load     Load
+	loadAt   time.Duration
+	reported bool
+	ill      bool
+	// coldUntil is when the cold start ends, as far as is known.
+	coldUntil time.Duration
+	// cold pays out the requests that the upstream bears in cold start.
+	cold bucket
+	// heldUntil keeps an upstream without work after failures.
+	heldUntil time.Duration
+	failures  int
+	// pace is how long its answers take, relative to those of its pool.
+	pace float64
+}
+
+// Board holds what one entry VM knows of all upstreams. It is not safe for
+// concurrent use.
+type Board struct {
+	zone      string
+	upstreams map[string]*upstream
+	pools     map[string][]*upstream
+	closed    map[string]bool
+	// coldRate is the rate, in requests a second, that a cold upstream of a
+	// pool may get from this entry VM, by pool.
+	coldRate map[string]float64
+	// owner reports whether this entry VM may send to a cold upstream.
+	owner func(id string) bool
+}
+
+// NewBoard returns a board for an entry VM in an availability zone.
+func NewBoard(zone string) *Board {
+	return &Board{
+		zone:      zone,
+		upstreams: make(map[string]*upstream),
+		pools:     make(map[string][]*upstream),
+	}
+}
+
+// Facts is what the configuration in force says of upstreams.
+type Facts struct {
+	Upstreams []Upstream
+	// Closed lists the availability zones that get no new work.
+	Closed map[string]bool
+	// ColdRate is the rate, in requests a second, that a cold upstream may get
+	// from its owner, by pool.
+	ColdRate map[string]float64
+	// Owner reports whether this entry VM is the one that may send to the
+	// upstream while it is cold.
+	Owner func(id string) bool
+}
+
+// Update takes in a configuration. What is known of an upstream is kept while
+// it has not restarted.
+func (b *Board) Update(now time.Duration, f Facts) {
+	next := make(map[string]*upstream, len(f.Upstreams))
+	b.pools = make(map[string][]*upstream)
+	for _, d := range f.Upstreams {
+		u := b.upstreams[d.ID]
+		if u == nil || u.Started != d.Started || u.Address != d.Address {
+			u = &upstream{pace: 1}
+			u.cold.since = now
+		}
+		if d.Cold > 0 && (u.Cold != d.Cold || u.ID == "") {
+			u.coldUntil = max(u.coldUntil, now+d.Cold)
+		}
+		u.Upstream = d
+		next[d.ID] = u
+		b.pools[d.Pool] = append(b.pools[d.Pool], u)
+	}
+	b.upstreams = next
+	b.closed, b.coldRate, b.owner = f.Closed, f.ColdRate, f.Owner
+}
+
+// Candidate is an upstream that may be asked for its load.
+type Candidate struct {
+	Upstream
+	// Cold is set when the upstream is cold, as far as is known.
+	IsCold bool
+}
+
+// open reports whether the upstream may get new work at all.
+func (b *Board) open(u *upstream) bool { return !u.Draining && !b.closed[u.Zone] }
+
+// Candidates returns up to n upstreams of the pool to ask for their load, the
+// most promising ones first. random is a draw for the order among equals;
+// upstreams in avoid are left out. Held and cold ones come last, so that they
+// are asked when nothing better is left.
+func (b *Board) Candidates(now time.Duration, pool string, avoid []string, n int, random func() float64) []Candidate {
+	type ranked struct {
+		u    *upstream
+		rank float64
+	}
+	list := make([]ranked, 0, len(b.pools[pool]))
+	for _, u := range b.pools[pool] {
+		if !b.open(u) || slices.Contains(avoid, u.ID) {
+			continue
+		}
+		list = append(list, ranked{u, b.rank(now, u) + random()*drawSpread})
+	}
+	slices.SortFunc(list, func(x, y ranked) int { return cmp.Compare(x.rank, y.rank) })
+	out := make([]Candidate, 0, n)
+	for _, r := range list[:min(n, len(list))] {
+		out = append(out, Candidate{Upstream: r.u.Upstream, IsCold: now < r.u.coldUntil})
+	}
+	return out
+}
+
+// Parts of the rank of upstreams that have not been asked yet, in percent of
+// the usual time of work.
+const (
+	// drawSpread is the weight of the draw; it exceeds the differences that
+	// old reports make, so that entry VMs do not all ask the same upstreams.
+	drawSpread = 300
+	heldRank   = 100_000
+	coldRank   = 10_000
+)
+
+// rank orders upstreams for being asked, lowest first.
+func (b *Board) rank(now time.Duration, u *upstream) float64 {
+	rank := u.pace * usualSlowPercent
+	if u.reported && now-u.loadAt < loadKept {
+		rank = b.cost(now, u)
+	}
+	rank += float64(u.inFlight) * usualSlowPercent / float64(max(1, u.Slots))
+	if now < u.coldUntil {
+		rank += coldRank
+	}
+	if now < u.heldUntil {
+		rank += heldRank
+	}
+	if u.Zone != b.zone {
+		rank += farPercent
+	}
+	return rank
+}
+
+// cost estimates how long work takes at the upstream, in percent of the usual
+// time, from its last report.
+func (b *Board) cost(_ time.Duration, u *upstream) float64 {
+	slots := max(1, u.load.Slots)
+	slow := float64(max(1, u.load.SlowPercent)) * u.pace
+	if float64(u.load.Running+1) > kneeShare*float64(slots) {
+		slow *= kneePercent / 100.0
+	}
+	cost := slow
+	if u.load.Running >= slots {
+		// Work ahead of this request: what waits and, on average, half of what
+		// runs in one slot.
+		cost += slow * (float64(u.load.Waiting) + 0.5) / float64(slots)
+	}
+	if u.ill {
+		cost += illPercent
+	}
+	if u.Zone != b.zone {
+		cost += farPercent
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,70 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{Ratio: 0.2, Slack: 80, Window: 10 * time.Second}
+
+// TestBudgetHoldsOverEntryVMs draws loads, failures of every request and
+// restarts, and checks each window against the bound for all entry VMs
+// together.
+func TestBudgetHoldsOverEntryVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 30).Draw(t, "vms")
+		budgets := make([]Budget, vms)
+		restarted := make([]bool, vms)
+		var requests, attempts []time.Duration
+		now := time.Duration(0)
+		steps := rapid.IntRange(50, 600).Draw(t, "steps")
+		for range steps {
+			now += time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			if rapid.IntRange(0, 40).Draw(t, "restart") == 0 && !restarted[vm] {
+				budgets[vm], restarted[vm] = Budget{}, true
+			}
+			budgets[vm].Request(now, limits)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 4).Draw(t, "wanted") {
+				if budgets[vm].Take(now, limits, vms) {
+					attempts = append(attempts, now)
+				}
+			}
+		}
+		for _, end := range attempts {
+			bound := limits.Ratio*float64(within(requests, end)) + limits.Slack
+			assert.Assert(t, float64(within(attempts, end)) <= bound)
+		}
+	})
+}
+
+func within(times []time.Duration, end time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at <= end && at > end-limits.Window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBudgetIsSpentAndComesBack(t *testing.T) {
+	var b Budget
+	taken := 0
+	for b.Take(time.Second, limits, 20) {
+		taken++
+	}
+	assert.Equal(t, taken, 1)
+	for range 100 {
+		b.Request(time.Second, limits)
+	}
+	for b.Take(time.Second, limits, 20) {
+		taken++
+	}
+	assert.Equal(t, taken, 17)
+	assert.Assert(t, b.Take(13*time.Second, limits, 20))
+}
--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+)
+
+func oneShare(pool string) []*catalogpb.RouteShare {
+	return []*catalogpb.RouteShare{{Pool: pool, Weight: 1}}
+}
+
+func TestLookupTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := NewTable(&catalogpb.Config{Routes: []*catalogpb.Route{
+		{Name: "a", Host: "one.example", PathPrefix: "/a/", Shares: oneShare("p")},
+		{Name: "ab", Host: "one.example", PathPrefix: "/a/b/", Shares: oneShare("p")},
+		{Name: "other", Host: "two.example", PathPrefix: "/a/b/c/", Shares: oneShare("p")},
+	}}, 0)
+	cases := []struct{ host, path, want string }{
+		{"one.example", "/a/x", "a"},
+		{"one.example", "/a/b/x", "ab"},
+		{"one.example", "/a/b/c/x", "ab"},
+		{"ONE.example:8080", "/a/x", "a"},
+		{"one.example", "/a", ""},
+		{"one.example", "/b/", ""},
+		{"three.example", "/a/", ""},
+		{"two.example", "/a/b/c/d", "other"},
+	}
+	for _, c := range cases {
+		got := ""
+		if r := table.Lookup(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, c.want, "%s%s", c.host, c.path)
+	}
+}
+
+// TestDrawMeetsWeights replays short runs on many entry VMs, each of which
+// sees only a part of the requests of a route.
+func TestDrawMeetsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.Float64Range(1, 99).Draw(t, "weight")
+		vms := rapid.IntRange(1, 22).Draw(t, "vms")
+		first, total := 0, 0
+		for range vms {
+			r := newRoute(&catalogpb.Route{Shares: []*catalogpb.RouteShare{
+				{Pool: "a", Weight: weight}, {Pool: "none", Weight: 0}, {Pool: "b", Weight: 100 - weight},
+			}}, rapid.Float64Range(0, 0.999).Draw(t, "phase"))
+			for range 300/vms + 20 {
+				pool := r.Draw()
+				assert.Assert(t, pool != "none")
+				if pool == "a" {
+					first++
+				}
+				total++
+			}
+		}
+		share := float64(first) / float64(total)
+		assert.Assert(t, math.Abs(share-weight/100) < 0.1, "share %f for weight %f", share, weight)
+	})
+}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -19,6 +19,11 @@
 	Members []Member `toml:"members"`
 	// Join starts a replica that waits to be added to an existing group.
 	Join bool `toml:"join"`
+	// Seeds lists the cluster addresses of a few control VMs, in place of ID,
+	// Members and Join: the group then forms, and grows, by itself.
+	Seeds []string `toml:"seeds"`
+	// FirstStart is set, with Seeds, on the first start of the whole system.
+	FirstStart bool `toml:"first_start"`
 	// HeartbeatMs is the interval between heartbeats of the leader.
 	HeartbeatMs Millis `toml:"heartbeat_ms"`
 	// ElectionMs is the least silence after which a replica stands for election.
@@ -29,6 +34,9 @@
 	Keys          ControlKeys `toml:"keys"`
 	Log           Log         `toml:"log"`
 	Trace         Trace       `toml:"trace"`
+	// TrustNetwork turns keys off, for a network that nobody but the system's
+	// VMs, its operators and its upstreams can reach.
+	TrustNetwork bool `toml:"trust_network"`
 	// Open turns keys off. Only code can set it, and only for listeners on
 	// loopback.
 	Open bool `toml:"-"`
@@ -63,16 +71,20 @@
 func (s Control) Validate() error { return validate(s) }
 
 func (s Control) check(c *checker) {
-	c.positive("id", s.ID)
 	c.name("zone", s.Zone)
 	c.required("data_dir", s.DataDir)
 	s.checkAddresses(c)
-	s.checkMembers(c)
+	if len(s.Seeds) > 0 {
+		s.checkSeeds(c)
+	} else {
+		c.positive("id", s.ID)
+		s.checkMembers(c)
+	}
 	s.checkTimes(c)
 	s.Limits.check(c, "limits")
 	s.Log.check(c)
 	s.Trace.check(c)
-	if !s.Open {
+	if !s.Open && !s.TrustNetwork {
 		c.required("keys.operators_file", s.Keys.OperatorsFile)
 		c.required("keys.cluster_file", s.Keys.ClusterFile)
 	}
@@ -90,6 +102,15 @@
 	c.reachable("cluster_address", s.ClusterAddress)
 }
 
+func (s Control) checkSeeds(c *checker) {
+	for _, address := range s.Seeds {
+		c.reachable("seeds", address)
+	}
+	if s.ID != 0 || len(s.Members) > 0 || s.Join {
+		c.fail("seeds", "stands in place of id, members and join")
+	}
+}
+
 func (s Control) checkMembers(c *checker) {
 	if len(s.Members) == 0 {
 		c.fail("members", "names no replica")
--- /dev/null
+++ b/internal/upconn/body.go
@@ -0,0 +1,40 @@
+package upconn
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+)
+
+// bytesReader reads a slice; unlike bytes.Reader it cannot be rewound.
+type bytesReader struct{ rest []byte }
+
+// Read implements io.Reader.
+func (r *bytesReader) Read(b []byte) (int, error) {
+	if len(r.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// chunkWriter writes a body of unknown length in chunks.
+type chunkWriter struct{ w *bufio.Writer }
+
+// Write implements io.Writer.
+func (c *chunkWriter) Write(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	_, _ = c.w.WriteString(strconv.FormatInt(int64(len(b)), 16) + "\r\n")
+	_, _ = c.w.Write(b)
+	_, err := c.w.WriteString("\r\n")
+	return len(b), err
+}
+
+// end writes the last chunk.
+func (c *chunkWriter) end() error {
+	_, _ = c.w.WriteString("0\r\n\r\n")
+	return c.w.Flush()
+}
