Wait in line for a fast slot; start nothing in a slow spell

Cause: upstreams fix the speed of a request when it starts (proof-browse of 880 ms took 3.1 to 4.3 s when the fourth load figure was 400 at the choice), so a slot above the knee (x1.7) still makes its target and one in a slow spell does not. Waiters form a line by priority; what falls free here is handed on without asking; a request that cannot start in time is told at once.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -41,7 +41,7 @@
 
 // ask asks the candidates for their load in parallel and returns the
 // connection of the chosen one. The others go back to the pool.
-func (f *Forwarder) ask(ctx context.Context, candidates []place.Candidate, mayQueue bool) spot {
+func (f *Forwarder) ask(ctx context.Context, candidates []place.Candidate, maxFactor float64) spot {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	replies := make(chan reply, len(candidates))
 	for _, c := range candidates {
@@ -68,13 +68,13 @@
 				patience = time.After(askPatience)
 			}
 		case <-patience:
-			if f.choose(ids, mayQueue).Verdict == place.Place {
+			if f.choose(ids, maxFactor).Verdict == place.Place {
 				break collect
 			}
 			patience = nil
 		}
 	}
-	choice := f.choose(ids, mayQueue)
+	choice := f.take(ids, maxFactor)
 	s := spot{choice: choice, conn: conns[choice.Upstream.ID]}
 	for id, conn := range conns {
 		if id != choice.Upstream.ID || choice.Verdict != place.Place {
@@ -105,17 +105,27 @@
 	return w.board.Good(w.now(), id)
 }
 
-// choose decides among the upstreams that have answered, and counts the
-// request at the chosen one.
-func (f *Forwarder) choose(ids []string, mayQueue bool) place.Choice {
+// choose decides among the upstreams that have answered.
+func (f *Forwarder) choose(ids []string, maxFactor float64) place.Choice {
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	return f.world.board.Choose(f.world.now(), ids, maxFactor)
+}
+
+// take decides among the upstreams that have answered and counts a request at
+// the chosen one.
+func (f *Forwarder) take(ids []string, maxFactor float64) place.Choice {
 	w := f.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
-	choice := w.board.Choose(now, ids, mayQueue)
+	choice := w.board.Choose(now, ids, maxFactor)
 	if choice.Verdict == place.None {
 		choice = w.board.ChooseCold(now, ids)
 	}
+	if choice.Verdict == place.Place {
+		w.begin(now, choice)
+	}
 	return choice
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -18,7 +19,6 @@
 	"balsamcourse.example/balsamcourse/internal/place"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/route"
-	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -28,11 +28,6 @@
 	// bufferedBody bounds the part of a request body that is kept in memory. A
 	// body that fits whole can be sent to a second upstream.
 	bufferedBody = 1 << 20
-	// askAgain is the mean pause before upstreams without room are asked again.
-	askAgain = 20 * time.Millisecond
-	// queueAfter is the number of searches without a free slot after which a
-	// short queue at an upstream is accepted.
-	queueAfter = 2
 	// maxSends bounds the upstreams that a request is offered to, those that
 	// refuse it included.
 	maxSends = 5
@@ -66,6 +61,9 @@
 	waited     time.Duration
 	status     int
 	upstream   string
+	// choice is the last decision, load what its upstream said with the answer.
+	choice place.Choice
+	load   string
 	// lost is the error of an attempt that may have run. No later refusal may
 	// then say that the request did not run.
 	lost *fault.Error
@@ -96,7 +94,7 @@
 	f.world.countRequest(c.pool)
 	if !f.opts.Limiter.Acquire(c.pool) {
 		c.cancel()
-		return fault.After(fault.Overloaded, c.comeBack(), "pool %q", c.pool)
+		return fault.After(fault.Overloaded, c.comeBack(0), "pool %q", c.pool)
 	}
 	return nil
 }
@@ -164,60 +162,12 @@
 	return err
 }
 
-// seek finds an upstream with room, or returns the refusal.
-func (c *call) seek() (spot, error) {
-	begun := time.Now()
-	defer func() { c.waited += time.Since(begun) }()
-	for n := 0; ; n++ {
-		c.searches++
-		candidates := c.candidates()
-		if len(candidates) == 0 {
-			return spot{}, fault.After(fault.NoUpstream, c.comeBack(), "pool %q", c.pool)
-		}
-		s := c.f.ask(c.ctx, candidates, n >= queueAfter)
-		if s.choice.Verdict == place.Place {
-			return s, nil
-		}
-		if c.ctx.Err() != nil {
-			return spot{}, c.outOfTime()
-		}
-		if time.Since(begun) > c.patience() {
-			return spot{}, fault.After(fault.QueueFull, c.comeBack(), "pool %q: no room in %d searches", c.pool, c.searches)
-		}
-		pause := time.Duration((0.5 + rand.Float64()) * float64(askAgain))
-		if !wait.For(c.ctx, pause) {
-			return spot{}, c.outOfTime()
-		}
-	}
-}
-
-func (c *call) candidates() []place.Candidate {
-	w := c.f.world
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.board.Candidates(w.now(), c.pool, c.avoid, asked, rand.Float64)
-}
-
-// patience is how long the call waits for room: what is left of its target
-// after the usual time of an answer, at most a part of the target, so that the
-// caller can still come back in time.
-func (c *call) patience() time.Duration {
-	target := c.route.Target
-	if target <= 0 {
-		target = time.Until(c.deadline) / 2
-	}
-	return target / patienceShare
-}
-
-// patienceShare is the part of the target that a call waits for room: a
-// quarter. A caller that is refused then has most of its time left.
-const patienceShare = 4
-
-// comeBack is when the caller should try again: spread, so that refused callers
-// do not return together, and within the third of its time that it waits.
-func (c *call) comeBack() time.Duration {
+// comeBack is when the caller should try again: after the predicted wait, and
+// spread, so that refused callers do not return together; within the third of
+// its time that a caller waits.
+func (c *call) comeBack(predicted time.Duration) time.Duration {
 	left := time.Until(c.deadline)
-	pause := time.Duration((0.5 + rand.Float64()) * float64(c.route.Target) / 2)
+	pause := predicted + time.Duration((0.5+rand.Float64())*float64(c.route.Target)/2)
 	return max(minComeBack, min(pause, left*3/10))
 }
 
@@ -345,6 +295,10 @@
 		Uint64("status", uint64(c.status)).Uint64("sends", uint64(c.sends)).Uint64("ran", uint64(c.ran)).
 		Uint64("searches", uint64(c.searches)).Uint64("waited_ms", uint64(c.waited.Milliseconds())).
 		Uint64("took_ms", uint64(took.Milliseconds()))
+	if c.sends > 0 {
+		line.Str("load_at_choice", fmt.Sprint(c.choice.Load)).Uint64("load_age_us", uint64(c.choice.Age.Microseconds())).
+			Str("load_at_answer", c.load)
+	}
 	if c.route != nil {
 		line.Str("route", c.route.Name)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -54,6 +55,8 @@
 	opts  ForwarderOptions
 	world *world
 	conns *upconn.Pool
+	// waiters numbers the calls that wait.
+	waiters atomic.Uint64
 }
 
 // newForwarder returns a forwarder over what w knows.
--- /dev/null
+++ b/internal/gateway/line.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/place"
+	"balsamcourse.example/balsamcourse/internal/upconn"
+	"balsamcourse.example/balsamcourse/internal/wait"
+)
+
+const (
+	// rounds is the number of searches, among other upstreams each time, before
+	// a request waits. Three rounds of three find room at the loads of usual
+	// days.
+	rounds = 3
+	// searchFactor bounds the speed of the upstreams that a search for waiters
+	// takes: a slot above the knee, but none in a slow spell.
+	searchFactor = 2
+	// lateFactor does so for a request that will be late anyway.
+	lateFactor = 2
+	// unknownFactor does so for a route whose usual time is not known yet.
+	unknownFactor = 2
+	// searchPause is the time between two searches for the waiters of a pool.
+	// Asking costs slots of upstreams that are scarce then; what falls free at
+	// this entry VM is handed on without being asked for.
+	searchPause = 50 * time.Millisecond
+	// askedInSearch is the number of upstreams asked in such a search.
+	askedInSearch = 2
+	// usualMargin is the factor on the usual time of an answer that is kept
+	// free before the target.
+	usualMargin = 1.1
+	// leastWait is the part of the target that a request may always wait.
+	leastWait = 8
+)
+
+// poolLine holds the waiters of one pool.
+type poolLine struct {
+	line place.Line
+	// spots holds a channel for each waiter, which gets its spot.
+	spots map[uint64]chan spot
+	// searching is set while a search for the waiters is under way.
+	searching bool
+}
+
+// line returns the line of a pool. The caller holds the lock.
+func (w *world) line(pool string) *poolLine {
+	l := w.lines[pool]
+	if l == nil {
+		l = &poolLine{spots: make(map[uint64]chan spot)}
+		w.lines[pool] = l
+	}
+	return l
+}
+
+// seek finds an upstream with room, or returns the refusal. While others wait,
+// a request joins them without a search of its own.
+func (c *call) seek() (spot, error) {
+	begun := time.Now()
+	defer func() { c.waited += time.Since(begun) }()
+	w := c.f.world
+	w.mu.Lock()
+	busy := w.line(c.pool).line.Len() > 0
+	w.mu.Unlock()
+	if busy {
+		return c.waitInLine()
+	}
+	avoid := slices.Clone(c.avoid)
+	for range rounds {
+		c.searches++
+		s, seen := c.f.search(c.ctx, c.pool, avoid, asked, c.maxFactor())
+		switch {
+		case c.ctx.Err() != nil:
+			c.f.giveBack(s)
+			return spot{}, c.outOfTime()
+		case s.conn != nil:
+			return s, nil
+		case len(seen) == 0 && len(avoid) == len(c.avoid):
+			return spot{}, fault.After(fault.NoUpstream, c.comeBack(0), "pool %q", c.pool)
+		}
+		avoid = append(avoid, seen...)
+	}
+	return c.waitInLine()
+}
+
+// search asks some upstreams of the pool and returns which.
+// Work that starts there takes at most maxFactor times as long as usual.
+func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, maxFactor float64) (s spot, seen []string) {
+	w := f.world
+	w.mu.Lock()
+	candidates := w.board.Candidates(w.now(), pool, avoid, n, rand.Float64)
+	w.mu.Unlock()
+	if len(candidates) == 0 {
+		return spot{}, nil
+	}
+	for _, c := range candidates {
+		seen = append(seen, c.ID)
+	}
+	return f.ask(ctx, candidates, maxFactor), seen
+}
+
+// begin counts a request at the chosen upstream. The caller holds the lock.
+func (w *world) begin(now time.Duration, c place.Choice) {
+	w.board.Began(c.Upstream.ID)
+	w.line(c.Upstream.Pool).line.Started(now)
+}
+
+// giveBack ends the use of a spot that no request was sent to.
+func (f *Forwarder) giveBack(s spot) {
+	if s.conn == nil {
+		return
+	}
+	f.world.mu.Lock()
+	f.world.board.Ended(s.choice.Upstream.ID)
+	f.world.mu.Unlock()
+	f.conns.Release(s.conn, nil)
+}
+
+// waitInLine waits until an upstream has room. It turns the call away at once
+// when that would be too late.
+func (c *call) waitInLine() (spot, error) {
+	f, w := c.f, c.f.world
+	id := f.waiters.Add(1)
+	ch := make(chan spot, 1)
+	w.mu.Lock()
+	now := w.now()
+	l := w.line(c.pool)
+	work := w.paces[c.route.Name]
+	startBy := now + c.mayWait(work)
+	wait, ok := l.line.Join(now, place.Waiter{ID: id, Priority: c.route.Priority, StartBy: startBy, Work: work, Avoid: c.avoid})
+	search := ok && !l.searching
+	if ok {
+		l.spots[id] = ch
+		l.searching = true
+	}
+	w.mu.Unlock()
+	if !ok {
+		return spot{}, fault.After(fault.QueueFull, c.comeBack(wait), "pool %q: a wait of %s", c.pool, wait)
+	}
+	if search {
+		go f.searchFor(c.pool)
+	}
+	timer := time.NewTimer(startBy - now)
+	defer timer.Stop()
+	select {
+	case s := <-ch:
+		return s, nil
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+	return c.leaveLine(id, ch, wait)
+}
+
+// leaveLine ends the wait. A spot that came at the last moment is used.
+func (c *call) leaveLine(id uint64, ch <-chan spot, wait time.Duration) (spot, error) {
+	w := c.f.world
+	w.mu.Lock()
+	l := w.line(c.pool)
+	left := l.line.Leave(id)
+	delete(l.spots, id)
+	w.mu.Unlock()
+	if !left {
+		s := <-ch
+		if c.ctx.Err() == nil {
+			return s, nil
+		}
+		c.f.giveBack(s)
+	}
+	if c.ctx.Err() != nil {
+		return spot{}, c.outOfTime()
+	}
+	// Late, but served.
+	if s, _ := c.f.search(c.ctx, c.pool, c.avoid, asked, lateFactor); s.conn != nil {
+		return s, nil
+	}
+	return spot{}, fault.After(fault.QueueFull, c.comeBack(wait), "pool %q: no room in time", c.pool)
+}
+
+// mayWait is how long the call may wait for its start and still be answered
+// within its target.
+func (c *call) mayWait(usual time.Duration) time.Duration {
+	target := c.route.Target
+	if target <= 0 {
+		target = time.Until(c.deadline)
+	}
+	need := time.Duration(usualMargin * float64(usual))
+	spent := time.Since(c.arrived)
+	return max(target-need-spent, target/leastWait)
+}
+
+// maxFactor is how much longer than usual the work may take for an answer
+// within the target.
+func (c *call) maxFactor() float64 {
+	usual := c.f.world.usual(c.route.Name)
+	if usual == 0 || c.route.Target <= 0 {
+		return unknownFactor
+	}
+	left := c.route.Target - time.Since(c.arrived)
+	return max(1, float64(left)/(usualMargin*float64(usual)))
+}
+
+// searchFor asks upstreams for those who wait, until nobody does.
+func (f *Forwarder) searchFor(pool string) {
+	ctx := context.Background()
+	for {
+		s, _ := f.search(ctx, pool, nil, askedInSearch, searchFactor)
+		if s.conn != nil {
+			f.handOn(pool, s)
+		}
+		if !f.stillSearching(pool) {
+			return
+		}
+		if s.conn == nil {
+			wait.For(ctx, searchPause)
+		}
+	}
+}
+
+func (f *Forwarder) stillSearching(pool string) bool {
+	w := f.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.line(pool)
+	l.searching = l.line.Len() > 0
+	return l.searching
+}
+
+// handOn gives a spot to the waiter whose turn it is, or back to the pool.
+func (f *Forwarder) handOn(pool string, s spot) {
+	w := f.world
+	w.mu.Lock()
+	l := w.line(pool)
+	waiter, ok := l.line.Next(w.now(), s.choice.Upstream.ID, s.choice.Load.Factor())
+	if ok {
+		l.spots[waiter.ID] <- s
+		delete(l.spots, waiter.ID)
+	}
+	w.mu.Unlock()
+	if !ok {
+		f.giveBack(s)
+	}
+}
+
+// free ends the use of a connection after a whole answer. When others wait and
+// the upstream has room, it goes to the next of them.
+func (f *Forwarder) free(pool string, id string, load string, conn *upconn.Conn, x *upconn.Exchange) {
+	if !f.conns.Reusable(conn, x) {
+		return
+	}
+	w := f.world
+	w.mu.Lock()
+	now := w.now()
+	if l, ok := f.opts.Dialect.ParseLoad(load); ok {
+		w.board.ObserveLoad(now, id, l)
+	}
+	l := w.line(pool)
+	if l.line.Len() > 0 {
+		if choice, ok := w.board.Room(now, id); ok {
+			if waiter, ok := l.line.Next(now, id, choice.Load.Factor()); ok {
+				w.begin(now, choice)
+				l.spots[waiter.ID] <- spot{choice: choice, conn: conn}
+				delete(l.spots, waiter.ID)
+				w.mu.Unlock()
+				return
+			}
+		}
+	}
+	w.mu.Unlock()
+	f.conns.Release(conn, x)
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -24,7 +24,8 @@
 // reports false, with the failure, when there is none to pass on.
 func (c *call) try(s spot) (bool, failure) {
 	u := s.choice.Upstream
-	c.count(u.ID)
+	c.upstream = u.ID
+	c.choice = s.choice
 	begun := time.Now()
 	stop := s.conn.Watch(c.ctx)
 	defer stop()
@@ -47,14 +48,6 @@
 	return c.pass(u, s.conn, x, begun)
 }
 
-func (c *call) count(id string) {
-	c.upstream = id
-	w := c.f.world
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.board.Began(id)
-}
-
 // ended records the end of an attempt. A failed one keeps the upstream without
 // work for a while.
 func (c *call) ended(id string, ok bool, took time.Duration) {
@@ -67,8 +60,10 @@
 		w.board.Failed(w.now(), id)
 		return
 	}
-	w.board.Answered(id, took, w.paces[c.route.Name])
-	w.notePace(c.route.Name, took)
+	factor := c.choice.Load.Factor()
+	usual := w.paces[c.route.Name]
+	w.board.Answered(id, took, time.Duration(factor*float64(usual)))
+	w.notePace(c.route.Name, time.Duration(float64(took)/factor))
 }
 
 // released records the end of an attempt that says nothing about the upstream.
@@ -123,13 +118,13 @@
 	c.drop(conn, x)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.ended(u.ID, false, 0)
-		return c.logged(u, failure{err: fault.After(fault.NoUpstream, c.comeBack(), "%s: another upstream has its address", u.ID), arrived: true})
+		return c.logged(u, failure{err: fault.After(fault.NoUpstream, c.comeBack(0), "%s: another upstream has its address", u.ID), arrived: true})
 	}
 	c.released(u.ID)
 	if resp.StatusCode == http.StatusBadRequest {
 		return c.logged(u, failure{err: fault.New(fault.BadRequest, "refused by upstream %s", u.ID), arrived: true})
 	}
-	return c.logged(u, failure{err: fault.After(fault.Shed, c.comeBack(), "upstream %s", u.ID), arrived: true})
+	return c.logged(u, failure{err: fault.After(fault.Shed, c.comeBack(0), "upstream %s", u.ID), arrived: true})
 }
 
 // unusable reports an answer that must not be passed on: one without the
@@ -211,12 +206,13 @@
 		return false, c.broken(u, true, err)
 	}
 	c.status = resp.StatusCode
+	c.load = resp.Header.Get(c.f.opts.Dialect.Load)
 	if len(head) > wholeAnswer {
 		c.stream(u, conn, x, head, begun)
 		return true, failure{}
 	}
 	c.ended(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(begun))
-	c.f.conns.Release(conn, x)
+	c.f.free(c.pool, u.ID, resp.Header.Get(c.f.opts.Dialect.Load), conn, x)
 	c.f.opts.Crashes.Completed(c.suspect)
 	c.writeHead(resp, int64(len(head)))
 	// A caller that has gone is no failure of the upstream.
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -32,7 +32,10 @@
 	mu      sync.Mutex
 	board   *place.Board
 	budgets map[string]*retry.Budget
-	paces   map[string]time.Duration
+	// paces holds the time of an answer by route, as an idle upstream on a
+	// quiet VM would give it.
+	paces map[string]time.Duration
+	lines map[string]*poolLine
 }
 
 func newWorld(self, zone string, coldShare float64, limits retry.Limits) *world {
@@ -46,6 +49,7 @@
 		board:     place.NewBoard(zone),
 		budgets:   make(map[string]*retry.Budget),
 		paces:     make(map[string]time.Duration),
+		lines:     make(map[string]*poolLine),
 	}
 	w.pools.Store(&map[string]*catalogpb.Pool{})
 	return w
@@ -161,7 +165,8 @@
 // paceWeight is the weight of one answer in the usual time of a route.
 const paceWeight = 0.05
 
-// usual returns the usual time of an answer on the route; 0 before the first.
+// usual returns the usual time of an answer on the route, at an idle upstream
+// on a quiet VM; 0 before the first.
 func (w *world) usual(routeName string) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 )
 
@@ -48,22 +49,22 @@
 }
 
 // Choose decides among the upstreams in ids, which have been asked for their
-// load. mayQueue allows an upstream without a free slot whose queue is short:
-// it is set when the search among the others has failed.
-func (b *Board) Choose(now time.Duration, ids []string, mayQueue bool) Choice {
+// load. One where work takes longer than maxFactor times the usual counts as
+// without room: slow spells pass, and a start in one lasts to its end.
+func (b *Board) Choose(now time.Duration, ids []string, maxFactor float64) Choice {
 	choice := Choice{Verdict: None}
 	for _, id := range ids {
 		u := b.upstreams[id]
 		if u == nil || !b.usable(now, u) {
 			continue
 		}
-		if !roomy(u, mayQueue) {
+		if !roomy(u) || u.load.Factor() > maxFactor {
 			if choice.Verdict == None {
 				choice.Verdict = Wait
 			}
 			continue
 		}
-		cost := b.cost(now, u)
+		cost := b.cost(u)
 		if choice.Verdict != Place || cost < choice.Cost {
 			choice = Choice{Place, u.Upstream, cost, u.load, now - u.loadAt}
 		}
@@ -71,14 +72,17 @@
 	return choice
 }
 
-// roomy reports whether the upstream has a free slot, or, with mayQueue, a
-// queue that is shorter than its slots. Upstreams that are full reset
-// connections, after which nobody knows whether a request has run.
-func roomy(u *upstream, mayQueue bool) bool {
-	if u.load.Running < u.load.Slots {
-		return true
-	}
-	return mayQueue && u.load.Waiting < max(1, u.load.Slots/2)
+// roomy reports whether the upstream has a free slot. One that is full may
+// reset connections, after which nobody knows whether a request has run.
+func roomy(u *upstream) bool {
+	return u.load.Waiting == 0 && u.load.Running < u.load.Slots
+}
+
+// Room returns the choice of the upstream itself, if it has room now: it has
+// just answered a request.
+func (b *Board) Room(now time.Duration, id string) (Choice, bool) {
+	choice := b.Choose(now, []string{id}, math.Inf(1))
+	return choice, choice.Verdict == Place
 }
 
 // bucket pays out requests to a cold upstream at a steady rate.
@@ -119,7 +123,7 @@
 			continue
 		}
 		if u.cold.take(now, b.coldRate[u.Pool]) {
-			return Choice{Place, u.Upstream, b.cost(now, u), u.load, now - u.loadAt}
+			return Choice{Place, u.Upstream, b.cost(u), u.load, now - u.loadAt}
 		}
 	}
 	return Choice{Verdict: None}
--- a/internal/place/observe.go
+++ b/internal/place/observe.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// ObserveLoad takes in the load that an upstream has added to the answer to a
+// request. The figure still counts that request.
+func (b *Board) ObserveLoad(now time.Duration, id string, l Load) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	l.Running = max(0, l.Running-1)
+	b.Observe(now, id, Report{Load: l, Ill: u.ill, Cold: max(0, u.coldUntil-now)})
+}
+
 // Unreachable records that an upstream did not answer when it was asked.
 func (b *Board) Unreachable(now time.Duration, id string) (held time.Duration) {
 	return b.hold(now, id)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -52,9 +52,12 @@
 	// ask; spells last about 300 ms.
 	loadKept = 150 * time.Millisecond
 	// kneeShare is the share of slots above which upstreams slow down, and
-	// kneePercent by how much, as the operators have stated.
-	kneeShare   = 0.8
-	kneePercent = 170
+	// kneeFactor by how much, as the operators have stated.
+	kneeShare  = 0.8
+	kneeFactor = 1.7
+	// occupiedPercent burdens an upstream by the share of its slots in use: of
+	// two that are as fast, the emptier one is less likely to reach its knee.
+	occupiedPercent = 20
 	// illPercent burdens an upstream that says it is not well, but answers: it
 	// is used only when no other is free.
 	illPercent = 1000
@@ -196,7 +199,7 @@
 func (b *Board) rank(now time.Duration, u *upstream) float64 {
 	rank := u.pace * usualSlowPercent
 	if u.reported && now-u.loadAt < loadKept {
-		rank = b.cost(now, u)
+		rank = b.cost(u)
 	}
 	rank += float64(u.inFlight) * usualSlowPercent / float64(max(1, u.Slots))
 	if now < u.coldUntil {
@@ -211,20 +214,22 @@
 	return rank
 }
 
-// cost estimates how long work takes at the upstream, in percent of the usual
-// time, from its last report.
-func (b *Board) cost(_ time.Duration, u *upstream) float64 {
-	slots := max(1, u.load.Slots)
-	slow := float64(max(1, u.load.SlowPercent)) * u.pace
-	if float64(u.load.Running+1) > kneeShare*float64(slots) {
-		slow *= kneePercent / 100.0
-	}
-	cost := slow
-	if u.load.Running >= slots {
-		// Work ahead of this request: what waits and, on average, half of what
-		// runs in one slot.
-		cost += slow * (float64(u.load.Waiting) + 0.5) / float64(slots)
+// Factor is how long work that starts now takes, relative to the same work at
+// an idle upstream on a quiet VM. It holds for the whole of the work: what the
+// upstream's VM does later matters little.
+func (l Load) Factor() float64 {
+	factor := float64(max(1, l.SlowPercent)) / 100
+	if float64(l.Running+1) > kneeShare*float64(max(1, l.Slots)) {
+		factor *= kneeFactor
 	}
+	return factor
+}
+
+// cost orders upstreams that have reported, lowest first: the expected time of
+// work in percent of the usual, and small burdens that decide between equals.
+func (b *Board) cost(u *upstream) float64 {
+	cost := 100 * u.load.Factor() * u.pace
+	cost += occupiedPercent * float64(u.load.Running) / float64(max(1, u.load.Slots))
 	if u.ill {
 		cost += illPercent
 	}
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -364,11 +364,21 @@
 	return c
 }
 
+// Reusable reports whether the connection may carry another exchange after x,
+// and closes it otherwise.
+func (p *Pool) Reusable(c *Conn, x *Exchange) bool {
+	if c.broken || x != nil && !x.sentWhole() || c.reader.Buffered() > 0 {
+		c.Close()
+		return false
+	}
+	c.Reused = true
+	return true
+}
+
 // Release gives a connection back after an exchange whose answer has been read
 // to its end. x may be nil for one that has carried nothing yet.
 func (p *Pool) Release(c *Conn, x *Exchange) {
-	if c.broken || x != nil && !x.sentWhole() || c.reader.Buffered() > 0 {
-		c.Close()
+	if !p.Reusable(c, x) {
 		return
 	}
 	c.idleSince = time.Now()
