Shorten the first election after a start; own zone first

The first election timeout after a start is a quarter; later ones stay whole, since a trial with all of them short failed TestSlowDiskStillElects.

--- a/internal/consensus/append.go
+++ b/internal/consensus/append.go
@@ -9,6 +9,7 @@
 	r.fire("leader_seen")
 	r.leader = leader
 	r.heard = r.now
+	r.settled = true
 	r.resetElection()
 }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -11,10 +11,21 @@
 		r.electionDeadline = r.now
 		return
 	}
-	spread := r.rng.Int64N(int64(r.cfg.Election)/2 + 1)
-	r.electionDeadline = r.now + r.cfg.Election + timeout(spread)
+	wait := r.cfg.Election
+	if !r.settled {
+		wait /= firstElection
+	}
+	spread := r.rng.Int64N(int64(wait) + 1)
+	r.electionDeadline = r.now + wait + timeout(spread/2)
 }
 
+// firstElection is the divisor of the first election timeout of a replica after
+// its start. When all replicas have restarted there is no leader, and every call
+// waits for one; when there is one, the others have heard it and refuse their
+// pre-votes. Later timeouts are whole, so that a vote on a slow disk can become
+// durable within them.
+const firstElection = 4
+
 // electionTimeout opens an election, but not a second one before the vote of
 // the first is durable: a slow disk would never catch up with the terms.
 func (r *Replica) electionTimeout() {
@@ -28,6 +39,7 @@
 // askPreVotes asks whether an election could be won, without a new term.
 func (r *Replica) askPreVotes() {
 	r.leader = 0
+	r.settled = true
 	r.resetElection()
 	r.votes = map[uint64]bool{r.cfg.ID: true}
 	r.askVoters(clusterpb.MessageKind_MESSAGE_KIND_PRE_VOTE, r.term+1, r.sendNow)
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -75,8 +75,10 @@
 	applied    uint64
 	disk       diskState
 
-	leader           uint64
-	heard            time.Duration
+	leader uint64
+	heard  time.Duration
+	// settled is set once a leader has been heard, or an election opened, since the start.
+	settled          bool
 	electionDeadline time.Duration
 	votes            map[uint64]bool
 	voteSent         time.Duration
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -41,7 +41,7 @@
 
 // ask asks the candidates for their load in parallel and returns the
 // connection of the chosen one. The others go back to the pool.
-func (f *Forwarder) ask(ctx context.Context, candidates []place.Candidate, maxFactor float64) spot {
+func (f *Forwarder) ask(ctx context.Context, candidates []place.Candidate, need place.Need) spot {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	replies := make(chan reply, len(candidates))
 	for _, c := range candidates {
@@ -68,13 +68,13 @@
 				patience = time.After(askPatience)
 			}
 		case <-patience:
-			if f.choose(ids, maxFactor).Verdict == place.Place {
+			if f.choose(ids, need).Verdict == place.Place {
 				break collect
 			}
 			patience = nil
 		}
 	}
-	choice := f.take(ids, maxFactor)
+	choice := f.take(ids, need)
 	s := spot{choice: choice, conn: conns[choice.Upstream.ID]}
 	for id, conn := range conns {
 		if id != choice.Upstream.ID || choice.Verdict != place.Place {
@@ -106,20 +106,20 @@
 }
 
 // choose decides among the upstreams that have answered.
-func (f *Forwarder) choose(ids []string, maxFactor float64) place.Choice {
+func (f *Forwarder) choose(ids []string, need place.Need) place.Choice {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
-	return f.world.board.Choose(f.world.now(), ids, maxFactor)
+	return f.world.board.Choose(f.world.now(), ids, need)
 }
 
 // take decides among the upstreams that have answered and counts a request at
 // the chosen one.
-func (f *Forwarder) take(ids []string, maxFactor float64) place.Choice {
+func (f *Forwarder) take(ids []string, need place.Need) place.Choice {
 	w := f.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
-	choice := w.board.Choose(now, ids, maxFactor)
+	choice := w.board.Choose(now, ids, need)
 	if choice.Verdict == place.None {
 		choice = w.board.ChooseCold(now, ids)
 	}
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -71,7 +71,7 @@
 	avoid := slices.Clone(c.avoid)
 	for range rounds {
 		c.searches++
-		s, seen := c.f.search(c.ctx, c.pool, avoid, asked, c.maxFactor())
+		s, seen := c.f.search(c.ctx, c.pool, avoid, asked, c.need(c.maxFactor()))
 		switch {
 		case c.ctx.Err() != nil:
 			c.f.giveBack(s)
@@ -87,8 +87,7 @@
 }
 
 // search asks some upstreams of the pool and returns which.
-// Work that starts there takes at most maxFactor times as long as usual.
-func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, maxFactor float64) (s spot, seen []string) {
+func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, need place.Need) (s spot, seen []string) {
 	w := f.world
 	w.mu.Lock()
 	candidates := w.board.Candidates(w.now(), pool, avoid, n, rand.Float64)
@@ -99,7 +98,7 @@
 	for _, c := range candidates {
 		seen = append(seen, c.ID)
 	}
-	return f.ask(ctx, candidates, maxFactor), seen
+	return f.ask(ctx, candidates, need), seen
 }
 
 // begin counts a request at the chosen upstream. The caller holds the lock.
@@ -173,7 +172,7 @@
 		return spot{}, c.outOfTime()
 	}
 	// Late, but served.
-	if s, _ := c.f.search(c.ctx, c.pool, c.avoid, asked, lateFactor); s.conn != nil {
+	if s, _ := c.f.search(c.ctx, c.pool, c.avoid, asked, c.need(lateFactor)); s.conn != nil {
 		return s, nil
 	}
 	return spot{}, fault.After(fault.QueueFull, c.comeBack(wait), "pool %q: no room in time", c.pool)
@@ -191,6 +190,10 @@
 	return max(target-need-spent, target/leastWait)
 }
 
+func (c *call) need(maxFactor float64) place.Need {
+	return place.Need{MaxFactor: maxFactor, Bytes: c.body.length}
+}
+
 // maxFactor is how much longer than usual the work may take for an answer
 // within the target.
 func (c *call) maxFactor() float64 {
@@ -206,7 +209,7 @@
 func (f *Forwarder) searchFor(pool string) {
 	ctx := context.Background()
 	for {
-		s, _ := f.search(ctx, pool, nil, askedInSearch, searchFactor)
+		s, _ := f.search(ctx, pool, nil, askedInSearch, place.Need{MaxFactor: searchFactor})
 		if s.conn != nil {
 			f.handOn(pool, s)
 		}
--- a/internal/lookup/named.go
+++ b/internal/lookup/named.go
@@ -20,7 +20,7 @@
 // spares is the number of entry VMs of other zones that are named beside those
 // of the caller's zone, so that a caller whose zone goes dark finds one that
 // answers before the loss is noticed.
-const spares = 1
+const spares = 2
 
 // Named returns the addresses that a caller should use. All entry VMs that
 // hold the same configuration name the same ones, so that few of them carry
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -48,23 +48,32 @@
 	return b.open(u) && now >= u.coldUntil && u.reported
 }
 
+// Need is what a request asks of an upstream.
+type Need struct {
+	// MaxFactor is how many times longer than usual the work may take. An
+	// upstream where it takes longer counts as without room: slow spells pass,
+	// and a start in one lasts to its end.
+	MaxFactor float64
+	// Bytes is the size of the request.
+	Bytes int64
+}
+
 // Choose decides among the upstreams in ids, which have been asked for their
-// load. One where work takes longer than maxFactor times the usual counts as
-// without room: slow spells pass, and a start in one lasts to its end.
-func (b *Board) Choose(now time.Duration, ids []string, maxFactor float64) Choice {
+// load.
+func (b *Board) Choose(now time.Duration, ids []string, need Need) Choice {
 	choice := Choice{Verdict: None}
 	for _, id := range ids {
 		u := b.upstreams[id]
 		if u == nil || !b.usable(now, u) {
 			continue
 		}
-		if !roomy(u) || u.load.Factor() > maxFactor {
+		if !roomy(u) || u.load.Factor() > need.MaxFactor {
 			if choice.Verdict == None {
 				choice.Verdict = Wait
 			}
 			continue
 		}
-		cost := b.cost(u)
+		cost := b.cost(u, need.Bytes)
 		if choice.Verdict != Place || cost < choice.Cost {
 			choice = Choice{Place, u.Upstream, cost, u.load, now - u.loadAt}
 		}
@@ -81,7 +90,7 @@
 // Room returns the choice of the upstream itself, if it has room now: it has
 // just answered a request.
 func (b *Board) Room(now time.Duration, id string) (Choice, bool) {
-	choice := b.Choose(now, []string{id}, math.Inf(1))
+	choice := b.Choose(now, []string{id}, Need{MaxFactor: math.Inf(1)})
 	return choice, choice.Verdict == Place
 }
 
@@ -123,7 +132,7 @@
 			continue
 		}
 		if u.cold.take(now, b.coldRate[u.Pool]) {
-			return Choice{Place, u.Upstream, b.cost(u), u.load, now - u.loadAt}
+			return Choice{Place, u.Upstream, b.cost(u, 0), u.load, now - u.loadAt}
 		}
 	}
 	return Choice{Verdict: None}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,10 +61,14 @@
 	// illPercent burdens an upstream that says it is not well, but answers: it
 	// is used only when no other is free.
 	illPercent = 1000
-	// farPercent burdens upstreams in another availability zone, by the cost
-	// of bytes between zones; it decides only between upstreams that are
-	// otherwise about equal.
-	farPercent = 15
+	// farPercent burdens upstreams in another availability zone, and
+	// farPercentPerKB does so for each kilobyte of the request: the operators
+	// pay for bytes between zones. The first is below the cost of a slot above
+	// the knee in the own zone.
+	farPercent      = 50
+	farPercentPerKB = 4
+	// farRank puts those of the own zone first in the choice of whom to ask.
+	farRank = 350
 	// firstHold is the time for which an upstream gets no work after a failure;
 	// it doubles with each further one up to longestHold.
 	firstHold   = 500 * time.Millisecond
@@ -199,7 +203,7 @@
 func (b *Board) rank(now time.Duration, u *upstream) float64 {
 	rank := u.pace * usualSlowPercent
 	if u.reported && now-u.loadAt < loadKept {
-		rank = b.cost(u)
+		rank = b.cost(u, 0)
 	}
 	rank += float64(u.inFlight) * usualSlowPercent / float64(max(1, u.Slots))
 	if now < u.coldUntil {
@@ -209,7 +213,7 @@
 		rank += heldRank
 	}
 	if u.Zone != b.zone {
-		rank += farPercent
+		rank += farRank
 	}
 	return rank
 }
@@ -227,14 +231,14 @@
 
 // cost orders upstreams that have reported, lowest first: the expected time of
 // work in percent of the usual, and small burdens that decide between equals.
-func (b *Board) cost(u *upstream) float64 {
+func (b *Board) cost(u *upstream, bytes int64) float64 {
 	cost := 100 * u.load.Factor() * u.pace
 	cost += occupiedPercent * float64(u.load.Running) / float64(max(1, u.load.Slots))
 	if u.ill {
 		cost += illPercent
 	}
 	if u.Zone != b.zone {
-		cost += farPercent
+		cost += farPercent + farPercentPerKB*float64(bytes>>10)
 	}
 	return cost
 }
