--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -11,21 +11,14 @@
 		r.electionDeadline = r.now
 		return
 	}
-	wait := r.cfg.Election
-	if !r.settled {
-		wait /= firstElection
+	wait, spread := r.cfg.Election, r.cfg.Election/2
+	if !r.settled && r.cfg.FirstElection > 0 {
+		// Spread more widely: the replicas have started together.
+		wait, spread = r.cfg.FirstElection, r.cfg.FirstElection
 	}
-	spread := r.rng.Int64N(int64(wait) + 1)
-	r.electionDeadline = r.now + wait + timeout(spread/2)
+	r.electionDeadline = r.now + wait + timeout(r.rng.Int64N(int64(spread)+1))
 }
 
-// firstElection is the divisor of the first election timeout of a replica after
-// its start. When all replicas have restarted there is no leader, and every call
-// waits for one; when there is one, the others have heard it and refuse their
-// pre-votes. Later timeouts are whole, so that a vote on a slow disk can become
-// durable within them.
-const firstElection = 4
-
 // electionTimeout opens an election, but not a second one before the vote of
 // the first is durable: a slow disk would never catch up with the terms.
 func (r *Replica) electionTimeout() {
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -41,6 +41,12 @@
 	// longest is half as much again. A leader that hears no quorum for this
 	// time steps down.
 	Election time.Duration
+	// FirstElection is the least time before the first election after a start; 0
+	// means Election. When all replicas have restarted there is no leader, and
+	// all wait for one; when there is one, the others have heard it and refuse
+	// pre-votes. Later elections wait for Election, so that a vote on a slow disk
+	// becomes durable meanwhile.
+	FirstElection time.Duration
 	// Seed feeds the random part of election timeouts.
 	Seed uint64
 	// Bootstrap is the first membership of a new group; it is used only when
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -182,3 +182,57 @@
 	assert.Equal(t, runLostDisk(t, 0).fault, "")
 	assert.Assert(t, runLostDisk(t, ruleDiskIdentity).fault != "")
 }
+
+// TestAllRestartedElectSoon restarts all replicas at once, as after a loss of
+// power. Messages take up to a fifth of the first timeout here, so that some
+// first elections are split; without a first timeout no run has a leader before
+// the usual one has passed.
+func TestAllRestartedElectSoon(t *testing.T) {
+	assert.Equal(t, ledSoon(t, 0), 0)
+	soon := ledSoon(t, simElection/4)
+	assert.Assert(t, soon >= 14, "%d of 20", soon)
+}
+
+// ledSoon returns in how many of 20 runs a leader is there before the usual
+// election timeout has passed once.
+func ledSoon(t *testing.T, firstElection time.Duration) int {
+	soon := 0
+	for seed := range uint64(20) {
+		s := newSim(5, seed, 0)
+		s.advance(2 * time.Second)
+		s.firstElection = firstElection
+		for _, n := range s.nodes {
+			s.crash(n)
+		}
+		for _, n := range s.nodes {
+			s.start(n)
+		}
+		s.advance(simElection - simTick)
+		if s.leader() != nil {
+			soon++
+		}
+		s.advance(2 * time.Second)
+		assert.Assert(t, s.leader() != nil, "seed %d", seed)
+		assert.Equal(t, s.oracle.fault, "")
+	}
+	return soon
+}
+
+// TestRestartedReplicaLeavesLeaderAlone restarts one replica under a leader
+// that the others hear.
+func TestRestartedReplicaLeavesLeaderAlone(t *testing.T) {
+	s := newSim(5, 1, 0)
+	s.advance(2 * time.Second)
+	lead := s.leader()
+	term := lead.r.term
+	s.firstElection = simElection / 8
+	for _, n := range s.nodes {
+		if n != lead {
+			s.crash(n)
+			s.start(n)
+			s.advance(time.Second)
+		}
+	}
+	assert.Equal(t, s.leader(), lead)
+	assert.Equal(t, lead.r.term, term)
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -21,6 +21,9 @@
 const (
 	inboxEvents    = 4096
 	maxBatchEvents = 1024
+	// firstElection divides the election timeout for the first election after a
+	// start.
+	firstElection = 4
 	// snapshotPhases spreads the snapshots of replicas with adjacent ids.
 	snapshotPhases = 8
 )
@@ -95,12 +98,13 @@
 	n.snapshot = found.Record.GetSnapshot().GetIndex()
 	n.applied = n.snapshot
 	n.core = consensus.New(consensus.Config{
-		ID:        n.opts.ID,
-		Disk:      found.Record.GetDiskId(),
-		Heartbeat: n.opts.Heartbeat,
-		Election:  n.opts.Election,
-		Seed:      n.opts.Seed,
-		Bootstrap: n.opts.Bootstrap,
+		ID:            n.opts.ID,
+		Disk:          found.Record.GetDiskId(),
+		Heartbeat:     n.opts.Heartbeat,
+		Election:      n.opts.Election,
+		FirstElection: n.opts.Election / firstElection,
+		Seed:          n.opts.Seed,
+		Bootstrap:     n.opts.Bootstrap,
 	}, found.Record, n.now())
 	return nil
 }
