--- a/internal/consensus/proof_test.go
+++ b/internal/consensus/proof_test.go
@@ -100,6 +100,7 @@
 		double:   rapid.SampledFrom([]int{0, 20}).Draw(t, "double"),
 		maxDelay: time.Duration(rapid.SampledFrom([]int{1, 20, 100, 600}).Draw(t, "delay")) * time.Millisecond,
 	}
+	f.sim.firstElection = rapid.SampledFrom([]time.Duration{0, simElection / 4}).Draw(t, "firstElection")
 }
 
 // crash kills a replica; a write under way may be lost.
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -124,13 +124,14 @@
 		choice = w.board.ChooseCold(now, ids)
 	}
 	if choice.Verdict == place.Place {
-		w.begin(now, choice)
+		w.begin(choice)
 	}
 	return choice
 }
 
 // askOne asks one upstream for its load.
 func (f *Forwarder) askOne(ctx context.Context, c place.Candidate) reply {
+	asked := f.world.now()
 	conn, report, err := f.health(ctx, c)
 	w := f.world
 	w.mu.Lock()
@@ -141,7 +142,7 @@
 			Uint64("held_ms", uint64(held.Milliseconds())).Err(err).Send()
 		return reply{candidate: c, err: err}
 	}
-	w.board.Observe(w.now(), c.ID, report)
+	w.board.Observe(w.now(), asked, c.ID, report)
 	return reply{candidate: c, conn: conn}
 }
 
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -102,9 +102,9 @@
 }
 
 // begin counts a request at the chosen upstream. The caller holds the lock.
-func (w *world) begin(now time.Duration, c place.Choice) {
-	w.board.Began(c.Upstream.ID)
-	w.line(c.Upstream.Pool).line.Started(now)
+func (w *world) begin(c place.Choice) {
+	w.board.Began(c.At, c.Upstream.ID)
+	w.line(c.Upstream.Pool).line.Started(c.At)
 }
 
 // giveBack ends the use of a spot that no request was sent to.
@@ -113,7 +113,7 @@
 		return
 	}
 	f.world.mu.Lock()
-	f.world.board.Ended(s.choice.Upstream.ID)
+	f.world.board.Ended(s.choice.Upstream.ID, s.choice.At)
 	f.world.mu.Unlock()
 	f.conns.Release(s.conn, nil)
 }
@@ -263,7 +263,7 @@
 	if l.line.Len() > 0 {
 		if choice, ok := w.board.Room(now, id); ok {
 			if waiter, ok := l.line.Next(now, id, choice.Load.Factor()); ok {
-				w.begin(now, choice)
+				w.begin(choice)
 				l.spots[waiter.ID] <- spot{choice: choice, conn: conn}
 				delete(l.spots, waiter.ID)
 				w.mu.Unlock()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -55,7 +55,7 @@
 	c.f.opts.Metrics.Upstream.RecordDuration(took)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.board.Ended(id)
+	w.board.Ended(id, c.choice.At)
 	if !ok {
 		w.board.Failed(w.now(), id)
 		return
@@ -71,7 +71,7 @@
 	w := c.f.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.board.Ended(id)
+	w.board.Ended(id, c.choice.At)
 }
 
 // request builds the request for the upstream.
--- a/internal/lookup/named.go
+++ b/internal/lookup/named.go
@@ -33,12 +33,19 @@
 		}
 	}
 	named := byZone[p.Zone]
-	if p.PerZone > 0 && len(named) > maxEntries {
-		named = named[:maxEntries]
+	more := spares + max(0, p.PerZone-len(named))
+	if p.PerZone == 0 {
+		// Where all carry calls, a few of another zone would be overrun by those
+		// of a zone that has none.
+		more = len(entries)
 	}
-	return append(slices.Clone(named), others(byZone, p, spares+max(0, p.PerZone-len(named)))...)
+	named = append(slices.Clone(named), others(byZone, p, more)...)
+	return named[:min(len(named), maxNamed)]
 }
 
+// maxNamed bounds the addresses in an answer.
+const maxNamed = 64
+
 // others returns n addresses of zones other than the caller's, taking zones in
 // turn, from the one that follows the caller's by name.
 func others(byZone map[string][]string, p Preference, n int) []string {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -27,6 +27,8 @@
 	Load Load
 	// Age is how old the report is that decided.
 	Age time.Duration
+	// At is when the choice was made.
+	At time.Duration
 }
 
 // Good reports whether an upstream that has just reported is good enough to be
@@ -75,7 +77,7 @@
 		}
 		cost := b.cost(u, need.Bytes)
 		if choice.Verdict != Place || cost < choice.Cost {
-			choice = Choice{Place, u.Upstream, cost, u.load, now - u.loadAt}
+			choice = Choice{Place, u.Upstream, cost, u.load, now - u.loadAt, now}
 		}
 	}
 	return choice
@@ -132,7 +134,7 @@
 			continue
 		}
 		if u.cold.take(now, b.coldRate[u.Pool]) {
-			return Choice{Place, u.Upstream, b.cost(u, 0), u.load, now - u.loadAt}
+			return Choice{Place, u.Upstream, b.cost(u, 0), u.load, now - u.loadAt, now}
 		}
 	}
 	return Choice{Verdict: None}
--- a/internal/place/line.go
+++ b/internal/place/line.go
@@ -25,9 +25,9 @@
 	// rateAfter is how long a line must last before its rate of starts says
 	// anything of the room at the upstreams.
 	rateAfter = 200 * time.Millisecond
-	// turnOfOldest is the number of starts of which one goes to the waiter that
-	// must start soonest, whatever its priority, so that none starves.
-	turnOfOldest = 5
+	// turnOfOthers is the number of starts of which one goes to the least urgent
+	// waiters, so that none starves while urgent ones alone exceed the room.
+	turnOfOthers = 3
 )
 
 // Line is the queue of one pool at one entry VM. It turns away, on arrival, a
@@ -66,21 +66,34 @@
 }
 
 // Predict returns how long a request of the priority would wait for its start:
-// the number of waiters that go first over the rate of starts while the line
-// has lasted. It returns 0 while that says nothing.
+// the waiters of its priority over the part of the starts, while the line has
+// lasted, that goes to them. It returns 0 while that says nothing.
 func (l *Line) Predict(now time.Duration, priority int) time.Duration {
 	span := min(now-l.since, rateSpan)
 	if len(l.waiters) == 0 || span < rateAfter {
 		return 0
 	}
 	l.forget(now)
-	ahead := 0
+	ahead, moreUrgent, lessUrgent := 0, false, false
 	for _, w := range l.waiters {
-		if w.Priority <= priority {
+		switch {
+		case now > w.StartBy:
+		case w.Priority == priority:
 			ahead++
+		case w.Priority < priority:
+			moreUrgent = true
+		default:
+			lessUrgent = true
 		}
 	}
-	return span * time.Duration(ahead+1) / time.Duration(max(1, len(l.starts)))
+	wait := span * time.Duration(ahead+1) / time.Duration(max(1, len(l.starts)))
+	switch {
+	case moreUrgent:
+		return wait * turnOfOthers
+	case lessUrgent:
+		return wait * turnOfOthers / (turnOfOthers - 1)
+	}
+	return wait
 }
 
 // Join adds a waiter. It reports false, with the predicted wait, when the
@@ -100,7 +113,6 @@
 // Next removes and returns the waiter to start at the upstream, where work takes
 // factor times as long as usual.
 func (l *Line) Next(now time.Duration, upstream string, factor float64) (Waiter, bool) {
-	l.turns++
 	best := -1
 	for i, w := range l.waiters {
 		longer := time.Duration((factor - 1) * float64(w.Work))
@@ -114,18 +126,19 @@
 	if best < 0 {
 		return Waiter{}, false
 	}
+	l.turns++
 	w := l.waiters[best]
 	l.waiters = slices.Delete(l.waiters, best, best+1)
 	return w, true
 }
 
-// before orders two waiters: by priority, then by the time left; every few
-// turns by the time left alone.
+// before orders two waiters: by priority, then by the time left. One turn of a
+// few goes to the least urgent.
 func (l *Line) before(a, b Waiter) bool {
-	if a.Priority != b.Priority && l.turns%turnOfOldest != 0 {
-		return a.Priority < b.Priority
+	if a.Priority == b.Priority {
+		return a.StartBy < b.StartBy
 	}
-	return a.StartBy < b.StartBy
+	return (a.Priority < b.Priority) == (l.turns%turnOfOthers != 0)
 }
 
 // Leave removes a waiter that no longer waits. It reports false when the
--- a/internal/place/observe.go
+++ b/internal/place/observe.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 )
 
@@ -13,12 +14,19 @@
 	Cold time.Duration
 }
 
-// Observe takes in a report.
-func (b *Board) Observe(now time.Duration, id string, r Report) {
+// Observe takes in the report of an upstream that was asked at asked. Requests
+// that this entry VM has begun since then may have arrived after the report was
+// made; they are counted on top of it.
+func (b *Board) Observe(now, asked time.Duration, id string, r Report) {
 	u := b.upstreams[id]
 	if u == nil {
 		return
 	}
+	for _, at := range u.begun {
+		if at >= asked {
+			r.Load.Running++
+		}
+	}
 	u.load, u.loadAt, u.reported, u.ill = r.Load, now, true, r.Ill
 	if u.load.Slots == 0 {
 		u.load.Slots = u.Slots
@@ -41,9 +49,13 @@
 		return
 	}
 	l.Running = max(0, l.Running-1)
-	b.Observe(now, id, Report{Load: l, Ill: u.ill, Cold: max(0, u.coldUntil-now)})
+	b.Observe(now, now-answerFlight, id, Report{Load: l, Ill: u.ill, Cold: max(0, u.coldUntil-now)})
 }
 
+// answerFlight bounds the time from the making of an answer to its arrival:
+// several times the 0.5 ms between availability zones.
+const answerFlight = 3 * time.Millisecond
+
 // Unreachable records that an upstream did not answer when it was asked.
 func (b *Board) Unreachable(now time.Duration, id string) (held time.Duration) {
 	return b.hold(now, id)
@@ -86,17 +98,21 @@
 const maxPace = 8
 
 // Began counts a request that is sent to the upstream.
-func (b *Board) Began(id string) {
+func (b *Board) Began(now time.Duration, id string) {
 	if u := b.upstreams[id]; u != nil {
-		u.inFlight++
+		u.begun = append(u.begun, now)
 		u.load.Running++
 	}
 }
 
-// Ended counts the end of a request that Began has counted.
-func (b *Board) Ended(id string) {
-	if u := b.upstreams[id]; u != nil && u.inFlight > 0 {
-		u.inFlight--
+// Ended counts the end of a request that Began has counted at the given time.
+func (b *Board) Ended(id string, began time.Duration) {
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	if at := slices.Index(u.begun, began); at >= 0 {
+		u.begun = slices.Delete(u.begun, at, at+1)
 		u.load.Running = max(0, u.load.Running-1)
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -80,8 +80,9 @@
 // upstream is what the board knows of one upstream.
 type upstream struct {
 	Upstream
-	// inFlight counts the requests of this entry VM.
-	inFlight int
+	// begun holds the times at which the requests of this entry VM that are in
+	// flight were begun.
+	begun    []time.Duration
 	load     Load
 	loadAt   time.Duration
 	reported bool
@@ -205,7 +206,7 @@
 	if u.reported && now-u.loadAt < loadKept {
 		rank = b.cost(u, 0)
 	}
-	rank += float64(u.inFlight) * usualSlowPercent / float64(max(1, u.Slots))
+	rank += float64(len(u.begun)) * usualSlowPercent / float64(max(1, u.Slots))
 	if now < u.coldUntil {
 		rank += coldRank
 	}
