Bring restarted gateways their configuration sooner

Cause: after a loss of power gateways waited on VMs that were still dark (0.9 s a call) and then for the registrations of all others, one after another. Ruled out: the election (leader 0.06 s after a majority was up).

--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -16,6 +16,9 @@
 // tickInterval is the pace at which the loop looks at the clock.
 const tickInterval = 50 * time.Millisecond
 
+// firstTickInterval is that pace while no configuration is held.
+const firstTickInterval = 20 * time.Millisecond
+
 // loop owns the state of a Syncer.
 type loop struct {
 	syncer  *Syncer
@@ -24,6 +27,7 @@
 	state   *freshness.State
 	view    *view.View
 	leaving bool
+	tick    *time.Ticker
 	renew   renewState
 	confirm confirmState
 }
@@ -45,8 +49,9 @@
 }
 
 func (l *loop) run() {
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTicker(firstTickInterval)
 	defer tick.Stop()
+	l.tick = tick
 	defer l.stopRenewal()
 	l.startRenewal()
 	for {
@@ -103,6 +108,9 @@
 	if cfg == nil || !l.state.Adopt(cfg.Revision, keysOf(cfg)) {
 		return false
 	}
+	if l.view == nil {
+		l.tick.Reset(tickInterval)
+	}
 	l.view = view.New(cfg)
 	l.syncer.opts.Log.Log(event.ConfigAdopted).Uint64("revision", cfg.Revision).Send()
 	return true
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -20,6 +20,9 @@
 	callTimeout = 600 * time.Millisecond
 	// retryInterval is the pause after an answer without a lease.
 	retryInterval = 150 * time.Millisecond
+	// firstRetryInterval is that pause while no configuration is held: callers
+	// are refused until there is one.
+	firstRetryInterval = 40 * time.Millisecond
 	// minInterval bounds the pace of renewals that bring nothing new.
 	minInterval = 200 * time.Millisecond
 	// avoidTime is the time for which an address that did not answer is left
@@ -99,6 +102,7 @@
 		Revision:         l.state.Revision(),
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.Accepted(),
+		ServesStale:      l.syncer.opts.ServesStale,
 		QuietMs:          uint32(l.syncer.quiet().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewEvery
@@ -243,7 +247,14 @@
 	if seeds := l.syncer.opts.Seeds; seeds != nil && r.failures%seedsAfter == 0 {
 		r.control = union(r.control, seeds())
 	}
-	r.next = l.syncer.now() + retryInterval
+	r.next = l.syncer.now() + l.retryInterval()
+}
+
+func (l *loop) retryInterval() time.Duration {
+	if l.view == nil {
+		return firstRetryInterval
+	}
+	return retryInterval
 }
 
 // learnAddresses reports whether the answer names another leader.
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -117,12 +117,17 @@
 		l.redirect(ev.renewal)
 		return
 	}
-	if l.stale(ev.renewal.request.Entry) {
-		l.term.held = append(l.term.held, ev.renewal)
-		l.plan()
+	if !l.stale(ev.renewal.request.Entry) {
+		l.answer(ev.renewal)
+		return
+	}
+	l.plan()
+	if req := ev.renewal.request; req.ServesStale && req.Revision < l.term.config.Revision {
+		// Registrations come one after another; only the lease must wait for them.
+		l.redirect(ev.renewal)
 		return
 	}
-	l.answer(ev.renewal)
+	l.term.held = append(l.term.held, ev.renewal)
 }
 
 // due reports whether there is something to tell at once.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -78,6 +78,10 @@
 	sweepEvery      = time.Second
 	shutdownTimeout = time.Second
 	keyReload       = 2 * time.Second
+	// peerDialTimeout bounds a connection to another VM of the system. VMs are
+	// within 1 ms of each other; one that is dark answers nothing, and another
+	// must then be asked soon.
+	peerDialTimeout = 200 * time.Millisecond
 )
 
 // Run runs a gateway until planned is closed or ctx ends. Closing planned
@@ -146,7 +150,7 @@
 		Slack:  s.Retry.Slack,
 		Window: s.Retry.WindowMs.Duration(),
 	})
-	client := httpnet.NewClient(nil)
+	client := httpnet.NewClient(httpnet.DialWithin(peerDialTimeout))
 	client.Transport = access.NewTransport(d.keys, client.Transport)
 	d.config = configsync.New(configsync.Options{
 		Entry:       self,
--- a/internal/httpnet/client.go
+++ b/internal/httpnet/client.go
@@ -18,6 +18,11 @@
 // Dial opens a connection to another process.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// DialWithin returns a Dial that gives up after the timeout.
+func DialWithin(timeout time.Duration) Dial {
+	return (&net.Dialer{Timeout: timeout}).DialContext
+}
+
 // NewClient returns a client for calls to other processes. It speaks HTTP/2
 // without TLS: all calls to one process share a connection, and headers that
 // repeat cost next to nothing. A nil dial uses the network as it is.
