--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -176,7 +176,7 @@
 }
 
 // minComeBack is the shortest pause that callers are asked for.
-const minComeBack = 20 * time.Millisecond
+const minComeBack = 10 * time.Millisecond
 
 func (c *call) outOfTime() error {
 	return fault.After(fault.DeadlineTooShort, minComeBack, "no upstream had room")
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -124,7 +124,21 @@
 	if resp.StatusCode == http.StatusBadRequest {
 		return c.logged(u, failure{err: fault.New(fault.BadRequest, "refused by upstream %s", u.ID), arrived: true})
 	}
-	return c.logged(u, failure{err: fault.After(fault.Shed, c.comeBack(0), "upstream %s", u.ID), arrived: true})
+	return c.logged(u, failure{err: fault.After(fault.Shed, c.afterShed(), "upstream %s", u.ID), arrived: true})
+}
+
+// afterShed is when to come back after an upstream has shed the request. While
+// nobody waits for room the others may well take it, and only the budget for
+// further attempts keeps it from being sent there at once.
+func (c *call) afterShed() time.Duration {
+	w := c.f.world
+	w.mu.Lock()
+	waiting := w.line(c.pool).line.Len()
+	w.mu.Unlock()
+	if waiting > 0 {
+		return c.comeBack(0)
+	}
+	return minComeBack
 }
 
 // unusable reports an answer that must not be passed on: one without the
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -28,7 +28,7 @@
 const (
 	// ratioUsed is the part of the ratio that is given out: requests are counted
 	// when they arrive here, attempts when they arrive at the upstream.
-	ratioUsed = 0.8
+	ratioUsed = 0.9
 	// slackUsed is the part of the slack that is given out, so that every
 	// entry VM may restart once in a window.
 	slackUsed = 0.45
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -65,6 +65,9 @@
 	for b.Take(time.Second, limits, 20) {
 		taken++
 	}
-	assert.Equal(t, taken, 17)
+	whole := limits.Ratio*100 + limits.Slack/20
+	given := limits.Ratio*ratioUsed*100 + limits.Slack*slackUsed/20
+	assert.Equal(t, taken, int(given))
+	assert.Assert(t, float64(taken) < whole)
 	assert.Assert(t, b.Take(13*time.Second, limits, 20))
 }
