--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -50,6 +50,7 @@
 	f.BoolVar(&a.dryRun, "dry-run", false, "print what would change and change nothing")
 	f.StringVar(&a.output, "output", outputText, "text or json")
 	cmd.AddCommand(
+		newAdminApply(a), newAdminExport(a),
 		newAdminService(a), newAdminZone(a), newAdminRule(a),
 		newAdminEntry(a), newAdminMember(a), newAdminQuarantine(a),
 		newAdminStatus(a), newAdminConfig(a),
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -17,6 +17,7 @@
 const (
 	roleControl = "control"
 	roleEntry   = "entry"
+	roleGateway = "gateway"
 )
 
 func newSettings(c *command) *cobra.Command {
@@ -27,7 +28,7 @@
 	}
 	var role string
 	check := &cobra.Command{
-		Use:     "check --role control|entry FILE",
+		Use:     "check --role control|entry|gateway FILE",
 		Short:   "Check a settings file without starting anything",
 		Example: "  balsamcourse settings check --role control settings/control.sample.toml",
 		Args:    cobra.ExactArgs(1),
@@ -39,7 +40,7 @@
 			return err
 		}),
 	}
-	check.Flags().StringVar(&role, "role", "", "control or entry")
+	check.Flags().StringVar(&role, "role", "", "control, entry or gateway")
 	cmd.AddCommand(check)
 	return cmd
 }
@@ -51,8 +52,10 @@
 		_, err = settings.LoadControl(path)
 	case roleEntry:
 		_, err = settings.LoadEntry(path)
+	case roleGateway:
+		_, err = settings.LoadGateway(path)
 	default:
-		err = usage("--role must be control or entry, not %q", role)
+		err = usage("--role must be control, entry or gateway, not %q", role)
 	}
 	return err
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,3 +117,56 @@
 	before, _, _ := strings.Cut(data, text)
 	return strconv.Itoa(strings.Count(before, "\n") + 1)
 }
+
+func TestGatewaySample(t *testing.T) {
+	got, err := LoadGateway("../../settings/gateway.sample.toml")
+	assert.NilError(t, err)
+	want := DefaultGateway()
+	want.ID, want.Zone, want.Region = got.ID, got.Zone, got.Region
+	want.CallerListen, want.CallerAddress, want.Addresses = got.CallerListen, got.CallerAddress, got.Addresses
+	want.Control, want.ClusterFile = got.Control, got.ClusterFile
+	assert.DeepEqual(t, got, want)
+}
+
+func TestGatewayMistakesNameTheKey(t *testing.T) {
+	cases := []struct{ old, replacement, want string }{
+		{`named_per_zone = 2`, `named_per_zone = 99`, "named_per_zone"},
+		{`ratio = 0.2`, `ratio = 2.0`, "retry.ratio"},
+		{`slack = 40`, `slack = -1`, "retry.slack"},
+		{`stop_ms = 5700`, `stop_ms = 100`, "stop_ms"},
+		{`cold_share = 0.8`, `cold_share = 1.8`, "cold_share"},
+		{`lookup_ttl_ms = 1000`, `lookup_ttl = 1000`, "lookup_ttl"},
+		{`cluster_keys_file = "/etc/balsamcourse/cluster.keys"`, ``, "cluster_keys_file"},
+	}
+	for _, c := range cases {
+		_, err := ParseGateway("g.toml", []byte(sample(t, "../../settings/gateway.sample.toml", c.old, c.replacement)))
+		assert.ErrorContains(t, err, c.want)
+	}
+}
+
+func TestStateSample(t *testing.T) {
+	state, err := LoadState("../../settings/state.sample.toml")
+	assert.NilError(t, err)
+	assert.Equal(t, state.Version, uint64(1))
+	assert.Equal(t, state.Routes[0].Shares[0].Pool, "booking")
+	for old, replacement := range map[string]string{
+		`pool = "booking", weight`: `pool = "other", weight`,
+		`kind = "safe"`:            `kind = "sage"`,
+		`max_attempts = 2`:         `max_attempts = 0`,
+		`version = 1`:              `version = 0`,
+		`priority = 2`:             `prio = 2`,
+	} {
+		_, err := ParseState("s.toml", []byte(sample(t, "../../settings/state.sample.toml", old, replacement)))
+		assert.ErrorContains(t, err, "s.toml")
+	}
+}
+
+func TestSeedsStandInPlaceOfMembers(t *testing.T) {
+	s := DefaultControl()
+	s.Zone, s.DataDir, s.TrustNetwork = "a", "/data", true
+	s.ClusterListen, s.ClusterAddress, s.OperatorListen = "10.0.0.1:7000", "10.0.0.1:7000", "10.0.0.1:7001"
+	s.Seeds = []string{"10.0.0.1:7000"}
+	assert.NilError(t, s.Validate())
+	s.ID = 1
+	assert.ErrorContains(t, s.Validate(), "seeds")
+}
--- /dev/null
+++ b/internal/settings/state.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/fault"
+)
+
+// State is a whole desired state as operators write it.
+type State struct {
+	// Version must be above that of the state in force.
+	Version uint64       `toml:"version"`
+	Pools   []StatePool  `toml:"pools"`
+	Routes  []StateRoute `toml:"routes"`
+	Limits  StateLimits  `toml:"limits"`
+}
+
+// StatePool is a set of upstreams that announce themselves under one name.
+type StatePool struct {
+	Name           string  `toml:"name"`
+	HealthPath     string  `toml:"health_path"`
+	MaxConnections uint32  `toml:"max_connections"`
+	ColdMs         uint32  `toml:"cold_ms"`
+	ColdPerS       float64 `toml:"cold_per_s"`
+}
+
+// StateRoute selects the pool of a request by host and path.
+type StateRoute struct {
+	Name       string `toml:"name"`
+	Host       string `toml:"host"`
+	PathPrefix string `toml:"path_prefix"`
+	// Kind is safe, unsafe or upload.
+	Kind            string       `toml:"kind"`
+	TimeoutMs       uint32       `toml:"timeout_ms"`
+	TargetLatencyMs uint32       `toml:"target_latency_ms"`
+	Priority        uint32       `toml:"priority"`
+	MaxAttempts     uint32       `toml:"max_attempts"`
+	Shares          []StateShare `toml:"shares"`
+}
+
+// StateShare is the part of a route's requests that goes to one pool.
+type StateShare struct {
+	Pool   string  `toml:"pool"`
+	Weight float64 `toml:"weight"`
+}
+
+// StateLimits bounds what callers may send.
+type StateLimits struct {
+	MaxHeaderBytes  uint32 `toml:"max_header_bytes"`
+	MaxBodyBytes    uint64 `toml:"max_body_bytes"`
+	HeaderTimeoutMs uint32 `toml:"header_timeout_ms"`
+	IdleTimeoutMs   uint32 `toml:"idle_timeout_ms"`
+}
+
+var routeKinds = map[string]catalogpb.RouteKind{
+	"safe":   catalogpb.RouteKind_ROUTE_KIND_SAFE,
+	"unsafe": catalogpb.RouteKind_ROUTE_KIND_UNSAFE,
+	"upload": catalogpb.RouteKind_ROUTE_KIND_UPLOAD,
+}
+
+// LoadState reads and checks a desired state. The error is of kind
+// fault.Settings and names file, line and key, or of kind fault.InvalidChange
+// and names the item.
+func LoadState(path string) (*catalogpb.DesiredState, error) {
+	data, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseState(path, data)
+}
+
+// ParseState is LoadState for data that was read from file.
+func ParseState(file string, data []byte) (*catalogpb.DesiredState, error) {
+	var s State
+	if err := decode(file, data, &s); err != nil {
+		return nil, err
+	}
+	state := &catalogpb.DesiredState{Version: s.Version, Source: data, Limits: &catalogpb.CallerLimits{
+		MaxHeaderBytes:  s.Limits.MaxHeaderBytes,
+		MaxBodyBytes:    s.Limits.MaxBodyBytes,
+		HeaderTimeoutMs: s.Limits.HeaderTimeoutMs,
+		IdleTimeoutMs:   s.Limits.IdleTimeoutMs,
+	}}
+	for _, p := range s.Pools {
+		state.Pools = append(state.Pools, &catalogpb.Pool{
+			Name: p.Name, HealthPath: p.HealthPath, MaxConnections: p.MaxConnections, ColdMs: p.ColdMs, ColdPerS: p.ColdPerS,
+		})
+	}
+	for _, r := range s.Routes {
+		state.Routes = append(state.Routes, r.message())
+	}
+	if err := catalog.CheckState(state); err != nil {
+		return nil, fault.New(fault.InvalidChange, "%s: %s", file, err.Detail)
+	}
+	return state, nil
+}
+
+func (r StateRoute) message() *catalogpb.Route {
+	m := &catalogpb.Route{
+		Name:            r.Name,
+		Host:            r.Host,
+		PathPrefix:      r.PathPrefix,
+		Kind:            routeKinds[r.Kind],
+		TimeoutMs:       r.TimeoutMs,
+		TargetLatencyMs: r.TargetLatencyMs,
+		Priority:        r.Priority,
+		MaxAttempts:     r.MaxAttempts,
+	}
+	for _, s := range r.Shares {
+		m.Shares = append(m.Shares, &catalogpb.RouteShare{Pool: s.Pool, Weight: s.Weight})
+	}
+	return m
+}
