--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -15,7 +15,7 @@
 const (
 	// asked is the number of upstreams that are asked for their load before a
 	// request is placed.
-	asked = 3
+	asked = 2
 	// askTimeout bounds the wait for an answer: asking takes some milliseconds
 	// of a slot, and up to four times as long in a slow spell.
 	askTimeout = 80 * time.Millisecond
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -14,9 +14,9 @@
 
 const (
 	// rounds is the number of searches, among other upstreams each time, before
-	// a request waits. Three rounds of three find room at the loads of usual
+	// a request waits. Four rounds of two find room at the loads of usual
 	// days.
-	rounds = 3
+	rounds = 4
 	// searchFactor bounds the speed of the upstreams that a search for waiters
 	// takes: a slot above the knee, but none in a slow spell.
 	searchFactor = 2
