--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -64,6 +64,16 @@
 	return clusterpb.NewDistributionProtobufClient("http://"+g.servers[0].Address(), httpnet.NewClient(nil))
 }
 
+// renewStale renews for a gateway that holds nothing yet.
+func (g *group) renewStale(id string) *clusterpb.RenewResponse {
+	resp, err := g.leader().Renew(context.Background(), &clusterpb.RenewRequest{
+		Entry:       &catalogpb.Entry{Id: id, ClusterAddress: id + ":1", Incarnation: 1},
+		ServesStale: true,
+	})
+	assert.NilError(g.t, err)
+	return resp
+}
+
 func (g *group) renew(id string, incarnation, revision uint64, synced bool) *clusterpb.RenewResponse {
 	resp, err := g.leader().Renew(context.Background(), &clusterpb.RenewRequest{
 		Entry:    &catalogpb.Entry{Id: id, ClusterAddress: id + ":1", Incarnation: incarnation},
