--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
@@ -63,7 +64,7 @@
 // askAll asks all keys beside the loop.
 func (l *loop) askAll(keys []freshness.Key, revision uint64) {
 	req := &clusterpb.ConfirmRequest{Entry: l.syncer.opts.Entry.Id, Revision: revision}
-	l.workers.Go(func() {
+	crash.Go(l.workers, func() {
 		p := pool.New().WithMaxGoroutines(confirmParallel)
 		for _, key := range keys {
 			p.Go(func() { l.ask(key, req) })
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -10,6 +10,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/crash"
 )
 
 const (
@@ -83,7 +84,7 @@
 	r.cancel = cancel
 	r.sent = l.syncer.now()
 	ev := &renewed{number: r.number, sent: r.sent, address: address, relayed: relayed}
-	l.workers.Go(func() {
+	crash.Go(l.workers, func() {
 		defer cancel()
 		ev.resp, ev.err = l.syncer.client(address).Renew(ctx, req)
 		l.syncer.post(ev)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"balsamcourse.example/balsamcourse/internal/crash"
 )
 
 // tickInterval is the pace at which the loop looks at the clock.
@@ -97,7 +99,7 @@
 // confirm waits for a confirmed read, after which the catalog holds all that
 // earlier terms committed.
 func (l *loop) confirm(number uint64) {
-	l.workers.Go(func() {
+	crash.Go(l.workers, func() {
 		err := l.confirmedRead(proposeTimeout)
 		l.server.post(l.ctx, &confirmed{term: number, err: err})
 	})
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -9,6 +9,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/assign"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 )
 
@@ -165,7 +166,7 @@
 	}
 	l.term.proposing = true
 	number := l.term.number
-	l.workers.Go(func() {
+	crash.Go(l.workers, func() {
 		ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 		defer cancel()
 		// A failed proposal is made again from the state that then holds.
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -9,6 +9,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -106,7 +107,7 @@
 // acknowledged before its restart.
 func (l *loop) sync(r *renewal) {
 	number := l.term.number
-	l.workers.Go(func() {
+	crash.Go(l.workers, func() {
 		err := l.confirmedRead(hold(r.request))
 		l.server.post(l.ctx, &syncedRenewal{renewal: r, term: number, err: err})
 	})
--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -17,6 +17,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/access"
 	"balsamcourse.example/balsamcourse/internal/control"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
@@ -88,10 +89,10 @@
 		return errors.Trace(err)
 	}
 	var workers conc.WaitGroup
-	workers.Go(func() { d.control.Run(runCtx) })
-	workers.Go(func() { d.sampleReplica(runCtx) })
+	crash.Go(&workers, func() { d.control.Run(runCtx) })
+	crash.Go(&workers, func() { d.sampleReplica(runCtx) })
 	if len(s.Seeds) > 0 && s.Join {
-		workers.Go(func() { d.join(runCtx) })
+		crash.Go(&workers, func() { d.join(runCtx) })
 	}
 	d.watchKeys(runCtx, &workers)
 	d.log.Log(event.Started).Str("cluster", s.ClusterAddress).Send()
@@ -228,7 +229,7 @@
 func (d *Daemon) watchKeys(ctx context.Context, workers *conc.WaitGroup) {
 	for _, k := range []*access.Keys{d.keys.operators, d.keys.cluster} {
 		if k != nil {
-			workers.Go(func() { k.Watch(ctx, keyReload, d.log) })
+			crash.Go(workers, func() { k.Watch(ctx, keyReload, d.log) })
 		}
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/access"
 	"balsamcourse.example/balsamcourse/internal/admit"
 	"balsamcourse.example/balsamcourse/internal/configsync"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/gossip"
@@ -280,11 +281,11 @@
 }
 
 func (d *Daemon) start(ctx context.Context) {
-	d.workers.Go(func() { d.config.Run(ctx) })
-	d.workers.Go(func() { d.gossip.Run(ctx) })
-	d.workers.Go(func() { wait.Every(ctx, sweepEvery, d.sweep) })
+	crash.Go(&d.workers, func() { d.config.Run(ctx) })
+	crash.Go(&d.workers, func() { d.gossip.Run(ctx) })
+	crash.Go(&d.workers, func() { wait.Every(ctx, sweepEvery, d.sweep) })
 	if d.keys != nil {
-		d.workers.Go(func() { d.keys.Watch(ctx, keyReload, d.log) })
+		crash.Go(&d.workers, func() { d.keys.Watch(ctx, keyReload, d.log) })
 	}
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -8,6 +8,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/consensus"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -16,7 +17,7 @@
 func (n *Node) run() {
 	defer close(n.done)
 	defer n.shutdown()
-	n.group.Go(n.disk.run)
+	crash.Go(&n.group, n.disk.run)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -13,6 +13,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/consensus"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/storage"
 )
@@ -75,7 +76,7 @@
 		return nil, err
 	}
 	n.publish()
-	n.group.Go(n.run)
+	crash.Go(&n.group, n.run)
 	return n, nil
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -11,6 +11,8 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+
+	"balsamcourse.example/balsamcourse/internal/crash"
 )
 
 // Times and rates of the transport.
@@ -99,7 +101,7 @@
 	p = newPeer()
 	t.peers[id] = p
 	if t.ctx.Err() == nil {
-		t.group.Go(func() { t.sendLoop(id, p) })
+		crash.Go(&t.group, func() { t.sendLoop(id, p) })
 	}
 	return p
 }
