--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -195,6 +195,7 @@
 		l.renewalFailed()
 		return
 	}
+	l.syncer.heard.Store(int64(l.syncer.now()))
 	if ev.resp.LeaderAddress == "" && ev.resp.LeaseMs > 0 && !ev.relayed {
 		ev.resp.LeaderAddress = ev.address
 	}
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -60,6 +60,9 @@
 	// everywhere is the newest revision accepted in all regions.
 	everywhere atomic.Uint64
 	leader     atomic.Pointer[string]
+	// heard is the reading of the clock, in nanoseconds, when a control VM or a
+	// relay last answered.
+	heard atomic.Int64
 	// given is the reading of the clock, in nanoseconds, when a revision was
 	// last confirmed to another entry VM; at first that of the start.
 	given     atomic.Int64
@@ -136,6 +139,10 @@
 	return silent == nil || !slices.Contains(*silent, entry)
 }
 
+// Unheard returns the time since a control VM, or an entry VM that relays to
+// one, last answered; at first that since the start.
+func (s *Syncer) Unheard() time.Duration { return s.now() - time.Duration(s.heard.Load()) }
+
 // AcceptedEverywhere returns the newest revision known to be accepted in all
 // regions.
 func (s *Syncer) AcceptedEverywhere() uint64 { return s.everywhere.Load() }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -71,14 +71,18 @@
 	// leaving is set when the stop has begun, closed when no new calls are
 	// taken any more.
 	leaving, closed atomic.Bool
-	workers         conc.WaitGroup
+	// controlLost is set while control does not answer; sweep owns it.
+	controlLost bool
+	workers     conc.WaitGroup
 }
 
 // Times of a gateway.
 const (
 	sweepEvery      = time.Second
 	shutdownTimeout = time.Second
-	keyReload       = 2 * time.Second
+	// controlLostAfter is longer than a renewal may be held and answered.
+	controlLostAfter = 2 * time.Second
+	keyReload        = 2 * time.Second
 	// peerDialTimeout bounds a connection to another VM of the system. VMs are
 	// within 1 ms of each other; one that is dark answers nothing, and another
 	// must then be asked soon.
@@ -300,6 +304,26 @@
 	}
 	d.conns.Sweep(func(address string) bool { return known[address] })
 	d.entry.InFlight.Update(float64(d.limiter.Total()))
+	d.noteControl()
+}
+
+// noteControl logs when control is lost and regained.
+func (d *Daemon) noteControl() {
+	unheard := d.config.Unheard()
+	lost := unheard > controlLostAfter
+	if lost == d.controlLost {
+		return
+	}
+	d.controlLost = lost
+	e := event.ControlRegained
+	if lost {
+		e = event.ControlLost
+	}
+	line := d.log.Log(e).Uint64("unheard_ms", uint64(unheard.Milliseconds()))
+	if cfg := d.world.config.Load(); cfg != nil {
+		line.Uint64("version", cfg.StateVersion).Uint64("revision", cfg.Revision)
+	}
+	line.Send()
 }
 
 // leave carries out a planned stop: look-ups stop naming this gateway, which
