--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -88,7 +88,7 @@
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.AddCommand(
 		newControl(c), newEntry(c), newGateway(c), newDev(c),
-		newAdmin(c), newLookup(c), newLoad(c),
+		newAdmin(c), newLookup(c), newLoad(c), newExplain(c),
 		newSettings(c), newCharts(c), newDocs(c), newVersion(c),
 	)
 	root.AddCommand(c.daemons.Extra...)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,11 @@
 	z zerolog.Logger
 }
 
+// timeFormat has milliseconds: lines of several processes are read together.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLogger returns a logger that writes JSON lines to w. Every line carries
 // the role and id of the process.
 func NewLogger(w io.Writer, level zerolog.Level, role, id string) Logger {
