--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -237,3 +237,21 @@
 		assert.Equal(t, string(s1), string(s2))
 	})
 }
+
+// TestDeparturesAreForgottenInTime lets many more upstreams come and go than
+// are remembered: the configuration stays bounded, and those that left last are
+// known.
+func TestDeparturesAreForgottenInTime(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	m.announce(announcement("stays", 1, 1, isReady))
+	for i := range uint64(3 * RetainedGone) {
+		u := announcement(fmt.Sprint("u", i), 10+i, 1, isReady)
+		u.Address = fmt.Sprint("10.0.1.1:", i+1)
+		m.announce(u)
+		m.drop(u.Id, 0)
+	}
+	assert.Equal(t, len(m.Config().Upstreams), RetainedGone+1)
+	assert.Equal(t, m.upstreamState("stays"), isReady)
+	assert.Equal(t, m.upstreamState(fmt.Sprint("u", 3*RetainedGone-1)), gone)
+	assert.Equal(t, m.upstreamState("u0"), catalogpb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED)
+}
--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -111,6 +111,31 @@
 	gone := proto.CloneOf(u)
 	gone.State = catalogpb.UpstreamState_UPSTREAM_STATE_GONE
 	next.Upstreams = upstreams.put(next.Upstreams, gone)
+	forgetGone(next)
+}
+
+// RetainedGone is the number of upstreams that have left which are remembered.
+// Announcements are late by seconds; at one departure a second this covers
+// four minutes.
+const RetainedGone = 256
+
+// forgetGone drops the upstream that started first of those that have left,
+// when there are too many.
+func forgetGone(next *catalogpb.Config) {
+	count := 0
+	var oldest *catalogpb.Upstream
+	for _, u := range next.Upstreams {
+		if u.State != catalogpb.UpstreamState_UPSTREAM_STATE_GONE {
+			continue
+		}
+		count++
+		if oldest == nil || u.StartedMs < oldest.StartedMs {
+			oldest = u
+		}
+	}
+	if count > RetainedGone {
+		next.Upstreams = upstreams.remove(next.Upstreams, func(u *catalogpb.Upstream) bool { return u == oldest })
+	}
 }
 
 // dropUpstream records that an upstream has left. An unknown one is recorded
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -41,7 +41,7 @@
 	switch r := result.(type) {
 	case *catalogpb.DesiredStateResult:
 		a.server.opts.Log.Log(event.StateApplied).Uint64("version", req.State.Version).
-			Uint64("held", r.HeldVersion).Uint64("revision", r.Revision).Str("applied", yesNo(r.Applied)).Send()
+			Uint64("held", r.HeldVersion).Uint64("revision", r.Revision).Bool("applied", r.Applied).Send()
 		a.server.await(ctx, r.Revision, spreadWait)
 		return &adminpb.ApplyStateResponse{Result: r}, nil
 	case catalog.Applied:
@@ -50,13 +50,6 @@
 	return nil, fault.ToTwirp(fault.New(fault.Internal, "unexpected result %T", result))
 }
 
-func yesNo(b bool) string {
-	if b {
-		return "yes"
-	}
-	return "no"
-}
-
 func (a *admin) dryRunState(ctx context.Context, state *catalogpb.DesiredState) (*adminpb.ApplyStateResponse, error) {
 	if err := a.confirmedRead(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
@@ -92,7 +85,7 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	a.server.opts.Log.Log(event.ZoneSet).Str("zone", req.Change.GetZone()).Str("out", yesNo(req.Change.GetOut())).
+	a.server.opts.Log.Log(event.ZoneSet).Str("zone", req.Change.GetZone()).Bool("out", req.Change.GetOut()).
 		Uint64("revision", revision).Send()
 	a.server.await(ctx, revision, spreadWait)
 	return &adminpb.SetZoneOutResponse{}, nil
--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -60,18 +60,12 @@
 	Logs io.Writer
 	// Listeners returns further listeners over the operators' service; nil
 	// means none.
-	Listeners func(adminpb.Admin, event.Logger) []Listener
+	Listeners func(adminpb.Admin, event.Logger) []httpnet.Service
 	// Seeds returns the seeds as the settings name them now; nil means those
 	// of the start.
 	Seeds func() []string
 }
 
-// Listener is an address with what it serves.
-type Listener struct {
-	Address string
-	Handler http.Handler
-}
-
 // Run runs a control VM until planned is closed or ctx ends. Closing planned
 // hands leadership over first.
 func Run(ctx context.Context, planned <-chan struct{}, s settings.Control, o Options) error {
--- a/internal/controld/join_test.go
+++ b/internal/controld/join_test.go
@@ -13,6 +13,7 @@
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
@@ -49,7 +50,7 @@
 	v.admin = make(chan adminpb.Admin, 1)
 	go func() {
 		defer close(v.ended)
-		err := Run(ctx, nil, v.s, Options{Logs: io.Discard, Listeners: func(a adminpb.Admin, _ event.Logger) []Listener {
+		err := Run(ctx, nil, v.s, Options{Logs: io.Discard, Listeners: func(a adminpb.Admin, _ event.Logger) []httpnet.Service {
 			v.admin <- a
 			return nil
 		}})
--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -10,6 +10,7 @@
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
 	"balsamcourse.example/balsamcourse/internal/settings"
 )
@@ -67,23 +68,15 @@
 // guardCalls closes connections while this entry VM leaves, and turns a panic
 // into an answer.
 func (d *Daemon) guardCalls(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.life.leaving() {
 			w.Header().Set("Connection", "close")
 		}
-		defer d.recoverCall(w)
 		next.ServeHTTP(w, r)
-	})
+	}), d.answerPanic)
 }
 
-func (d *Daemon) recoverCall(w http.ResponseWriter) {
-	p := recover()
-	if p == nil {
-		return
-	}
-	if p == http.ErrAbortHandler {
-		panic(p)
-	}
+func (d *Daemon) answerPanic(w http.ResponseWriter, p any) {
 	err := fault.New(fault.Internal, "%v", p)
 	d.log.Log(event.CallPanic).Err(err).Send()
 	fault.WriteHTTP(w, err)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,12 @@
 	return l
 }
 
+// Bool adds a truth value.
+func (l *Line) Bool(key string, value bool) *Line {
+	l.z.Bool(key, value)
+	return l
+}
+
 // Err adds the error.
 func (l *Line) Err(err error) *Line {
 	l.z.Err(err)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -38,7 +38,7 @@
 	// Dialect names the headers; the zero value is OwnDialect.
 	Dialect Dialect
 	// Listeners returns further listeners; nil means none.
-	Listeners func(*Daemon) []Listener
+	Listeners func(*Daemon) []httpnet.Service
 	// Seeds returns the seeds as the settings name them now; nil means those
 	// of the start.
 	Seeds func() []string
@@ -46,12 +46,6 @@
 	Dial upconn.Dialer
 }
 
-// Listener is an address with what it serves.
-type Listener struct {
-	Address string
-	Handler http.Handler
-}
-
 // Daemon is a running gateway.
 type Daemon struct {
 	settings settings.Gateway
@@ -261,24 +255,15 @@
 		Leaving:         d.closed.Load,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		defer d.recoverCall(w)
 		calls.ServeHTTP(w, r)
-	})
+	}), d.answerPanic)
 }
 
-// recoverCall turns a panic into an answer.
-func (d *Daemon) recoverCall(w http.ResponseWriter) {
-	p := recover()
-	if p == nil {
-		return
-	}
-	if p == http.ErrAbortHandler {
-		panic(p)
-	}
+func (d *Daemon) answerPanic(w http.ResponseWriter, p any) {
 	err := fault.New(fault.Internal, "%v", p)
 	d.log.Log(event.CallPanic).Err(err).Send()
 	fault.WriteHTTP(w, err)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -198,18 +198,11 @@
 func (c *call) logged(u place.Upstream, failed failure) failure {
 	c.avoid = append(c.avoid, u.ID)
 	c.f.opts.Events.Log(event.AttemptFailed).Str("request", c.id).Str("route", c.route.Name).Str("upstream", u.ID).
-		Str("may_have_run", yesNo(failed.mayHaveRun)).Uint64("after_ms", uint64(time.Since(c.arrived).Milliseconds())).
+		Bool("may_have_run", failed.mayHaveRun).Uint64("after_ms", uint64(time.Since(c.arrived).Milliseconds())).
 		Err(failed.err).Send()
 	return failed
 }
 
-func yesNo(b bool) string {
-	if b {
-		return "yes"
-	}
-	return "no"
-}
-
 // pass reads the answer and passes it on to the caller.
 func (c *call) pass(u place.Upstream, conn *upconn.Conn, x *upconn.Exchange, begun time.Time) (bool, failure) {
 	resp := x.Response
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -28,6 +28,30 @@
 	maxConcurrentCalls    = 4096
 )
 
+// Service is an address with what is served there.
+type Service struct {
+	Address string
+	Handler http.Handler
+}
+
+// Recover returns a handler that turns a panic of next into the answer that
+// answer writes. http.ErrAbortHandler passes.
+func Recover(next http.Handler, answer func(w http.ResponseWriter, p any)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if p == http.ErrAbortHandler {
+				panic(p)
+			}
+			answer(w, p)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Server serves one listener.
 type Server struct {
 	http     *http.Server
