--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -190,6 +190,9 @@
 	}
 	r.running = false
 	if ev.err != nil {
+		// The connection may be silent for good, or wait for the retransmission
+		// timer of a cut that has healed: the next call opens another one.
+		l.syncer.opts.Client.CloseIdleConnections()
 		r.avoid[ev.address] = l.syncer.now() + avoidTime
 		l.forgetLeader(ev.address)
 		l.renewalFailed()
