--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -32,6 +32,7 @@
 		pools[p.Name] = true
 	}
 	names := make(map[string]bool, len(state.Routes))
+	places := make(map[string]string, len(state.Routes))
 	for _, r := range state.Routes {
 		if err := checkRoute(r, pools); err != nil {
 			return err
@@ -40,6 +41,11 @@
 			return invalid("route %q is listed twice", r.Name)
 		}
 		names[r.Name] = true
+		place := strings.ToLower(r.Host) + r.PathPrefix
+		if other, taken := places[place]; taken {
+			return invalid("routes %q and %q have the same host and path prefix", other, r.Name)
+		}
+		places[place] = r.Name
 	}
 	return nil
 }
@@ -68,7 +74,9 @@
 		return invalid("route %q has no kind", r.Name)
 	case r.MaxAttempts == 0:
 		return invalid("route %q allows no attempt", r.Name)
-	case r.TimeoutMs > 0 && uint64(r.TargetLatencyMs) >= uint64(r.TimeoutMs)+maxTargetOverTimeoutMs:
+	case r.TimeoutMs == 0:
+		return invalid("route %q has no timeout", r.Name)
+	case uint64(r.TargetLatencyMs) >= uint64(r.TimeoutMs)+maxTargetOverTimeoutMs:
 		return invalid("route %q: the target latency lies a minute or more above the timeout", r.Name)
 	}
 	return checkShares(r, pools)
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -23,7 +23,7 @@
 	for _, name := range routeNames {
 		s.Routes = append(s.Routes, &catalogpb.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: catalogpb.RouteKind_ROUTE_KIND_SAFE,
-			MaxAttempts: 1, Shares: []*catalogpb.RouteShare{{Pool: "p", Weight: 1}},
+			TimeoutMs: 1_000, MaxAttempts: 1, Shares: []*catalogpb.RouteShare{{Pool: "p", Weight: 1}},
 		})
 	}
 	return s
@@ -70,6 +70,19 @@
 	assert.Equal(t, m.Config().StateVersion, uint64(1))
 }
 
+// TestStatesThatNoRequestCouldFollow checks mistakes that leave open what
+// becomes of a request.
+func TestStatesThatNoRequestCouldFollow(t *testing.T) {
+	noTimeout := stateOf(2, "a", "b")
+	noTimeout.Routes[1].TimeoutMs = 0
+	assert.ErrorContains(t, CheckState(noTimeout), `"b" has no timeout`)
+	samePlace := stateOf(2, "a", "b")
+	samePlace.Routes[1].PathPrefix = samePlace.Routes[0].PathPrefix
+	assert.ErrorContains(t, CheckState(samePlace), "same host and path prefix")
+	samePlace.Routes[1].Host = "another"
+	assert.Assert(t, CheckState(samePlace) == nil)
+}
+
 func announcement(id string, started, sequence uint64, state catalogpb.UpstreamState) *catalogpb.Upstream {
 	return &catalogpb.Upstream{
 		Id: id, StartedMs: started, Sequence: sequence, State: state,
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -18,7 +18,7 @@
 		Source:  []byte("text"),
 		Pools:   []*catalogpb.Pool{{Name: "p", HealthPath: "/health"}},
 		Routes: []*catalogpb.Route{{
-			Name: "r", Host: "h", PathPrefix: "/r/", Kind: catalogpb.RouteKind_ROUTE_KIND_SAFE, MaxAttempts: 1,
+			Name: "r", Host: "h", PathPrefix: "/r/", Kind: catalogpb.RouteKind_ROUTE_KIND_SAFE, TimeoutMs: 1_000, MaxAttempts: 1,
 			Shares: []*catalogpb.RouteShare{{Pool: "p", Weight: 1}},
 		}},
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,9 +22,8 @@
 )
 
 const (
-	// defaultDeadline bounds a call whose caller states no deadline and whose
-	// route has no timeout.
-	defaultDeadline = 30 * time.Second
+	// maxDeadline bounds what a caller may state; more is a mistake.
+	maxDeadline = 24 * time.Hour
 	// bufferedBody bounds the part of a request body that is kept in memory. A
 	// body that fits whole can be sent to a second upstream.
 	bufferedBody = 1 << 20
@@ -108,20 +107,14 @@
 // setDeadline takes the earlier of the caller's deadline and the route's
 // timeout.
 func (c *call) setDeadline() error {
-	limit := defaultDeadline
-	if c.route.Timeout > 0 {
-		limit = c.route.Timeout
-	}
+	limit := c.route.Timeout
 	name := c.f.opts.Dialect.Deadline
 	if s := c.r.Header.Get(name); s != "" {
 		ms, err := strconv.ParseFloat(s, 64)
-		if err != nil || ms < 0 || ms > float64(defaultDeadline.Milliseconds())*1000 {
+		if err != nil || ms < 0 || ms > maxDeadline.Seconds()*1000 {
 			return fault.New(fault.BadRequest, "%s %q", name, s)
 		}
 		stated := time.Duration(ms * float64(time.Millisecond))
-		if c.route.Timeout == 0 {
-			limit = stated
-		}
 		limit = min(limit, stated)
 		c.spent = c.f.world.spentBefore(c.route.Name, stated)
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -23,8 +23,7 @@
 	PathPrefix string
 	// Repeatable is set when a request may run more than once.
 	Repeatable bool
-	// Timeout bounds the time until the final answer; 0 means that only the
-	// caller's deadline does.
+	// Timeout bounds the time until the final answer.
 	Timeout time.Duration
 	// Target is the time within which an answer is of full use.
 	Target time.Duration
