--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -28,7 +28,7 @@
 
 // reply is the end of asking one upstream.
 type reply struct {
-	candidate place.Candidate
+	candidate place.Upstream
 	conn      *upconn.Conn
 	err       error
 }
@@ -41,7 +41,7 @@
 
 // ask asks the candidates for their load in parallel and returns the
 // connection of the chosen one. The others go back to the pool.
-func (f *Forwarder) ask(ctx context.Context, candidates []place.Candidate, need place.Need) spot {
+func (f *Forwarder) ask(ctx context.Context, candidates []place.Upstream, need place.Need) spot {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	replies := make(chan reply, len(candidates))
 	for _, c := range candidates {
@@ -130,14 +130,14 @@
 }
 
 // askOne asks one upstream for its load.
-func (f *Forwarder) askOne(ctx context.Context, c place.Candidate) reply {
+func (f *Forwarder) askOne(ctx context.Context, c place.Upstream) reply {
 	asked := f.world.now()
 	conn, report, err := f.health(ctx, c)
 	w := f.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		held := w.board.Unreachable(w.now(), c.ID)
+		held := w.board.Failed(w.now(), c.ID)
 		f.opts.Events.Log(event.UpstreamHeld).Str("upstream", c.ID).Str("pool", c.Pool).Str("why", "asked for its load").
 			Uint64("held_ms", uint64(held.Milliseconds())).Err(err).Send()
 		return reply{candidate: c, err: err}
@@ -148,7 +148,7 @@
 
 // health makes the health request. A connection that an upstream has closed
 // while it was idle is replaced by a new one.
-func (f *Forwarder) health(ctx context.Context, c place.Candidate) (*upconn.Conn, place.Report, error) {
+func (f *Forwarder) health(ctx context.Context, c place.Upstream) (*upconn.Conn, place.Report, error) {
 	conn, err := f.conns.Get(ctx, c.Address)
 	if err != nil {
 		return nil, place.Report{}, err
@@ -164,7 +164,7 @@
 	return conn, report, err
 }
 
-func (f *Forwarder) healthOn(ctx context.Context, conn *upconn.Conn, c place.Candidate) (place.Report, error) {
+func (f *Forwarder) healthOn(ctx context.Context, conn *upconn.Conn, c place.Upstream) (place.Report, error) {
 	stop := conn.Watch(ctx)
 	defer stop()
 	d := f.opts.Dialect
@@ -186,7 +186,7 @@
 }
 
 // report reads what the upstream says of itself.
-func (f *Forwarder) report(conn *upconn.Conn, c place.Candidate, resp *http.Response) (place.Report, error) {
+func (f *Forwarder) report(conn *upconn.Conn, c place.Upstream, resp *http.Response) (place.Report, error) {
 	d := f.opts.Dialect
 	if resp.StatusCode == http.StatusMisdirectedRequest || mismatch(resp.Header.Get(d.UpstreamID), c.ID) {
 		conn.Close()
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -82,13 +82,22 @@
 		case s.conn != nil:
 			return s, nil
 		case len(seen) == 0 && len(avoid) == len(c.avoid):
-			return spot{}, fault.After(fault.NoUpstream, c.comeBack(0), "pool %q", c.pool)
+			return spot{}, c.noUpstream()
 		}
 		avoid = append(avoid, seen...)
 	}
 	return c.waitInLine()
 }
 
+// noUpstream is the refusal when no upstream may get the request.
+func (c *call) noUpstream() error {
+	w := c.f.world
+	w.mu.Lock()
+	open, ready := w.board.Size(w.now(), c.pool)
+	w.mu.Unlock()
+	return fault.After(fault.NoUpstream, c.comeBack(0), "pool %q: %d upstreams open, %d ready, %d tried", c.pool, open, ready, len(c.avoid))
+}
+
 // search asks some upstreams of the pool and returns which.
 func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, need place.Need) (s spot, seen []string) {
 	w := f.world
--- a/internal/place/observe.go
+++ b/internal/place/observe.go
@@ -58,17 +58,9 @@
 // several times the 0.5 ms between availability zones.
 const answerFlight = 3 * time.Millisecond
 
-// Unreachable records that an upstream did not answer when it was asked.
-func (b *Board) Unreachable(now time.Duration, id string) (held time.Duration) {
-	return b.hold(now, id)
-}
-
-// Failed records that an upstream failed a request that it was sent.
-func (b *Board) Failed(now time.Duration, id string) (held time.Duration) {
-	return b.hold(now, id)
-}
-
-func (b *Board) hold(now time.Duration, id string) time.Duration {
+// Failed records that an upstream failed a request, or did not answer when it
+// was asked for its load. It returns how long the upstream gets no work.
+func (b *Board) Failed(now time.Duration, id string) time.Duration {
 	u := b.upstreams[id]
 	if u == nil {
 		return 0
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -156,13 +156,6 @@
 	b.closed, b.coldRate, b.owner = f.Closed, f.ColdRate, f.Owner
 }
 
-// Candidate is an upstream that may be asked for its load.
-type Candidate struct {
-	Upstream
-	// Cold is set when the upstream is cold, as far as is known.
-	IsCold bool
-}
-
 // open reports whether the upstream may get new work at all.
 func (b *Board) open(u *upstream) bool { return !u.Draining && !b.closed[u.Zone] }
 
@@ -170,7 +163,7 @@
 // most promising ones first. random is a draw for the order among equals;
 // upstreams in avoid are left out. Held and cold ones come last, so that they
 // are asked when nothing better is left.
-func (b *Board) Candidates(now time.Duration, pool string, avoid []string, n int, random func() float64) []Candidate {
+func (b *Board) Candidates(now time.Duration, pool string, avoid []string, n int, random func() float64) []Upstream {
 	type ranked struct {
 		u    *upstream
 		rank float64
@@ -183,9 +176,9 @@
 		list = append(list, ranked{u, b.rank(now, u) + random()*drawSpread})
 	}
 	slices.SortFunc(list, func(x, y ranked) int { return cmp.Compare(x.rank, y.rank) })
-	out := make([]Candidate, 0, n)
+	out := make([]Upstream, 0, n)
 	for _, r := range list[:min(n, len(list))] {
-		out = append(out, Candidate{Upstream: r.u.Upstream, IsCold: now < r.u.coldUntil})
+		out = append(out, r.u.Upstream)
 	}
 	return out
 }
