--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -38,14 +38,8 @@
 	// defaultIdle is how long a connection is kept when the upstream states no
 	// idle timeout; the shortest one stated by operators is 10 s.
 	defaultIdle = 8 * time.Second
-	// userTimeout bounds the wait for the acknowledgement of sent bytes.
-	userTimeout = 2 * time.Second
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
-// does not name.
-const tcpUserTimeout = 18
-
 // Conn is a connection to an upstream. One goroutine uses it at a time.
 type Conn struct {
 	Address string
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -13,6 +13,14 @@
 	"github.com/juju/errors"
 )
 
+// userTimeout bounds the wait for the acknowledgement of sent bytes: several
+// times the longest deadline of calls that are worth a second attempt.
+const userTimeout = 2 * time.Second
+
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
+// does not name.
+const tcpUserTimeout = 18
+
 // Dialer opens connections to upstreams.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
