Send a state's text between control VMs once, compressed, and not at all for reads

Ruled out: confirmations between gateways (not used there), deltas to gateways (28 kB each for 390 new routes, 81 bytes for other changes). Now the text is compressed where it arrives, and a control VM that does not lead asks for the version and answers with the text that it holds.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -33,7 +33,7 @@
 	mu      sync.Mutex
 	changes *changeLog
 	// source is the text of the desired state in force.
-	source []byte
+	source Source
 }
 
 // New returns an empty catalog.
@@ -150,7 +150,9 @@
 		Changes:      slices.Clone(c.changes.order),
 		AppliedIndex: c.Index(),
 		Forgotten:    c.changes.forgottenIDs(),
-		StateSource:  c.source,
+		StateSource:  c.source.plain,
+
+		PackedStateSource: c.source.packed,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snap)
 	return data, errors.Annotate(err, "encode catalog")
@@ -169,7 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.changes = restoreChangeLog(snap.Changes, snap.Forgotten)
-	c.source = snap.StateSource
+	c.source = Source{plain: snap.StateSource, packed: snap.PackedStateSource}
 	c.config.Store(cfg)
 	c.index.Store(snap.AppliedIndex)
 	return nil
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -21,6 +21,9 @@
 	if state.GetVersion() == 0 {
 		return invalid("version must be above 0")
 	}
+	if len(state.Source) > maxText {
+		return invalid("the text is %d bytes long, above %d", len(state.Source), maxText)
+	}
 	pools := make(map[string]bool, len(state.Pools))
 	for _, p := range state.Pools {
 		if err := checkPool(p); err != nil {
@@ -115,7 +118,7 @@
 	setState(next, state)
 	result.Diff = StateDiff(cfg, next)
 	c.publish(index, next)
-	c.source = state.Source
+	c.source = Source{plain: state.Source, packed: state.PackedSource}
 	result.HeldVersion, result.Applied, result.Revision = state.Version, true, c.Config().Revision
 	return result
 }
@@ -145,9 +148,8 @@
 	return result, nil
 }
 
-// StateSource returns the version of the desired state in force and its text
-// as the operator sent it.
-func (c *Catalog) StateSource() (uint64, []byte) {
+// StateSource returns the version of the desired state in force and its text.
+func (c *Catalog) StateSource() (uint64, Source) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.Config().StateVersion, c.source
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -47,7 +47,7 @@
 	}
 	version, source := m.StateSource()
 	assert.Equal(t, version, uint64(5))
-	assert.Equal(t, string(source), "text of 5")
+	assert.Equal(t, textOf(t, source), "text of 5")
 	next := m.state(stateOf(9, "b", "a")).(*catalogpb.DesiredStateResult)
 	assert.Assert(t, next.Applied)
 	assert.Assert(t, strings.Contains(strings.Join(next.Diff, "\n"), "+ route b"))
@@ -247,7 +247,11 @@
 		v1, s1 := m.StateSource()
 		v2, s2 := restored.StateSource()
 		assert.Equal(t, v1, v2)
-		assert.Equal(t, string(s1), string(s2))
+		a, err := s1.Text()
+		assert.NilError(t, err)
+		b, err := s2.Text()
+		assert.NilError(t, err)
+		assert.Equal(t, string(a), string(b))
 	})
 }
 
@@ -268,3 +272,39 @@
 	assert.Equal(t, m.upstreamState(fmt.Sprint("u", 3*RetainedGone-1)), gone)
 	assert.Equal(t, m.upstreamState("u0"), catalogpb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED)
 }
+
+func textOf(t *testing.T, s Source) string {
+	t.Helper()
+	text, err := s.Text()
+	assert.NilError(t, err)
+	return string(text)
+}
+
+// TestLongTextsArePacked keeps a text of many routes in a small part of its
+// length, through a snapshot as well, and gives it back as it was sent.
+func TestLongTextsArePacked(t *testing.T) {
+	long := stateOf(1, "a")
+	for i := range 400 {
+		long.Source = fmt.Appendf(long.Source, `{"name":"route-%d","host":"booking.example","prefix":"/r%d/","timeout":"2000ms"}`, i, i)
+	}
+	packed, err := PackSource(long)
+	assert.NilError(t, err)
+	assert.Assert(t, packed.Source == nil && len(long.Source) > 20_000)
+	assert.Assert(t, len(packed.PackedSource) < len(long.Source)/5, "%d of %d bytes", len(packed.PackedSource), len(long.Source))
+	m := &machine{t: t, Catalog: New()}
+	m.state(packed)
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	for _, c := range []*Catalog{m.Catalog, restored} {
+		_, source := c.StateSource()
+		assert.Equal(t, textOf(t, source), string(long.Source))
+	}
+	short := stateOf(2, "a")
+	same, err := PackSource(short)
+	assert.NilError(t, err)
+	assert.Equal(t, same, short)
+	_, err = Source{packed: []byte("not compressed")}.Text()
+	assert.Assert(t, err != nil)
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -60,6 +60,11 @@
 	return adminpb.NewAdminProtobufClient("http://"+g.servers[1].Address(), httpnet.NewClient(nil))
 }
 
+// leaderAdmin is the operators' service of the control VM that leads.
+func (g *group) leaderAdmin() adminpb.Admin {
+	return adminpb.NewAdminProtobufClient("http://"+g.servers[0].Address(), httpnet.NewClient(nil))
+}
+
 func (g *group) leader() clusterpb.Distribution {
 	return clusterpb.NewDistributionProtobufClient("http://"+g.servers[0].Address(), httpnet.NewClient(nil))
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -27,6 +27,11 @@
 	if err := catalog.CheckState(req.State); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	state, err := catalog.PackSource(req.State)
+	if err != nil {
+		return nil, fault.ToTwirp(fault.New(fault.Internal, "compress the desired state: %v", err))
+	}
+	req = &adminpb.ApplyStateRequest{State: state, DryRun: req.DryRun}
 	resp, passed, err := toLeader(ctx, a.server, req, adminpb.Admin.ApplyState)
 	if passed {
 		return resp, err
@@ -61,17 +66,34 @@
 	return &adminpb.ApplyStateResponse{Result: result}, nil
 }
 
-// ReadState returns the desired state in force after a confirmed read.
+// ReadState returns the desired state in force after a confirmed read. A VM
+// that does not lead asks the leader only for the version: the text of a
+// committed version is the same everywhere.
 func (a *admin) ReadState(ctx context.Context, req *adminpb.ReadStateRequest) (*adminpb.ReadStateResponse, error) {
-	resp, passed, err := toLeader(ctx, a.server, req, adminpb.Admin.ReadState)
+	version, source := a.server.catalog.StateSource()
+	resp, passed, err := toLeader(ctx, a.server, &adminpb.ReadStateRequest{KnownVersion: version}, adminpb.Admin.ReadState)
 	if passed {
+		if err == nil && resp.Version == version {
+			return readAnswer(version, source)
+		}
 		return resp, err
 	}
 	if err := a.confirmedRead(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	version, source := a.server.catalog.StateSource()
-	return &adminpb.ReadStateResponse{Version: version, Source: source}, nil
+	version, source = a.server.catalog.StateSource()
+	if req.KnownVersion != 0 && req.KnownVersion == version {
+		return &adminpb.ReadStateResponse{Version: version}, nil
+	}
+	return readAnswer(version, source)
+}
+
+func readAnswer(version uint64, source catalog.Source) (*adminpb.ReadStateResponse, error) {
+	text, err := source.Text()
+	if err != nil {
+		return nil, fault.ToTwirp(fault.New(fault.Internal, "%v", err))
+	}
+	return &adminpb.ReadStateResponse{Version: version, Source: text}, nil
 }
 
 // SetZoneOut stops new work to an availability zone, or ends that.
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -57,6 +57,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, read.Version, uint64(7))
 	assert.Equal(t, string(read.Source), "text")
+	known, err := g.leaderAdmin().ReadState(ctx, &adminpb.ReadStateRequest{KnownVersion: 7})
+	assert.NilError(t, err)
+	assert.Equal(t, known.Version, uint64(7))
+	assert.Equal(t, len(known.Source), 0)
+	older, err := g.leaderAdmin().ReadState(ctx, &adminpb.ReadStateRequest{KnownVersion: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, string(older.Source), "text")
 }
 
 // TestNothingIsAcknowledgedWithoutQuorum cuts the quorum: news of an upstream
