Gossip is silent while there is nothing to tell

Cause of a fifth of a gateway's processor time at rest: each compared the hash of its reports with another one once a second, also without any report, over connections to all.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -10,6 +10,9 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
 
+// noEvidence is the hash of a state without reports.
+const noEvidence = 0
+
 // gather returns the report and all others that wait.
 func (s *Service) gather(next fresh) []*clusterpb.CrashReport {
 	var batch []*clusterpb.CrashReport
@@ -33,18 +36,21 @@
 	p.Wait()
 }
 
-// compare exchanges evidence with one other entry VM.
+// compare exchanges evidence with one other entry VM. One that holds none stays
+// silent once it has asked somebody: those that hold some ask it.
 func (s *Service) compare(ctx context.Context) {
 	s.mu.Lock()
 	s.state.Tick(s.now())
 	s.show()
 	s.mu.Unlock()
 	peers := *s.peers.Load()
-	if len(peers) == 0 {
+	if len(peers) == 0 || s.asked && s.hash() == noEvidence {
 		return
 	}
 	address := peers[rand.IntN(len(peers))]
-	if answer := s.exchange(ctx, address, nil); answer == nil || answer.StateHash == s.hash() {
+	answer := s.exchange(ctx, address, nil)
+	s.asked = s.asked || answer != nil
+	if answer == nil || answer.StateHash == s.hash() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,9 +1,9 @@
 // Package gossip shares what entry VMs learn of crashing requests.
 //
 // A new report is pushed to every entry VM at once. In addition each entry VM
-// compares the hash of its reports with one other entry VM at a steady pace,
-// and exchanges them when the hashes differ, which mends lost pushes and
-// brings in entry VMs that have just started.
+// that holds reports, or has just started, compares their hash with one other
+// entry VM at a steady pace, and exchanges them when the hashes differ, which
+// mends lost pushes and brings in entry VMs that have just started.
 package gossip
 
 import (
@@ -65,6 +65,9 @@
 	queue    chan fresh
 	peers    atomic.Pointer[[]string]
 	verdicts atomic.Pointer[quarantine.Verdicts]
+	// asked is set once another entry VM has answered since the start; only Run
+	// uses it.
+	asked bool
 
 	mu    sync.Mutex
 	state *quarantine.State
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,8 +23,20 @@
 
 // serve starts n services that know each other.
 func serve(t testing.TB, n int) []*Service {
+	services := serveBehind(t, n, func(h http.Handler) http.Handler { return h })
 	ctx, cancel := context.WithCancel(context.Background())
 	var running conc.WaitGroup
+	for _, s := range services {
+		running.Go(func() { s.Run(ctx) })
+	}
+	t.Cleanup(running.Wait)
+	t.Cleanup(cancel)
+	return services
+}
+
+// serveBehind returns n services that know each other and do nothing by
+// themselves; wrap stands before each handler.
+func serveBehind(t testing.TB, n int, wrap func(http.Handler) http.Handler) []*Service {
 	var services []*Service
 	cfg := &catalogpb.Config{}
 	for i := range n {
@@ -33,7 +46,7 @@
 			Client:      &http.Client{},
 			Limits:      quarantine.Limits{Crashes: 2, Hold: time.Hour, MaxReports: 100},
 		})
-		server := httptest.NewServer(s.Handler())
+		server := httptest.NewServer(wrap(s.Handler()))
 		t.Cleanup(server.Close)
 		services = append(services, s)
 		cfg.Entries = append(cfg.Entries, &catalogpb.Entry{Id: s.opts.EntryID, ClusterAddress: strings.TrimPrefix(server.URL, "http://")})
@@ -41,10 +54,7 @@
 	v := view.New(cfg)
 	for _, s := range services {
 		s.OnConfig(v)
-		running.Go(func() { s.Run(ctx) })
 	}
-	t.Cleanup(running.Wait)
-	t.Cleanup(cancel)
 	return services
 }
 
@@ -80,3 +90,28 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// TestNothingToTellIsQuiet lets services without evidence run for some time: each
+// asks until it has been answered once. One that gets evidence then tells it to
+// those that missed the push.
+func TestNothingToTellIsQuiet(t *testing.T) {
+	var calls atomic.Int64
+	services := serveBehind(t, 3, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			next.ServeHTTP(w, r)
+		})
+	})
+	for range 20 {
+		for _, s := range services {
+			s.compare(context.Background())
+		}
+	}
+	assert.Equal(t, calls.Load(), int64(len(services)))
+	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
+	services[0].merge([]*clusterpb.CrashReport{{Service: r.Service, Fingerprint: r.Fingerprint, Upstream: "u1", Entry: "e9", Sequence: 1}})
+	for range 40 {
+		services[0].compare(context.Background())
+	}
+	assert.Assert(t, services[1].Suspect(r) && services[2].Suspect(r))
+}
