Configuration loop sleeps until something is due

Cause of a fifth of a gateway's processor time at rest: its loop looked at the clock every 50 ms. The times at which it has something to do are known: the next renewal, and a round of confirmations.

--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -44,21 +44,26 @@
 // hold an old one, from a control VM without a quorum, and learns the newer one
 // from the answers.
 func (l *loop) confirmPeers(now time.Duration) {
-	if l.syncer.opts.ServesStale || now < l.confirm.next || now+confirmLead < l.state.LeaseUntil() {
-		return
-	}
-	if !l.renewalLate(now) {
+	if at, ok := l.confirmDue(); !ok || now < at {
 		return
 	}
 	l.confirm.next = now + confirmInterval
 	l.askAll(l.peerKeys(), l.state.Revision())
 }
 
-// renewalLate reports whether the last renewal failed, or the one under way
-// takes longer than the leader may hold it.
-func (l *loop) renewalLate(now time.Duration) bool {
+// confirmDue returns when the next round is due as things stand: not before
+// the lease is about to end, and only when the last renewal failed or the one
+// under way takes longer than the leader may hold it.
+func (l *loop) confirmDue() (time.Duration, bool) {
 	r := &l.renew
-	return r.failures > 0 || r.running && now > r.sent+l.syncer.opts.RenewEvery+lateAfter
+	if l.syncer.opts.ServesStale || r.failures == 0 && !r.running {
+		return 0, false
+	}
+	at := max(l.confirm.next, l.state.LeaseUntil()-confirmLead)
+	if r.failures == 0 {
+		at = max(at, r.sent+l.syncer.opts.RenewEvery+lateAfter)
+	}
+	return at, true
 }
 
 // askAll asks all keys beside the loop.
--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -13,11 +13,12 @@
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
-// tickInterval is the pace at which the loop looks at the clock.
-const tickInterval = 50 * time.Millisecond
-
-// firstTickInterval is that pace while no configuration is held.
-const firstTickInterval = 20 * time.Millisecond
+const (
+	// longestPause bounds the time for which the loop sleeps without an event.
+	longestPause = time.Second
+	// shortestPause keeps the loop from spinning when timers fire early.
+	shortestPause = time.Millisecond
+)
 
 // loop owns the state of a Syncer.
 type loop struct {
@@ -27,7 +28,6 @@
 	state   *freshness.State
 	view    *view.View
 	leaving bool
-	tick    *time.Ticker
 	renew   renewState
 	confirm confirmState
 }
@@ -49,23 +49,35 @@
 }
 
 func (l *loop) run() {
-	tick := time.NewTicker(firstTickInterval)
-	defer tick.Stop()
-	l.tick = tick
+	timer := time.NewTimer(longestPause)
+	defer timer.Stop()
 	defer l.stopRenewal()
 	l.startRenewal()
 	for {
+		timer.Reset(l.pause(l.syncer.now()))
 		select {
 		case <-l.ctx.Done():
 			return
-		case <-tick.C:
-			l.onTick()
+		case <-timer.C:
+			l.onTimer()
 		case ev := <-l.syncer.events:
 			l.handle(ev)
 		}
 	}
 }
 
+// pause returns the time until the clock alone gives the loop something to do.
+func (l *loop) pause(now time.Duration) time.Duration {
+	due := now + longestPause
+	if !l.renew.running {
+		due = min(due, l.renew.next)
+	}
+	if at, ok := l.confirmDue(); ok {
+		due = min(due, at)
+	}
+	return max(due-now, shortestPause)
+}
+
 func (l *loop) handle(ev any) {
 	switch ev := ev.(type) {
 	case *renewed:
@@ -81,7 +93,7 @@
 	}
 }
 
-func (l *loop) onTick() {
+func (l *loop) onTimer() {
 	now := l.syncer.now()
 	if !l.renew.running && now >= l.renew.next {
 		l.startRenewal()
@@ -108,9 +120,6 @@
 	if cfg == nil || !l.state.Adopt(cfg.Revision, keysOf(cfg)) {
 		return false
 	}
-	if l.view == nil {
-		l.tick.Reset(tickInterval)
-	}
 	l.view = view.New(cfg)
 	l.syncer.opts.Log.Log(event.ConfigAdopted).Uint64("revision", cfg.Revision).Send()
 	return true
