--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -18,6 +18,8 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/telemetry/telemetrytest"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -247,3 +249,13 @@
 	assert.NilError(t, err)
 	s.tick()
 }
+
+func TestServedMetricsAreInTheCatalogue(t *testing.T) {
+	m := telemetry.NewMetrics("entry", "e0")
+	s := New(Options{EntryID: "e0", Incarnation: 1, Client: http.DefaultClient, Metrics: m.Scope})
+	s.tick()
+	s.scope.Timer("decide").Record(time.Millisecond)
+	assert.NilError(t, m.Close())
+	served := telemetrytest.Served(t, m.Handler(), "entry")
+	assert.Assert(t, served["claims_records"] && served["claims_decide"])
+}
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -11,6 +11,7 @@
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
 // Roles that have a settings file.
@@ -104,6 +105,7 @@
 	cmd.AddCommand(
 		newPage(c, "errors", "Print the page of error kinds", fault.Page),
 		newPage(c, "events", "Print the page of log events", event.Page),
+		newPage(c, "metrics", "Print the page of metrics", telemetry.Page),
 	)
 	return cmd
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
@@ -66,6 +67,9 @@
 // handlers serve.
 func (s *Server) SetReplica(r Replica) { s.opts.Replica = r }
 
+// Config returns the newest committed configuration that this VM knows of.
+func (s *Server) Config() *catalogpb.Config { return s.catalog.Config() }
+
 // StateMachine returns the state machine that the replica drives.
 func (s *Server) StateMachine() StateMachine { return s.machine }
 
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/wait"
 )
@@ -33,4 +34,20 @@
 	m.Commit.Update(float64(st.Commit))
 	m.Members.Update(float64(len(st.Members)))
 	m.LiveMembers.Update(live)
+	d.noteConfig(m)
+	m.LinesDropped.Update(float64(event.Dropped(d.opts.Logs)))
+}
+
+func (d *Daemon) noteConfig(m *telemetry.ControlMetrics) {
+	cfg := d.control.Config()
+	m.Revision.Update(float64(cfg.Revision))
+	m.StateVersion.Update(float64(cfg.StateVersion))
+	m.Entries.Update(float64(len(cfg.Entries)))
+	states := make(map[string]int)
+	for _, u := range cfg.Upstreams {
+		states[u.State.String()]++
+	}
+	for state, g := range m.Upstreams {
+		g.Update(float64(states[state]))
+	}
 }
--- a/internal/event/async.go
+++ b/internal/event/async.go
@@ -13,8 +13,10 @@
 // AsyncWriter writes log lines beside the callers, which it never blocks:
 // lines that find no room are dropped and counted.
 type AsyncWriter struct {
-	lines   chan []byte
+	lines chan []byte
+	// dropped counts the lines since the last one written, total all.
 	dropped atomic.Uint64
+	total   atomic.Uint64
 	done    chan struct{}
 	once    sync.Once
 	out     io.Writer
@@ -34,10 +36,23 @@
 	case w.lines <- line:
 	default:
 		w.dropped.Add(1)
+		w.total.Add(1)
 	}
 	return len(b), nil
 }
 
+// Dropped returns the number of lines that found no room since the start.
+func (w *AsyncWriter) Dropped() uint64 { return w.total.Load() }
+
+// Dropped returns the number of lines that out has dropped: 0 for a writer that
+// drops none.
+func Dropped(out io.Writer) uint64 {
+	if w, ok := out.(*AsyncWriter); ok {
+		return w.Dropped()
+	}
+	return 0
+}
+
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	for line := range w.lines {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -276,14 +276,38 @@
 	}
 }
 
+// routeKind returns the kind of the call's route for metrics, "" when it has
+// none.
+func (c *call) routeKind() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Kind
+}
+
+// describeRoom adds what was known of the pool's upstreams to the line of a call
+// that failed.
+func (c *call) describeRoom(line *event.Line) {
+	if c.pool == "" {
+		return
+	}
+	w := c.f.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	open, ready := w.board.Size(w.now(), c.pool)
+	line.Uint64("upstreams_open", uint64(open)).Uint64("upstreams_ready", uint64(ready)).
+		Uint64("calls_waiting", uint64(w.line(c.pool).line.Len())).
+		Uint64("sent_in_flight", uint64(w.board.InFlight(c.pool)))
+}
+
 // finish writes the log line and the metrics of the call.
 func (c *call) finish(err error) {
 	took := time.Since(c.arrived)
 	m := c.f.opts.Metrics
-	m.Answer(fault.KindOf(err))
-	m.Call.RecordDuration(took)
+	m.Call(c.pool, c.routeKind(), fault.KindOf(err)).Inc(1)
+	m.Time(c.routeKind()).RecordDuration(took)
 	if c.waited > 0 {
-		m.Grant.RecordDuration(c.waited)
+		m.Wait.RecordDuration(c.waited)
 	}
 	if err == nil && c.sends == 1 && c.searches == 1 && c.status < http.StatusInternalServerError && rand.IntN(plainLogged) != 0 {
 		return
@@ -303,6 +327,7 @@
 		line.Uint64("version", cfg.StateVersion).Uint64("revision", cfg.Revision)
 	}
 	if err != nil {
+		c.describeRoom(line)
 		line.Err(err)
 	}
 	line.Send()
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -52,7 +52,7 @@
 	opts     Options
 	log      event.Logger
 	metrics  *telemetry.Metrics
-	entry    *telemetry.EntryMetrics
+	shown    *telemetry.GatewayMetrics
 	keys     *access.Keys
 
 	world   *world
@@ -122,7 +122,7 @@
 		conns:    upconn.NewPool(o.Dial),
 		limiter:  admit.NewLimiter(s.Limits.MaxInFlight),
 	}
-	d.entry = telemetry.NewEntryMetrics(d.metrics.Scope)
+	d.shown = telemetry.NewGatewayMetrics(d.metrics.Scope)
 	if !s.TrustNetwork {
 		if d.keys, err = access.Load(s.ClusterFile); err != nil {
 			return nil, errors.Trace(err)
@@ -174,7 +174,6 @@
 	d.config.OnChange(func(v *view.View) {
 		d.world.adopt(v)
 		d.gossip.OnConfig(v)
-		d.entry.Revision.Update(float64(v.Revision()))
 	})
 }
 
@@ -250,7 +249,7 @@
 		Dialect:         d.opts.Dialect,
 		Crashes:         d.gossip,
 		Limiter:         d.limiter,
-		Metrics:         d.entry,
+		Metrics:         d.shown,
 		Events:          d.log,
 		Leaving:         d.closed.Load,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
@@ -288,10 +287,27 @@
 		}
 	}
 	d.conns.Sweep(func(address string) bool { return known[address] })
-	d.entry.InFlight.Update(float64(d.limiter.Total()))
+	d.show()
 	d.noteControl()
 }
 
+// show renews the gauges.
+func (d *Daemon) show() {
+	m := d.shown
+	m.InFlight.Update(float64(d.limiter.Total()))
+	m.Unheard.Update(d.config.Unheard().Seconds())
+	m.LinesDropped.Update(float64(event.Dropped(d.opts.Logs)))
+	cfg := d.world.config.Load()
+	if cfg == nil {
+		return
+	}
+	m.Revision.Update(float64(cfg.Revision))
+	m.StateVersion.Update(float64(cfg.StateVersion))
+	for _, p := range cfg.Pools {
+		d.world.show(p.Name, m.Pool(p.Name))
+	}
+}
+
 // noteControl logs when control is lost and regained.
 func (d *Daemon) noteControl() {
 	unheard := d.config.Unheard()
--- a/internal/gateway/daemon_test.go
+++ b/internal/gateway/daemon_test.go
@@ -12,6 +12,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/telemetry/telemetrytest"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -115,3 +116,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, 503)
 }
+
+// TestServedMetricsAreInTheCatalogue makes a call and reads what a gateway
+// serves.
+func TestServedMetricsAreInTheCatalogue(t *testing.T) {
+	s := startStandIn(t, "u1", nil)
+	ok(s)
+	d := running(t, configOf(s))
+	_, err := d.get(t)
+	assert.NilError(t, err)
+	d.show()
+	assert.NilError(t, d.metrics.Close())
+	served := telemetrytest.Served(t, d.metrics.Handler(), "gateway")
+	for _, name := range []string{
+		"calls", "call_seconds", "wait_seconds", "upstream_seconds", "calls_waiting", "upstreams_open", "upstreams_ready",
+		"upstream_requests_in_flight", "retries_left", "config_revision", "config_state_version", "config_unheard_seconds", "log_lines_dropped",
+	} {
+		assert.Assert(t, served[name], "%s is not served", name)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -42,7 +42,7 @@
 	Dialect Dialect
 	Crashes Crashes
 	Limiter *admit.Limiter
-	Metrics *telemetry.EntryMetrics
+	Metrics *telemetry.GatewayMetrics
 	Events  event.Logger
 	// Leaving reports whether this gateway no longer takes new calls.
 	Leaving func() bool
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -163,6 +163,11 @@
 }
 
 func start(t *testing.T, cfg *catalogpb.Config) *fixture {
+	t.Helper()
+	return startLogged(t, cfg, event.Logger{})
+}
+
+func startLogged(t *testing.T, cfg *catalogpb.Config, log event.Logger) *fixture {
 	t.Helper()
 	fx := &fixture{
 		world:   newWorld("g1", "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
@@ -177,8 +182,8 @@
 		Dialect: OwnDialect(),
 		Crashes: fx.crashes,
 		Limiter: admit.NewLimiter(100),
-		Metrics: telemetry.NewEntryMetrics(metrics.Scope),
-		Events:  event.Logger{},
+		Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
+		Events:  log,
 		Leaving: func() bool { return false },
 	})
 	fx.server = httptest.NewServer(f)
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -203,13 +203,14 @@
 	return max(c.targetLeft()-need, c.route.Target/leastWait)
 }
 
-// targetLeft is what is left of the target.
+// targetLeft is what is left of the target, or of the caller's time where that
+// ends before.
 func (c *call) targetLeft() time.Duration {
-	target := c.route.Target
-	if target <= 0 {
-		return time.Until(c.deadline)
+	left := time.Until(c.deadline)
+	if c.route.Target <= 0 {
+		return left
 	}
-	return target - c.spent - time.Since(c.arrived)
+	return min(left, c.route.Target-c.spent-time.Since(c.arrived))
 }
 
 // late reports whether an answer in the usual time would miss the target.
--- a/internal/gateway/world.go
+++ b/internal/gateway/world.go
@@ -12,6 +12,7 @@
 	"balsamcourse.example/balsamcourse/internal/place"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
@@ -193,6 +194,19 @@
 	return w.deadlines[routeName] - left
 }
 
+// show renews the gauges of a pool.
+func (w *world) show(pool string, m *telemetry.PoolMetrics) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	open, ready := w.board.Size(now, pool)
+	m.Open.Update(float64(open))
+	m.Ready.Update(float64(ready))
+	m.Sent.Update(float64(w.board.InFlight(pool)))
+	m.Waiting.Update(float64(w.line(pool).line.Len()))
+	m.RetriesLeft.Update(w.budget(pool).Left(now, w.retries, w.entries()))
+}
+
 // paceWeight is the weight of one answer in the usual time of a route.
 const paceWeight = 0.05
 
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -154,3 +154,13 @@
 	}
 	return open, ready
 }
+
+// InFlight returns the number of requests of this entry VM at the upstreams of
+// a pool.
+func (b *Board) InFlight(pool string) int {
+	n := 0
+	for _, u := range b.pools[pool] {
+		n += len(u.begun)
+	}
+	return n
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -49,14 +49,20 @@
 // Take pays for one further attempt, if the budget allows it. entries is the
 // number of entry VMs among which the slack is shared.
 func (b *Budget) Take(now time.Duration, l Limits, entries int) bool {
-	allowed := l.Ratio*ratioUsed*float64(b.requests.sum(now, l.Window)) + l.Slack*slackUsed/float64(max(1, entries))
-	if float64(b.spent.sum(now, l.Window)+1) > allowed {
+	if b.Left(now, l, entries) < 1 {
 		return false
 	}
 	b.spent.add(now, l.Window)
 	return true
 }
 
+// Left returns the number of further attempts that the budget allows now; it
+// may be a fraction, or below 0 after requests have left the window.
+func (b *Budget) Left(now time.Duration, l Limits, entries int) float64 {
+	allowed := l.Ratio*ratioUsed*float64(b.requests.sum(now, l.Window)) + l.Slack*slackUsed/float64(max(1, entries))
+	return allowed - float64(b.spent.sum(now, l.Window))
+}
+
 // counter counts events in a sliding window, in slices. It covers one slice
 // more than the window, so that no event leaves it early.
 type counter struct {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -21,6 +21,8 @@
 	Name       string
 	Host       string
 	PathPrefix string
+	// Kind names the kind of the route: safe, unsafe or upload.
+	Kind string
 	// Repeatable is set when a request may run more than once.
 	Repeatable bool
 	// Timeout bounds the time until the final answer.
@@ -71,11 +73,16 @@
 // Version returns the version of the desired state.
 func (t *Table) Version() uint64 { return t.version }
 
+func kindName(k catalogpb.RouteKind) string {
+	return strings.ToLower(strings.TrimPrefix(k.String(), "ROUTE_KIND_"))
+}
+
 func newRoute(r *catalogpb.Route, phase float64) *Route {
 	out := &Route{
 		Name:        r.Name,
 		Host:        r.Host,
 		PathPrefix:  r.PathPrefix,
+		Kind:        kindName(r.Kind),
 		Repeatable:  r.Kind == catalogpb.RouteKind_ROUTE_KIND_SAFE,
 		Timeout:     time.Duration(r.TimeoutMs) * time.Millisecond,
 		Target:      time.Duration(r.TargetLatencyMs) * time.Millisecond,
--- a/internal/telemetry/roles.go
+++ b/internal/telemetry/roles.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -80,17 +81,35 @@
 	// the leader.
 	Members     tally.Gauge
 	LiveMembers tally.Gauge
+	// Revision is the newest committed revision known here, StateVersion that of
+	// its desired state, Entries the number of its gateways and entry VMs.
+	Revision     tally.Gauge
+	StateVersion tally.Gauge
+	Entries      tally.Gauge
+	// Upstreams counts the upstreams of that revision, by state.
+	Upstreams map[string]tally.Gauge
+	// LinesDropped is the number of log lines that found no room.
+	LinesDropped tally.Gauge
 }
 
 // NewControlMetrics makes the metrics of a control VM.
 func NewControlMetrics(s tally.Scope) *ControlMetrics {
-	return &ControlMetrics{
-		Leader:      s.Gauge("control_leader"),
-		Term:        s.Gauge("control_term"),
-		Commit:      s.Gauge("control_commit_index"),
-		Members:     s.Gauge("control_members"),
-		LiveMembers: s.Gauge("control_members_live"),
+	m := &ControlMetrics{
+		Leader:       s.Gauge("control_leader"),
+		Term:         s.Gauge("control_term"),
+		Commit:       s.Gauge("control_commit_index"),
+		Members:      s.Gauge("control_members"),
+		LiveMembers:  s.Gauge("control_members_live"),
+		Revision:     s.Gauge("control_config_revision"),
+		StateVersion: s.Gauge("control_state_version"),
+		Entries:      s.Gauge("control_entries"),
+		Upstreams:    make(map[string]tally.Gauge),
+		LinesDropped: s.Gauge("log_lines_dropped"),
 	}
+	for _, state := range catalogpb.UpstreamState_name {
+		m.Upstreams[state] = s.Tagged(map[string]string{"state": state}).Gauge("control_upstreams")
+	}
+	return m
 }
 
 func answerCounter(s tally.Scope, kind string) tally.Counter {
--- /dev/null
+++ b/internal/telemetry/telemetrytest/scrape.go
@@ -0,0 +1,42 @@
+// Package telemetrytest compares what processes serve with the catalogue of
+// metrics.
+package telemetrytest
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/telemetry"
+)
+
+const prefix = "balsamcourse_"
+
+// Served reads the metrics that h serves and fails for each that the catalogue
+// does not have, with its type and its tags, for the role. It returns their
+// names without the common prefix.
+func Served(t testing.TB, h http.Handler, role string) map[string]bool {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	assert.Equal(t, w.Code, http.StatusOK)
+	known := make(map[string]telemetry.Metric)
+	for _, m := range telemetry.Catalogue() {
+		known[m.Name] = m
+	}
+	served := make(map[string]bool)
+	for line := range strings.Lines(w.Body.String()) {
+		if name, ok := strings.CutPrefix(line, "# TYPE "+prefix); ok {
+			words := strings.Fields(name)
+			m, listed := known[words[0]]
+			assert.Assert(t, listed, "%s is not in the catalogue", words[0])
+			assert.Equal(t, words[1], m.Type, words[0])
+			assert.Assert(t, m.Roles == "all" || strings.Contains(m.Roles, role), "%s is not listed for %s", words[0], role)
+			served[words[0]] = true
+		}
+	}
+	return served
+}
