--- a/internal/entryd/callers.go
+++ b/internal/entryd/callers.go
@@ -7,8 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"balsamcourse.example/balsamcourse/internal/admit"
-	"balsamcourse.example/balsamcourse/internal/event"
-	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
@@ -73,13 +72,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
-	}), d.answerPanic)
-}
-
-func (d *Daemon) answerPanic(w http.ResponseWriter, p any) {
-	err := fault.New(fault.Internal, "%v", p)
-	d.log.Log(event.CallPanic).Err(err).Send()
-	fault.WriteHTTP(w, err)
+	}), crash.Answer(d.log))
 }
 
 // drained reports whether no call is in flight.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -180,8 +180,6 @@
 	err *fault.Error
 	// mayHaveRun is set unless the upstream cannot have run the request.
 	mayHaveRun bool
-	// arrived is set when the upstream has been sent the request.
-	arrived bool
 }
 
 // mayTryAgain reports whether a further attempt is allowed, and pays for it.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -18,7 +18,6 @@
 	"balsamcourse.example/balsamcourse/internal/configsync"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
-	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
@@ -190,7 +189,7 @@
 	}
 	named := lookup.Named(v.Config.Entries, lookup.Preference{
 		Zone:    zone,
-		PerZone: d.settings.NamedPerZone,
+		PerZone: lookup.PerZone(d.settings.NamedPerZone, d.settings.LinkMbps, d.settings.CPUShare),
 		Usable: func(e *catalogpb.Entry) bool {
 			if e.Id == d.settings.ID {
 				return !d.leaving.Load()
@@ -259,13 +258,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		calls.ServeHTTP(w, r)
-	}), d.answerPanic)
-}
-
-func (d *Daemon) answerPanic(w http.ResponseWriter, p any) {
-	err := fault.New(fault.Internal, "%v", p)
-	d.log.Log(event.CallPanic).Err(err).Send()
-	fault.WriteHTTP(w, err)
+	}), crash.Answer(d.log))
 }
 
 func (d *Daemon) start(ctx context.Context) {
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -263,42 +263,53 @@
 func (f *Forwarder) handOn(pool string, s spot) {
 	w := f.world
 	w.mu.Lock()
-	l := w.line(pool)
-	waiter, ok := l.line.Next(w.now(), s.choice.Upstream.ID, s.choice.Load.Factor())
-	if ok {
-		l.spots[waiter.ID] <- s
-		delete(l.spots, waiter.ID)
-	}
+	given := w.line(pool).give(w.now(), s)
 	w.mu.Unlock()
-	if !ok {
+	if !given {
 		f.giveBack(s)
 	}
 }
 
+// give gives a spot to the waiter whose turn it is, if there is one.
+func (l *poolLine) give(now time.Duration, s spot) bool {
+	waiter, ok := l.line.Next(now, s.choice.Upstream.ID, s.choice.Load.Factor())
+	if !ok {
+		return false
+	}
+	l.spots[waiter.ID] <- s
+	delete(l.spots, waiter.ID)
+	return true
+}
+
 // free ends the use of a connection after a whole answer. When others wait and
 // the upstream has room, it goes to the next of them.
 func (f *Forwarder) free(pool string, id string, load string, conn *upconn.Conn, x *upconn.Exchange) {
 	if !f.conns.Reusable(conn, x) {
 		return
 	}
+	if !f.passOn(pool, id, load, conn) {
+		f.conns.Release(conn, x)
+	}
+}
+
+// passOn takes in the load that an upstream has told with its answer, and gives
+// the connection to the next waiter if there is room.
+func (f *Forwarder) passOn(pool string, id string, load string, conn *upconn.Conn) bool {
 	w := f.world
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	now := w.now()
 	if l, ok := f.opts.Dialect.ParseLoad(load); ok {
 		w.board.ObserveLoad(now, id, l)
 	}
 	l := w.line(pool)
-	if l.line.Len() > 0 {
-		if choice, ok := w.board.Room(now, id); ok {
-			if waiter, ok := l.line.Next(now, id, choice.Load.Factor()); ok {
-				w.begin(choice)
-				l.spots[waiter.ID] <- spot{choice: choice, conn: conn}
-				delete(l.spots, waiter.ID)
-				w.mu.Unlock()
-				return
-			}
-		}
+	if l.line.Len() == 0 {
+		return false
 	}
-	w.mu.Unlock()
-	f.conns.Release(conn, x)
+	choice, ok := w.board.Room(now, id)
+	if !ok || !l.give(now, spot{choice: choice, conn: conn}) {
+		return false
+	}
+	w.begin(choice)
+	return true
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -118,13 +118,13 @@
 	c.drop(conn, x)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.ended(u.ID, false, 0)
-		return c.logged(u, failure{err: fault.After(fault.NoUpstream, c.comeBack(0), "%s: another upstream has its address", u.ID), arrived: true})
+		return c.logged(u, failure{err: fault.After(fault.NoUpstream, c.comeBack(0), "%s: another upstream has its address", u.ID)})
 	}
 	c.released(u.ID)
 	if resp.StatusCode == http.StatusBadRequest {
-		return c.logged(u, failure{err: fault.New(fault.BadRequest, "refused by upstream %s", u.ID), arrived: true})
+		return c.logged(u, failure{err: fault.New(fault.BadRequest, "refused by upstream %s", u.ID)})
 	}
-	return c.logged(u, failure{err: fault.After(fault.Shed, c.afterShed(), "upstream %s", u.ID), arrived: true})
+	return c.logged(u, failure{err: fault.After(fault.Shed, c.afterShed(), "upstream %s", u.ID)})
 }
 
 // afterShed is when to come back after an upstream has shed the request. While
@@ -145,7 +145,7 @@
 // upstream's mark, one whose status would promise that the request did not
 // run, and an error that a further attempt may mend.
 func (c *call) unusable(resp *http.Response) (failure, bool) {
-	failed := failure{mayHaveRun: true, arrived: true}
+	failed := failure{mayHaveRun: true}
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		failed.err = fault.New(fault.UpstreamBroken, "status %d without a word on whether it ran", resp.StatusCode)
@@ -183,15 +183,15 @@
 	if c.ctx.Err() != nil {
 		c.released(u.ID)
 		if c.r.Context().Err() != nil {
-			return c.logged(u, failure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun, arrived: true})
+			return c.logged(u, failure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun})
 		}
-		return c.logged(u, failure{err: fault.New(fault.UpstreamTimeout, "upstream %s", u.ID), mayHaveRun: mayHaveRun, arrived: true})
+		return c.logged(u, failure{err: fault.New(fault.UpstreamTimeout, "upstream %s", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.ended(u.ID, false, 0)
 	if mayHaveRun {
 		c.f.opts.Crashes.Crashed(c.suspect, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
 	}
-	return c.logged(u, failure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: mayHaveRun, arrived: true})
+	return c.logged(u, failure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: mayHaveRun})
 }
 
 // logged writes the line of a failed attempt.
--- a/internal/lookup/named.go
+++ b/internal/lookup/named.go
@@ -17,6 +17,24 @@
 	Usable func(*catalogpb.Entry) bool
 }
 
+const (
+	// smallLink is the link in Mbit/s, smallCPU the part of a core, below which a
+	// few VMs cannot carry the calls of a zone: the sites of 20 VMs have 750
+	// and 0.24, those of 190 have 1.5 and 0.11.
+	smallLink = 100
+	smallCPU  = 0.2
+)
+
+// PerZone returns how many entry VMs of a zone to name when wanted are to be
+// named on VMs that are large enough, for VMs with the given link in Mbit/s and
+// part of a core; 0 for either means that it does not bind.
+func PerZone(wanted int, linkMbps, cpuShare float64) int {
+	if linkMbps > 0 && linkMbps < smallLink || cpuShare > 0 && cpuShare < smallCPU {
+		return 0
+	}
+	return wanted
+}
+
 // spares is the number of entry VMs of other zones that are named beside those
 // of the caller's zone, so that a caller whose zone goes dark finds one that
 // answers before the loss is noticed.
--- a/internal/lookup/named_test.go
+++ b/internal/lookup/named_test.go
@@ -49,3 +49,12 @@
 	many := Named(entriesIn(60, "a", "b"), Preference{Zone: "a", Usable: func(*catalogpb.Entry) bool { return true }})
 	assert.Equal(t, len(many), maxNamed)
 }
+
+func TestAllAreNamedOnSmallVMs(t *testing.T) {
+	for _, c := range []struct {
+		link, cpu float64
+		want      int
+	}{{0, 0, 2}, {750, 0.24, 2}, {1.5, 0.24, 0}, {750, 0.112, 0}, {0, 0.112, 0}, {1.5, 0, 0}} {
+		assert.Equal(t, PerZone(2, c.link, c.cpu), c.want, "%v", c)
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -20,8 +20,12 @@
 	ClusterFile  string `toml:"cluster_keys_file"`
 	// NamedPerZone is the number of gateways of an availability zone that
 	// look-ups name; 0 names all. With few, each knows more of the upstreams
-	// and keeps fewer connections.
+	// and keeps fewer connections. On small VMs all are named.
 	NamedPerZone int `toml:"named_per_zone"`
+	// LinkMbps is the speed of the VM's link in Mbit/s and CPUShare its part of
+	// a core; 0 means that they do not bind.
+	LinkMbps float64 `toml:"link_mbps"`
+	CPUShare float64 `toml:"cpu_share"`
 	// LookupTTLMs is how long a caller may keep the answer to a look-up.
 	LookupTTLMs Millis `toml:"lookup_ttl_ms"`
 	// ServeMs is how long a stopping gateway still takes new calls, and StopMs
@@ -71,6 +75,12 @@
 	c.name("region", s.Region)
 	s.checkAddresses(c)
 	c.between("named_per_zone", int64(s.NamedPerZone), 0, 64)
+	if s.LinkMbps < 0 {
+		c.fail("link_mbps", "%v is below 0", s.LinkMbps)
+	}
+	if s.CPUShare < 0 {
+		c.fail("cpu_share", "%v is below 0", s.CPUShare)
+	}
 	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
 	c.between("serve_ms", int64(s.ServeMs), 0, 600_000)
 	c.between("stop_ms", int64(s.StopMs), int64(s.ServeMs), 3_600_000)
