Gateways are registered together; callers of small VMs are spread by caller

Cause (grown Montego site, logs of all processes): the leader registered entry VMs one by one and waited for all others to acknowledge each, as those need that confirm configurations to each other.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -103,6 +103,8 @@
 	switch kind := cmd.Kind.(type) {
 	case *catalogpb.Command_RegisterEntry:
 		return registerEntry(next, index, kind.RegisterEntry)
+	case *catalogpb.Command_RegisterEntries:
+		return registerEntries(next, index, kind.RegisterEntries)
 	case *catalogpb.Command_RemoveEntry:
 		return removeEntry(next, index, kind.RemoveEntry)
 	case *catalogpb.Command_AssignCells:
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -186,3 +186,26 @@
 	assert.Assert(t, strings.HasPrefix(result.Diff[0], "+ zone a"))
 	assert.Equal(t, m.Config().Revision, uint64(0))
 }
+
+// TestSeveralGatewaysAtOnce registers gateways by one command: what is invalid,
+// old or no gateway is left out, and a set that has changed refuses all.
+func TestSeveralGatewaysAtOnce(t *testing.T) {
+	m := &machine{t: t, Catalog: New()}
+	gateway := func(id string, incarnation uint64) *catalogpb.Entry {
+		return &catalogpb.Entry{Id: id, ClusterAddress: id + ":1", Incarnation: incarnation, ServesStale: true}
+	}
+	register := func(setRevision uint64, list ...*catalogpb.Entry) Applied {
+		reg := &catalogpb.RegisterEntries{Entries: list, SetRevision: setRevision}
+		return m.command(&catalogpb.Command{Kind: &catalogpb.Command_RegisterEntries{RegisterEntries: reg}}).(Applied)
+	}
+	assert.Assert(t, register(0, gateway("a", 2), gateway("b", 1), &catalogpb.Entry{Id: "no address", ServesStale: true},
+		&catalogpb.Entry{Id: "e", ClusterAddress: "e:1"}).Err == nil)
+	assert.Equal(t, len(m.Config().Entries), 2)
+	set := m.Config().SetRevision
+	assert.Assert(t, register(set, gateway("a", 1), gateway("b", 3)).Err == nil)
+	assert.Equal(t, m.Config().SetRevision, set)
+	assert.Equal(t, m.Config().Entries[0].Incarnation, uint64(2))
+	assert.Equal(t, m.Config().Entries[1].Incarnation, uint64(3))
+	assert.Equal(t, register(0, gateway("c", 1)).Err.Kind, fault.StaleRevision)
+	assert.Equal(t, len(m.Config().Entries), 2)
+}
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -23,26 +23,59 @@
 // restarted member for claims opens a new claim epoch.
 func registerEntry(next *catalogpb.Config, index uint64, cmd *catalogpb.RegisterEntry) *fault.Error {
 	e := cmd.Entry
+	if err := checkEntry(next, e); err != nil {
+		return err
+	}
+	if changesSet(next, e) {
+		if err := changeSet(next, index, cmd.SetRevision, Set(next)); err != nil {
+			return err
+		}
+	}
+	putEntry(next, e)
+	return nil
+}
+
+// registerEntries adds or updates gateways. One that cannot be registered does
+// not keep the others out.
+func registerEntries(next *catalogpb.Config, index uint64, cmd *catalogpb.RegisterEntries) *fault.Error {
+	previous, changed := Set(next), false
+	for _, e := range cmd.Entries {
+		if !e.GetServesStale() || checkEntry(next, e) != nil {
+			continue
+		}
+		changed = changed || changesSet(next, e)
+		putEntry(next, e)
+	}
+	if !changed {
+		return nil
+	}
+	return changeSet(next, index, cmd.SetRevision, previous)
+}
+
+func checkEntry(cfg *catalogpb.Config, e *catalogpb.Entry) *fault.Error {
 	if err := checkName("entry VM", e.GetId()); err != nil {
 		return err
 	}
 	if e.ClusterAddress == "" {
 		return invalid("entry VM %q has no cluster address", e.Id)
 	}
-	old, known := entries.get(next.Entries, e.Id)
-	if known && e.Incarnation < old.Incarnation {
+	if old, known := entries.get(cfg.Entries, e.Id); known && e.Incarnation < old.Incarnation {
 		return fault.New(fault.StaleRevision, "entry VM %q has a newer incarnation", e.Id)
 	}
-	if !known || old.ClusterAddress != e.ClusterAddress || old.Region != e.Region {
-		if err := changeSet(next, index, cmd.SetRevision, Set(next)); err != nil {
-			return err
-		}
-	}
+	return nil
+}
+
+// changesSet reports whether registering e changes the set of entry VMs.
+func changesSet(cfg *catalogpb.Config, e *catalogpb.Entry) bool {
+	old, known := entries.get(cfg.Entries, e.Id)
+	return !known || old.ClusterAddress != e.ClusterAddress || old.Region != e.Region
+}
+
+func putEntry(next *catalogpb.Config, e *catalogpb.Entry) {
 	next.Entries = entries.put(next.Entries, e)
 	if slices.Contains(next.ClaimEpoch.GetMembers(), e.Id) {
 		next.ClaimEpoch = claimEpoch(next, next.ClaimEpoch.Members)
 	}
-	return nil
 }
 
 // removeEntry removes an entry VM, its cells and its place among the members
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
@@ -187,3 +189,32 @@
 	}
 	assert.Equal(t, resp.Delta.BaseRevision, first.Revision)
 }
+
+// TestGatewaysAreRegisteredTogether lets many gateways start at once, none of
+// which acknowledges anything further: all are registered by a few commands.
+func TestGatewaysAreRegisteredTogether(t *testing.T) {
+	const gateways = 60
+	g := newGroup(t)
+	var workers conc.WaitGroup
+	for i := range gateways {
+		workers.Go(func() {
+			_, err := g.leader().Renew(context.Background(), &clusterpb.RenewRequest{
+				Entry:       &catalogpb.Entry{Id: fmt.Sprint("g", i), ClusterAddress: fmt.Sprint("g", i, ":1"), Incarnation: 1, ServesStale: true},
+				ServesStale: true,
+			})
+			assert.Check(t, err)
+		})
+	}
+	workers.Wait()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		cfg, err := g.leaderAdmin().GetConfig(t.Context(), &adminpb.GetConfigRequest{})
+		if err != nil {
+			return poll.Error(err)
+		}
+		if len(cfg.Config.Entries) < gateways {
+			return poll.Continue("%d registered", len(cfg.Config.Entries))
+		}
+		assert.Assert(t, cfg.Config.Revision < gateways/2, "revision %d", cfg.Config.Revision)
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -64,11 +64,17 @@
 	}
 }
 
-// registration returns the command that registers an entry VM as it reports
-// itself. The set of entry VMs changes only once its last change is accepted
-// in the regions that it concerned.
+// registration returns the command that registers entry VMs as they report
+// themselves. The set of entry VMs changes only once its last change is accepted
+// in the regions that it concerned, by one at a time: those that confirm a
+// configuration to each other do so by majorities of the set. Gateways confirm
+// nothing; where there are only gateways all are registered at once.
 func (l *loop) registration() *catalogpb.Command {
 	t := l.term
+	if list := l.newGateways(); len(list) > 0 {
+		reg := &catalogpb.RegisterEntries{Entries: list, SetRevision: t.config.SetRevision}
+		return &catalogpb.Command{Kind: &catalogpb.Command_RegisterEntries{RegisterEntries: reg}}
+	}
 	for _, id := range sortedIDs(t.heard) {
 		h := t.heard[id]
 		if l.server.now() > h.at+liveTimeout || !l.stale(h.entry) {
@@ -85,6 +91,29 @@
 	return nil
 }
 
+// newGateways returns the gateways that are not registered as they report
+// themselves; none unless all that are registered are gateways.
+func (l *loop) newGateways() []*catalogpb.Entry {
+	t := l.term
+	for _, e := range t.config.Entries {
+		if !e.ServesStale {
+			return nil
+		}
+	}
+	var list []*catalogpb.Entry
+	for _, id := range sortedIDs(t.heard) {
+		h := t.heard[id]
+		if l.server.now() > h.at+liveTimeout || !l.stale(h.entry) {
+			continue
+		}
+		if !h.entry.ServesStale {
+			return nil
+		}
+		list = append(list, h.entry)
+	}
+	return list
+}
+
 func sortedIDs(m map[string]*heard) []string {
 	ids := make([]string, 0, len(m))
 	for id := range m {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -142,6 +142,7 @@
 		ClusterAddress: s.ClusterAddress,
 		// The start time grows with each start of the process.
 		Incarnation: uint64(time.Now().UnixNano()),
+		ServesStale: true,
 	}
 	d.world = newWorld(s.ID, s.Zone, s.ColdShare, retry.Limits{
 		Ratio:  s.Retry.Ratio,
@@ -182,13 +183,14 @@
 
 // Named returns the addresses that a caller in the zone should use, and for
 // how long it may keep them; none while no configuration is held.
-func (d *Daemon) Named(zone string) ([]string, time.Duration) {
+func (d *Daemon) Named(zone, caller string) ([]string, time.Duration) {
 	v := d.config.View()
 	if v == nil {
 		return nil, 0
 	}
 	named := lookup.Named(v.Config.Entries, lookup.Preference{
 		Zone:    zone,
+		Caller:  caller,
 		PerZone: lookup.PerZone(d.settings.NamedPerZone, d.settings.LinkMbps, d.settings.CPUShare),
 		Usable: func(e *catalogpb.Entry) bool {
 			if e.Id == d.settings.ID {
--- a/internal/lookup/named.go
+++ b/internal/lookup/named.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
 
@@ -11,8 +13,11 @@
 type Preference struct {
 	// Zone is the availability zone of the caller.
 	Zone string
-	// PerZone is the number of entry VMs of a zone to name; 0 names all.
+	// PerZone is the number of entry VMs of a zone to name, the same to all
+	// callers; 0 spreads the callers over all.
 	PerZone int
+	// Caller identifies the caller. It matters only where callers are spread.
+	Caller string
 	// Usable reports whether the entry VM takes callers at present.
 	Usable func(*catalogpb.Entry) bool
 }
@@ -25,7 +30,7 @@
 	smallCPU  = 0.2
 )
 
-// PerZone returns how many entry VMs of a zone to name when wanted are to be
+// PerZone returns Preference.PerZone when wanted entry VMs of a zone are to be
 // named on VMs that are large enough, for VMs with the given link in Mbit/s and
 // part of a core; 0 for either means that it does not bind.
 func PerZone(wanted int, linkMbps, cpuShare float64) int {
@@ -40,27 +45,65 @@
 // answers before the loss is noticed.
 const spares = 2
 
-// Named returns the addresses that a caller should use. All entry VMs that
-// hold the same configuration name the same ones, so that few of them carry
-// the calls of a zone.
+// spreadPerZone is the number of entry VMs of its zone that a caller is named
+// where callers are spread: enough to go on when some are lost, few enough to
+// keep connections.
+const spreadPerZone = 4
+
+// Named returns the addresses that a caller should use. With PerZone set, all
+// entry VMs that hold the same configuration name the same ones, so that few
+// carry the calls of a zone. Otherwise each caller is named its own few, always
+// the same ones while they last: small VMs that all callers were named by their
+// order would be overrun, and a caller whose names change gives up connections.
 func Named(entries []*catalogpb.Entry, p Preference) []string {
-	byZone := make(map[string][]string)
+	usable := make([]*catalogpb.Entry, 0, len(entries))
 	for _, e := range entries {
-		if p.Usable(e) && (p.PerZone == 0 || len(byZone[e.Zone]) < p.PerZone) {
+		if p.Usable(e) {
+			usable = append(usable, e)
+		}
+	}
+	perZone := p.PerZone
+	if perZone == 0 {
+		perZone = spreadPerZone
+		sortFor(p.Caller, usable)
+	}
+	byZone := make(map[string][]string)
+	for _, e := range usable {
+		if len(byZone[e.Zone]) < perZone {
 			byZone[e.Zone] = append(byZone[e.Zone], e.CallerAddress)
 		}
 	}
 	named := byZone[p.Zone]
-	more := spares + max(0, p.PerZone-len(named))
+	more := spares + max(0, perZone-len(named))
 	if p.PerZone == 0 {
-		// Where all carry calls, a few of another zone would be overrun by those
-		// of a zone that has none.
-		more = len(entries)
+		named = append(slices.Clone(named), firstOthers(usable, p.Zone, more)...)
+	} else {
+		named = append(slices.Clone(named), others(byZone, p, more)...)
 	}
-	named = append(slices.Clone(named), others(byZone, p, more)...)
 	return named[:min(len(named), maxNamed)]
 }
 
+// sortFor orders entry VMs by a weight that each has for the caller alone
+// (rendezvous hashing): when one goes, only its callers get another in its place.
+func sortFor(caller string, entries []*catalogpb.Entry) {
+	weights := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		weights[e.Id] = xxhash.Sum64String(caller + "\x00" + e.Id)
+	}
+	slices.SortFunc(entries, func(a, b *catalogpb.Entry) int { return cmp.Compare(weights[a.Id], weights[b.Id]) })
+}
+
+// firstOthers returns the addresses of the first n entries of other zones.
+func firstOthers(entries []*catalogpb.Entry, zone string, n int) []string {
+	var out []string
+	for _, e := range entries {
+		if e.Zone != zone && len(out) < n {
+			out = append(out, e.CallerAddress)
+		}
+	}
+	return out
+}
+
 // maxNamed bounds the addresses in an answer.
 const maxNamed = 64
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -19,8 +19,9 @@
 	TrustNetwork bool   `toml:"trust_network"`
 	ClusterFile  string `toml:"cluster_keys_file"`
 	// NamedPerZone is the number of gateways of an availability zone that
-	// look-ups name; 0 names all. With few, each knows more of the upstreams
-	// and keeps fewer connections. On small VMs all are named.
+	// look-ups name to all callers; 0 spreads the callers over all. With few,
+	// each knows more of the upstreams and keeps fewer connections. On small VMs
+	// callers are spread.
 	NamedPerZone int `toml:"named_per_zone"`
 	// LinkMbps is the speed of the VM's link in Mbit/s and CPUShare its part of
 	// a core; 0 means that they do not bind.
