Changes in a row go out to gateways together

A gateway is sent news at once when it has had none of late, otherwise after 1 ms for each registered gateway; what is accepted is told to those that use it.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 // renewStale renews for a gateway that holds nothing yet.
 func (g *group) renewStale(id string) *clusterpb.RenewResponse {
 	resp, err := g.leader().Renew(context.Background(), &clusterpb.RenewRequest{
-		Entry:       &catalogpb.Entry{Id: id, ClusterAddress: id + ":1", Incarnation: 1},
+		Entry:       &catalogpb.Entry{Id: id, ClusterAddress: id + ":1", Incarnation: 1, ServesStale: true},
 		ServesStale: true,
 	})
 	assert.NilError(g.t, err)
@@ -218,3 +219,46 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// TestManyChangesGoOutTogether makes changes one after another while a gateway
+// among many follows: it is sent few configurations, the last one soon.
+func TestManyChangesGoOutTogether(t *testing.T) {
+	const gateways, changes = 100, 400
+	g := newGroup(t)
+	for i := range gateways {
+		g.renewStale(fmt.Sprint("g", i))
+	}
+	follow := func(revision uint64) *clusterpb.RenewResponse {
+		resp, err := g.leader().Renew(t.Context(), &clusterpb.RenewRequest{
+			Entry:       &catalogpb.Entry{Id: "g0", ClusterAddress: "g0:1", Incarnation: 1, ServesStale: true},
+			ServesStale: true, Synced: true, Revision: revision, WaitMs: 1000,
+		})
+		assert.NilError(t, err)
+		return resp
+	}
+	var last atomic.Uint64
+	var workers conc.WaitGroup
+	begun := time.Now()
+	workers.Go(func() {
+		for i := range changes {
+			u := upstreamOf(fmt.Sprint("u", i), catalogpb.UpstreamState_UPSTREAM_STATE_READY)
+			u.Address = fmt.Sprint("10.0.0.1:", 1000+i)
+			_, err := g.admin().AnnounceUpstream(t.Context(), &adminpb.AnnounceUpstreamRequest{Upstream: u})
+			assert.Check(t, err)
+		}
+		cfg, err := g.leaderAdmin().GetConfig(t.Context(), &adminpb.GetConfigRequest{})
+		assert.Check(t, err)
+		last.Store(cfg.Config.GetRevision())
+	})
+	news, held := 0, uint64(0)
+	for last.Load() == 0 || held < last.Load() {
+		resp := follow(held)
+		if resp.Revision > held && (resp.Delta != nil || resp.Config != nil) {
+			news++
+			held = resp.Revision
+		}
+	}
+	workers.Wait()
+	pace := gateways * control.NewsPacePerEntry
+	assert.Assert(t, news <= int(time.Since(begun)/pace)+2, "%d configurations in %s", news, time.Since(begun))
+}
--- /dev/null
+++ b/internal/control/export_test.go
@@ -0,0 +1,4 @@
+package control
+
+// NewsPacePerEntry is shown to tests.
+const NewsPacePerEntry = newsPacePerEntry
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,6 +81,7 @@
 	}
 	l.advance()
 	l.expire()
+	l.flush()
 	l.plan()
 }
 
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -16,6 +16,16 @@
 // maxHold bounds the time for which a renewal is held.
 const maxHold = 2 * time.Second
 
+const (
+	// newsPacePerEntry is the pause between two configurations sent to a gateway,
+	// for each registered one: sending one takes the leader about 0.5 ms of a
+	// core, of which it has a quarter (grown sites, 191 gateways).
+	newsPacePerEntry = time.Millisecond
+	// maxNewsPace bounds that pause, well below the two seconds in which a change
+	// must be in force.
+	maxNewsPace = 400 * time.Millisecond
+)
+
 // addressesEvery is the number of answers to an entry VM after which the
 // addresses of the control VMs are sent again.
 const addressesEvery = 32
@@ -138,10 +148,28 @@
 	if l.stale(req.Entry) {
 		return false
 	}
-	if !req.Synced || req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.AcceptedIn(req.Entry.Region) {
+	now := l.server.now()
+	switch {
+	case !req.Synced, now >= r.received+hold(req):
 		return true
+	case req.ServesStale:
+		// Gateways do not use what is accepted.
+		return req.Revision < t.config.Revision && now >= t.nextNews(req.Entry.Id)
+	default:
+		return req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.AcceptedIn(req.Entry.Region)
 	}
-	return l.server.now() >= r.received+hold(req)
+}
+
+// nextNews is the earliest time for the next news to a gateway: at once when it
+// has had none of late, otherwise after a pause that grows with their number, so
+// that many changes in a row go out together and neither the leader nor the
+// gateways spend their time on them.
+func (t *term) nextNews(id string) time.Duration {
+	h := t.heard[id]
+	if h == nil || h.newsAt == 0 {
+		return 0
+	}
+	return h.newsAt + min(time.Duration(len(t.config.Entries))*newsPacePerEntry, maxNewsPace)
 }
 
 func hold(req *clusterpb.RenewRequest) time.Duration {
@@ -224,6 +252,9 @@
 	}
 	if h != nil {
 		h.answers++
+		if resp.Delta != nil || resp.Config != nil {
+			h.newsAt = l.server.now()
+		}
 	}
 }
 
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -35,6 +35,8 @@
 	revision uint64
 	at       time.Duration
 	answers  int
+	// newsAt is when it was last sent a configuration.
+	newsAt time.Duration
 }
 
 func newTerm(number uint64, since time.Duration, cfg *catalogpb.Config) *term {
