Deltas from a thousand configurations back

A gateway that missed more than 64 configurations was sent the whole one, 75 kB for 358 upstreams. 300 announcements in a second are usual when upstreams are replaced on a grown site; the test makes them.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -262,3 +262,24 @@
 	pace := gateways * control.NewsPacePerEntry
 	assert.Assert(t, news <= int(time.Since(begun)/pace)+2, "%d configurations in %s", news, time.Since(begun))
 }
+
+// TestGatewayFarBehindGetsADelta lets a gateway miss as many announcements as come
+// within a second when many upstreams are replaced.
+func TestGatewayFarBehindGetsADelta(t *testing.T) {
+	const missed = 300
+	g := newGroup(t)
+	first := g.renewStale("g0")
+	for i := range missed {
+		u := upstreamOf(fmt.Sprint("u", i), catalogpb.UpstreamState_UPSTREAM_STATE_READY)
+		u.Address = fmt.Sprint("10.0.0.1:", 1000+i)
+		_, err := g.leaderAdmin().AnnounceUpstream(t.Context(), &adminpb.AnnounceUpstreamRequest{Upstream: u})
+		assert.NilError(t, err)
+	}
+	resp, err := g.leader().Renew(t.Context(), &clusterpb.RenewRequest{
+		Entry:       &catalogpb.Entry{Id: "g0", ClusterAddress: "g0:1", Incarnation: 1, ServesStale: true},
+		ServesStale: true, Synced: true, Revision: first.Config.GetRevision(), WaitMs: 1000,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Config == nil && resp.Delta != nil)
+	assert.Equal(t, len(resp.Delta.PutUpstreams), missed)
+}
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -5,8 +5,12 @@
 	"balsamcourse.example/balsamcourse/internal/catalog"
 )
 
-// historySize is the number of configurations that deltas can start from.
-const historySize = 64
+// historySize is the number of configurations that deltas can start from. Each
+// announcement is one; 150 upstreams that are replaced together make several
+// hundred within the second in which a gateway on a small VM asks again, and a
+// whole configuration is 75 kB for 358 upstreams. A kept one takes a few
+// kilobytes: configurations share their items.
+const historySize = 1024
 
 // history keeps recent configurations and the deltas from them to the newest.
 type history struct {
