Upstreams that let a question wait are asked again soon

Ruled out: lost connections (67 of 270 could not be opened, 200 were read timeouts). Such an upstream is now left alone for 100 ms at first, doubling while it stays silent.

--- a/internal/place/observe.go
+++ b/internal/place/observe.go
@@ -30,6 +30,7 @@
 	// A report that was long on its way may miss older ones as well.
 	r.Load.Running = max(r.Load.Running, len(u.begun))
 	u.load, u.loadAt, u.reported, u.ill = r.Load, now, true, r.Ill
+	u.unanswered = 0
 	if u.load.Slots == 0 {
 		u.load.Slots = u.Slots
 	}
@@ -58,8 +59,25 @@
 // several times the 0.5 ms between availability zones.
 const answerFlight = 3 * time.Millisecond
 
-// Failed records that an upstream failed a request, or did not answer when it
-// was asked for its load. It returns how long the upstream gets no work.
+// Unanswered records that an upstream took the question for its load and did not
+// answer in time. It returns how long the upstream gets no work: not long at
+// first, since one whose slots are all taken answers only when its queue has
+// moved, and to leave out all that are full sends what comes to the rest until
+// those are full as well.
+func (b *Board) Unanswered(now time.Duration, id string) time.Duration {
+	u := b.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	held := min(firstPause<<min(u.unanswered, 10), longestHold)
+	u.unanswered++
+	u.heldUntil = max(u.heldUntil, now+held)
+	u.reported = false
+	return held
+}
+
+// Failed records that an upstream failed a request, or could not be asked for
+// its load. It returns how long the upstream gets no work.
 func (b *Board) Failed(now time.Duration, id string) time.Duration {
 	u := b.upstreams[id]
 	if u == nil {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -73,6 +73,9 @@
 	// it doubles with each further one up to longestHold.
 	firstHold   = 500 * time.Millisecond
 	longestHold = 8 * time.Second
+	// firstPause is that time after a question that was not answered; it doubles
+	// likewise. A full upstream of the users takes 60 to 300 ms to free a slot.
+	firstPause = 100 * time.Millisecond
 	// paceWeight is the weight of a new observation of an upstream's pace.
 	paceWeight = 0.3
 )
@@ -94,6 +97,8 @@
 	// heldUntil keeps an upstream without work after failures.
 	heldUntil time.Duration
 	failures  int
+	// unanswered counts the questions in a row that it did not answer.
+	unanswered int
 	// pace is how long its answers take, relative to those of its pool.
 	pace float64
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -154,6 +154,24 @@
 	assert.Equal(t, ready, 1)
 }
 
+// TestFullUpstreamsAreAskedAgainSoon replays a burst in which most upstreams are
+// full and let questions wait: those that did not answer are asked again within
+// the time in which a slot falls free, and one that stays silent less and less.
+func TestFullUpstreamsAreAskedAgainSoon(t *testing.T) {
+	b := boardOf(4)
+	for _, id := range []string{"u0", "u1", "u2"} {
+		assert.Equal(t, b.Unanswered(0, id), firstPause)
+	}
+	_, ready := b.Size(firstPause, "p")
+	assert.Equal(t, ready, 4)
+	assert.Equal(t, b.Unanswered(firstPause, "u0"), 2*firstPause)
+	for range 20 {
+		assert.Assert(t, b.Unanswered(time.Second, "u0") <= longestHold)
+	}
+	b.Observe(time.Minute, time.Minute, "u0", quick(0))
+	assert.Equal(t, b.Unanswered(time.Minute, "u0"), firstPause)
+}
+
 func TestRestartedUpstreamIsNew(t *testing.T) {
 	b := boardOf(1)
 	b.Failed(0, "u0")
