--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -129,14 +129,17 @@
 }
 
 // concerns reports whether a change of belief may explain the request: one in a
-// process that it met, one about an upstream that it met, and one of control.
+// process that it met, one about an upstream that it met or that its gateway left
+// out of its pool, and one of control.
 func concerns(l Line, met map[string]bool) bool {
 	if !slices.ContainsFunc(beliefs, func(e event.Event) bool { return e.Number == l.Event }) {
 		return false
 	}
 	if l.Event == event.UpstreamState.Number || l.Event == event.UpstreamHeld.Number {
 		name, _ := l.Fields["upstream"].(string)
-		return met[name]
+		pool, _ := l.Fields["pool"].(string)
+		// What its own gateway left out explains why a request found no room.
+		return met[name] || l.Event == event.UpstreamHeld.Number && met[pool] && met[l.Process]
 	}
 	role, _ := l.Fields["role"].(string)
 	return met[l.Process] || role == "control"
