An entry VM that cannot be registered is refused when it renews

Found on reading the diff: the leader would have proposed its registration again and again. The text of a state is compressed without touching the caller's message.

--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -52,13 +52,21 @@
 	return changeSet(next, index, cmd.SetRevision, previous)
 }
 
-func checkEntry(cfg *catalogpb.Config, e *catalogpb.Entry) *fault.Error {
+// CheckEntry validates the description of an entry VM by itself.
+func CheckEntry(e *catalogpb.Entry) *fault.Error {
 	if err := checkName("entry VM", e.GetId()); err != nil {
 		return err
 	}
 	if e.ClusterAddress == "" {
 		return invalid("entry VM %q has no cluster address", e.Id)
 	}
+	return nil
+}
+
+func checkEntry(cfg *catalogpb.Config, e *catalogpb.Entry) *fault.Error {
+	if err := CheckEntry(e); err != nil {
+		return err
+	}
 	if old, known := entries.get(cfg.Entries, e.Id); known && e.Incarnation < old.Incarnation {
 		return fault.New(fault.StaleRevision, "entry VM %q has a newer incarnation", e.Id)
 	}
--- a/internal/catalog/text.go
+++ b/internal/catalog/text.go
@@ -42,11 +42,8 @@
 	if err := w.Close(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	source := state.Source
-	state.Source = nil
 	packed := proto.CloneOf(state)
-	state.Source = source
-	packed.PackedSource = buf.Bytes()
+	packed.Source, packed.PackedSource = nil, buf.Bytes()
 	return packed, nil
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -283,3 +283,13 @@
 	assert.Assert(t, resp.Config == nil && resp.Delta != nil)
 	assert.Equal(t, len(resp.Delta.PutUpstreams), missed)
 }
+
+// TestEntryThatCannotBeRegisteredIsRefused renews under a name that no entry VM may
+// have.
+func TestEntryThatCannotBeRegisteredIsRefused(t *testing.T) {
+	g := newGroup(t)
+	_, err := g.leader().Renew(t.Context(), &clusterpb.RenewRequest{
+		Entry: &catalogpb.Entry{Id: "no name\n", ClusterAddress: "e:1", Incarnation: 1, ServesStale: true}, ServesStale: true,
+	})
+	assert.Equal(t, fault.FromTwirp(err, fault.Internal).Kind, fault.InvalidChange)
+}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -9,6 +9,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -55,6 +56,12 @@
 	if req.Entry.GetId() == "" {
 		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "the entry VM has no id"))
 	}
+	if req.Entry.ClusterAddress != "" {
+		// One that cannot be registered would be proposed again and again.
+		if err := catalog.CheckEntry(req.Entry); err != nil {
+			return nil, fault.ToTwirp(err)
+		}
+	}
 	r := &renewal{
 		request:  req,
 		received: d.server.now(),
