A connection outlives a long body

Found on reading the change: a gateway asked twice whether a connection may be used again, and the first question took the end of a body written beside the reading of the answer away from the second, so that each such connection was closed after its answer. The question can be asked again now, and is asked once. The test fails before. Own reader of a slice and a count of connections that nobody read are gone.

--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -288,7 +288,7 @@
 		return
 	}
 	if !f.passOn(pool, id, load, conn) {
-		f.conns.Release(conn, x)
+		f.conns.Keep(conn)
 	}
 }
 
--- a/internal/upconn/body.go
+++ b/internal/upconn/body.go
@@ -2,23 +2,9 @@
 
 import (
 	"bufio"
-	"io"
 	"strconv"
 )
 
-// bytesReader reads a slice; unlike bytes.Reader it cannot be rewound.
-type bytesReader struct{ rest []byte }
-
-// Read implements io.Reader.
-func (r *bytesReader) Read(b []byte) (int, error) {
-	if len(r.rest) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(b, r.rest)
-	r.rest = r.rest[n:]
-	return n, nil
-}
-
 // chunkWriter writes a body of unknown length in chunks.
 type chunkWriter struct{ w *bufio.Writer }
 
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -79,7 +80,10 @@
 	// Response is the answer, whose body must be read by Conn's user.
 	Response *http.Response
 
-	written chan error
+	// written is closed when a body that is written beside the reading of the
+	// answer has ended; writeErr says how. It is nil for other requests.
+	written  chan struct{}
+	writeErr error
 }
 
 // ErrStray reports that only answers to other requests arrived.
@@ -122,8 +126,11 @@
 		_, _ = c.writer.Write(r.Body)
 		return c.writer.Flush()
 	}
-	x.written = make(chan error, 1)
-	go func() { x.written <- c.writeBody(r) }()
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		x.writeErr = c.writeBody(r)
+	}()
 	return nil
 }
 
@@ -141,10 +148,7 @@
 }
 
 func (c *Conn) writeBody(r *Request) error {
-	body := io.Reader(strings.NewReader(""))
-	if len(r.Body) > 0 {
-		body = &bytesReader{r.Body}
-	}
+	body := io.Reader(bytes.NewReader(r.Body))
 	if r.Rest != nil {
 		body = io.MultiReader(body, r.Rest)
 	}
@@ -233,8 +237,8 @@
 		return true
 	}
 	select {
-	case err := <-x.written:
-		return err == nil
+	case <-x.written:
+		return x.writeErr == nil
 	default:
 		return false
 	}
--- a/internal/upconn/conn_test.go
+++ b/internal/upconn/conn_test.go
@@ -74,6 +74,11 @@
 
 func TestExchangeAndReuse(t *testing.T) {
 	p, address, seen := scripted(t, answer("1", "one"), answer("2", "two"))
+	opened := 0
+	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		opened++
+		return dialNetwork(ctx, address)
+	}
 	for i, id := range []string{"1", "2"} {
 		c := open(t, p, address)
 		assert.Equal(t, c.Reused, i > 0)
@@ -87,7 +92,24 @@
 		assert.Equal(t, r.Host, "host.example")
 		p.Release(c, x)
 	}
-	assert.Equal(t, p.Opened(), uint64(1))
+	assert.Equal(t, opened, 1)
+}
+
+// TestLongBodyKeepsItsConnection asks more than once whether a connection may be
+// used again after a body that was written beside the reading of the answer.
+func TestLongBodyKeepsItsConnection(t *testing.T) {
+	p, address, _ := scripted(t, answer("1", "one"))
+	c := open(t, p, address)
+	r := get("1")
+	r.Method, r.Body, r.Length = http.MethodPost, make([]byte, longBody), longBody
+	x, err := c.Do(context.Background(), r)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(x.Response.Body)
+	assert.NilError(t, err)
+	<-x.written
+	assert.Assert(t, p.Reusable(c, x))
+	p.Release(c, x)
+	assert.Equal(t, open(t, p, address), c)
 }
 
 // TestLateExtraAnswer replays an upstream that answers the first request
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,9 +27,8 @@
 type Pool struct {
 	dial Dialer
 
-	mu     sync.Mutex
-	idle   map[string][]*Conn
-	opened atomic.Uint64
+	mu   sync.Mutex
+	idle map[string][]*Conn
 }
 
 // NewPool returns an empty pool; a nil dial uses the network.
@@ -73,7 +71,6 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p.opened.Add(1)
 	return &Conn{
 		Address: address,
 		raw:     raw,
@@ -83,9 +80,6 @@
 	}, nil
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() uint64 { return p.opened.Load() }
-
 func (p *Pool) takeIdle(address string) *Conn {
 	for {
 		c := p.pop(address)
@@ -131,9 +125,13 @@
 // Release gives a connection back after an exchange whose answer has been read
 // to its end. x may be nil for one that has carried nothing yet.
 func (p *Pool) Release(c *Conn, x *Exchange) {
-	if !p.Reusable(c, x) {
-		return
+	if p.Reusable(c, x) {
+		p.Keep(c)
 	}
+}
+
+// Keep keeps a connection that Reusable has found fit for another exchange.
+func (p *Pool) Keep(c *Conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
