One piece of code where the change had written twins

Found on reading the change: the time without work after a failure and after silence, the walk over entry VMs to register, two passes over held renewals a tick, opening a listener and its limits (three daemons), the host of a caller, the fault of a body that cannot be read, a union of lists (three places), the durable replacement of a file (log and identity), free ports and the start of a group in tests. Names of other zones are joined in one place, and the page of metrics says that control VMs alone count calls.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/freshness"
+	"balsamcourse.example/balsamcourse/internal/union"
 )
 
 // Revision is a committed configuration as far as acceptance is concerned.
@@ -70,23 +71,13 @@
 		confirm:  freshness.Lengthen(freshness.Confirm),
 	}
 	until := since + freshness.Lengthen(freshness.QuorumAge+freshness.Lease)
-	for _, key := range union(current.Set, current.PreviousSet) {
+	for _, key := range union.Of(current.Set, current.PreviousSet) {
 		t.member(key).grants = []grant{{revision: 0, until: until}}
 	}
 	t.Publish(current)
 	return t
 }
 
-func union(a, b []freshness.Key) []freshness.Key {
-	keys := slices.Clone(a)
-	for _, k := range b {
-		if !slices.Contains(keys, k) {
-			keys = append(keys, k)
-		}
-	}
-	return keys
-}
-
 func (t *Tracker) member(key freshness.Key) *member {
 	m := t.members[key]
 	if m == nil {
@@ -174,7 +165,7 @@
 // regions returns the regions in which an entry VM may hold an older revision.
 func (t *Tracker) regions() []string {
 	var regions []string
-	for _, key := range union(t.current.Set, t.current.PreviousSet) {
+	for _, key := range union.Of(t.current.Set, t.current.PreviousSet) {
 		if !slices.Contains(regions, key.Region) {
 			regions = append(regions, key.Region)
 		}
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,6 +10,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
+	"balsamcourse.example/balsamcourse/internal/union"
 )
 
 const (
@@ -250,7 +250,7 @@
 	r.failures++
 	r.relay, r.relayUses = "", 0
 	if seeds := l.syncer.opts.Seeds; seeds != nil && r.failures%seedsAfter == 0 {
-		r.control = union(r.control, seeds())
+		r.control = union.Of(r.control, seeds())
 	}
 	r.next = l.syncer.now() + l.retryInterval()
 }
@@ -267,7 +267,7 @@
 	r := &l.renew
 	if len(resp.ControlAddresses) > 0 {
 		// The given ones stay: they may be newer than what this VM was told.
-		r.control = union(resp.ControlAddresses, l.syncer.opts.Control)
+		r.control = union.Of(resp.ControlAddresses, l.syncer.opts.Control)
 	}
 	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leader || l.avoided(resp.LeaderAddress) {
 		return false
@@ -277,17 +277,6 @@
 	return true
 }
 
-// union returns a followed by what only b has.
-func union(a, b []string) []string {
-	all := slices.Clone(a)
-	for _, address := range b {
-		if !slices.Contains(all, address) {
-			all = append(all, address)
-		}
-	}
-	return all
-}
-
 // apply takes in the configuration and the accepted revision of an answer. It
 // reports whether either was new.
 func (l *loop) apply(resp *clusterpb.RenewResponse) bool {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,7 +81,6 @@
 	}
 	l.advance()
 	l.expire()
-	l.flush()
 	l.plan()
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -71,49 +71,39 @@
 // nothing; where there are only gateways all are registered at once.
 func (l *loop) registration() *catalogpb.Command {
 	t := l.term
-	if list := l.newGateways(); len(list) > 0 {
-		reg := &catalogpb.RegisterEntries{Entries: list, SetRevision: t.config.SetRevision}
+	news := l.unregistered()
+	if len(news) > 0 && onlyGateways(t.config.Entries) && onlyGateways(news) {
+		reg := &catalogpb.RegisterEntries{Entries: news, SetRevision: t.config.SetRevision}
 		return &catalogpb.Command{Kind: &catalogpb.Command_RegisterEntries{RegisterEntries: reg}}
 	}
-	for _, id := range sortedIDs(t.heard) {
-		h := t.heard[id]
-		if l.server.now() > h.at+liveTimeout || !l.stale(h.entry) {
-			continue
-		}
-		old := t.registered(id)
-		changesSet := old == nil || keyOf(old) != keyOf(h.entry)
+	for _, e := range news {
+		old := t.registered(e.Id)
+		changesSet := old == nil || keyOf(old) != keyOf(e)
 		if changesSet && !t.tracker.SetOpen() {
 			continue
 		}
-		reg := &catalogpb.RegisterEntry{Entry: h.entry, SetRevision: t.config.SetRevision}
+		reg := &catalogpb.RegisterEntry{Entry: e, SetRevision: t.config.SetRevision}
 		return &catalogpb.Command{Kind: &catalogpb.Command_RegisterEntry{RegisterEntry: reg}}
 	}
 	return nil
 }
 
-// newGateways returns the gateways that are not registered as they report
-// themselves; none unless all that are registered are gateways.
-func (l *loop) newGateways() []*catalogpb.Entry {
-	t := l.term
-	for _, e := range t.config.Entries {
-		if !e.ServesStale {
-			return nil
-		}
-	}
+// unregistered returns the entry VMs heard of late that are not registered as
+// they report themselves.
+func (l *loop) unregistered() []*catalogpb.Entry {
 	var list []*catalogpb.Entry
-	for _, id := range sortedIDs(t.heard) {
-		h := t.heard[id]
-		if l.server.now() > h.at+liveTimeout || !l.stale(h.entry) {
-			continue
-		}
-		if !h.entry.ServesStale {
-			return nil
+	for _, id := range sortedIDs(l.term.heard) {
+		if h := l.term.heard[id]; l.server.now() <= h.at+liveTimeout && l.stale(h.entry) {
+			list = append(list, h.entry)
 		}
-		list = append(list, h.entry)
 	}
 	return list
 }
 
+func onlyGateways(list []*catalogpb.Entry) bool {
+	return !slices.ContainsFunc(list, func(e *catalogpb.Entry) bool { return !e.ServesStale })
+}
+
 func sortedIDs(m map[string]*heard) []string {
 	ids := make([]string, 0, len(m))
 	for id := range m {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -141,7 +141,7 @@
 	}
 	l.plan()
 	if req := ev.renewal.request; req.ServesStale && req.Revision < l.term.config.Revision {
-		// Registrations come one after another; only the lease must wait for them.
+		// It serves before it is registered; only the lease must wait for that.
 		l.redirect(ev.renewal)
 		return
 	}
@@ -191,31 +191,26 @@
 }
 
 // flush answers the held renewals that are due.
-func (l *loop) flush() {
-	held := l.term.held
-	l.term.held = nil
-	for _, r := range held {
-		if l.due(r) {
-			l.answer(r)
-			continue
-		}
-		l.term.held = append(l.term.held, r)
-	}
-}
+func (l *loop) flush() { l.answerHeld(l.due) }
 
-// expire answers the renewals and the waiters whose time is over.
+// expire answers the renewals that are due or whose time is over, and the
+// waiters whose time is over.
 func (l *loop) expire() {
 	now := l.server.now()
+	l.answerHeld(func(r *renewal) bool { return now >= r.received+hold(r.request) || l.due(r) })
+	l.wake()
+}
+
+func (l *loop) answerHeld(ready func(*renewal) bool) {
 	held := l.term.held
 	l.term.held = nil
 	for _, r := range held {
-		if now >= r.received+hold(r.request) {
+		if ready(r) {
 			l.answer(r)
 			continue
 		}
 		l.term.held = append(l.term.held, r)
 	}
-	l.wake()
 }
 
 // answer grants a lease if it may and sends what the entry VM lacks.
--- a/internal/controld/controld.go
+++ b/internal/controld/controld.go
@@ -206,16 +206,9 @@
 }
 
 func (d *Daemon) serve(address string, h http.Handler) error {
-	limits := d.settings.Limits
-	s, err := httpnet.Listen(address, h, httpnet.Limits{
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ReadHeaderTimeout: limits.ReadHeaderTimeoutMs.Duration(),
-		IdleTimeout:       limits.IdleTimeoutMs.Duration(),
-		MaxConnections:    limits.MaxConnections,
-	})
+	s, err := httpnet.Open(d.log, address, h, d.settings.Limits.Listener())
 	if err != nil {
-		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
-		return errors.Trace(err)
+		return err
 	}
 	d.servers = append(d.servers, s)
 	return nil
--- a/internal/controld/join.go
+++ b/internal/controld/join.go
@@ -14,6 +14,7 @@
 	"balsamcourse.example/balsamcourse/internal/replica"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/storage"
+	"balsamcourse.example/balsamcourse/internal/union"
 	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
@@ -82,13 +83,11 @@
 // contact returns whom to ask the n-th time: the seeds and the members that
 // this replica knows of, in turn.
 func (d *Daemon) contact(st replica.Status, n int) string {
-	known := slices.Clone(d.seeds())
-	for _, m := range st.Members {
-		if !slices.Contains(known, m.GetAddress()) {
-			known = append(known, m.GetAddress())
-		}
+	members := make([]string, len(st.Members))
+	for i, m := range st.Members {
+		members[i] = m.GetAddress()
 	}
-	known = slices.DeleteFunc(known, func(address string) bool { return address == d.settings.ClusterAddress })
+	known := slices.DeleteFunc(union.Of(d.seeds(), members), func(address string) bool { return address == d.settings.ClusterAddress })
 	if len(known) == 0 {
 		return ""
 	}
--- a/internal/controld/join_test.go
+++ b/internal/controld/join_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -15,16 +14,9 @@
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/testbed"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // vm is a control VM that is started and stopped with its disk.
 type vm struct {
 	t       *testing.T
@@ -38,7 +30,9 @@
 func newVM(t *testing.T) *vm {
 	v := &vm{t: t, s: settings.DefaultControl()}
 	v.s.Zone, v.s.DataDir, v.s.Open = "a", t.TempDir(), true
-	v.s.ClusterListen, v.s.OperatorListen = freeAddress(t), freeAddress(t)
+	free, err := testbed.FreeAddresses(2)
+	assert.NilError(t, err)
+	v.s.ClusterListen, v.s.OperatorListen = free[0], free[1]
 	v.s.ClusterAddress = v.s.ClusterListen
 	v.s.HeartbeatMs, v.s.ElectionMs = 50, 400
 	return v
@@ -92,13 +86,14 @@
 	return out
 }
 
-// TestGroupFormsGrowsAndReplacesALostDisk starts three VMs that are told each
-// other and one that is not, wipes a founder, and restarts all: what was
-// acknowledged before is there.
-func TestGroupFormsGrowsAndReplacesALostDisk(t *testing.T) {
+// startGroup starts three VMs that are told each other and one that is not, and
+// waits until it has joined. Their settings are those of later starts then.
+func startGroup(t *testing.T, lostAfter settings.Millis) []*vm {
+	t.Helper()
 	vms := []*vm{newVM(t), newVM(t), newVM(t), newVM(t)}
 	for _, v := range vms {
 		v.s.FirstStart = true
+		v.s.LostAfterMs = lostAfter
 		for _, seed := range vms[:3] {
 			v.s.Seeds = append(v.s.Seeds, seed.s.ClusterAddress)
 		}
@@ -112,6 +107,17 @@
 		}
 	})
 	until(t, "the fourth VM does not join", func() bool { return len(vms[0].voters()) == 4 })
+	for _, v := range vms {
+		v.s.FirstStart = false
+	}
+	return vms
+}
+
+// TestGroupFormsGrowsAndReplacesALostDisk starts three VMs that are told each
+// other and one that is not, wipes a founder, and restarts all: what was
+// acknowledged before is there.
+func TestGroupFormsGrowsAndReplacesALostDisk(t *testing.T) {
+	vms := startGroup(t, 0)
 
 	state := &catalogpb.DesiredState{Version: 5, Source: []byte("five")}
 	until(t, "no state is taken", func() bool {
@@ -121,9 +127,6 @@
 		return err == nil
 	})
 
-	for _, v := range vms {
-		v.s.FirstStart = false
-	}
 	vms[1].end()
 	assert.NilError(t, os.RemoveAll(vms[1].s.DataDir))
 	vms[1].start()
@@ -157,26 +160,7 @@
 // TestSilentVMLeavesAndComesBack ends one of four VMs until the group has
 // removed it, and starts it again with its disk.
 func TestSilentVMLeavesAndComesBack(t *testing.T) {
-	vms := []*vm{newVM(t), newVM(t), newVM(t), newVM(t)}
-	for _, v := range vms {
-		v.s.FirstStart = true
-		v.s.LostAfterMs = 1_500
-		for _, seed := range vms[:3] {
-			v.s.Seeds = append(v.s.Seeds, seed.s.ClusterAddress)
-		}
-	}
-	for _, v := range vms {
-		v.start()
-	}
-	t.Cleanup(func() {
-		for _, v := range vms {
-			v.end()
-		}
-	})
-	until(t, "the fourth VM does not join", func() bool { return len(vms[0].voters()) == 4 })
-	for _, v := range vms {
-		v.s.FirstStart = false
-	}
+	vms := startGroup(t, 1_500)
 	gone := vms[1].s.ClusterAddress
 	vms[1].end()
 	until(t, "the silent VM stays", func() bool { return len(vms[0].voters()) == 3 && !vms[0].voters()[gone] })
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -5,15 +5,12 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/access"
 	"balsamcourse.example/balsamcourse/internal/announce"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/claims"
 	"balsamcourse.example/balsamcourse/internal/configsync"
-	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/gossip"
@@ -101,40 +98,22 @@
 func (d *Daemon) listen() error {
 	s := d.settings
 	var err error
-	if d.servers.cluster, err = d.open(s.ClusterListen, httpnet.Limits{}, d.clusterHandler()); err != nil {
+	if d.servers.cluster, err = httpnet.Open(d.log, s.ClusterListen, d.clusterHandler(), httpnet.Limits{}); err != nil {
 		return err
 	}
-	if d.servers.announce, err = d.open(s.AnnounceListen, d.limits(), d.announceHandler()); err != nil {
+	if d.servers.announce, err = httpnet.Open(d.log, s.AnnounceListen, d.announceHandler(), s.Limits.Listener()); err != nil {
 		return err
 	}
-	if d.servers.callers, err = d.open(s.CallerListen, d.limits(), d.callers.handler); err != nil {
+	if d.servers.callers, err = httpnet.Open(d.log, s.CallerListen, d.callers.handler, s.Limits.Listener()); err != nil {
 		return err
 	}
 	if s.MetricsListen == "" {
 		return nil
 	}
-	d.servers.metrics, err = d.open(s.MetricsListen, httpnet.Limits{}, d.metrics.Handler())
+	d.servers.metrics, err = httpnet.Open(d.log, s.MetricsListen, d.metrics.Handler(), httpnet.Limits{})
 	return err
 }
 
-func (d *Daemon) open(address string, limits httpnet.Limits, h http.Handler) (*httpnet.Server, error) {
-	s, err := httpnet.Listen(address, h, limits)
-	if err != nil {
-		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
-	}
-	return s, errors.Trace(err)
-}
-
-func (d *Daemon) limits() httpnet.Limits {
-	l := d.settings.Limits
-	return httpnet.Limits{
-		MaxHeaderBytes:    l.MaxHeaderBytes,
-		ReadHeaderTimeout: l.ReadHeaderTimeoutMs.Duration(),
-		IdleTimeout:       l.IdleTimeoutMs.Duration(),
-		MaxConnections:    l.MaxConnections,
-	}
-}
-
 func (d *Daemon) clusterHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -38,7 +38,7 @@
 	src := NewBodyReader(w, body, opts.BodyIdleTimeout)
 	head, err := io.ReadAll(io.LimitReader(src, bufferedBytes))
 	if err != nil {
-		return nil, bodyFault(err)
+		return nil, BodyFault(err)
 	}
 	b := &requestBody{head: head, digest: sha256.Sum256(head), length: r.ContentLength}
 	if len(head) < bufferedBytes {
@@ -50,7 +50,8 @@
 	return b, nil
 }
 
-func bodyFault(err error) error {
+// BodyFault returns the refusal for a request whose body could not be read.
+func BodyFault(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fault.New(fault.TooLarge, "body over %d bytes", tooLarge.Limit)
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -140,7 +140,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		held := w.unasked(c.ID, err)
+		held := w.askFailed(c.ID, err)
 		f.opts.Events.Log(event.UpstreamHeld).Str("upstream", c.ID).Str("pool", c.Pool).Str("why", "asked for its load").
 			Uint64("held_ms", uint64(held.Milliseconds())).Err(err).Send()
 		return reply{candidate: c, err: err}
@@ -214,9 +214,9 @@
 
 func mismatch(got, want string) bool { return got != "" && got != want }
 
-// unasked records that an upstream did not tell its load. One that took the
+// askFailed records that an upstream did not tell its load. One that took the
 // connection and let the time pass may just be full. The caller holds the lock.
-func (w *world) unasked(id string, err error) time.Duration {
+func (w *world) askFailed(id string, err error) time.Duration {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "read" && op.Timeout() {
 		return w.board.Unanswered(w.now(), id)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,16 +6,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/juju/errors"
-
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/place"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -233,8 +231,11 @@
 	}
 	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.opts.BodyIdleTimeout)
 	head, err := io.ReadAll(io.LimitReader(src, bufferedBody))
+	if err != nil && c.r.Context().Err() != nil {
+		return fault.New(fault.CallerGone, "while its body was read")
+	}
 	if err != nil {
-		return c.bodyFault(err)
+		return forward.BodyFault(err)
 	}
 	c.body.head = head
 	if len(head) < bufferedBody {
@@ -249,28 +250,13 @@
 // defaultMaxBody bounds a body when the desired state does not.
 const defaultMaxBody = 256 << 20
 
-func (c *call) bodyFault(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.TooLarge, "body over %d bytes", tooLarge.Limit)
-	}
-	if c.r.Context().Err() != nil {
-		return fault.New(fault.CallerGone, "while its body was read")
-	}
-	return fault.New(fault.BadRequest, "reading the body: %v", err)
-}
-
 // fingerprint identifies requests that are alike enough to crash an upstream in
 // the same way: the same caller, method, target and body.
 func (c *call) fingerprint() quarantine.Request {
-	caller, _, err := net.SplitHostPort(c.r.RemoteAddr)
-	if err != nil {
-		caller = c.r.RemoteAddr
-	}
 	sum := sha256.Sum256(c.body.head)
 	return quarantine.Request{
 		Service:     c.pool,
-		Fingerprint: quarantine.Fingerprint(c.r.Method, caller+" "+c.r.Host+c.r.RequestURI, c.body.length, sum[:]),
+		Fingerprint: quarantine.Fingerprint(c.r.Method, httpnet.RemoteHost(c.r)+" "+c.r.Host+c.r.RequestURI, c.body.length, sum[:]),
 	}
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -222,13 +222,7 @@
 			return err
 		}
 	}
-	limits := httpnet.Limits{
-		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: s.Limits.ReadHeaderTimeoutMs.Duration(),
-		IdleTimeout:       s.Limits.IdleTimeoutMs.Duration(),
-		MaxConnections:    s.Limits.MaxConnections,
-	}
-	if err := d.open(s.CallerListen, limits, d.callerHandler()); err != nil {
+	if err := d.open(s.CallerListen, s.Limits.Listener(), d.callerHandler()); err != nil {
 		return err
 	}
 	d.callers = d.servers[len(d.servers)-1]
@@ -236,10 +230,9 @@
 }
 
 func (d *Daemon) open(address string, limits httpnet.Limits, h http.Handler) error {
-	s, err := httpnet.Listen(address, h, limits)
+	s, err := httpnet.Open(d.log, address, h, limits)
 	if err != nil {
-		d.log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
-		return errors.Trace(err)
+		return err
 	}
 	d.servers = append(d.servers, s)
 	return nil
--- a/internal/gateway/daemon_test.go
+++ b/internal/gateway/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,25 +12,20 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry/telemetrytest"
+	"balsamcourse.example/balsamcourse/internal/testbed"
 	"balsamcourse.example/balsamcourse/internal/view"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // running is a gateway that listens and holds cfg.
 func running(t *testing.T, cfg *catalogpb.Config) *Daemon {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.ID, s.Zone, s.Region = "g1", "a", "r"
-	s.CallerListen, s.ClusterListen = freeAddress(t), freeAddress(t)
+	free, err := testbed.FreeAddresses(3)
+	assert.NilError(t, err)
+	s.CallerListen, s.ClusterListen = free[0], free[1]
 	s.CallerAddress, s.ClusterAddress = s.CallerListen, s.ClusterListen
-	s.Control, s.TrustNetwork = []string{freeAddress(t)}, true
+	s.Control, s.TrustNetwork = []string{free[2]}, true
 	s.ServeMs, s.StopMs = 300, 2_000
 	d, err := newDaemon(s, Options{Logs: io.Discard})
 	assert.NilError(t, err)
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/event"
 )
 
 // Limits bounds what a server accepts. Zero values stand for the defaults.
@@ -52,6 +54,15 @@
 	})
 }
 
+// RemoteHost returns the address of the caller without its port.
+func RemoteHost(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // Server serves one listener.
 type Server struct {
 	http     *http.Server
@@ -59,6 +70,15 @@
 	failed   chan error
 }
 
+// Open is Listen, and logs why it fails.
+func Open(log event.Logger, address string, h http.Handler, limits Limits) (*Server, error) {
+	s, err := Listen(address, h, limits)
+	if err != nil {
+		log.Log(event.ListenFailed).Str("address", address).Err(err).Send()
+	}
+	return s, errors.Trace(err)
+}
+
 // Listen opens the address and serves h on it, over HTTP/1.1 and over HTTP/2
 // without TLS.
 func Listen(address string, h http.Handler, limits Limits) (*Server, error) {
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -66,11 +66,7 @@
 // joiningID keeps ids within 53 bits, so that they survive JSON.
 func joiningID(drawn uint64) uint64 { return drawn%(1<<53-firstJoiningID) + firstJoiningID }
 
-const (
-	fileName = "identity.json"
-	// newSuffix marks a file that is not complete yet.
-	newSuffix = ".new"
-)
+const fileName = "identity.json"
 
 // Load returns the identity kept in dir. Without one it decides on one and
 // keeps it, durably, before it returns.
@@ -103,35 +99,16 @@
 	return binary.LittleEndian.Uint64(b[:]), nil
 }
 
-// keep writes the identity. The rename comes after the sync of the content,
-// and the sync of the folder after the rename, so that a loss of power leaves
-// either nothing or all of it.
+// keep writes the identity.
 func keep(fs storage.FS, path string, id Identity) error {
 	data, err := json.Marshal(id)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	// What an earlier start left incomplete must not stand before the content.
-	if err := fs.Remove(path + newSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return errors.Trace(err)
-	}
-	f, err := fs.Append(path + newSuffix)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if _, err := f.Write(data); err != nil {
-		_ = f.Close()
-		return errors.Trace(err)
-	}
-	if err := f.Sync(); err != nil {
+	f, err := storage.ReplaceFile(fs, path, data)
+	if f != nil {
+		// Synced by then, or of no use.
 		_ = f.Close()
-		return errors.Trace(err)
-	}
-	if err := f.Close(); err != nil {
-		return errors.Trace(err)
-	}
-	if err := fs.Rename(path+newSuffix, path); err != nil {
-		return errors.Trace(err)
 	}
-	return errors.Trace(fs.SyncDir(filepath.Dir(path)))
+	return errors.Trace(err)
 }
--- a/internal/lookup/named.go
+++ b/internal/lookup/named.go
@@ -73,13 +73,13 @@
 			byZone[e.Zone] = append(byZone[e.Zone], e.CallerAddress)
 		}
 	}
-	named := byZone[p.Zone]
-	more := spares + max(0, perZone-len(named))
+	own := byZone[p.Zone]
+	more := spares + max(0, perZone-len(own))
+	far := others(byZone, p, more)
 	if p.PerZone == 0 {
-		named = append(slices.Clone(named), firstOthers(usable, p.Zone, more)...)
-	} else {
-		named = append(slices.Clone(named), others(byZone, p, more)...)
+		far = firstOthers(usable, p.Zone, more)
 	}
+	named := slices.Concat(own, far)
 	return named[:min(len(named), maxNamed)]
 }
 
--- a/internal/place/observe.go
+++ b/internal/place/observe.go
@@ -69,11 +69,7 @@
 	if u == nil {
 		return 0
 	}
-	held := min(firstPause<<min(u.unanswered, 10), longestHold)
-	u.unanswered++
-	u.heldUntil = max(u.heldUntil, now+held)
-	u.reported = false
-	return held
+	return u.hold(now, firstPause, &u.unanswered)
 }
 
 // Failed records that an upstream failed a request, or could not be asked for
@@ -83,9 +79,14 @@
 	if u == nil {
 		return 0
 	}
-	held := firstHold << min(u.failures, 10)
-	held = min(held, longestHold)
-	u.failures++
+	return u.hold(now, firstHold, &u.failures)
+}
+
+// hold keeps the upstream without work for first, doubled for each of the times
+// before.
+func (u *upstream) hold(now, first time.Duration, times *int) time.Duration {
+	held := min(first<<min(*times, 10), longestHold)
+	*times++
 	u.heldUntil = max(u.heldUntil, now+held)
 	u.reported = false
 	return held
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,11 @@
 // bound or a clash of addresses is an error that names file, line and key.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
+)
 
 // Millis is a duration in milliseconds. The keys that hold one end in "_ms".
 type Millis int64
@@ -52,6 +56,16 @@
 	MaxConnections    int    `toml:"max_connections"`
 }
 
+// Listener returns the limits of a listener for callers or operators.
+func (l Limits) Listener() httpnet.Limits {
+	return httpnet.Limits{
+		MaxHeaderBytes:    l.MaxHeaderBytes,
+		ReadHeaderTimeout: l.ReadHeaderTimeoutMs.Duration(),
+		IdleTimeout:       l.IdleTimeoutMs.Duration(),
+		MaxConnections:    l.MaxConnections,
+	}
+}
+
 // Addresses are the listeners that both roles have.
 type Addresses struct {
 	// ClusterListen serves the other processes of the system.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -10,11 +10,8 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
 
-// Names of the files in the data folder.
-const (
-	logName  = "replica.log"
-	tempName = "replica.log.new"
-)
+// logName is the name of the log in the data folder.
+const logName = "replica.log"
 
 // Log is the durable record of one replica. It is not safe for concurrent use.
 type Log struct {
@@ -134,25 +131,14 @@
 }
 
 func (l *Log) replace() error {
-	temp := l.path(tempName)
-	if err := l.fs.Remove(temp); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return errors.Annotate(err, "remove old file")
+	file, err := ReplaceFile(l.fs, l.path(logName), l.buf)
+	old := l.file
+	if file != nil {
+		l.file = file
 	}
-	file, err := l.fs.Append(temp)
 	if err != nil {
-		return errors.Annotate(err, "create log")
-	}
-	old := l.file
-	l.file = file
-	if err := writeSync(file, l.buf); err != nil {
 		return err
 	}
-	if err := l.fs.Rename(temp, l.path(logName)); err != nil {
-		return errors.Annotate(err, "rename log")
-	}
-	if err := l.fs.SyncDir(l.dir); err != nil {
-		return errors.Annotate(err, "sync folder")
-	}
 	if old != nil {
 		return errors.Annotate(old.Close(), "close old log")
 	}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -68,9 +68,9 @@
 		{"control_state_version", gauge, "control", "", "version of the desired state in that revision"},
 		{"control_entries", gauge, "control", "", "registered gateways and entry VMs"},
 		{"control_upstreams", gauge, "control", "state", "upstreams that have announced themselves"},
-		{"rpc_calls", counter, "all", "method", "calls of other processes and operators"},
-		{"rpc_failed", counter, "all", "method", "those of them that failed"},
-		{"rpc_seconds", histogram, "all", "method", "time of such calls"},
+		{"rpc_calls", counter, "control", "method", "calls of other processes and operators"},
+		{"rpc_failed", counter, "control", "method", "those of them that failed"},
+		{"rpc_seconds", histogram, "control", "method", "time of such calls"},
 	}
 }
 
--- a/internal/telemetry/telemetrytest/scrape.go
+++ b/internal/telemetry/telemetrytest/scrape.go
@@ -34,7 +34,7 @@
 			m, listed := known[words[0]]
 			assert.Assert(t, listed, "%s is not in the catalogue", words[0])
 			assert.Equal(t, words[1], m.Type, words[0])
-			assert.Assert(t, m.Roles == "all" || strings.Contains(m.Roles, role), "%s is not listed for %s", words[0], role)
+			assert.Assert(t, strings.Contains(m.Roles, role), "%s is not listed for %s", words[0], role)
 			served[words[0]] = true
 		}
 	}
