Log and measure what delays a configuration

Added: the wait of events in the leader's loop (metric, and loop_slow when it is long), the age of a configuration when it is acknowledged (metric, and config_unacked with those missing), from where and how a gateway got a configuration, the first renewal of a series that fails, and the bytes of RPCs by method, on gateways too. No decision changes.

--- a/internal/configsync/confirm.go
+++ b/internal/configsync/confirm.go
@@ -95,7 +95,7 @@
 }
 
 func (l *loop) handleConfirmation(ev *confirmationAnswer) {
-	l.adoptAndNotify(ev.resp.Config, 0)
+	l.adoptAndNotify(ev.resp.Config, 0, configOrigin{via: "confirmation", address: ev.from.ClusterAddress, took: l.syncer.now() - ev.sentAt})
 	l.state.RecordConfirmation(ev.from, ev.sentAt, ev.resp.NewestRevision, ev.resp.Synced)
 	l.publishSnapshot()
 }
--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -87,7 +87,7 @@
 	case *confirmationAnswer:
 		l.handleConfirmation(ev)
 	case *configReceived:
-		l.adoptAndNotify(ev.config, ev.acceptedRevision)
+		l.adoptAndNotify(ev.config, ev.acceptedRevision, configOrigin{via: "push"})
 	case leavingAnnounced:
 		l.leaving = true
 		l.cancelRenewal()
@@ -104,11 +104,24 @@
 	l.publishSnapshot()
 }
 
+// configOrigin says how a configuration arrived, for the log.
+type configOrigin struct {
+	// via is the kind of message.
+	via string
+	// address is that of the VM that answered; empty if it is not known.
+	address string
+	// delta is set if the message contained only the difference to the
+	// configuration held before.
+	delta bool
+	// took is the time from the request to the answer.
+	took time.Duration
+}
+
 // adoptAndNotify adopts a committed configuration if it is newer than the
 // current one, records the accepted revision, and calls the listeners if either
 // has changed.
-func (l *loop) adoptAndNotify(cfg *catalogpb.Config, accepted uint64) {
-	changed := l.adoptConfig(cfg)
+func (l *loop) adoptAndNotify(cfg *catalogpb.Config, accepted uint64, origin configOrigin) {
+	changed := l.adoptConfig(cfg, origin)
 	before := l.state.AcceptedRevision()
 	l.state.RecordAccepted(accepted)
 	l.publishSnapshot()
@@ -120,12 +133,14 @@
 	}
 }
 
-func (l *loop) adoptConfig(cfg *catalogpb.Config) bool {
+func (l *loop) adoptConfig(cfg *catalogpb.Config, origin configOrigin) bool {
 	if cfg == nil || !l.state.Adopt(cfg.Revision, entryKeys(cfg)) {
 		return false
 	}
 	l.view = configview.New(cfg)
-	l.syncer.opts.Log.Log(event.ConfigAdopted).Uint64("revision", cfg.Revision).Send()
+	l.syncer.opts.Log.Log(event.ConfigAdopted).Uint64("revision", cfg.Revision).Uint64("version", cfg.StateVersion).
+		Str("via", origin.via).Str("from", origin.address).Bool("delta", origin.delta).
+		Uint64("took_ms", uint64(origin.took.Milliseconds())).Send()
 	return true
 }
 
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -10,6 +10,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/union"
 )
 
@@ -197,6 +198,7 @@
 	}
 	r.running = false
 	if ev.err != nil {
+		l.logFailure(ev)
 		// After a network partition, an open connection may never recover, or
 		// only after a TCP retransmission. Closing it makes the next call open
 		// a new one.
@@ -215,7 +217,7 @@
 		l.syncer.silentEntries.Store(&ev.resp.Silent)
 		l.syncer.acceptedEverywhere.Store(max(l.syncer.acceptedEverywhere.Load(), ev.resp.AcceptedEverywhere))
 	}
-	changed := l.adoptResponse(ev.resp)
+	changed := l.adoptResponse(ev)
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
 	granted := l.state.RecordLease(ev.sentAt, lease, ev.resp.Revision)
 	l.publishSnapshot()
@@ -287,11 +289,23 @@
 	return true
 }
 
+// logFailure logs the first renewal of a series that was not answered. While
+// all control VMs are down, the rest of the series would repeat it.
+func (l *loop) logFailure(ev *renewalResult) {
+	if l.renew.failures > 0 {
+		return
+	}
+	l.syncer.opts.Log.Log(event.RenewalFailed).Str("address", ev.address).Bool("relayed", ev.relayed).
+		Uint64("after_ms", uint64((l.syncer.now()-ev.sentAt).Milliseconds())).Uint64("revision", l.state.Revision()).
+		Err(ev.err).Send()
+}
+
 // adoptResponse adopts the configuration and the accepted revision of an
 // answer. It reports whether either was new.
-func (l *loop) adoptResponse(resp *clusterpb.RenewResponse) bool {
+func (l *loop) adoptResponse(ev *renewalResult) bool {
 	revision, accepted := l.state.Revision(), l.state.AcceptedRevision()
-	l.adoptAndNotify(l.configOf(resp), resp.AcceptedRevision)
+	origin := configOrigin{via: "renewal", address: ev.address, delta: ev.resp.Config == nil, took: l.syncer.now() - ev.sentAt}
+	l.adoptAndNotify(l.configOf(ev.resp), ev.resp.AcceptedRevision, origin)
 	return l.state.Revision() > revision || l.state.AcceptedRevision() > accepted
 }
 
--- a/internal/control/acceptance.go
+++ b/internal/control/acceptance.go
@@ -33,7 +33,7 @@
 	}
 	// The revision may have been committed after the term last published a
 	// configuration.
-	l.term.publish(l.server.catalog.Config())
+	l.term.publish(l.server.now(), l.server.catalog.Config())
 	l.answerDueRenewals()
 	l.term.waiters = append(l.term.waiters, w)
 	l.advanceAcceptance()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,12 +15,14 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
 // Options configures a Server.
@@ -35,6 +37,8 @@
 	// authentication is disabled; nil means that it is disabled.
 	Operator func(ctx context.Context) string
 	Log      event.Logger
+	// Metrics are those of the event loop; nil means that none are recorded.
+	Metrics *telemetry.ControlLoopMetrics
 }
 
 // Server is the control server, without its listeners and its replica.
@@ -43,10 +47,16 @@
 	catalog      *catalog.Catalog
 	stateMachine *stateMachine
 	start        time.Time
-	events       chan any
+	events       chan queuedEvent
 	done         chan struct{}
 }
 
+// queuedEvent is an event for the loop.
+type queuedEvent struct {
+	event    any
+	postedAt time.Duration
+}
+
 // eventQueueSize is the capacity of the queue of the event loop.
 const eventQueueSize = 256
 
@@ -58,13 +68,16 @@
 	if opts.Operator == nil {
 		opts.Operator = func(context.Context) string { return "" }
 	}
+	if opts.Metrics == nil {
+		opts.Metrics = telemetry.NewControlLoopMetrics(tally.NoopScope)
+	}
 	cat := catalog.New()
 	return &Server{
 		opts:         opts,
 		catalog:      cat,
 		stateMachine: &stateMachine{catalog: cat, changed: make(chan struct{}, 1)},
 		start:        time.Now(),
-		events:       make(chan any, eventQueueSize),
+		events:       make(chan queuedEvent, eventQueueSize),
 		done:         make(chan struct{}),
 	}
 }
@@ -127,7 +140,7 @@
 // ctx ends first.
 func (s *Server) post(ctx context.Context, ev any) bool {
 	select {
-	case s.events <- ev:
+	case s.events <- queuedEvent{ev, s.now()}:
 		return true
 	case <-ctx.Done():
 	case <-s.done:
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -26,6 +26,7 @@
 	// deferredRenewals holds renewals that arrived while leadership was being
 	// confirmed.
 	deferredRenewals []*renewal
+	load             loopLoad
 }
 
 // leadershipConfirmation is the event that reports whether the leadership of a
@@ -51,8 +52,11 @@
 			l.onTick()
 		case <-l.server.stateMachine.changed:
 			l.onConfigChanged()
-		case ev := <-l.server.events:
-			l.handle(ev)
+		case queued := <-l.server.events:
+			start := l.server.now()
+			l.handle(queued.event)
+			l.load.record(start-queued.postedAt, l.server.now()-start)
+			l.server.opts.Metrics.Wait.RecordDuration(start - queued.postedAt)
 		}
 	}
 }
@@ -80,11 +84,13 @@
 func (l *loop) onTick() {
 	st := l.server.opts.Replica.Status()
 	l.followLeadership(st)
+	l.logLoad()
 	if l.term == nil {
 		return
 	}
 	l.advanceAcceptance()
 	l.answerExpired()
+	l.logUnackedState()
 	l.proposeNext()
 }
 
@@ -163,7 +169,7 @@
 	if l.term == nil {
 		return
 	}
-	if !l.term.publish(l.server.catalog.Config()) {
+	if !l.term.publish(l.server.now(), l.server.catalog.Config()) {
 		return
 	}
 	l.answerDueRenewals()
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -106,7 +106,12 @@
 		l.answerWithoutLease(r)
 		return
 	}
-	if !l.term.completeEntry(r.request) || !l.term.recordReport(l.server.now(), r) {
+	if !l.term.completeEntry(r.request) {
+		l.answerWithoutLease(r)
+		return
+	}
+	l.recordAckAge(r.request)
+	if !l.term.recordReport(l.server.now(), r) {
 		l.answerWithoutLease(r)
 		return
 	}
@@ -125,6 +130,18 @@
 	}
 }
 
+// recordAckAge records the age of the configuration that a renewal acknowledges
+// for the first time. It must be called before recordReport.
+func (l *loop) recordAckAge(req *clusterpb.RenewRequest) {
+	report := l.term.reports[req.Entry.Id]
+	if report == nil || report.revision >= req.Revision {
+		return
+	}
+	if cfg, ok := l.term.history.find(req.Revision); ok {
+		l.server.opts.Metrics.ConfigAck.RecordDuration(l.server.now() - cfg.at)
+	}
+}
+
 // confirmThenAnswer confirms leadership by a read started after the request was
 // received, and then answers it. This ensures that a restarted entry VM never
 // gets a configuration older than one that it acknowledged before the restart.
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -28,6 +28,7 @@
 	// lastEmptyPlan holds the inputs of the last cell assignment that changed
 	// nothing.
 	lastEmptyPlan cellPlanInputs
+	lastState     statePublication
 }
 
 // entryReport is the last state that an entry VM reported.
@@ -48,19 +49,22 @@
 		config:      cfg,
 		reports:     make(map[string]*entryReport),
 	}
-	t.history.add(cfg)
+	t.history.add(since, cfg)
 	return t
 }
 
 // publish makes cfg the current configuration of the term. It reports false if
 // cfg is not newer.
-func (t *term) publish(cfg *catalogpb.Config) bool {
+func (t *term) publish(now time.Duration, cfg *catalogpb.Config) bool {
 	if cfg.Revision <= t.config.Revision {
 		return false
 	}
 	t.dropRemovedReports(cfg)
+	if cfg.StateVersion != t.config.StateVersion {
+		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
+	}
 	t.config = cfg
-	t.history.add(cfg)
+	t.history.add(now, cfg)
 	t.tracker.AddRevision(acceptanceRevision(cfg))
 	return true
 }
--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -24,6 +24,7 @@
 	"balsamcourse.example/balsamcourse/internal/replica"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
 const (
@@ -49,6 +50,8 @@
 	control  *control.Server
 	client   *http.Client
 	servers  []*httpnet.Server
+	// clusterRPCs counts the calls of other processes of the system.
+	clusterRPCs *telemetry.RPCs
 }
 
 // keys holds the API keys of operators and of the VMs of the system. A nil
@@ -90,6 +93,9 @@
 	var workers conc.WaitGroup
 	crash.Go(&workers, func() { d.control.Run(runCtx) })
 	crash.Go(&workers, func() { d.updateMetrics(runCtx) })
+	crash.Go(&workers, func() {
+		wait.Every(runCtx, telemetry.RPCLogInterval, func() { d.clusterRPCs.LogTotals(d.log) })
+	})
 	if len(s.Seeds) > 0 {
 		crash.Go(&workers, func() { d.maintainMembership(runCtx) })
 	}
@@ -141,6 +147,7 @@
 		Client:   client,
 		Operator: access.Holder,
 		Log:      d.log,
+		Metrics:  telemetry.NewControlLoopMetrics(d.metrics),
 	})
 	if err := d.startReplica(client); err != nil {
 		return errors.Trace(err)
@@ -191,7 +198,8 @@
 	cluster.Handle(adminpb.AdminPathPrefix, d.control.PeerAdminHandler())
 	operators := http.NewServeMux()
 	operators.Handle(adminpb.AdminPathPrefix, d.tracing.Wrap("admin", d.control.AdminHandler()))
-	if err := d.serve(d.settings.ClusterListen, access.NewAuthenticator(d.keys.cluster, d.log, nil).Wrap(telemetry.CountRPCs(d.metrics, cluster))); err != nil {
+	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
+	if err := d.serve(d.settings.ClusterListen, access.NewAuthenticator(d.keys.cluster, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
 		return err
 	}
 	if err := d.serve(d.settings.OperatorListen, access.NewAuthenticator(d.keys.operators, d.log, nil).Wrap(telemetry.CountRPCs(d.metrics, operators))); err != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -12,6 +12,7 @@
 	ListenFailed    = Event{104, "listen_failed", zerolog.ErrorLevel, "cannot listen", "check the address settings"}
 	Reloaded        = Event{105, "reloaded", zerolog.InfoLevel, "the changed settings file was reloaded", ""}
 	ReloadFailed    = Event{106, "reload_failed", zerolog.ErrorLevel, "the changed settings file is not valid; the old settings stay in force", "correct the settings file"}
+	RPCLoad         = Event{107, "rpc_load", zerolog.InfoLevel, "calls of other processes of the system in the last seconds, by method", ""}
 	BecameLeader    = Event{200, "became_leader", zerolog.InfoLevel, "this replica became the leader", ""}
 	LostLeadership  = Event{201, "lost_leadership", zerolog.WarnLevel, "this replica is no longer the leader", ""}
 	DiskFault       = Event{202, "disk_fault", zerolog.ErrorLevel, "the disk failed; this replica no longer acknowledges log entries", "replace the VM under a new replica id"}
@@ -28,6 +29,8 @@
 	JoinFailed      = Event{215, "join_failed", zerolog.WarnLevel, "this replica could not join the control group; it will retry", "check the seeds in the settings"}
 	OrderRefused    = Event{216, "order_refused", zerolog.WarnLevel, "a request from an operator or an upstream was refused", "see the error field"}
 	MemberRemoved   = Event{217, "member_removed", zerolog.WarnLevel, "a control VM was removed from the control group, by an operator or because it did not respond", "if the VM is to return, check that it runs and joins the group"}
+	LoopSlow        = Event{218, "loop_slow", zerolog.WarnLevel, "events waited long for the event loop of the leader", "check the CPU time of the VM"}
+	ConfigUnacked   = Event{219, "config_unacked", zerolog.WarnLevel, "live gateways have not acknowledged a desired state in time", "check the load of the leader and the links of the gateways"}
 	ConfigAdopted   = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
 	LeaseLost       = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration lease has expired; refusing new calls", "check the network to control VMs and other entry VMs"}
 	LeaseRegained   = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration lease was renewed after it had expired", ""}
@@ -35,6 +38,7 @@
 	CellGiven       = Event{304, "cell_given", zerolog.InfoLevel, "this entry VM is no longer the dispatcher of the cell", ""}
 	ControlLost     = Event{305, "control_lost", zerolog.WarnLevel, "no control VM responds; serving with the last configuration", "check the network to control VMs"}
 	ControlRegained = Event{306, "control_regained", zerolog.InfoLevel, "a control VM responds again", ""}
+	RenewalFailed   = Event{307, "renewal_failed", zerolog.WarnLevel, "a control VM did not answer the renewal of the configuration; others are tried", "if it persists, check the control VM and the network to it"}
 	UpstreamState   = Event{310, "upstream_state", zerolog.InfoLevel, "an upstream changed its state", ""}
 	UpstreamHeld    = Event{311, "upstream_held", zerolog.WarnLevel, "an upstream failed and temporarily receives no requests from this process", ""}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
@@ -50,10 +54,10 @@
 // Catalogue returns all events in the order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed,
+		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
-		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, UpstreamState, UpstreamHeld,
+		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -62,6 +62,8 @@
 	limiter      *admission.Limiter
 	callerServer *httpnet.Server
 	servers      []*httpnet.Server
+	// clusterRPCs counts the calls of other processes of the system.
+	clusterRPCs *telemetry.RPCs
 	// stopping is set when a planned stop begins, closed when new calls are
 	// refused.
 	stopping, closed atomic.Bool
@@ -211,7 +213,8 @@
 	cluster := http.NewServeMux()
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
-	if err := d.openListener(s.ClusterListen, httpnet.Limits{}, access.NewAuthenticator(d.keys, d.log, nil).Wrap(cluster)); err != nil {
+	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
+	if err := d.openListener(s.ClusterListen, httpnet.Limits{}, access.NewAuthenticator(d.keys, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
 		return err
 	}
 	if d.opts.ExtraListeners != nil {
@@ -264,6 +267,9 @@
 	crash.Go(&d.workers, func() { d.config.Run(ctx) })
 	crash.Go(&d.workers, func() { d.gossip.Run(ctx) })
 	crash.Go(&d.workers, func() { wait.Every(ctx, housekeepingInterval, d.runHousekeeping) })
+	crash.Go(&d.workers, func() {
+		wait.Every(ctx, telemetry.RPCLogInterval, func() { d.clusterRPCs.LogTotals(d.log) })
+	})
 	if d.keys != nil {
 		crash.Go(&d.workers, func() { d.keys.Watch(ctx, keyReloadInterval, d.log) })
 	}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -69,9 +69,13 @@
 		{"control_state_version", gauge, "control", "", "version of the desired state in the newest committed revision"},
 		{"control_entries", gauge, "control", "", "registered gateways and entry VMs"},
 		{"control_upstreams", gauge, "control", "state", "upstreams that have announced themselves"},
-		{"rpc_calls", counter, "control", "method", "RPCs received from other processes and operators"},
-		{"rpc_failed", counter, "control", "method", "RPCs that failed"},
-		{"rpc_seconds", histogram, "control", "method", "duration of RPCs"},
+		{"control_loop_wait_seconds", histogram, "control", "", "time that events waited for the event loop of the control server"},
+		{"control_config_ack_seconds", histogram, "control", "", "age of a configuration when a gateway or an entry VM acknowledged it to the leader"},
+		{"rpc_calls", counter, "gateway, control", "method", "RPCs received from other processes and operators"},
+		{"rpc_failed", counter, "gateway, control", "method", "RPCs that failed"},
+		{"rpc_received_bytes", counter, "gateway, control", "method", "bytes of the request bodies of RPCs"},
+		{"rpc_sent_bytes", counter, "gateway, control", "method", "bytes of the response bodies of RPCs"},
+		{"rpc_seconds", histogram, "gateway, control", "method", "duration of RPCs"},
 	}
 }
 
--- a/internal/telemetry/roles.go
+++ b/internal/telemetry/roles.go
@@ -118,6 +118,23 @@
 	return m
 }
 
+// ControlLoopMetrics holds the metrics of the event loop of a control server.
+type ControlLoopMetrics struct {
+	// Wait is the time that events waited for the loop.
+	Wait tally.Histogram
+	// ConfigAck is the age of a configuration when it was acknowledged to the
+	// leader.
+	ConfigAck tally.Histogram
+}
+
+// NewControlLoopMetrics creates the metrics of an event loop in scope s.
+func NewControlLoopMetrics(s tally.Scope) *ControlLoopMetrics {
+	return &ControlLoopMetrics{
+		Wait:      latencyHistogram(s, "control_loop_wait_seconds"),
+		ConfigAck: latencyHistogram(s, "control_config_ack_seconds"),
+	}
+}
+
 func callCounter(s tally.Scope, kind string) tally.Counter {
 	return s.Tagged(map[string]string{"kind": kind}).Counter("answers")
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -141,9 +142,13 @@
 		if r.Header.Get("Fail") != "" {
 			w.WriteHeader(http.StatusConflict)
 		}
+		_, err := io.Copy(io.Discard, r.Body)
+		assert.NilError(t, err)
+		_, err = w.Write([]byte("answer"))
+		assert.NilError(t, err)
 	}))
 	call := func(path, fail string) {
-		r := httptest.NewRequest(http.MethodPost, path, nil)
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("question"))
 		r.Header.Set("Fail", fail)
 		h.ServeHTTP(httptest.NewRecorder(), r)
 	}
@@ -154,5 +159,10 @@
 	counters := scope.Snapshot().Counters()
 	assert.Equal(t, counters["rpc_calls+method=Apply"].Value(), int64(2))
 	assert.Equal(t, counters["rpc_failed+method=Apply"].Value(), int64(1))
-	assert.Equal(t, len(counters), 2)
+	assert.Equal(t, counters["rpc_received_bytes+method=Apply"].Value(), int64(2*len("question")))
+	assert.Equal(t, counters["rpc_sent_bytes+method=Apply"].Value(), int64(2*len("answer")))
+	assert.Equal(t, len(counters), 4)
+	want := []MethodTotals{{Method: "Apply", Calls: 2, Failed: 1, ReceivedBytes: 16, SentBytes: 12}}
+	assert.DeepEqual(t, h.TakeTotals(), want)
+	assert.Equal(t, len(h.TakeTotals()), 0)
 }
