Decide on acceptance without work for each pending revision

What callers saw: gateways followed a configuration that had been replaced more than two seconds before (CONFIG), on the grown sites.

Cause: for each renewal the leader's tracker compared all pairs of entry VMs and, for each revision that was not accepted, all entry VMs again. Each announcement of an upstream adds a revision.

Sets are resolved once for each change of the set.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -7,11 +7,11 @@
 package acceptance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/freshness"
-	"balsamcourse.example/balsamcourse/internal/union"
 )
 
 // Revision describes a committed configuration: its number and the entry VMs
@@ -33,31 +33,110 @@
 	expiresAt time.Duration
 }
 
-// entryState is what the leader knows about one entry VM.
-type entryState struct {
-	ackedRevision uint64
+// ack is an acknowledgement of a revision by an entry VM.
+type ack struct {
+	revision uint64
 	// confirmationsEnd is the time at which the confirmations have expired that
-	// the entry VM gave to others before it acknowledged ackedRevision.
+	// the entry VM gave to others before the acknowledgement.
 	confirmationsEnd time.Duration
-	grants           []leaseGrant
 }
 
-// pendingRevision is a committed revision that is not yet accepted everywhere.
-type pendingRevision struct {
-	Revision
-	// confirmationsEnd holds, for each entry VM that has acknowledged the
-	// revision, the time at which its earlier confirmations have expired.
-	confirmationsEnd map[freshness.EntryKey]time.Duration
+// entryState is what the leader knows about one entry VM.
+type entryState struct {
+	key freshness.EntryKey
+	// acks holds the acknowledgements in ascending order of both fields. Of
+	// those whose confirmations have expired only the newest is kept.
+	acks   []ack
+	grants []leaseGrant
+}
+
+// ackedRevision returns the newest acknowledged revision.
+func (m *entryState) ackedRevision() uint64 {
+	if len(m.acks) == 0 {
+		return 0
+	}
+	return m.acks[len(m.acks)-1].revision
+}
+
+// dropExpired drops the acknowledgements that a newer one replaces because the
+// confirmations given before both have expired.
+func (m *entryState) dropExpired(now time.Duration) {
+	replaced := 0
+	for replaced+1 < len(m.acks) && m.acks[replaced+1].confirmationsEnd <= now {
+		replaced++
+	}
+	m.acks = append(m.acks[:0], m.acks[replaced:]...)
+}
+
+// confirmsSince returns the oldest revision that the entry VM may still confirm
+// to others, or that others may rely on by its earlier confirmations. alone is
+// set if there is no other to confirm to.
+func (m *entryState) confirmsSince(now time.Duration, alone bool) uint64 {
+	if alone {
+		return m.ackedRevision()
+	}
+	since := uint64(0)
+	for _, a := range m.acks {
+		if now < a.confirmationsEnd {
+			break
+		}
+		since = a.revision
+	}
+	return since
 }
 
-// Tracker records leases and acknowledgements during one term of a leader. It is
-// not safe for concurrent use.
+// admitsSince returns the oldest revision under which the entry VM may admit
+// requests by a lease: the newest that it has acknowledged, or that of an older
+// lease. Without an unexpired lease it is latest.
+func (m *entryState) admitsSince(now time.Duration, latest uint64) uint64 {
+	oldest := latest
+	for _, g := range m.grants {
+		if now < g.expiresAt {
+			oldest = min(oldest, g.revision)
+		}
+	}
+	return max(oldest, m.ackedRevision())
+}
+
+// epoch is a sequence of revisions with the same sets of entry VMs.
+type epoch struct {
+	setRevision uint64
+	// set and previousSet hold the entry VMs by region.
+	set, previousSet map[string][]*entryState
+	// pending holds the numbers of the revisions that are not yet accepted
+	// everywhere, in ascending order.
+	pending []uint64
+}
+
+// newestPending returns the newest pending revision that is at most limit.
+func (e *epoch) newestPending(limit uint64) (uint64, bool) {
+	i, found := slices.BinarySearch(e.pending, limit)
+	if found {
+		return limit, true
+	}
+	if i == 0 {
+		return 0, false
+	}
+	return e.pending[i-1], true
+}
+
+// Tracker records leases and acknowledgements during one term of a leader. The
+// time that it takes for one renewal grows with the number of entry VMs, but not
+// with the number of pending revisions. It is not safe for concurrent use.
 type Tracker struct {
 	entries map[freshness.EntryKey]*entryState
 	current Revision
-	pending []pendingRevision
+	// registered contains the keys of current.Set.
+	registered map[freshness.EntryKey]bool
+	// epochs is ordered by age; the last one contains the current revision.
+	epochs []*epoch
+	// regions holds the regions of all entry VMs in the current and previous
+	// set, which may hold an older revision.
+	regions []string
 	// accepted is the newest accepted revision by region.
 	accepted map[string]uint64
+	// confirming is scratch space of excludedBefore.
+	confirming []uint64
 	// leaseWait and confirmationWait are the times after which a lease and a
 	// confirmation have expired on any clock within the drift bound.
 	leaseWait        time.Duration
@@ -75,52 +154,83 @@
 		confirmationWait: freshness.AddDrift(freshness.ConfirmationValidity),
 	}
 	expiresAt := since + freshness.AddDrift(freshness.MaxQuorumAge+freshness.LeaseDuration)
-	for _, key := range union.Of(current.Set, current.PreviousSet) {
-		t.entry(key).grants = []leaseGrant{{revision: 0, expiresAt: expiresAt}}
+	for _, set := range [][]freshness.EntryKey{current.Set, current.PreviousSet} {
+		for _, key := range set {
+			t.entry(key).grants = []leaseGrant{{revision: 0, expiresAt: expiresAt}}
+		}
 	}
-	t.AddRevision(current)
+	t.beginEpoch(current)
+	t.appendRevision(current)
 	return t
 }
 
 func (t *Tracker) entry(key freshness.EntryKey) *entryState {
 	m := t.entries[key]
 	if m == nil {
-		m = &entryState{}
+		m = &entryState{key: key}
 		t.entries[key] = m
 	}
 	return m
 }
 
 // AddRevision adds a committed revision. It ignores one that is not newer than
-// the current revision.
+// the current revision. Its sets are compared with those of the current
+// revision only if their set revision differs.
 func (t *Tracker) AddRevision(r Revision) {
 	if r.Number <= t.current.Number {
 		return
 	}
+	if r.SetRevision != t.current.SetRevision {
+		t.beginEpoch(r)
+	}
+	t.appendRevision(r)
+}
+
+// appendRevision makes r, which belongs to the last epoch, the current revision.
+func (t *Tracker) appendRevision(r Revision) {
 	t.current = r
-	p := pendingRevision{Revision: r, confirmationsEnd: make(map[freshness.EntryKey]time.Duration)}
-	for key, m := range t.entries {
-		if m.ackedRevision >= r.Number {
-			p.confirmationsEnd[key] = m.confirmationsEnd
+	last := t.epochs[len(t.epochs)-1]
+	last.pending = append(last.pending, r.Number)
+}
+
+// beginEpoch begins an epoch with the sets of r.
+func (t *Tracker) beginEpoch(r Revision) {
+	e := &epoch{setRevision: r.SetRevision, set: t.byRegion(r.Set), previousSet: t.byRegion(r.PreviousSet)}
+	t.epochs = append(t.epochs, e)
+	t.registered = make(map[freshness.EntryKey]bool, len(r.Set))
+	for _, key := range r.Set {
+		t.registered[key] = true
+	}
+	t.regions = slices.Sorted(maps.Keys(e.set))
+	for region := range e.previousSet {
+		if e.set[region] == nil {
+			t.regions = append(t.regions, region)
 		}
 	}
-	t.pending = append(t.pending, p)
+}
+
+func (t *Tracker) byRegion(set []freshness.EntryKey) map[string][]*entryState {
+	regions := make(map[string][]*entryState)
+	for _, key := range set {
+		regions[key.Region] = append(regions[key.Region], t.entry(key))
+	}
+	return regions
 }
 
 // RecordAck records an acknowledgement of a revision that was received at
 // received. The entry VM last confirmed a revision to another entry VM, or
 // started, sinceConfirmed before it sent the acknowledgement.
 func (t *Tracker) RecordAck(received time.Duration, key freshness.EntryKey, revision uint64, sinceConfirmed time.Duration) {
-	confirmationsEnd := received + t.confirmationWait - freshness.SubtractDrift(sinceConfirmed)
 	m := t.entry(key)
-	if revision > m.ackedRevision {
-		m.ackedRevision, m.confirmationsEnd = revision, confirmationsEnd
+	if len(m.acks) > 0 && revision <= m.ackedRevision() {
+		return
 	}
-	for _, p := range t.pending {
-		if _, ok := p.confirmationsEnd[key]; !ok && revision >= p.Number {
-			p.confirmationsEnd[key] = confirmationsEnd
-		}
+	end := received + t.confirmationWait - freshness.SubtractDrift(sinceConfirmed)
+	if len(m.acks) > 0 {
+		end = max(end, m.acks[len(m.acks)-1].confirmationsEnd)
 	}
+	m.dropExpired(received)
+	m.acks = append(m.acks, ack{revision, end})
 }
 
 // GrantLease decides on a lease for a request that was received at received from
@@ -129,7 +239,7 @@
 // heartbeat round that a quorum answered was sent. GrantLease returns false when
 // quorumAt is too long ago or the entry VM is not registered.
 func (t *Tracker) GrantLease(now, received, quorumAt time.Duration, key freshness.EntryKey) (time.Duration, bool) {
-	if now-quorumAt > freshness.MaxQuorumAge || !slices.Contains(t.current.Set, key) {
+	if now-quorumAt > freshness.MaxQuorumAge || !t.registered[key] {
 		return 0, false
 	}
 	m := t.entry(key)
@@ -150,9 +260,21 @@
 }
 
 func (t *Tracker) accept(revision uint64, region string) {
-	t.accepted[region] = max(t.accepted[region], revision)
+	if revision <= t.accepted[region] {
+		return
+	}
+	t.accepted[region] = revision
 	acceptedEverywhere := t.Accepted()
-	t.pending = slices.DeleteFunc(t.pending, func(p pendingRevision) bool { return p.Number <= acceptedEverywhere })
+	for _, e := range t.epochs {
+		i, found := slices.BinarySearch(e.pending, acceptedEverywhere)
+		if found {
+			i++
+		}
+		e.pending = append(e.pending[:0], e.pending[i:]...)
+	}
+	for len(t.epochs) > 1 && len(t.epochs[0].pending) == 0 {
+		t.epochs = slices.Delete(t.epochs, 0, 1)
+	}
 }
 
 // AcceptedIn returns the newest revision accepted in a region: no entry VM of
@@ -162,33 +284,18 @@
 // Accepted returns the newest revision accepted in all regions.
 func (t *Tracker) Accepted() uint64 {
 	lowest := t.current.Number
-	for _, region := range t.regions() {
+	for _, region := range t.regions {
 		lowest = min(lowest, t.accepted[region])
 	}
 	return lowest
 }
 
-// regions returns the regions of all entry VMs in the current and previous set,
-// which may hold an older revision.
-func (t *Tracker) regions() []string {
-	var regions []string
-	for _, key := range union.Of(t.current.Set, t.current.PreviousSet) {
-		if !slices.Contains(regions, key.Region) {
-			regions = append(regions, key.Region)
-		}
-	}
-	return regions
-}
-
 // CanChangeSet reports whether the set of registered entry VMs may change. It may
 // once its last change is accepted in every region whose entry VMs changed.
 func (t *Tracker) CanChangeSet() bool {
-	for _, region := range t.regions() {
-		if t.accepted[region] >= t.current.SetRevision {
-			continue
-		}
-		previous := freshness.InRegion(t.current.PreviousSet, region)
-		if !slices.Equal(previous, freshness.InRegion(t.current.Set, region)) {
+	e := t.epochs[len(t.epochs)-1]
+	for _, region := range t.regions {
+		if t.accepted[region] < e.setRevision && !slices.Equal(e.previousSet[region], e.set[region]) {
 			return false
 		}
 	}
@@ -201,71 +308,62 @@
 // Advance accepts the revisions that can be accepted at now and returns the
 // newest revision accepted in all regions.
 func (t *Tracker) Advance(now time.Duration) uint64 {
-	for _, region := range t.regions() {
-		t.advanceRegion(now, region)
+	for _, region := range t.regions {
+		if t.accepted[region] < t.current.Number {
+			t.advanceRegion(now, region)
+		}
 	}
 	return t.Accepted()
 }
 
+// advanceRegion accepts the newest revision of the region for which no entry VM
+// can admit requests under an older one: neither by a lease, nor by
+// confirmations, because those that may have confirmed an older revision are no
+// majority.
 func (t *Tracker) advanceRegion(now time.Duration, region string) {
-	for i := len(t.pending) - 1; i >= 0; i-- {
-		p := &t.pending[i]
-		if p.Number <= t.accepted[region] {
-			return
+	byLeases := t.admittedSince(now, region)
+	for _, e := range slices.Backward(t.epochs) {
+		limit := min(byLeases, t.excludedBefore(now, e.set[region]))
+		if e.setRevision > t.accepted[region] {
+			limit = min(limit, t.excludedBefore(now, e.previousSet[region]))
 		}
-		if t.canAccept(now, p, region) {
-			t.accept(p.Number, region)
+		if revision, ok := e.newestPending(limit); ok {
+			t.accept(revision, region)
 			return
 		}
 	}
 }
 
-// canAccept reports whether no entry VM of the region can admit requests under a
-// revision older than p: neither by confirmations, because those that may have
-// confirmed an older revision are no majority of the region, nor by a lease.
-func (t *Tracker) canAccept(now time.Duration, p *pendingRevision, region string) bool {
-	if !p.excludesOldMajority(now, freshness.InRegion(p.Set, region)) {
-		return false
-	}
-	if p.SetRevision > t.accepted[region] && !p.excludesOldMajority(now, freshness.InRegion(p.PreviousSet, region)) {
-		return false
-	}
-	return !t.mayHoldOlderLease(now, p.Number, region)
-}
-
-// excludesOldMajority reports whether fewer than a majority of the entry VMs in
-// set may have given a confirmation of an older revision that is still valid. An
-// entry VM alone in its set has no other to confirm to.
-func (p *pendingRevision) excludesOldMajority(now time.Duration, set []freshness.EntryKey) bool {
-	mayConfirmOlder := 0
-	for _, key := range set {
-		confirmationsEnd, acked := p.confirmationsEnd[key]
-		if !acked || now < confirmationsEnd && len(set) > 1 {
-			mayConfirmOlder++
+// admittedSince returns the oldest revision under which an entry VM of the
+// region may admit requests by a lease.
+func (t *Tracker) admittedSince(now time.Duration, region string) uint64 {
+	oldest := t.current.Number
+	for _, m := range t.entries {
+		if m.key.Region == region {
+			oldest = min(oldest, m.admitsSince(now, t.current.Number))
 		}
 	}
-	return mayConfirmOlder < freshness.Majority(len(set))
+	return oldest
 }
 
-// mayHoldOlderLease reports whether an entry VM of the region that has not
-// acknowledged the revision may hold a lease granted at an older one.
-func (t *Tracker) mayHoldOlderLease(now time.Duration, revision uint64, region string) bool {
-	for key, m := range t.entries {
-		if key.Region != region || m.ackedRevision >= revision {
-			continue
-		}
-		for _, g := range m.grants {
-			if g.revision < revision && now < g.expiresAt {
-				return true
-			}
-		}
+// excludedBefore returns the newest revision for which fewer than a majority of
+// the entry VMs in set may have given a confirmation of an older revision that is
+// still valid. For an empty set it is the current revision.
+func (t *Tracker) excludedBefore(now time.Duration, set []*entryState) uint64 {
+	if len(set) == 0 {
+		return t.current.Number
+	}
+	t.confirming = t.confirming[:0]
+	for _, m := range set {
+		t.confirming = append(t.confirming, m.confirmsSince(now, len(set) == 1))
 	}
-	return false
+	slices.Sort(t.confirming)
+	return t.confirming[freshness.Majority(len(set))-1]
 }
 
 func (t *Tracker) hasAcked(key freshness.EntryKey, revision uint64) bool {
 	m := t.entries[key]
-	return m != nil && m.ackedRevision >= revision
+	return m != nil && m.ackedRevision() >= revision
 }
 
 // MissingAcks returns the ids of the registered entry VMs that have not
--- a/internal/acceptance/simulation_test.go
+++ b/internal/acceptance/simulation_test.go
@@ -200,7 +200,9 @@
 	l.tracker = New(since, w.trackerRevision(l.config))
 	if w.rules.ignoreLeases {
 		l.tracker.leaseWait = 0
-		l.tracker.entries = map[freshness.EntryKey]*entryState{}
+		for _, m := range l.tracker.entries {
+			m.grants = nil
+		}
 	}
 	if w.rules.ignoreConfirmations {
 		l.tracker.confirmationWait = 0
