Send differences from control VMs that do not lead and from new leaders

Cause: only the leader of a term could work out the difference between two configurations, and only from those of its term. A follower answered every gateway that was behind with the whole configuration, 75 kB on a link that carries 188 kB a second, and a new leader did so for all gateways at once.

The state machine of each control VM now retains what it has applied, so that each can send differences. The test failed before: the follower sent the whole configuration.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,6 +45,7 @@
 type Server struct {
 	opts         Options
 	catalog      *catalog.Catalog
+	history      *history
 	stateMachine *stateMachine
 	start        time.Time
 	events       chan queuedEvent
@@ -72,14 +73,16 @@
 		opts.Metrics = telemetry.NewControlLoopMetrics(tally.NoopScope)
 	}
 	cat := catalog.New()
-	return &Server{
-		opts:         opts,
-		catalog:      cat,
-		stateMachine: &stateMachine{catalog: cat, changed: make(chan struct{}, 1)},
-		start:        time.Now(),
-		events:       make(chan queuedEvent, eventQueueSize),
-		done:         make(chan struct{}),
+	s := &Server{
+		opts:    opts,
+		catalog: cat,
+		history: &history{},
+		start:   time.Now(),
+		events:  make(chan queuedEvent, eventQueueSize),
+		done:    make(chan struct{}),
 	}
+	s.stateMachine = &stateMachine{catalog: cat, history: s.history, now: s.now, changed: make(chan struct{}, 1)}
+	return s
 }
 
 // SetReplica sets the replica. It must be called before Run and before the
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -299,3 +299,31 @@
 	})
 	assert.Equal(t, fault.FromTwirp(err, fault.Internal).Kind, fault.InvalidChange)
 }
+
+// TestControlVMsThatDoNotLeadSendDeltas guards against incident inc1: gateways that
+// asked another control VM than the leader, or a new leader, were sent whole
+// configurations over congested links.
+func TestControlVMsThatDoNotLeadSendDeltas(t *testing.T) {
+	g := newGroup(t)
+	gateway := &catalogpb.Entry{Id: "g1", ClusterAddress: "g1:1", Incarnation: 1, ServesStale: true}
+	_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(1)})
+	assert.NilError(t, err)
+	held := g.renewGateway(gateway.Id).Revision
+	assert.Assert(t, held > 0)
+	for version := uint64(2); version < 5; version++ {
+		_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(version)})
+		assert.NilError(t, err)
+	}
+	renew := func(server int) *clusterpb.RenewResponse {
+		client := clusterpb.NewDistributionProtobufClient("http://"+g.servers[server].Address(), httpnet.NewClient(nil))
+		resp, err := client.Renew(t.Context(), &clusterpb.RenewRequest{Entry: gateway, Revision: held, Synced: true, ServesStale: true, WaitMs: 100})
+		assert.NilError(t, err)
+		return resp
+	}
+	follower := renew(1)
+	assert.Assert(t, follower.Config == nil && follower.Delta.GetBaseRevision() == held, "the follower sent %v", follower)
+	g.log.SetLeader(g.replicas[1])
+	leader := renew(1)
+	assert.Assert(t, leader.Config == nil && leader.Delta.GetBaseRevision() == held, "the new leader sent %v", leader)
+	assert.Equal(t, leader.Delta.StateVersion, uint64(4))
+}
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
@@ -17,43 +18,72 @@
 // elements.
 const historySize = 1024
 
-// history retains recent configurations and caches the deltas from them to the
-// newest one.
+// history retains the configurations that were applied last on this control VM,
+// in any term, and caches the deltas from them to the newest one. It is safe for
+// concurrent use.
 type history struct {
+	mu sync.Mutex
 	// configs is ordered by revision.
-	configs []publishedConfig
-	deltas  map[uint64]*catalogpb.ConfigDelta
+	configs []appliedConfig
+	// target is the configuration that the deltas lead to.
+	target *catalogpb.Config
+	deltas map[uint64]*catalogpb.ConfigDelta
 }
 
-// publishedConfig is a configuration and the time at which the leader began to
-// send it.
-type publishedConfig struct {
+// appliedConfig is a configuration and the time at which it was applied.
+type appliedConfig struct {
 	*catalogpb.Config
 	at time.Duration
 }
 
-// add appends cfg as the newest configuration.
+// add appends cfg, if it is newer than the newest configuration.
 func (h *history) add(now time.Duration, cfg *catalogpb.Config) {
-	h.configs = append(h.configs, publishedConfig{cfg, now})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.configs); n > 0 && h.configs[n-1].Revision >= cfg.Revision {
+		return
+	}
+	h.configs = append(h.configs, appliedConfig{cfg, now})
 	if len(h.configs) > historySize {
-		h.configs[0] = publishedConfig{}
+		h.configs[0] = appliedConfig{}
 		h.configs = h.configs[1:]
 	}
-	h.deltas = make(map[uint64]*catalogpb.ConfigDelta)
 }
 
-// find returns the retained configuration with the given revision.
-func (h *history) find(revision uint64) (publishedConfig, bool) {
-	i, ok := slices.BinarySearchFunc(h.configs, revision, func(c publishedConfig, r uint64) int { return cmp.Compare(c.Revision, r) })
+// reset replaces all configurations by cfg.
+func (h *history) reset(now time.Duration, cfg *catalogpb.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.configs = []appliedConfig{{cfg, now}}
+	h.target, h.deltas = nil, nil
+}
+
+// appliedAt returns the time at which a retained revision was applied.
+func (h *history) appliedAt(revision uint64) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cfg, ok := h.find(revision)
+	return cfg.at, ok
+}
+
+// find returns the retained configuration with the given revision. h.mu must be
+// held.
+func (h *history) find(revision uint64) (appliedConfig, bool) {
+	i, ok := slices.BinarySearchFunc(h.configs, revision, func(c appliedConfig, r uint64) int { return cmp.Compare(c.Revision, r) })
 	if !ok {
-		return publishedConfig{}, false
+		return appliedConfig{}, false
 	}
 	return h.configs[i], true
 }
 
-// delta returns the delta from revision to the newest configuration, or nil if
-// that revision is not retained.
-func (h *history) delta(revision uint64) *catalogpb.ConfigDelta {
+// delta returns the delta from a revision to next, or nil if that revision is
+// not retained.
+func (h *history) delta(revision uint64, next *catalogpb.Config) *catalogpb.ConfigDelta {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.target != next {
+		h.target, h.deltas = next, make(map[uint64]*catalogpb.ConfigDelta)
+	}
 	if d, ok := h.deltas[revision]; ok {
 		return d
 	}
@@ -61,7 +91,7 @@
 	if !ok {
 		return nil
 	}
-	d := catalog.Delta(base.Config, h.configs[len(h.configs)-1].Config)
+	d := catalog.Delta(base.Config, next)
 	h.deltas[revision] = d
 	return d
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -137,8 +137,8 @@
 	if report == nil || report.revision >= req.Revision {
 		return
 	}
-	if cfg, ok := l.term.history.find(req.Revision); ok {
-		l.server.opts.Metrics.ConfigAck.RecordDuration(l.server.now() - cfg.at)
+	if at, ok := l.server.history.appliedAt(req.Revision); ok {
+		l.server.opts.Metrics.ConfigAck.RecordDuration(l.server.now() - at)
 	}
 }
 
@@ -268,12 +268,7 @@
 // addresses of the control VMs, if the entry VM needs them.
 func (l *loop) addMissingConfig(resp *clusterpb.RenewResponse, req *clusterpb.RenewRequest, st Status) {
 	t := l.term
-	if req.Revision < t.config.Revision {
-		resp.Delta = t.history.delta(req.Revision)
-	}
-	if req.Revision < t.config.Revision && resp.Delta == nil {
-		resp.Config = t.config
-	}
+	l.addConfig(resp, req.Revision, t.config)
 	report := t.reports[req.Entry.Id]
 	if !req.Synced || report == nil || report.responses%responsesPerAddressList == 0 {
 		resp.ControlAddresses = memberAddresses(st)
@@ -286,6 +281,17 @@
 	}
 }
 
+// addConfig adds cfg to a response to an entry VM that has the given revision:
+// as a delta if that revision is retained.
+func (l *loop) addConfig(resp *clusterpb.RenewResponse, revision uint64, cfg *catalogpb.Config) {
+	if revision >= cfg.Revision {
+		return
+	}
+	if resp.Delta = l.server.history.delta(revision, cfg); resp.Delta == nil {
+		resp.Config = cfg
+	}
+}
+
 func memberAddresses(st Status) []string {
 	list := make([]string, 0, len(st.Members))
 	for _, m := range st.Members {
@@ -305,8 +311,8 @@
 	}
 	cfg := l.server.catalog.Config()
 	if r.request.Revision < cfg.Revision {
-		resp.Config = cfg
 		resp.Revision = cfg.Revision
 	}
+	l.addConfig(resp, r.request.Revision, cfg)
 	r.reply <- resp
 }
--- a/internal/control/state_machine.go
+++ b/internal/control/state_machine.go
@@ -1,16 +1,24 @@
 package control
 
-import "balsamcourse.example/balsamcourse/internal/catalog"
+import (
+	"time"
 
-// stateMachine applies commands to the catalog and notifies the event loop.
+	"balsamcourse.example/balsamcourse/internal/catalog"
+)
+
+// stateMachine applies commands to the catalog, retains the configurations and
+// notifies the event loop.
 type stateMachine struct {
 	catalog *catalog.Catalog
+	history *history
+	now     func() time.Duration
 	changed chan struct{}
 }
 
 // Apply applies one command and returns its result.
 func (m *stateMachine) Apply(index uint64, data []byte) any {
 	result := m.catalog.Apply(index, data)
+	m.history.add(m.now(), m.catalog.Config())
 	m.notifyChanged()
 	return result
 }
@@ -23,6 +31,7 @@
 	if err := m.catalog.Restore(data); err != nil {
 		return err
 	}
+	m.history.reset(m.now(), m.catalog.Config())
 	m.notifyChanged()
 	return nil
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -16,7 +16,6 @@
 	leaderSince time.Duration
 	tracker     *acceptance.Tracker
 	config      *catalogpb.Config
-	history     history
 	// reports holds the last report of each entry VM, by id.
 	reports      map[string]*entryReport
 	heldRenewals []*renewal
@@ -49,7 +48,6 @@
 		config:      cfg,
 		reports:     make(map[string]*entryReport),
 	}
-	t.history.add(since, cfg)
 	return t
 }
 
@@ -64,7 +62,6 @@
 		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
 	}
 	t.config = cfg
-	t.history.add(now, cfg)
 	t.tracker.AddRevision(acceptanceRevision(cfg))
 	return true
 }
