Replace silent connections to control also on one core

What callers saw: a gateway whose connections to control have gone silent, after a cut, kept an older configuration until TCP gave up (CONFIG).

Cause: when a renewal failed, the idle connections of the client were closed. On one core the call that failed is still registered with its connection at that moment, so that the connection is not idle and stays; each further renewal fails the same way. The gateways of the platform have one core. With keys in use, the client's transport is wrapped, and nothing was closed. Where it did work, it closed the connections to all other gateways as well.

--- a/internal/configsync/connection_test.go
+++ b/internal/configsync/connection_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -104,17 +105,29 @@
 // After a network partition that outlasts the retransmissions of TCP, the
 // connection to a control VM carries nothing and is not reset. Reusing it would
 // keep the entry VM from ever receiving another configuration.
-func TestSilentConnectionIsReplaced(t *testing.T) {
+func TestSilentConnectionIsReplaced(t *testing.T) { checkSilentConnectionIsReplaced(t) }
+
+// On one core, the call that failed is still registered with its connection when
+// the failure is handled.
+func TestSilentConnectionIsReplacedOnOneCore(t *testing.T) {
+	previous := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(previous) })
+	checkSilentConnectionIsReplaced(t)
+}
+
+func checkSilentConnectionIsReplaced(t *testing.T) {
 	c := &leaselessControl{}
 	c.revision.Store(1)
 	server, err := httpnet.Listen("127.0.0.1:0", clusterpb.NewDistributionServer(c), httpnet.Limits{})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
 	proxy := newTCPProxy(t, server.Address())
+	connections := httpnet.NewConnections(nil)
 	s := New(Options{
 		Entry:            &catalogpb.Entry{Id: "g", ClusterAddress: "127.0.0.1:1", Incarnation: 1},
 		ControlAddresses: []string{proxy.address},
-		Client:           httpnet.NewClient(nil),
+		Client:           httpnet.NewClient(connections.Dial),
+		CloseConnections: connections.Close,
 		ServesStale:      true,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -202,7 +202,7 @@
 		// After a network partition, an open connection may never recover, or
 		// only after a TCP retransmission. Closing it makes the next call open
 		// a new one.
-		l.syncer.opts.Client.CloseIdleConnections()
+		l.syncer.opts.CloseConnections(ev.address)
 		r.avoidUntil[ev.address] = l.syncer.now() + avoidDuration
 		l.forgetLeader(ev.address)
 		l.handleRenewalFailure()
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -53,7 +53,10 @@
 	ServesStale bool
 	// Client makes the calls; nil means http.DefaultClient.
 	Client *http.Client
-	Log    event.Logger
+	// CloseConnections closes the connections of Client to an address that did
+	// not answer, also those in use; nil means that they are left open.
+	CloseConnections func(address string)
+	Log              event.Logger
 }
 
 // DefaultRenewInterval is the default and maximum of Options.RenewInterval. It
@@ -101,6 +104,9 @@
 	if opts.RenewInterval <= 0 || opts.RenewInterval > DefaultRenewInterval {
 		opts.RenewInterval = DefaultRenewInterval
 	}
+	if opts.CloseConnections == nil {
+		opts.CloseConnections = func(string) {}
+	}
 	opts.Entry = proto.CloneOf(opts.Entry)
 	s := &Syncer{
 		opts:      opts,
--- a/internal/entryvm/build.go
+++ b/internal/entryvm/build.go
@@ -59,10 +59,12 @@
 }
 
 func (d *Daemon) newConfigSyncer() *configsync.Syncer {
+	connections := httpnet.NewConnections(d.opts.DialPeer)
 	return configsync.New(configsync.Options{
 		Entry:            d.self,
 		ControlAddresses: d.settings.Control,
-		Client:           d.client(httpnet.NewClient(d.opts.DialPeer)),
+		Client:           d.client(httpnet.NewClient(connections.Dial)),
+		CloseConnections: connections.Close,
 		RenewInterval:    d.settings.RenewMs.Duration(),
 		Log:              d.log,
 	})
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -154,13 +154,15 @@
 		Slack:  s.Retry.Slack,
 		Window: s.Retry.WindowMs.Duration(),
 	})
-	client := httpnet.NewClient(httpnet.DialWithTimeout(peerDialTimeout))
+	connections := httpnet.NewConnections(httpnet.DialWithTimeout(peerDialTimeout))
+	client := httpnet.NewClient(connections.Dial)
 	client.Transport = access.NewTransport(d.keys, client.Transport)
 	d.config = configsync.New(configsync.Options{
 		Entry:            self,
 		ControlAddresses: s.Control,
 		Seeds:            d.opts.Seeds,
 		Client:           client,
+		CloseConnections: connections.Close,
 		Log:              d.log,
 		ServesStale:      true,
 	})
