Log a crash where it was seen

The line is now written by the gateway whose connection broke; a quarantine is still logged everywhere, because it takes effect everywhere. The test failed before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,6 +170,8 @@
 	}
 }
 
+// logDetection logs a new report if it was made here or its request is
+// quarantined. The caller holds mu.
 func (s *Service) logDetection(now time.Duration, r *clusterpb.CrashReport) {
 	if r.Released {
 		return
@@ -177,6 +179,8 @@
 	e := event.RequestSuspect
 	if _, blocked := s.detector.Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); blocked {
 		e = event.RequestHeldOff
+	} else if r.Entry != s.origin {
+		return
 	}
 	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).Send()
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -17,6 +19,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 )
@@ -114,3 +117,28 @@
 	}
 	assert.Assert(t, services[1].Suspect(r) && services[2].Suspect(r))
 }
+
+// TestCrashIsLoggedWhereItWasSeen guards against incident inc1: most log lines of
+// gateways repeated the reports of others. A quarantine takes effect
+// everywhere, and is logged there.
+func TestCrashIsLoggedWhereItWasSeen(t *testing.T) {
+	services := newServices(t, 2, func(h http.Handler) http.Handler { return h })
+	var logs [2]bytes.Buffer
+	for i, s := range services {
+		s.opts.Logger = event.NewLogger(&logs[i], zerolog.InfoLevel, "gateway", s.opts.EntryID)
+	}
+	count := func(i int, name string) int { return strings.Count(logs[i].String(), `"`+name+`"`) }
+	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
+	crash := func(upstream string) {
+		services[0].Crashed(r, quarantine.Crash{Upstream: upstream, Incarnation: 1})
+		queued := <-services[0].queue
+		services[1].merge([]*clusterpb.CrashReport{queued.report})
+	}
+	crash("u1")
+	assert.Equal(t, count(0, "request_suspect"), 1)
+	assert.Equal(t, count(1, "request_suspect"), 0)
+	crash("u2")
+	for i := range services {
+		assert.Equal(t, count(i, "request_held_off"), 1)
+	}
+}
