Keep the leader's sets and index over commits that do not change them

The same cause in other places of the leader: for each commit it built the set of all registered gateways for the tracker, and for each renewal and held renewal it searched the list of gateways.

--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -102,11 +103,13 @@
 // they describe themselves.
 func (l *loop) unregisteredEntries() []*catalogpb.Entry {
 	var entries []*catalogpb.Entry
-	for _, id := range sortedIDs(l.term.reports) {
-		if report := l.term.reports[id]; l.server.now() <= report.receivedAt+entryLiveTimeout && l.needsRegistration(report.entry) {
+	now := l.server.now()
+	for _, report := range l.term.reports {
+		if now <= report.receivedAt+entryLiveTimeout && l.needsRegistration(report.entry) {
 			entries = append(entries, report.entry)
 		}
 	}
+	slices.SortFunc(entries, func(a, b *catalogpb.Entry) int { return cmp.Compare(a.Id, b.Id) })
 	return entries
 }
 
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -16,6 +16,8 @@
 	leaderSince time.Duration
 	tracker     *acceptance.Tracker
 	config      *catalogpb.Config
+	// entries holds the registered entry VMs of config by id.
+	entries map[string]*catalogpb.Entry
 	// reports holds the last report of each entry VM, by id.
 	reports      map[string]*entryReport
 	heldRenewals []*renewal
@@ -48,6 +50,7 @@
 		config:      cfg,
 		reports:     make(map[string]*entryReport),
 	}
+	t.indexEntries(cfg.Entries)
 	return t
 }
 
@@ -57,29 +60,53 @@
 	if cfg.Revision <= t.config.Revision {
 		return false
 	}
-	t.dropRemovedReports(cfg)
+	if !sameSlice(t.config.Entries, cfg.Entries) {
+		t.indexEntries(cfg.Entries)
+		t.dropRemovedReports()
+	}
 	if cfg.StateVersion != t.config.StateVersion {
 		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
 	}
 	t.config = cfg
-	t.tracker.AddRevision(acceptanceRevision(cfg))
+	t.tracker.AddRevision(t.acceptanceRevision(cfg))
 	return true
 }
 
-// dropRemovedReports deletes the reports of entry VMs that cfg no longer
-// contains. One that is still running registers again with its next renewal.
-func (t *term) dropRemovedReports(cfg *catalogpb.Config) {
-	kept := make(map[string]bool, len(cfg.Entries))
-	for _, e := range cfg.Entries {
-		kept[e.Id] = true
+// sameSlice reports whether a and b share their items. Configurations share the
+// slices that have not changed.
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (t *term) indexEntries(list []*catalogpb.Entry) {
+	t.entries = make(map[string]*catalogpb.Entry, len(list))
+	for _, e := range list {
+		t.entries[e.Id] = e
 	}
+}
+
+// dropRemovedReports deletes the reports of entry VMs that were registered in
+// the last configuration and are not in the new one. One that is still running
+// registers again with its next renewal.
+func (t *term) dropRemovedReports() {
 	for _, e := range t.config.Entries {
-		if !kept[e.Id] {
+		if t.entries[e.Id] == nil {
 			delete(t.reports, e.Id)
 		}
 	}
 }
 
+// acceptanceRevision returns the revision of cfg for the tracker. The sets are
+// those of the current revision unless they have changed since.
+func (t *term) acceptanceRevision(cfg *catalogpb.Config) acceptance.Revision {
+	current := t.tracker.Current()
+	if cfg.SetRevision != current.SetRevision {
+		return acceptanceRevision(cfg)
+	}
+	current.Number = cfg.Revision
+	return current
+}
+
 func acceptanceRevision(cfg *catalogpb.Config) acceptance.Revision {
 	return acceptance.Revision{
 		Number:      cfg.Revision,
@@ -102,14 +129,7 @@
 }
 
 // registered returns the registered entry VM with the given id, or nil.
-func (t *term) registered(id string) *catalogpb.Entry {
-	for _, e := range t.config.Entries {
-		if e.Id == id {
-			return e
-		}
-	}
-	return nil
-}
+func (t *term) registered(id string) *catalogpb.Entry { return t.entries[id] }
 
 // completeEntry replaces an entry that consists only of an id and an incarnation
 // by the registered one. It reports false if that incarnation is not registered.
