--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -93,7 +93,7 @@
 // reports true. If next equals the current configuration it does nothing and
 // reports false.
 func (c *Catalog) publish(index uint64, next *catalogpb.Config) bool {
-	if proto.Equal(next, c.Config()) {
+	if sameContent(next, c.Config()) {
 		return false
 	}
 	next.Revision = index
