Look up silent gateways by id

The owner of each cold upstream is chosen among all reachable gateways, at each change of the configuration; whether one is reachable was found by searching the list of silent ones, so that the work grew with upstreams, gateways and silent gateways.

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -214,7 +214,7 @@
 	}
 	redirected := l.learnAddresses(ev.resp)
 	if ev.resp.LeaseMs > 0 {
-		l.syncer.silentEntries.Store(&ev.resp.Silent)
+		l.syncer.setSilentEntries(ev.resp.Silent)
 		l.syncer.acceptedEverywhere.Store(max(l.syncer.acceptedEverywhere.Load(), ev.resp.AcceptedEverywhere))
 	}
 	changed := l.adoptResponse(ev)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +67,7 @@
 	opts          Options
 	startedAt     time.Time
 	snapshot      atomic.Pointer[snapshot]
-	silentEntries atomic.Pointer[[]string]
+	silentEntries atomic.Pointer[map[string]bool]
 	// acceptedEverywhere is the newest revision known to be accepted in all
 	// regions.
 	acceptedEverywhere atomic.Uint64
@@ -156,7 +155,15 @@
 // lease.
 func (s *Syncer) Reachable(entry string) bool {
 	silent := s.silentEntries.Load()
-	return silent == nil || !slices.Contains(*silent, entry)
+	return silent == nil || !(*silent)[entry]
+}
+
+func (s *Syncer) setSilentEntries(ids []string) {
+	silent := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		silent[id] = true
+	}
+	s.silentEntries.Store(&silent)
 }
 
 // SinceControlContact returns the time since a control VM, or an entry VM that
