Send whole configurations packed, and packed once

Gateways and entry VMs say that they accept packed configurations; those of builds before do not and get them as before. A control VM packs a configuration once a second at most and sends the delta from it to the current one along. An answer that cannot be decoded or applied is logged now.

--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -1,10 +1,6 @@
 package catalog
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -33,19 +29,12 @@
 	if len(state.GetSource()) < minCompressedBytes {
 		return state, nil
 	}
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	packed, err := compress(state.Source)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if _, err := w.Write(state.Source); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Trace(err)
-	}
 	compressed := proto.CloneOf(state)
-	compressed.Source, compressed.PackedSource = nil, buf.Bytes()
+	compressed.Source, compressed.PackedSource = nil, packed
 	return compressed, nil
 }
 
@@ -56,13 +45,6 @@
 	if s.compressed == nil {
 		return s.plain, nil
 	}
-	r := flate.NewReader(bytes.NewReader(s.compressed))
-	plain, err := io.ReadAll(io.LimitReader(r, maxSourceBytes+1))
-	if err != nil {
-		return nil, errors.Annotate(err, "decompress source of the desired state")
-	}
-	if len(plain) > maxSourceBytes {
-		return nil, errors.NotValidf("source of the desired state with more than %d bytes", maxSourceBytes)
-	}
-	return plain, nil
+	plain, err := decompress(s.compressed, maxSourceBytes)
+	return plain, errors.Annotate(err, "source of the desired state")
 }
--- /dev/null
+++ b/internal/configsync/config_of_test.go
@@ -0,0 +1,46 @@
+package configsync
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/configview"
+)
+
+func TestConfigOfAnswer(t *testing.T) {
+	configs := make([]*catalogpb.Config, 4)
+	for i := range configs {
+		configs[i] = &catalogpb.Config{Revision: uint64(i)}
+	}
+	pack := func(cfg *catalogpb.Config) []byte {
+		packed, err := catalog.PackConfig(cfg)
+		assert.NilError(t, err)
+		return packed
+	}
+	for _, tc := range []struct {
+		name    string
+		resp    *clusterpb.RenewResponse
+		want    uint64
+		wantErr bool
+	}{
+		{"nothing new", &clusterpb.RenewResponse{}, 0, false},
+		{"whole", &clusterpb.RenewResponse{Config: configs[2]}, 2, false},
+		{"delta to the held one", &clusterpb.RenewResponse{Delta: catalog.Delta(configs[1], configs[3])}, 3, false},
+		{"delta to another one", &clusterpb.RenewResponse{Delta: catalog.Delta(configs[2], configs[3])}, 0, true},
+		{"packed", &clusterpb.RenewResponse{PackedConfig: pack(configs[2])}, 2, false},
+		{"packed with delta", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[2], configs[3])}, 3, false},
+		{"packed with delta to another one", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[1], configs[3])}, 0, true},
+		{"invalid", &clusterpb.RenewResponse{PackedConfig: []byte{0xff}}, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := &loop{view: configview.New(configs[1])}
+			got, err := l.configOf(tc.resp)
+			assert.Equal(t, err != nil, tc.wantErr)
+			assert.Equal(t, got.GetRevision(), tc.want)
+		})
+	}
+}
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -108,6 +108,7 @@
 		Synced:           l.state.Synced(),
 		AcceptedRevision: l.state.AcceptedRevision(),
 		ServesStale:      l.syncer.opts.ServesStale,
+		AcceptsPacked:    true,
 		QuietMs:          uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewInterval
@@ -198,7 +199,7 @@
 	}
 	r.running = false
 	if ev.err != nil {
-		l.logFailure(ev)
+		l.logFailure(ev, ev.err)
 		// After a network partition, an open connection may never recover, or
 		// only after a TCP retransmission. Closing it makes the next call open
 		// a new one.
@@ -289,40 +290,56 @@
 	return true
 }
 
-// logFailure logs the first renewal of a series that was not answered. While
-// all control VMs are down, the rest of the series would repeat it.
-func (l *loop) logFailure(ev *renewalResult) {
+// logFailure logs the first renewal of a series that failed. While all control
+// VMs are down, the rest of the series would repeat it.
+func (l *loop) logFailure(ev *renewalResult, err error) {
 	if l.renew.failures > 0 {
 		return
 	}
 	l.syncer.opts.Log.Log(event.RenewalFailed).Str("address", ev.address).Bool("relayed", ev.relayed).
 		Uint64("after_ms", uint64((l.syncer.now()-ev.sentAt).Milliseconds())).Uint64("revision", l.state.Revision()).
-		Err(ev.err).Send()
+		Err(err).Send()
 }
 
 // adoptResponse adopts the configuration and the accepted revision of an
 // answer. It reports whether either was new.
 func (l *loop) adoptResponse(ev *renewalResult) bool {
 	revision, accepted := l.state.Revision(), l.state.AcceptedRevision()
-	origin := configOrigin{via: "renewal", address: ev.address, delta: ev.resp.Config == nil, took: l.syncer.now() - ev.sentAt}
-	l.adoptAndNotify(l.configOf(ev.resp), ev.resp.AcceptedRevision, origin)
+	origin := configOrigin{via: "renewal", address: ev.address, delta: ev.resp.Config == nil && ev.resp.PackedConfig == nil, took: l.syncer.now() - ev.sentAt}
+	cfg, err := l.configOf(ev.resp)
+	if err != nil {
+		l.logFailure(ev, err)
+	}
+	l.adoptAndNotify(cfg, ev.resp.AcceptedRevision, origin)
 	return l.state.Revision() > revision || l.state.AcceptedRevision() > accepted
 }
 
-// configOf returns the configuration in the answer, or the result of applying
-// the answer's delta to the current one. It returns nil if the answer contains
-// neither or the delta cannot be applied.
-func (l *loop) configOf(resp *clusterpb.RenewResponse) *catalogpb.Config {
-	if resp.Config != nil || resp.Delta == nil {
-		return resp.Config
+// configOf returns the configuration in the answer, with the answer's delta applied
+// to it or, without one, to the current configuration. It returns nil if the
+// answer contains neither, and an error if they cannot be decoded or applied.
+func (l *loop) configOf(resp *clusterpb.RenewResponse) (*catalogpb.Config, error) {
+	base := resp.Config
+	if resp.PackedConfig != nil {
+		unpacked, err := catalog.UnpackConfig(resp.PackedConfig)
+		if err != nil {
+			return nil, err
+		}
+		base = unpacked
 	}
-	base := &catalogpb.Config{}
-	if l.view != nil {
-		base = l.view.Config
+	if resp.Delta == nil {
+		return base, nil
 	}
-	cfg, err := catalog.Patch(base, resp.Delta)
-	if err != nil {
-		return nil
+	if base == nil {
+		base = l.heldConfig()
+	}
+	return catalog.Patch(base, resp.Delta)
+}
+
+// heldConfig returns the current configuration, which is empty before the first
+// one has been received.
+func (l *loop) heldConfig() *catalogpb.Config {
+	if l.view == nil {
+		return &catalogpb.Config{}
 	}
-	return cfg
+	return l.view.Config
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -15,6 +15,7 @@
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/control/controltest"
 	"balsamcourse.example/balsamcourse/internal/fault"
@@ -327,3 +328,27 @@
 	assert.Assert(t, leader.Config == nil && leader.Delta.GetBaseRevision() == held, "the new leader sent %v", leader)
 	assert.Equal(t, leader.Delta.StateVersion, uint64(4))
 }
+
+// TestRestartedGatewayGetsPackedConfig also expects the same from a control VM that
+// does not lead, and the plain configuration for entry VMs that do not ask for
+// packed ones.
+func TestRestartedGatewayGetsPackedConfig(t *testing.T) {
+	g := newGroup(t)
+	_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(3)})
+	assert.NilError(t, err)
+	for _, server := range g.servers {
+		client := clusterpb.NewDistributionProtobufClient("http://"+server.Address(), httpnet.NewClient(nil))
+		req := &clusterpb.RenewRequest{Entry: &catalogpb.Entry{Id: "g1", ClusterAddress: "g1:1", Incarnation: 1, ServesStale: true}, ServesStale: true, AcceptsPacked: true}
+		packed, err := client.Renew(t.Context(), req)
+		assert.NilError(t, err)
+		assert.Assert(t, packed.Config == nil && packed.Delta == nil)
+		cfg, err := catalog.UnpackConfig(packed.PackedConfig)
+		assert.NilError(t, err)
+		assert.Equal(t, cfg.StateVersion, uint64(3))
+		assert.Equal(t, cfg.Revision, packed.Revision)
+		req.AcceptsPacked = false
+		plain, err := client.Renew(t.Context(), req)
+		assert.NilError(t, err)
+		assert.Assert(t, plain.Config != nil && plain.PackedConfig == nil)
+	}
+}
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -18,6 +18,9 @@
 // elements.
 const historySize = 1024
 
+// packInterval is the time for which a packed configuration is used.
+const packInterval = time.Second
+
 // history retains the configurations that were applied last on this control VM,
 // in any term, and caches the deltas from them to the newest one. It is safe for
 // concurrent use.
@@ -28,6 +31,10 @@
 	// target is the configuration that the deltas lead to.
 	target *catalogpb.Config
 	deltas map[uint64]*catalogpb.ConfigDelta
+	// packed is packedConfig in packed form, made at packedAt.
+	packedConfig *catalogpb.Config
+	packed       []byte
+	packedAt     time.Duration
 }
 
 // appliedConfig is a configuration and the time at which it was applied.
@@ -56,6 +63,7 @@
 	defer h.mu.Unlock()
 	h.configs = []appliedConfig{{cfg, now}}
 	h.target, h.deltas = nil, nil
+	h.packedConfig, h.packed = nil, nil
 }
 
 // appliedAt returns the time at which a retained revision was applied.
@@ -81,6 +89,10 @@
 func (h *history) delta(revision uint64, next *catalogpb.Config) *catalogpb.ConfigDelta {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.deltaLocked(revision, next)
+}
+
+func (h *history) deltaLocked(revision uint64, next *catalogpb.Config) *catalogpb.ConfigDelta {
 	if h.target != next {
 		h.target, h.deltas = next, make(map[uint64]*catalogpb.ConfigDelta)
 	}
@@ -95,3 +107,27 @@
 	h.deltas[revision] = d
 	return d
 }
+
+// pack returns a configuration in packed form and the delta from it to cfg, which is
+// nil if it is cfg itself. After a restart all gateways need the whole
+// configuration, and it may change all the while: packing takes several times as
+// long as a delta, so that a configuration once packed is used for packInterval.
+// It returns an error if cfg cannot be encoded.
+func (h *history) pack(now time.Duration, cfg *catalogpb.Config) ([]byte, *catalogpb.ConfigDelta, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.packedConfig == cfg {
+		return h.packed, nil, nil
+	}
+	if h.packedConfig != nil && now < h.packedAt+packInterval && h.packedConfig.Revision < cfg.Revision {
+		if d := h.deltaLocked(h.packedConfig.Revision, cfg); d != nil {
+			return h.packed, d, nil
+		}
+	}
+	packed, err := catalog.PackConfig(cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	h.packedConfig, h.packed, h.packedAt = cfg, packed, now
+	return packed, nil, nil
+}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -268,26 +268,34 @@
 // addresses of the control VMs, if the entry VM needs them.
 func (l *loop) addMissingConfig(resp *clusterpb.RenewResponse, req *clusterpb.RenewRequest, st Status) {
 	t := l.term
-	l.addConfig(resp, req.Revision, t.config)
+	l.addConfig(resp, req, t.config)
 	report := t.reports[req.Entry.Id]
 	if !req.Synced || report == nil || report.responses%responsesPerAddressList == 0 {
 		resp.ControlAddresses = memberAddresses(st)
 	}
 	if report != nil {
 		report.responses++
-		if resp.Delta != nil || resp.Config != nil {
+		if resp.Delta != nil || resp.Config != nil || resp.PackedConfig != nil {
 			report.configSentAt = l.server.now()
 		}
 	}
 }
 
-// addConfig adds cfg to a response to an entry VM that has the given revision:
-// as a delta if that revision is retained.
-func (l *loop) addConfig(resp *clusterpb.RenewResponse, revision uint64, cfg *catalogpb.Config) {
-	if revision >= cfg.Revision {
+// addConfig adds cfg to the response to a request, if it is newer than the
+// revision in the request: as a delta if that revision is retained, otherwise
+// packed if the entry VM accepts that.
+func (l *loop) addConfig(resp *clusterpb.RenewResponse, req *clusterpb.RenewRequest, cfg *catalogpb.Config) {
+	if req.Revision >= cfg.Revision {
 		return
 	}
-	if resp.Delta = l.server.history.delta(revision, cfg); resp.Delta == nil {
+	if resp.Delta = l.server.history.delta(req.Revision, cfg); resp.Delta != nil {
+		return
+	}
+	if req.AcceptsPacked {
+		// A configuration that cannot be encoded fails the response below as well.
+		resp.PackedConfig, resp.Delta, _ = l.server.history.pack(l.server.now(), cfg)
+	}
+	if resp.PackedConfig == nil {
 		resp.Config = cfg
 	}
 }
@@ -313,6 +321,6 @@
 	if r.request.Revision < cfg.Revision {
 		resp.Revision = cfg.Revision
 	}
-	l.addConfig(resp, r.request.Revision, cfg)
+	l.addConfig(resp, r.request, cfg)
 	r.reply <- resp
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -38,7 +38,7 @@
 	CellGiven       = Event{304, "cell_given", zerolog.InfoLevel, "this entry VM is no longer the dispatcher of the cell", ""}
 	ControlLost     = Event{305, "control_lost", zerolog.WarnLevel, "no control VM responds; serving with the last configuration", "check the network to control VMs"}
 	ControlRegained = Event{306, "control_regained", zerolog.InfoLevel, "a control VM responds again", ""}
-	RenewalFailed   = Event{307, "renewal_failed", zerolog.WarnLevel, "a control VM did not answer the renewal of the configuration; others are tried", "if it persists, check the control VM and the network to it"}
+	RenewalFailed   = Event{307, "renewal_failed", zerolog.WarnLevel, "the renewal of the configuration failed; if no control VM answered, others are tried", "if it persists, check the control VM and the network to it"}
 	UpstreamState   = Event{310, "upstream_state", zerolog.InfoLevel, "an upstream changed its state", ""}
 	UpstreamHeld    = Event{311, "upstream_held", zerolog.WarnLevel, "an upstream failed and temporarily receives no requests from this process", ""}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
