--- a/internal/httpnet/connections_test.go
+++ b/internal/httpnet/connections_test.go
@@ -41,5 +41,7 @@
 	assert.Assert(t, <-ended != nil)
 	assert.NilError(t, get("/"))
 	assert.Assert(t, <-received != first)
+	connections.mu.Lock()
+	defer connections.mu.Unlock()
 	assert.Equal(t, len(connections.open[server.Address()]), 1)
 }
