--- a/internal/controlvm/join_test.go
+++ b/internal/controlvm/join_test.go
@@ -53,7 +53,11 @@
 			v.t.Error(err)
 		}
 	}()
-	v.adminService = <-v.adminReady
+	select {
+	case v.adminService = <-v.adminReady:
+	case <-v.ended:
+		v.t.Fatal("the control VM ended at its start")
+	}
 }
 
 func (v *controlVM) stopAndWait() {
