Log and count what gateways send to upstreams that name a rate limit

New: events upstream_limit, limit_invalid and limited_load, metrics upstreams_limited, limited_requests and limited_probes. Placement is unchanged: the limit is recorded and not yet used.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -109,6 +109,10 @@
 	// relativeLatency is the moving average of response times, relative to the
 	// usual ones of the same routes.
 	relativeLatency float64
+	limit           rateLimit
+	// limitedRequests and limitedProbes count what was sent since the last call
+	// of TakeLimitedLoads while the upstream named a rate limit.
+	limitedRequests, limitedProbes int
 }
 
 // Balancer holds the state of all upstreams as seen by one entry VM. It is not
--- a/internal/balance/record.go
+++ b/internal/balance/record.go
@@ -114,9 +114,14 @@
 
 // RecordStart records that a request is being sent to the upstream.
 func (b *Balancer) RecordStart(now time.Duration, id string) {
-	if u := b.upstreams[id]; u != nil {
-		u.inFlight = append(u.inFlight, now)
-		u.load.Running++
+	u := b.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.inFlight = append(u.inFlight, now)
+	u.load.Running++
+	if u.limit.Named {
+		u.limitedRequests++
 	}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,9 @@
 	RenewalFailed   = Event{307, "renewal_failed", zerolog.WarnLevel, "the renewal of the configuration failed; if no control VM answered, others are tried", "if it persists, check the control VM and the network to it"}
 	UpstreamState   = Event{310, "upstream_state", zerolog.InfoLevel, "an upstream changed its state", ""}
 	UpstreamHeld    = Event{311, "upstream_held", zerolog.WarnLevel, "an upstream failed and temporarily receives no requests from this process", ""}
+	UpstreamLimit   = Event{312, "upstream_limit", zerolog.InfoLevel, "an upstream named, changed or withdrew the request rate that it takes from all gateways together", ""}
+	LimitInvalid    = Event{313, "limit_invalid", zerolog.WarnLevel, "an upstream named a request rate that cannot be read; it counts as none", "correct the upstream: the rate is a decimal number of at least 0"}
+	LimitedLoad     = Event{314, "limited_load", zerolog.InfoLevel, "what this gateway sent in the last second to an upstream that names a request rate", ""}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
 	RequestSuspect  = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
 	RequestHeldOff  = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined after it repeatedly broke connections to upstreams", "examine the request; release it with the admin command"}
@@ -57,7 +60,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,8 +37,10 @@
 	}
 	resp := x.Response
 	if c.notRun(resp) {
+		c.f.recordLimit(u, balance.RefusedAnswer, resp)
 		return false, c.refusedByUpstream(u, res.conn, x)
 	}
+	c.f.recordLimit(u, balance.RanAnswer, resp)
 	c.ran++
 	if failed, ok := c.checkResponse(resp); !ok {
 		c.discardResponse(res.conn, x)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -288,6 +288,7 @@
 	}
 	d.conns.CloseStale(func(address string) bool { return known[address] })
 	d.updateMetrics()
+	d.state.reportLimitedLoads(d.gatewayMetrics, d.log)
 	d.logControlState()
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -27,6 +28,9 @@
 	NotRun string
 	// ServedBy is present in every response of an upstream that ran the request.
 	ServedBy string
+	// Limit carries the number of requests per second that the upstream takes from
+	// all gateways together. Responses without it name no limit.
+	Limit string
 	// ParseLoad parses the value of Load; it reports false if the value is invalid.
 	ParseLoad func(value string) (balance.Load, bool)
 }
@@ -42,10 +46,21 @@
 		ColdMs:         "Balsam-Cold-Ms",
 		NotRun:         "Balsam-Not-Run",
 		ServedBy:       "Balsam-Upstream",
+		Limit:          "Balsam-Limit",
 		ParseLoad:      parseLoad,
 	}
 }
 
+// parseLimit parses a rate limit: a finite decimal number of at least 0. It
+// reports false if the value is invalid.
+func parseLimit(value string) (perSecond float64, ok bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || n < 0 || math.IsInf(n, 0) || math.IsNaN(n) {
+		return 0, false
+	}
+	return n, true
+}
+
 // parseLoad parses four non-negative integers in the form "running waiting slots
 // slow_percent".
 func parseLoad(value string) (balance.Load, bool) {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -181,6 +181,7 @@
 	stop := conn.InterruptOnDone(ctx)
 	defer stop()
 	names := f.opts.Headers
+	f.state.recordProbeSent(c.ID)
 	x, err := conn.Do(ctx, &upstreamconn.Request{
 		Method:          http.MethodGet,
 		Target:          f.state.healthPath(c.Pool),
@@ -207,6 +208,7 @@
 		conn.Close()
 		return balance.ProbeResult{}, errWrongUpstream
 	}
+	f.recordLimit(c, balance.ProbeAnswer, resp)
 	r := balance.ProbeResult{Unhealthy: resp.StatusCode != http.StatusOK}
 	if load, ok := names.ParseLoad(resp.Header.Get(names.Load)); ok {
 		r.Load = load
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -217,6 +217,7 @@
 	m.ReadyUpstreams.Update(float64(ready))
 	m.RequestsInFlight.Update(float64(st.balancer.InFlight(pool)))
 	m.CallsWaiting.Update(float64(st.queue(pool).waiters.Len()))
+	m.LimitedUpstreams.Update(float64(st.balancer.CountLimited(pool)))
 	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.gatewayCount()))
 }
 
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -56,6 +56,11 @@
 	RequestsInFlight, CallsWaiting tally.Gauge
 	// RetriesLeft is the number of retries that the retry budget allows now.
 	RetriesLeft tally.Gauge
+	// LimitedUpstreams is the number of upstreams that accept requests and name a
+	// rate limit. LimitedRequests and LimitedProbes count what this gateway has
+	// sent to them.
+	LimitedUpstreams               tally.Gauge
+	LimitedRequests, LimitedProbes tally.Counter
 }
 
 // NewGatewayMetrics creates the metrics of a gateway in scope s.
@@ -124,6 +129,9 @@
 			RequestsInFlight: s.Gauge("upstream_requests_in_flight"),
 			CallsWaiting:     s.Gauge("calls_waiting"),
 			RetriesLeft:      s.Gauge("retries_left"),
+			LimitedUpstreams: s.Gauge("upstreams_limited"),
+			LimitedRequests:  s.Counter("limited_requests"),
+			LimitedProbes:    s.Counter("limited_probes"),
 		}
 		m.pools[name] = p
 	}
