--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -11,6 +11,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
 func TestSlowLoopIsLoggedOnceAWindow(t *testing.T) {
@@ -37,7 +38,7 @@
 	tm := newTerm(1, 0, &catalogpb.Config{Revision: 1})
 	tm.reports = map[string]*entryReport{
 		"acked":     {revision: 5, receivedAt: now},
-		"silent":    {revision: 4, receivedAt: now - entryLiveTimeout - 1},
+		"silent":    {revision: 4, receivedAt: now - freshness.LiveTimeout - 1},
 		"not-sent":  {revision: 4, receivedAt: now, configSentAt: published - 1},
 		"not-heard": {revision: 4, receivedAt: published - 1, configSentAt: published},
 	}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -12,12 +12,10 @@
 	"balsamcourse.example/balsamcourse/internal/assign"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
 const (
-	// entryLiveTimeout is the time without a renewal after which an entry VM
-	// loses its cells.
-	entryLiveTimeout = 2500 * time.Millisecond
 	// claimMemberTimeout is the time without a renewal after which an entry VM
 	// no longer stores claims.
 	claimMemberTimeout = 30 * time.Second
@@ -105,7 +103,7 @@
 	var entries []*catalogpb.Entry
 	now := l.server.now()
 	for _, report := range l.term.reports {
-		if now <= report.receivedAt+entryLiveTimeout && l.needsRegistration(report.entry) {
+		if now <= report.receivedAt+freshness.LiveTimeout && l.needsRegistration(report.entry) {
 			entries = append(entries, report.entry)
 		}
 	}
@@ -140,11 +138,11 @@
 }
 
 // silentEntries returns the ids of the registered entry VMs that have not
-// renewed within entryLiveTimeout.
+// renewed within freshness.LiveTimeout.
 func (t *term) silentEntries(now time.Duration) []string {
 	var ids []string
 	for _, e := range t.config.Entries {
-		if t.timeSinceReport(now, e.Id) > entryLiveTimeout {
+		if t.timeSinceReport(now, e.Id) > freshness.LiveTimeout {
 			ids = append(ids, e.Id)
 		}
 	}
@@ -168,7 +166,7 @@
 // nothing has to move, it does not compute the assignment again until its
 // inputs change.
 func (t *term) assignCellsCommand(now time.Duration) *catalogpb.Command {
-	available := t.availableEntries(now, entryLiveTimeout, false)
+	available := t.availableEntries(now, freshness.LiveTimeout, false)
 	if t.lastEmptyPlan.config == t.config && slices.Equal(t.lastEmptyPlan.available, available) {
 		return nil
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,6 +4,7 @@
 	"context"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
 // entryStatusQuery asks the event loop for the status of the entry VMs.
@@ -56,7 +57,7 @@
 		es.LastHeardMs = uint64(t.timeSinceReport(now, e.Id).Milliseconds())
 		if report := t.reports[e.Id]; report != nil {
 			es.Revision = report.revision
-			es.Live = now-report.receivedAt <= entryLiveTimeout
+			es.Live = now-report.receivedAt <= freshness.LiveTimeout
 		}
 		status.entries = append(status.entries, es)
 	}
--- a/internal/control/unacked.go
+++ b/internal/control/unacked.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
 const (
@@ -35,12 +36,12 @@
 }
 
 // unacked returns those that have not acknowledged p. Those without a renewal
-// within entryLiveTimeout are left out.
+// within freshness.LiveTimeout are left out.
 func (t *term) unacked(now time.Duration, p statePublication) unackedState {
 	var u unackedState
 	for _, id := range sortedIDs(t.reports) {
 		report := t.reports[id]
-		if report.revision >= p.revision || now > report.receivedAt+entryLiveTimeout {
+		if report.revision >= p.revision || now > report.receivedAt+freshness.LiveTimeout {
 			continue
 		}
 		u.ids = append(u.ids, id)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -20,6 +20,9 @@
 	// LeaseDuration is the duration of a lease, counted from the time at which the
 	// entry VM sent its request.
 	LeaseDuration = 3 * time.Second
+	// LiveTimeout is the time without a renewal after which control counts an entry
+	// VM as silent: others take over what it does alone.
+	LiveTimeout = 2500 * time.Millisecond
 	// ConfirmationValidity is the time for which a confirmation is valid, counted
 	// from the time at which it was requested.
 	ConfirmationValidity = 2 * time.Second
