Keep the rate limit that an upstream names, as a sum over all gateways

Cause: nothing read the limit.

Now a request to such an upstream, with its probe, needs a permit. One gateway for each upstream issues them at the rate of the limit (internal/permit): the winner of a rendezvous hash among those that control has heard from, under an unbroken series of leases, and only after it has been the winner for as long as another can still hold a lease from before. Requests without a permit go to other upstreams; when all name a limit and no permit is expected in time, the call is refused at once (rate_limited), with the time of the next permit. A limit lasts until an answer names none; the issuer probes silent upstreams within the limit to notice its end. Values that are no rate count as none.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -181,8 +181,9 @@
 
 // Candidates returns up to n upstreams of the pool to probe, best rank first.
 // jitter returns a random number in [0, 1) that varies the order among similar
-// upstreams. Upstreams in exclude are left out. Those in backoff or cold start
-// come last, so that they are probed only when nothing better is left.
+// upstreams. Upstreams in exclude and those that name a rate limit are left out.
+// Those in backoff or cold start come last, so that they are probed only when
+// nothing better is left.
 func (b *Balancer) Candidates(now time.Duration, pool string, exclude []string, n int, jitter func() float64) []Upstream {
 	type ranked struct {
 		u    *upstream
@@ -190,7 +191,7 @@
 	}
 	list := make([]ranked, 0, len(b.pools[pool]))
 	for _, u := range b.pools[pool] {
-		if !b.acceptsWork(u) || slices.Contains(exclude, u.ID) {
+		if !b.acceptsWork(u) || u.limit.Named || slices.Contains(exclude, u.ID) {
 			continue
 		}
 		list = append(list, ranked{u, b.rank(now, u) + jitter()*rankJitter})
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -47,9 +47,15 @@
 // idleSlowPercent is the highest SlowPercent at which IsIdle holds.
 const idleSlowPercent = 120
 
-// usable reports whether the upstream may be sent a request now, regardless of
-// its load.
+// usable reports whether the upstream may be sent a request now without a
+// permit, regardless of its load.
 func (b *Balancer) usable(now time.Duration, u *upstream) bool {
+	return !u.limit.Named && b.usableWithPermit(now, u)
+}
+
+// usableWithPermit is usable for a request with a permit, which an upstream that
+// names a rate limit needs.
+func (b *Balancer) usableWithPermit(now time.Duration, u *upstream) bool {
 	return b.acceptsWork(u) && now >= u.coldUntil && u.loadKnown
 }
 
@@ -64,12 +70,22 @@
 }
 
 // Choose selects one of the upstreams in ids, which have been probed. Cold
-// upstreams are left out.
+// upstreams and those that name a rate limit are left out.
 func (b *Balancer) Choose(now time.Duration, ids []string, req Requirements) Choice {
+	return b.choose(now, ids, req, b.usable)
+}
+
+// ChooseWithPermit selects the given upstream, for which a permit has been taken
+// before it was probed, unless it is cold.
+func (b *Balancer) ChooseWithPermit(now time.Duration, id string, req Requirements) Choice {
+	return b.choose(now, []string{id}, req, b.usableWithPermit)
+}
+
+func (b *Balancer) choose(now time.Duration, ids []string, req Requirements, usable func(time.Duration, *upstream) bool) Choice {
 	choice := Choice{Outcome: Unavailable}
 	for _, id := range ids {
 		u := b.upstreams[id]
-		if u == nil || !b.usable(now, u) {
+		if u == nil || !usable(now, u) {
 			continue
 		}
 		if !hasFreeSlot(u) || u.load.Slowdown() > req.MaxSlowdown {
@@ -131,7 +147,7 @@
 func (b *Balancer) ChooseCold(now time.Duration, ids []string) Choice {
 	for _, id := range ids {
 		u := b.upstreams[id]
-		if u == nil || !b.acceptsWork(u) || !u.loadKnown || now >= u.coldUntil || u.load.Running >= u.load.Slots {
+		if u == nil || !b.acceptsWork(u) || u.limit.Named || !u.loadKnown || now >= u.coldUntil || u.load.Running >= u.load.Slots {
 			continue
 		}
 		if b.ownsCold == nil || !b.ownsCold(id) {
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // AnswerKind says what an upstream has answered. Not every kind of answer needs
 // to carry the upstream's rate limit.
@@ -22,6 +26,8 @@
 // RateLimit is the request rate that an upstream takes from all entry VMs
 // together, as stated in its answers.
 type RateLimit struct {
+	// Known is set once the upstream has answered.
+	Known bool
 	// Named is set while the upstream names a limit; without one, PerSecond is 0.
 	Named bool
 	// PerSecond is the number of requests per second, load probes included.
@@ -38,6 +44,8 @@
 	namedBy [answerKinds]bool
 	// invalid is the last value that could not be read.
 	invalid string
+	// permitAfter is the time before which no permit is expected.
+	permitAfter time.Duration
 }
 
 // RecordInvalidLimit records that an answer of the upstream names a limit that
@@ -66,9 +74,101 @@
 	} else if kind != RanAnswer && !u.limit.namedBy[kind] {
 		return u.limit.RateLimit, false
 	}
-	before = u.limit.RateLimit
-	u.limit.RateLimit = limit
-	return before, before.Named != limit.Named || before.PerSecond != limit.PerSecond
+	return u.limit.replace(limit)
+}
+
+// replace makes limit the newest one. It returns the one before and whether Named
+// or PerSecond has changed.
+func (l *rateLimit) replace(limit RateLimit) (before RateLimit, changed bool) {
+	before = l.RateLimit
+	l.RateLimit = limit
+	changed = before.Named != limit.Named || before.PerSecond != limit.PerSecond
+	if changed {
+		l.permitAfter = 0
+	}
+	return before, changed
+}
+
+// MergeLimit records what another entry VM knows of the rate limit of the
+// upstream, unless that is older than what is known here. namedByProbes is set if
+// answers to probes have named a limit there. The results are those of
+// RecordLimit.
+func (b *Balancer) MergeLimit(id string, limit RateLimit, namedByProbes bool) (before RateLimit, changed bool) {
+	u := b.upstreams[id]
+	if u == nil {
+		return RateLimit{}, false
+	}
+	if namedByProbes {
+		u.limit.namedBy[ProbeAnswer] = true
+	}
+	if u.limit.Known && limit.At <= u.limit.At {
+		return u.limit.RateLimit, false
+	}
+	return u.limit.replace(limit)
+}
+
+// NamedByProbes reports whether answers of the upstream to probes have named a
+// rate limit.
+func (b *Balancer) NamedByProbes(id string) bool {
+	u := b.upstreams[id]
+	return u != nil && u.limit.namedBy[ProbeAnswer]
+}
+
+// LimitedCandidate returns the upstream of the pool to ask a permit for: one that
+// names a rate limit, is neither cold nor in backoff nor in exclude, and for which
+// a permit may be available now. jitter is that of Candidates.
+func (b *Balancer) LimitedCandidate(now time.Duration, pool string, exclude []string, jitter func() float64) (Upstream, bool) {
+	var best *upstream
+	lowest := 0.0
+	for _, u := range b.pools[pool] {
+		if !u.limit.Named || !b.acceptsWork(u) || now < max(u.limit.permitAfter, u.coldUntil, u.backoffUntil) || slices.Contains(exclude, u.ID) {
+			continue
+		}
+		if rank := b.rank(now, u) + jitter()*rankJitter; best == nil || rank < lowest {
+			best, lowest = u, rank
+		}
+	}
+	if best == nil {
+		return Upstream{}, false
+	}
+	return best.Upstream, true
+}
+
+// DeferPermit records that no permit for the upstream is expected before the
+// given time.
+func (b *Balancer) DeferPermit(id string, until time.Duration) {
+	if u := b.upstreams[id]; u != nil {
+		u.limit.permitAfter = until
+	}
+}
+
+// PermitWait returns the time until a permit may be available for some upstream
+// of the pool that is not in exclude. It reports false if there is an upstream
+// that needs none, or no upstream at all.
+func (b *Balancer) PermitWait(now time.Duration, pool string, exclude []string) (time.Duration, bool) {
+	var open []*upstream
+	for _, u := range b.pools[pool] {
+		if !b.acceptsWork(u) || slices.Contains(exclude, u.ID) {
+			continue
+		}
+		if !u.limit.Named {
+			return 0, false
+		}
+		open = append(open, u)
+	}
+	if len(open) == 0 {
+		return 0, false
+	}
+	next := slices.MinFunc(open, func(x, y *upstream) int { return cmp.Compare(x.limit.permitAfter, y.limit.permitAfter) })
+	return max(0, next.limit.permitAfter-now), true
+}
+
+// Find returns the upstream with the given ID.
+func (b *Balancer) Find(id string) (Upstream, bool) {
+	if u := b.upstreams[id]; u != nil {
+		return u.Upstream, true
+	}
+	return Upstream{}, false
 }
 
 // Limit returns the newest known rate limit of the upstream.
@@ -87,7 +187,7 @@
 	Requests, Probes int
 }
 
-// RecordProbeSent records that a load probe is being sent to the upstream.
+// RecordProbeSent records that a load probe has been sent to the upstream.
 func (b *Balancer) RecordProbeSent(id string) {
 	if u := b.upstreams[id]; u != nil && u.limit.Named {
 		u.limitedProbes++
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -237,9 +237,12 @@
 	}
 }
 
-// handleLeaseGranted schedules the next renewal: at once if the answer brought
+// handleLeaseGranted calls the listeners and schedules the next renewal: at once if the answer brought
 // a change, so that the leader learns that it has arrived.
 func (l *loop) handleLeaseGranted(ev *renewalResult, changed bool) {
+	for _, f := range l.syncer.leaseListeners {
+		f(l.syncer.startedAt.Add(ev.sentAt))
+	}
 	r := &l.renew
 	r.failures = 0
 	r.nextAt = l.syncer.now()
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -81,6 +81,7 @@
 	events                chan any
 	done                  chan struct{}
 	listeners             []func(v *configview.View)
+	leaseListeners        []func(sent time.Time)
 }
 
 // snapshot is the part of the state that other goroutines read.
@@ -124,6 +125,14 @@
 	s.listeners = append(s.listeners, f)
 }
 
+// OnLease registers a function that the loop calls with each lease, after the
+// configuration and the silent entry VMs that came with it have been recorded. sent
+// is the time at which the lease was requested. The function must not block, and
+// OnLease must be called before Run.
+func (s *Syncer) OnLease(f func(sent time.Time)) {
+	s.leaseListeners = append(s.leaseListeners, f)
+}
+
 // Run keeps the configuration up to date until ctx ends. It may be called only
 // once.
 func (s *Syncer) Run(ctx context.Context) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -36,6 +36,7 @@
 	NoUpstream        Kind = "no_upstream"
 	NoDispatcher      Kind = "no_dispatcher"
 	QueueFull         Kind = "queue_full"
+	RateLimited       Kind = "rate_limited"
 	DeadlineTooShort  Kind = "deadline_too_short"
 	Overloaded        Kind = "overloaded"
 	Leaving           Kind = "leaving"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,7 +133,7 @@
 }
 
 // shedRetryAfter returns the Retry-After for a request that an upstream has
-// shed. While no call waits for the pool, other upstreams probably have room and
+// shed. While no call waits for the pool or for a permit, other upstreams probably have room and
 // only the retry budget kept the request from them, so that the caller may come
 // back at once.
 func (c *call) shedRetryAfter() time.Duration {
@@ -141,7 +141,7 @@
 	st.mu.Lock()
 	waiting := st.queue(c.pool).waiters.Len()
 	st.mu.Unlock()
-	if waiting > 0 {
+	if _, limited := c.permitWait(); limited || waiting > 0 {
 		return c.retryAfter(0)
 	}
 	return minRetryAfter
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,10 +167,14 @@
 // retryAfter returns the time after which the caller should try again: the
 // predicted wait plus jitter, so that refused callers do not return together,
 // and at most 30 % of the time left to the deadline, since callers wait for a
-// third of their time.
+// third of their time. While all upstreams name a rate limit, the time is not cut,
+// as nothing can be sent before the next permit.
 func (c *call) retryAfter(predicted time.Duration) time.Duration {
 	left := time.Until(c.deadline)
 	pause := predicted + time.Duration((0.5+rand.Float64())*float64(c.route.TargetLatency)/2)
+	if wait, limited := c.permitWait(); limited {
+		return max(minRetryAfter, pause, wait)
+	}
 	return max(minRetryAfter, min(pause, left*3/10))
 }
 
@@ -295,6 +299,7 @@
 	defer st.mu.Unlock()
 	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
 	line.Uint64("upstreams_open", uint64(open)).Uint64("upstreams_ready", uint64(ready)).
+		Uint64("upstreams_limited", uint64(st.balancer.CountLimited(c.pool))).
 		Uint64("calls_waiting", uint64(st.queue(c.pool).waiters.Len())).
 		Uint64("sent_in_flight", uint64(st.balancer.InFlight(c.pool)))
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -55,8 +55,11 @@
 	gatewayMetrics *telemetry.GatewayMetrics
 	keys           *access.Keys
 
-	state        *state
-	conns        *upstreamconn.Pool
+	state     *state
+	conns     *upstreamconn.Pool
+	forwarder *Forwarder
+	// client calls other processes of the system.
+	client       *http.Client
 	config       *configsync.Syncer
 	gossip       *gossip.Service
 	limiter      *admission.Limiter
@@ -155,13 +158,13 @@
 		Window: s.Retry.WindowMs.Duration(),
 	})
 	connections := httpnet.NewConnections(httpnet.DialWithTimeout(peerDialTimeout))
-	client := httpnet.NewClient(connections.Dial)
-	client.Transport = access.NewTransport(d.keys, client.Transport)
+	d.client = httpnet.NewClient(connections.Dial)
+	d.client.Transport = access.NewTransport(d.keys, d.client.Transport)
 	d.config = configsync.New(configsync.Options{
 		Entry:            self,
 		ControlAddresses: s.Control,
 		Seeds:            d.opts.Seeds,
-		Client:           client,
+		Client:           d.client,
 		CloseConnections: connections.Close,
 		Log:              d.log,
 		ServesStale:      true,
@@ -170,7 +173,7 @@
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
-		Client:      client,
+		Client:      d.client,
 		Limits: quarantine.Limits{
 			Threshold:  s.Quarantine.Threshold,
 			Hold:       s.Quarantine.HoldMs.Duration(),
@@ -178,6 +181,7 @@
 		},
 		Logger: d.log,
 	})
+	d.config.OnLease(d.state.recordLease)
 	d.config.OnChange(func(v *configview.View) {
 		d.state.applyConfig(v)
 		d.gossip.OnConfig(v)
@@ -215,6 +219,7 @@
 	cluster := http.NewServeMux()
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
+	cluster.Handle(clusterpb.PermitsPathPrefix, clusterpb.NewPermitsServer(&permitServer{state: d.state, log: d.log}))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
 	if err := d.openListener(s.ClusterListen, httpnet.Limits{}, access.NewAuthenticator(d.keys, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
 		return err
@@ -248,20 +253,23 @@
 }
 
 func (d *Daemon) callerHandler() http.Handler {
-	calls := newForwarder(d.state, d.conns, ForwarderOptions{
-		Headers:         d.opts.Headers,
-		Crashes:         d.gossip,
-		Limiter:         d.limiter,
-		Metrics:         d.gatewayMetrics,
-		Events:          d.log,
-		Closed:          d.closed.Load,
+	d.forwarder = newForwarder(d.state, d.conns, ForwarderOptions{
+		Headers: d.opts.Headers,
+		Crashes: d.gossip,
+		Limiter: d.limiter,
+		Metrics: d.gatewayMetrics,
+		Events:  d.log,
+		Closed:  d.closed.Load,
+		Permits: func(address string) clusterpb.Permits {
+			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
+		},
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
 	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		calls.ServeHTTP(w, r)
+		d.forwarder.ServeHTTP(w, r)
 	}), crash.PanicHandler(d.log))
 }
 
@@ -288,6 +296,7 @@
 	}
 	d.conns.CloseStale(func(address string) bool { return known[address] })
 	d.updateMetrics()
+	d.forwarder.checkLimits()
 	d.state.reportLimitedLoads(d.gatewayMetrics, d.log)
 	d.logControlState()
 }
@@ -336,6 +345,7 @@
 	start := time.Now()
 	d.log.Log(event.Stopping).Send()
 	d.stopping.Store(true)
+	d.state.stopIssuing()
 	d.config.SetLeaving()
 	if !wait.For(ctx, d.settings.ServeMs.Duration()) {
 		return
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/admission"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
@@ -48,6 +49,8 @@
 	Events  event.Logger
 	// Closed reports whether this gateway refuses new calls.
 	Closed func() bool
+	// Permits returns a client of the Permits service of another gateway.
+	Permits func(clusterAddress string) clusterpb.Permits
 	// BodyIdleTimeout bounds the wait for the next bytes of a request body.
 	BodyIdleTimeout time.Duration
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -55,12 +55,15 @@
 // reports false if the value is invalid.
 func parseLimit(value string) (perSecond float64, ok bool) {
 	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || n < 0 || math.IsInf(n, 0) || math.IsNaN(n) {
+	if err != nil || !isRate(n) {
 		return 0, false
 	}
 	return n, true
 }
 
+// isRate reports whether n is a finite number of at least 0.
+func isRate(n float64) bool { return n >= 0 && !math.IsInf(n, 0) }
+
 // parseLoad parses four non-negative integers in the form "running waiting slots
 // slow_percent".
 func parseLoad(value string) (balance.Load, bool) {
--- a/internal/gateway/limit_sum_test.go
+++ b/internal/gateway/limit_sum_test.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,8 +16,11 @@
 	"gotest.tools/v3/assert"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/admission"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/freshness"
+	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
@@ -111,18 +114,23 @@
 }
 
 // gatewayGroup is a group of gateways in virtual time, all with the same
-// upstreams. It must be created in a synctest bubble.
+// upstreams, and the control that grants them leases. It must be created in a
+// synctest bubble.
 type gatewayGroup struct {
 	upstreams  map[string]*limitedUpstream
 	cfg        *catalogpb.Config
 	forwarders []*Forwarder
-	conns      []net.Conn
+
+	mu sync.Mutex
+	// stopped holds the time at which a gateway stopped, by ID.
+	stopped map[string]time.Time
+	conns   []net.Conn
 }
 
 // newGatewayGroup returns n gateways and the upstreams with the given IDs.
 func newGatewayGroup(t *testing.T, n int, upstreams ...string) *gatewayGroup {
 	t.Helper()
-	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig()}
+	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig(), stopped: make(map[string]time.Time)}
 	for _, id := range upstreams {
 		g.upstreams[id+":1"] = &limitedUpstream{id: id, start: time.Now()}
 		g.cfg.Upstreams = append(g.cfg.Upstreams, &catalogpb.Upstream{
@@ -130,12 +138,17 @@
 		})
 	}
 	for i := range n {
-		g.cfg.Entries = append(g.cfg.Entries, &catalogpb.Entry{Id: fmt.Sprint("g", i)})
+		id := fmt.Sprint("g", i)
+		g.cfg.Entries = append(g.cfg.Entries, &catalogpb.Entry{Id: id, ClusterAddress: id + ":2"})
 	}
 	for i := range n {
 		g.forwarders = append(g.forwarders, g.newForwarder(t, fmt.Sprint("g", i)))
 	}
 	t.Cleanup(func() {
+		// Lets searches that have nothing left to do end.
+		time.Sleep(time.Second)
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		for _, c := range g.conns {
 			_ = c.Close()
 		}
@@ -145,14 +158,14 @@
 
 func (g *gatewayGroup) newForwarder(t *testing.T, id string) *Forwarder {
 	st := newState(id, "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+	st.reachable = g.heardByControl
 	st.applyConfig(configview.New(g.cfg))
 	metrics := telemetry.NewMetrics("gateway", id)
 	t.Cleanup(func() { _ = metrics.Close() })
-	var mu sync.Mutex
 	dial := func(_ context.Context, address string) (net.Conn, error) {
 		near, far := net.Pipe()
-		mu.Lock()
-		defer mu.Unlock()
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		g.conns = append(g.conns, near)
 		go g.upstreams[address].serve(far)
 		return near, nil
@@ -163,24 +176,91 @@
 		Limiter: admission.NewLimiter(100),
 		Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
 		Closed:  func() bool { return false },
+		Permits: g.permits,
 	})
 }
 
+// heardByControl reports whether control has heard from the gateway recently.
+func (g *gatewayGroup) heardByControl(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, stopped := g.stopped[id]
+	return !stopped || time.Since(at) <= freshness.LiveTimeout
+}
+
+func (g *gatewayGroup) stop(f *Forwarder) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped[f.state.gatewayID] = time.Now()
+}
+
+func (g *gatewayGroup) isStopped(f *Forwarder) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, stopped := g.stopped[f.state.gatewayID]
+	return stopped
+}
+
+// issuerOf returns the gateway that issues the permits for the upstream.
+func (g *gatewayGroup) issuerOf(upstream string) *Forwarder {
+	for _, f := range g.forwarders {
+		f.state.mu.Lock()
+		issuer := f.state.issuer.IssuerOf(upstream)
+		f.state.mu.Unlock()
+		if issuer == f.state.gatewayID {
+			return f
+		}
+	}
+	return nil
+}
+
+// permits returns a client of the permits of the gateway at the address.
+func (g *gatewayGroup) permits(address string) clusterpb.Permits {
+	for _, f := range g.forwarders {
+		if f.state.gatewayID+":2" == address && !g.isStopped(f) {
+			return &permitServer{state: f.state}
+		}
+	}
+	return unreachablePermits{}
+}
+
+// unreachablePermits is a client of a gateway that does not answer.
+type unreachablePermits struct{}
+
+func (unreachablePermits) Acquire(ctx context.Context, _ *clusterpb.AcquirePermitRequest) (*clusterpb.AcquirePermitResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // callResults counts the answers to callers.
 type callResults struct {
 	mu              sync.Mutex
 	served, refused int
-	// slowestRefusal is the longest time from a call to its refusal.
-	slowestRefusal time.Duration
+	// slowestRefusal is the longest time from a call to its refusal,
+	// shortestRetryAfter the shortest time that a refused caller was told to wait.
+	slowestRefusal, shortestRetryAfter time.Duration
 }
 
 // sendCalls sends a call to each gateway every interval until duration has
-// passed, and waits for their answers.
+// passed, and waits for their answers. Meanwhile control renews the leases of the
+// gateways, and each does its housekeeping.
 func (g *gatewayGroup) sendCalls(interval, duration time.Duration) *callResults {
-	results := &callResults{}
+	results := &callResults{shortestRetryAfter: time.Hour}
 	var calls sync.WaitGroup
+	lastCheck := time.Now()
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
+		check := time.Since(lastCheck) >= housekeepingInterval
+		if check {
+			lastCheck = time.Now()
+		}
 		for _, f := range g.forwarders {
+			if g.isStopped(f) {
+				continue
+			}
+			f.state.recordLease(time.Now())
+			if check {
+				f.checkLimits()
+			}
 			calls.Go(func() { results.call(f) })
 		}
 	}
@@ -195,7 +275,6 @@
 	w := httptest.NewRecorder()
 	start := time.Now()
 	f.ServeHTTP(w, r)
-	_, _ = io.Copy(io.Discard, w.Body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w.Code == http.StatusOK {
@@ -204,6 +283,11 @@
 	}
 	c.refused++
 	c.slowestRefusal = max(c.slowestRefusal, time.Since(start))
+	after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	if err != nil {
+		after = 0
+	}
+	c.shortestRetryAfter = min(c.shortestRetryAfter, time.Duration(after*float64(time.Second)))
 }
 
 // TestUpstreamGetsNoMoreThanItsLimitFromAllGateways guards against gateways that
@@ -231,9 +315,74 @@
 				g.sendCalls(100*time.Millisecond, 5*time.Second)
 				u.setLimit(fmt.Sprint(tc.perSecond))
 				named := time.Since(u.start)
-				g.sendCalls(100*time.Millisecond, 20*time.Second)
+				results := g.sendCalls(100*time.Millisecond, 20*time.Second)
 				u.assertBound(t, tc.perSecond, named+limitContact, time.Since(u.start))
+				if len(tc.upstreams) > 1 {
+					assert.Equal(t, results.refused, 0, "calls beyond the limit go to the other upstream")
+				}
 			})
 		})
 	}
 }
+
+// TestCallsBeyondTheLimitAreRefusedAtOnce sends more calls than the only upstream
+// takes. It must get most of what it takes, and the other calls a refusal before
+// they have missed their target, with a time at which a request can be sent.
+func TestCallsBeyondTheLimitAreRefusedAtOnce(t *testing.T) {
+	for _, perSecond := range []float64{1, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGatewayGroup(t, 4, "u1")
+			u := g.upstreams["u1:1"]
+			u.setLimit(fmt.Sprint(perSecond))
+			g.sendCalls(100*time.Millisecond, 5*time.Second)
+			from := time.Since(u.start)
+			results := g.sendCalls(100*time.Millisecond, 20*time.Second)
+			requests, all := u.arrivals(from, time.Since(u.start))
+			assert.Assert(t, float64(all) >= 0.8*perSecond*20, "%d requests and probes at a limit of %v/s", all, perSecond)
+			assert.Equal(t, results.served, requests)
+			target := 400 * time.Millisecond
+			assert.Assert(t, results.slowestRefusal <= target, "refused after %s", results.slowestRefusal)
+			if perSecond == 1 {
+				// A permit for a request and its probe is there every two seconds.
+				assert.Assert(t, results.shortestRetryAfter > target, "told to come back after %s", results.shortestRetryAfter)
+			}
+		})
+	}
+}
+
+// TestLimitEndsForAllGateways withdraws the limit. All gateways must notice, also
+// after a limit of 0, under which only probes are sent.
+func TestLimitEndsForAllGateways(t *testing.T) {
+	for _, perSecond := range []float64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGatewayGroup(t, 4, "u1")
+			u := g.upstreams["u1:1"]
+			u.setLimit(fmt.Sprint(perSecond))
+			g.sendCalls(100*time.Millisecond, 12*time.Second)
+			u.setLimit("")
+			g.sendCalls(100*time.Millisecond, 10*time.Second)
+			results := g.sendCalls(100*time.Millisecond, time.Second)
+			assert.Equal(t, results.refused, 0, "limit of %v/s", perSecond)
+		})
+	}
+}
+
+// TestLimitHoldsWhenItsIssuerIsLost stops the gateway that issues the permits for
+// the upstream. The limit must hold while another takes over, which must then
+// issue permits.
+func TestLimitHoldsWhenItsIssuerIsLost(t *testing.T) {
+	const perSecond = 5
+	synctest.Test(t, func(t *testing.T) {
+		g := newGatewayGroup(t, 4, "u1")
+		u := g.upstreams["u1:1"]
+		u.setLimit(fmt.Sprint(perSecond))
+		g.sendCalls(100*time.Millisecond, 8*time.Second)
+		g.stop(g.issuerOf("u1"))
+		lost := time.Since(u.start)
+		g.sendCalls(100*time.Millisecond, 15*time.Second)
+		u.assertBound(t, perSecond, limitContact, time.Since(u.start))
+		takenOver := lost + freshness.LiveTimeout + permit.TakeoverDelay + time.Second
+		requests, _ := u.arrivals(takenOver, takenOver+4*time.Second)
+		assert.Assert(t, requests >= perSecond, "%d requests in 4 s after the takeover", requests)
+	})
+}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -4,11 +4,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/explain"
+	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -24,6 +27,16 @@
 	}
 }
 
+// issuePermits lets the gateway issue permits from now on.
+func (st *state) issuePermits() {
+	st.started = st.started.Add(-time.Minute)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.issuer = permit.NewIssuer(st.gatewayID)
+	st.issuer.SetLive(0, []string{st.gatewayID})
+	st.issuer.RecordLease(0, time.Hour)
+}
+
 // named returns the lines of the event, in order.
 func (f *logFile) named(t *testing.T, name string) []explain.Line {
 	t.Helper()
@@ -47,7 +60,10 @@
 func TestLogTellsRequestsFromProbesAtLimitedUpstream(t *testing.T) {
 	s := startFakeUpstream(t, "u1", nil)
 	var logs logFile
-	fx := startForwarderWithLog(t, newConfig(s), logs.logger("gateway", "g1"))
+	cfg := newConfig(s)
+	cfg.Entries = []*catalogpb.Entry{{Id: "g1"}}
+	fx := startForwarderWithLog(t, cfg, logs.logger("gateway", "g1"))
+	fx.state.issuePermits()
 	for _, limit := range []string{"Balsam-Limit: 1000\r\n", "Balsam-Limit: 1000\r\n", "Balsam-Limit: plenty\r\n", "Balsam-Limit: plenty\r\n", ""} {
 		s.respond = s.responder(200, servedByHeader+limit, "whole")
 		status, _, _ := fx.call(t, http.MethodGet, "/safe/x", "")
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -146,6 +146,7 @@
 	st := f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.balancer.RecordProbeSent(c.ID)
 	if err != nil {
 		held := st.recordProbeFailure(c.ID, err)
 		f.opts.Events.Log(event.UpstreamHeld).Str("upstream", c.ID).Str("pool", c.Pool).Str("why", "load probe failed").
@@ -181,7 +182,6 @@
 	stop := conn.InterruptOnDone(ctx)
 	defer stop()
 	names := f.opts.Headers
-	f.state.recordProbeSent(c.ID)
 	x, err := conn.Do(ctx, &upstreamconn.Request{
 		Method:          http.MethodGet,
 		Target:          f.state.healthPath(c.Pool),
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -93,6 +93,9 @@
 			return res, nil
 		case len(seen) == 0 && len(avoid) == len(c.avoid):
 			// Not even the first search found an upstream to probe.
+			if _, limited := c.permitWait(); limited {
+				return c.waitInQueue()
+			}
 			return reservation{}, c.noUpstream()
 		}
 		avoid = append(avoid, seen...)
@@ -110,7 +113,8 @@
 	return fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "pool %q: %d upstreams accept work, %d of them are ready, %d were tried", c.pool, open, ready, len(c.avoid))
 }
 
-// search probes up to n upstreams of the pool that are not in avoid. It returns
+// search probes up to n upstreams of the pool that are not in avoid, and if none
+// of them has room, one that names a rate limit and may get a request. It returns
 // a reservation at the best one, without a connection if none has room, and the
 // IDs of the upstreams that it probed.
 func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, req balance.Requirements) (res reservation, seen []string) {
@@ -118,13 +122,20 @@
 	st.mu.Lock()
 	candidates := st.balancer.Candidates(st.now(), pool, avoid, n, rand.Float64)
 	st.mu.Unlock()
-	if len(candidates) == 0 {
-		return reservation{}, nil
-	}
 	for _, c := range candidates {
 		seen = append(seen, c.ID)
 	}
-	return f.probe(ctx, candidates, req), seen
+	if len(candidates) > 0 {
+		res = f.probe(ctx, candidates, req)
+	}
+	if res.conn != nil {
+		return res, seen
+	}
+	res, limited := f.searchLimited(ctx, pool, avoid, req)
+	if limited != "" {
+		seen = append(seen, limited)
+	}
+	return res, seen
 }
 
 // countStart counts a request as in flight at the chosen upstream. st.mu must
@@ -157,6 +168,10 @@
 	q := st.queue(c.pool)
 	work := st.typicalTimes[c.route.Name]
 	startBy := now + c.maxWait(work)
+	if permitWait, limited := st.balancer.PermitWait(now, c.pool, c.avoid); limited && now+permitWait > startBy {
+		st.mu.Unlock()
+		return reservation{}, c.rateLimited(permitWait)
+	}
 	wait, ok := q.waiters.Enqueue(now, balance.Waiter{
 		ID: id, Priority: c.route.Priority, Late: c.missesTarget(work), StartBy: startBy, ServiceTime: work, Exclude: c.avoid,
 	})
@@ -206,6 +221,9 @@
 	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, c.requirements(lateMaxSlowdown)); res.conn != nil {
 		return res, nil
 	}
+	if permitWait, limited := c.permitWait(); limited {
+		return reservation{}, c.rateLimited(permitWait)
+	}
 	return reservation{}, fault.NewRetryable(fault.QueueFull, c.retryAfter(wait), "pool %q: no upstream had a free slot in time", c.pool)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -6,11 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -46,6 +45,10 @@
 	// route.
 	longestTimeouts map[string]time.Duration
 	queues          map[string]*poolQueue
+	// issuer issues the permits for upstreams that name a rate limit.
+	issuer *permit.Issuer
+	// clusterAddresses holds the cluster addresses of the gateways by ID.
+	clusterAddresses map[string]string
 }
 
 func newState(gatewayID, zone string, coldRateShare float64, limits retry.Limits) *state {
@@ -61,6 +64,7 @@
 		typicalTimes:    make(map[string]time.Duration),
 		longestTimeouts: make(map[string]time.Duration),
 		queues:          make(map[string]*poolQueue),
+		issuer:          permit.NewIssuer(gatewayID),
 	}
 	st.pools.Store(&map[string]*catalogpb.Pool{})
 	return st
@@ -80,6 +84,8 @@
 	st.pools.Store(&pools)
 	st.mu.Lock()
 	st.balancer.Update(st.now(), st.placementConfig(v, pools))
+	st.clusterAddresses = clusterAddresses(cfg)
+	st.updateLiveGateways(cfg)
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
@@ -110,7 +116,7 @@
 	cfg := balance.Config{
 		ClosedZones: make(map[string]bool),
 		ColdRate:    make(map[string]float64, len(pools)),
-		OwnsCold:    st.coldStartOwner(v.Config),
+		OwnsCold:    func(id string) bool { return st.issuer.IssuerOf(id) == st.gatewayID },
 	}
 	for _, z := range v.Config.Zones {
 		cfg.ClosedZones[z.Name] = !v.ZoneOpen(z.Name)
@@ -136,23 +142,39 @@
 	return cfg
 }
 
-// coldStartOwner returns a function that reports whether this gateway alone may
-// send requests to the upstream with the given ID while it is cold. The owner is
-// chosen by rendezvous hashing among the gateways that are reachable and not
-// leaving.
-func (st *state) coldStartOwner(cfg *catalogpb.Config) func(id string) bool {
-	return func(id string) bool {
-		owner, best := "", uint64(0)
-		for _, e := range cfg.Entries {
-			if e.Leaving || e.Id != st.gatewayID && !st.reachable(e.Id) {
-				continue
-			}
-			if weight := xxhash.Sum64String(e.Id + "\x00" + id); owner == "" || weight > best {
-				owner, best = e.Id, weight
-			}
+// clusterAddresses returns the cluster addresses of the gateways by ID.
+func clusterAddresses(cfg *catalogpb.Config) map[string]string {
+	addresses := make(map[string]string, len(cfg.Entries))
+	for _, e := range cfg.Entries {
+		addresses[e.Id] = e.ClusterAddress
+	}
+	return addresses
+}
+
+// updateLiveGateways determines the gateways that are reachable and not leaving.
+// Among them the one is chosen that issues the permits for an upstream, and that
+// alone may send it requests while it is cold. st.mu must be held.
+func (st *state) updateLiveGateways(cfg *catalogpb.Config) {
+	var live []string
+	for _, e := range cfg.Entries {
+		if !e.Leaving && (e.Id == st.gatewayID || st.reachable(e.Id)) {
+			live = append(live, e.Id)
 		}
-		return owner == st.gatewayID
 	}
+	st.issuer.SetLive(st.now(), live)
+}
+
+// recordLease records a lease from control that was requested at the time sent,
+// and the gateways that control reported as silent with it.
+func (st *state) recordLease(sent time.Time) {
+	cfg := st.config.Load()
+	if cfg == nil {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.updateLiveGateways(cfg)
+	st.issuer.RecordLease(st.now(), sent.Sub(st.started))
 }
 
 // healthPath returns the path of the health request to upstreams of the pool.
--- /dev/null
+++ b/internal/permit/issuer.go
@@ -0,0 +1,294 @@
+// Package permit divides the request rate that an upstream takes from all entry
+// VMs together among them.
+//
+// For each upstream, one entry VM is the issuer: the winner of a rendezvous hash
+// among the entry VMs that control has recently heard from. Before an entry VM
+// sends the upstream a request or a probe, it takes a permit from the issuer,
+// which issues them at the rate that the upstream takes.
+//
+// An entry VM issues permits only under an unbroken series of leases from
+// control, and only for upstreams for which it has been the winner for
+// TakeoverDelay. An issuer that control has not heard from has stopped by then,
+// so that at no time two entry VMs issue permits for one upstream. Meanwhile
+// nobody does, and the upstream gets nothing.
+//
+// The package has no clock; times are readings of the monotonic clock of one
+// entry VM.
+package permit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamcourse.example/balsamcourse/internal/freshness"
+)
+
+const (
+	// MaxUnits is the largest number of units of one permit. A unit is one
+	// request or probe.
+	MaxUnits = 2
+	// burstDuration is the time for which unused units can be saved up.
+	burstDuration = 250 * time.Millisecond
+	// unusedBucketTimeout is the time after which the state of an upstream for
+	// which no permit has been asked is dropped.
+	unusedBucketTimeout = time.Minute
+)
+
+// leaseDuration is the time for which a lease allows an entry VM to issue
+// permits, counted from the time at which it sent the request for the lease.
+// When it ends, control still counts the entry VM as live.
+var leaseDuration = freshness.SubtractDrift(freshness.LiveTimeout)
+
+// TakeoverDelay is the time for which an entry VM must have been the winner for
+// an upstream, under an unbroken series of leases, before it issues permits. It
+// is the longest time for which another entry VM can hold a lease that was
+// granted before control saw the change, also by a leader that has lost its
+// quorum.
+var TakeoverDelay = freshness.AddDrift(freshness.MaxQuorumAge + freshness.LiveTimeout)
+
+// Issuer decides which entry VM issues the permits for an upstream, and issues
+// those of its own. It is not safe for concurrent use.
+type Issuer struct {
+	self string
+	// live holds the IDs of the entry VMs that were live in the newest view, in
+	// order.
+	live []string
+	// lastLive holds, for the entry VMs that are not in live but were within
+	// TakeoverDelay, the time at which they last were.
+	lastLive map[string]time.Duration
+	// leaseEnd is the end of the newest lease, heldSince the beginning of the
+	// series of leases without a gap that it belongs to.
+	leaseEnd, heldSince time.Duration
+	leaving             bool
+	buckets             map[string]*bucket
+	disabled            disabledRules
+}
+
+// disabledRules disables individual rules, to show that the tests detect their
+// absence.
+type disabledRules struct {
+	lease, takeover, departures, gaps bool
+}
+
+// NewIssuer returns the Issuer of a newly started entry VM with the given ID.
+func NewIssuer(self string) *Issuer {
+	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[string]*bucket)}
+}
+
+// SetLive records the IDs of the entry VMs that are registered, not leaving, and
+// not reported as silent.
+func (i *Issuer) SetLive(now time.Duration, ids []string) {
+	ids = slices.Clone(ids)
+	slices.Sort(ids)
+	if slices.Equal(ids, i.live) {
+		return
+	}
+	for _, id := range i.live {
+		i.lastLive[id] = now
+	}
+	for _, id := range ids {
+		delete(i.lastLive, id)
+	}
+	wasLive := slices.Contains(i.live, i.self)
+	i.live = ids
+	if !wasLive {
+		i.heldSince = now
+	}
+	for upstream := range i.buckets {
+		if i.IssuerOf(upstream) != i.self {
+			delete(i.buckets, upstream)
+		}
+	}
+}
+
+// RecordLease records that the request for a lease that was sent at the time sent
+// has been granted. The view that came with it must have been recorded before.
+func (i *Issuer) RecordLease(now, sent time.Duration) {
+	if now >= i.leaseEnd && !i.disabled.gaps {
+		i.heldSince = now
+		clear(i.buckets)
+	}
+	i.leaseEnd = max(i.leaseEnd, sent+leaseDuration)
+}
+
+// SetLeaving ends the issuing of permits for good.
+func (i *Issuer) SetLeaving() { i.leaving = true }
+
+// IssuerOf returns the ID of the entry VM to ask for permits for the upstream,
+// or "" if no live entry VM is known.
+func (i *Issuer) IssuerOf(upstream string) string { return winner(i.live, upstream) }
+
+// winner returns the winner of the rendezvous hash of the upstream among ids, ""
+// if there are none.
+func winner(ids []string, upstream string) string {
+	best, bestWeight := "", uint64(0)
+	for _, id := range ids {
+		if weight := xxhash.Sum64String(id + "\x00" + upstream); best == "" || weight > bestWeight {
+			best, bestWeight = id, weight
+		}
+	}
+	return best
+}
+
+// Issues reports whether this entry VM may issue permits for the upstream now. If
+// not, wait is the time after which it may, as far as is known; 0 if it is not
+// going to.
+func (i *Issuer) Issues(now time.Duration, upstream string) (wait time.Duration, ok bool) {
+	if i.leaving || now >= i.leaseEnd && !i.disabled.lease || winner(i.live, upstream) != i.self {
+		return 0, false
+	}
+	if i.disabled.takeover {
+		return 0, true
+	}
+	start := i.heldSince + TakeoverDelay
+	for id, at := range i.lastLive {
+		if at+TakeoverDelay <= now {
+			delete(i.lastLive, id)
+			continue
+		}
+		if !i.disabled.departures && winner([]string{i.self, id}, upstream) == id {
+			start = max(start, at+TakeoverDelay)
+		}
+	}
+	if now < start {
+		return start - now, false
+	}
+	return 0, true
+}
+
+// Decision is the answer to a request for a permit.
+type Decision struct {
+	Granted bool
+	// Wait is the time after which a permit may be available; 0 if this entry VM
+	// does not issue permits for the upstream.
+	Wait time.Duration
+}
+
+// Take issues a permit of up to MaxUnits units for the upstream, which takes
+// perSecond requests per second, or says when one may be available.
+func (i *Issuer) Take(now time.Duration, upstream string, perSecond float64, units int) Decision {
+	if wait, ok := i.Issues(now, upstream); !ok {
+		delete(i.buckets, upstream)
+		return Decision{Wait: wait}
+	}
+	b := i.bucket(now, upstream)
+	b.refill(now, perSecond)
+	if b.units >= float64(units) {
+		b.units -= float64(units)
+		b.issued += units
+		return Decision{Granted: true}
+	}
+	b.refused++
+	if perSecond <= 0 {
+		return Decision{Wait: checkInterval(perSecond)}
+	}
+	return Decision{Wait: max(time.Millisecond, seconds((float64(units)-b.units)/perSecond))}
+}
+
+// bucket returns the bucket of the upstream, which is empty at first: what a
+// previous issuer has issued just before is not known.
+func (i *Issuer) bucket(now time.Duration, upstream string) *bucket {
+	b := i.buckets[upstream]
+	if b == nil {
+		b = &bucket{refilled: now}
+		i.buckets[upstream] = b
+	}
+	b.askedAt = now
+	return b
+}
+
+// bucket is the token bucket of one upstream.
+type bucket struct {
+	// units is the number of units that can be issued. It is negative after a
+	// check for which there was no unit.
+	units             float64
+	refilled, askedAt time.Duration
+	// checkedAt is the time of the last check.
+	checkedAt time.Duration
+	// issued and refused count since the last call of TakeCounts: units issued,
+	// and requests for a permit that were refused.
+	issued, refused int
+}
+
+func (b *bucket) refill(now time.Duration, perSecond float64) {
+	burst := max(MaxUnits, perSecond*burstDuration.Seconds())
+	b.units = min(burst, b.units+perSecond*(now-b.refilled).Seconds())
+	b.refilled = now
+}
+
+// seconds returns a number of seconds as a duration, at most an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
+}
+
+const (
+	// minCheckInterval and maxCheckInterval bound the time after which an upstream
+	// that has not answered anything is probed, to learn whether its limit still
+	// stands.
+	minCheckInterval = 5 * time.Second
+	maxCheckInterval = time.Minute
+)
+
+// checkInterval returns the time after which an upstream that takes perSecond
+// requests per second is checked: at most every second unit goes to checks.
+func checkInterval(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return minCheckInterval
+	}
+	return min(max(minCheckInterval, seconds(2/perSecond)), maxCheckInterval)
+}
+
+// TakeCheck reports whether the upstream, which takes perSecond requests per
+// second and last answered at heard, is to be probed now to learn whether that
+// limit still stands. It takes a unit for the probe.
+func (i *Issuer) TakeCheck(now time.Duration, upstream string, perSecond float64, heard time.Duration) bool {
+	if _, ok := i.Issues(now, upstream); !ok {
+		return false
+	}
+	b := i.buckets[upstream]
+	if b == nil || now < max(heard, b.checkedAt)+checkInterval(perSecond) {
+		return false
+	}
+	b.refill(now, perSecond)
+	b.checkedAt = now
+	b.units = max(-1, b.units-1)
+	b.issued++
+	return true
+}
+
+// Counts are the permits of one upstream since the last call of TakeCounts.
+type Counts struct {
+	Upstream string
+	// Issued is the number of units issued, Refused the number of requests for a
+	// permit that were refused.
+	Issued, Refused int
+}
+
+// TakeCounts returns the counts of the upstreams for which permits have been
+// asked since the last call, and drops the state of those for which none has been
+// asked for a long time.
+func (i *Issuer) TakeCounts(now time.Duration) []Counts {
+	var counts []Counts
+	for upstream, b := range i.buckets {
+		if b.issued > 0 || b.refused > 0 {
+			counts = append(counts, Counts{upstream, b.issued, b.refused})
+			b.issued, b.refused = 0, 0
+		}
+		if now > b.askedAt+unusedBucketTimeout {
+			delete(i.buckets, upstream)
+		}
+	}
+	return counts
+}
+
+// Upstreams returns the upstreams for which permits have been asked, in no
+// particular order.
+func (i *Issuer) Upstreams() []string {
+	ids := make([]string, 0, len(i.buckets))
+	for id := range i.buckets {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -26,6 +26,9 @@
 	// the duration of one attempt.
 	UpstreamWait tally.Histogram
 	Upstream     tally.Histogram
+	// PermitWait is the time until another gateway has answered a request for a
+	// permit.
+	PermitWait tally.Histogram
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
 	// Revision and StateVersion belong to the configuration in force. ConfigAge
@@ -70,6 +73,7 @@
 		InFlight:        s.Gauge("calls_in_flight"),
 		UpstreamWait:    latencyHistogram(s, "wait_seconds"),
 		Upstream:        latencyHistogram(s, "upstream_seconds"),
+		PermitWait:      latencyHistogram(s, "permit_seconds"),
 		Retries:         s.Counter("retries"),
 		Revision:        s.Gauge("config_revision"),
 		StateVersion:    s.Gauge("config_state_version"),
