--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -35,6 +35,9 @@
 	// respond writes the response to a request; if it returns false, the
 	// connection is closed.
 	respond func(w io.Writer, r *http.Request) bool
+	// onRequest is called with each request, also health requests; nil means that
+	// nothing is called.
+	onRequest func(r *http.Request)
 
 	mu     sync.Mutex
 	load   string
@@ -85,6 +88,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		if s.onRequest != nil {
+			s.onRequest(r)
+		}
 		s.mu.Lock()
 		load, cold := s.load, s.coldMs
 		if r.URL.Path != "/health" {
