Keep the connections that an upstream takes, as a sum over all gateways

The desired state says how many connections an upstream takes from all gateways together; gateways held that number and did not use it. In a burst at two slow upstreams four gateways opened 204 connections to one of them where 40 are allowed (TestUpstreamGetsNoMoreConnectionsThanItTakesFromAllGateways, which failed before).

Now each gateway opens at most an equal part of one half of them. The other half is for gateways that are not in the configuration yet, and for connections of restarted ones. An upstream at which a gateway has no connection left counts as one without room, not as one that has failed.

--- a/internal/gateway/limit_sum_test.go
+++ b/internal/gateway/limit_sum_test.go
@@ -43,11 +43,15 @@
 	id    string
 	start time.Time
 
-	mu       sync.Mutex
-	limit    string
-	cold     bool
-	requests []time.Duration
-	probes   []time.Duration
+	mu    sync.Mutex
+	limit string
+	cold  bool
+	// work is the time that a request takes.
+	work time.Duration
+	// open is the number of open connections, mostOpen the highest so far.
+	open, mostOpen int
+	requests       []time.Duration
+	probes         []time.Duration
 }
 
 func (u *limitedUpstream) setLimit(limit string) {
@@ -85,7 +89,17 @@
 	}
 }
 
+// countConnection adds n to the number of open connections.
+func (u *limitedUpstream) countConnection(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.open += n
+	u.mostOpen = max(u.mostOpen, u.open)
+}
+
 func (u *limitedUpstream) serve(conn net.Conn) {
+	u.countConnection(1)
+	defer u.countConnection(-1)
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -110,7 +124,7 @@
 			header += "Balsam-Cold-Ms: 60000\r\n"
 		}
 		if r.URL.Path != "/health" {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(u.work)
 			header += "Balsam-Request-Id: " + r.Header.Get("Balsam-Request-Id") + "\r\n"
 		}
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: 0 0 100 100\r\n%sContent-Length: 0\r\n\r\n", u.id, header)
@@ -137,7 +151,7 @@
 	t.Helper()
 	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig(), stopped: make(map[string]time.Time), cut: make(map[string]time.Time)}
 	for _, id := range upstreams {
-		g.upstreams[id+":1"] = &limitedUpstream{id: id, start: time.Now()}
+		g.upstreams[id+":1"] = &limitedUpstream{id: id, start: time.Now(), work: 20 * time.Millisecond}
 		g.cfg.Upstreams = append(g.cfg.Upstreams, &catalogpb.Upstream{
 			Id: id, Address: id + ":1", Zone: "a", Pool: "p", Slots: 100, State: catalogpb.UpstreamState_UPSTREAM_STATE_READY,
 		})
@@ -439,3 +453,26 @@
 		assert.Assert(t, requests >= 8, "%d requests in %s", requests, time.Since(u.start))
 	})
 }
+
+// TestUpstreamGetsNoMoreConnectionsThanItTakesFromAllGateways sends a burst to
+// upstreams that are slow. The connections of all gateways together to one of them
+// must stay within the bound of its pool.
+func TestUpstreamGetsNoMoreConnectionsThanItTakesFromAllGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxConnections = 40
+		g := newGatewayGroup(t, 4, "u1", "u2")
+		g.cfg.Pools[0].MaxConnections = maxConnections
+		for _, f := range g.forwarders {
+			f.state.applyConfig(configview.New(g.cfg))
+		}
+		for _, u := range g.upstreams {
+			u.work = time.Second
+		}
+		results := g.sendCalls(10*time.Millisecond, 3*time.Second)
+		assert.Assert(t, results.served > 0)
+		for _, u := range g.upstreams {
+			assert.Assert(t, u.mostOpen <= maxConnections, "%d connections, the pool allows %d", u.mostOpen, maxConnections)
+			assert.Assert(t, u.mostOpen >= maxConnections/4, "only %d of %d connections were used", u.mostOpen, maxConnections)
+		}
+	})
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -146,6 +146,9 @@
 	st := f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if errors.Is(err, upstreamconn.ErrTooManyConnections) {
+		return probeOutcome{candidate: c, err: err}
+	}
 	st.balancer.RecordProbeSent(c.ID)
 	if err != nil {
 		held := st.recordProbeFailure(c.ID, err)
@@ -161,7 +164,8 @@
 // the upstream may have closed while it was idle, it is sent once more on a new
 // connection.
 func (f *Forwarder) fetchLoad(ctx context.Context, c balance.Upstream) (*upstreamconn.Conn, balance.ProbeResult, error) {
-	conn, err := f.conns.Get(ctx, c.Address)
+	maxOpen := f.state.maxConnections(c.Pool)
+	conn, err := f.conns.Get(ctx, c.Address, maxOpen)
 	if err != nil {
 		return nil, balance.ProbeResult{}, err
 	}
@@ -169,7 +173,7 @@
 	if err == nil || !conn.Reused || ctx.Err() != nil {
 		return conn, result, err
 	}
-	if conn, err = f.conns.Open(ctx, c.Address); err != nil {
+	if conn, err = f.conns.Open(ctx, c.Address, maxOpen); err != nil {
 		return nil, balance.ProbeResult{}, err
 	}
 	result, err = f.fetchLoadOn(ctx, conn, c)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -180,10 +180,28 @@
 	return "/"
 }
 
-// gatewayCount returns the number of gateways that share the retry budgets.
+// connectionFraction is the fraction of the connections that an upstream takes
+// which gateways open. It leaves room for gateways that are not in the
+// configuration yet, and for connections of restarted ones that the upstream has
+// not seen end.
+const connectionFraction = 0.5
+
+// maxConnections returns the number of connections that this gateway may open to
+// one upstream of the pool: an equal part of those that the upstream takes from
+// all gateways, at least one. 0 means that there is no bound.
+func (st *state) maxConnections(pool string) int {
+	p := (*st.pools.Load())[pool]
+	if p == nil || p.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, int(connectionFraction*float64(p.MaxConnections))/st.gatewayCount())
+}
+
+// gatewayCount returns the number of gateways that share the retry budgets and the
+// connections to an upstream.
 func (st *state) gatewayCount() int {
 	if cfg := st.config.Load(); cfg != nil {
-		return len(cfg.Entries)
+		return max(1, len(cfg.Entries))
 	}
 	return 1
 }
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -56,6 +56,8 @@
 	idleSince   time.Time
 	// unusable is set if the connection must not carry another exchange.
 	unusable bool
+	// onClose is called when the connection is closed, once.
+	onClose func()
 }
 
 // Request is a request for an upstream.
@@ -253,6 +255,10 @@
 func (c *Conn) Close() {
 	c.unusable = true
 	_ = c.raw.Close()
+	if c.onClose != nil {
+		c.onClose()
+		c.onClose = nil
+	}
 }
 
 // InterruptOnDone makes reads and writes of the connection fail when ctx ends,
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -69,7 +69,7 @@
 
 func getConn(t *testing.T, p *Pool, address string) *Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), address)
+	c, err := p.Get(context.Background(), address, 0)
 	assert.NilError(t, err)
 	return c
 }
@@ -315,3 +315,29 @@
 	p.CloseStale(func(string) bool { return false })
 	assert.Assert(t, !getConn(t, p, address).Reused)
 }
+
+func TestOpenConnectionsAreBoundedByAddress(t *testing.T) {
+	p, address, _ := startScriptedUpstream(t, response("1", "one"))
+	first := getConn(t, p, address)
+	second, err := p.Open(t.Context(), address, 2)
+	assert.NilError(t, err)
+	_, err = p.Open(t.Context(), address, 2)
+	assert.ErrorIs(t, err, ErrTooManyConnections)
+	p.PutIdle(first)
+	_, err = p.Open(t.Context(), address, 2)
+	assert.ErrorIs(t, err, ErrTooManyConnections, "idle connections are open")
+	reused, err := p.Get(t.Context(), address, 2)
+	assert.NilError(t, err)
+	reused.Close()
+	reused.Close()
+	third, err := p.Open(t.Context(), address, 2)
+	assert.NilError(t, err)
+	_, err = p.Open(t.Context(), address, 2)
+	assert.ErrorIs(t, err, ErrTooManyConnections, "a connection that is closed twice counts once")
+	second.Close()
+	third.Close()
+	assert.Equal(t, len(p.open), 0)
+
+	_, err = NewPool(nil).Open(t.Context(), "127.0.0.1:0", 1)
+	assert.Assert(t, err != nil)
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -24,20 +24,29 @@
 // Dialer opens connections to upstreams.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
-// Pool holds idle connections by address. It is safe for concurrent use.
+// Pool holds idle connections by address, and bounds the open ones. It is safe
+// for concurrent use.
 type Pool struct {
 	dial Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
+
+	openMu sync.Mutex
+	// open holds the number of open connections by address, idle ones included.
+	open map[string]int
 }
 
+// ErrTooManyConnections means that the bound on open connections to the address
+// is reached.
+var ErrTooManyConnections = errors.New("too many open connections to the upstream")
+
 // NewPool returns an empty pool. A nil dial means TCP over IPv4.
 func NewPool(dial Dialer) *Pool {
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn), open: make(map[string]int)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -58,18 +67,23 @@
 }
 
 // Get returns the idle connection to the address that was used last, or opens a
-// new one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// new one as Open does.
+func (p *Pool) Get(ctx context.Context, address string, maxOpen int) (*Conn, error) {
 	if c := p.takeIdle(address); c != nil {
 		return c, nil
 	}
-	return p.Open(ctx, address)
+	return p.Open(ctx, address, maxOpen)
 }
 
-// Open opens a new connection to the address.
-func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+// Open opens a new connection to the address. It returns ErrTooManyConnections if
+// maxOpen connections to it are open; 0 means no bound.
+func (p *Pool) Open(ctx context.Context, address string, maxOpen int) (*Conn, error) {
+	if !p.reserveOpen(address, maxOpen) {
+		return nil, ErrTooManyConnections
+	}
 	raw, err := p.dial(ctx, address)
 	if err != nil {
+		p.releaseOpen(address)
 		return nil, errors.Trace(err)
 	}
 	return &Conn{
@@ -78,9 +92,31 @@
 		reader:      bufio.NewReaderSize(raw, bufferSizeBytes),
 		writer:      bufio.NewWriterSize(raw, bufferSizeBytes),
 		idleTimeout: defaultIdleTimeout,
+		onClose:     func() { p.releaseOpen(address) },
 	}, nil
 }
 
+// reserveOpen counts a connection to the address as open, unless maxOpen are.
+func (p *Pool) reserveOpen(address string, maxOpen int) bool {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	if maxOpen > 0 && p.open[address] >= maxOpen {
+		return false
+	}
+	p.open[address]++
+	return true
+}
+
+// releaseOpen counts a connection to the address as closed.
+func (p *Pool) releaseOpen(address string) {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	p.open[address]--
+	if p.open[address] == 0 {
+		delete(p.open, address)
+	}
+}
+
 func (p *Pool) takeIdle(address string) *Conn {
 	for {
 		c := p.popIdle(address)
