Keep the retry budget as a sum through any number of restarts

Each gateway gives out an equal part of the slack, and one that restarts has its part again at once. The fraction that is used leaves room for one restart of each in a window, no more: TestRetriesOfAllEntryVMsStayWithinTheLimit allowed only that one, and failed on its first history when they may restart again.

Now a gateway's part grows over its first window, so that all restarts of a window together give it at most that part once more.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -29,7 +29,6 @@
 
 // issuePermits lets the gateway issue permits from now on.
 func (st *state) issuePermits() {
-	st.started = st.started.Add(-time.Minute)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.issuer = permit.NewIssuer(st.gatewayID)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -32,18 +32,22 @@
 	// allowed it.
 	ratioFraction = 0.9
 	// slackFraction is the fraction of the slack that is used. An entry VM that
-	// restarts forgets the retries that it has made and may use its part again;
-	// the fraction leaves room for one restart of each entry VM per window.
+	// restarts forgets the retries that it has made. As its part of the slack grows
+	// over the first window, it can use at most that part once more in a window,
+	// however often it restarts.
 	slackFraction = 0.45
 	// windowBuckets is the number of buckets that a window is divided into.
 	windowBuckets = 20
 )
 
 // Budget counts the requests and retries of one service at one entry VM. The
-// zero value is ready for use. It is not safe for concurrent use.
+// zero value is ready for use at an entry VM that started at time 0. It is not
+// safe for concurrent use.
 type Budget struct {
-	requests slidingCounter
-	retries  slidingCounter
+	// startedAt is the time at which the entry VM started.
+	startedAt time.Duration
+	requests  slidingCounter
+	retries   slidingCounter
 }
 
 // RecordRequest counts a request of a caller.
@@ -63,7 +67,8 @@
 // a fraction, or negative after requests have left the window. entryVMs is the
 // number of entry VMs that share the slack.
 func (b *Budget) Remaining(now time.Duration, l Limits, entryVMs int) float64 {
-	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + l.Slack*slackFraction/float64(max(1, entryVMs))
+	slack := l.Slack * slackFraction / float64(max(1, entryVMs)) * min(1, float64(now-b.startedAt)/float64(l.Window))
+	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + slack
 	return allowed - float64(b.retries.sum(now, l.Window))
 }
 
