--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -40,7 +40,7 @@
 	// Retry is the retry budget that all gateways share.
 	Retry RetryBudget `toml:"retry"`
 	// ColdShare is the fraction, from 0 to 1, of a cold upstream's maximum request
-	// rate that its owner sends to it.
+	// rate that all gateways together send to it.
 	ColdShare  float64    `toml:"cold_share"`
 	Limits     Limits     `toml:"limits"`
 	Quarantine Quarantine `toml:"quarantine"`
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -41,7 +41,7 @@
 		{"limited_requests", counter, "gateway", "pool", "requests that this gateway has sent to upstreams while they named a request rate"},
 		{"limited_probes", counter, "gateway", "pool", "load probes that this gateway has sent to upstreams while they named a request rate"},
 		{"upstream_requests_in_flight", gauge, "gateway", "pool", "requests of this gateway in flight at upstreams"},
-		{"permit_seconds", histogram, "gateway", "", "time until another gateway answered a request for a permit to send to an upstream that names a request rate"},
+		{"permit_seconds", histogram, "gateway", "", "time until another gateway answered a request for a permit, which an upstream needs that names a request rate or is cold"},
 		{"retries", counter, "gateway, entry", "", "attempts after the first one of a call"},
 		{"retries_left", gauge, "gateway", "pool", "retries that the retry budget of this gateway allows now"},
 		{"config_revision", gauge, "gateway, entry", "", "revision of the configuration in force"},
