Do not hand out a test address twice

Seen: KNOWN-RED TestGroupAddsMemberAndReplacesWipedReplica, once: a control VM ended at its first start (join_test.go:105), its error was not in the output.

Cause: FreeAddresses asked the operating system for a port and released it before it returned, so that the next call could get the same one, and so could any listener or outgoing connection of another process.

Now ports come in order from below the ephemeral range, as those of the process tests did already; there is one copy of that code.

--- a/internal/testbed/process_test.go
+++ b/internal/testbed/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -233,31 +232,12 @@
 	}
 }
 
-// Ports for the processes. They are below the range of ephemeral ports, so that
-// an outgoing connection cannot take one before its process listens.
-const (
-	firstPort = 12_000
-	portCount = 18_000
-)
-
-// nextPort is the offset of the next port to try. It depends on the process id,
-// so that test runs at the same time try different ports.
-var nextPort = os.Getpid() * 131 % portCount
-
 // freeAddress returns a loopback address with a free TCP port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portCount)
-		nextPort++
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatalf("no free port from %d to %d", firstPort, firstPort+portCount-1)
-	return ""
+	free, err := FreeAddresses(1)
+	assert.NilError(t, err)
+	return free[0]
 }
 
 // admin runs an admin command against all control VMs and returns its output.
