Log and measure since when a gateway's configuration is the newest

Answers to renewals say until when their configuration was the newest one (newest_ms): the earlier of the last heartbeat round that a quorum has answered and the time at which the leader's loop last compared what it hands out with what is applied. Gateways log the time since then with each call that fails (unconfirmed_ms) and serve it as the metric config_unconfirmed_seconds. A suspended VM, whose monotonic clock stands still, does not know.

--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -155,13 +155,21 @@
 
 // publishSnapshot makes the state visible to other goroutines.
 func (l *loop) publishSnapshot() {
+	last := l.syncer.snapshot.Load()
 	next := &snapshot{
 		view:             l.view,
 		freshUntil:       l.state.FreshUntil(),
 		acceptedRevision: l.state.AcceptedRevision(),
-		synced:           l.state.Synced(),
+		newestAt:         last.newestAt,
+		newestAtWall:     last.newestAtWall,
 	}
-	if *next != *l.syncer.snapshot.Load() {
+	newestAt, synced := l.state.NewestAt()
+	next.synced = synced
+	if synced && (newestAt != last.newestAt || !last.synced) {
+		next.newestAt = newestAt
+		next.newestAtWall = time.Now().Round(0).Add(newestAt - l.syncer.now())
+	}
+	if *next != *last {
 		l.syncer.snapshot.Store(next)
 	}
 }
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -221,6 +221,9 @@
 	changed := l.adoptResponse(ev)
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
 	granted := l.state.RecordLease(ev.sentAt, lease, ev.resp.Revision)
+	if granted {
+		l.state.RecordNewest(ev.sentAt, time.Duration(ev.resp.NewestMs)*time.Millisecond)
+	}
 	l.publishSnapshot()
 	switch {
 	case granted:
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,10 @@
 	freshUntil       time.Duration
 	acceptedRevision uint64
 	synced           bool
+	// newestAt is the time until which the configuration was the newest one,
+	// newestAtWall the same time by the wall clock. They are set once synced is.
+	newestAt     time.Duration
+	newestAtWall time.Time
 }
 
 // eventQueueSize is the capacity of the queue of events for the loop.
@@ -182,6 +187,30 @@
 	return s.now() - time.Duration(s.lastControlContact.Load())
 }
 
+// unknownAge is the age of a configuration that control has not confirmed.
+const unknownAge = time.Duration(math.MaxInt64)
+
+// maxClockGap is the difference between the wall clock and the monotonic clock
+// since the last lease from which the time that has passed counts as unknown. The
+// monotonic clock stands still while the VM is suspended.
+const maxClockGap = 500 * time.Millisecond
+
+// SinceNewest returns the time for which the current configuration has not been
+// known to be the newest one. After a suspension of the VM or a jump of its wall
+// clock it is not known until the next lease, and neither is it before the first
+// one; SinceNewest then returns the longest duration.
+func (s *Syncer) SinceNewest() time.Duration {
+	snap := s.snapshot.Load()
+	if !snap.synced {
+		return unknownAge
+	}
+	age := s.now() - snap.newestAt
+	if gap := time.Now().Round(0).Sub(snap.newestAtWall) - age; gap.Abs() > maxClockGap {
+		return unknownAge
+	}
+	return age
+}
+
 // AcceptedEverywhere returns the newest revision known to be accepted in all
 // regions.
 func (s *Syncer) AcceptedEverywhere() uint64 { return s.acceptedEverywhere.Load() }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -332,6 +332,44 @@
 // TestRestartedGatewayGetsPackedConfig also expects the same from a control VM that
 // does not lead, and the plain configuration for entry VMs that do not ask for
 // packed ones.
+// A leader states until when the configuration in its answer was the newest one:
+// not after the last heartbeat round that a quorum has answered, since another may
+// lead by then.
+func TestAnswerStatesUntilWhenItsConfigIsTheNewest(t *testing.T) {
+	g := newGroup(t)
+	g.renewGateway("g1")
+	req := &clusterpb.RenewRequest{
+		Entry: &catalogpb.Entry{Id: "g1", ClusterAddress: "g1:1", Incarnation: 1, ServesStale: true}, ServesStale: true, WaitMs: 200,
+	}
+	renew := func() (*clusterpb.RenewResponse, time.Duration) {
+		req.Synced = true
+		start := time.Now()
+		resp, err := g.leaderDistribution().Renew(t.Context(), req)
+		assert.NilError(t, err)
+		return resp, time.Since(start)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, _ := renew()
+		req.Revision = resp.Revision
+		if resp.LeaseMs > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the gateway has no lease")
+	})
+	held, took := renew()
+	newest := time.Duration(held.NewestMs) * time.Millisecond
+	assert.Assert(t, newest > 0 && newest <= took, "newest until %s after the receipt, answered after %s", newest, took)
+
+	g.log.LoseQuorum()
+	lost := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	received := time.Now()
+	late, _ := renew()
+	if late.LeaseMs > 0 {
+		assert.Assert(t, time.Duration(late.NewestMs)*time.Millisecond <= lost.Sub(received)+time.Millisecond, "%d", late.NewestMs)
+	}
+}
+
 func TestRestartedGatewayGetsPackedConfig(t *testing.T) {
 	g := newGroup(t)
 	_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(3)})
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -88,6 +88,7 @@
 	if l.term == nil {
 		return
 	}
+	l.onConfigChanged()
 	l.advanceAcceptance()
 	l.answerExpired()
 	l.logUnackedState()
@@ -134,7 +135,9 @@
 	if ev.err != nil || !st.IsLeader || st.Term != ev.term {
 		return
 	}
+	now := l.server.now()
 	l.term = newTerm(ev.term, l.server.monotonic(st.LeaderSince), l.server.catalog.Config())
+	l.term.newestAt = now
 }
 
 // handleDeferredRenewals handles the renewals that arrived while leadership was
@@ -169,7 +172,10 @@
 	if l.term == nil {
 		return
 	}
-	if !l.term.publish(l.server.now(), l.server.catalog.Config()) {
+	now := l.server.now()
+	published := l.term.publish(now, l.server.catalog.Config())
+	l.term.newestAt = now
+	if !published {
 		return
 	}
 	l.answerDueRenewals()
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -253,9 +254,12 @@
 		AcceptedEverywhere: t.tracker.Accepted(),
 		Silent:             t.silentEntries(l.server.now()),
 	}
-	lease, ok := t.tracker.GrantLease(l.server.now(), r.received, l.server.monotonic(st.LastQuorum), entryKey(req.Entry))
+	lastQuorum := l.server.monotonic(st.LastQuorum)
+	lease, ok := t.tracker.GrantLease(l.server.now(), r.received, lastQuorum, entryKey(req.Entry))
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
+		// A leader that has been replaced does not know of later commits.
+		resp.NewestMs = floorMilliseconds(min(t.newestAt, lastQuorum) - r.received)
 	}
 	if !ok || req.Relayed {
 		resp.LeaderAddress = st.LeaderAddress
@@ -264,6 +268,10 @@
 	r.reply <- resp
 }
 
+func floorMilliseconds(d time.Duration) int32 {
+	return int32(math.Floor(float64(d) / float64(time.Millisecond)))
+}
+
 // addMissingConfig adds the configuration, as a delta if possible, and the
 // addresses of the control VMs, if the entry VM needs them.
 func (l *loop) addMissingConfig(resp *clusterpb.RenewResponse, req *clusterpb.RenewRequest, st Status) {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -16,6 +16,9 @@
 	leaderSince time.Duration
 	tracker     *acceptance.Tracker
 	config      *catalogpb.Config
+	// newestAt is the time until which config was the newest one that this replica
+	// had applied.
+	newestAt time.Duration
 	// entries holds the registered entry VMs of config by id.
 	entries map[string]*catalogpb.Entry
 	// reports holds the last report of each entry VM, by id.
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -76,6 +76,9 @@
 	registered  bool
 	synced      bool
 	leaseExpiry time.Duration
+	// newestAt is the time until which the revision held was the newest one,
+	// according to control.
+	newestAt time.Duration
 	// confirmedAt maps each other entry VM to the time at which its last
 	// confirmation was requested.
 	confirmedAt map[EntryKey]time.Duration
@@ -131,6 +134,20 @@
 	return true
 }
 
+// RecordNewest records that the revision held was the newest one until after had
+// passed since sent, measured by the clock of the leader. after may be negative. It
+// must be called only for a lease that RecordLease has recorded.
+func (s *State) RecordNewest(sent, after time.Duration) {
+	if after > 0 {
+		after = SubtractDrift(after)
+	}
+	s.newestAt = max(s.newestAt, sent+after)
+}
+
+// NewestAt returns the time until which the revision held was the newest one,
+// according to control. It reports false before the first lease.
+func (s *State) NewestAt() (time.Duration, bool) { return s.newestAt, s.synced }
+
 // RecordConfirmation records the response of another entry VM to a request sent at
 // sent: the newest revision that it holds, and whether it is synced. The response
 // of an entry VM that is not synced or holds a newer revision is ignored.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -41,6 +41,27 @@
 	assert.Assert(t, !s.Fresh(time.Second), "entry VM is not in the registered set")
 }
 
+// The time until which the revision was the newest one must not be later than the
+// leader's clock says, and never decrease.
+func TestNewestTimeIsALowerBound(t *testing.T) {
+	s := New(key("a"))
+	_, known := s.NewestAt()
+	assert.Assert(t, !known, "no lease yet")
+	s.Adopt(3, fiveEntries)
+	s.RecordLease(time.Second, LeaseDuration, 3)
+	for _, c := range []struct{ sent, after, want time.Duration }{
+		{time.Second, 0, time.Second},
+		{2 * time.Second, 500 * time.Millisecond, 2*time.Second + SubtractDrift(500*time.Millisecond)},
+		{2 * time.Second, -500 * time.Millisecond, 2*time.Second + SubtractDrift(500*time.Millisecond)},
+		{4 * time.Second, -500 * time.Millisecond, 3500 * time.Millisecond},
+	} {
+		s.RecordNewest(c.sent, c.after)
+		at, known := s.NewestAt()
+		assert.Assert(t, known)
+		assert.Equal(t, at, c.want)
+	}
+}
+
 func TestMajorityOfConfirmationsKeepsTheConfigurationFresh(t *testing.T) {
 	s := New(key("a"))
 	s.Adopt(3, fiveEntries)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -332,6 +332,7 @@
 		line.Uint64("version", cfg.StateVersion).Uint64("revision", cfg.Revision)
 	}
 	if err != nil {
+		line.Uint64("unconfirmed_ms", uint64(c.f.state.sinceNewest().Milliseconds()))
 		c.addPoolState(line)
 		line.Err(err)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -170,6 +170,7 @@
 		ServesStale:      true,
 	})
 	d.state.reachable = d.config.Reachable
+	d.state.sinceNewest = d.config.SinceNewest
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
@@ -306,6 +307,7 @@
 	m := d.gatewayMetrics
 	m.InFlight.Update(float64(d.limiter.Total()))
 	m.ConfigAge.Update(d.config.SinceControlContact().Seconds())
+	m.ConfigUnconfirmed.Update(d.config.SinceNewest().Seconds())
 	m.LogLinesDropped.Update(float64(event.DroppedLines(d.opts.Logs)))
 	cfg := d.state.config.Load()
 	if cfg == nil {
--- a/internal/gateway/daemon_test.go
+++ b/internal/gateway/daemon_test.go
@@ -128,7 +128,7 @@
 	served := telemetrytest.CheckMetrics(t, d.metrics.Handler(), "gateway")
 	for _, name := range []string{
 		"calls", "call_seconds", "wait_seconds", "upstream_seconds", "calls_waiting", "upstreams_open", "upstreams_ready",
-		"upstream_requests_in_flight", "retries_left", "config_revision", "config_state_version", "config_unheard_seconds", "log_lines_dropped",
+		"upstream_requests_in_flight", "retries_left", "config_revision", "config_state_version", "config_unheard_seconds", "config_unconfirmed_seconds", "log_lines_dropped",
 	} {
 		assert.Assert(t, served[name], "%s is not served", name)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,6 +26,9 @@
 	pools     atomic.Pointer[map[string]*catalogpb.Pool]
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
+	// sinceNewest returns the time for which the configuration has not been known
+	// to be the newest one.
+	sinceNewest func() time.Duration
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -56,6 +59,7 @@
 		gatewayID:       gatewayID,
 		started:         time.Now(),
 		reachable:       func(string) bool { return true },
+		sinceNewest:     func() time.Duration { return 0 },
 		coldRateShare:   coldRateShare,
 		retryLimits:     limits,
 		phase:           rand.Float64(),
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -32,10 +32,12 @@
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
 	// Revision and StateVersion belong to the configuration in force. ConfigAge
-	// is the time in seconds since a control VM last answered.
-	Revision     tally.Gauge
-	StateVersion tally.Gauge
-	ConfigAge    tally.Gauge
+	// is the time in seconds since a control VM last answered, ConfigUnconfirmed
+	// that for which the configuration has not been known to be the newest.
+	Revision          tally.Gauge
+	StateVersion      tally.Gauge
+	ConfigAge         tally.Gauge
+	ConfigUnconfirmed tally.Gauge
 	// LogLinesDropped is the number of log lines dropped since the start.
 	LogLinesDropped tally.Gauge
 
@@ -69,19 +71,20 @@
 // NewGatewayMetrics creates the metrics of a gateway in scope s.
 func NewGatewayMetrics(s tally.Scope) *GatewayMetrics {
 	return &GatewayMetrics{
-		scope:           s,
-		InFlight:        s.Gauge("calls_in_flight"),
-		UpstreamWait:    latencyHistogram(s, "wait_seconds"),
-		Upstream:        latencyHistogram(s, "upstream_seconds"),
-		PermitWait:      latencyHistogram(s, "permit_seconds"),
-		Retries:         s.Counter("retries"),
-		Revision:        s.Gauge("config_revision"),
-		StateVersion:    s.Gauge("config_state_version"),
-		ConfigAge:       s.Gauge("config_unheard_seconds"),
-		LogLinesDropped: s.Gauge("log_lines_dropped"),
-		calls:           make(map[callSeries]tally.Counter),
-		times:           make(map[string]tally.Histogram),
-		pools:           make(map[string]*PoolMetrics),
+		scope:             s,
+		InFlight:          s.Gauge("calls_in_flight"),
+		UpstreamWait:      latencyHistogram(s, "wait_seconds"),
+		Upstream:          latencyHistogram(s, "upstream_seconds"),
+		PermitWait:        latencyHistogram(s, "permit_seconds"),
+		Retries:           s.Counter("retries"),
+		Revision:          s.Gauge("config_revision"),
+		StateVersion:      s.Gauge("config_state_version"),
+		ConfigAge:         s.Gauge("config_unheard_seconds"),
+		ConfigUnconfirmed: s.Gauge("config_unconfirmed_seconds"),
+		LogLinesDropped:   s.Gauge("log_lines_dropped"),
+		calls:             make(map[callSeries]tally.Counter),
+		times:             make(map[string]tally.Histogram),
+		pools:             make(map[string]*PoolMetrics),
 	}
 }
 
