--- a/internal/gateway/daemon_test.go
+++ b/internal/gateway/daemon_test.go
@@ -44,7 +44,13 @@
 // the status.
 func (d *Daemon) getSafe(t *testing.T) (int, error) {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodGet, "http://"+d.settings.CallerListen+"/safe/x", nil)
+	return d.get(t, "/safe/x")
+}
+
+// get sends a call on a new connection and returns the status of the answer.
+func (d *Daemon) get(t *testing.T, path string) (int, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, "http://"+d.settings.CallerListen+path, nil)
 	assert.NilError(t, err)
 	r.Host = "host.example"
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/gateway/system_test.go
+++ b/internal/gateway/system_test.go
@@ -23,13 +23,22 @@
 // startControl starts a group of one control VM and returns its operator service
 // and its cluster address.
 func startControl(t *testing.T) (adminpb.Admin, string) {
+	t.Helper()
+	admin, address := startControlBehind(t, func(listen string) string { return listen })
+	return admin, address
+}
+
+// startControlBehind is startControl for a control VM whose cluster address is the
+// one that advertise returns for its listen address.
+func startControlBehind(t *testing.T, advertise func(listen string) string) (adminpb.Admin, string) {
 	t.Helper()
 	free, err := testbed.FreeAddresses(2)
 	assert.NilError(t, err)
+	address := advertise(free[0])
 	s := settings.DefaultControl()
 	s.Zone, s.DataDir, s.AuthDisabled, s.TrustNetwork = "a", t.TempDir(), true, true
-	s.ClusterListen, s.OperatorListen, s.ClusterAddress = free[0], free[1], free[0]
-	s.Seeds, s.FirstStart = []string{free[0]}, true
+	s.ClusterListen, s.OperatorListen, s.ClusterAddress = free[0], free[1], address
+	s.Seeds, s.FirstStart = []string{address}, true
 	services := make(chan adminpb.Admin, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -45,7 +54,7 @@
 	})
 	select {
 	case a := <-services:
-		return a, free[0]
+		return a, address
 	case err := <-ended:
 		ended <- err
 		t.Fatalf("the control VM ended at its start: %v", err)
