Deny calls only from a state that is known to be the newest

Cause: a gateway answered from whatever state it held, however old. "No such route" and "body too large" are claims about the newest state, and the gateway did not know whether it held that: after a cut, a freeze, a restart, or while its own or the leader's processor was short.

Evidence: TestUnconfirmedStateIsNoReasonToDenyACall and TestGatewayWithoutControlDoesNotDenyNewRoutes failed before (404, want 503).

Routes that the state has are served as before.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -55,7 +55,7 @@
 
 // BodyReadError returns the refusal for a request whose body could not be
 // read: TooLarge for an *http.MaxBytesError, otherwise BadRequest.
-func BodyReadError(err error) error {
+func BodyReadError(err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fault.New(fault.TooLarge, "request body exceeds %d bytes", tooLarge.Limit)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -77,6 +77,8 @@
 func (c *call) prepare() error {
 	f := c.f
 	c.id = c.r.Header.Get(f.opts.Headers.RequestID)
+	// The age is read first, so that it is not that of a newer table.
+	age := f.state.sinceNewest()
 	table := f.state.routes.Load()
 	if table == nil {
 		return fault.NewRetryable(fault.NotFresh, startupRetryAfter, "no desired state received from control yet")
@@ -86,7 +88,7 @@
 	}
 	c.route = table.Lookup(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
-		return fault.New(fault.NoRoute, "no route for host %q, path %q in desired state version %d", c.r.Host, c.r.URL.Path, table.Version())
+		return c.denial(age, fault.New(fault.NoRoute, "no route for host %q, path %q in desired state version %d", c.r.Host, c.r.URL.Path, table.Version()))
 	}
 	if f.opts.Closed() {
 		return fault.New(fault.Leaving, "")
@@ -103,6 +105,20 @@
 	return nil
 }
 
+// denial returns the refusal of a call that the desired state held here does not
+// allow: denied if the state is known to be the newest one, otherwise a refusal that
+// says so. age is the time for which that has not been known.
+func (c *call) denial(age time.Duration, denied *fault.Error) error {
+	if age <= c.f.state.maxDenialAge {
+		return denied
+	}
+	return fault.NewRetryable(fault.NotFresh, unconfirmedRetryAfter, "the desired state held here may not be the newest: %s", denied.Detail)
+}
+
+// unconfirmedRetryAfter is the Retry-After of a call that the newest desired state
+// may allow. Renewals that fail are repeated at shorter intervals.
+const unconfirmedRetryAfter = 300 * time.Millisecond
+
 // startupRetryAfter is the Retry-After of a gateway that has no desired state
 // yet.
 const startupRetryAfter = 200 * time.Millisecond
@@ -240,12 +256,13 @@
 		c.body.length = 0
 		return nil
 	}
+	age := c.f.state.sinceNewest()
 	limit := int64(defaultMaxBodyBytes)
 	if l := c.f.state.config.Load().CallerLimits; l.GetMaxBodyBytes() > 0 {
 		limit = int64(l.MaxBodyBytes)
 	}
 	if c.r.ContentLength > limit {
-		return fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit)
+		return c.denial(age, fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit))
 	}
 	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.opts.BodyIdleTimeout)
 	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBody))
@@ -253,7 +270,11 @@
 		return fault.New(fault.CallerGone, "caller disconnected while its request body was read")
 	}
 	if err != nil {
-		return forward.BodyReadError(err)
+		refusal := forward.BodyReadError(err)
+		if refusal.Kind == fault.TooLarge {
+			return c.denial(age, refusal)
+		}
+		return refusal
 	}
 	c.body.buffered = buffered
 	if len(buffered) < maxBufferedBody {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -171,6 +171,7 @@
 	})
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
+	d.state.maxDenialAge = denialAge(s.ApplyWithinMs.Duration())
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
+	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -27,8 +28,10 @@
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
 	// sinceNewest returns the time for which the configuration has not been known
-	// to be the newest one.
-	sinceNewest func() time.Duration
+	// to be the newest one. After maxDenialAge of that the gateway does not claim
+	// that the desired state does not allow a call.
+	sinceNewest  func() time.Duration
+	maxDenialAge time.Duration
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -60,6 +63,7 @@
 		started:         time.Now(),
 		reachable:       func(string) bool { return true },
 		sinceNewest:     func() time.Duration { return 0 },
+		maxDenialAge:    denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
 		coldRateShare:   coldRateShare,
 		retryLimits:     limits,
 		phase:           rand.Float64(),
@@ -74,6 +78,10 @@
 	return st
 }
 
+// denialAge returns state.maxDenialAge for changes that must be in force within the
+// given time. The difference covers the time for which a call is read and routed.
+func denialAge(applyWithin time.Duration) time.Duration { return applyWithin * 9 / 10 }
+
 // now returns the time since the gateway started, on the monotonic clock.
 func (st *state) now() time.Duration { return time.Since(st.started) }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -37,6 +37,10 @@
 	// total duration of the stop. Both count from its start.
 	ServeMs Millis `toml:"serve_ms"`
 	StopMs  Millis `toml:"stop_ms"`
+	// ApplyWithinMs is the time after its acknowledgement by which a change must be
+	// in force. A gateway whose configuration has not been confirmed for nearly as
+	// long does not refuse a call as one that the desired state does not allow.
+	ApplyWithinMs Millis `toml:"apply_within_ms"`
 	// Retry is the retry budget that all gateways share.
 	Retry RetryBudget `toml:"retry"`
 	// ColdShare is the fraction, from 0 to 1, of a cold upstream's maximum request
@@ -60,15 +64,16 @@
 // out.
 func DefaultGateway() Gateway {
 	return Gateway{
-		NamedPerZone: 2,
-		LookupTTLMs:  1_000,
-		ServeMs:      3_000,
-		StopMs:       5_700,
-		Retry:        RetryBudget{Ratio: 0.2, Slack: 40, WindowMs: 10_000},
-		ColdShare:    0.8,
-		Limits:       defaultLimits(),
-		Quarantine:   Quarantine{Threshold: 3, HoldMs: 600_000, MaxRequests: 10_000},
-		Log:          Log{Level: "info"},
+		NamedPerZone:  2,
+		LookupTTLMs:   1_000,
+		ServeMs:       3_000,
+		StopMs:        5_700,
+		ApplyWithinMs: 2_000,
+		Retry:         RetryBudget{Ratio: 0.2, Slack: 40, WindowMs: 10_000},
+		ColdShare:     0.8,
+		Limits:        defaultLimits(),
+		Quarantine:    Quarantine{Threshold: 3, HoldMs: 600_000, MaxRequests: 10_000},
+		Log:           Log{Level: "info"},
 	}
 }
 
@@ -90,6 +95,7 @@
 	c.between("lookup_ttl_ms", int64(s.LookupTTLMs), 50, 600_000)
 	c.between("serve_ms", int64(s.ServeMs), 0, 600_000)
 	c.between("stop_ms", int64(s.StopMs), int64(s.ServeMs), 3_600_000)
+	c.between("apply_within_ms", int64(s.ApplyWithinMs), 100, 600_000)
 	c.between("retry.window_ms", int64(s.Retry.WindowMs), 100, 600_000)
 	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
 		c.addf("retry.ratio", "%v must lie between 0 and 1", s.Retry.Ratio)
