Read an answer from control to its end as long as it makes progress

A renewal had 1.6 s, after a failure 0.9 s, for the wait and for the whole answer.

Now the time-out covers the wait for the answer and each pause within it.

TestLargeAnswerOnSlowLinkIsReadToItsEnd failed before: not adopted after 3.5s and 3 transfers (three seconds for one answer).

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -19,8 +19,11 @@
 	// open after a failure, when the next address should be tried soon.
 	retryHoldTime = 300 * time.Millisecond
 	// renewTimeoutMargin is the timeout of a renewal beyond the time for which
-	// it may be held open.
+	// it may be held open, and the longest pause between two pieces of its answer.
 	renewTimeoutMargin = 600 * time.Millisecond
+	// maxRenewalTransfer bounds the time that an answer may take. The largest
+	// configurations, some megabytes, take less over a link of 1.5 Mbit/s.
+	maxRenewalTransfer = 30 * time.Second
 	// retryInterval is the delay before the next renewal after one that failed.
 	retryInterval = 150 * time.Millisecond
 	// firstRetryInterval replaces retryInterval until the first configuration
@@ -84,13 +87,19 @@
 	address, relayed := l.renewalTarget()
 	req.Relayed = relayed
 	timeout := time.Duration(req.WaitMs)*time.Millisecond + renewTimeoutMargin
-	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	ctx, cancel := context.WithTimeout(l.ctx, timeout+maxRenewalTransfer)
 	r.cancel = cancel
 	r.sentAt = l.syncer.now()
 	ev := &renewalResult{number: r.number, sentAt: r.sentAt, address: address, relayed: relayed}
 	crash.Go(l.workers, func() {
 		defer cancel()
-		ev.resp, ev.err = l.syncer.client(address).Renew(ctx, req)
+		stalled := time.AfterFunc(timeout, cancel)
+		defer stalled.Stop()
+		client := clusterpb.NewDistributionProtobufClient("http://"+address, progressClient{
+			client:   l.syncer.opts.Client,
+			progress: func() { stalled.Reset(renewTimeoutMargin) },
+		})
+		ev.resp, ev.err = client.Renew(ctx, req)
 		l.syncer.post(ev)
 	})
 }
