Bound the heads that an upstream sends in one exchange

Callers saw a 504 at their deadline, or a 502 once the upstream stopped; the gateway held what it had read of the head until then, with no bound.

Cause: http.ReadResponse has no limit of its own, and the loop over interim responses had none either. A status line or a header that never ends was collected in memory; interim responses without end were read until the deadline.

A reader under the buffer of the connection now counts the bytes of all heads of an exchange, those of interim responses and of responses to other requests included: 64 KiB, and 16 interim responses. Texts of errors that quote what the upstream sent are cut to 256 bytes.

Bodies, chunk extensions and trailers were bounded before: net/http limits what is no data, and the rest is cut by the deadline.

--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -30,6 +30,16 @@
 	// concurrentWriteBytes is the length from which a body is written while the
 	// response is read: an upstream may respond before it has read the whole body.
 	concurrentWriteBytes = 32 << 10
+	// maxHeadBytes bounds the status lines and headers that are read in one
+	// exchange, including those of interim responses and of responses to other
+	// requests.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the interim responses (status 1xx) that are read
+	// in one exchange.
+	maxInterimResponses = 16
+	// maxErrorTextBytes bounds the text of an error that quotes what the upstream
+	// has sent.
+	maxErrorTextBytes = 256
 	// maxUnmatchedResponses bounds the responses to other requests that are read
 	// before the exchange fails.
 	maxUnmatchedResponses = 3
@@ -49,7 +59,9 @@
 	// Reused is set if the connection has carried an exchange before.
 	Reused bool
 
-	raw         net.Conn
+	raw net.Conn
+	// limit is what reader reads from.
+	limit       *limitedReader
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	idleTimeout time.Duration
@@ -84,6 +96,10 @@
 	MayHaveRun bool
 	// Response is the response. Its body must be read by the caller of Conn.Do.
 	Response *http.Response
+	// headLeft is the rest of maxHeadBytes, interim the number of interim responses
+	// so far.
+	headLeft int64
+	interim  int
 
 	// bodyWritten is closed when a body that is written while the response is read
 	// has been written or has failed with writeErr. It is nil for other requests.
@@ -91,6 +107,18 @@
 	writeErr    error
 }
 
+// Errors of an upstream that sends too many bytes.
+var (
+	// ErrHeadTooLong means that status lines and headers exceed maxHeadBytes.
+	ErrHeadTooLong = errors.Errorf("upstream sent more than %d KiB of status lines and headers", maxHeadBytes>>10)
+	// ErrBodyTooLong means that a body that is not forwarded has not ended within
+	// its limit.
+	ErrBodyTooLong = errors.New("response body is longer than what is read of it")
+	// ErrTooManyInterim means that more than maxInterimResponses arrived before a
+	// final response.
+	ErrTooManyInterim = errors.Errorf("upstream sent more than %d interim responses", maxInterimResponses)
+)
+
 // ErrNoMatchingResponse means that only responses to other requests arrived.
 var ErrNoMatchingResponse = errors.New("connection carried only responses to other requests")
 
@@ -98,7 +126,7 @@
 // ended already; use InterruptOnDone to interrupt a running exchange. After an
 // error the connection is closed. The returned exchange is never nil.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Exchange, error) {
-	x := &Exchange{}
+	x := &Exchange{headLeft: maxHeadBytes}
 	if err := ctx.Err(); err != nil {
 		c.Close()
 		return x, errors.Trace(err)
@@ -115,11 +143,21 @@
 	}
 	if err != nil {
 		c.Close()
-		return x, errors.Trace(err)
+		return x, errors.Trace(boundText(err))
 	}
 	return x, nil
 }
 
+// boundText returns err, or an error with the start of its text if that is
+// longer than maxErrorTextBytes. Errors of net/http quote the malformed line.
+func boundText(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorTextBytes {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "...")
+}
+
 // responseMayBeWaiting reports whether a response may have arrived although
 // writing the request failed with err.
 func responseMayBeWaiting(err error) bool {
@@ -180,7 +218,7 @@
 func (c *Conn) receive(x *Exchange, r *Request, sendErr error) error {
 	sent := &http.Request{Method: r.Method}
 	for range maxUnmatchedResponses {
-		resp, err := c.readFinal(sent)
+		resp, err := c.readFinal(x, sent)
 		if err != nil {
 			if sendErr != nil {
 				return sendErr
@@ -192,7 +230,7 @@
 			c.updateReuse(resp)
 			return nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBody); err != io.EOF {
+		if discard(resp.Body, maxDiscardedBody) != nil {
 			return ErrNoMatchingResponse
 		}
 		if resp.Close || !selfDelimited(resp) {
@@ -202,10 +240,10 @@
 	return ErrNoMatchingResponse
 }
 
-// readFinal reads a response and skips interim ones (status 1xx).
-func (c *Conn) readFinal(sent *http.Request) (*http.Response, error) {
+// readFinal reads the head of a response and skips interim responses.
+func (c *Conn) readFinal(x *Exchange, sent *http.Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.reader, sent)
+		resp, err := c.readHead(x, sent)
 		if err != nil {
 			return nil, err
 		}
@@ -215,7 +253,42 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("upstream switched protocols without being asked to")
 		}
+		x.interim++
+		if x.interim > maxInterimResponses {
+			return nil, ErrTooManyInterim
+		}
+	}
+}
+
+// readHead reads the status line and the header of a response and subtracts
+// their length from x.headLeft. It fails with ErrHeadTooLong if nothing is left.
+func (c *Conn) readHead(x *Exchange, sent *http.Request) (*http.Response, error) {
+	c.limit.left = x.headLeft - int64(c.reader.Buffered())
+	resp, err := http.ReadResponse(c.reader, sent)
+	x.headLeft = c.limit.left + int64(c.reader.Buffered())
+	c.limit.left = unlimited
+	if x.headLeft <= 0 {
+		return nil, ErrHeadTooLong
+	}
+	return resp, err
+}
+
+// DiscardBody reads the rest of the body of the response. It returns
+// ErrBodyTooLong after limit bytes without an end, and the error of the
+// connection; the connection must then be closed.
+func (x *Exchange) DiscardBody(limit int64) error {
+	return discard(x.Response.Body, limit)
+}
+
+func discard(body io.Reader, limit int64) error {
+	_, err := io.CopyN(io.Discard, body, limit+1)
+	if err == io.EOF {
+		return nil
+	}
+	if err == nil {
+		return ErrBodyTooLong
 	}
+	return boundText(err)
 }
 
 // updateReuse records whether and for how long the connection may be reused
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -86,10 +86,12 @@
 		p.releaseOpen(address)
 		return nil, errors.Trace(err)
 	}
+	limit := &limitedReader{r: raw, left: unlimited}
 	return &Conn{
 		Address:     address,
 		raw:         raw,
-		reader:      bufio.NewReaderSize(raw, bufferSizeBytes),
+		limit:       limit,
+		reader:      bufio.NewReaderSize(limit, bufferSizeBytes),
 		writer:      bufio.NewWriterSize(raw, bufferSizeBytes),
 		idleTimeout: defaultIdleTimeout,
 		onClose:     func() { p.releaseOpen(address) },
