Stop the interrupt of an exchange before its connection is reused

A call may fail with a timeout although its upstream answers: found by reading for what ends an endless answer.

Cause: the context of a call interrupts its connection until attempt returns, but the connection goes back to the pool, or to the next waiting call, before the response is written to the caller. If the deadline passes or the caller leaves during that write, the next exchange on the connection gets the deadline of the first. PrepareReuse now stops the interrupts; a later stop does nothing.

TestContextOfEarlierExchangeDoesNotInterruptNext without it:

conn_test.go:366: assertion failed: error is not nil: write pipe: i/o timeout

--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -66,6 +67,8 @@
 	writer      *bufio.Writer
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// interrupts holds the functions that stop the interrupts of the connection.
+	interrupts []func()
 	// unusable is set if the connection must not carry another exchange.
 	unusable bool
 	// onClose is called when the connection is closed, once.
@@ -335,14 +338,27 @@
 }
 
 // InterruptOnDone makes reads and writes of the connection fail when ctx ends,
-// until stop is called. A connection that was interrupted cannot be reused.
+// until stop is called or the connection is prepared for reuse. A connection that
+// was interrupted cannot be reused. Further calls of stop do nothing.
 func (c *Conn) InterruptOnDone(ctx context.Context) (stop func()) {
 	release := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
-	return func() {
-		if release() {
-			return
-		}
-		// The deadline has been set or is about to be set.
-		c.unusable = true
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			if !release() {
+				// The deadline has been set or is about to be set.
+				c.unusable = true
+			}
+		})
+	}
+	c.interrupts = append(c.interrupts, stop)
+	return stop
+}
+
+// endInterrupts stops all interrupts of the connection.
+func (c *Conn) endInterrupts() {
+	for _, stop := range c.interrupts {
+		stop()
 	}
+	c.interrupts = c.interrupts[:0]
 }
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -286,6 +287,39 @@
 	assert.Assert(t, !p.PrepareReuse(c, x))
 }
 
+// TestContextOfEarlierExchangeDoesNotInterruptNext ends the context of an exchange
+// after its connection has gone to the next one, as when a response is still being
+// written to its caller. In an earlier version the next exchange failed with a
+// timeout.
+func TestContextOfEarlierExchangeDoesNotInterruptNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go serveScript(far, []string{response("1", "one"), response("2", "two")}, make(chan *http.Request, 2))
+		p := NewPool(func(context.Context, string) (net.Conn, error) { return near, nil })
+		first, cancel := context.WithCancel(t.Context())
+		c := getConn(t, p, "upstream")
+		stop := c.InterruptOnDone(first)
+		x, err := c.Do(first, newGet("1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		p.Release(c, x)
+
+		next := getConn(t, p, "upstream")
+		assert.Equal(t, next, c)
+		defer next.InterruptOnDone(t.Context())()
+		cancel()
+		synctest.Wait()
+		stop()
+		x, err = next.Do(t.Context(), newGet("2"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, p.PrepareReuse(next, x))
+		next.Close()
+	})
+}
+
 func TestRequestIsNotSentAfterContextEnds(t *testing.T) {
 	p, address, seen := startScriptedUpstream(t, response("1", "x"))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -151,9 +151,10 @@
 }
 
 // PrepareReuse reports whether the connection may carry another exchange after x.
-// If not, it closes the connection. x may be nil if the request has been written
-// completely.
+// If not, it closes the connection. The context of x no longer interrupts the
+// connection. x may be nil if the request has been written completely.
 func (p *Pool) PrepareReuse(c *Conn, x *Exchange) bool {
+	c.endInterrupts()
 	if c.unusable || x != nil && !x.fullySent() || c.reader.Buffered() > 0 {
 		c.Close()
 		return false
