Send no request on a connection with unread bytes

An upstream that sends bytes after an answer can have them taken for the answer to the next request, or break it after it was sent, so that a request that must run only once gets a 502.

Cause: only bytes that were in the buffer already were noticed, not those that arrived afterwards, nor the end of the connection. Before a request is sent on a reused connection, a read that does not wait now looks for both. A request that was not sent counts no attempt, and its refusal says that it did not run (503 instead of 502).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,8 +30,10 @@
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := res.conn.Do(c.ctx, c.upstreamRequest(u))
-	c.sends++
-	c.body.sent = true
+	if x.MayHaveRun {
+		c.sends++
+		c.body.sent = true
+	}
 	if err != nil {
 		return false, c.connectionFailed(u, x.MayHaveRun, err)
 	}
@@ -198,10 +200,11 @@
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
-	if mayHaveRun {
-		c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	if !mayHaveRun {
+		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
-	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: mayHaveRun})
+	c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
 
 // recordFailure logs a failed attempt and excludes the upstream from further
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -35,6 +35,9 @@
 	// respond writes the response to a request; if it returns false, the
 	// connection is closed.
 	respond func(w io.Writer, r *http.Request) bool
+	// respondHealth writes the response to a health request; if it returns false,
+	// the connection is closed. nil means a response with the load.
+	respondHealth func(w io.Writer) bool
 	// onRequest is called with each request, also health requests; nil means that
 	// nothing is called.
 	onRequest func(r *http.Request)
@@ -97,6 +100,12 @@
 			s.received = append(s.received, r.Header.Get("Balsam-Request-Id"))
 		}
 		s.mu.Unlock()
+		if r.URL.Path == "/health" && s.respondHealth != nil {
+			if !s.respondHealth(conn) {
+				return
+			}
+			continue
+		}
 		if r.URL.Path == "/health" {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: %s\r\nBalsam-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", s.id, load, cold)
 			continue
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -57,7 +57,8 @@
 // Conn is a connection to an upstream. It is not safe for concurrent use.
 type Conn struct {
 	Address string
-	// Reused is set if the connection has carried an exchange before.
+	// Reused is set if the connection has carried an exchange before and may
+	// carry another one.
 	Reused bool
 
 	raw net.Conn
@@ -112,6 +113,9 @@
 
 // Errors of an upstream that sends too many bytes.
 var (
+	// ErrBytesBeforeRequest means that bytes arrived after the end of the last
+	// response and before the next request was sent.
+	ErrBytesBeforeRequest = errors.New("upstream sent bytes before a request was sent")
 	// ErrHeadTooLong means that status lines and headers exceed maxHeadBytes.
 	ErrHeadTooLong = errors.Errorf("upstream sent more than %d KiB of status lines and headers", maxHeadBytes>>10)
 	// ErrBodyTooLong means that a body that is not forwarded has not ended within
@@ -134,10 +138,9 @@
 		c.Close()
 		return x, errors.Trace(err)
 	}
-	if c.reader.Buffered() > 0 {
-		// Bytes that arrived after the last response belong to no request.
+	if err := c.checkQuiet(); err != nil {
 		c.Close()
-		return x, errors.New("upstream sent bytes before a request was sent")
+		return x, errors.Trace(err)
 	}
 	x.MayHaveRun = true
 	err := c.send(x, r)
@@ -161,6 +164,51 @@
 	return errors.New(strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "...")
 }
 
+// checkQuiet returns ErrBytesBeforeRequest if bytes have arrived that belong to no
+// request, and io.EOF if the upstream has closed a connection that was open
+// before.
+func (c *Conn) checkQuiet() error {
+	if c.reader.Buffered() > 0 {
+		return ErrBytesBeforeRequest
+	}
+	if !c.Reused {
+		return nil
+	}
+	return readWithoutWaiting(c.raw)
+}
+
+// readWithoutWaiting returns nil if a read of the connection would wait,
+// ErrBytesBeforeRequest if it gives bytes, and otherwise its error. It returns
+// nil for connections without a file descriptor.
+func readWithoutWaiting(conn net.Conn) error {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	switch {
+	case err != nil:
+		return err
+	case n > 0:
+		return ErrBytesBeforeRequest
+	case readErr == nil:
+		return io.EOF
+	case errors.Is(readErr, syscall.EAGAIN), errors.Is(readErr, syscall.EINTR):
+		return nil
+	}
+	return readErr
+}
+
 // responseMayBeWaiting reports whether a response may have arrived although
 // writing the request failed with err.
 func responseMayBeWaiting(err error) bool {
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -147,6 +147,57 @@
 	assert.Assert(t, !p.PrepareReuse(c, x))
 }
 
+// TestBytesAfterResponsePreventNextRequest connects to upstreams that send bytes, or
+// close the connection, after the connection has become idle. The next request
+// must not be sent on it.
+func TestBytesAfterResponsePreventNextRequest(t *testing.T) {
+	cases := []struct {
+		name  string
+		after func(net.Conn)
+		want  error
+	}{
+		{"bytes", func(c net.Conn) { _, _ = io.WriteString(c, response("2", "forged")) }, ErrBytesBeforeRequest},
+		{"end", func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }, io.EOF},
+	}
+	for _, tc := range cases {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		idle, arrived := make(chan struct{}), make(chan struct{})
+		second := make(chan error, 1)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			_, _ = http.ReadRequest(reader)
+			_, _ = io.WriteString(conn, response("1", "one"))
+			<-idle
+			tc.after(conn)
+			close(arrived)
+			_, err = http.ReadRequest(reader)
+			second <- err
+		}()
+		p := NewPool(nil)
+		c := getConn(t, p, l.Addr().String())
+		x, err := c.Do(t.Context(), newGet("1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(x.Response.Body)
+		assert.NilError(t, err)
+		p.Release(c, x)
+		close(idle)
+		<-arrived
+		c = getConn(t, p, l.Addr().String())
+		assert.Assert(t, c.Reused, tc.name)
+		x, err = c.Do(t.Context(), newGet("2"))
+		assert.ErrorIs(t, err, tc.want, tc.name)
+		assert.Assert(t, !x.MayHaveRun, tc.name)
+		assert.Assert(t, <-second != nil, "%s: a request was sent", tc.name)
+	}
+}
+
 func TestRequestFailsWhenNoResponseMatches(t *testing.T) {
 	p, address, _ := startScriptedUpstream(t, response("9", "x")+response("9", "x")+response("9", "x")+response("9", "x"))
 	x, err := getConn(t, p, address).Do(context.Background(), newGet("1"))
