Fail load probes whose body does not end

A caller could get bytes of a health body as its answer: an upstream that sends the rest of a long health body when it is sent a request has it read as the head of the answer.

Cause: a probe read 4 KiB of the body and took it for whole; the request went out on the same connection. A probe now succeeds only if its body ends within 16 KiB and nothing follows it; otherwise its connection is closed and the upstream held.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -3,9 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -30,3 +34,108 @@
 	assert.Equal(t, h.Get(fault.HeaderRun), string(fault.NotRun))
 	assert.Equal(t, len(s.requests()), 0)
 }
+
+// TestHealthBodyIsNotTakenForAnAnswer connects to an upstream that sends the rest of
+// a long health body only when it is sent a request. In an earlier version the
+// caller got that rest as its answer.
+func TestHealthBodyIsNotTakenForAnAnswer(t *testing.T) {
+	const firstPart = 4 << 10
+	forged := "HTTP/1.1 200 OK\r\nBalsam-Request-Id: r1\r\n" + servedByHeader + "Content-Length: 6\r\n\r\nforged"
+	s := startFakeUpstream(t, "u1", func(w io.Writer, _ *http.Request) bool {
+		_, err := io.WriteString(w, forged)
+		return err == nil
+	})
+	s.respondHealth = func(w io.Writer) bool {
+		_, err := io.WriteString(w, healthHead+"Content-Length: "+strconv.Itoa(firstPart+len(forged))+"\r\n\r\n"+strings.Repeat("x", firstPart))
+		return err == nil
+	}
+	fx := startForwarder(t, newConfig(s))
+	status, body, _ := fx.call(t, http.MethodPost, "/unsafe/x", "300")
+	assert.Equal(t, status, 503, body)
+	assert.Equal(t, len(s.requests()), 0)
+}
+
+const (
+	// endlessCap is where a stand-in stops that sends without end, so that a test
+	// that fails does not use up the memory of the machine.
+	endlessCap = 32 << 20
+	// maxTaken bounds what may have been taken from a stand-in that sends without
+	// end: the buffers of the operating system hold up to 10 MiB.
+	maxTaken = 16 << 20
+)
+
+// sendEndlessly writes first and then repeat, with a pause before each, until the
+// connection is closed or endlessCap is reached. It returns the number of bytes
+// written.
+func sendEndlessly(w io.Writer, first, repeat string, pause time.Duration) int {
+	sent, err := io.WriteString(w, first)
+	for err == nil && sent < endlessCap {
+		time.Sleep(pause)
+		var n int
+		n, err = io.WriteString(w, repeat)
+		sent += n
+	}
+	return sent
+}
+
+// heldUpstreams returns the number of upstreams of the pool that have failed since
+// their last complete answer, and so get no requests for a while.
+func (fx *fixture) heldUpstreams() int {
+	fx.state.mu.Lock()
+	defer fx.state.mu.Unlock()
+	// The start of the gateway is before the end of every backoff.
+	open, ready := fx.state.balancer.CountUpstreams(0, "p")
+	return open - ready
+}
+
+// waitForHeld waits until one upstream of the pool is held.
+func (fx *fixture) waitForHeld(t *testing.T, name string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if fx.heldUpstreams() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("%s: no upstream is held", name)
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// TestHealthResponseWithoutEndKeepsRequestsAway connects to upstreams whose health
+// responses never end. They must get no requests for a while, while the other
+// upstream of the pool is used.
+func TestHealthResponseWithoutEndKeepsRequestsAway(t *testing.T) {
+	block := strings.Repeat("x", 1<<10)
+	cases := []struct {
+		name, first, repeat string
+		pause               time.Duration
+	}{
+		{"head", healthHead, "A: b\r\n", 0},
+		{"status line", "HTTP/1.1 200 ", block, 0},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", 0},
+		{"chunks", healthHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + block + "\r\n", 0},
+		{"body without length", healthHead + "\r\n", block, 0},
+		{"body longer than stated", healthHead + "Content-Length: 2\r\n\r\n", block, 0},
+		{"head, byte by byte", healthHead + "A: ", "x", time.Millisecond},
+		{"body, byte by byte", healthHead + "Content-Length: 99999\r\n\r\n", "x", time.Millisecond},
+	}
+	for _, c := range cases {
+		taken := make(chan int, 16)
+		bad := startFakeUpstream(t, "bad", nil)
+		respondOK(bad)
+		bad.respondHealth = func(w io.Writer) bool {
+			taken <- sendEndlessly(w, c.first, c.repeat, c.pause)
+			return false
+		}
+		good := startFakeUpstream(t, "good", nil)
+		respondOK(good)
+		good.setLoad("1 0 2 115")
+		fx := startForwarder(t, newConfig(bad, good))
+		for range 3 {
+			status, body, _ := fx.call(t, http.MethodPost, "/unsafe/x", "")
+			assert.Check(t, status == 200 && body == "whole", "%s: status %d, %s", c.name, status, body)
+		}
+		assert.Check(t, len(bad.requests()) == 0, c.name)
+		fx.waitForHeld(t, c.name)
+		n := <-taken
+		assert.Check(t, n < maxTaken, "%s: %d bytes taken", c.name, n)
+	}
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,9 +24,9 @@
 	// probeGracePeriod is how long the other probes are awaited after the first
 	// response. If an upstream has room by then, it is chosen without them.
 	probeGracePeriod = 8 * time.Millisecond
-	// maxHealthBody is the number of bytes read from the body of a health
-	// response.
-	maxHealthBody = 4 << 10
+	// maxHealthBody bounds the body of a health response. A probe whose body has
+	// not ended by then fails.
+	maxHealthBody = 16 << 10
 )
 
 // probeOutcome is the outcome of the probe of one upstream.
@@ -196,11 +195,15 @@
 	if err != nil {
 		return balance.ProbeResult{}, err
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxHealthBody)); err != nil {
+	if err := x.DiscardBody(maxHealthBody); err != nil {
 		conn.Close()
 		return balance.ProbeResult{}, err
 	}
-	return f.parseProbe(conn, c, x.Response)
+	result, err := f.parseProbe(conn, c, x.Response)
+	if err == nil && !f.conns.PrepareReuse(conn, x) {
+		err = upstreamconn.ErrBytesBeforeRequest
+	}
+	return result, err
 }
 
 // parseProbe reads the result of the probe from the headers of a health response.
