Do not wait for the end of a response that is not forwarded

A request that an upstream refused without running it was not sent elsewhere if the body of the refusal trickled: its caller got a 503 at its deadline although another upstream had room. The upstream was asked again and again.

Cause: up to 16 KiB of the body were read with no bound but the deadline of the call, and a refusal is no failure of the upstream. The rest of such a body now has 20 ms, and an upstream whose refusal has no end is held.

TestRefusalWithoutEndIsRetriedElsewhere without it:

body, byte by byte: status 503, shed, "not run" chunks, one by one: status 503, shed, "not run" heldUpstreams() is not 1: body without length (and all others)

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -45,7 +46,8 @@
 	c.f.recordLimit(u, balance.RanAnswer, resp)
 	c.ran++
 	if failed, ok := c.checkResponse(resp); !ok {
-		c.discardResponse(res.conn, x)
+		// The upstream counts as failed whether or not the rest ends.
+		_ = c.discardResponse(res.conn, x)
 		c.recordEnd(u.ID, false, time.Since(start))
 		return false, c.recordFailure(u, failed)
 	}
@@ -122,11 +124,15 @@
 // run, and returns the failure.
 func (c *call) refusedByUpstream(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange) attemptFailure {
 	resp := x.Response
-	c.discardResponse(conn, x)
+	discardErr := c.discardResponse(conn, x)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.recordEnd(u.ID, false, 0)
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: its address now belongs to another upstream", u.ID)})
 	}
+	if discardErr != nil && c.ctx.Err() == nil {
+		c.recordEnd(u.ID, false, 0)
+		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.Shed, c.shedRetryAfter(), "upstream %s refused the request without running it, with a body that did not end: %v", u.ID, discardErr)})
+	}
 	c.recordNeutralEnd(u.ID)
 	if resp.StatusCode == http.StatusBadRequest {
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.BadRequest, "upstream %s rejected the request with status 400", u.ID)})
@@ -173,17 +179,30 @@
 }
 
 // discardResponse reads the rest of a response that is not forwarded, and returns
-// the connection to the pool if the rest is short.
-func (c *call) discardResponse(conn *upstreamconn.Conn, x *upstreamconn.Exchange) {
-	if _, err := io.CopyN(io.Discard, x.Response.Body, maxDiscardedBody); err != io.EOF {
+// the connection to the pool. If the rest does not end soon, it closes the
+// connection and returns an error.
+func (c *call) discardResponse(conn *upstreamconn.Conn, x *upstreamconn.Exchange) error {
+	ctx, cancel := context.WithTimeout(c.ctx, discardTimeout)
+	defer cancel()
+	stop := conn.InterruptOnDone(ctx)
+	err := x.DiscardBody(maxDiscardedBody)
+	stop()
+	if err != nil {
 		conn.Close()
+		return err
 	}
 	c.f.conns.Release(conn, x)
+	return nil
 }
 
-// maxDiscardedBody is the size of the largest response body that is read only to
-// keep the connection.
-const maxDiscardedBody = 16 << 10
+const (
+	// maxDiscardedBody is the size of the largest response body that is read only
+	// to keep the connection.
+	maxDiscardedBody = 16 << 10
+	// discardTimeout bounds the time for that, during which the request is not yet
+	// sent to another upstream. Such a body usually arrives with its head.
+	discardTimeout = 20 * time.Millisecond
+)
 
 // connectionFailed records an attempt without a complete response and returns
 // the failure: the caller has disconnected, the deadline has passed, or the
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -99,6 +100,23 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
+// callUntilSent sends calls until one has been sent to the upstream, which may not
+// answer a probe in time, and returns the answer. All others must be served.
+func (fx *fixture) callUntilSent(t *testing.T, s *fakeUpstream, method, path string) (int, string, http.Header) {
+	t.Helper()
+	const attempts = 100
+	before := len(s.requests())
+	for range attempts {
+		status, body, h := fx.call(t, method, path, "")
+		if len(s.requests()) > before {
+			return status, body, h
+		}
+		assert.Assert(t, status == 200 && body == "whole", "status %d, %.200s", status, body)
+	}
+	t.Fatalf("none of %d calls was sent to upstream %s", attempts, s.id)
+	return 0, "", nil
+}
+
 // TestHealthResponseWithoutEndKeepsRequestsAway connects to upstreams whose health
 // responses never end. They must get no requests for a while, while the other
 // upstream of the pool is used.
@@ -139,3 +157,38 @@
 		assert.Check(t, n < maxTaken, "%s: %d bytes taken", c.name, n)
 	}
 }
+
+// TestRefusalWithoutEndIsRetriedElsewhere sends requests to upstreams that refuse
+// them without running them, with a body that never ends. The request must be
+// sent to another upstream in time, and no further one to the first.
+func TestRefusalWithoutEndIsRetriedElsewhere(t *testing.T) {
+	block := strings.Repeat("x", 1<<10)
+	cases := []struct {
+		name, header, repeat string
+		pause                time.Duration
+	}{
+		{"body without length", "\r\n", block, 0},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + block + "\r\n", 0},
+		{"body, byte by byte", "Content-Length: 99999\r\n\r\n", "x", time.Millisecond},
+		{"chunks, one by one", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", time.Millisecond},
+	}
+	for _, c := range cases {
+		for _, status := range []int{503, 429} {
+			taken := make(chan int, 16)
+			bad := startFakeUpstream(t, "bad", func(w io.Writer, r *http.Request) bool {
+				head := fmt.Sprintf("HTTP/1.1 %d X\r\nBalsam-Request-Id: %s\r\nBalsam-Not-Run: 1\r\n%s", status, r.Header.Get("Balsam-Request-Id"), c.header)
+				taken <- sendEndlessly(w, head, c.repeat, c.pause)
+				return false
+			})
+			good := startFakeUpstream(t, "good", nil)
+			respondOK(good)
+			good.setLoad("1 0 2 115")
+			fx := startForwarder(t, newConfig(bad, good))
+			got, body, _ := fx.callUntilSent(t, bad, http.MethodPost, "/unsafe/x")
+			assert.Check(t, got == 200 && body == "whole", "%s: status %d, %s", c.name, got, body)
+			assert.Check(t, fx.heldUpstreams() == 1, c.name)
+			n := <-taken
+			assert.Check(t, n < maxTaken, "%s: %d bytes taken", c.name, n)
+		}
+	}
+}
