Hold an upstream whose answers do not end before the deadline

Callers were sent again and again to an upstream whose answers begin and never end: each lost its whole time there.

A caller that left, or a failed write to the caller, counted as a success or a failure of the upstream as well.

An answer that has begun and not ended at the deadline now counts as unfinished. One alone changes nothing, since a deadline may be short and a caller slow; from the second in a row on, without a complete answer between them, the upstream is held as after a failure. Only errors of the upstream's own connection count.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -102,6 +102,9 @@
 	// backoffUntil is the end of the backoff after failures and probe timeouts.
 	backoffUntil time.Duration
 	failures     int
+	// unfinished counts responses that did not end before their deadline, since
+	// the last complete one.
+	unfinished int
 	// probeTimeouts counts consecutive probes without an answer.
 	probeTimeouts int
 	// relativeLatency is the moving average of response times, relative to the
--- a/internal/balance/record.go
+++ b/internal/balance/record.go
@@ -83,6 +83,25 @@
 	return u.backOff(now, initialBackoff, &u.failures)
 }
 
+// RecordUnfinished records that a response had begun and did not end before the
+// deadline of its request, and returns the resulting backoff. A single one has
+// none: the deadline may have been short, or the caller slow to read.
+func (b *Balancer) RecordUnfinished(now time.Duration, id string) time.Duration {
+	u := b.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	u.unfinished++
+	if u.unfinished < unfinishedBeforeBackoff {
+		return 0
+	}
+	return u.backOff(now, initialBackoff, &u.failures)
+}
+
+// unfinishedBeforeBackoff is the number of unfinished responses, with no complete
+// one between them, from which on an upstream is avoided.
+const unfinishedBeforeBackoff = 2
+
 // backOff avoids the upstream for the initial time, doubled for each previous
 // failure up to maxBackoff. It increments failures and returns the backoff.
 func (u *upstream) backOff(now, initial time.Duration, failures *int) time.Duration {
@@ -102,6 +121,7 @@
 		return
 	}
 	u.failures = 0
+	u.unfinished = 0
 	u.backoffUntil = 0
 	if usual > 0 {
 		latency := min(float64(took)/float64(usual), maxRelativeLatency)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,7 +36,7 @@
 		c.body.sent = true
 	}
 	if err != nil {
-		return false, c.connectionFailed(u, x.MayHaveRun, err)
+		return false, c.connectionFailed(u, x, err)
 	}
 	resp := x.Response
 	if c.notRun(resp) {
@@ -81,6 +81,20 @@
 	st.balancer.RecordEnd(id, c.choice.At)
 }
 
+// recordUnfinished records the end of an attempt whose response had begun and did
+// not end before the deadline.
+func (c *call) recordUnfinished(u balance.Upstream) {
+	st := c.f.state
+	st.mu.Lock()
+	st.balancer.RecordEnd(u.ID, c.choice.At)
+	held := st.balancer.RecordUnfinished(st.now(), u.ID)
+	st.mu.Unlock()
+	if held > 0 {
+		c.f.opts.Events.Log(event.UpstreamHeld).Str("request", c.id).Str("upstream", u.ID).Str("pool", u.Pool).
+			Str("why", "responses did not end before the deadline").Uint64("held_ms", uint64(held.Milliseconds())).Send()
+	}
+}
+
 // upstreamRequest builds the request to the upstream, with the time left to the
 // deadline.
 func (c *call) upstreamRequest(u balance.Upstream) *upstreamconn.Request {
@@ -207,15 +221,21 @@
 // connectionFailed records an attempt without a complete response and returns
 // the failure: the caller has disconnected, the deadline has passed, or the
 // connection to the upstream is broken.
-func (c *call) connectionFailed(u balance.Upstream, mayHaveRun bool, err error) attemptFailure {
+func (c *call) connectionFailed(u balance.Upstream, x *upstreamconn.Exchange, err error) attemptFailure {
+	mayHaveRun := x.MayHaveRun
 	if mayHaveRun {
 		c.ran++
 	}
 	if c.ctx.Err() != nil {
-		c.recordNeutralEnd(u.ID)
 		if c.r.Context().Err() != nil {
+			c.recordNeutralEnd(u.ID)
 			return c.recordFailure(u, attemptFailure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun})
 		}
+		if x.ResponseBegun || x.Response != nil {
+			c.recordUnfinished(u)
+			return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not finish its answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
+		}
+		c.recordNeutralEnd(u.ID)
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
@@ -245,7 +265,7 @@
 		conn.Close()
 		// connectionFailed counts the attempt again.
 		c.ran--
-		return false, c.connectionFailed(u, true, err)
+		return false, c.connectionFailed(u, x, err)
 	}
 	c.status = resp.StatusCode
 	c.loadAtResponse = resp.Header.Get(c.f.opts.Headers.Load)
@@ -286,12 +306,11 @@
 func (c *call) streamResponse(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange, buffered []byte, start time.Time) {
 	resp := x.Response
 	c.writeHeader(resp, resp.ContentLength)
-	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered), resp.Body))
+	body := &errorRecorder{r: resp.Body}
+	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered), body))
 	if err != nil {
 		conn.Close()
-		// The upstream is not at fault if the caller has disconnected or the deadline
-		// has passed.
-		c.recordEnd(u.ID, c.ctx.Err() != nil, time.Since(start))
+		c.recordBrokenStream(u, body.err, time.Since(start))
 		// The panic skips the call of finish in ServeHTTP.
 		c.finish(fault.New(fault.UpstreamBroken, "upstream %s: response body broke off: %v", u.ID, err))
 		panic(http.ErrAbortHandler)
@@ -299,3 +318,32 @@
 	c.recordEnd(u.ID, true, time.Since(start))
 	c.f.conns.Release(conn, x)
 }
+
+// recordBrokenStream records the end of an attempt whose response was forwarded
+// in part. readErr is the error of the connection to the upstream, nil if it was
+// the caller who broke off.
+func (c *call) recordBrokenStream(u balance.Upstream, readErr error, took time.Duration) {
+	switch {
+	case readErr == nil || c.r.Context().Err() != nil:
+		c.recordNeutralEnd(u.ID)
+	case c.ctx.Err() != nil:
+		c.recordUnfinished(u)
+	default:
+		c.recordEnd(u.ID, false, took)
+	}
+}
+
+// errorRecorder is a reader that records the first error of r other than io.EOF.
+type errorRecorder struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (e *errorRecorder) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && err != io.EOF && e.err == nil {
+		e.err = err
+	}
+	return n, err
+}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -192,3 +192,68 @@
 		}
 	}
 }
+
+// TestAnswersWithoutEndAreCutAtTheDeadline sends requests to upstreams whose answers
+// begin and never end. The caller must get no complete answer, and after two such
+// answers the upstream no further requests for a while.
+func TestAnswersWithoutEndAreCutAtTheDeadline(t *testing.T) {
+	block := strings.Repeat("x", 32<<10)
+	cases := []struct {
+		name, first, repeat string
+		pause               time.Duration
+		// streamed is set if the answer is too large to be buffered.
+		streamed bool
+	}{
+		{"status line, byte by byte", "HTTP/1.1 200 ", "x", time.Millisecond, false},
+		{"header line, byte by byte", okHead + "A: ", "x", time.Millisecond, false},
+		{"body without length, byte by byte", okHead + "\r\n", "x", time.Millisecond, false},
+		{"stated body, byte by byte", okHead + "Content-Length: 99999\r\n\r\n", "x", time.Millisecond, false},
+		{"chunks, one by one", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", time.Millisecond, false},
+		{"body without length", okHead + "\r\n", block, 2 * time.Millisecond, true},
+		{"chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + block + "\r\n", 2 * time.Millisecond, true},
+		{"large stated body", okHead + "Content-Length: 9999999999\r\n\r\n", block, 2 * time.Millisecond, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			bad := startFakeUpstream(t, "bad", func(w io.Writer, _ *http.Request) bool {
+				sendEndlessly(w, c.first, c.repeat, c.pause)
+				return false
+			})
+			fx := startForwarder(t, newConfig(bad))
+			for i := range 2 {
+				assert.Check(t, fx.heldUpstreams() == 0, "held after %d answers", i)
+				status, err := fx.readAnswer("/unsafe/x", "800")
+				if c.streamed {
+					assert.Check(t, status == 200 && err != nil, "status %d, error %v", status, err)
+				} else {
+					assert.Check(t, status == 504 && err == nil, "status %d, error %v", status, err)
+				}
+				<-bad.connClosed
+			}
+			fx.waitForHeld(t, c.name)
+		})
+	}
+}
+
+// okHead is the head of the answer to request r1, without its end.
+const okHead = "HTTP/1.1 200 OK\r\nBalsam-Request-Id: r1\r\n" + servedByHeader
+
+// readAnswer sends one request and discards the answer. It returns the status and
+// the error of reading the body.
+func (fx *fixture) readAnswer(path, deadlineMs string) (int, error) {
+	r, err := http.NewRequest(http.MethodPost, fx.server.URL+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	r.Host = "host.example"
+	r.Header.Set("Balsam-Request-Id", "r1")
+	r.Header.Set("Balsam-Timeout-Ms", deadlineMs)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -98,6 +98,9 @@
 type Exchange struct {
 	// MayHaveRun is set once a byte of the request may have been sent.
 	MayHaveRun bool
+	// ResponseBegun is set if the exchange failed after a part of a response had
+	// arrived, but not all of it.
+	ResponseBegun bool
 	// Response is the response. Its body must be read by the caller of Conn.Do.
 	Response *http.Response
 	// headLeft is the rest of maxHeadBytes, interim the number of interim responses
@@ -282,6 +285,7 @@
 			return nil
 		}
 		if discard(resp.Body, maxDiscardedBody) != nil {
+			x.ResponseBegun = true
 			return ErrNoMatchingResponse
 		}
 		if resp.Close || !selfDelimited(resp) {
@@ -316,6 +320,7 @@
 func (c *Conn) readHead(x *Exchange, sent *http.Request) (*http.Response, error) {
 	c.limit.left = x.headLeft - int64(c.reader.Buffered())
 	resp, err := http.ReadResponse(c.reader, sent)
+	x.ResponseBegun = err != nil && c.limit.left < x.headLeft
 	x.headLeft = c.limit.left + int64(c.reader.Buffered())
 	c.limit.left = unlimited
 	if x.headLeft <= 0 {
