Bound the memory of all buffered responses of a gateway

Answers are buffered up to 1 MiB each and 1,024 calls may be in flight, so that upstreams whose answers have no end could take more memory than the VM has (240 MB), and the process be killed.

Answers of more than 32 KiB now share 32 MiB; one that finds none left is streamed.

TestBuffersOfAllResponsesAreBounded without the bound:

held is greater than responseBufferBytes + calls*(smallResponse+1): bytes held

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,11 +16,6 @@
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
 
-// maxBufferedResponse is the size up to which a response body is read to its end
-// before the first byte is sent to the caller, so that the request can still be
-// retried or refused if the response breaks off.
-const maxBufferedResponse = 1 << 20
-
 // attempt sends the request to the reserved upstream and forwards the response.
 // It reports false, with the failure, if there is no response to forward.
 func (c *call) attempt(res reservation) (bool, attemptFailure) {
@@ -260,7 +255,8 @@
 // failure, if the connection breaks while the response is buffered.
 func (c *call) forwardResponse(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange, start time.Time) (bool, attemptFailure) {
 	resp := x.Response
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	buffered, err := c.f.buffers.read(resp.Body, resp.ContentLength)
+	defer buffered.release()
 	if err != nil {
 		conn.Close()
 		// connectionFailed counts the attempt again.
@@ -269,17 +265,17 @@
 	}
 	c.status = resp.StatusCode
 	c.loadAtResponse = resp.Header.Get(c.f.opts.Headers.Load)
-	if len(buffered) > maxBufferedResponse {
-		c.streamResponse(u, conn, x, buffered, start)
+	if !buffered.complete {
+		c.streamResponse(u, conn, x, buffered.body, start)
 		return true, attemptFailure{}
 	}
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
 	c.f.opts.Crashes.Completed(c.quarantineKey)
-	c.writeHeader(resp, int64(len(buffered)))
+	c.writeHeader(resp, int64(len(buffered.body)))
 	// A write error means that the caller has disconnected, which is no failure of
 	// the upstream.
-	_, _ = c.w.Write(buffered)
+	_, _ = c.w.Write(buffered.body)
 	return true, attemptFailure{}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -60,12 +60,14 @@
 	opts  ForwarderOptions
 	state *state
 	conns *upstreamconn.Pool
+	// buffers bounds the memory in which responses are buffered.
+	buffers *responseBuffers
 	// lastWaiterID is the ID of the call that joined a queue last.
 	lastWaiterID atomic.Uint64
 }
 
 func newForwarder(st *state, conns *upstreamconn.Pool, o ForwarderOptions) *Forwarder {
-	return &Forwarder{opts: o, state: st, conns: conns}
+	return &Forwarder{opts: o, state: st, conns: conns, buffers: newResponseBuffers()}
 }
 
 // ServeHTTP answers one call with the response of an upstream or with an error.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -132,9 +132,10 @@
 
 // fixture is a forwarder to fake upstreams, all in pool p.
 type fixture struct {
-	state   *state
-	server  *httptest.Server
-	crashes *crashRecorder
+	state     *state
+	forwarder *Forwarder
+	server    *httptest.Server
+	crashes   *crashRecorder
 }
 
 // crashRecorder is a CrashTracker that records the reported crashes.
@@ -209,6 +210,7 @@
 		Events:  log,
 		Closed:  func() bool { return false },
 	})
+	fx.forwarder = f
 	fx.server = httptest.NewServer(f)
 	t.Cleanup(fx.server.Close)
 	return fx
