End a streamed call whose caller does not read

A caller that sends a request and reads nothing kept its call, and the connection to the upstream, for as long as it liked if the answer was large.

Cause: the deadline of a call interrupts the connection to the upstream, not a write to the caller that waits. The write under way at the deadline now has 1 s.

TestCallerThatDoesNotReadIsLeftAfterTheDeadline without it:

timeout hit after 20s: the connection to the upstream is open

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -303,6 +303,8 @@
 	resp := x.Response
 	c.writeHeader(resp, resp.ContentLength)
 	body := &errorRecorder{r: resp.Body}
+	stop := c.limitLastWrite()
+	defer stop()
 	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered), body))
 	if err != nil {
 		conn.Close()
@@ -315,6 +317,30 @@
 	c.f.conns.Release(conn, x)
 }
 
+// lastWriteTimeout bounds the write to the caller that is under way when the
+// deadline passes.
+const lastWriteTimeout = time.Second
+
+// limitLastWrite makes a write to the caller fail soon after the deadline of the
+// call, until stop is called. Without it a caller that does not read would keep
+// the call and the connection to the upstream open.
+func (c *call) limitLastWrite() (stop func()) {
+	writer := http.NewResponseController(c.w)
+	done := make(chan struct{})
+	release := context.AfterFunc(c.ctx, func() {
+		defer close(done)
+		// It fails only if the connection of the caller is gone.
+		_ = writer.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+	})
+	return func() {
+		if release() {
+			return
+		}
+		<-done
+		_ = writer.SetWriteDeadline(time.Time{})
+	}
+}
+
 // recordBrokenStream records the end of an attempt whose response was forwarded
 // in part. readErr is the error of the connection to the upstream, nil if it was
 // the caller who broke off.
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -257,3 +258,26 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
+
+// TestCallerThatDoesNotReadIsLeftAfterTheDeadline sends an answer without end to a
+// caller that keeps its connection open and reads nothing. The call must end, and
+// the connection to the upstream with it.
+func TestCallerThatDoesNotReadIsLeftAfterTheDeadline(t *testing.T) {
+	block := strings.Repeat("x", 32<<10)
+	s := startFakeUpstream(t, "u1", func(w io.Writer, _ *http.Request) bool {
+		sendEndlessly(w, okHead+"\r\n", block, 0)
+		return false
+	})
+	fx := startForwarder(t, newConfig(s))
+	caller, err := net.Dial("tcp", fx.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nBalsam-Request-Id: r1\r\nBalsam-Timeout-Ms: 200\r\n\r\n")
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(s.connClosed) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the connection to the upstream is open")
+	}, poll.WithTimeout(20*time.Second))
+}
