--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -56,6 +56,17 @@
 	})
 }
 
+// LimitReadTime returns a handler that calls next and makes reads of the request
+// body fail after the time limit, which must be longer than next takes otherwise.
+// It also bounds the time in which the server reads what next leaves of the body.
+func LimitReadTime(next http.Handler, limit time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// It fails only for writers that have no connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // RemoteHost returns the client address of r without the port.
 func RemoteHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/internal/httpnet/server_test.go
+++ b/internal/httpnet/server_test.go
@@ -149,3 +149,43 @@
 	assert.ErrorIs(t, s.Shutdown(ctx), context.Canceled)
 	assert.Equal(t, <-status, 0)
 }
+
+// TestSlowBodyEndsAtTheTimeLimit sends bodies that never end to a handler that reads
+// its body and to one that leaves it. Both must end, and the connection with them.
+func TestSlowBodyEndsAtTheTimeLimit(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"reads the body": func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		},
+		"leaves the body": respondOK,
+	}
+	for name, h := range handlers {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, LimitReadTime(h, 100*time.Millisecond).ServeHTTP, Limits{})
+			conn := dial(t, s)
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+			assert.NilError(t, err)
+			go func() {
+				for err := error(nil); err == nil; time.Sleep(time.Millisecond) {
+					_, err = io.WriteString(conn, "1\r\nx\r\n")
+				}
+			}()
+			_, err = io.Copy(io.Discard, conn)
+			var timeout net.Error
+			assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the server did not close the connection: %v", err)
+		})
+	}
+}
+
+// TestReadTimeLimitDoesNotCancelNextRequest sends a second request on a connection
+// after the time limit of the first has passed.
+func TestReadTimeLimitDoesNotCancelNextRequest(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	s := listen(t, LimitReadTime(http.HandlerFunc(respondOK), limit).ServeHTTP, Limits{})
+	conn := dial(t, s)
+	assert.Equal(t, requestStatus(conn, ""), http.StatusOK)
+	time.Sleep(2 * limit)
+	assert.Equal(t, requestStatus(conn, ""), http.StatusOK)
+}
