Cut long details of errors

The error response of a call could quote up to a whole head of what the upstream had sent, and the log line as well: callers got bytes that are no answer, and explain reads lines of 1 MiB at most.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -98,15 +99,29 @@
 	MayHaveRun bool
 }
 
-// New returns an error of kind k. The detail is formatted as by fmt.Sprintf.
+// maxDetailBytes bounds the detail of an error, which may quote what an upstream has
+// sent.
+const maxDetailBytes = 1 << 10
+
+// formatDetail formats a detail as fmt.Sprintf does and cuts it to maxDetailBytes.
+func formatDetail(format string, args []any) string {
+	detail := fmt.Sprintf(format, args...)
+	if len(detail) <= maxDetailBytes {
+		return detail
+	}
+	return strings.ToValidUTF8(detail[:maxDetailBytes], "") + "..."
+}
+
+// New returns an error of kind k. The detail is formatted as by fmt.Sprintf and cut
+// to 1 KiB.
 func New(k Kind, format string, args ...any) *Error {
-	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
+	return &Error{Kind: k, Detail: formatDetail(format, args)}
 }
 
 // NewRetryable returns an error of kind k with the time to wait before a retry.
-// The detail is formatted as by fmt.Sprintf.
+// The detail is formatted as by New.
 func NewRetryable(k Kind, retryAfter time.Duration, format string, args ...any) *Error {
-	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...), RetryAfter: retryAfter}
+	return &Error{Kind: k, Detail: formatDetail(format, args), RetryAfter: retryAfter}
 }
 
 // Error returns the text "kind: detail", or the kind alone without a detail.
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
@@ -82,3 +84,11 @@
 	})
 	return kinds
 }
+
+func TestLongDetailIsCut(t *testing.T) {
+	long := strings.Repeat("\u00e9", maxDetailBytes)
+	for _, e := range []*Error{New(UpstreamBroken, "said %q", long), NewRetryable(Shed, time.Second, "said %q", long)} {
+		assert.Assert(t, len(e.Detail) <= maxDetailBytes+len("..."), "%d bytes", len(e.Detail))
+		assert.Assert(t, utf8.ValidString(e.Detail))
+	}
+}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -281,3 +281,51 @@
 		return poll.Continue("the connection to the upstream is open")
 	}, poll.WithTimeout(20*time.Second))
 }
+
+// TestAnswerWithoutEndIsRetriedOnlyWhenRepeatable sends requests to an upstream whose
+// bytes, after it has received them, never end and are no answer. A request that
+// must run only once must not be retried and gets a 502 with an unknown outcome; a
+// repeatable one gets its answer from another upstream. The upstream must be
+// held, and the gateway must take a bounded number of bytes from it.
+func TestAnswerWithoutEndIsRetriedOnlyWhenRepeatable(t *testing.T) {
+	block := strings.Repeat("x", 1<<10)
+	other := strings.Replace(okHead, "r1", "r0", 1)
+	cases := []struct{ name, first, repeat string }{
+		{"no line", "", block},
+		{"status line", "HTTP/1.1 200 ", block},
+		{"long line that is no status line", strings.Repeat("x", 60<<10) + "\r\n", block},
+		{"header lines", okHead, "A: b\r\n"},
+		{"header line", okHead + "A: ", block},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"interim answers with long heads", "", "HTTP/1.1 103 Early Hints\r\nLink: " + block + "\r\n\r\n"},
+		{"answers to other requests", "", other + "Content-Length: 1\r\n\r\nx"},
+		{"body of an answer to another request", other + "\r\n", block},
+		{"chunk extensions", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + block + "\r\nx\r\n"},
+		{"trailers", okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		{"503 that does not say whether it ran", "HTTP/1.1 503 X\r\nBalsam-Request-Id: r1\r\n\r\n", block},
+		{"success without the header of an upstream that ran it", "HTTP/1.1 200 OK\r\nBalsam-Request-Id: r1\r\n\r\n", block},
+	}
+	for _, c := range cases {
+		taken := make(chan int, 16)
+		bad := startFakeUpstream(t, "bad", func(w io.Writer, _ *http.Request) bool {
+			taken <- sendEndlessly(w, c.first, c.repeat, 0)
+			return false
+		})
+		good := startFakeUpstream(t, "good", nil)
+		respondOK(good)
+		good.setLoad("1 0 2 115")
+		fx := startForwarder(t, newConfig(bad, good))
+		status, body, _ := fx.callUntilSent(t, bad, http.MethodGet, "/safe/x")
+		assert.Check(t, status == 200 && body == "whole", "%s: status %d, %.200s", c.name, status, body)
+		assert.Check(t, fx.heldUpstreams() == 1, c.name)
+		n := <-taken
+		assert.Check(t, n < maxTaken, "%s: %d bytes taken", c.name, n)
+
+		fx = startForwarder(t, newConfig(bad, good))
+		status, body, h := fx.callUntilSent(t, bad, http.MethodPost, "/unsafe/x")
+		assert.Check(t, status == 502, "%s: status %d", c.name, status)
+		assert.Check(t, h.Get(fault.HeaderRun) == string(fault.RunUnknown), c.name)
+		assert.Check(t, len(body) < 4<<10, "%s: error response has %d bytes", c.name, len(body))
+		<-taken
+	}
+}
