--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,6 +20,10 @@
 // passed on. A short body is drained so that the connection can be reused.
 const maxDrainBytes = 4 << 10
 
+// drainTimeout bounds the time for that, during which the request is not yet sent
+// to another upstream.
+const drainTimeout = 20 * time.Millisecond
+
 // headerReplayed marks a response that was kept from an earlier request with
 // the same Idempotency-Key.
 const headerReplayed = "Balsam-Replayed"
@@ -45,7 +49,11 @@
 
 func lowerCase(s string) string { return strings.ToLower(s) }
 
+// drainAndClose reads and closes the body of a response that is not passed on. It
+// closes the connection if the body does not end soon.
 func drainAndClose(body io.ReadCloser) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
 	_ = body.Close()
 }
