Drop interim answers of attempts that have ended

Cause: the transport may still read an interim answer after the attempt has ended at its deadline, and writes it into the header map of the answer that the call is writing at the same time. Interim answers are now passed on only while their attempt runs.

TestInterimAnswerAfterTheEndIsDropped without it:

endless_test.go:119: assertion failed: late (string) != (string)

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +99,28 @@
 	// 4 KiB, the most that is read of such a body, would arrive after 20 s.
 	assert.Assert(t, n < len(shed)+maxDrainBytes, "%d bytes taken", n)
 }
+
+// TestInterimAnswerAfterTheEndIsDropped lets a transport report an interim answer
+// after its attempt has failed. It must not touch the answer to the caller, which
+// may be being written at the time.
+func TestInterimAnswerAfterTheEndIsDropped(t *testing.T) {
+	fx := newFakes("unused")
+	var late *httptrace.ClientTrace
+	f := newForwarder(fx)
+	f.opts.Transport = roundTripper(func(r *http.Request) (*http.Response, error) {
+		late = httptrace.ContextClientTrace(r.Context())
+		late.GotConn(httptrace.GotConnInfo{})
+		return nil, io.ErrUnexpectedEOF
+	})
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest("POST", "/s/x", strings.NewReader("b")))
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.NilError(t, late.Got1xxResponse(http.StatusEarlyHints, textproto.MIMEHeader{"Link": {"late"}}))
+	assert.Equal(t, w.Header().Get("Link"), "")
+}
+
+// roundTripper is a function that implements http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -25,14 +25,16 @@
 // is also sent to a second upstream that has a free slot. The first response
 // wins, and the call continues with the grant of the winner.
 func (c *call) roundTrip(ctx context.Context) (*attempt, *http.Response, error) {
+	a := &attempt{started: time.Now()}
+	c.interim.open(a)
+	defer c.interim.close()
 	delay, ok := c.hedgeDelay()
 	if !ok {
-		a := &attempt{started: time.Now()}
 		resp, err := c.f.opts.Transport.RoundTrip(c.newUpstreamRequest(a.withTrace(ctx, c), c.grant))
 		return a, resp, err
 	}
 	results := make(chan *parallelAttempt, 2)
-	first := c.startAttempt(ctx, c.grant, c.reporter, results)
+	first := c.startAttempt(ctx, a, c.grant, c.reporter, results)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -59,8 +61,8 @@
 
 // startAttempt sends the request in a goroutine, which delivers the outcome
 // to results.
-func (c *call) startAttempt(ctx context.Context, g slot.Grant, reporter AttemptReporter, results chan<- *parallelAttempt) *parallelAttempt {
-	p := &parallelAttempt{grant: g, reporter: reporter, attempt: &attempt{started: time.Now()}}
+func (c *call) startAttempt(ctx context.Context, a *attempt, g slot.Grant, reporter AttemptReporter, results chan<- *parallelAttempt) *parallelAttempt {
+	p := &parallelAttempt{grant: g, reporter: reporter, attempt: a}
 	ctx, p.cancel = context.WithCancel(ctx)
 	out := c.newUpstreamRequest(p.attempt.withTrace(ctx, c), g)
 	go func() {
@@ -98,7 +100,7 @@
 	}
 	c.interim.close()
 	c.f.opts.Metrics.Hedges.Inc(1)
-	return c.startAttempt(ctx, g, reporter, results)
+	return c.startAttempt(ctx, &attempt{started: time.Now()}, g, reporter, results)
 }
 
 // grantUsable reports whether the configuration in force still allows
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -147,7 +147,7 @@
 			a.newConn.Store(!info.Reused)
 		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
-			return c.interim.forward(c.w, code, header)
+			return c.interim.forward(c.w, a, code, header)
 		},
 	})
 }
