Fail probes of the dispatcher whose body does not end

An upstream whose probe response has no end within 64 KiB counted as healthy, and 10 MiB of heads were read for one probe.

A probe needs a complete response now. Heads of responses are bounded to 64 KiB in the clients of probes and between processes.

--- a/internal/dispatchserver/probe.go
+++ b/internal/dispatchserver/probe.go
@@ -10,7 +10,8 @@
 	"balsamcourse.example/balsamcourse/internal/dispatch"
 )
 
-// maxProbeBody is the largest number of bytes read from a probe's response body.
+// maxProbeBody is the largest number of bytes of a probe's response body. A probe
+// whose body is longer, or has no end, fails.
 const maxProbeBody = 64 << 10
 
 // updateProbePath sets the path of the cell's probes to the one configured in v.
@@ -31,8 +32,8 @@
 	})
 }
 
-// probe reports whether a GET of url succeeds within the timeout. Every status
-// below 500 is a success.
+// probe reports whether a GET of url succeeds within the timeout. Every complete
+// response with a status below 500 is a success.
 func (s *Server) probe(url string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -45,6 +46,6 @@
 		return false
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody))
-	return err == nil && resp.StatusCode < http.StatusInternalServerError
+	_, err = io.CopyN(io.Discard, resp.Body, maxProbeBody+1)
+	return err == io.EOF && resp.StatusCode < http.StatusInternalServerError
 }
--- a/internal/dispatchserver/server_test.go
+++ b/internal/dispatchserver/server_test.go
@@ -17,6 +17,7 @@
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/dispatch"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 // source is a configview.Source whose view and freshness are set by a test.
@@ -129,3 +130,29 @@
 		return poll.Continue("no probe has reached the upstream yet")
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
 }
+
+// TestProbeWithoutEndFails probes upstreams whose responses never end.
+func TestProbeWithoutEndFails(t *testing.T) {
+	const cap = 4 << 20
+	block := []byte(strings.Repeat("x", 1<<10))
+	cases := map[string]http.HandlerFunc{
+		"body": func(w http.ResponseWriter, _ *http.Request) {
+			for sent, err := 0, error(nil); err == nil && sent < cap; sent += len(block) {
+				_, err = w.Write(block)
+			}
+		},
+		"interim responses": func(w http.ResponseWriter, _ *http.Request) {
+			for sent := 0; sent < cap; sent += len(block) {
+				w.Header().Set("Link", string(block))
+				w.WriteHeader(http.StatusEarlyHints)
+			}
+		},
+	}
+	for name, h := range cases {
+		up := httptest.NewServer(h)
+		s := New(Options{Entry: "e", Incarnation: 1, View: &source{}, ProbeClient: httpnet.NewHTTP1Client(nil)})
+		assert.Check(t, !s.probe(up.URL, 10*time.Second), name)
+		up.CloseClientConnections()
+		up.Close()
+	}
+}
--- a/internal/httpnet/client.go
+++ b/internal/httpnet/client.go
@@ -13,6 +13,9 @@
 	clientIdleTimeout   = 2 * time.Minute
 	dialTimeout         = time.Second
 	maxIdleConnsPerHost = 64
+	// maxResponseHeaderBytes bounds the headers of a response, including interim
+	// ones.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // DialFunc opens a connection to another process, like net.Dialer.DialContext.
@@ -50,5 +53,7 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     clientIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
