--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -329,3 +331,67 @@
 		<-taken
 	}
 }
+
+// TestBytesAfterAnswerPreventReuse sends requests to upstreams that send bytes without
+// end after a complete answer. The caller must get the answer alone, and the
+// connection must be closed.
+func TestBytesAfterAnswerPreventReuse(t *testing.T) {
+	block := strings.Repeat("x", 8<<10)
+	cases := []struct {
+		name, method, first, body string
+		status                    int
+	}{
+		{"longer than stated", http.MethodPost, okHead + "Content-Length: 2\r\n\r\nok", "ok", 200},
+		{"after chunks", http.MethodPost, okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", 200},
+		{"after 204", http.MethodPost, strings.Replace(okHead, "200 OK", "204 X", 1) + "\r\n", "", 204},
+		{"after 304", http.MethodGet, strings.Replace(okHead, "200 OK", "304 X", 1) + "\r\n", "", 304},
+		{"after the answer to HEAD", http.MethodHead, okHead + "Content-Length: 2\r\n\r\n", "", 200},
+	}
+	for _, c := range cases {
+		taken := make(chan int, 16)
+		s := startFakeUpstream(t, "u1", func(w io.Writer, _ *http.Request) bool {
+			taken <- sendEndlessly(w, c.first+block, block, 0)
+			return false
+		})
+		fx := startForwarder(t, newConfig(s))
+		status, body, _ := fx.call(t, c.method, "/unsafe/x", "")
+		assert.Check(t, status == c.status && body == c.body, "%s: status %d, %.200s", c.name, status, body)
+		n := <-taken
+		assert.Check(t, n < maxTaken, "%s: %d bytes taken", c.name, n)
+	}
+}
+
+// TestOtherCallsAreServedBesideAnswersWithoutEnd keeps answers without end running to
+// some callers while others send requests to the same gateway.
+func TestOtherCallsAreServedBesideAnswersWithoutEnd(t *testing.T) {
+	block := strings.Repeat("x", 32<<10)
+	started := make(chan struct{}, 16)
+	endless := startFakeUpstream(t, "endless", func(w io.Writer, _ *http.Request) bool {
+		started <- struct{}{}
+		sendEndlessly(w, okHead+"\r\n", block, 5*time.Millisecond)
+		return false
+	})
+	good := startFakeUpstream(t, "good", nil)
+	respondOK(good)
+	cfg := newConfig(endless, good)
+	cfg.Upstreams[0].Pool = "q"
+	cfg.Pools = append(cfg.Pools, &catalogpb.Pool{Name: "q", HealthPath: "/health"})
+	endlessRoute := newRoute("endless", catalogpb.RouteKind_ROUTE_KIND_UNSAFE)
+	endlessRoute.Shares[0].Pool = "q"
+	cfg.Routes = append(cfg.Routes, endlessRoute)
+	fx := startForwarder(t, cfg)
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			status, err := fx.readAnswer("/endless/x", "1500")
+			assert.Check(t, status == 200 && err != nil, "status %d, error %v", status, err)
+		})
+	}
+	<-started
+	<-started
+	for range 20 {
+		status, body, _ := fx.call(t, http.MethodPost, "/unsafe/x", "")
+		assert.Check(t, status == 200 && body == "whole", "status %d", status)
+	}
+	calls.Wait()
+}
