Forward no part of an answer to a caller of HTTP/1.0

In HTTP/1.0 the end of the connection ends an answer without a length. An answer without a length that is too large to be buffered was streamed to such callers, and when it was cut at the deadline, what had arrived looked complete.

Such an answer is now refused with 502 before its first byte. The product's own entry VMs, which stream all answers without a length, buffer them for these callers. Callers of HTTP/1.1 get chunks and an abort, as before.

TestPartOfAnswerIsNotWholeToHTTP10Caller without it:

gateway: resp.StatusCode is not c.status: without end: status 200 forward: 200 != 502

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -124,3 +124,22 @@
 
 // RoundTrip implements http.RoundTripper.
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestPartOfAnswerIsNotWholeToHTTP10Caller sends a request of HTTP/1.0, in which the end
+// of the connection ends an answer without a length. One without end must not be
+// forwarded in part.
+func TestPartOfAnswerIsNotWholeToHTTP10Caller(t *testing.T) {
+	chunk := "1000\r\n" + strings.Repeat("x", 4<<10) + "\r\n"
+	address, taken := newEndlessUpstream(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, 0)
+	fx := newFixture(t, address)
+	caller, err := net.Dial("tcp", fx.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "POST /s/x HTTP/1.0\r\nHost: x\r\nContent-Length: 1\r\n\r\nb")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	n := <-taken
+	assert.Assert(t, n < maxTaken, "%d bytes taken", n)
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -74,6 +74,9 @@
 		response.buffered = buffered
 		response.complete = len(buffered) <= maxBufferedResponseBytes
 	}
+	if !response.complete && resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+		return c.handleBrokenResponse(a, resp, fault.New(fault.UpstreamBroken, "upstream %s: the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0", c.grant.Upstream))
+	}
 	if response.complete {
 		c.finishResponse(response)
 	}
@@ -82,10 +85,11 @@
 }
 
 // buffersResponse reports whether the response is read before it is passed
-// on. A response of unknown length is streamed, unless the call holds a
-// claim and the response may have to be kept.
+// on. A response of unknown length is streamed, unless the call holds a claim and
+// the response may have to be kept, or the caller speaks HTTP/1.0 and could take a
+// part of the response for all of it.
 func (c *call) buffersResponse(resp *http.Response) bool {
-	if c.claim != nil {
+	if c.claim != nil || resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
 		return true
 	}
 	return resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedResponseBytes
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -252,7 +252,9 @@
 }
 
 // forwardResponse sends the response to the caller. It reports false, with the
-// failure, if the connection breaks while the response is buffered.
+// failure, if the connection breaks while the response is buffered, or if the
+// caller could take a part of the response for all of it: in HTTP/1.0 the end of
+// the connection ends a response without a length.
 func (c *call) forwardResponse(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange, start time.Time) (bool, attemptFailure) {
 	resp := x.Response
 	buffered, err := c.f.buffers.read(resp.Body, resp.ContentLength)
@@ -265,6 +267,11 @@
 	}
 	c.status = resp.StatusCode
 	c.loadAtResponse = resp.Header.Get(c.f.opts.Headers.Load)
+	if !buffered.complete && resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+		conn.Close()
+		c.recordNeutralEnd(u.ID)
+		return false, c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0", u.ID), mayHaveRun: true})
+	}
 	if !buffered.complete {
 		c.streamResponse(u, conn, x, buffered.body, start)
 		return true, attemptFailure{}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -395,3 +396,38 @@
 	}
 	calls.Wait()
 }
+
+// TestPartOfAnswerIsNotWholeToHTTP10Caller sends requests of HTTP/1.0, in which the end
+// of the connection ends an answer without a length. One without end must not be
+// forwarded in part; a short one is forwarded whole.
+func TestPartOfAnswerIsNotWholeToHTTP10Caller(t *testing.T) {
+	chunked := okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	chunk := "1000\r\n" + strings.Repeat("x", 4<<10) + "\r\n"
+	cases := []struct {
+		name    string
+		respond func(io.Writer, *http.Request) bool
+		status  int
+	}{
+		{"without end", func(w io.Writer, _ *http.Request) bool {
+			sendEndlessly(w, chunked, chunk, 0)
+			return false
+		}, 502},
+		{"short", func(w io.Writer, _ *http.Request) bool {
+			_, err := io.WriteString(w, chunked+chunk+"0\r\n\r\n")
+			return err == nil
+		}, 200},
+	}
+	for _, c := range cases {
+		fx := startForwarder(t, newConfig(startFakeUpstream(t, "u1", c.respond)))
+		caller, err := net.Dial("tcp", fx.server.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer caller.Close()
+		_, err = io.WriteString(caller, "POST /unsafe/x HTTP/1.0\r\nHost: host.example\r\nBalsam-Request-Id: r1\r\nBalsam-Timeout-Ms: 500\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.Check(t, resp.StatusCode == c.status, "%s: status %d", c.name, resp.StatusCode)
+	}
+}
