--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,6 +20,10 @@
 // passed on. A short body is drained so that the connection can be reused.
 const maxDrainBytes = 4 << 10
 
+// drainTimeout bounds the time for that, during which the request is not yet sent
+// to another upstream.
+const drainTimeout = 20 * time.Millisecond
+
 // headerReplayed marks a response that was kept from an earlier request with
 // the same Idempotency-Key.
 const headerReplayed = "Balsam-Replayed"
@@ -45,7 +49,11 @@
 
 func lowerCase(s string) string { return strings.ToLower(s) }
 
+// drainAndClose reads and closes the body of a response that is not passed on. It
+// closes the connection if the body does not end soon.
 func drainAndClose(body io.ReadCloser) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
 	_ = body.Close()
 }
@@ -66,6 +74,9 @@
 		response.buffered = buffered
 		response.complete = len(buffered) <= maxBufferedResponseBytes
 	}
+	if !response.complete && resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+		return c.handleBrokenResponse(a, resp, fault.New(fault.UpstreamBroken, "upstream %s: the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0", c.grant.Upstream))
+	}
 	if response.complete {
 		c.finishResponse(response)
 	}
@@ -74,10 +85,11 @@
 }
 
 // buffersResponse reports whether the response is read before it is passed
-// on. A response of unknown length is streamed, unless the call holds a
-// claim and the response may have to be kept.
+// on. A response of unknown length is streamed, unless the call holds a claim and
+// the response may have to be kept, or the caller speaks HTTP/1.0 and could take a
+// part of the response for all of it.
 func (c *call) buffersResponse(resp *http.Response) bool {
-	if c.claim != nil {
+	if c.claim != nil || resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
 		return true
 	}
 	return resp.ContentLength >= 0 && resp.ContentLength <= maxBufferedResponseBytes
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,11 +16,6 @@
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
 
-// maxBufferedResponse is the size up to which a response body is read to its end
-// before the first byte is sent to the caller, so that the request can still be
-// retried or refused if the response breaks off.
-const maxBufferedResponse = 1 << 20
-
 // attempt sends the request to the reserved upstream and forwards the response.
 // It reports false, with the failure, if there is no response to forward.
 func (c *call) attempt(res reservation) (bool, attemptFailure) {
@@ -30,10 +26,12 @@
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := res.conn.Do(c.ctx, c.upstreamRequest(u))
-	c.sends++
-	c.body.sent = true
+	if x.MayHaveRun {
+		c.sends++
+		c.body.sent = true
+	}
 	if err != nil {
-		return false, c.connectionFailed(u, x.MayHaveRun, err)
+		return false, c.connectionFailed(u, x, err)
 	}
 	resp := x.Response
 	if c.notRun(resp) {
@@ -43,7 +41,8 @@
 	c.f.recordLimit(u, balance.RanAnswer, resp)
 	c.ran++
 	if failed, ok := c.checkResponse(resp); !ok {
-		c.discardResponse(res.conn, x)
+		// The upstream counts as failed whether or not the rest ends.
+		_ = c.discardResponse(res.conn, x)
 		c.recordEnd(u.ID, false, time.Since(start))
 		return false, c.recordFailure(u, failed)
 	}
@@ -77,6 +76,20 @@
 	st.balancer.RecordEnd(id, c.choice.At)
 }
 
+// recordUnfinished records the end of an attempt whose response had begun and did
+// not end before the deadline.
+func (c *call) recordUnfinished(u balance.Upstream) {
+	st := c.f.state
+	st.mu.Lock()
+	st.balancer.RecordEnd(u.ID, c.choice.At)
+	held := st.balancer.RecordUnfinished(st.now(), u.ID)
+	st.mu.Unlock()
+	if held > 0 {
+		c.f.opts.Events.Log(event.UpstreamHeld).Str("request", c.id).Str("upstream", u.ID).Str("pool", u.Pool).
+			Str("why", "responses did not end before the deadline").Uint64("held_ms", uint64(held.Milliseconds())).Send()
+	}
+}
+
 // upstreamRequest builds the request to the upstream, with the time left to the
 // deadline.
 func (c *call) upstreamRequest(u balance.Upstream) *upstreamconn.Request {
@@ -120,11 +133,15 @@
 // run, and returns the failure.
 func (c *call) refusedByUpstream(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange) attemptFailure {
 	resp := x.Response
-	c.discardResponse(conn, x)
+	discardErr := c.discardResponse(conn, x)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.recordEnd(u.ID, false, 0)
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: its address now belongs to another upstream", u.ID)})
 	}
+	if discardErr != nil && c.ctx.Err() == nil {
+		c.recordEnd(u.ID, false, 0)
+		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.Shed, c.shedRetryAfter(), "upstream %s refused the request without running it, with a body that did not end: %v", u.ID, discardErr)})
+	}
 	c.recordNeutralEnd(u.ID)
 	if resp.StatusCode == http.StatusBadRequest {
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.BadRequest, "upstream %s rejected the request with status 400", u.ID)})
@@ -171,37 +188,57 @@
 }
 
 // discardResponse reads the rest of a response that is not forwarded, and returns
-// the connection to the pool if the rest is short.
-func (c *call) discardResponse(conn *upstreamconn.Conn, x *upstreamconn.Exchange) {
-	if _, err := io.CopyN(io.Discard, x.Response.Body, maxDiscardedBody); err != io.EOF {
+// the connection to the pool. If the rest does not end soon, it closes the
+// connection and returns an error.
+func (c *call) discardResponse(conn *upstreamconn.Conn, x *upstreamconn.Exchange) error {
+	ctx, cancel := context.WithTimeout(c.ctx, discardTimeout)
+	defer cancel()
+	stop := conn.InterruptOnDone(ctx)
+	err := x.DiscardBody(maxDiscardedBody)
+	stop()
+	if err != nil {
 		conn.Close()
+		return err
 	}
 	c.f.conns.Release(conn, x)
+	return nil
 }
 
-// maxDiscardedBody is the size of the largest response body that is read only to
-// keep the connection.
-const maxDiscardedBody = 16 << 10
+const (
+	// maxDiscardedBody is the size of the largest response body that is read only
+	// to keep the connection.
+	maxDiscardedBody = 16 << 10
+	// discardTimeout bounds the time for that, during which the request is not yet
+	// sent to another upstream. Such a body usually arrives with its head.
+	discardTimeout = 20 * time.Millisecond
+)
 
 // connectionFailed records an attempt without a complete response and returns
 // the failure: the caller has disconnected, the deadline has passed, or the
 // connection to the upstream is broken.
-func (c *call) connectionFailed(u balance.Upstream, mayHaveRun bool, err error) attemptFailure {
+func (c *call) connectionFailed(u balance.Upstream, x *upstreamconn.Exchange, err error) attemptFailure {
+	mayHaveRun := x.MayHaveRun
 	if mayHaveRun {
 		c.ran++
 	}
 	if c.ctx.Err() != nil {
-		c.recordNeutralEnd(u.ID)
 		if c.r.Context().Err() != nil {
+			c.recordNeutralEnd(u.ID)
 			return c.recordFailure(u, attemptFailure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun})
 		}
+		if x.ResponseBegun || x.Response != nil {
+			c.recordUnfinished(u)
+			return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not finish its answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
+		}
+		c.recordNeutralEnd(u.ID)
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
-	if mayHaveRun {
-		c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	if !mayHaveRun {
+		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
-	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: mayHaveRun})
+	c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
 
 // recordFailure logs a failed attempt and excludes the upstream from further
@@ -215,29 +252,37 @@
 }
 
 // forwardResponse sends the response to the caller. It reports false, with the
-// failure, if the connection breaks while the response is buffered.
+// failure, if the connection breaks while the response is buffered, or if the
+// caller could take a part of the response for all of it: in HTTP/1.0 the end of
+// the connection ends a response without a length.
 func (c *call) forwardResponse(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange, start time.Time) (bool, attemptFailure) {
 	resp := x.Response
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	buffered, err := c.f.buffers.read(resp.Body, resp.ContentLength)
+	defer buffered.release()
 	if err != nil {
 		conn.Close()
 		// connectionFailed counts the attempt again.
 		c.ran--
-		return false, c.connectionFailed(u, true, err)
+		return false, c.connectionFailed(u, x, err)
 	}
 	c.status = resp.StatusCode
 	c.loadAtResponse = resp.Header.Get(c.f.opts.Headers.Load)
-	if len(buffered) > maxBufferedResponse {
-		c.streamResponse(u, conn, x, buffered, start)
+	if !buffered.complete && resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+		conn.Close()
+		c.recordNeutralEnd(u.ID)
+		return false, c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0", u.ID), mayHaveRun: true})
+	}
+	if !buffered.complete {
+		c.streamResponse(u, conn, x, buffered.body, start)
 		return true, attemptFailure{}
 	}
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
 	c.f.opts.Crashes.Completed(c.quarantineKey)
-	c.writeHeader(resp, int64(len(buffered)))
+	c.writeHeader(resp, int64(len(buffered.body)))
 	// A write error means that the caller has disconnected, which is no failure of
 	// the upstream.
-	_, _ = c.w.Write(buffered)
+	_, _ = c.w.Write(buffered.body)
 	return true, attemptFailure{}
 }
 
@@ -264,12 +309,13 @@
 func (c *call) streamResponse(u balance.Upstream, conn *upstreamconn.Conn, x *upstreamconn.Exchange, buffered []byte, start time.Time) {
 	resp := x.Response
 	c.writeHeader(resp, resp.ContentLength)
-	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered), resp.Body))
+	body := &errorRecorder{r: resp.Body}
+	stop := c.limitLastWrite()
+	defer stop()
+	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered), body))
 	if err != nil {
 		conn.Close()
-		// The upstream is not at fault if the caller has disconnected or the deadline
-		// has passed.
-		c.recordEnd(u.ID, c.ctx.Err() != nil, time.Since(start))
+		c.recordBrokenStream(u, body.err, time.Since(start))
 		// The panic skips the call of finish in ServeHTTP.
 		c.finish(fault.New(fault.UpstreamBroken, "upstream %s: response body broke off: %v", u.ID, err))
 		panic(http.ErrAbortHandler)
@@ -277,3 +323,56 @@
 	c.recordEnd(u.ID, true, time.Since(start))
 	c.f.conns.Release(conn, x)
 }
+
+// lastWriteTimeout bounds the write to the caller that is under way when the
+// deadline passes.
+const lastWriteTimeout = time.Second
+
+// limitLastWrite makes a write to the caller fail soon after the deadline of the
+// call, until stop is called. Without it a caller that does not read would keep
+// the call and the connection to the upstream open.
+func (c *call) limitLastWrite() (stop func()) {
+	writer := http.NewResponseController(c.w)
+	done := make(chan struct{})
+	release := context.AfterFunc(c.ctx, func() {
+		defer close(done)
+		// It fails only if the connection of the caller is gone.
+		_ = writer.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+	})
+	return func() {
+		if release() {
+			return
+		}
+		<-done
+		_ = writer.SetWriteDeadline(time.Time{})
+	}
+}
+
+// recordBrokenStream records the end of an attempt whose response was forwarded
+// in part. readErr is the error of the connection to the upstream, nil if it was
+// the caller who broke off.
+func (c *call) recordBrokenStream(u balance.Upstream, readErr error, took time.Duration) {
+	switch {
+	case readErr == nil || c.r.Context().Err() != nil:
+		c.recordNeutralEnd(u.ID)
+	case c.ctx.Err() != nil:
+		c.recordUnfinished(u)
+	default:
+		c.recordEnd(u.ID, false, took)
+	}
+}
+
+// errorRecorder is a reader that records the first error of r other than io.EOF.
+type errorRecorder struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (e *errorRecorder) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && err != io.EOF && e.err == nil {
+		e.err = err
+	}
+	return n, err
+}
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -35,6 +35,9 @@
 	// respond writes the response to a request; if it returns false, the
 	// connection is closed.
 	respond func(w io.Writer, r *http.Request) bool
+	// respondHealth writes the response to a health request; if it returns false,
+	// the connection is closed. nil means a response with the load.
+	respondHealth func(w io.Writer) bool
 	// onRequest is called with each request, also health requests; nil means that
 	// nothing is called.
 	onRequest func(r *http.Request)
@@ -97,6 +100,12 @@
 			s.received = append(s.received, r.Header.Get("Balsam-Request-Id"))
 		}
 		s.mu.Unlock()
+		if r.URL.Path == "/health" && s.respondHealth != nil {
+			if !s.respondHealth(conn) {
+				return
+			}
+			continue
+		}
 		if r.URL.Path == "/health" {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: %s\r\nBalsam-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", s.id, load, cold)
 			continue
@@ -123,9 +132,10 @@
 
 // fixture is a forwarder to fake upstreams, all in pool p.
 type fixture struct {
-	state   *state
-	server  *httptest.Server
-	crashes *crashRecorder
+	state     *state
+	forwarder *Forwarder
+	server    *httptest.Server
+	crashes   *crashRecorder
 }
 
 // crashRecorder is a CrashTracker that records the reported crashes.
@@ -200,6 +210,7 @@
 		Events:  log,
 		Closed:  func() bool { return false },
 	})
+	fx.forwarder = f
 	fx.server = httptest.NewServer(f)
 	t.Cleanup(fx.server.Close)
 	return fx
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,6 +31,16 @@
 	// concurrentWriteBytes is the length from which a body is written while the
 	// response is read: an upstream may respond before it has read the whole body.
 	concurrentWriteBytes = 32 << 10
+	// maxHeadBytes bounds the status lines and headers that are read in one
+	// exchange, including those of interim responses and of responses to other
+	// requests.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the interim responses (status 1xx) that are read
+	// in one exchange.
+	maxInterimResponses = 16
+	// maxErrorTextBytes bounds the text of an error that quotes what the upstream
+	// has sent.
+	maxErrorTextBytes = 256
 	// maxUnmatchedResponses bounds the responses to other requests that are read
 	// before the exchange fails.
 	maxUnmatchedResponses = 3
@@ -46,14 +57,19 @@
 // Conn is a connection to an upstream. It is not safe for concurrent use.
 type Conn struct {
 	Address string
-	// Reused is set if the connection has carried an exchange before.
+	// Reused is set if the connection has carried an exchange before and may
+	// carry another one.
 	Reused bool
 
-	raw         net.Conn
+	raw net.Conn
+	// limit is what reader reads from.
+	limit       *limitedReader
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// interrupts holds the functions that stop the interrupts of the connection.
+	interrupts []func()
 	// unusable is set if the connection must not carry another exchange.
 	unusable bool
 	// onClose is called when the connection is closed, once.
@@ -82,8 +98,15 @@
 type Exchange struct {
 	// MayHaveRun is set once a byte of the request may have been sent.
 	MayHaveRun bool
+	// ResponseBegun is set if the exchange failed after a part of a response had
+	// arrived, but not all of it.
+	ResponseBegun bool
 	// Response is the response. Its body must be read by the caller of Conn.Do.
 	Response *http.Response
+	// headLeft is the rest of maxHeadBytes, interim the number of interim responses
+	// so far.
+	headLeft int64
+	interim  int
 
 	// bodyWritten is closed when a body that is written while the response is read
 	// has been written or has failed with writeErr. It is nil for other requests.
@@ -91,6 +114,21 @@
 	writeErr    error
 }
 
+// Errors of an upstream that sends too many bytes.
+var (
+	// ErrBytesBeforeRequest means that bytes arrived after the end of the last
+	// response and before the next request was sent.
+	ErrBytesBeforeRequest = errors.New("upstream sent bytes before a request was sent")
+	// ErrHeadTooLong means that status lines and headers exceed maxHeadBytes.
+	ErrHeadTooLong = errors.Errorf("upstream sent more than %d KiB of status lines and headers", maxHeadBytes>>10)
+	// ErrBodyTooLong means that a body that is not forwarded has not ended within
+	// its limit.
+	ErrBodyTooLong = errors.New("response body is longer than what is read of it")
+	// ErrTooManyInterim means that more than maxInterimResponses arrived before a
+	// final response.
+	ErrTooManyInterim = errors.Errorf("upstream sent more than %d interim responses", maxInterimResponses)
+)
+
 // ErrNoMatchingResponse means that only responses to other requests arrived.
 var ErrNoMatchingResponse = errors.New("connection carried only responses to other requests")
 
@@ -98,15 +136,14 @@
 // ended already; use InterruptOnDone to interrupt a running exchange. After an
 // error the connection is closed. The returned exchange is never nil.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Exchange, error) {
-	x := &Exchange{}
+	x := &Exchange{headLeft: maxHeadBytes}
 	if err := ctx.Err(); err != nil {
 		c.Close()
 		return x, errors.Trace(err)
 	}
-	if c.reader.Buffered() > 0 {
-		// Bytes that arrived after the last response belong to no request.
+	if err := c.checkQuiet(); err != nil {
 		c.Close()
-		return x, errors.New("upstream sent bytes before a request was sent")
+		return x, errors.Trace(err)
 	}
 	x.MayHaveRun = true
 	err := c.send(x, r)
@@ -115,11 +152,66 @@
 	}
 	if err != nil {
 		c.Close()
-		return x, errors.Trace(err)
+		return x, errors.Trace(boundText(err))
 	}
 	return x, nil
 }
 
+// boundText returns err, or an error with the start of its text if that is
+// longer than maxErrorTextBytes. Errors of net/http quote the malformed line.
+func boundText(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorTextBytes {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "...")
+}
+
+// checkQuiet returns ErrBytesBeforeRequest if bytes have arrived that belong to no
+// request, and io.EOF if the upstream has closed a connection that was open
+// before.
+func (c *Conn) checkQuiet() error {
+	if c.reader.Buffered() > 0 {
+		return ErrBytesBeforeRequest
+	}
+	if !c.Reused {
+		return nil
+	}
+	return readWithoutWaiting(c.raw)
+}
+
+// readWithoutWaiting returns nil if a read of the connection would wait,
+// ErrBytesBeforeRequest if it gives bytes, and otherwise its error. It returns
+// nil for connections without a file descriptor.
+func readWithoutWaiting(conn net.Conn) error {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	switch {
+	case err != nil:
+		return err
+	case n > 0:
+		return ErrBytesBeforeRequest
+	case readErr == nil:
+		return io.EOF
+	case errors.Is(readErr, syscall.EAGAIN), errors.Is(readErr, syscall.EINTR):
+		return nil
+	}
+	return readErr
+}
+
 // responseMayBeWaiting reports whether a response may have arrived although
 // writing the request failed with err.
 func responseMayBeWaiting(err error) bool {
@@ -180,7 +272,7 @@
 func (c *Conn) receive(x *Exchange, r *Request, sendErr error) error {
 	sent := &http.Request{Method: r.Method}
 	for range maxUnmatchedResponses {
-		resp, err := c.readFinal(sent)
+		resp, err := c.readFinal(x, sent)
 		if err != nil {
 			if sendErr != nil {
 				return sendErr
@@ -192,7 +284,8 @@
 			c.updateReuse(resp)
 			return nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBody); err != io.EOF {
+		if discard(resp.Body, maxDiscardedBody) != nil {
+			x.ResponseBegun = true
 			return ErrNoMatchingResponse
 		}
 		if resp.Close || !selfDelimited(resp) {
@@ -202,10 +295,10 @@
 	return ErrNoMatchingResponse
 }
 
-// readFinal reads a response and skips interim ones (status 1xx).
-func (c *Conn) readFinal(sent *http.Request) (*http.Response, error) {
+// readFinal reads the head of a response and skips interim responses.
+func (c *Conn) readFinal(x *Exchange, sent *http.Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.reader, sent)
+		resp, err := c.readHead(x, sent)
 		if err != nil {
 			return nil, err
 		}
@@ -215,7 +308,43 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("upstream switched protocols without being asked to")
 		}
+		x.interim++
+		if x.interim > maxInterimResponses {
+			return nil, ErrTooManyInterim
+		}
+	}
+}
+
+// readHead reads the status line and the header of a response and subtracts
+// their length from x.headLeft. It fails with ErrHeadTooLong if nothing is left.
+func (c *Conn) readHead(x *Exchange, sent *http.Request) (*http.Response, error) {
+	c.limit.left = x.headLeft - int64(c.reader.Buffered())
+	resp, err := http.ReadResponse(c.reader, sent)
+	x.ResponseBegun = err != nil && c.limit.left < x.headLeft
+	x.headLeft = c.limit.left + int64(c.reader.Buffered())
+	c.limit.left = unlimited
+	if x.headLeft <= 0 {
+		return nil, ErrHeadTooLong
+	}
+	return resp, err
+}
+
+// DiscardBody reads the rest of the body of the response. It returns
+// ErrBodyTooLong after limit bytes without an end, and the error of the
+// connection; the connection must then be closed.
+func (x *Exchange) DiscardBody(limit int64) error {
+	return discard(x.Response.Body, limit)
+}
+
+func discard(body io.Reader, limit int64) error {
+	_, err := io.CopyN(io.Discard, body, limit+1)
+	if err == io.EOF {
+		return nil
 	}
+	if err == nil {
+		return ErrBodyTooLong
+	}
+	return boundText(err)
 }
 
 // updateReuse records whether and for how long the connection may be reused
@@ -262,14 +391,27 @@
 }
 
 // InterruptOnDone makes reads and writes of the connection fail when ctx ends,
-// until stop is called. A connection that was interrupted cannot be reused.
+// until stop is called or the connection is prepared for reuse. A connection that
+// was interrupted cannot be reused. Further calls of stop do nothing.
 func (c *Conn) InterruptOnDone(ctx context.Context) (stop func()) {
 	release := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
-	return func() {
-		if release() {
-			return
-		}
-		// The deadline has been set or is about to be set.
-		c.unusable = true
+	var once sync.Once
+	stop = func() {
+		once.Do(func() {
+			if !release() {
+				// The deadline has been set or is about to be set.
+				c.unusable = true
+			}
+		})
+	}
+	c.interrupts = append(c.interrupts, stop)
+	return stop
+}
+
+// endInterrupts stops all interrupts of the connection.
+func (c *Conn) endInterrupts() {
+	for _, stop := range c.interrupts {
+		stop()
 	}
+	c.interrupts = c.interrupts[:0]
 }
