Compute and pack the difference between desired states once for all gateways

Each upstream announcement is a revision, so gateways hold many revisions at a time. For each of them the leader compared all routes of the desired state, encoded the result again for every gateway and sent it uncompressed: work for each message that grows with all that is known.

The difference in the desired state depends on the two versions only. It is now computed, encoded and compressed once for each pair of versions, and the rest of the delta, which is small, for each revision. Gateways of an older build, which do not set accepts_packed_state, still get plain deltas.

--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -9,6 +9,12 @@
 
 // Delta returns the difference that Patch applies to base to obtain next.
 func Delta(base, next *catalogpb.Config) *catalogpb.ConfigDelta {
+	return AddStateDelta(DeltaWithoutState(base, next), StateDelta(base, next))
+}
+
+// DeltaWithoutState returns the part of Delta that does not concern the desired
+// state. AddStateDelta completes it.
+func DeltaWithoutState(base, next *catalogpb.Config) *catalogpb.ConfigDelta {
 	d := &catalogpb.ConfigDelta{
 		BaseRevision:     base.Revision,
 		Revision:         next.Revision,
@@ -34,7 +40,9 @@
 	for _, c := range deletedCells {
 		d.DeletedCells = append(d.DeletedCells, &catalogpb.Cell{Service: c.Service, Zone: c.Zone, Shard: c.Shard})
 	}
-	addStateDelta(d, base, next)
+	var deletedUpstreams []*catalogpb.Upstream
+	d.PutUpstreams, deletedUpstreams = upstreams.compare(base.Upstreams, next.Upstreams)
+	d.DeletedUpstreams = keysOf(upstreams, deletedUpstreams)
 	if !proto.Equal(base.ClaimEpoch, next.ClaimEpoch) {
 		d.ClaimEpoch = next.ClaimEpoch
 	}
@@ -44,24 +52,63 @@
 	return d
 }
 
-// addStateDelta adds the differences in the desired state and the upstreams to
-// d.
-func addStateDelta(d *catalogpb.ConfigDelta, base, next *catalogpb.Config) {
-	d.StateVersion = next.StateVersion
-	if base.StateVersion != next.StateVersion {
-		var deletedRoutes []*catalogpb.Route
-		d.PutRoutes, deletedRoutes = routes.compare(base.Routes, next.Routes)
-		d.DeletedRoutes = keysOf(routes, deletedRoutes)
-		var deletedPools []*catalogpb.Pool
-		d.PutPools, deletedPools = pools.compare(base.Pools, next.Pools)
-		d.DeletedPools = keysOf(pools, deletedPools)
-		if !proto.Equal(base.CallerLimits, next.CallerLimits) {
-			d.CallerLimits = next.CallerLimits
-		}
+// StateDelta returns the part of Delta that concerns the desired state. It depends
+// on the versions of the desired state of base and next only.
+func StateDelta(base, next *catalogpb.Config) *catalogpb.ConfigDelta {
+	d := &catalogpb.ConfigDelta{StateVersion: next.StateVersion}
+	if base.StateVersion == next.StateVersion {
+		return d
 	}
-	var deletedUpstreams []*catalogpb.Upstream
-	d.PutUpstreams, deletedUpstreams = upstreams.compare(base.Upstreams, next.Upstreams)
-	d.DeletedUpstreams = keysOf(upstreams, deletedUpstreams)
+	var deletedRoutes []*catalogpb.Route
+	d.PutRoutes, deletedRoutes = routes.compare(base.Routes, next.Routes)
+	d.DeletedRoutes = keysOf(routes, deletedRoutes)
+	var deletedPools []*catalogpb.Pool
+	d.PutPools, deletedPools = pools.compare(base.Pools, next.Pools)
+	d.DeletedPools = keysOf(pools, deletedPools)
+	if !proto.Equal(base.CallerLimits, next.CallerLimits) {
+		d.CallerLimits = next.CallerLimits
+	}
+	return d
+}
+
+// AddStateDelta sets the part of d that concerns the desired state to that of
+// state and returns d.
+func AddStateDelta(d, state *catalogpb.ConfigDelta) *catalogpb.ConfigDelta {
+	d.StateVersion = state.StateVersion
+	d.PutRoutes, d.DeletedRoutes = state.PutRoutes, state.DeletedRoutes
+	d.PutPools, d.DeletedPools = state.PutPools, state.DeletedPools
+	d.CallerLimits = state.CallerLimits
+	return d
+}
+
+// PackStateDelta returns an encoded and compressed StateDelta, or nil if it is so
+// small that compression costs more than it saves. It returns an error if state
+// cannot be encoded.
+func PackStateDelta(state *catalogpb.ConfigDelta) ([]byte, error) {
+	data, err := proto.Marshal(state)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode difference in the desired state")
+	}
+	if len(data) < minCompressedBytes {
+		return nil, nil
+	}
+	return compress(data)
+}
+
+// AddPackedStateDelta sets the part of d that concerns the desired state to the one
+// that PackStateDelta has packed, and returns d. It returns an error if packed
+// cannot be decompressed or decoded, and one that satisfies errors.IsNotValid if it
+// is longer than a configuration may be.
+func AddPackedStateDelta(d *catalogpb.ConfigDelta, packed []byte) (*catalogpb.ConfigDelta, error) {
+	data, err := decompress(packed, maxConfigBytes)
+	if err != nil {
+		return nil, errors.Annotate(err, "unpack difference in the desired state")
+	}
+	state := &catalogpb.ConfigDelta{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return nil, errors.Annotate(err, "decode difference in the desired state")
+	}
+	return AddStateDelta(d, state), nil
 }
 
 // applyStateDelta sets the desired state and the upstreams of next to those of
--- a/internal/configsync/config_of_test.go
+++ b/internal/configsync/config_of_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,6 +22,8 @@
 		assert.NilError(t, err)
 		return packed
 	}
+	state, err := catalog.PackStateDelta(&catalogpb.ConfigDelta{StateVersion: 7, DeletedRoutes: []string{strings.Repeat("r", 1<<11)}})
+	assert.NilError(t, err)
 	for _, tc := range []struct {
 		name    string
 		resp    *clusterpb.RenewResponse
@@ -34,6 +37,8 @@
 		{"packed", &clusterpb.RenewResponse{PackedConfig: pack(configs[2])}, 2, false},
 		{"packed with delta", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[2], configs[3])}, 3, false},
 		{"packed with delta to another one", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[1], configs[3])}, 0, true},
+		{"delta with packed state", &clusterpb.RenewResponse{Delta: catalog.DeltaWithoutState(configs[1], configs[3]), PackedStateDelta: state}, 3, false},
+		{"delta with invalid packed state", &clusterpb.RenewResponse{Delta: catalog.DeltaWithoutState(configs[1], configs[3]), PackedStateDelta: []byte{0xff}}, 0, true},
 		{"invalid", &clusterpb.RenewResponse{PackedConfig: []byte{0xff}}, 0, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -103,13 +103,14 @@
 
 func (l *loop) renewRequest() *clusterpb.RenewRequest {
 	req := &clusterpb.RenewRequest{
-		Entry:            l.entryDescription(),
-		Revision:         l.state.Revision(),
-		Synced:           l.state.Synced(),
-		AcceptedRevision: l.state.AcceptedRevision(),
-		ServesStale:      l.syncer.opts.ServesStale,
-		AcceptsPacked:    true,
-		QuietMs:          uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
+		Entry:              l.entryDescription(),
+		Revision:           l.state.Revision(),
+		Synced:             l.state.Synced(),
+		AcceptedRevision:   l.state.AcceptedRevision(),
+		ServesStale:        l.syncer.opts.ServesStale,
+		AcceptsPacked:      true,
+		AcceptsPackedState: true,
+		QuietMs:            uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewInterval
 	if l.renew.failures > 0 {
@@ -335,7 +336,15 @@
 	if base == nil {
 		base = l.heldConfig()
 	}
-	return catalog.Patch(base, resp.Delta)
+	delta := resp.Delta
+	if resp.PackedStateDelta != nil {
+		complete, err := catalog.AddPackedStateDelta(delta, resp.PackedStateDelta)
+		if err != nil {
+			return nil, err
+		}
+		delta = complete
+	}
+	return catalog.Patch(base, delta)
 }
 
 // heldConfig returns the current configuration, which is empty before the first
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -28,15 +28,36 @@
 	mu sync.Mutex
 	// configs is ordered by revision.
 	configs []appliedConfig
-	// target is the configuration that the deltas lead to.
-	target *catalogpb.Config
-	deltas map[uint64]*catalogpb.ConfigDelta
+	// target is the configuration that the deltas lead to. They are kept by the
+	// revision that they start from: whole and without the desired state.
+	target       *catalogpb.Config
+	deltas       map[uint64]*catalogpb.ConfigDelta
+	withoutState map[uint64]*catalogpb.ConfigDelta
+	// states holds the differences from desired states to that of version
+	// stateTarget, by the version that they start from. Many revisions have the
+	// same desired state, so that few differences serve all gateways.
+	stateTarget uint64
+	states      map[uint64]*stateDelta
 	// packed is packedConfig in packed form, made at packedAt.
 	packedConfig *catalogpb.Config
 	packed       []byte
 	packedAt     time.Duration
 }
 
+// stateDelta is the difference between two desired states.
+type stateDelta struct {
+	plain *catalogpb.ConfigDelta
+	// packed is empty if the difference is sent plain.
+	packed []byte
+}
+
+// configUpdate is a delta in the form in which it is sent. If packedState is set,
+// delta lacks the desired state.
+type configUpdate struct {
+	delta       *catalogpb.ConfigDelta
+	packedState []byte
+}
+
 // appliedConfig is a configuration and the time at which it was applied.
 type appliedConfig struct {
 	*catalogpb.Config
@@ -62,7 +83,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.configs = []appliedConfig{{cfg, now}}
-	h.target, h.deltas = nil, nil
+	h.target, h.deltas, h.withoutState = nil, nil, nil
+	h.stateTarget, h.states = 0, nil
 	h.packedConfig, h.packed = nil, nil
 }
 
@@ -84,50 +106,75 @@
 	return h.configs[i], true
 }
 
-// delta returns the delta from a revision to next, or nil if that revision is
-// not retained.
-func (h *history) delta(revision uint64, next *catalogpb.Config) *catalogpb.ConfigDelta {
+// update returns the delta from a revision to next, with the desired state packed
+// if that saves bytes and packedState allows it. The delta is nil if that revision
+// is not retained.
+func (h *history) update(revision uint64, next *catalogpb.Config, packedState bool) configUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.deltaLocked(revision, next)
+	return h.updateLocked(revision, next, packedState)
 }
 
-func (h *history) deltaLocked(revision uint64, next *catalogpb.Config) *catalogpb.ConfigDelta {
+func (h *history) updateLocked(revision uint64, next *catalogpb.Config, packedState bool) configUpdate {
+	base, ok := h.find(revision)
+	if !ok {
+		return configUpdate{}
+	}
 	if h.target != next {
-		h.target, h.deltas = next, make(map[uint64]*catalogpb.ConfigDelta)
+		h.target, h.deltas, h.withoutState = next, make(map[uint64]*catalogpb.ConfigDelta), make(map[uint64]*catalogpb.ConfigDelta)
 	}
-	if d, ok := h.deltas[revision]; ok {
-		return d
+	state := h.stateDelta(base.Config, next)
+	if packedState && len(state.packed) > 0 {
+		d := h.withoutState[revision]
+		if d == nil {
+			d = catalog.DeltaWithoutState(base.Config, next)
+			h.withoutState[revision] = d
+		}
+		return configUpdate{d, state.packed}
 	}
-	base, ok := h.find(revision)
-	if !ok {
-		return nil
+	d := h.deltas[revision]
+	if d == nil {
+		d = catalog.AddStateDelta(catalog.DeltaWithoutState(base.Config, next), state.plain)
+		h.deltas[revision] = d
+	}
+	return configUpdate{delta: d}
+}
+
+// stateDelta returns the difference between the desired states of base and next.
+func (h *history) stateDelta(base, next *catalogpb.Config) *stateDelta {
+	if h.states == nil || h.stateTarget != next.StateVersion {
+		h.stateTarget, h.states = next.StateVersion, make(map[uint64]*stateDelta)
+	}
+	if s := h.states[base.StateVersion]; s != nil {
+		return s
 	}
-	d := catalog.Delta(base.Config, next)
-	h.deltas[revision] = d
-	return d
+	s := &stateDelta{plain: catalog.StateDelta(base, next)}
+	// A difference that cannot be encoded fails the response as well.
+	s.packed, _ = catalog.PackStateDelta(s.plain)
+	h.states[base.StateVersion] = s
+	return s
 }
 
-// pack returns a configuration in packed form and the delta from it to cfg, which is
-// nil if it is cfg itself. After a restart all gateways need the whole
+// pack returns a configuration in packed form and the update from it to cfg, which is
+// empty if it is cfg itself. After a restart all gateways need the whole
 // configuration, and it may change all the while: packing takes several times as
 // long as a delta, so that a configuration once packed is used for packInterval.
 // It returns an error if cfg cannot be encoded.
-func (h *history) pack(now time.Duration, cfg *catalogpb.Config) ([]byte, *catalogpb.ConfigDelta, error) {
+func (h *history) pack(now time.Duration, cfg *catalogpb.Config, packedState bool) ([]byte, configUpdate, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.packedConfig == cfg {
-		return h.packed, nil, nil
+		return h.packed, configUpdate{}, nil
 	}
 	if h.packedConfig != nil && now < h.packedAt+packInterval && h.packedConfig.Revision < cfg.Revision {
-		if d := h.deltaLocked(h.packedConfig.Revision, cfg); d != nil {
-			return h.packed, d, nil
+		if u := h.updateLocked(h.packedConfig.Revision, cfg, packedState); u.delta != nil {
+			return h.packed, u, nil
 		}
 	}
 	packed, err := catalog.PackConfig(cfg)
 	if err != nil {
-		return nil, nil, err
+		return nil, configUpdate{}, err
 	}
 	h.packedConfig, h.packed, h.packedAt = cfg, packed, now
-	return packed, nil, nil
+	return packed, configUpdate{}, nil
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -288,14 +288,13 @@
 	if req.Revision >= cfg.Revision {
 		return
 	}
-	if resp.Delta = l.server.history.delta(req.Revision, cfg); resp.Delta != nil {
-		return
-	}
-	if req.AcceptsPacked {
+	u := l.server.history.update(req.Revision, cfg, req.AcceptsPackedState)
+	if u.delta == nil && req.AcceptsPacked {
 		// A configuration that cannot be encoded fails the response below as well.
-		resp.PackedConfig, resp.Delta, _ = l.server.history.pack(l.server.now(), cfg)
+		resp.PackedConfig, u, _ = l.server.history.pack(l.server.now(), cfg, req.AcceptsPackedState)
 	}
-	if resp.PackedConfig == nil {
+	resp.Delta, resp.PackedStateDelta = u.delta, u.packedState
+	if resp.Delta == nil && resp.PackedConfig == nil {
 		resp.Config = cfg
 	}
 }
