Share the unchanged items of successive desired states

A desired state is sent whole, so that all of its routes were new objects: each comparison with the one before looked into all of them. In addition every control VM formatted a line of the diff for each route and dropped all but 40, and a gateway built a map of all routes and sorted it to apply a few.

Items that are equal to those held are replaced by them, so that later comparisons stop at the pointer; only the lines of a diff that are shown are formatted; deltas are applied by merging sorted slices; CompressSource no longer copies the routes and the text that it drops.

--- a/internal/catalog/desired_state.go
+++ b/internal/catalog/desired_state.go
@@ -124,10 +124,12 @@
 	return result
 }
 
+// setState replaces the desired state in next, which is a copy of the current
+// configuration.
 func setState(next *catalogpb.Config, state *catalogpb.DesiredState) {
 	next.StateVersion = state.Version
-	next.Routes = routes.merge(nil, state.Routes, nil)
-	next.Pools = pools.merge(nil, state.Pools, nil)
+	next.Routes = routes.replace(next.Routes, state.Routes)
+	next.Pools = pools.replace(next.Pools, state.Pools)
 	next.CallerLimits = state.Limits
 }
 
@@ -160,10 +162,11 @@
 // StateDiff returns the differences between the desired states of base and next
 // in the format of Diff. Caller limits are only reported as changed.
 func StateDiff(base, next *catalogpb.Config) []string {
-	lines := diffLines(pools, "pool", base.Pools, next.Pools)
-	lines = append(lines, diffLines(routes, "route", base.Routes, next.Routes)...)
+	var d diffText
+	addDiff(&d, pools, "pool", base.Pools, next.Pools)
+	addDiff(&d, routes, "route", base.Routes, next.Routes)
 	if !proto.Equal(base.CallerLimits, next.CallerLimits) {
-		lines = append(lines, "~ caller limits")
+		d.add(func() string { return "~ caller limits" })
 	}
-	return truncateLines(lines)
+	return d.text()
 }
--- a/internal/catalog/diff.go
+++ b/internal/catalog/diff.go
@@ -18,40 +18,58 @@
 // removed one and "~" for a changed one, which is followed by the fields that
 // differ. Of the cells only the number of removed ones is given.
 func Diff(base, next *catalogpb.Config) []string {
-	lines := diffLines(services, "service", base.Services, next.Services)
-	lines = append(lines, diffLines(zones, "zone", base.Zones, next.Zones)...)
-	lines = append(lines, diffLines(rules, "rule", base.Rules, next.Rules)...)
+	var d diffText
+	addDiff(&d, services, "service", base.Services, next.Services)
+	addDiff(&d, zones, "zone", base.Zones, next.Zones)
+	addDiff(&d, rules, "rule", base.Rules, next.Rules)
 	if _, deleted := cells.compare(base.Cells, next.Cells); len(deleted) > 0 {
-		lines = append(lines, fmt.Sprintf("- cells: %d", len(deleted)))
+		d.add(func() string { return fmt.Sprintf("- cells: %d", len(deleted)) })
 	}
-	return truncateLines(lines)
+	return d.text()
 }
 
-// truncateLines returns the first maxDiffLines lines and, if there are more, a
-// line with the number of those left out.
-func truncateLines(lines []string) []string {
-	if len(lines) <= maxDiffLines {
-		return lines
+// diffText collects the first maxDiffLines lines of a diff and counts the others,
+// which are not formatted.
+type diffText struct {
+	lines   []string
+	omitted int
+}
+
+func (d *diffText) add(line func() string) {
+	if len(d.lines) == maxDiffLines {
+		d.omitted++
+		return
+	}
+	d.lines = append(d.lines, line())
+}
+
+// text returns the lines and, if some were left out, a line with their number.
+func (d *diffText) text() []string {
+	if d.omitted == 0 {
+		return d.lines
 	}
-	more := fmt.Sprintf("... %d more", len(lines)-maxDiffLines)
-	return append(lines[:maxDiffLines:maxDiffLines], more)
+	return append(d.lines, fmt.Sprintf("... %d more", d.omitted))
 }
 
-func diffLines[T proto.Message](t table[T], kind string, base, next []T) []string {
+// addDiff adds the differences between base and next to d.
+func addDiff[T proto.Message](d *diffText, t table[T], kind string, base, next []T) {
 	put, deleted := t.compare(base, next)
-	var lines []string
-	for _, d := range deleted {
-		lines = append(lines, fmt.Sprintf("- %s %s", kind, displayKey(t.key(d))))
+	for _, item := range deleted {
+		d.add(func() string { return fmt.Sprintf("- %s %s", kind, displayKey(t.key(item))) })
 	}
-	for _, p := range put {
-		old, ok := t.get(base, t.key(p))
-		if !ok {
-			lines = append(lines, fmt.Sprintf("+ %s %s: %s", kind, displayKey(t.key(p)), formatSetFields(p)))
-			continue
-		}
-		lines = append(lines, fmt.Sprintf("~ %s %s: %s", kind, displayKey(t.key(p)), formatChangedFields(old, p)))
+	for _, item := range put {
+		d.add(func() string { return t.putLine(kind, base, item) })
+	}
+}
+
+// putLine returns the diff line for an item that is added or changed.
+func (t table[T]) putLine(kind string, base []T, item T) string {
+	key := t.key(item)
+	old, ok := t.get(base, key)
+	if !ok {
+		return fmt.Sprintf("+ %s %s: %s", kind, displayKey(key), formatSetFields(item))
 	}
-	return lines
+	return fmt.Sprintf("~ %s %s: %s", kind, displayKey(key), formatChangedFields(old, item))
 }
 
 func displayKey(key string) string { return strings.ReplaceAll(key, keySeparator, "/") }
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -1,10 +1,8 @@
 package catalog
 
 import (
-	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
-
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"github.com/juju/errors"
 )
 
 const (
@@ -22,8 +20,8 @@
 	plain, compressed []byte
 }
 
-// CompressSource returns a copy of state whose text is compressed, or state
-// itself if its text is short. Each change sends the whole desired state to every
+// CompressSource returns a copy of state whose text is compressed and which shares
+// its items, or state itself if its text is short. Each change sends the whole desired state to every
 // control VM, and its text is highly repetitive.
 func CompressSource(state *catalogpb.DesiredState) (*catalogpb.DesiredState, error) {
 	if len(state.GetSource()) < minCompressedBytes {
@@ -33,9 +31,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	compressed := proto.CloneOf(state)
-	compressed.Source, compressed.PackedSource = nil, packed
-	return compressed, nil
+	return &catalogpb.DesiredState{
+		Version:      state.Version,
+		Routes:       state.Routes,
+		Pools:        state.Pools,
+		Limits:       state.Limits,
+		PackedSource: packed,
+	}, nil
 }
 
 // Text returns the text as the operator sent it. It returns an error if a
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -102,22 +102,76 @@
 	if len(put) == 0 && len(deletedKeys) == 0 {
 		return base
 	}
-	items := make(map[string]T, len(base)+len(put))
+	put = t.sorted(put)
+	if !slices.IsSorted(deletedKeys) {
+		deletedKeys = slices.Sorted(slices.Values(deletedKeys))
+	}
+	merged := make([]T, 0, len(base)+len(put))
 	for _, b := range base {
-		items[t.key(b)] = b
+		key := t.key(b)
+		for len(put) > 0 && t.key(put[0]) < key {
+			merged, put = append(merged, put[0]), put[1:]
+		}
+		for len(deletedKeys) > 0 && deletedKeys[0] < key {
+			deletedKeys = deletedKeys[1:]
+		}
+		switch {
+		case len(put) > 0 && t.key(put[0]) == key:
+			merged, put = append(merged, put[0]), put[1:]
+		case len(deletedKeys) > 0 && deletedKeys[0] == key:
+		default:
+			merged = append(merged, b)
+		}
+	}
+	return append(merged, put...)
+}
+
+// sorted returns items in the order of their keys. Of items with the same key
+// only the last one is kept.
+func (t table[T]) sorted(items []T) []T {
+	ordered := true
+	for i := 1; i < len(items) && ordered; i++ {
+		ordered = t.key(items[i-1]) < t.key(items[i])
+	}
+	if ordered {
+		return items
+	}
+	type keyed struct {
+		key      string
+		position int
 	}
-	for _, key := range deletedKeys {
-		delete(items, key)
+	order := make([]keyed, len(items))
+	for i, item := range items {
+		order[i] = keyed{t.key(item), i}
 	}
-	for _, p := range put {
-		items[t.key(p)] = p
+	slices.SortFunc(order, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.position, b.position))
+	})
+	result := make([]T, 0, len(items))
+	for i, k := range order {
+		if i+1 == len(order) || order[i+1].key != k.key {
+			result = append(result, items[k.position])
+		}
 	}
-	merged := make([]T, 0, len(items))
-	for _, item := range items {
-		merged = append(merged, item)
+	return result
+}
+
+// replace returns items in the order of their keys. Those that are equal to an item
+// of base are replaced by it: later comparisons of the two slices then need not
+// look into them.
+func (t table[T]) replace(base, items []T) []T {
+	next := slices.Clone(t.sorted(items))
+	i := 0
+	for j, item := range next {
+		key := t.key(item)
+		for i < len(base) && t.key(base[i]) < key {
+			i++
+		}
+		if i < len(base) && t.key(base[i]) == key && proto.Equal(base[i], item) {
+			next[j] = base[i]
+		}
 	}
-	slices.SortFunc(merged, func(a, b T) int { return cmp.Compare(t.key(a), t.key(b)) })
-	return merged
+	return next
 }
 
 // keysOf returns the keys of items in their order.
