--- a/internal/catalog/state_benchmark_test.go
+++ b/internal/catalog/state_benchmark_test.go
@@ -23,7 +23,7 @@
 			Name: name, Host: "sera58.example", PathPrefix: fmt.Sprintf("/%08x/", key^0x5bd1e995), Kind: catalogpb.RouteKind_ROUTE_KIND_SAFE,
 			TimeoutMs: 600, TargetLatencyMs: 250, Priority: 1, MaxAttempts: 2, Shares: []*catalogpb.RouteShare{{Pool: s.Pools[i%2].Name, Weight: 1}},
 		})
-		s.Source = fmt.Appendf(s.Source, `{"resourceType":"routes","metadata":{"name":%q},"spec":{"hostname":"sera58.example","pathPrefix":"/%08x/","routeType":"safe","timeout":"600ms","targetLatency":"250ms","priority":1,"service":%q,"maxAttempts":2}},`, name, key^0x5bd1e995, s.Pools[i%2].Name)
+		s.Source = fmt.Appendf(s.Source, "{\"kind\":\"route\",\"about\":{\"name\":%q},\"route\":{\"host\":\"sera58.example\",\"prefix\":\"/%08x/\",\"repeatable\":true,\"timeout\":\"600ms\",\"target\":\"250ms\",\"priority\":1,\"pool\":%q,\"attempts\":2}},", name, key^0x5bd1e995, s.Pools[i%2].Name)
 	}
 	return s
 }
