Let a leader that stood still ask its followers before it steps down

The leader stepped down when the last round that a quorum had answered was older than the election timeout, also when it had sent no round since, because its process had got no processor time. Nothing was wrong with its followers.

The time now counts from the first unanswered round. Leases and confirmed reads still count from the last answered one, so that nothing is promised longer; a leader that is cut off steps down at most one heartbeat interval later.

Before the fix TestLeaderThatStoodStillStaysLeader fails: scenario_test.go:359: assertion failed: 2 (leader.r.term uint64) != 1 (term uint64)

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
@@ -23,10 +24,13 @@
 	pendingRounds []heartbeatRound
 	// lastQuorum is when the latest round that a quorum answered was sent, or
 	// when the votes were requested if there is none yet.
-	lastQuorum    time.Duration
-	heartbeatDue  bool
-	nextHeartbeat time.Duration
-	pendingReads  []pendingRead
+	lastQuorum time.Duration
+	// unansweredSince is when the first round after lastQuorum was sent, or
+	// noDeadline if there is none.
+	unansweredSince time.Duration
+	heartbeatDue    bool
+	nextHeartbeat   time.Duration
+	pendingReads    []pendingRead
 
 	// transferTarget is the replica that leadership is being transferred to; 0
 	// if there is no transfer. transferRound is the round in which the target
@@ -40,7 +44,7 @@
 // term. Entries of earlier terms are committed together with it.
 func (r *Replica) becomeLeader() {
 	r.leader = r.cfg.ID
-	r.leaderState = leaderState{since: r.now, lastQuorum: r.votesRequestedAt, peers: map[uint64]*progress{}}
+	r.leaderState = leaderState{since: r.now, lastQuorum: r.votesRequestedAt, unansweredSince: noDeadline, peers: map[uint64]*progress{}}
 	r.updatePeers()
 	r.leaderState.termStartIndex = r.appendEntry(nil, nil)
 	r.leaderState.heartbeatDue = true
@@ -74,11 +78,18 @@
 	return min(r.leaderState.nextHeartbeat, r.quorumDeadline())
 }
 
+// noDeadline is a time that is never reached.
+const noDeadline = time.Duration(math.MaxInt64)
+
 // quorumDeadline returns when the leader steps down unless a quorum answers
-// before. It counts from the start of leadership at the earliest, because
-// collecting the votes may have taken long.
+// before. It counts from the first unanswered round and not from the last answered
+// one: a leader that has sent no round for a while, because its process stood
+// still, cannot know yet whether it has lost the quorum.
 func (r *Replica) quorumDeadline() time.Duration {
-	return max(r.leaderState.lastQuorum, r.leaderState.since) + r.cfg.ElectionTimeout
+	if r.leaderState.unansweredSince == noDeadline {
+		return noDeadline
+	}
+	return r.leaderState.unansweredSince + r.cfg.ElectionTimeout
 }
 
 // propose appends an entry unless proposalFault refuses it.
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -44,6 +44,7 @@
 	r.leaderState.heartbeatDue = false
 	r.leaderState.nextHeartbeat = r.now + r.cfg.HeartbeatInterval
 	r.leaderState.round++
+	r.leaderState.unansweredSince = min(r.leaderState.unansweredSince, r.now)
 	r.leaderState.pendingRounds = append(r.leaderState.pendingRounds, heartbeatRound{r.leaderState.round, r.now})
 	if len(r.leaderState.pendingRounds) > maxPendingRounds {
 		r.leaderState.pendingRounds = r.leaderState.pendingRounds[1:]
@@ -74,6 +75,10 @@
 	for len(r.leaderState.pendingRounds) > 0 && r.leaderState.pendingRounds[0].round <= quorumRound {
 		r.leaderState.lastQuorum = r.leaderState.pendingRounds[0].sentAt
 		r.leaderState.pendingRounds = r.leaderState.pendingRounds[1:]
+		r.leaderState.unansweredSince = noDeadline
+		if len(r.leaderState.pendingRounds) > 0 {
+			r.leaderState.unansweredSince = r.leaderState.pendingRounds[0].sentAt
+		}
 	}
 	r.completeReads()
 }
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -340,3 +340,32 @@
 	s.advance(2 * simElection)
 	return len(s.checker.entries) > before
 }
+
+// TestLeaderThatStoodStillStaysLeader guards against incident inc2 (DENIED): a
+// leader that was busy for longer than the election timeout stepped down before it
+// had asked whether the others still follow it.
+func TestLeaderThatStoodStillStaysLeader(t *testing.T) {
+	s := newSim(3, 1, 0)
+	s.advance(2 * time.Second)
+	leader := s.leader()
+	s.advanceUntil(t, func() bool { return len(leader.r.leaderState.pendingRounds) == 0 })
+	s.suppressElections(leader.id)
+	term := leader.r.term
+	leader.frozenUntil = s.now + simElection + simHeartbeat
+	s.advance(simElection + 2*simHeartbeat)
+	s.suppressElections(leader.id)
+	s.advanceUntil(t, func() bool { return leader.r.leaderState.lastQuorum > leader.clock-simHeartbeat })
+	assert.Assert(t, s.isLeader(leader.id)())
+	assert.Equal(t, leader.r.term, term)
+}
+
+// TestLeaderWithoutQuorumStepsDown measures the time after the last round that a
+// quorum has answered.
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	s := newSim(3, 1, 0)
+	s.advance(2 * time.Second)
+	leader := s.leader()
+	s.dropIncoming(leader.id)
+	s.advance(simElection + 2*simHeartbeat)
+	assert.Assert(t, leader.r.role != Leader)
+}
