Handle waiting messages before the timers of a replica

Applying a desired state of thousands of routes keeps the event loop of a replica busy; on a VM whose share of the processor is used up this takes longer than the election timeout. The loop then chose at random between the timer and the messages that had arrived meanwhile, so that a follower started an election although heartbeats were waiting, and a leader could step down although answers were.

The loop now takes the waiting messages into the batch before timers run.

Before the fix TestHeartbeatsThatWaitCountBeforeElectionTimeout fails each time: loop_test.go:85: assertion failed: 30 (int) != 0 (int)

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -26,7 +26,7 @@
 		case <-n.stop:
 			return
 		case item := <-n.inbox:
-			batch = n.collectBatch(item)
+			batch = []consensus.Event{n.register(item)}
 		case err := <-n.writer.results:
 			if err != nil {
 				n.handleDiskFailure(err)
@@ -36,7 +36,7 @@
 			batch = []consensus.Event{consensus.WriteSynced{}}
 		case <-timer.C:
 		}
-		deadline, err := n.step(batch)
+		deadline, err := n.step(n.collectBatch(batch))
 		if err != nil {
 			n.handleRestoreFailure(err)
 			return
@@ -46,10 +46,10 @@
 	}
 }
 
-// collectBatch returns the event of first and those that have arrived
-// meanwhile, at most maxBatchEvents.
-func (n *Node) collectBatch(first inboxItem) []consensus.Event {
-	batch := []consensus.Event{n.register(first)}
+// collectBatch adds the events that have arrived to batch, up to maxBatchEvents.
+// It does so before timers run as well: a replica that was busy must not start an
+// election, or stop leading, while the messages that prevent it are waiting.
+func (n *Node) collectBatch(batch []consensus.Event) []consensus.Event {
 	for len(batch) < maxBatchEvents {
 		select {
 		case item := <-n.inbox:
