Find the route of a call without a search through all routes of its host

A call was compared with each route of its host, one that matches none with all of them.

Routes are indexed by prefix; a look-up tries each length of a prefix that occurs, longest first. The names of kinds and the canonical hosts are no longer computed for each route when a table is built.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -54,33 +54,67 @@
 
 // Table is an index of the routes by host.
 type Table struct {
-	version      uint64
-	routesByHost map[string][]*Route
+	version uint64
+	hosts   map[string]*hostRoutes
+}
+
+// hostRoutes is an index of the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// lengths holds the different lengths of the prefixes, longest first.
+	lengths []int
 }
 
 // NewTable returns the index of the routes in cfg. offset, in [0, 1), is the
 // start of the sequence that NextPool uses. It should differ between processes,
 // so that those started together do not all begin with the same pool.
 func NewTable(cfg *catalogpb.Config, offset float64) *Table {
-	t := &Table{version: cfg.StateVersion, routesByHost: make(map[string][]*Route)}
+	t := &Table{version: cfg.StateVersion, hosts: make(map[string]*hostRoutes)}
+	hostsByName := make(map[string]*hostRoutes)
 	for _, r := range cfg.Routes {
-		host := canonicalHost(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], newRoute(r, offset))
-	}
-	for _, list := range t.routesByHost {
-		slices.SortStableFunc(list, func(a, b *Route) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-		})
+		routes := hostsByName[r.Host]
+		if routes == nil {
+			routes = t.addHost(canonicalHost(r.Host))
+			hostsByName[r.Host] = routes
+		}
+		routes.add(newRoute(r, offset))
 	}
 	return t
 }
 
+// addHost returns the routes of a host, which are empty if it is new.
+func (t *Table) addHost(host string) *hostRoutes {
+	if t.hosts[host] == nil {
+		t.hosts[host] = &hostRoutes{byPrefix: make(map[string]*Route)}
+	}
+	return t.hosts[host]
+}
+
+// add adds a route unless there is one with the same prefix.
+func (h *hostRoutes) add(r *Route) {
+	if h.byPrefix[r.PathPrefix] != nil {
+		return
+	}
+	h.byPrefix[r.PathPrefix] = r
+	longestFirst := func(a, b int) int { return cmp.Compare(b, a) }
+	if i, known := slices.BinarySearchFunc(h.lengths, len(r.PathPrefix), longestFirst); !known {
+		h.lengths = slices.Insert(h.lengths, i, len(r.PathPrefix))
+	}
+}
+
 // Version returns the version of the desired state that the table was made
 // from.
 func (t *Table) Version() uint64 { return t.version }
 
-func kindName(k catalogpb.RouteKind) string {
-	return strings.ToLower(strings.TrimPrefix(k.String(), "ROUTE_KIND_"))
+// kindNames holds the names of the kinds of routes in lower case.
+var kindNames = newKindNames()
+
+func newKindNames() map[catalogpb.RouteKind]string {
+	names := make(map[catalogpb.RouteKind]string, len(catalogpb.RouteKind_name))
+	for number, name := range catalogpb.RouteKind_name {
+		names[catalogpb.RouteKind(number)] = strings.ToLower(strings.TrimPrefix(name, "ROUTE_KIND_"))
+	}
+	return names
 }
 
 func newRoute(r *catalogpb.Route, offset float64) *Route {
@@ -88,7 +122,7 @@
 		Name:          r.Name,
 		Host:          r.Host,
 		PathPrefix:    r.PathPrefix,
-		Kind:          kindName(r.Kind),
+		Kind:          kindNames[r.Kind],
 		Repeatable:    r.Kind == catalogpb.RouteKind_ROUTE_KIND_SAFE,
 		Timeout:       time.Duration(r.TimeoutMs) * time.Millisecond,
 		TargetLatency: time.Duration(r.TargetLatencyMs) * time.Millisecond,
@@ -121,8 +155,15 @@
 // Lookup returns the route of the host with the longest prefix of path, or nil
 // if none matches.
 func (t *Table) Lookup(host, path string) *Route {
-	for _, r := range t.routesByHost[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.PathPrefix) {
+	routes := t.hosts[canonicalHost(host)]
+	if routes == nil {
+		return nil
+	}
+	for _, n := range routes.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r := routes.byPrefix[path[:n]]; r != nil {
 			return r
 		}
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,6 +40,36 @@
 	}
 }
 
+// TestProofLookupAgreesWithReference compares the index with a search through all
+// routes.
+func TestProofLookupAgreesWithReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := &catalogpb.Config{}
+		for _, prefix := range rapid.SliceOfNDistinct(rapid.StringMatching("(/[ab]{1,2}){0,3}/"), 0, 12, rapid.ID).Draw(t, "prefixes") {
+			cfg.Routes = append(cfg.Routes, &catalogpb.Route{Name: prefix, Host: "h", PathPrefix: prefix, Shares: singleShare("p")})
+		}
+		path := rapid.StringMatching("(/[ab]{0,2}){0,4}").Draw(t, "path")
+		want := ""
+		for _, r := range cfg.Routes {
+			if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > len(want) {
+				want = r.PathPrefix
+			}
+		}
+		got := ""
+		if r := NewTable(cfg, 0).Lookup("h", path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, want)
+	})
+}
+
+// TestLookupDoesNotSearchAllRoutes guards against incident inc2 (DENIED): each call
+// was compared with all routes of its host.
+func TestLookupDoesNotSearchAllRoutes(t *testing.T) {
+	table := NewTable(largeConfig(2000), 0)
+	assert.Equal(t, len(table.hosts["h.example"].lengths), 1)
+}
+
 // Each of several entry VMs handles only a few of a route's requests. Their
 // total must still follow the weights.
 func TestNextPoolFollowsWeightsAcrossEntryVMs(t *testing.T) {
