Send a desired state through the log once, however often it is sent again

An operator that gets no answer within a second sends the whole state again to another control VM. Each copy went to the leader, into the log and to all control VMs, hundreds of kilobytes each, while they were busy with the first one, and was found to change nothing only when it was applied. So slowness caused more of the same work.

What a control VM holds is committed: it acknowledges a state that is not higher by itself, as it does with announcements. On the leader, a state whose version is being committed waits for that proposal, which outlives the call that began it. A state is still validated first, also one that is not higher.

Before the fix: TestDesiredStateSentAgainIsReplicatedOnce: state_proposal_test.go:87: assertion failed: 3 (int) != 1 (int) TestHeldDesiredStateIsAcknowledgedWithoutLog: state_proposal_test.go:110: assertion failed: error is not nil: twirp error unavailable: no_quorum: no quorum of the control group answered in time; retry the same request unchanged

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,6 +50,7 @@
 	start        time.Time
 	events       chan queuedEvent
 	done         chan struct{}
+	states       stateProposals
 }
 
 // queuedEvent is an event for the loop.
@@ -127,6 +128,7 @@
 func (s *Server) Run(ctx context.Context) {
 	defer close(s.done)
 	var workers conc.WaitGroup
+	defer s.states.workers.Wait()
 	defer workers.Wait()
 	l := newLoop(ctx, s, &workers)
 	l.run(ctx)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -28,6 +28,11 @@
 	if err := catalog.CheckState(req.State); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	if held := a.heldState(req.State.Version); held != nil && !req.DryRun {
+		a.logState(req.State.Version, held)
+		a.server.awaitShortly(ctx, held.Revision)
+		return &adminpb.ApplyStateResponse{Result: held}, nil
+	}
 	state, err := catalog.CompressSource(req.State)
 	if err != nil {
 		return nil, fault.ToTwirp(fault.New(fault.Internal, "compress the desired state: %v", err))
@@ -40,20 +45,13 @@
 	if req.DryRun {
 		return a.dryRunState(ctx, req.State)
 	}
-	result, err := a.propose(ctx, &catalogpb.Command{Kind: &catalogpb.Command_PutState{PutState: req.State}})
+	result, err := a.proposeState(ctx, req.State)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	switch r := result.(type) {
-	case *catalogpb.DesiredStateResult:
-		a.server.opts.Log.Log(event.StateApplied).Uint64("version", req.State.Version).
-			Uint64("held", r.HeldVersion).Uint64("revision", r.Revision).Bool("applied", r.Applied).Send()
-		a.server.awaitShortly(ctx, r.Revision)
-		return &adminpb.ApplyStateResponse{Result: r}, nil
-	case catalog.CommandResult:
-		return nil, fault.ToTwirp(r.Err)
-	}
-	return nil, fault.ToTwirp(fault.New(fault.Internal, "unexpected result of type %T from the state machine", result))
+	a.logState(req.State.Version, result)
+	a.server.awaitShortly(ctx, result.Revision)
+	return &adminpb.ApplyStateResponse{Result: result}, nil
 }
 
 func (a *admin) dryRunState(ctx context.Context, state *catalogpb.DesiredState) (*adminpb.ApplyStateResponse, error) {
