Compress large log entries between control VMs, once for all of them

A desired state is an entry of the log with all of its routes, 481 kB for 5,600 routes, of which the leader sent a copy to each of seven control VMs.

Entries of 16 KiB and more are compressed once, and sent so to replicas that have said in their last response that they can read them. Such messages are in a field that older builds ignore as a whole, so that they cannot take an entry without its data; they get the messages again plain. On disk nothing changes. The compression of package catalog moves to package deflate, which both use.

--- a/internal/catalog/compress_test.go
+++ b/internal/catalog/compress_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/deflate"
 )
 
 // TestPackedConfigIsReadBackAndShort packs a configuration with as many gateways and
@@ -42,10 +43,10 @@
 	assert.NilError(t, err)
 	_, err = UnpackConfig(packed[:len(packed)-1])
 	assert.Assert(t, err != nil)
-	undecodable, err := compress([]byte{0xff})
+	undecodable, err := deflate.Compress([]byte{0xff})
 	assert.NilError(t, err)
 	_, err = UnpackConfig(undecodable)
 	assert.Assert(t, err != nil)
-	_, err = decompress(packed, 3)
+	_, err = deflate.Decompress(packed, 3)
 	assert.Assert(t, errors.Is(err, errors.NotValid))
 }
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -5,6 +5,7 @@
 	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/deflate"
 )
 
 // Delta returns the difference that Patch applies to base to obtain next.
@@ -92,7 +93,7 @@
 	if len(data) < minCompressedBytes {
 		return nil, nil
 	}
-	return compress(data)
+	return deflate.Compress(data)
 }
 
 // AddPackedStateDelta sets the part of d that concerns the desired state to the one
@@ -100,7 +101,7 @@
 // cannot be decompressed or decoded, and one that satisfies errors.IsNotValid if it
 // is longer than a configuration may be.
 func AddPackedStateDelta(d *catalogpb.ConfigDelta, packed []byte) (*catalogpb.ConfigDelta, error) {
-	data, err := decompress(packed, maxConfigBytes)
+	data, err := deflate.Decompress(packed, maxConfigBytes)
 	if err != nil {
 		return nil, errors.Annotate(err, "unpack difference in the desired state")
 	}
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -2,6 +2,7 @@
 
 import (
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/deflate"
 	"github.com/juju/errors"
 )
 
@@ -27,7 +28,7 @@
 	if len(state.GetSource()) < minCompressedBytes {
 		return state, nil
 	}
-	packed, err := compress(state.Source)
+	packed, err := deflate.Compress(state.Source)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -47,6 +48,6 @@
 	if s.compressed == nil {
 		return s.plain, nil
 	}
-	plain, err := decompress(s.compressed, maxSourceBytes)
+	plain, err := deflate.Decompress(s.compressed, maxSourceBytes)
 	return plain, errors.Annotate(err, "source of the desired state")
 }
--- a/internal/catalog/state_benchmark_test.go
+++ b/internal/catalog/state_benchmark_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/deflate"
 )
 
 // largeState returns a desired state with n routes. Two of them with the same
@@ -53,7 +54,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		packed, err := compress(encodedDelta)
+		packed, err := deflate.Compress(encodedDelta)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -74,8 +75,8 @@
 			{"delta", func() { Delta(base, next) }},
 			{"marshal-delta", func() { _, _ = proto.Marshal(delta) }},
 			{"unmarshal-delta", func() { _ = proto.Unmarshal(encodedDelta, &catalogpb.ConfigDelta{}) }},
-			{"pack-delta", func() { _, _ = compress(encodedDelta) }},
-			{"unpack-delta", func() { _, _ = decompress(packed, maxConfigBytes) }},
+			{"pack-delta", func() { _, _ = deflate.Compress(encodedDelta) }},
+			{"unpack-delta", func() { _, _ = deflate.Decompress(packed, maxConfigBytes) }},
 			{"patch", func() { _, _ = Patch(base, delta) }},
 			{"pack-config", func() { _, _ = PackConfig(next) }},
 			{"snapshot", func() { _, _ = before.Snapshot() }},
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -4,6 +4,7 @@
 	"context"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
 // Server receives messages from other replicas by Twirp.
@@ -22,14 +23,18 @@
 
 // Send implements clusterpb.Consensus.
 func (s *Server) Send(ctx context.Context, batch *clusterpb.ConsensusBatch) (*clusterpb.ConsensusAck, error) {
-	if !containsRequest(batch.GetMessages()) {
-		s.receiver.Deliver(batch.GetFrom(), batch.GetMessages())
-		return &clusterpb.ConsensusAck{}, nil
+	msgs, err := messagesOf(batch)
+	if err != nil {
+		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "%v", err))
+	}
+	if !containsRequest(msgs) {
+		s.receiver.Deliver(batch.GetFrom(), msgs)
+		return &clusterpb.ConsensusAck{AcceptsPacked: true}, nil
 	}
 	q := s.transport.queue(batch.GetFrom())
 	q.beginResponse()
-	s.receiver.Deliver(batch.GetFrom(), batch.GetMessages())
-	return &clusterpb.ConsensusAck{Messages: q.awaitResponse(ctx)}, nil
+	s.receiver.Deliver(batch.GetFrom(), msgs)
+	return &clusterpb.ConsensusAck{Messages: q.awaitResponse(ctx), AcceptsPacked: true}, nil
 }
 
 // containsRequest reports whether one of the messages is a request that will
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -43,6 +43,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	packer   entryPacker
 	mu       sync.Mutex
 	receiver Receiver
 	queues   map[uint64]*peerQueue
@@ -115,6 +116,7 @@
 
 func (t *TwirpTransport) sendLoop(id uint64, q *peerQueue) {
 	var clients clientCache
+	acceptsPacked := false
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -123,28 +125,31 @@
 		}
 		address, msgs := q.dequeueAll()
 		if len(msgs) > 0 && address != "" {
-			t.sendBatch(id, clients.get(address, t.client), msgs)
+			ack := t.sendBatch(id, clients.get(address, t.client), t.newBatch(msgs, acceptsPacked))
+			if ack != nil {
+				acceptsPacked = ack.GetAcceptsPacked()
+			}
 		}
 	}
 }
 
-// sendBatch makes one call. If it fails, its messages are lost; the consensus
-// protocol sends those again that matter.
-func (t *TwirpTransport) sendBatch(id uint64, client clusterpb.Consensus, msgs []*clusterpb.ConsensusMessage) {
-	batch := &clusterpb.ConsensusBatch{From: t.id, Messages: msgs}
+// sendBatch makes one call and returns the response, or nil if the call fails. Its
+// messages are lost then; the consensus protocol sends those again that matter.
+func (t *TwirpTransport) sendBatch(id uint64, client clusterpb.Consensus, batch *clusterpb.ConsensusBatch) *clusterpb.ConsensusAck {
 	transferTime := time.Duration(proto.Size(batch)) * time.Second / minBytesPerSecond
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout+transferTime)
 	defer cancel()
 	ack, err := client.Send(ctx, batch)
-	if err != nil || len(ack.GetMessages()) == 0 {
-		return
+	if err != nil {
+		return nil
 	}
 	t.mu.Lock()
 	r := t.receiver
 	t.mu.Unlock()
-	if r != nil {
+	if r != nil && len(ack.GetMessages()) > 0 {
 		r.Deliver(id, ack.GetMessages())
 	}
+	return ack
 }
 
 // clientCache keeps the Twirp client for the current address of a replica.
