Add configurations to the history while deltas are computed

The goroutine that applies commands and sends the heartbeats of the leader waited for a lock that the control loop held while it compared and compressed desired states and packed whole configurations. The list of configurations has a lock of its own now, which is held briefly only.

Before the fix TestConfigIsAddedWhileDeltasAreComputed fails: history_test.go:56: add waits for the lock that is held while deltas are computed

--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -25,9 +25,14 @@
 // in any term, and caches the deltas from them to the newest one. It is safe for
 // concurrent use.
 type history struct {
+	// configsMu guards configs, which are ordered by revision. It is held briefly
+	// only: the goroutine that applies commands, and sends the heartbeats of a
+	// leader, waits for it.
+	configsMu sync.Mutex
+	configs   []appliedConfig
+
+	// mu guards the fields below, while they are computed as well.
 	mu sync.Mutex
-	// configs is ordered by revision.
-	configs []appliedConfig
 	// target is the configuration that the deltas lead to. They are kept by the
 	// revision that they start from: whole and without the desired state.
 	target       *catalogpb.Config
@@ -66,8 +71,8 @@
 
 // add appends cfg, if it is newer than the newest configuration.
 func (h *history) add(now time.Duration, cfg *catalogpb.Config) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.configsMu.Lock()
+	defer h.configsMu.Unlock()
 	if n := len(h.configs); n > 0 && h.configs[n-1].Revision >= cfg.Revision {
 		return
 	}
@@ -80,9 +85,11 @@
 
 // reset replaces all configurations by cfg.
 func (h *history) reset(now time.Duration, cfg *catalogpb.Config) {
+	h.configsMu.Lock()
+	h.configs = []appliedConfig{{cfg, now}}
+	h.configsMu.Unlock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.configs = []appliedConfig{{cfg, now}}
 	h.target, h.deltas, h.withoutState = nil, nil, nil
 	h.stateTarget, h.states = 0, nil
 	h.packedConfig, h.packed = nil, nil
@@ -90,15 +97,14 @@
 
 // appliedAt returns the time at which a retained revision was applied.
 func (h *history) appliedAt(revision uint64) (time.Duration, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	cfg, ok := h.find(revision)
 	return cfg.at, ok
 }
 
-// find returns the retained configuration with the given revision. h.mu must be
-// held.
+// find returns the retained configuration with the given revision.
 func (h *history) find(revision uint64) (appliedConfig, bool) {
+	h.configsMu.Lock()
+	defer h.configsMu.Unlock()
 	i, ok := slices.BinarySearchFunc(h.configs, revision, func(c appliedConfig, r uint64) int { return cmp.Compare(c.Revision, r) })
 	if !ok {
 		return appliedConfig{}, false
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -36,3 +37,22 @@
 	assert.NilError(t, err)
 	assert.Assert(t, proto.Equal(base, third))
 }
+
+// TestConfigIsAddedWhileDeltasAreComputed guards against incident inc2 (DENIED): the
+// goroutine that applies commands and sends heartbeats waited for the deltas of a
+// large change.
+func TestConfigIsAddedWhileDeltasAreComputed(t *testing.T) {
+	h := &history{}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	added := make(chan struct{})
+	go func() {
+		h.add(0, &catalogpb.Config{Revision: 1})
+		close(added)
+	}()
+	select {
+	case <-added:
+	case <-time.After(10 * time.Second):
+		t.Fatal("add waits for the lock that is held while deltas are computed")
+	}
+}
