Give gateways time before a held state is acknowledged by a follower

A state that is sent again right after it was committed is acknowledged by any control VM now. The leader waits up to 250 ms for the gateways before it acknowledges; other control VMs do not hear of their acknowledgements and answered at once, so that the time in which a change must be in force began earlier than before. They now wait until 250 ms have passed since they applied the state.

TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,7 +30,7 @@
 	}
 	if held := a.heldState(req.State.Version); held != nil && !req.DryRun {
 		a.logState(req.State.Version, held)
-		a.server.awaitShortly(ctx, held.Revision)
+		a.awaitHeldState(ctx, held.Revision)
 		return &adminpb.ApplyStateResponse{Result: held}, nil
 	}
 	state, err := catalog.CompressSource(req.State)
--- a/internal/control/state_proposal.go
+++ b/internal/control/state_proposal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -65,6 +66,23 @@
 	return &catalogpb.DesiredStateResult{HeldVersion: cfg.StateVersion, Revision: cfg.Revision}
 }
 
+// awaitHeldState waits, before a state that is held is acknowledged, as long as
+// before a state that has just been committed: for acceptance of the revision on
+// the leader, and for the longest time that this takes on other control VMs.
+func (a *admin) awaitHeldState(ctx context.Context, revision uint64) {
+	if a.server.opts.Replica.Status().IsLeader {
+		a.server.awaitShortly(ctx, revision)
+		return
+	}
+	appliedAt := time.Duration(a.server.stateMachine.stateAppliedAt.Load())
+	timer := time.NewTimer(appliedAt + shortAcceptanceWait - a.server.now())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // proposeState commits a desired state. The proposal goes on if ctx ends first.
 func (a *admin) proposeState(ctx context.Context, state *catalogpb.DesiredState) (*catalogpb.DesiredStateResult, error) {
 	p, isNew := a.server.states.start(state.Version, func() (any, error) {
--- a/internal/control/state_proposal_test.go
+++ b/internal/control/state_proposal_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -121,6 +123,26 @@
 	})
 }
 
+// TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime sends a state that has just been
+// committed, and again later, to a control VM that does not lead.
+func TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, r := newStubServer()
+		r.leads = false
+		time.Sleep(time.Minute)
+		data, err := proto.Marshal(&catalogpb.Command{Kind: &catalogpb.Command_PutState{PutState: stateWithRoutes(4, 3)}})
+		assert.NilError(t, err)
+		s.StateMachine().Apply(1, data)
+		start := time.Now()
+		_, err = applyState(s, 4)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), shortAcceptanceWait)
+		_, err = applyState(s, 4)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), shortAcceptanceWait)
+	})
+}
+
 // TestFailedProposalOfStateIsMadeAgain loses leadership during a proposal.
 func TestFailedProposalOfStateIsMadeAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
