Do not search the reports of all gateways for each response

After a change each gateway renews twice. The result is kept until the next one becomes silent, one of the silent ones renews, or the registered ones change. TestProofSilentEntriesAgreeWithReference compares it with its definition.

Without the kept result TestSilentEntriesAreNotSearchedForEachResponse fails: silent_test.go:63: assertion failed: 3 (int) != 0 (int)

--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -137,18 +137,6 @@
 	return now - last
 }
 
-// silentEntries returns the ids of the registered entry VMs that have not
-// renewed within freshness.LiveTimeout.
-func (t *term) silentEntries(now time.Duration) []string {
-	var ids []string
-	for _, e := range t.config.Entries {
-		if t.timeSinceReport(now, e.Id) > freshness.LiveTimeout {
-			ids = append(ids, e.Id)
-		}
-	}
-	return ids
-}
-
 // availableEntries returns the registered entry VMs that have renewed within
 // timeout. Those that are leaving are included only if includeLeaving is set.
 func (t *term) availableEntries(now, timeout time.Duration, includeLeaving bool) []assign.Entry {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -30,6 +30,7 @@
 	// nothing.
 	lastEmptyPlan cellPlanInputs
 	lastState     statePublication
+	silent        silentCache
 }
 
 // entryReport is the last state that an entry VM reported.
@@ -63,6 +64,7 @@
 	if !sameSlice(t.config.Entries, cfg.Entries) {
 		t.indexEntries(cfg.Entries)
 		t.dropRemovedReports()
+		t.silent = silentCache{}
 	}
 	if cfg.StateVersion != t.config.StateVersion {
 		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
@@ -167,6 +169,7 @@
 	}
 	report.revision = r.request.Revision
 	report.receivedAt = now
+	t.heardFrom(e.Id)
 	quiet := time.Duration(r.request.QuietMs) * time.Millisecond
 	t.tracker.RecordAck(r.received, entryKey(e), r.request.Revision, quiet)
 	t.tracker.RecordAccepted(r.request.AcceptedRevision, e.Region)
