Do not compare what successive configurations share

With the comparison of the slices switched off TestSharedSlicesAreNotSearched fails: panic: the items are compared

--- a/internal/catalog/equal.go
+++ b/internal/catalog/equal.go
@@ -6,8 +6,8 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
 
-// sameContent reports whether a and b are equal. Configurations share what has
-// not changed, so that few items are compared field by field.
+// sameContent reports whether a and b are equal. Configurations share the slices and
+// the items that have not changed, so that few items are compared field by field.
 func sameContent(a, b *catalogpb.Config) bool {
 	return a.Revision == b.Revision &&
 		a.OperatorRevision == b.OperatorRevision &&
@@ -30,6 +30,9 @@
 	if len(a) != len(b) {
 		return false
 	}
+	if sameSlice(a, b) {
+		return true
+	}
 	for i := range a {
 		// proto.Equal returns at once for identical pointers.
 		if !proto.Equal(a[i], b[i]) {
@@ -38,3 +41,9 @@
 	}
 	return true
 }
+
+// sameSlice reports whether a and b share their items, as the slices of successive
+// configurations do that have not changed.
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
--- a/internal/catalog/state_benchmark_test.go
+++ b/internal/catalog/state_benchmark_test.go
@@ -91,3 +91,22 @@
 		}
 	}
 }
+
+// BenchmarkAnnouncement measures an announcement of an upstream that changes its
+// state, by the number of routes.
+func BenchmarkAnnouncement(b *testing.B) {
+	for _, n := range []int{20, 5600} {
+		m := &testMachine{t: b, Catalog: New()}
+		m.putState(largeState(1, n))
+		sequence := uint64(0)
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				sequence++
+				m.command(&catalogpb.Command{Kind: &catalogpb.Command_PutUpstream{PutUpstream: &catalogpb.Upstream{
+					Id: "u", Address: "10.0.0.1:80", Zone: "a", Pool: "pool-0", Slots: 4, Sequence: sequence,
+					StartedMs: sequence, State: catalogpb.UpstreamState_UPSTREAM_STATE_READY,
+				}}})
+			}
+		})
+	}
+}
--- a/internal/catalog/state_cost_test.go
+++ b/internal/catalog/state_cost_test.go
@@ -29,6 +29,20 @@
 	assert.Assert(t, after.Pools[0] == before.Pools[0])
 }
 
+// TestSharedSlicesAreNotSearched guards against incident inc2 (DENIED): each
+// announcement of an upstream compared all routes on every control VM.
+func TestSharedSlicesAreNotSearched(t *testing.T) {
+	// A search would call key.
+	noKey := table[*catalogpb.Pool]{func(*catalogpb.Pool) string { panic("the items are compared") }}
+	items := []*catalogpb.Pool{{Name: "a"}, {Name: "b"}}
+	put, deleted := noKey.compare(items, items)
+	assert.Equal(t, len(put)+len(deleted), 0)
+	assert.Assert(t, sameItems(items, items))
+	put, deleted = pools.compare(items, items[:1])
+	assert.Equal(t, len(put), 0)
+	assert.DeepEqual(t, keysOf(pools, deleted), []string{"b"})
+}
+
 // TestDiffFormatsOnlyLinesThatAreShown guards against incident inc2 (DENIED): all
 // control VMs formatted a line for each route when they applied a change.
 func TestDiffFormatsOnlyLinesThatAreShown(t *testing.T) {
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -77,6 +77,9 @@
 // the item with the same key there, and the items of base whose key is missing
 // from next.
 func (t table[T]) compare(base, next []T) (put, deleted []T) {
+	if sameSlice(base, next) {
+		return nil, nil
+	}
 	i := 0
 	for _, n := range next {
 		key := t.key(n)
