Notice and log that a gateway has no way to any upstream

internal/reach decides from the outcomes of dials, probes and requests. When two upstreams have failed since the last success, the gateway probes two others of different zones every 100 ms, so that a gateway with few calls learns it too and a lost zone is not taken for a cut; while all are lost, every 250 ms. Events upstreams_lost and upstreams_back, metric upstreams_lost. Nothing acts on it yet.

--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -179,6 +179,13 @@
 	return Upstream{}, false
 }
 
+// NeedsPermit reports whether the upstream gets requests only with a permit: it names
+// a rate limit or is cold.
+func (b *Balancer) NeedsPermit(now time.Duration, id string) bool {
+	u := b.upstreams[id]
+	return u != nil && (u.limit.Named || now < u.coldUntil)
+}
+
 // Limit returns the newest known rate limit of the upstream.
 func (b *Balancer) Limit(id string) RateLimit {
 	if u := b.upstreams[id]; u != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return false, c.connectionFailed(u, x.MayHaveRun, err)
 	}
+	c.f.recordAnswer()
 	resp := x.Response
 	if c.notRun(resp) {
 		c.f.recordLimit(u, balance.RefusedAnswer, resp)
@@ -198,6 +199,7 @@
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
+	c.f.recordNoAnswer(u)
 	if mayHaveRun {
 		c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -74,6 +74,9 @@
 	// it.
 	controlLost bool
 	workers     conc.WaitGroup
+	// background ends when the gateway is closed.
+	background     context.Context
+	stopBackground context.CancelFunc
 }
 
 const (
@@ -130,6 +133,7 @@
 		limiter:  admission.NewLimiter(s.Limits.MaxInFlight),
 	}
 	d.gatewayMetrics = telemetry.NewGatewayMetrics(d.metrics.Scope)
+	d.background, d.stopBackground = context.WithCancel(context.Background())
 	if !s.TrustNetwork {
 		if d.keys, err = access.Load(s.ClusterKeysFile); err != nil {
 			return nil, errors.Trace(err)
@@ -263,6 +267,7 @@
 		Permits: func(address string) clusterpb.Permits {
 			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
 		},
+		Context:         d.background,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
 	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -368,6 +373,7 @@
 		_ = s.Close()
 	}
 	cancel()
+	d.stopBackground()
 	workersDone := make(chan struct{})
 	go func() {
 		d.workers.Wait()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 	Closed func() bool
 	// Permits returns a client of the Permits service of another gateway.
 	Permits func(clusterAddress string) clusterpb.Permits
+	// Context ends background work; nil means that it does not end.
+	Context context.Context
 	// BodyIdleTimeout bounds the wait for the next bytes of a request body.
 	BodyIdleTimeout time.Duration
 }
@@ -62,9 +65,13 @@
 	conns *upstreamconn.Pool
 	// lastWaiterID is the ID of the call that joined a queue last.
 	lastWaiterID atomic.Uint64
+	reach        reachability
 }
 
 func newForwarder(st *state, conns *upstreamconn.Pool, o ForwarderOptions) *Forwarder {
+	if o.Context == nil {
+		o.Context = context.Background()
+	}
 	return &Forwarder{opts: o, state: st, conns: conns}
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -144,6 +144,7 @@
 	probedAt := f.state.now()
 	conn, result, err := f.fetchLoad(ctx, c)
 	st := f.state
+	f.recordProbeOutcome(ctx, c, err)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if errors.Is(err, upstreamconn.ErrTooManyConnections) {
@@ -166,15 +167,18 @@
 func (f *Forwarder) fetchLoad(ctx context.Context, c balance.Upstream) (*upstreamconn.Conn, balance.ProbeResult, error) {
 	maxOpen := f.state.maxConnections(c.Pool)
 	conn, err := f.conns.Get(ctx, c.Address, maxOpen)
+	f.recordConnection(ctx, c, conn, err)
 	if err != nil {
-		return nil, balance.ProbeResult{}, err
+		return nil, balance.ProbeResult{}, notConnected(err)
 	}
 	result, err := f.fetchLoadOn(ctx, conn, c)
 	if err == nil || !conn.Reused || ctx.Err() != nil {
 		return conn, result, err
 	}
-	if conn, err = f.conns.Open(ctx, c.Address, maxOpen); err != nil {
-		return nil, balance.ProbeResult{}, err
+	conn, err = f.conns.Open(ctx, c.Address, maxOpen)
+	f.recordConnection(ctx, c, conn, err)
+	if err != nil {
+		return nil, balance.ProbeResult{}, notConnected(err)
 	}
 	result, err = f.fetchLoadOn(ctx, conn, c)
 	return conn, result, err
@@ -245,3 +249,6 @@
 	}
 	return st.balancer.RecordFailure(st.now(), id)
 }
+
+// notConnected marks the error of a connection that was not opened.
+func notConnected(err error) error { return errors.WithType(err, errNotConnected) }
--- /dev/null
+++ b/internal/gateway/reach.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/balance"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/reach"
+	"balsamcourse.example/balsamcourse/internal/upstreamconn"
+	"balsamcourse.example/balsamcourse/internal/wait"
+)
+
+const (
+	// reachProbes is the number of upstreams probed in one round that finds out
+	// whether all upstreams are lost or are back.
+	reachProbes = 2
+	// suspectProbeInterval is the pause between rounds while the loss is suspected,
+	// lostProbeInterval while it is certain.
+	suspectProbeInterval = 100 * time.Millisecond
+	lostProbeInterval    = 250 * time.Millisecond
+)
+
+// errNotConnected means that no new connection to the upstream was opened.
+const errNotConnected = errors.ConstError("connection not opened")
+
+// reachability is what a gateway knows about the network to the upstreams.
+type reachability struct {
+	mu      sync.Mutex
+	tracker reach.Tracker
+	// status is the decision that was logged last.
+	status reach.Status
+	// probing is set while a goroutine runs probeReach.
+	probing bool
+}
+
+// reachTargets are the upstreams that the gateway may probe for reachability, by
+// zone.
+type reachTargets struct {
+	known  reach.Known
+	byZone [][]balance.Upstream
+}
+
+func newReachTargets(upstreams []balance.Upstream) *reachTargets {
+	zones := make(map[string]int)
+	t := &reachTargets{}
+	for _, u := range upstreams {
+		if u.Draining {
+			continue
+		}
+		i, ok := zones[u.Zone]
+		if !ok {
+			i = len(t.byZone)
+			zones[u.Zone] = i
+			t.byZone = append(t.byZone, nil)
+		}
+		t.byZone[i] = append(t.byZone[i], u)
+		t.known.Upstreams++
+	}
+	t.known.Zones = len(t.byZone)
+	return t
+}
+
+// choose returns up to n random upstreams of different zones. Those for which
+// avoid returns true are chosen only if a zone has no others.
+func (t *reachTargets) choose(n int, avoid func(id string) bool) []balance.Upstream {
+	var chosen []balance.Upstream
+	for _, z := range rand.Perm(len(t.byZone)) {
+		if len(chosen) == n {
+			break
+		}
+		list := t.byZone[z]
+		pick := list[rand.IntN(len(list))]
+		for _, i := range rand.Perm(len(list)) {
+			if !avoid(list[i].ID) {
+				pick = list[i]
+				break
+			}
+		}
+		chosen = append(chosen, pick)
+	}
+	return chosen
+}
+
+// recordAnswer records that an upstream has answered.
+func (f *Forwarder) recordAnswer() { f.updateReach((*reach.Tracker).RecordAnswer) }
+
+// recordNoAnswer records that an upstream did not answer or broke the connection.
+func (f *Forwarder) recordNoAnswer(u balance.Upstream) {
+	now := f.state.now()
+	f.updateReach(func(t *reach.Tracker) { t.RecordFailure(now, u.ID, u.Zone) })
+}
+
+// recordProbeOutcome records whether an upstream has answered a probe. Probes that
+// were cancelled show nothing, nor do those for which no connection was opened,
+// which recordConnection has recorded.
+func (f *Forwarder) recordProbeOutcome(ctx context.Context, u balance.Upstream, err error) {
+	switch {
+	case err == nil, errors.Is(err, errWrongUpstream), errors.Is(err, errConnectionClosing):
+		f.recordAnswer()
+	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected), errors.Is(err, upstreamconn.ErrTooManyConnections):
+	default:
+		f.recordNoAnswer(u)
+	}
+}
+
+// recordConnection records whether a new connection to the upstream was opened.
+// Connections from the pool show nothing.
+func (f *Forwarder) recordConnection(ctx context.Context, u balance.Upstream, conn *upstreamconn.Conn, err error) {
+	switch {
+	case err == nil && !conn.Reused:
+		f.updateReach((*reach.Tracker).RecordOpened)
+	case err == nil, ctx.Err() == context.Canceled, errors.Is(err, upstreamconn.ErrTooManyConnections):
+	default:
+		now := f.state.now()
+		f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, u.ID, u.Zone) })
+	}
+}
+
+// updateReach records an outcome, logs a changed decision, and starts to probe
+// upstreams if all may be lost.
+func (f *Forwarder) updateReach(record func(*reach.Tracker)) {
+	r := &f.reach
+	known := f.state.reachTargets.Load().known
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(&r.tracker)
+	before := r.status
+	r.status = r.tracker.Status(known)
+	if r.status.Lost() != before.Lost() {
+		f.reachChanged(before, r.status)
+	}
+	if !r.probing && r.tracker.Suspect(known) {
+		r.probing = true
+		go f.probeReach()
+	}
+}
+
+// reachChanged logs that all upstreams are lost, or that one is back. f.reach.mu
+// must be held.
+func (f *Forwarder) reachChanged(before, after reach.Status) {
+	st := f.state
+	if after.Lost() {
+		f.opts.Events.Log(event.UpstreamsLost).Str("evidence", string(after.Cause)).
+			Uint64("failed_upstreams", uint64(after.Failed)).
+			Uint64("known_upstreams", uint64(st.reachTargets.Load().known.Upstreams)).
+			Uint64("since_ms", uint64((st.now() - after.Since).Milliseconds())).Send()
+	} else {
+		f.opts.Events.Log(event.UpstreamsBack).Str("evidence", string(before.Cause)).
+			Uint64("lost_ms", uint64((st.now() - before.Since).Milliseconds())).Send()
+	}
+	lost := 0.0
+	if after.Lost() {
+		lost = 1
+	}
+	f.opts.Metrics.UpstreamsLost.Update(lost)
+}
+
+// probeReach probes a few upstreams at a time on new connections until the loss of
+// all of them is no longer suspected.
+func (f *Forwarder) probeReach() {
+	ctx := f.opts.Context
+	for {
+		targets, interval := f.nextReachProbes(ctx)
+		if len(targets) == 0 {
+			return
+		}
+		var probes sync.WaitGroup
+		for _, u := range targets {
+			probes.Go(func() { f.probeOnNewConnection(ctx, u) })
+		}
+		probes.Wait()
+		wait.For(ctx, interval)
+	}
+}
+
+// nextReachProbes returns the upstreams to probe now and the pause after that. It
+// returns none, and marks the probing as ended, if no loss is suspected or ctx has
+// ended.
+func (f *Forwarder) nextReachProbes(ctx context.Context) ([]balance.Upstream, time.Duration) {
+	r := &f.reach
+	targets := f.state.reachTargets.Load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var chosen []balance.Upstream
+	if ctx.Err() == nil && r.tracker.Suspect(targets.known) {
+		chosen = targets.choose(reachProbes, r.tracker.HasFailed)
+	}
+	r.probing = len(chosen) > 0
+	if r.status.Lost() {
+		return chosen, lostProbeInterval
+	}
+	return chosen, suspectProbeInterval
+}
+
+// probeOnNewConnection probes the upstream on a new connection. Upstreams that get
+// no requests without a permit are only connected to.
+func (f *Forwarder) probeOnNewConnection(ctx context.Context, u balance.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := f.conns.Open(ctx, u.Address, f.state.maxConnections(u.Pool))
+	f.recordConnection(ctx, u, conn, err)
+	if err != nil {
+		return
+	}
+	st := f.state
+	st.mu.Lock()
+	needsPermit := st.balancer.NeedsPermit(st.now(), u.ID)
+	if !needsPermit {
+		st.balancer.RecordProbeSent(u.ID)
+	}
+	st.mu.Unlock()
+	if needsPermit {
+		conn.Close()
+		f.recordAnswer()
+		return
+	}
+	probedAt := st.now()
+	result, err := f.fetchLoadOn(ctx, conn, u)
+	f.recordProbeOutcome(ctx, u, err)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	st.mu.Lock()
+	st.balancer.RecordProbe(st.now(), probedAt, u.ID, result)
+	st.mu.Unlock()
+	f.conns.Release(conn, nil)
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -24,6 +24,8 @@
 	routes    atomic.Pointer[route.Table]
 	config    atomic.Pointer[catalogpb.Config]
 	pools     atomic.Pointer[map[string]*catalogpb.Pool]
+	// reachTargets are the upstreams that show whether the gateway reaches any.
+	reachTargets atomic.Pointer[reachTargets]
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
@@ -67,6 +69,7 @@
 		issuer:          permit.NewIssuer(gatewayID),
 	}
 	st.pools.Store(&map[string]*catalogpb.Pool{})
+	st.reachTargets.Store(&reachTargets{})
 	return st
 }
 
@@ -82,8 +85,10 @@
 		pools[p.Name] = p
 	}
 	st.pools.Store(&pools)
+	placement := st.placementConfig(v, pools)
+	st.reachTargets.Store(newReachTargets(placement.Upstreams))
 	st.mu.Lock()
-	st.balancer.Update(st.now(), st.placementConfig(v, pools))
+	st.balancer.Update(st.now(), placement)
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
 	st.mu.Unlock()
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,156 @@
+// Package reach decides whether a gateway has lost the network to all upstreams.
+//
+// A gateway may be partitioned from the upstreams while callers, control and
+// other gateways still reach it. Connections to upstreams then hang or are reset,
+// or open ones live on while new ones are refused. The decision is based on the
+// outcomes of connection attempts, probes and requests at all upstreams.
+//
+// The package does no I/O and has no clock or goroutines. Times are readings of
+// the caller's monotonic clock.
+package reach
+
+import "time"
+
+const (
+	// minFailedUpstreams is the number of different upstreams that must have
+	// failed since the last success. All must have failed if there are fewer.
+	minFailedUpstreams = 4
+	// minFailedZones is the number of different availability zones of those
+	// upstreams. If upstreams are in fewer zones, all zones are required.
+	minFailedZones = 2
+	// minFailureSpan is the shortest time from the first to the last of these
+	// failures. Probes that time out together after the process was paused are
+	// not evidence.
+	minFailureSpan = 250 * time.Millisecond
+	// minSuspectUpstreams is the number of different upstreams that must have
+	// failed since the last success before the network is suspected. Failures of
+	// one upstream are common.
+	minSuspectUpstreams = 2
+	// maxFailedUpstreams bounds the upstreams that are remembered.
+	maxFailedUpstreams = 64
+)
+
+// Known is the number of upstreams that the gateway knows, and of the availability
+// zones that they are in.
+type Known struct {
+	Upstreams, Zones int
+}
+
+// Cause says what evidence shows that all upstreams are lost.
+type Cause string
+
+// The causes.
+const (
+	// None means that the upstreams are not lost.
+	None Cause = ""
+	// NoAnswers means that nothing answers, on old and new connections.
+	NoAnswers Cause = "no answers"
+	// NoConnections means that no new connection can be opened. Open ones may
+	// still carry requests.
+	NoConnections Cause = "no new connections"
+)
+
+// Status is the decision and the evidence for it.
+type Status struct {
+	Cause Cause
+	// Since is the time of the first failure after the last success.
+	Since time.Duration
+	// Failed is the number of different upstreams that have failed since then.
+	Failed int
+}
+
+// Lost reports whether all upstreams are lost.
+func (s Status) Lost() bool { return s.Cause != None }
+
+// series is a series of failures without a success between them.
+type series struct {
+	first, last time.Duration
+	// zones holds the zones of the failed upstreams by their IDs.
+	zones map[string]string
+	lost  bool
+}
+
+func (s *series) succeed() { *s = series{} }
+
+func (s *series) fail(now time.Duration, upstream, zone string) {
+	if s.zones == nil {
+		s.zones = make(map[string]string)
+		s.first = now
+	}
+	s.last = now
+	if len(s.zones) < maxFailedUpstreams {
+		s.zones[upstream] = zone
+	}
+}
+
+// update sets lost if the failures suffice. Only a success clears it.
+func (s *series) update(known Known) {
+	if s.lost || len(s.zones) == 0 {
+		return
+	}
+	zones := make(map[string]bool, minFailedZones)
+	for _, zone := range s.zones {
+		zones[zone] = true
+	}
+	if len(s.zones) >= min(minFailedUpstreams, known.Upstreams) &&
+		len(zones) >= min(minFailedZones, known.Zones) && s.last-s.first >= minFailureSpan {
+		s.lost = true
+	}
+}
+
+func (s *series) suspect(known Known) bool {
+	return s.lost || len(s.zones) > 0 && len(s.zones) >= min(minSuspectUpstreams, known.Upstreams)
+}
+
+// Tracker records outcomes and decides. The zero value is ready for use; it is not
+// safe for concurrent use.
+type Tracker struct {
+	// answers ends with any answer, connections with any opened connection.
+	answers, connections series
+}
+
+// RecordAnswer records that an upstream has answered.
+func (t *Tracker) RecordAnswer() { t.answers.succeed() }
+
+// RecordFailure records that an upstream did not answer or broke the connection.
+func (t *Tracker) RecordFailure(now time.Duration, upstream, zone string) {
+	t.answers.fail(now, upstream, zone)
+}
+
+// RecordOpened records that a new connection to an upstream has been opened.
+func (t *Tracker) RecordOpened() { t.connections.succeed() }
+
+// RecordNotOpened records that a new connection to an upstream could not be
+// opened.
+func (t *Tracker) RecordNotOpened(now time.Duration, upstream, zone string) {
+	t.connections.fail(now, upstream, zone)
+	t.answers.fail(now, upstream, zone)
+}
+
+// HasFailed reports whether the upstream is among those that have failed since the
+// last success.
+func (t *Tracker) HasFailed(upstream string) bool {
+	_, noAnswer := t.answers.zones[upstream]
+	_, notOpened := t.connections.zones[upstream]
+	return noAnswer || notOpened
+}
+
+// Suspect reports whether the gateway should probe upstreams of its own accord,
+// to find out whether all are lost or whether they are back.
+func (t *Tracker) Suspect(known Known) bool {
+	return t.answers.suspect(known) || t.connections.suspect(known)
+}
+
+// Status returns the decision. It stays lost until a success: an answer, and if
+// connections could not be opened, a new connection.
+func (t *Tracker) Status(known Known) Status {
+	t.answers.update(known)
+	t.connections.update(known)
+	switch {
+	case t.answers.lost:
+		return Status{Cause: NoAnswers, Since: t.answers.first, Failed: len(t.answers.zones)}
+	case t.connections.lost:
+		return Status{Cause: NoConnections, Since: t.connections.first, Failed: len(t.connections.zones)}
+	}
+	return Status{}
+}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,124 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var tenInTwoZones = Known{Upstreams: 10, Zones: 2}
+
+// fail records the failure of n different upstreams in two zones, one every step
+// from start.
+func fail(t *Tracker, start, step time.Duration, n int, opened bool) {
+	for i := range n {
+		at, id, zone := start+time.Duration(i)*step, fmt.Sprint("u", i), fmt.Sprint("z", i%2)
+		if opened {
+			t.RecordFailure(at, id, zone)
+		} else {
+			t.RecordNotOpened(at, id, zone)
+		}
+	}
+}
+
+func TestUpstreamsAreLostAfterFailuresOfSeveral(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		known Known
+		play  func(*Tracker)
+		want  Cause
+	}{
+		{"four in two zones over 300 ms", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 100*ms, 4, true) }, NoAnswers},
+		{"three", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 200*ms, 3, true) }, None},
+		{"all of two", Known{Upstreams: 2, Zones: 2}, func(tr *Tracker) { fail(tr, 0, 300*ms, 2, true) }, NoAnswers},
+		{"the only one, once", Known{Upstreams: 1, Zones: 1}, func(tr *Tracker) { fail(tr, 0, ms, 1, true) }, None},
+		{"all at once after a pause of the process", tenInTwoZones, func(tr *Tracker) { fail(tr, 9*time.Second, ms, 10, true) }, None},
+		{"one zone of two", tenInTwoZones, func(tr *Tracker) {
+			for i := range 10 {
+				tr.RecordFailure(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
+			}
+		}, None},
+		{"one zone is all there is", Known{Upstreams: 10, Zones: 1}, func(tr *Tracker) {
+			for i := range 10 {
+				tr.RecordFailure(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
+			}
+		}, NoAnswers},
+		{"an answer between", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 3, true)
+			tr.RecordAnswer()
+			fail(tr, 400*ms, 100*ms, 3, true)
+		}, None},
+		{"no new connections, answers on old ones", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 4, false)
+			tr.RecordAnswer()
+		}, NoConnections},
+		{"a connection opened, nothing answered", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 4, false)
+			tr.RecordOpened()
+		}, NoAnswers},
+		{"a connection opened and an answer", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 10, false)
+			tr.RecordOpened()
+			tr.RecordAnswer()
+		}, None},
+		{"no upstreams", Known{}, func(*Tracker) {}, None},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var tr Tracker
+			tc.play(&tr)
+			assert.Equal(t, tr.Status(tc.known).Cause, tc.want)
+		})
+	}
+}
+
+// TestLostUpstreamsAreFoundAgain checks that the loss lasts until a success,
+// whatever the gateway knows meanwhile.
+func TestLostUpstreamsAreFoundAgain(t *testing.T) {
+	var tr Tracker
+	fail(&tr, time.Second, 100*ms, 4, false)
+	assert.Equal(t, tr.Status(tenInTwoZones), Status{Cause: NoAnswers, Since: time.Second, Failed: 4})
+	assert.Assert(t, tr.Status(Known{Upstreams: 90, Zones: 8}).Lost())
+	assert.Assert(t, tr.Suspect(tenInTwoZones))
+	assert.Assert(t, tr.HasFailed("u3") && !tr.HasFailed("u4"))
+	tr.RecordOpened()
+	tr.RecordAnswer()
+	assert.Assert(t, !tr.Status(tenInTwoZones).Lost())
+	assert.Assert(t, !tr.Suspect(tenInTwoZones))
+}
+
+// TestProofUpstreamsAreLostOnlyOnEvidence draws histories: the upstreams are lost
+// only if several different ones in several zones have failed over some time
+// since the last success.
+func TestProofUpstreamsAreLostOnlyOnEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tr Tracker
+		known := Known{Upstreams: rapid.IntRange(1, 8).Draw(t, "upstreams"), Zones: rapid.IntRange(1, 3).Draw(t, "zones")}
+		known.Zones = min(known.Zones, known.Upstreams)
+		var now, first, last time.Duration
+		failed, zones := map[int]bool{}, map[int]bool{}
+		lost := false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * ms
+			if rapid.IntRange(0, 9).Draw(t, "answers") == 0 {
+				tr.RecordOpened()
+				tr.RecordAnswer()
+				failed, zones, lost = map[int]bool{}, map[int]bool{}, false
+			} else {
+				u := rapid.IntRange(0, known.Upstreams-1).Draw(t, "upstream")
+				if len(failed) == 0 {
+					first = now
+				}
+				last = now
+				failed[u], zones[u%known.Zones] = true, true
+				tr.RecordNotOpened(now, fmt.Sprint(u), fmt.Sprint(u%known.Zones))
+			}
+			lost = lost || len(failed) >= min(4, known.Upstreams) && len(zones) >= min(2, known.Zones) && last-first >= 250*ms && len(failed) > 0
+			assert.Equal(t, tr.Status(known).Lost(), lost)
+		}
+	})
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -38,6 +38,7 @@
 		{"upstreams_open", gauge, "gateway", "pool", "upstreams that accept requests"},
 		{"upstreams_ready", gauge, "gateway", "pool", "upstreams that accept requests and are neither cold nor held back after failures"},
 		{"upstreams_limited", gauge, "gateway", "pool", "upstreams that accept requests and name the request rate that they take from all gateways together"},
+		{"upstreams_lost", gauge, "gateway", "", "1 while this gateway has no way to any upstream, else 0"},
 		{"limited_requests", counter, "gateway", "pool", "requests that this gateway has sent to upstreams while they named a request rate"},
 		{"limited_probes", counter, "gateway", "pool", "load probes that this gateway has sent to upstreams while they named a request rate"},
 		{"upstream_requests_in_flight", gauge, "gateway", "pool", "requests of this gateway in flight at upstreams"},
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -31,6 +31,8 @@
 	PermitWait tally.Histogram
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
+	// UpstreamsLost is 1 while all upstreams are lost, else 0.
+	UpstreamsLost tally.Gauge
 	// Revision and StateVersion belong to the configuration in force. ConfigAge
 	// is the time in seconds since a control VM last answered.
 	Revision     tally.Gauge
@@ -75,6 +77,7 @@
 		Upstream:        latencyHistogram(s, "upstream_seconds"),
 		PermitWait:      latencyHistogram(s, "permit_seconds"),
 		Retries:         s.Counter("retries"),
+		UpstreamsLost:   s.Gauge("upstreams_lost"),
 		Revision:        s.Gauge("config_revision"),
 		StateVersion:    s.Gauge("config_state_version"),
 		ConfigAge:       s.Gauge("config_unheard_seconds"),
