--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -119,52 +119,63 @@
 	// stopped holds the time at which a gateway stopped, cut that at which it was
 	// cut off from control, by ID.
 	stopped, cut map[string]time.Time
-	conns        []net.Conn
+	// links holds the state of the links of a gateway to all upstreams, by ID.
+	links map[string]linkState
+	conns []*link
+	// background ends with the test.
+	background context.Context
 }
 
-// newGatewayGroup returns n gateways and the upstreams with the given IDs.
+// newGatewayGroup returns n gateways and the upstreams with the given IDs, all in
+// one zone.
 func newGatewayGroup(t *testing.T, n int, upstreams ...string) *gatewayGroup {
 	t.Helper()
-	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig(), stopped: make(map[string]time.Time), cut: make(map[string]time.Time)}
-	for _, id := range upstreams {
+	return newZonedGroup(t, []string{"a"}, n, upstreams...)
+}
+
+// newZonedGroup returns n gateways and the upstreams with the given IDs, both
+// spread over the zones in turn.
+func newZonedGroup(t *testing.T, zones []string, n int, upstreams ...string) *gatewayGroup {
+	t.Helper()
+	g := &gatewayGroup{
+		upstreams: make(map[string]*limitedUpstream), cfg: newConfig(),
+		stopped: make(map[string]time.Time), cut: make(map[string]time.Time), links: make(map[string]linkState),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.background = ctx
+	for i, id := range upstreams {
 		g.upstreams[id+":1"] = &limitedUpstream{id: id, start: time.Now(), work: 20 * time.Millisecond}
 		g.cfg.Upstreams = append(g.cfg.Upstreams, &catalogpb.Upstream{
-			Id: id, Address: id + ":1", Zone: "a", Pool: "p", Slots: 100, State: catalogpb.UpstreamState_UPSTREAM_STATE_READY,
+			Id: id, Address: id + ":1", Zone: zones[i%len(zones)], Pool: "p", Slots: 100, State: catalogpb.UpstreamState_UPSTREAM_STATE_READY,
 		})
 	}
 	for i := range n {
 		id := fmt.Sprint("g", i)
-		g.cfg.Entries = append(g.cfg.Entries, &catalogpb.Entry{Id: id, ClusterAddress: id + ":2"})
+		g.cfg.Entries = append(g.cfg.Entries, &catalogpb.Entry{Id: id, ClusterAddress: id + ":2", Zone: zones[i%len(zones)]})
 	}
 	for i := range n {
 		g.forwarders = append(g.forwarders, g.newForwarder(t, fmt.Sprint("g", i)))
 	}
 	t.Cleanup(func() {
+		cancel()
 		// Lets searches that have nothing left to do end.
 		time.Sleep(time.Second)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, c := range g.conns {
-			_ = c.Close()
+			_ = c.Conn.Close()
 		}
 	})
 	return g
 }
 
 func (g *gatewayGroup) newForwarder(t *testing.T, id string) *Forwarder {
-	st := newState(id, "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+	st := newState(id, g.zoneOf(id), 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
 	st.reachable = g.heardByControl
 	st.applyConfig(configview.New(g.cfg))
 	metrics := telemetry.NewMetrics("gateway", id)
 	t.Cleanup(func() { _ = metrics.Close() })
-	dial := func(_ context.Context, address string) (net.Conn, error) {
-		near, far := net.Pipe()
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.conns = append(g.conns, near)
-		go g.upstreams[address].serve(far, id)
-		return near, nil
-	}
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return g.dialUpstream(ctx, id, address) }
 	return newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
 		Headers: DefaultHeaders(),
 		Crashes: &crashRecorder{},
@@ -172,6 +183,7 @@
 		Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
 		Closed:  func() bool { return false },
 		Permits: g.permits,
+		Context: g.background,
 	})
 }
 
--- /dev/null
+++ b/internal/gateway/link_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+)
+
+// linkState is the state of the links of a gateway to all upstreams.
+type linkState int
+
+const (
+	linkUp linkState = iota
+	// linkSilent loses everything that is sent; new connections do not open.
+	linkSilent
+	// linkReset resets all connections, old and new.
+	linkReset
+	// linkOldOnly carries open connections and refuses new ones.
+	linkOldOnly
+)
+
+func (s linkState) String() string { return [...]string{"up", "silent", "reset", "old only"}[s] }
+
+// link is a connection of a gateway to an upstream.
+type link struct {
+	net.Conn
+	group   *gatewayGroup
+	gateway string
+}
+
+// Read implements net.Conn. What arrives while the link is silent is lost.
+func (l *link) Read(b []byte) (int, error) {
+	for {
+		n, err := l.Conn.Read(b)
+		if err != nil || l.group.linkOf(l.gateway) != linkSilent {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn. What is sent while the link is silent is lost.
+func (l *link) Write(b []byte) (int, error) {
+	if l.group.linkOf(l.gateway) == linkSilent {
+		return len(b), nil
+	}
+	return l.Conn.Write(b)
+}
+
+func (g *gatewayGroup) linkOf(gateway string) linkState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links[gateway]
+}
+
+// setLinks sets the state of the links of the gateways to all upstreams.
+func (g *gatewayGroup) setLinks(state linkState, gateways ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range gateways {
+		g.links[id] = state
+		for _, c := range g.conns {
+			if state == linkReset && c.gateway == id {
+				_ = c.Conn.Close()
+			}
+		}
+	}
+}
+
+func (g *gatewayGroup) dialUpstream(ctx context.Context, gateway, address string) (net.Conn, error) {
+	switch g.linkOf(gateway) {
+	case linkSilent:
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+	case linkReset:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET}
+	case linkOldOnly:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	go g.upstreams[address].serve(far, gateway)
+	conn := &link{Conn: near, group: g, gateway: gateway}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns = append(g.conns, conn)
+	return conn, nil
+}
+
+// zoneOf returns the availability zone of a gateway.
+func (g *gatewayGroup) zoneOf(gateway string) string {
+	for _, e := range g.cfg.Entries {
+		if e.Id == gateway {
+			return e.Zone
+		}
+	}
+	return ""
+}
