Relay calls to other gateways while no upstream can be reached

Each call searched afresh, and nobody else could carry it.

A gateway that has lost all upstreams now relays its calls at once to another one: one HTTP/1.1 request on a connection of its own, authenticated like other calls between processes, with method, target, Host, headers and body as they came, the time left, the caller's host for the quarantine, and the attempts made. It is never relayed again. Until a byte may have left, or when the other gateway states that it has asked no upstream, up to three gateways are asked in turn; afterwards the answer is theirs, or the outcome is unknown (502). A request counts in one retry budget only, that of the gateway which sends it to upstreams; MaxAttempts holds over both. While only new connections fail, open ones are tried first. Calls in the queue are relayed as soon as the loss is known. If no gateway has a way, a call is refused after one search.

--- a/internal/access/transport.go
+++ b/internal/access/transport.go
@@ -20,9 +20,17 @@
 	return &transport{keys: keys, next: next}
 }
 
+// SetKey sets the header Authorization to the current key. With nil keys it does
+// nothing.
+func SetKey(h http.Header, keys *Keys) {
+	if keys != nil {
+		h.Set("Authorization", bearerPrefix+keys.Current().Secret)
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req = req.Clone(req.Context())
-	req.Header.Set("Authorization", bearerPrefix+t.keys.Current().Secret)
+	SetKey(req.Header, t.keys)
 	return t.next.RoundTrip(req)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -48,6 +48,7 @@
 	PermitFailed    = Event{316, "permit_failed", zerolog.WarnLevel, "the gateway that issues the permits for an upstream did not answer; the upstream gets no request", "if it persists, check that gateway and the network to it"}
 	UpstreamsLost   = Event{320, "upstreams_lost", zerolog.WarnLevel, "this gateway has no way to any upstream", "check the network of this VM to the upstreams"}
 	UpstreamsBack   = Event{321, "upstreams_back", zerolog.InfoLevel, "this gateway reaches upstreams again", ""}
+	RelayFailed     = Event{322, "relay_failed", zerolog.WarnLevel, "a call that this gateway relayed to another one got no response of an upstream", "see the error field and the log of the other gateway"}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
 	RequestSuspect  = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
 	RequestHeldOff  = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined after it repeatedly broke connections to upstreams", "examine the request; release it with the admin command"}
@@ -64,7 +65,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -257,6 +257,7 @@
 	if length >= 0 && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.markOutcome(nil)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/route"
 )
 
@@ -67,6 +68,17 @@
 	// response.
 	choice         balance.Choice
 	loadAtResponse string
+	// relayedTo is the gateway to which the call was relayed last.
+	relayedTo string
+	// origin is set if another gateway has relayed the call to this one.
+	origin *relayOrigin
+	// counted is set if the retry budget of a gateway counts the call.
+	counted bool
+	// lost is set if the call was refused because this gateway has no way to any
+	// upstream.
+	lost bool
+	// relayTried is set if no other gateway could be asked to carry the call.
+	relayTried bool
 	// unknownOutcome is the error of an attempt that may have run. Once it is set,
 	// no later refusal may say that the request did not run.
 	unknownOutcome *fault.Error
@@ -95,7 +107,9 @@
 		return err
 	}
 	c.pool = c.route.NextPool()
-	f.state.countRequest(c.pool)
+	if c.origin == nil && !c.mayRelay() {
+		c.count()
+	}
 	if !f.opts.Limiter.Acquire(c.pool) {
 		c.cancel()
 		return fault.NewRetryable(fault.Overloaded, c.retryAfter(0), "pool %q: limit of calls in flight at this gateway reached", c.pool)
@@ -137,7 +151,25 @@
 		if err := c.f.opts.Crashes.Blocked(c.quarantineKey); err != nil {
 			return c.finalError(err)
 		}
+		cause := c.f.upstreamsLost()
+		if cause != reach.None && c.origin != nil {
+			c.lost = true
+			return c.finalError(c.noUpstream())
+		}
+		// While only new connections fail, open ones are tried first.
+		if c.mayRelay() && (cause == reach.NoAnswers || c.searches > 0) {
+			if asked, err := c.relay(); asked {
+				return err
+			}
+			c.relayTried = true
+		}
+		if !c.counted {
+			c.count()
+		}
 		res, err := c.acquire()
+		if err != nil && c.mayRelay() {
+			continue
+		}
 		if err != nil {
 			return c.finalError(err)
 		}
@@ -151,6 +183,18 @@
 	}
 }
 
+// mayRelay reports whether other gateways should be asked to carry the call: this
+// one has lost all upstreams, and the call has not been relayed yet.
+func (c *call) mayRelay() bool {
+	return c.origin == nil && !c.relayTried && c.f.upstreamsLost() != reach.None
+}
+
+// count adds the call to the retry budget of its pool.
+func (c *call) count() {
+	c.counted = true
+	c.f.state.countRequest(c.pool)
+}
+
 // finalError returns the error for the caller. After an attempt that may have
 // run, this is the error of that attempt, since a refusal would say that the
 // request did not run.
@@ -314,7 +358,7 @@
 	if c.waited > 0 {
 		m.UpstreamWait.RecordDuration(c.waited)
 	}
-	if err == nil && c.sends == 1 && c.searches == 1 && c.status < http.StatusInternalServerError && rand.IntN(routineCallsPerLogLine) != 0 {
+	if err == nil && c.sends == 1 && (c.searches == 1 || c.relayedTo != "") && c.status < http.StatusInternalServerError && rand.IntN(routineCallsPerLogLine) != 0 {
 		return
 	}
 	line := c.f.opts.Events.Log(event.CallEnded).Str("request", c.id).Str("pool", c.pool).Str("upstream", c.upstream).
@@ -328,6 +372,9 @@
 	if c.route != nil {
 		line.Str("route", c.route.Name)
 	}
+	if c.relayedTo != "" {
+		line.Str("relayed_to", c.relayedTo)
+	}
 	if cfg := c.f.state.config.Load(); cfg != nil {
 		line.Uint64("version", cfg.StateVersion).Uint64("revision", cfg.Revision)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,9 @@
 	conns     *upstreamconn.Pool
 	forwarder *Forwarder
 	// client calls other processes of the system.
-	client       *http.Client
+	client *http.Client
+	// peerDial opens connections to other VMs of the system.
+	peerDial     httpnet.DialFunc
 	config       *configsync.Syncer
 	gossip       *gossip.Service
 	limiter      *admission.Limiter
@@ -161,7 +164,8 @@
 		Slack:  s.Retry.Slack,
 		Window: s.Retry.WindowMs.Duration(),
 	})
-	connections := httpnet.NewConnections(httpnet.DialWithTimeout(peerDialTimeout))
+	d.peerDial = httpnet.DialWithTimeout(peerDialTimeout)
+	connections := httpnet.NewConnections(d.peerDial)
 	d.client = httpnet.NewClient(connections.Dial)
 	d.client.Transport = access.NewTransport(d.keys, d.client.Transport)
 	d.config = configsync.New(configsync.Options{
@@ -192,6 +196,11 @@
 	})
 }
 
+// dialGateway opens a connection to another gateway.
+func (d *Daemon) dialGateway(ctx context.Context, address string) (net.Conn, error) {
+	return d.peerDial(ctx, "tcp4", address)
+}
+
 // Ready reports whether callers may be sent to this gateway: it has a desired
 // state and no stop has begun.
 func (d *Daemon) Ready() bool { return d.state.routes.Load() != nil && !d.stopping.Load() }
@@ -220,12 +229,21 @@
 
 func (d *Daemon) listen() error {
 	s := d.settings
+	d.forwarder = d.newForwarder()
 	cluster := http.NewServeMux()
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	cluster.Handle(clusterpb.PermitsPathPrefix, clusterpb.NewPermitsServer(&permitServer{state: d.state, log: d.log}))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
-	if err := d.openListener(s.ClusterListen, httpnet.Limits{}, access.NewAuthenticator(d.keys, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
+	processes := http.NewServeMux()
+	processes.Handle("/", d.clusterRPCs)
+	processes.Handle(RelayPath, httpnet.Recover(d.forwarder.RelayHandler(), crash.PanicHandler(d.log)))
+	// Relayed calls have the headers of callers.
+	limits := httpnet.Limits{MaxHeaderBytes: s.Limits.Listener().MaxHeaderBytes}
+	if limits.MaxHeaderBytes > 0 {
+		limits.MaxHeaderBytes += relayHeaderBytes
+	}
+	if err := d.openListener(s.ClusterListen, limits, access.NewAuthenticator(d.keys, d.log, nil).Wrap(processes)); err != nil {
 		return err
 	}
 	if d.opts.ExtraListeners != nil {
@@ -256,8 +274,9 @@
 	return nil
 }
 
-func (d *Daemon) callerHandler() http.Handler {
-	d.forwarder = newForwarder(d.state, d.conns, ForwarderOptions{
+// newForwarder returns the forwarder of this gateway.
+func (d *Daemon) newForwarder() *Forwarder {
+	return newForwarder(d.state, d.conns, ForwarderOptions{
 		Headers: d.opts.Headers,
 		Crashes: d.gossip,
 		Limiter: d.limiter,
@@ -267,9 +286,14 @@
 		Permits: func(address string) clusterpb.Permits {
 			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
 		},
+		DialGateway:     d.dialGateway,
+		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
 		Context:         d.background,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
+}
+
+func (d *Daemon) callerHandler() http.Handler {
 	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -52,6 +52,12 @@
 	Closed func() bool
 	// Permits returns a client of the Permits service of another gateway.
 	Permits func(clusterAddress string) clusterpb.Permits
+	// DialGateway opens connections to other gateways, to which calls are relayed;
+	// nil means that they are not relayed.
+	DialGateway upstreamconn.Dialer
+	// Authorize adds the key of this process to the header of a request to another
+	// gateway; nil means that none is needed.
+	Authorize func(http.Header)
 	// Context ends background work; nil means that it does not end.
 	Context context.Context
 	// BodyIdleTimeout bounds the wait for the next bytes of a request body.
@@ -66,18 +72,24 @@
 	// lastWaiterID is the ID of the call that joined a queue last.
 	lastWaiterID atomic.Uint64
 	reach        reachability
+	relays       relayTargets
+	relayConns   *upstreamconn.Pool
 }
 
 func newForwarder(st *state, conns *upstreamconn.Pool, o ForwarderOptions) *Forwarder {
 	if o.Context == nil {
 		o.Context = context.Background()
 	}
-	return &Forwarder{opts: o, state: st, conns: conns}
+	return &Forwarder{opts: o, state: st, conns: conns, relayConns: upstreamconn.NewPool(o.DialGateway)}
 }
 
 // ServeHTTP answers one call with the response of an upstream or with an error.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{f: f, w: w, r: r, arrived: time.Now()}
+	f.serve(&call{f: f, w: w, r: r, arrived: time.Now()})
+}
+
+// serve answers the call.
+func (f *Forwarder) serve(c *call) {
 	err := c.prepare()
 	if err == nil {
 		defer c.cancel()
@@ -85,7 +97,11 @@
 		err = c.run()
 	}
 	if err != nil {
-		fault.WriteHTTPFractional(w, err)
+		c.markOutcome(err)
+		fault.WriteHTTPFractional(c.w, err)
+	}
+	if c.origin != nil {
+		f.opts.Metrics.RelayedIn(relayedInOutcome(err)).Inc(1)
 	}
 	c.finish(err)
 }
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -38,6 +38,9 @@
 	// onRequest is called with each request, also health requests; nil means that
 	// nothing is called.
 	onRequest func(r *http.Request)
+	// onBody is called with each request and its whole body; nil means that nothing
+	// is called.
+	onBody func(r *http.Request, body []byte)
 
 	mu     sync.Mutex
 	load   string
@@ -87,7 +90,10 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
+		if s.onBody != nil {
+			s.onBody(r, body)
+		}
 		if s.onRequest != nil {
 			s.onRequest(r)
 		}
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -122,6 +122,8 @@
 	// links holds the state of the links of a gateway to all upstreams, by ID.
 	links map[string]linkState
 	conns []*link
+	// relays holds the connections between gateways.
+	relays []net.Conn
 	// background ends with the test.
 	background context.Context
 }
@@ -165,6 +167,9 @@
 		for _, c := range g.conns {
 			_ = c.Conn.Close()
 		}
+		for _, c := range g.relays {
+			_ = c.Close()
+		}
 	})
 	return g
 }
@@ -177,13 +182,14 @@
 	t.Cleanup(func() { _ = metrics.Close() })
 	dial := func(ctx context.Context, address string) (net.Conn, error) { return g.dialUpstream(ctx, id, address) }
 	return newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
-		Headers: DefaultHeaders(),
-		Crashes: &crashRecorder{},
-		Limiter: admission.NewLimiter(100),
-		Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
-		Closed:  func() bool { return false },
-		Permits: g.permits,
-		Context: g.background,
+		Headers:     DefaultHeaders(),
+		Crashes:     &crashRecorder{},
+		Limiter:     admission.NewLimiter(100),
+		Metrics:     telemetry.NewGatewayMetrics(metrics.Scope),
+		Closed:      func() bool { return false },
+		Permits:     g.permits,
+		Context:     g.background,
+		DialGateway: g.dialGateway,
 	})
 }
 
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 )
 
@@ -85,6 +86,39 @@
 	return conn, nil
 }
 
+// dialGateway opens a connection to the gateway with the cluster address.
+func (g *gatewayGroup) dialGateway(ctx context.Context, address string) (net.Conn, error) {
+	for _, f := range g.forwarders {
+		if f.state.gatewayID+":2" != address || g.isStopped(f) {
+			continue
+		}
+		near, far := net.Pipe()
+		listener := &oneConnListener{conn: far}
+		go func() { _ = http.Serve(listener, f.RelayHandler()) }()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.relays = append(g.relays, near)
+		return near, nil
+	}
+	<-ctx.Done()
+	return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+}
+
+// oneConnListener is a listener that returns one connection and then an error.
+type oneConnListener struct{ conn net.Conn }
+
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	conn := l.conn
+	l.conn = nil
+	if conn == nil {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l *oneConnListener) Close() error   { return nil }
+func (l *oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
+
 // zoneOf returns the availability zone of a gateway.
 func (g *gatewayGroup) zoneOf(gateway string) string {
 	for _, e := range g.cfg.Entries {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -12,6 +12,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
 
@@ -147,7 +148,7 @@
 	f.recordProbeOutcome(ctx, c, err)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if errors.Is(err, upstreamconn.ErrTooManyConnections) {
+	if errors.Is(err, upstreamconn.ErrTooManyConnections) || errors.Is(err, upstreamconn.ErrNoIdleConnection) {
 		return probeOutcome{candidate: c, err: err}
 	}
 	st.balancer.RecordProbeSent(c.ID)
@@ -166,7 +167,13 @@
 // connection.
 func (f *Forwarder) fetchLoad(ctx context.Context, c balance.Upstream) (*upstreamconn.Conn, balance.ProbeResult, error) {
 	maxOpen := f.state.maxConnections(c.Pool)
-	conn, err := f.conns.Get(ctx, c.Address, maxOpen)
+	var conn *upstreamconn.Conn
+	var err error
+	if f.upstreamsLost() == reach.NoConnections {
+		conn, err = f.conns.GetIdle(c.Address)
+	} else {
+		conn, err = f.conns.Get(ctx, c.Address, maxOpen)
+	}
 	f.recordConnection(ctx, c, conn, err)
 	if err != nil {
 		return nil, balance.ProbeResult{}, notConnected(err)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -8,6 +8,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 	"balsamcourse.example/balsamcourse/internal/wait"
 )
@@ -78,7 +79,7 @@
 	st.mu.Lock()
 	busy := st.queue(c.pool).waiters.Len() > 0
 	st.mu.Unlock()
-	if busy {
+	if busy && c.f.upstreamsLost() == reach.None {
 		return c.waitInQueue()
 	}
 	avoid := slices.Clone(c.avoid)
@@ -97,6 +98,9 @@
 				return c.waitInQueue()
 			}
 			return reservation{}, c.noUpstream()
+		case c.f.upstreamsLost() != reach.None:
+			c.lost = true
+			return reservation{}, c.noUpstream()
 		}
 		avoid = append(avoid, seen...)
 	}
@@ -192,6 +196,7 @@
 	select {
 	case res := <-ch:
 		return c.checkReservation(res)
+	case <-c.f.reach.lostSignal():
 	case <-timer.C:
 	case <-c.ctx.Done():
 	}
@@ -217,6 +222,10 @@
 	if c.ctx.Err() != nil {
 		return reservation{}, c.deadlineTooShort()
 	}
+	if c.f.upstreamsLost() != reach.None {
+		c.lost = true
+		return reservation{}, c.noUpstream()
+	}
 	// The target latency is missed, but the deadline has not passed yet.
 	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, c.requirements(lateMaxSlowdown)); res.conn != nil {
 		return res, nil
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -34,10 +34,28 @@
 	tracker reach.Tracker
 	// status is the decision that was logged last.
 	status reach.Status
+	// lost is closed when all upstreams are lost; a new one is made when one is
+	// back.
+	lost chan struct{}
 	// probing is set while a goroutine runs probeReach.
 	probing bool
 }
 
+// lostChannel returns the channel lost. r.mu must be held.
+func (r *reachability) lostChannel() chan struct{} {
+	if r.lost == nil {
+		r.lost = make(chan struct{})
+	}
+	return r.lost
+}
+
+// lostSignal returns a channel that is closed when all upstreams are lost.
+func (r *reachability) lostSignal() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostChannel()
+}
+
 // reachTargets are the upstreams that the gateway may probe for reachability, by
 // zone.
 type reachTargets struct {
@@ -102,7 +120,7 @@
 	switch {
 	case err == nil, errors.Is(err, errWrongUpstream), errors.Is(err, errConnectionClosing):
 		f.recordAnswer()
-	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected), errors.Is(err, upstreamconn.ErrTooManyConnections):
+	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected):
 	default:
 		f.recordNoAnswer(u)
 	}
@@ -114,7 +132,7 @@
 	switch {
 	case err == nil && !conn.Reused:
 		f.updateReach((*reach.Tracker).RecordOpened)
-	case err == nil, ctx.Err() == context.Canceled, errors.Is(err, upstreamconn.ErrTooManyConnections):
+	case err == nil, ctx.Err() == context.Canceled, errors.Is(err, upstreamconn.ErrTooManyConnections), errors.Is(err, upstreamconn.ErrNoIdleConnection):
 	default:
 		now := f.state.now()
 		f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, u.ID, u.Zone) })
@@ -144,6 +162,11 @@
 // must be held.
 func (f *Forwarder) reachChanged(before, after reach.Status) {
 	st := f.state
+	if after.Lost() {
+		close(f.reach.lostChannel())
+	} else {
+		f.reach.lost = nil
+	}
 	if after.Lost() {
 		f.opts.Events.Log(event.UpstreamsLost).Str("evidence", string(after.Cause)).
 			Uint64("failed_upstreams", uint64(after.Failed)).
@@ -160,6 +183,14 @@
 	f.opts.Metrics.UpstreamsLost.Update(lost)
 }
 
+// upstreamsLost returns the cause for which all upstreams count as lost, or
+// reach.None.
+func (f *Forwarder) upstreamsLost() reach.Cause {
+	f.reach.mu.Lock()
+	defer f.reach.mu.Unlock()
+	return f.reach.status.Cause
+}
+
 // probeReach probes a few upstreams at a time on new connections until the loss of
 // all of them is no longer suspected.
 func (f *Forwarder) probeReach() {
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/admission"
+	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/reach"
+	"balsamcourse.example/balsamcourse/internal/retry"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
+	"balsamcourse.example/balsamcourse/internal/upstreamconn"
+)
+
+// relayGateway is a gateway on localhost that relays calls to others.
+type relayGateway struct {
+	*Forwarder
+	callers, cluster *httptest.Server
+	// relayed counts the calls that others have relayed to it.
+	relayed atomic.Int32
+}
+
+const relayKey = "Bearer key-of-the-gateways"
+
+// startRelayGateways starts gateways g0 to g<n-1>, of which the first lost ones have
+// no way to any upstream.
+func startRelayGateways(t *testing.T, n, lost int, upstreams ...*fakeUpstream) []*relayGateway {
+	t.Helper()
+	cfg := newConfig(upstreams...)
+	var gateways []*relayGateway
+	for i := range n {
+		g := &relayGateway{}
+		g.cluster = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != RelayPath || r.Header.Get("Authorization") != relayKey {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+			g.relayed.Add(1)
+			g.RelayHandler().ServeHTTP(w, r)
+		}))
+		t.Cleanup(g.cluster.Close)
+		cfg.Entries = append(cfg.Entries, &catalogpb.Entry{Id: fmt.Sprint("g", i), Zone: "a", ClusterAddress: g.cluster.Listener.Addr().String()})
+		gateways = append(gateways, g)
+	}
+	for i, g := range gateways {
+		st := newState(fmt.Sprint("g", i), "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+		st.started = st.started.Add(-time.Minute)
+		st.applyConfig(configview.New(cfg))
+		metrics := telemetry.NewMetrics("gateway", st.gatewayID)
+		t.Cleanup(func() { _ = metrics.Close() })
+		var dial upstreamconn.Dialer
+		if i < lost {
+			dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		}
+		g.Forwarder = newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
+			Headers: DefaultHeaders(),
+			Crashes: &crashRecorder{},
+			Limiter: admission.NewLimiter(100),
+			Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
+			Closed:  func() bool { return false },
+			DialGateway: func(ctx context.Context, address string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+			},
+			Authorize: func(h http.Header) { h.Set("Authorization", relayKey) },
+			Context:   t.Context(),
+		})
+		g.callers = httptest.NewServer(g.Forwarder)
+		t.Cleanup(g.callers.Close)
+		if i < lost {
+			g.loseUpstreams()
+		}
+	}
+	return gateways
+}
+
+// loseUpstreams records failures of all upstreams, until they count as lost.
+func (g *relayGateway) loseUpstreams() {
+	for _, at := range []time.Duration{0, time.Second} {
+		for _, u := range g.state.config.Load().Upstreams {
+			g.updateReach(func(tr *reach.Tracker) { tr.RecordNotOpened(at, u.Id, u.Zone) })
+		}
+	}
+}
+
+func (g *relayGateway) request(t *testing.T, method, path string, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, g.callers.URL+path, body)
+	assert.NilError(t, err)
+	r.Host = "host.example"
+	r.Header.Set("Balsam-Request-Id", "r1")
+	return r
+}
+
+// get sends a call to the gateway and returns the status, the body and the header.
+func (g *relayGateway) get(t *testing.T, method, path string) (int, string, http.Header) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(g.request(t, method, path, nil))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body), resp.Header
+}
+
+func TestRelayedCallArrivesUnchanged(t *testing.T) {
+	const target = "/safe/a%2Fb//c?q=%20&x=y;z"
+	for _, size := range []int{0, 100, 3 << 20} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(size, chunked), func(t *testing.T) {
+				sent := bytes.Repeat([]byte("0123456789"), size/10)
+				s := startFakeUpstream(t, "u1", nil)
+				var mu sync.Mutex
+				var seen *http.Request
+				var arrived []byte
+				s.respond = s.responder(201, servedByHeader+"X-Answer: a\r\nX-Answer: b\r\n", "whole")
+				s.onBody = func(r *http.Request, body []byte) {
+					mu.Lock()
+					defer mu.Unlock()
+					if r.URL.Path != "/health" {
+						seen, arrived = r, body
+					}
+				}
+				gateways := startRelayGateways(t, 2, 1, s)
+				var body io.Reader = bytes.NewReader(sent)
+				if chunked {
+					body = io.MultiReader(body)
+				}
+				r := gateways[0].request(t, http.MethodPut, target, body)
+				r.Header.Set("Authorization", "Basic caller")
+				r.Header["X-Many"] = []string{"1", "2"}
+				resp, err := http.DefaultClient.Do(r)
+				assert.NilError(t, err)
+				defer resp.Body.Close()
+				answer, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 201)
+				assert.Equal(t, string(answer), "whole")
+				assert.DeepEqual(t, resp.Header.Values("X-Answer"), []string{"a", "b"})
+				assert.Equal(t, gateways[1].relayed.Load(), int32(1))
+				mu.Lock()
+				defer mu.Unlock()
+				assert.Equal(t, seen.Method, http.MethodPut)
+				assert.Equal(t, seen.RequestURI, target)
+				assert.Equal(t, seen.Host, "host.example")
+				assert.Equal(t, seen.Header.Get("Authorization"), "Basic caller")
+				assert.DeepEqual(t, seen.Header.Values("X-Many"), []string{"1", "2"})
+				assert.Assert(t, bytes.Equal(arrived, sent))
+				for _, h := range []http.Header{seen.Header, resp.Header} {
+					for name := range h {
+						assert.Assert(t, !strings.HasPrefix(name, "Balsam-Relay"), name)
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestHeadIsRelayed(t *testing.T) {
+	s := startFakeUpstream(t, "u1", func(w io.Writer, r *http.Request) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nBalsam-Request-Id: r1\r\n%sContent-Length: 70\r\n\r\n", servedByHeader)
+		return true
+	})
+	status, body, _ := startRelayGateways(t, 2, 1, s)[0].get(t, http.MethodHead, "/safe/x")
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "")
+}
+
+// TestCallIsRelayedOnce lets two of three gateways lose the upstreams: one that has
+// no way itself must not relay a call that it gets from another one.
+func TestCallIsRelayedOnce(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	gateways := startRelayGateways(t, 3, 2, s)
+	for range 20 {
+		status, _, _ := gateways[0].get(t, http.MethodPost, "/unsafe/x")
+		assert.Equal(t, status, 200)
+	}
+	assert.Equal(t, len(s.requests()), 20)
+	assert.Equal(t, gateways[2].relayed.Load(), int32(20))
+	assert.Equal(t, gateways[0].relayed.Load(), int32(0))
+}
+
+func TestCallIsRefusedIfNoGatewayHasAWay(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	gateways := startRelayGateways(t, 3, 3, s)
+	status, _, h := gateways[0].get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, 503)
+	assert.Equal(t, h.Get(fault.HeaderRun), string(fault.NotRun))
+	assert.Assert(t, h.Get("Retry-After") != "")
+	assert.Equal(t, len(s.requests()), 0)
+}
+
+// TestBrokenRelayIsNotSentAgain breaks the connection to the other gateway after
+// the request has arrived there. The outcome is unknown, even if the request may be
+// repeated: the other gateway may have made all attempts.
+func TestBrokenRelayIsNotSentAgain(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	gateways := startRelayGateways(t, 3, 1, s)
+	var arrived atomic.Int32
+	for _, g := range gateways[1:] {
+		g.cluster.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			arrived.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		arrived.Store(0)
+		status, _, h := gateways[0].get(t, http.MethodPost, path)
+		assert.Equal(t, status, 502)
+		assert.Equal(t, h.Get(fault.HeaderRun), string(fault.RunUnknown))
+		assert.Equal(t, arrived.Load(), int32(1))
+	}
+}
+
+// TestErrorOfOtherGatewayIsPassedOn lets the upstream break the connection: the
+// caller must get the error of the gateway that made the attempt.
+func TestErrorOfOtherGatewayIsPassedOn(t *testing.T) {
+	s := startFakeUpstream(t, "u1", func(io.Writer, *http.Request) bool { return false })
+	gateways := startRelayGateways(t, 2, 1, s)
+	status, _, h := gateways[0].get(t, http.MethodPost, "/unsafe/x")
+	assert.Equal(t, status, 502)
+	assert.Equal(t, h.Get(fault.HeaderKind), string(fault.UpstreamBroken))
+	assert.Equal(t, h.Get(fault.HeaderRun), string(fault.RunUnknown))
+	assert.Equal(t, len(s.requests()), 1)
+}
+
+// TestRelayedResponseThatBreaksOffAbortsTheCaller breaks off a response that is too
+// large to be buffered.
+func TestRelayedResponseThatBreaksOffAbortsTheCaller(t *testing.T) {
+	s := startFakeUpstream(t, "u1", func(w io.Writer, _ *http.Request) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nBalsam-Request-Id: r1\r\n%sContent-Length: %d\r\n\r\n", servedByHeader, 4<<20)
+		_, _ = w.Write(make([]byte, 3<<20))
+		return false
+	})
+	resp, err := http.DefaultClient.Do(startRelayGateways(t, 2, 1, s)[0].request(t, http.MethodGet, "/safe/x", nil))
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil, "a part of the response was taken for all of it")
+}
+
+func TestLargeResponseIsRelayed(t *testing.T) {
+	whole := strings.Repeat("0123456789", 300<<10)
+	s := startFakeUpstream(t, "u1", nil)
+	s.respond = s.responder(200, servedByHeader, whole)
+	status, body, _ := startRelayGateways(t, 2, 1, s)[0].get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, 200)
+	assert.Assert(t, body == whole)
+}
+
+// TestCallerDisconnectCancelsRelayedCall checks that the upstream sees the end of
+// its connection when the caller of the other gateway leaves.
+func TestCallerDisconnectCancelsRelayedCall(t *testing.T) {
+	started := make(chan struct{}, 1)
+	left := make(chan struct{})
+	s := startFakeUpstream(t, "u1", nil)
+	s.respond = func(w io.Writer, _ *http.Request) bool {
+		started <- struct{}{}
+		// The end of the connection is seen by reading from it.
+		_, _ = w.(net.Conn).Read(make([]byte, 1))
+		close(left)
+		return false
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	r := startRelayGateways(t, 2, 1, s)[0].request(t, http.MethodGet, "/safe/x", nil).WithContext(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := http.DefaultClient.Do(r)
+		assert.Check(t, err != nil)
+	}()
+	<-started
+	cancel()
+	<-done
+	<-left
+}
+
+// TestAttemptsHoldOverRelays relays a call of which one attempt may have run
+// already. With two attempts allowed, the other gateway may make one.
+func TestAttemptsHoldOverRelays(t *testing.T) {
+	s := startFakeUpstream(t, "u1", func(io.Writer, *http.Request) bool { return false })
+	s2 := startFakeUpstream(t, "u2", func(io.Writer, *http.Request) bool { return false })
+	g := startRelayGateways(t, 2, 1, s, s2)[1]
+	for ran, want := range []int{2, 1} {
+		before := len(s.requests()) + len(s2.requests())
+		r := g.request(t, http.MethodGet, "/safe/x", nil)
+		r.Header.Set(relayTarget, "/safe/x")
+		r.Header.Set(relayCaller, "10.0.0.1")
+		r.Header.Set(relaySends, fmt.Sprint(ran))
+		r.Header.Set(relayRan, fmt.Sprint(ran))
+		w := httptest.NewRecorder()
+		g.RelayHandler().ServeHTTP(w, r)
+		assert.Equal(t, w.Code, 502)
+		assert.Equal(t, len(s.requests())+len(s2.requests())-before, want)
+	}
+}
+
+// TestRelayedCallIsCountedOnce checks that the retry budgets of both gateways
+// together count a call once.
+func TestRelayedCallIsCountedOnce(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	gateways := startRelayGateways(t, 2, 1, s)
+	limits := retry.Limits{Ratio: 1, Window: 10 * time.Second}
+	for range 7 {
+		status, _, _ := gateways[0].get(t, http.MethodGet, "/safe/x")
+		assert.Equal(t, status, 200)
+	}
+	counted := 0.0
+	for _, g := range gateways {
+		g.state.mu.Lock()
+		counted += g.state.retryBudget("p").Remaining(g.state.now(), limits, 2)
+		g.state.mu.Unlock()
+	}
+	// The budget uses a part of the ratio.
+	assert.Assert(t, counted > 6 && counted < 7, "%f", counted)
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -28,6 +28,9 @@
 	reachTargets atomic.Pointer[reachTargets]
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
+	// isolated reports whether control knows that a gateway has no way to any
+	// upstream.
+	isolated func(entry string) bool
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -58,6 +61,7 @@
 		gatewayID:       gatewayID,
 		started:         time.Now(),
 		reachable:       func(string) bool { return true },
+		isolated:        func(string) bool { return false },
 		coldRateShare:   coldRateShare,
 		retryLimits:     limits,
 		phase:           rand.Float64(),
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -39,6 +39,8 @@
 		{"upstreams_ready", gauge, "gateway", "pool", "upstreams that accept requests and are neither cold nor held back after failures"},
 		{"upstreams_limited", gauge, "gateway", "pool", "upstreams that accept requests and name the request rate that they take from all gateways together"},
 		{"upstreams_lost", gauge, "gateway", "", "1 while this gateway has no way to any upstream, else 0"},
+		{"relayed_out", counter, "gateway", "outcome", "calls that this gateway has relayed to others because it had no way to any upstream: `served`, `refused`, `unreachable` or `broken`"},
+		{"relayed_in", counter, "gateway", "outcome", "calls that other gateways have relayed to this one: `served` or `refused`"},
 		{"limited_requests", counter, "gateway", "pool", "requests that this gateway has sent to upstreams while they named a request rate"},
 		{"limited_probes", counter, "gateway", "pool", "load probes that this gateway has sent to upstreams while they named a request rate"},
 		{"upstream_requests_in_flight", gauge, "gateway", "pool", "requests of this gateway in flight at upstreams"},
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -47,6 +47,32 @@
 	pools map[string]*PoolMetrics
 }
 
+// Outcomes of relayed calls, the values of the tag "outcome" of the metrics
+// "relayed_out" and "relayed_in".
+const (
+	// RelayServed counts calls that were answered with the response of an upstream.
+	RelayServed = "served"
+	// RelayRefused counts calls that the other gateway answered with an error.
+	RelayRefused = "refused"
+	// RelayUnreachable counts calls for which no connection to the other gateway
+	// could be opened.
+	RelayUnreachable = "unreachable"
+	// RelayBroken counts calls without a complete response of the other gateway.
+	RelayBroken = "broken"
+)
+
+// RelayedOut returns the counter of calls that this gateway has relayed to others,
+// by outcome.
+func (m *GatewayMetrics) RelayedOut(outcome string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed_out")
+}
+
+// RelayedIn returns the counter of calls that others have relayed to this gateway,
+// by outcome.
+func (m *GatewayMetrics) RelayedIn(outcome string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed_in")
+}
+
 // callSeries holds the tag values of one series of the metric "calls".
 type callSeries struct{ pool, routeKind, outcome string }
 
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -41,6 +41,9 @@
 // is reached.
 var ErrTooManyConnections = errors.New("too many open connections to the upstream")
 
+// ErrNoIdleConnection means that no connection to the address is idle.
+var ErrNoIdleConnection = errors.New("no idle connection to the upstream")
+
 // NewPool returns an empty pool. A nil dial means TCP over IPv4.
 func NewPool(dial Dialer) *Pool {
 	if dial == nil {
@@ -75,6 +78,15 @@
 	return p.Open(ctx, address, maxOpen)
 }
 
+// GetIdle returns the idle connection to the address that was used last, or
+// ErrNoIdleConnection.
+func (p *Pool) GetIdle(address string) (*Conn, error) {
+	if c := p.takeIdle(address); c != nil {
+		return c, nil
+	}
+	return nil, ErrNoIdleConnection
+}
+
 // Open opens a new connection to the address. It returns ErrTooManyConnections if
 // maxOpen connections to it are open; 0 means no bound.
 func (p *Pool) Open(ctx context.Context, address string, maxOpen int) (*Conn, error) {
