Leave gateways that reach no upstream out of look-ups

A gateway tells control with its renewal, at once, when it loses all upstreams or reaches them again. The leader returns the list of such gateways with each lease and answers held renewals when it changes, to one gateway at most once in 1 ms for each registered gateway (400 ms). A renewal carries the hash of the list that the gateway has, so that an answer that was lost is made up for.

--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -32,6 +32,10 @@
 	confirm confirmationState
 }
 
+// isolationChanged is the event that this entry VM has lost all upstreams or
+// reaches them again.
+type isolationChanged struct{}
+
 // leavingAnnounced is the event of a planned stop.
 type leavingAnnounced struct{}
 
@@ -88,6 +92,11 @@
 		l.handleConfirmation(ev)
 	case *configReceived:
 		l.adoptAndNotify(ev.config, ev.acceptedRevision, configOrigin{via: "push"})
+	case isolationChanged:
+		if l.renew.failures == 0 {
+			l.cancelRenewal()
+			l.startRenewal()
+		}
 	case leavingAnnounced:
 		l.leaving = true
 		l.cancelRenewal()
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -62,6 +62,8 @@
 	peerIndex int
 	// relayAddress is the entry VM that relays renewals, or "" if none does.
 	relayAddress string
+	// isolatedHash identifies the last list of isolated entry VMs.
+	isolatedHash uint64
 	// relayedRenewals counts the successful renewals through relayAddress.
 	relayedRenewals int
 }
@@ -109,6 +111,8 @@
 		AcceptedRevision: l.state.AcceptedRevision(),
 		ServesStale:      l.syncer.opts.ServesStale,
 		AcceptsPacked:    true,
+		Isolated:         l.syncer.isolated.Load(),
+		IsolatedHash:     l.renew.isolatedHash,
 		QuietMs:          uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewInterval
@@ -215,7 +219,9 @@
 	}
 	redirected := l.learnAddresses(ev.resp)
 	if ev.resp.LeaseMs > 0 {
-		l.syncer.setSilentEntries(ev.resp.Silent)
+		l.syncer.silentEntries.Store(setOf(ev.resp.Silent))
+		l.syncer.isolatedEntries.Store(setOf(ev.resp.Isolated))
+		r.isolatedHash = ev.resp.IsolatedHash
 		l.syncer.acceptedEverywhere.Store(max(l.syncer.acceptedEverywhere.Load(), ev.resp.AcceptedEverywhere))
 	}
 	changed := l.adoptResponse(ev)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -68,6 +68,10 @@
 	startedAt     time.Time
 	snapshot      atomic.Pointer[snapshot]
 	silentEntries atomic.Pointer[map[string]bool]
+	// isolatedEntries are the entry VMs that have no way to any upstream.
+	isolatedEntries atomic.Pointer[map[string]bool]
+	// isolated is set while this one has none.
+	isolated atomic.Bool
 	// acceptedEverywhere is the newest revision known to be accepted in all
 	// regions.
 	acceptedEverywhere atomic.Uint64
@@ -167,12 +171,32 @@
 	return silent == nil || !(*silent)[entry]
 }
 
-func (s *Syncer) setSilentEntries(ids []string) {
-	silent := make(map[string]bool, len(ids))
+// Isolated reports whether the entry VM has told the leader that it has no way to
+// any upstream, according to the last lease granted to this one.
+func (s *Syncer) Isolated(entry string) bool {
+	isolated := s.isolatedEntries.Load()
+	return isolated != nil && (*isolated)[entry]
+}
+
+// SetIsolated tells the control group whether this entry VM has no way to any
+// upstream. It does not block.
+func (s *Syncer) SetIsolated(isolated bool) {
+	if s.isolated.Swap(isolated) == isolated {
+		return
+	}
+	select {
+	case s.events <- isolationChanged{}:
+	default:
+		// The next renewal tells it.
+	}
+}
+
+func setOf(ids []string) *map[string]bool {
+	set := make(map[string]bool, len(ids))
 	for _, id := range ids {
-		silent[id] = true
+		set[id] = true
 	}
-	s.silentEntries.Store(&silent)
+	return &set
 }
 
 // SinceControlContact returns the time since a control VM, or an entry VM that
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -294,3 +294,28 @@
 	waitUntil(t, "the other entry VM dispatches the cell", func() bool { _, ok := second.Dispatches(key); return ok })
 	assert.Equal(t, countDispatching(c.entries, key), 1)
 }
+
+// TestIsolatedEntryVMIsKnownToOthers lets one entry VM lose all upstreams and
+// reach them again.
+func TestIsolatedEntryVMIsKnownToOthers(t *testing.T) {
+	c := newCluster(t)
+	var entries []*configsync.Syncer
+	for i := range 3 {
+		s, cancel := c.start(fmt.Sprint("e", i), "a", c.control[0].address())
+		defer cancel()
+		entries = append(entries, s)
+	}
+	waitUntil(t, "all entry VMs are fresh", allFresh(entries))
+	for _, isolated := range []bool{true, false, true} {
+		entries[0].SetIsolated(isolated)
+		waitUntil(t, "all entry VMs know it", func() bool {
+			for _, e := range entries {
+				if e.Isolated("e0") != isolated {
+					return false
+				}
+			}
+			return true
+		})
+		assert.Assert(t, !entries[2].Isolated("e1"))
+	}
+}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -111,10 +111,14 @@
 		return
 	}
 	l.recordAckAge(r.request)
+	isolated := l.term.isolatedHash
 	if !l.term.recordReport(l.server.now(), r) {
 		l.answerWithoutLease(r)
 		return
 	}
+	if l.term.isolatedHash != isolated {
+		l.answerDueRenewals()
+	}
 	l.advanceAcceptance()
 	if !r.request.Synced {
 		l.confirmThenAnswer(r)
@@ -181,7 +185,7 @@
 	}
 	now := l.server.now()
 	switch {
-	case !req.Synced, now >= r.received+holdTime(req):
+	case !req.Synced, now >= r.received+holdTime(req), req.IsolatedHash != t.isolatedHash && now >= t.nextIsolatedAt(req.Entry.Id):
 		return true
 	case req.ServesStale:
 		// Gateways do not use the accepted revision.
@@ -252,6 +256,8 @@
 		AcceptedRevision:   t.tracker.AcceptedIn(req.Entry.Region),
 		AcceptedEverywhere: t.tracker.Accepted(),
 		Silent:             t.silentEntries(l.server.now()),
+		Isolated:           t.isolated,
+		IsolatedHash:       t.isolatedHash,
 	}
 	lease, ok := t.tracker.GrantLease(l.server.now(), r.received, l.server.monotonic(st.LastQuorum), entryKey(req.Entry))
 	if ok {
@@ -275,6 +281,9 @@
 	}
 	if report != nil {
 		report.responses++
+		if req.IsolatedHash != t.isolatedHash {
+			report.isolatedSentAt = l.server.now()
+		}
 		if resp.Delta != nil || resp.Config != nil || resp.PackedConfig != nil {
 			report.configSentAt = l.server.now()
 		}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -30,6 +30,10 @@
 	// nothing.
 	lastEmptyPlan cellPlanInputs
 	lastState     statePublication
+	// isolated lists the entry VMs that have no way to any upstream, by id in order.
+	// isolatedHash identifies the list; it is 0 if the list is empty.
+	isolated     []string
+	isolatedHash uint64
 }
 
 // entryReport is the last state that an entry VM reported.
@@ -40,6 +44,11 @@
 	responses  int
 	// configSentAt is the time at which it was last sent a configuration.
 	configSentAt time.Duration
+	// isolated is set while the entry VM has no way to any upstream.
+	isolated bool
+	// isolatedSentAt is the time at which it was last sent a list of such entry VMs
+	// that it did not have.
+	isolatedSentAt time.Duration
 }
 
 func newTerm(number uint64, since time.Duration, cfg *catalogpb.Config) *term {
@@ -63,6 +72,7 @@
 	if !sameSlice(t.config.Entries, cfg.Entries) {
 		t.indexEntries(cfg.Entries)
 		t.dropRemovedReports()
+		t.updateIsolated()
 	}
 	if cfg.StateVersion != t.config.StateVersion {
 		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
@@ -166,6 +176,10 @@
 		report.entry = e
 	}
 	report.revision = r.request.Revision
+	if report.isolated != r.request.Isolated {
+		report.isolated = r.request.Isolated
+		t.updateIsolated()
+	}
 	report.receivedAt = now
 	quiet := time.Duration(r.request.QuietMs) * time.Millisecond
 	t.tracker.RecordAck(r.received, entryKey(e), r.request.Revision, quiet)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -24,6 +24,7 @@
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -178,6 +179,7 @@
 		ServesStale:      true,
 	})
 	d.state.reachable = d.config.Reachable
+	d.state.isolated = d.config.Isolated
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
@@ -213,20 +215,35 @@
 	if v == nil {
 		return nil, 0
 	}
-	addresses := lookup.SelectAddresses(v.Config.Entries, lookup.Selection{
+	selection := lookup.Selection{
 		Zone:           zone,
 		Caller:         caller,
 		EntriesPerZone: lookup.EntriesPerZone(d.settings.NamedPerZone, d.settings.LinkMbps, d.settings.CPUShare),
-		Usable: func(e *catalogpb.Entry) bool {
-			if e.Id == d.settings.ID {
-				return !d.stopping.Load()
-			}
-			return !e.Leaving && d.config.Reachable(e.Id)
-		},
-	})
+	}
+	live := func(e *catalogpb.Entry) bool {
+		if e.Id == d.settings.ID {
+			return !d.stopping.Load()
+		}
+		return !e.Leaving && d.config.Reachable(e.Id)
+	}
+	selection.Usable = func(e *catalogpb.Entry) bool { return live(e) && !d.isIsolated(e.Id) }
+	addresses := lookup.SelectAddresses(v.Config.Entries, selection)
+	if len(addresses) == 0 {
+		// All have lost the upstreams, which shows nothing about the gateways.
+		selection.Usable = live
+		addresses = lookup.SelectAddresses(v.Config.Entries, selection)
+	}
 	return addresses, d.settings.LookupTTLMs.Duration()
 }
 
+// isIsolated reports whether the gateway has no way to any upstream.
+func (d *Daemon) isIsolated(id string) bool {
+	if id == d.settings.ID {
+		return d.forwarder.upstreamsLost() != reach.None
+	}
+	return d.config.Isolated(id)
+}
+
 func (d *Daemon) listen() error {
 	s := d.settings
 	d.forwarder = d.newForwarder()
@@ -286,6 +303,7 @@
 		Permits: func(address string) clusterpb.Permits {
 			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
 		},
+		ReportLost:      d.config.SetIsolated,
 		DialGateway:     d.dialGateway,
 		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
 		Context:         d.background,
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -52,6 +52,9 @@
 	Closed func() bool
 	// Permits returns a client of the Permits service of another gateway.
 	Permits func(clusterAddress string) clusterpb.Permits
+	// ReportLost is called when this gateway loses all upstreams or reaches them
+	// again. It must not block; nil means that nothing is called.
+	ReportLost func(lost bool)
 	// DialGateway opens connections to other gateways, to which calls are relayed;
 	// nil means that they are not relayed.
 	DialGateway upstreamconn.Dialer
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -181,6 +181,9 @@
 		lost = 1
 	}
 	f.opts.Metrics.UpstreamsLost.Update(lost)
+	if f.opts.ReportLost != nil {
+		f.opts.ReportLost(after.Lost())
+	}
 }
 
 // upstreamsLost returns the cause for which all upstreams count as lost, or
--- a/internal/gateway/system_test.go
+++ b/internal/gateway/system_test.go
@@ -63,6 +63,11 @@
 func (g *systemGateway) kill() { g.once.Do(func() { g.close(g.cancel) }) }
 
 func startSystemGateway(t *testing.T, id, control string) *systemGateway {
+	t.Helper()
+	return startSystemGatewayWith(t, id, control, Options{Logs: io.Discard})
+}
+
+func startSystemGatewayWith(t *testing.T, id, control string, o Options) *systemGateway {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.ID, s.Zone, s.Region = id, "a", "r"
@@ -71,7 +76,7 @@
 	s.CallerListen, s.ClusterListen = free[0], free[1]
 	s.CallerAddress, s.ClusterAddress = s.CallerListen, s.ClusterListen
 	s.Control, s.TrustNetwork = []string{control}, true
-	d, err := newDaemon(s, Options{Logs: io.Discard})
+	d, err := newDaemon(s, o)
 	assert.NilError(t, err)
 	assert.NilError(t, d.listen())
 	ctx, cancel := context.WithCancel(context.Background())
