Readiness: a gateway that can neither reach upstreams nor relay is not ready

Readiness did not depend on upstreams at all. A gateway that has lost all of them is now ready as long as another one can carry its calls, and also when all others have lost them too: callers would be no better off there, so readiness never fails merely because all upstreams are down.

TestGatewayThatCannotRelayIsNotReady; go test -race of internal/gateway, the tests that match Relay, Ready, Gateway or Stop.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -204,8 +204,11 @@
 }
 
 // Ready reports whether callers may be sent to this gateway: it has a desired
-// state and no stop has begun.
-func (d *Daemon) Ready() bool { return d.state.routes.Load() != nil && !d.stopping.Load() }
+// state, no stop has begun, and it or others can carry calls to upstreams, unless
+// all gateways have lost them.
+func (d *Daemon) Ready() bool {
+	return d.state.routes.Load() != nil && !d.stopping.Load() && d.forwarder.canServe()
+}
 
 // EntryAddresses returns the addresses of gateways that a caller in the zone
 // should use, and how long it may cache them. It returns none before the first
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,6 +21,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
@@ -85,15 +86,19 @@
 	mu sync.Mutex
 	// avoidUntil holds, by gateway ID, the time until which a gateway is avoided.
 	avoidUntil map[string]time.Duration
+	// unreachable holds those of them that could not be reached.
+	unreachable map[string]bool
 }
 
-func (t *relayTargets) avoid(id string, until time.Duration) {
+// avoid avoids the gateway until the given time; unreachable says that it could not
+// be reached, rather than that it has refused a call.
+func (t *relayTargets) avoid(id string, until time.Duration, unreachable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.avoidUntil == nil {
-		t.avoidUntil = make(map[string]time.Duration)
+		t.avoidUntil, t.unreachable = make(map[string]time.Duration), make(map[string]bool)
 	}
-	t.avoidUntil[id] = until
+	t.avoidUntil[id], t.unreachable[id] = until, unreachable
 }
 
 func (t *relayTargets) isAvoided(id string, now time.Duration) bool {
@@ -102,6 +107,26 @@
 	return now < t.avoidUntil[id]
 }
 
+func (t *relayTargets) isUnreachable(id string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now < t.avoidUntil[id] && t.unreachable[id]
+}
+
+// canServe reports whether callers may be sent to this gateway. If it has lost all
+// upstreams, others must be able to carry its calls. If the others have lost them
+// as well, callers are no better off there.
+func (f *Forwarder) canServe() bool {
+	if f.upstreamsLost() == reach.None || f.chooseRelay(nil) != nil {
+		return true
+	}
+	st := f.state
+	now := st.now()
+	return !slices.ContainsFunc(st.config.Load().GetEntries(), func(e *catalogpb.Entry) bool {
+		return e.Id != st.gatewayID && !e.Leaving && st.reachable(e.Id) && !st.isolated(e.Id) && f.relays.isUnreachable(e.Id, now)
+	})
+}
+
 // chooseRelay returns a random gateway that may have a way to upstreams and is not
 // in tried. Gateways in a zone where none is known to have lost the upstreams come
 // first; this gateway itself has.
@@ -162,7 +187,7 @@
 	conn, err := c.f.openRelay(c.ctx, target)
 	if err != nil {
 		if c.ctx.Err() == nil {
-			c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration)
+			c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, true)
 		}
 		return true, c.relayFailed(telemetry.RelayUnreachable, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s, to which the call was relayed: %v", target.Id, err))
 	}
@@ -187,12 +212,12 @@
 		}
 		return false, c.finalError(c.relayFailed(telemetry.RelayRefused, refusal))
 	case outcomeElsewhere:
-		c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration)
+		c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
 		c.counted = c.counted || resp.Header.Get(relayCounted) == "true"
 		refusal := relayedError(resp)
 		return true, c.relayFailed(telemetry.RelayRefused, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s, to which the call was relayed: %v", target.Id, refusal))
 	}
-	c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration)
+	c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
 	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusUnauthorized {
 		// The other process serves no relayed calls, or not those of this one.
 		return true, c.relayFailed(telemetry.RelayRefused, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s does not take relayed calls: status %d", target.Id, resp.StatusCode))
@@ -252,7 +277,7 @@
 	if c.ctx.Err() != nil {
 		c.unknownOutcome = fault.New(fault.UpstreamTimeout, "gateway %s, to which the call was relayed, did not answer before the deadline", target)
 	} else {
-		c.f.relays.avoid(target, c.f.state.now()+relayAvoidDuration)
+		c.f.relays.avoid(target, c.f.state.now()+relayAvoidDuration, true)
 	}
 	return c.finalError(c.relayFailed(telemetry.RelayBroken, c.unknownOutcome))
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -334,3 +334,31 @@
 	// The budget uses a part of the ratio.
 	assert.Assert(t, counted > 6 && counted < 7, "%f", counted)
 }
+
+// TestGatewayThatCannotRelayIsNotReady lets a gateway lose all upstreams. It must be
+// ready while another can carry its calls, and while the others have lost them too,
+// but not while the others cannot be reached.
+func TestGatewayThatCannotRelayIsNotReady(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		lost  int
+		close bool
+		want  bool
+	}{
+		{"no gateway has lost them", 0, false, true},
+		{"another gateway carries calls", 1, false, true},
+		{"all gateways have lost them", 2, false, true},
+		{"the other gateway is unreachable", 1, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startFakeUpstream(t, "u1", nil)
+			respondOK(s)
+			gateways := startRelayGateways(t, 2, tc.lost, s)
+			if tc.close {
+				gateways[1].cluster.Close()
+			}
+			_, _, _ = gateways[0].get(t, http.MethodGet, "/safe/x")
+			assert.Equal(t, gateways[0].canServe(), tc.want)
+		})
+	}
+}
