--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,7 +88,7 @@
 // the system.
 var contextEvents = []event.Event{
 	event.Started, event.Stopping, event.BecameLeader, event.LostLeadership, event.ConfigAdopted, event.StateApplied,
-	event.ZoneSet, event.UpstreamState, event.UpstreamHeld, event.ControlLost, event.ControlRegained, event.RequestHeldOff,
+	event.ZoneSet, event.UpstreamState, event.UpstreamHeld, event.ControlLost, event.ControlRegained, event.UpstreamsLost, event.UpstreamsBack, event.RequestHeldOff,
 }
 
 // Timeline returns the lines of the request, and the relevant state changes from
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -121,7 +121,9 @@
 	stopped, cut map[string]time.Time
 	// links holds the state of the links of a gateway to all upstreams, by ID.
 	links map[string]linkState
-	conns []*link
+	// lostUpstreams holds the addresses of upstreams that do not answer.
+	lostUpstreams map[string]bool
+	conns         []*link
 	// relays holds the connections between gateways.
 	relays []net.Conn
 	// background ends with the test.
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -27,13 +27,14 @@
 	net.Conn
 	group   *gatewayGroup
 	gateway string
+	address string
 }
 
 // Read implements net.Conn. What arrives while the link is silent is lost.
 func (l *link) Read(b []byte) (int, error) {
 	for {
 		n, err := l.Conn.Read(b)
-		if err != nil || l.group.linkOf(l.gateway) != linkSilent {
+		if err != nil || l.group.linkOf(l.gateway, l.address) != linkSilent {
 			return n, err
 		}
 	}
@@ -41,18 +42,31 @@
 
 // Write implements net.Conn. What is sent while the link is silent is lost.
 func (l *link) Write(b []byte) (int, error) {
-	if l.group.linkOf(l.gateway) == linkSilent {
+	if l.group.linkOf(l.gateway, l.address) == linkSilent {
 		return len(b), nil
 	}
 	return l.Conn.Write(b)
 }
 
-func (g *gatewayGroup) linkOf(gateway string) linkState {
+func (g *gatewayGroup) linkOf(gateway, address string) linkState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.lostUpstreams[address] {
+		return linkSilent
+	}
 	return g.links[gateway]
 }
 
+// loseUpstreams lets the upstreams of a zone fall silent for all gateways.
+func (g *gatewayGroup) loseUpstreams(zone string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lostUpstreams = make(map[string]bool)
+	for _, u := range g.cfg.Upstreams {
+		g.lostUpstreams[u.Address] = u.Zone == zone
+	}
+}
+
 // setLinks sets the state of the links of the gateways to all upstreams.
 func (g *gatewayGroup) setLinks(state linkState, gateways ...string) {
 	g.mu.Lock()
@@ -68,7 +82,7 @@
 }
 
 func (g *gatewayGroup) dialUpstream(ctx context.Context, gateway, address string) (net.Conn, error) {
-	switch g.linkOf(gateway) {
+	switch g.linkOf(gateway, address) {
 	case linkSilent:
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
@@ -79,7 +93,7 @@
 	}
 	near, far := net.Pipe()
 	go g.upstreams[address].serve(far, gateway)
-	conn := &link{Conn: near, group: g, gateway: gateway}
+	conn := &link{Conn: near, group: g, gateway: gateway, address: address}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns = append(g.conns, conn)
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/reach"
 )
 
 // firstTries counts the first tries of callers at a part of the gateways.
@@ -119,7 +121,7 @@
 					assert.Equal(t, before.cut.served, before.cut.sent)
 					time.Sleep(tc.idle)
 					g.setLinks(state, tc.cut...)
-					g.sendFirstTries(tc.interval, contactTime, tc.atATime, tc.cut)
+					t.Log("first seconds:", g.sendFirstTries(tc.interval, contactTime, tc.atATime, tc.cut))
 					during := g.sendFirstTries(tc.interval, 9*time.Second, tc.atATime, tc.cut)
 					t.Log(during)
 					assert.Assert(t, !during.breaks(), "%s", during)
@@ -133,3 +135,20 @@
 		}
 	}
 }
+
+// TestLostZoneOfUpstreamsIsNotACut lets all upstreams of a zone fall silent. Gateways
+// of that zone, which ask upstreams of their own zone first, must not conclude that
+// they have lost all.
+func TestLostZoneOfUpstreamsIsNotACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newZonedGroup(t, []string{"a", "b", "c"}, 9, ids("u", 18)...)
+		g.sendFirstTries(50*time.Millisecond, 2*time.Second, 1, nil)
+		g.loseUpstreams("a")
+		for range 100 {
+			g.sendFirstTries(50*time.Millisecond, 100*time.Millisecond, 3, nil)
+			for _, f := range g.forwarders {
+				assert.Equal(t, f.upstreamsLost(), reach.None, "gateway %s", f.state.gatewayID)
+			}
+		}
+	})
+}
