--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -44,6 +44,8 @@
 	// open is the number of open connections, mostOpen the highest so far.
 	open, mostOpen int
 	arrived        []arrival
+	// runs counts the requests that arrived, by request ID.
+	runs map[string]int
 }
 
 func (u *limitedUpstream) setLimit(limit string) {
@@ -77,6 +79,15 @@
 	u.mostOpen = max(u.mostOpen, u.open)
 }
 
+func (u *limitedUpstream) countRun(request string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.runs == nil {
+		u.runs = make(map[string]int)
+	}
+	u.runs[request]++
+}
+
 func (u *limitedUpstream) serve(conn net.Conn, gateway string) {
 	u.countConnection(1)
 	defer u.countConnection(-1)
@@ -100,6 +111,7 @@
 			header += "Balsam-Cold-Ms: 60000\r\n"
 		}
 		if r.URL.Path != "/health" {
+			u.countRun(r.Header.Get("Balsam-Request-Id"))
 			time.Sleep(u.work)
 			header += "Balsam-Request-Id: " + r.Header.Get("Balsam-Request-Id") + "\r\n"
 		}
