Relayed calls keep the caller's deadline and the target's view of it

The gateway that took a relayed call was told the time left as the caller's timeout, also if the caller had stated none. It took that for the longest timeout that callers of the route state, so that its own callers counted as late. The caller's timeout is now passed on reduced by the time that has passed, and what the deadline or the route leaves in a header of its own.

TestRelayedCallKeepsItsDeadline failed before: longest timeout 1.999s where no caller had stated one.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,6 +52,8 @@
 	cancel   context.CancelFunc
 	deadline time.Time
 
+	// stated is the timeout that the caller has stated, 0 if it has stated none.
+	stated time.Duration
 	// spent is the estimated time that the caller had used up on earlier attempts
 	// before it sent this one.
 	spent time.Duration
@@ -133,8 +135,12 @@
 		}
 		stated := time.Duration(ms * float64(time.Millisecond))
 		limit = min(limit, stated)
+		c.stated = stated
 		c.spent = c.f.state.spentBefore(c.route.Name, stated)
 	}
+	if c.origin != nil {
+		limit = min(limit, c.origin.left)
+	}
 	c.deadline = c.arrived.Add(limit)
 	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), c.deadline)
 	return nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,6 +37,10 @@
 const (
 	// relayTarget is the path and query of the call.
 	relayTarget = "Balsam-Relay-Target"
+	// relayLeft is the number of milliseconds that the deadline of the caller or the
+	// timeout of the route leaves. The header with the caller's timeout, if there is
+	// one, is reduced by the time that has passed.
+	relayLeft = "Balsam-Relay-Left-Ms"
 	// relayCaller is the host of the caller.
 	relayCaller = "Balsam-Relay-Caller"
 	// relayAuthorization is the caller's header Authorization, in place of which
@@ -246,8 +250,10 @@
 	if c.f.opts.Authorize != nil {
 		c.f.opts.Authorize(h)
 	}
-	left := max(1, time.Until(c.deadline).Milliseconds())
-	h.Set(c.f.opts.Headers.Deadline, strconv.FormatInt(left, 10))
+	if c.stated > 0 {
+		h.Set(c.f.opts.Headers.Deadline, formatMs(c.stated-time.Since(c.arrived)))
+	}
+	h.Set(relayLeft, formatMs(time.Until(c.deadline)))
 	h.Set(relayTarget, requestTarget(c.r))
 	h.Set(relayCaller, httpnet.RemoteHost(c.r))
 	h.Set(relaySends, strconv.Itoa(c.sends))
@@ -265,6 +271,9 @@
 	}
 }
 
+// formatMs returns d in whole milliseconds, at least 1.
+func formatMs(d time.Duration) string { return strconv.FormatInt(max(1, d.Milliseconds()), 10) }
+
 // relayBroken returns the error of a relayed call without a complete response. If
 // the request may have run, the other gateway may have used all attempts.
 func (c *call) relayBroken(target string, mayHaveRun bool, err error) error {
@@ -339,6 +348,8 @@
 type relayOrigin struct {
 	sends, ran int
 	counted    bool
+	// left is the time left to the deadline.
+	left time.Duration
 }
 
 // RelayHandler returns the handler for calls that other gateways relay to this
@@ -365,18 +376,20 @@
 		return nil, fault.New(fault.BadRequest, "header %s: %v", relayTarget, err)
 	}
 	o := &relayOrigin{counted: h.Get(relayCounted) == "true"}
-	for name, n := range map[string]*int{relaySends: &o.sends, relayRan: &o.ran} {
+	var leftMs int
+	for name, n := range map[string]*int{relaySends: &o.sends, relayRan: &o.ran, relayLeft: &leftMs} {
 		if *n, err = strconv.Atoi(h.Get(name)); err != nil || *n < 0 {
 			return nil, fault.New(fault.BadRequest, "header %s is %q, want a number", name, h.Get(name))
 		}
 	}
+	o.left = time.Duration(leftMs) * time.Millisecond
 	r.URL, r.RequestURI = u, target
 	r.RemoteAddr = net.JoinHostPort(h.Get(relayCaller), "0")
 	h.Del("Authorization")
 	if a, ok := h[relayAuthorization]; ok {
 		h["Authorization"] = a
 	}
-	for _, name := range []string{relayTarget, relayCaller, relayAuthorization, relaySends, relayRan, relayCounted} {
+	for _, name := range []string{relayTarget, relayLeft, relayCaller, relayAuthorization, relaySends, relayRan, relayCounted} {
 		h.Del(name)
 	}
 	return o, nil
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -170,6 +171,42 @@
 	}
 }
 
+// TestRelayedCallKeepsItsDeadline checks that the upstream is told no more time than
+// the caller's deadline or the route leaves, and that the other gateway does not
+// take the time that is left for the timeout that callers of the route state.
+func TestRelayedCallKeepsItsDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		stated        string
+		most, longest time.Duration
+	}{{"", 2 * time.Second, 0}, {"500", 500 * time.Millisecond, 500 * time.Millisecond}, {"60000", 2 * time.Second, time.Minute}} {
+		s := startFakeUpstream(t, "u1", nil)
+		respondOK(s)
+		told := make(chan string, 1)
+		s.onRequest = func(r *http.Request) {
+			if r.URL.Path != "/health" {
+				told <- r.Header.Get("Balsam-Timeout-Ms")
+			}
+		}
+		gateways := startRelayGateways(t, 2, 1, s)
+		r := gateways[0].request(t, http.MethodGet, "/safe/x", nil)
+		if tc.stated != "" {
+			r.Header.Set("Balsam-Timeout-Ms", tc.stated)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, 200)
+		ms, err := strconv.Atoi(<-told)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Duration(ms)*time.Millisecond <= tc.most, "%d ms", ms)
+		st := gateways[1].state
+		st.mu.Lock()
+		longest := st.longestTimeouts["safe"]
+		st.mu.Unlock()
+		assert.Assert(t, longest <= tc.longest && longest >= tc.longest/2, "%s", longest)
+	}
+}
+
 func TestHeadIsRelayed(t *testing.T) {
 	s := startFakeUpstream(t, "u1", func(w io.Writer, r *http.Request) bool {
 		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nBalsam-Request-Id: r1\r\n%sContent-Length: 70\r\n\r\n", servedByHeader)
@@ -307,6 +344,7 @@
 		r.Header.Set(relayCaller, "10.0.0.1")
 		r.Header.Set(relaySends, fmt.Sprint(ran))
 		r.Header.Set(relayRan, fmt.Sprint(ran))
+		r.Header.Set(relayLeft, "2000")
 		w := httptest.NewRecorder()
 		g.RelayHandler().ServeHTTP(w, r)
 		assert.Equal(t, w.Code, 502)
