--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -259,10 +259,7 @@
 	processes.Handle("/", d.clusterRPCs)
 	processes.Handle(RelayPath, httpnet.Recover(d.forwarder.RelayHandler(), crash.PanicHandler(d.log)))
 	// Relayed calls have the headers of callers.
-	limits := httpnet.Limits{MaxHeaderBytes: s.Limits.Listener().MaxHeaderBytes}
-	if limits.MaxHeaderBytes > 0 {
-		limits.MaxHeaderBytes += relayHeaderBytes
-	}
+	limits := httpnet.Limits{MaxHeaderBytes: s.Limits.MaxHeaderBytes + relayHeaderBytes}
 	if err := d.openListener(s.ClusterListen, limits, access.NewAuthenticator(d.keys, d.log, nil).Wrap(processes)); err != nil {
 		return err
 	}
