Do not take busy upstreams for lost ones

An upstream whose slots are all busy accepts connections and does not answer probes in time. In a small system, where all upstreams are fewer than four, 250 ms of that made the gateways conclude that they had lost them: calls in the queue were flushed, relayed to gateways that were no better off, and refused.

Only connections that cannot be opened, or that break before any answer, now decide; probes that time out on an open connection raise the suspicion and so the gateway's own probes on new connections.

TestBusyUpstreamsAreNotLost failed before: "no answers (reach.Cause) != (reach.None reach.Cause): gateway g0". Run: go test -race of internal/reach, and of internal/gateway the tests of cuts (21 cases), TestCallsRunOnceThroughCuts and those that match Relay, Ready, Limit, Cold, Queue, Probe, Broken, Timeout, Stop or Log.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,7 +199,7 @@
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
-	c.f.recordNoAnswer(u)
+	c.f.recordNoAnswer(u, err)
 	if mayHaveRun {
 		c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
 	}
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -18,9 +18,14 @@
 	linkReset
 	// linkOldOnly carries open connections and refuses new ones.
 	linkOldOnly
+	// linkUnanswered opens new connections, but nothing is answered on any: so do
+	// upstreams whose slots are all busy.
+	linkUnanswered
 )
 
-func (s linkState) String() string { return [...]string{"up", "silent", "reset", "old only"}[s] }
+func (s linkState) String() string {
+	return [...]string{"up", "silent", "reset", "old only", "unanswered"}[s]
+}
 
 // link is a connection of a gateway to an upstream.
 type link struct {
@@ -34,7 +39,7 @@
 func (l *link) Read(b []byte) (int, error) {
 	for {
 		n, err := l.Conn.Read(b)
-		if err != nil || l.group.linkOf(l.gateway, l.address) != linkSilent {
+		if state := l.group.linkOf(l.gateway, l.address); err != nil || state != linkSilent && state != linkUnanswered {
 			return n, err
 		}
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -107,10 +108,16 @@
 // recordAnswer records that an upstream has answered.
 func (f *Forwarder) recordAnswer() { f.updateReach((*reach.Tracker).RecordAnswer) }
 
-// recordNoAnswer records that an upstream did not answer or broke the connection.
-func (f *Forwarder) recordNoAnswer(u balance.Upstream) {
+// recordNoAnswer records that an upstream did not answer in time, or that the
+// connection broke with err.
+func (f *Forwarder) recordNoAnswer(u balance.Upstream, err error) {
 	now := f.state.now()
-	f.updateReach(func(t *reach.Tracker) { t.RecordFailure(now, u.ID, u.Zone) })
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, u.ID, u.Zone) })
+		return
+	}
+	f.updateReach(func(t *reach.Tracker) { t.RecordBroken(now, u.ID, u.Zone) })
 }
 
 // recordProbeOutcome records whether an upstream has answered a probe. Probes that
@@ -122,7 +129,7 @@
 		f.recordAnswer()
 	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected):
 	default:
-		f.recordNoAnswer(u)
+		f.recordNoAnswer(u, err)
 	}
 }
 
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -152,3 +152,22 @@
 		}
 	})
 }
+
+// TestBusyUpstreamsAreNotLost lets the few upstreams of a small system answer nothing
+// for two seconds, as when all their slots are busy, and refuse no connection. The
+// gateways must not conclude that they have lost them: other gateways could not
+// serve the calls either, and those in the queue must be served afterwards.
+func TestBusyUpstreamsAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newZonedGroup(t, []string{"a", "b"}, 2, "u0", "u1")
+		g.sendFirstTries(50*time.Millisecond, time.Second, 1, nil)
+		g.setLinks(linkUnanswered, "g0", "g1")
+		for range 40 {
+			g.sendFirstTries(50*time.Millisecond, 50*time.Millisecond, 1, nil)
+			for _, f := range g.forwarders {
+				assert.Equal(t, f.upstreamsLost(), reach.None, "gateway %s", f.state.gatewayID)
+			}
+		}
+		g.setLinks(linkUp, "g0", "g1")
+	})
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -36,17 +36,17 @@
 	Upstreams, Zones int
 }
 
-// Cause says what evidence shows that all upstreams are lost.
+// Cause says what the gateway has lost.
 type Cause string
 
 // The causes.
 const (
 	// None means that the upstreams are not lost.
 	None Cause = ""
-	// NoAnswers means that nothing answers, on old and new connections.
+	// NoAnswers means that nothing answers and no new connection works.
 	NoAnswers Cause = "no answers"
-	// NoConnections means that no new connection can be opened. Open ones may
-	// still carry requests.
+	// NoConnections means that no new connection works, but upstreams answer on open
+	// ones.
 	NoConnections Cause = "no new connections"
 )
 
@@ -105,52 +105,73 @@
 // Tracker records outcomes and decides. The zero value is ready for use; it is not
 // safe for concurrent use.
 type Tracker struct {
-	// answers ends with any answer, connections with any opened connection.
-	answers, connections series
+	// unopened is the series of connections that could not be opened; it ends with
+	// one that is opened.
+	unopened series
+	// broken is the series of connections that could not be opened or broke. It ends
+	// with an answer, as does unanswered, which also has those on which nothing was
+	// answered in time. Upstreams whose slots are all busy do not answer either, so
+	// that unanswered alone does not decide.
+	broken, unanswered series
 }
 
 // RecordAnswer records that an upstream has answered.
-func (t *Tracker) RecordAnswer() { t.answers.succeed() }
+func (t *Tracker) RecordAnswer() {
+	t.broken.succeed()
+	t.unanswered.succeed()
+}
+
+// RecordTimeout records that an upstream did not answer in time on an open
+// connection.
+func (t *Tracker) RecordTimeout(now time.Duration, upstream, zone string) {
+	t.unanswered.fail(now, upstream, zone)
+}
 
-// RecordFailure records that an upstream did not answer or broke the connection.
-func (t *Tracker) RecordFailure(now time.Duration, upstream, zone string) {
-	t.answers.fail(now, upstream, zone)
+// RecordBroken records that a connection to an upstream broke before an answer.
+func (t *Tracker) RecordBroken(now time.Duration, upstream, zone string) {
+	t.broken.fail(now, upstream, zone)
+	t.unanswered.fail(now, upstream, zone)
 }
 
 // RecordOpened records that a new connection to an upstream has been opened.
-func (t *Tracker) RecordOpened() { t.connections.succeed() }
+func (t *Tracker) RecordOpened() { t.unopened.succeed() }
 
 // RecordNotOpened records that a new connection to an upstream could not be
 // opened.
 func (t *Tracker) RecordNotOpened(now time.Duration, upstream, zone string) {
-	t.connections.fail(now, upstream, zone)
-	t.answers.fail(now, upstream, zone)
+	t.unopened.fail(now, upstream, zone)
+	t.RecordBroken(now, upstream, zone)
 }
 
 // HasFailed reports whether the upstream is among those that have failed since the
 // last success.
 func (t *Tracker) HasFailed(upstream string) bool {
-	_, noAnswer := t.answers.zones[upstream]
-	_, notOpened := t.connections.zones[upstream]
-	return noAnswer || notOpened
+	_, unopened := t.unopened.zones[upstream]
+	_, unanswered := t.unanswered.zones[upstream]
+	return unopened || unanswered
 }
 
 // Suspect reports whether the gateway should probe upstreams of its own accord,
 // to find out whether all are lost or whether they are back.
 func (t *Tracker) Suspect(known Known) bool {
-	return t.answers.suspect(known) || t.connections.suspect(known)
+	return t.unopened.suspect(known) || t.broken.lost || t.unanswered.suspect(known)
 }
 
-// Status returns the decision. It stays lost until a success: an answer, and if
-// connections could not be opened, a new connection.
+// Status returns the decision. Upstreams stay lost until a new connection opens,
+// and if connections broke, until an answer.
 func (t *Tracker) Status(known Known) Status {
-	t.answers.update(known)
-	t.connections.update(known)
-	switch {
-	case t.answers.lost:
-		return Status{Cause: NoAnswers, Since: t.answers.first, Failed: len(t.answers.zones)}
-	case t.connections.lost:
-		return Status{Cause: NoConnections, Since: t.connections.first, Failed: len(t.connections.zones)}
+	t.unopened.update(known)
+	t.broken.update(known)
+	evidence := t.unopened
+	if t.broken.lost {
+		evidence = t.broken
+	}
+	if !evidence.lost {
+		return Status{}
+	}
+	status := Status{Cause: NoConnections, Since: evidence.first, Failed: len(evidence.zones)}
+	if t.unanswered.suspect(known) {
+		status.Cause = NoAnswers
 	}
-	return Status{}
+	return status
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -13,16 +13,14 @@
 
 var tenInTwoZones = Known{Upstreams: 10, Zones: 2}
 
-// fail records the failure of n different upstreams in two zones, one every step
-// from start.
-func fail(t *Tracker, start, step time.Duration, n int, opened bool) {
+// record is a method of Tracker that records a failure.
+type record func(t *Tracker, now time.Duration, upstream, zone string)
+
+// fail records failures of n different upstreams in two zones, one every step from
+// start.
+func fail(t *Tracker, start, step time.Duration, n int, r record) {
 	for i := range n {
-		at, id, zone := start+time.Duration(i)*step, fmt.Sprint("u", i), fmt.Sprint("z", i%2)
-		if opened {
-			t.RecordFailure(at, id, zone)
-		} else {
-			t.RecordNotOpened(at, id, zone)
-		}
+		r(t, start+time.Duration(i)*step, fmt.Sprint("u", i), fmt.Sprint("z", i%2))
 	}
 }
 
@@ -33,36 +31,42 @@
 		play  func(*Tracker)
 		want  Cause
 	}{
-		{"four in two zones over 300 ms", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 100*ms, 4, true) }, NoAnswers},
-		{"three", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 200*ms, 3, true) }, None},
-		{"all of two", Known{Upstreams: 2, Zones: 2}, func(tr *Tracker) { fail(tr, 0, 300*ms, 2, true) }, NoAnswers},
-		{"the only one, once", Known{Upstreams: 1, Zones: 1}, func(tr *Tracker) { fail(tr, 0, ms, 1, true) }, None},
-		{"all at once after a pause of the process", tenInTwoZones, func(tr *Tracker) { fail(tr, 9*time.Second, ms, 10, true) }, None},
+		{"four in two zones over 300 ms", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 100*ms, 4, (*Tracker).RecordBroken) }, NoAnswers},
+		{"three", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 200*ms, 3, (*Tracker).RecordBroken) }, None},
+		{"all of two", Known{Upstreams: 2, Zones: 2}, func(tr *Tracker) { fail(tr, 0, 300*ms, 2, (*Tracker).RecordBroken) }, NoAnswers},
+		{"the only one, once", Known{Upstreams: 1, Zones: 1}, func(tr *Tracker) { fail(tr, 0, ms, 1, (*Tracker).RecordBroken) }, None},
+		{"all at once after a pause of the process", tenInTwoZones, func(tr *Tracker) { fail(tr, 9*time.Second, ms, 10, (*Tracker).RecordBroken) }, None},
 		{"one zone of two", tenInTwoZones, func(tr *Tracker) {
 			for i := range 10 {
-				tr.RecordFailure(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
+				tr.RecordBroken(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
 			}
 		}, None},
 		{"one zone is all there is", Known{Upstreams: 10, Zones: 1}, func(tr *Tracker) {
 			for i := range 10 {
-				tr.RecordFailure(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
+				tr.RecordBroken(time.Duration(i)*100*ms, fmt.Sprint("u", i), "z0")
 			}
 		}, NoAnswers},
 		{"an answer between", tenInTwoZones, func(tr *Tracker) {
-			fail(tr, 0, 100*ms, 3, true)
+			fail(tr, 0, 100*ms, 3, (*Tracker).RecordBroken)
 			tr.RecordAnswer()
-			fail(tr, 400*ms, 100*ms, 3, true)
+			fail(tr, 400*ms, 100*ms, 3, (*Tracker).RecordBroken)
 		}, None},
 		{"no new connections, answers on old ones", tenInTwoZones, func(tr *Tracker) {
-			fail(tr, 0, 100*ms, 4, false)
+			fail(tr, 0, 100*ms, 4, (*Tracker).RecordNotOpened)
 			tr.RecordAnswer()
 		}, NoConnections},
-		{"a connection opened, nothing answered", tenInTwoZones, func(tr *Tracker) {
-			fail(tr, 0, 100*ms, 4, false)
+		{"a connection opened, which broke", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 4, (*Tracker).RecordNotOpened)
 			tr.RecordOpened()
 		}, NoAnswers},
+		{"busy upstreams", tenInTwoZones, func(tr *Tracker) { fail(tr, 0, 100*ms, 10, (*Tracker).RecordTimeout) }, None},
+		{"nothing opens, old connections time out", tenInTwoZones, func(tr *Tracker) {
+			fail(tr, 0, 100*ms, 4, (*Tracker).RecordNotOpened)
+			tr.RecordAnswer()
+			fail(tr, 500*ms, 100*ms, 2, (*Tracker).RecordTimeout)
+		}, NoAnswers},
 		{"a connection opened and an answer", tenInTwoZones, func(tr *Tracker) {
-			fail(tr, 0, 100*ms, 10, false)
+			fail(tr, 0, 100*ms, 10, (*Tracker).RecordNotOpened)
 			tr.RecordOpened()
 			tr.RecordAnswer()
 		}, None},
@@ -80,10 +84,11 @@
 // whatever the gateway knows meanwhile.
 func TestLostUpstreamsAreFoundAgain(t *testing.T) {
 	var tr Tracker
-	fail(&tr, time.Second, 100*ms, 4, false)
+	fail(&tr, time.Second, 100*ms, 4, (*Tracker).RecordNotOpened)
 	assert.Equal(t, tr.Status(tenInTwoZones), Status{Cause: NoAnswers, Since: time.Second, Failed: 4})
 	assert.Assert(t, tr.Status(Known{Upstreams: 90, Zones: 8}).Lost())
 	assert.Assert(t, tr.Suspect(tenInTwoZones))
+	tr.RecordTimeout(2*time.Second, "u3", "z1")
 	assert.Assert(t, tr.HasFailed("u3") && !tr.HasFailed("u4"))
 	tr.RecordOpened()
 	tr.RecordAnswer()
@@ -122,3 +127,12 @@
 		}
 	})
 }
+
+// TestBusyUpstreamsAreSuspected checks that upstreams which do not answer in time are
+// probed, although they do not count as lost.
+func TestBusyUpstreamsAreSuspected(t *testing.T) {
+	var tr Tracker
+	fail(&tr, 0, 100*ms, 2, (*Tracker).RecordTimeout)
+	assert.Assert(t, tr.Suspect(tenInTwoZones))
+	assert.Assert(t, !tr.Status(tenInTwoZones).Lost())
+}
