--- a/internal/gateway/recover_system_test.go
+++ b/internal/gateway/recover_system_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -14,7 +17,10 @@
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/reach"
+	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/testbed"
 )
 
 // cutGateway is a gateway of a system with control whose network to the upstreams
@@ -123,3 +129,63 @@
 		assert.Equal(t, call(g), 200)
 	}
 }
+
+// TestRelayedCallsNeedTheClusterKey lets a gateway relay a call to another one over
+// the cluster listener, where processes identify themselves by a key. A request
+// without it must be refused before it reaches an upstream.
+func TestRelayedCallsNeedTheClusterKey(t *testing.T) {
+	const key = "0123456789abcdef"
+	keys := filepath.Join(t.TempDir(), "keys")
+	assert.NilError(t, os.WriteFile(keys, []byte("gateways "+key+"\n"), 0o600))
+	upstream := startFakeUpstream(t, "u1", nil)
+	upstream.respond = upstream.responder(200, servedByHeader, "whole")
+	cfg := newConfig(upstream)
+	var daemons []*Daemon
+	for _, id := range []string{"g0", "g1"} {
+		s := settings.DefaultGateway()
+		s.ID, s.Zone, s.Region = id, "a", "r"
+		free, err := testbed.FreeAddresses(3)
+		assert.NilError(t, err)
+		s.CallerListen, s.ClusterListen = free[0], free[1]
+		s.CallerAddress, s.ClusterAddress = s.CallerListen, s.ClusterListen
+		s.Control, s.ClusterKeysFile = []string{free[2]}, keys
+		o := Options{Logs: io.Discard}
+		if id == "g0" {
+			o.Dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		}
+		d, err := newDaemon(s, o)
+		assert.NilError(t, err)
+		assert.NilError(t, d.listen())
+		ctx, cancel := context.WithCancel(context.Background())
+		d.start(ctx)
+		t.Cleanup(func() { d.close(cancel) })
+		cfg.Entries = append(cfg.Entries, &catalogpb.Entry{Id: id, Zone: "a", ClusterAddress: s.ClusterAddress})
+		daemons = append(daemons, d)
+	}
+	for _, d := range daemons {
+		d.state.applyConfig(configview.New(cfg))
+	}
+	waitUntil(t, "the call is not relayed", func() bool {
+		status, err := daemons[0].getSafe(t)
+		return err == nil && status == 200
+	})
+	before := len(upstream.requests())
+	for _, authorization := range []string{"", "Bearer 0123456789abcdeg", "Bearer " + key} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+daemons[1].settings.ClusterListen+RelayPath, nil)
+		assert.NilError(t, err)
+		r.Host = "host.example"
+		for name, value := range map[string]string{relayTarget: "/safe/x", relayCaller: "10.0.0.1", relaySends: "0", relayRan: "0", relayLeft: "1000", "Authorization": authorization} {
+			r.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		if authorization == "Bearer "+key {
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, len(upstream.requests()), before+1)
+			continue
+		}
+		assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
+		assert.Equal(t, len(upstream.requests()), before)
+	}
+}
