--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return false, c.connectionFailed(u, x, err)
 	}
+	c.f.recordAnswer()
 	resp := x.Response
 	if c.notRun(resp) {
 		c.f.recordLimit(u, balance.RefusedAnswer, resp)
@@ -234,6 +235,7 @@
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
 	c.recordEnd(u.ID, false, 0)
+	c.f.recordNoAnswer(u, err)
 	if !mayHaveRun {
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
@@ -300,6 +302,7 @@
 	if length >= 0 && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.markOutcome(nil)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -59,7 +61,9 @@
 	conns     *upstreamconn.Pool
 	forwarder *Forwarder
 	// client calls other processes of the system.
-	client       *http.Client
+	client *http.Client
+	// peerDial opens connections to other VMs of the system.
+	peerDial     httpnet.DialFunc
 	config       *configsync.Syncer
 	gossip       *gossip.Service
 	limiter      *admission.Limiter
@@ -74,6 +78,9 @@
 	// it.
 	controlLost bool
 	workers     conc.WaitGroup
+	// background ends when the gateway is closed.
+	background     context.Context
+	stopBackground context.CancelFunc
 }
 
 const (
@@ -130,6 +137,7 @@
 		limiter:  admission.NewLimiter(s.Limits.MaxInFlight),
 	}
 	d.gatewayMetrics = telemetry.NewGatewayMetrics(d.metrics.Scope)
+	d.background, d.stopBackground = context.WithCancel(context.Background())
 	if !s.TrustNetwork {
 		if d.keys, err = access.Load(s.ClusterKeysFile); err != nil {
 			return nil, errors.Trace(err)
@@ -157,7 +165,8 @@
 		Slack:  s.Retry.Slack,
 		Window: s.Retry.WindowMs.Duration(),
 	})
-	connections := httpnet.NewConnections(httpnet.DialWithTimeout(peerDialTimeout))
+	d.peerDial = httpnet.DialWithTimeout(peerDialTimeout)
+	connections := httpnet.NewConnections(d.peerDial)
 	d.client = httpnet.NewClient(connections.Dial)
 	d.client.Transport = access.NewTransport(d.keys, d.client.Transport)
 	d.config = configsync.New(configsync.Options{
@@ -172,6 +181,7 @@
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
 	d.state.maxDenialAge = denialAge(s.ApplyWithinMs.Duration())
+	d.state.isolated = d.config.Isolated
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
@@ -190,9 +200,17 @@
 	})
 }
 
+// dialGateway opens a connection to another gateway.
+func (d *Daemon) dialGateway(ctx context.Context, address string) (net.Conn, error) {
+	return d.peerDial(ctx, "tcp4", address)
+}
+
 // Ready reports whether callers may be sent to this gateway: it has a desired
-// state and no stop has begun.
-func (d *Daemon) Ready() bool { return d.state.routes.Load() != nil && !d.stopping.Load() }
+// state, no stop has begun, and it or others can carry calls to upstreams, unless
+// all gateways have lost them.
+func (d *Daemon) Ready() bool {
+	return d.state.routes.Load() != nil && !d.stopping.Load() && d.forwarder.canServe()
+}
 
 // EntryAddresses returns the addresses of gateways that a caller in the zone
 // should use, and how long it may cache them. It returns none before the first
@@ -202,28 +220,49 @@
 	if v == nil {
 		return nil, 0
 	}
-	addresses := lookup.SelectAddresses(v.Config.Entries, lookup.Selection{
+	selection := lookup.Selection{
 		Zone:           zone,
 		Caller:         caller,
 		EntriesPerZone: lookup.EntriesPerZone(d.settings.NamedPerZone, d.settings.LinkMbps, d.settings.CPUShare),
-		Usable: func(e *catalogpb.Entry) bool {
-			if e.Id == d.settings.ID {
-				return !d.stopping.Load()
-			}
-			return !e.Leaving && d.config.Reachable(e.Id)
-		},
-	})
+	}
+	live := func(e *catalogpb.Entry) bool {
+		if e.Id == d.settings.ID {
+			return !d.stopping.Load()
+		}
+		return !e.Leaving && d.config.Reachable(e.Id)
+	}
+	selection.Usable = func(e *catalogpb.Entry) bool { return live(e) && !d.isIsolated(e.Id) }
+	addresses := lookup.SelectAddresses(v.Config.Entries, selection)
+	if len(addresses) == 0 {
+		// All have lost the upstreams, which shows nothing about the gateways.
+		selection.Usable = live
+		addresses = lookup.SelectAddresses(v.Config.Entries, selection)
+	}
 	return addresses, d.settings.LookupTTLMs.Duration()
 }
 
+// isIsolated reports whether the gateway has no way to any upstream.
+func (d *Daemon) isIsolated(id string) bool {
+	if id == d.settings.ID {
+		return d.forwarder.upstreamsLost() != reach.None
+	}
+	return d.config.Isolated(id)
+}
+
 func (d *Daemon) listen() error {
 	s := d.settings
+	d.forwarder = d.newForwarder()
 	cluster := http.NewServeMux()
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	cluster.Handle(clusterpb.PermitsPathPrefix, clusterpb.NewPermitsServer(&permitServer{state: d.state, log: d.log}))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
-	if err := d.openListener(s.ClusterListen, httpnet.Limits{}, access.NewAuthenticator(d.keys, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
+	processes := http.NewServeMux()
+	processes.Handle("/", d.clusterRPCs)
+	processes.Handle(RelayPath, httpnet.Recover(d.forwarder.RelayHandler(), crash.PanicHandler(d.log)))
+	// Relayed calls have the headers of callers.
+	limits := httpnet.Limits{MaxHeaderBytes: s.Limits.MaxHeaderBytes + relayHeaderBytes}
+	if err := d.openListener(s.ClusterListen, limits, access.NewAuthenticator(d.keys, d.log, nil).Wrap(processes)); err != nil {
 		return err
 	}
 	if d.opts.ExtraListeners != nil {
@@ -254,8 +293,9 @@
 	return nil
 }
 
-func (d *Daemon) callerHandler() http.Handler {
-	d.forwarder = newForwarder(d.state, d.conns, ForwarderOptions{
+// newForwarder returns the forwarder of this gateway.
+func (d *Daemon) newForwarder() *Forwarder {
+	return newForwarder(d.state, d.conns, ForwarderOptions{
 		Headers: d.opts.Headers,
 		Crashes: d.gossip,
 		Limiter: d.limiter,
@@ -265,8 +305,15 @@
 		Permits: func(address string) clusterpb.Permits {
 			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
 		},
+		ReportLost:      d.config.SetIsolated,
+		DialGateway:     d.dialGateway,
+		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
+		Context:         d.background,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
+}
+
+func (d *Daemon) callerHandler() http.Handler {
 	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -371,6 +418,7 @@
 		_ = s.Close()
 	}
 	cancel()
+	d.stopBackground()
 	workersDone := make(chan struct{})
 	go func() {
 		d.workers.Wait()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -11,6 +11,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
 
@@ -143,9 +144,10 @@
 	probedAt := f.state.now()
 	conn, result, err := f.fetchLoad(ctx, c)
 	st := f.state
+	f.recordProbeOutcome(ctx, c, err)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if errors.Is(err, upstreamconn.ErrTooManyConnections) {
+	if errors.Is(err, upstreamconn.ErrTooManyConnections) || errors.Is(err, upstreamconn.ErrNoIdleConnection) {
 		return probeOutcome{candidate: c, err: err}
 	}
 	st.balancer.RecordProbeSent(c.ID)
@@ -164,16 +166,25 @@
 // connection.
 func (f *Forwarder) fetchLoad(ctx context.Context, c balance.Upstream) (*upstreamconn.Conn, balance.ProbeResult, error) {
 	maxOpen := f.state.maxConnections(c.Pool)
-	conn, err := f.conns.Get(ctx, c.Address, maxOpen)
+	var conn *upstreamconn.Conn
+	var err error
+	if f.upstreamsLost() == reach.NoConnections {
+		conn, err = f.conns.GetIdle(c.Address)
+	} else {
+		conn, err = f.conns.Get(ctx, c.Address, maxOpen)
+	}
+	f.recordConnection(ctx, c, conn, err)
 	if err != nil {
-		return nil, balance.ProbeResult{}, err
+		return nil, balance.ProbeResult{}, notConnected(err)
 	}
 	result, err := f.fetchLoadOn(ctx, conn, c)
 	if err == nil || !conn.Reused || ctx.Err() != nil {
 		return conn, result, err
 	}
-	if conn, err = f.conns.Open(ctx, c.Address, maxOpen); err != nil {
-		return nil, balance.ProbeResult{}, err
+	conn, err = f.conns.Open(ctx, c.Address, maxOpen)
+	f.recordConnection(ctx, c, conn, err)
+	if err != nil {
+		return nil, balance.ProbeResult{}, notConnected(err)
 	}
 	result, err = f.fetchLoadOn(ctx, conn, c)
 	return conn, result, err
@@ -248,3 +259,6 @@
 	}
 	return st.balancer.RecordFailure(st.now(), id)
 }
+
+// notConnected marks the error of a connection that was not opened.
+func notConnected(err error) error { return errors.WithType(err, errNotConnected) }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -25,6 +25,8 @@
 	routes    atomic.Pointer[route.Table]
 	config    atomic.Pointer[catalogpb.Config]
 	pools     atomic.Pointer[map[string]*catalogpb.Pool]
+	// reachTargets are the upstreams that show whether the gateway reaches any.
+	reachTargets atomic.Pointer[reachTargets]
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
 	// sinceNewest returns the time for which the configuration has not been known
@@ -32,6 +34,9 @@
 	// that the desired state does not allow a call.
 	sinceNewest  func() time.Duration
 	maxDenialAge time.Duration
+	// isolated reports whether control knows that a gateway has no way to any
+	// upstream.
+	isolated func(entry string) bool
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -64,6 +69,7 @@
 		reachable:       func(string) bool { return true },
 		sinceNewest:     func() time.Duration { return 0 },
 		maxDenialAge:    denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
+		isolated:        func(string) bool { return false },
 		coldRateShare:   coldRateShare,
 		retryLimits:     limits,
 		phase:           rand.Float64(),
@@ -75,6 +81,7 @@
 		issuer:          permit.NewIssuer(gatewayID),
 	}
 	st.pools.Store(&map[string]*catalogpb.Pool{})
+	st.reachTargets.Store(&reachTargets{})
 	return st
 }
 
@@ -94,8 +101,10 @@
 		pools[p.Name] = p
 	}
 	st.pools.Store(&pools)
+	placement := st.placementConfig(v, pools)
+	st.reachTargets.Store(newReachTargets(placement.Upstreams))
 	st.mu.Lock()
-	st.balancer.Update(st.now(), st.placementConfig(v, pools))
+	st.balancer.Update(st.now(), placement)
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
 	st.mu.Unlock()
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -31,6 +31,8 @@
 	PermitWait tally.Histogram
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
+	// UpstreamsLost is 1 while all upstreams are lost, else 0.
+	UpstreamsLost tally.Gauge
 	// Revision and StateVersion belong to the configuration in force. ConfigAge
 	// is the time in seconds since a control VM last answered, ConfigUnconfirmed
 	// that for which the configuration has not been known to be the newest.
@@ -47,6 +49,32 @@
 	pools map[string]*PoolMetrics
 }
 
+// Outcomes of relayed calls, the values of the tag "outcome" of the metrics
+// "relayed_out" and "relayed_in".
+const (
+	// RelayServed counts calls that were answered with the response of an upstream.
+	RelayServed = "served"
+	// RelayRefused counts calls that the other gateway answered with an error.
+	RelayRefused = "refused"
+	// RelayUnreachable counts calls for which no connection to the other gateway
+	// could be opened.
+	RelayUnreachable = "unreachable"
+	// RelayBroken counts calls without a complete response of the other gateway.
+	RelayBroken = "broken"
+)
+
+// RelayedOut returns the counter of calls that this gateway has relayed to others,
+// by outcome.
+func (m *GatewayMetrics) RelayedOut(outcome string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed_out")
+}
+
+// RelayedIn returns the counter of calls that others have relayed to this gateway,
+// by outcome.
+func (m *GatewayMetrics) RelayedIn(outcome string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed_in")
+}
+
 // callSeries holds the tag values of one series of the metric "calls".
 type callSeries struct{ pool, routeKind, outcome string }
 
@@ -77,6 +105,7 @@
 		Upstream:          latencyHistogram(s, "upstream_seconds"),
 		PermitWait:        latencyHistogram(s, "permit_seconds"),
 		Retries:           s.Counter("retries"),
+		UpstreamsLost:     s.Gauge("upstreams_lost"),
 		Revision:          s.Gauge("config_revision"),
 		StateVersion:      s.Gauge("config_state_version"),
 		ConfigAge:         s.Gauge("config_unheard_seconds"),
