Count the time for which a VM was suspended in the age of its state

A suspended VM's monotonic clock stands still. The check of the wall clock against it was blind to a suspension while a renewal was in flight, which is nearly always: the answer counted as requested after the suspension, and a 404 could rest on a state that was older than allowed (found in review: "s.SinceNewest() is less than 1400 * time.Millisecond: 0s").

The age is now measured on CLOCK_BOOTTIME, which runs on and does not jump, so that the comparison with the wall clock is gone. A route that is found only in the table that is read after the age is used; the age is read for failed look-ups only. A negative time from the leader is extended by the drift rather than shortened.

TestSuspensionCountsAsAge.

--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -164,21 +164,13 @@
 
 // publishSnapshot makes the state visible to other goroutines.
 func (l *loop) publishSnapshot() {
-	last := l.syncer.snapshot.Load()
 	next := &snapshot{
 		view:             l.view,
 		freshUntil:       l.state.FreshUntil(),
 		acceptedRevision: l.state.AcceptedRevision(),
-		newestAt:         last.newestAt,
-		newestAtWall:     last.newestAtWall,
 	}
-	newestAt, synced := l.state.NewestAt()
-	next.synced = synced
-	if synced && (newestAt != last.newestAt || !last.synced) {
-		next.newestAt = newestAt
-		next.newestAtWall = time.Now().Round(0).Add(newestAt - l.syncer.now())
-	}
-	if *next != *last {
+	next.newestAt, next.synced = l.state.NewestAt()
+	if *next != *l.syncer.snapshot.Load() {
 		l.syncer.snapshot.Store(next)
 	}
 }
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -73,12 +73,14 @@
 
 // renewalResult is the event of the end of a renewal.
 type renewalResult struct {
-	number  uint64
-	sentAt  time.Duration
-	address string
-	relayed bool
-	resp    *clusterpb.RenewResponse
-	err     error
+	number uint64
+	sentAt time.Duration
+	// sentAtBoot is sentAt as a reading of Syncer.bootTime.
+	sentAtBoot time.Duration
+	address    string
+	relayed    bool
+	resp       *clusterpb.RenewResponse
+	err        error
 }
 
 func (l *loop) startRenewal() {
@@ -92,7 +94,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, timeout+maxRenewalTransfer)
 	r.cancel = cancel
 	r.sentAt = l.syncer.now()
-	ev := &renewalResult{number: r.number, sentAt: r.sentAt, address: address, relayed: relayed}
+	ev := &renewalResult{number: r.number, sentAt: r.sentAt, sentAtBoot: l.syncer.bootTime(), address: address, relayed: relayed}
 	crash.Go(l.workers, func() {
 		defer cancel()
 		stalled := time.AfterFunc(timeout, cancel)
@@ -238,7 +240,7 @@
 	lease := time.Duration(ev.resp.LeaseMs) * time.Millisecond
 	granted := l.state.RecordLease(ev.sentAt, lease, ev.resp.Revision)
 	if granted {
-		l.state.RecordNewest(ev.sentAt, time.Duration(ev.resp.NewestMs)*time.Millisecond)
+		l.state.RecordNewest(ev.sentAtBoot, time.Duration(ev.resp.NewestMs)*time.Millisecond)
 	}
 	l.publishSnapshot()
 	switch {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -23,6 +23,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/freshness"
@@ -65,8 +66,10 @@
 
 // Syncer keeps the configuration up to date. It implements configview.Source.
 type Syncer struct {
-	opts          Options
-	startedAt     time.Time
+	opts      Options
+	startedAt time.Time
+	// bootTime reads a clock that also runs while the VM is suspended.
+	bootTime      func() time.Duration
 	snapshot      atomic.Pointer[snapshot]
 	silentEntries atomic.Pointer[map[string]bool]
 	// isolatedEntries are the entry VMs that have no way to any upstream.
@@ -95,10 +98,9 @@
 	freshUntil       time.Duration
 	acceptedRevision uint64
 	synced           bool
-	// newestAt is the time until which the configuration was the newest one,
-	// newestAtWall the same time by the wall clock. They are set once synced is.
-	newestAt     time.Duration
-	newestAtWall time.Time
+	// newestAt is the time until which the configuration was the newest one, as a
+	// reading of Syncer.bootTime. It is set once synced is.
+	newestAt time.Duration
 }
 
 // eventQueueSize is the capacity of the queue of events for the loop.
@@ -120,6 +122,7 @@
 	s := &Syncer{
 		opts:      opts,
 		startedAt: time.Now(),
+		bootTime:  boottime.Now,
 		events:    make(chan any, eventQueueSize),
 		done:      make(chan struct{}),
 	}
@@ -214,25 +217,15 @@
 // unknownAge is the age of a configuration that control has not confirmed.
 const unknownAge = time.Duration(math.MaxInt64)
 
-// maxClockGap is the difference between the wall clock and the monotonic clock
-// since the last lease from which the time that has passed counts as unknown. The
-// monotonic clock stands still while the VM is suspended.
-const maxClockGap = 500 * time.Millisecond
-
 // SinceNewest returns the time for which the current configuration has not been
-// known to be the newest one. After a suspension of the VM or a jump of its wall
-// clock it is not known until the next lease, and neither is it before the first
-// one; SinceNewest then returns the longest duration.
+// known to be the newest one. It includes time for which the VM was suspended.
+// Before the first lease it is the longest duration.
 func (s *Syncer) SinceNewest() time.Duration {
 	snap := s.snapshot.Load()
 	if !snap.synced {
 		return unknownAge
 	}
-	age := s.now() - snap.newestAt
-	if gap := time.Now().Round(0).Sub(snap.newestAtWall) - age; gap.Abs() > maxClockGap {
-		return unknownAge
-	}
-	return age
+	return s.bootTime() - snap.newestAt
 }
 
 // AcceptedEverywhere returns the newest revision known to be accepted in all
--- a/internal/configsync/transfer_test.go
+++ b/internal/configsync/transfer_test.go
@@ -127,3 +127,59 @@
 		})
 	}
 }
+
+// suspendingLeader is a transport to a leader that answers renewals at once. The VM
+// of the entry VM is suspended before the given answer arrives, which is the last.
+type suspendingLeader struct {
+	t    *testing.T
+	last int
+	// suspended is the time for which the VM was suspended.
+	suspended atomic.Int64
+	answers   int
+	ended     chan struct{}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *suspendingLeader) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.answers++
+	if l.answers > l.last {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if l.answers == l.last {
+		l.suspended.Store(int64(suspension))
+		defer close(l.ended)
+	}
+	data, err := proto.Marshal(&clusterpb.RenewResponse{
+		LeaseMs: 3_000, Revision: 7, Config: &catalogpb.Config{Revision: 7, StateVersion: 2, Entries: []*catalogpb.Entry{{Id: "e"}}},
+	})
+	assert.NilError(l.t, err)
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/protobuf"}}, Body: io.NopCloser(bytes.NewReader(data)),
+	}, nil
+}
+
+// suspension is longer than an answer may be held.
+const suspension = 1400 * time.Millisecond
+
+// TestSuspensionCountsAsAge suspends a VM, whose monotonic clock stands still
+// meanwhile, before the answer to a renewal arrives. The answer must not count as
+// one that was requested after the suspension.
+func TestSuspensionCountsAsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leader := &suspendingLeader{t: t, last: 3, ended: make(chan struct{})}
+		s := New(Options{Entry: &catalogpb.Entry{Id: "e"}, ControlAddresses: []string{"control"}, ServesStale: true, Client: &http.Client{Transport: leader}})
+		s.bootTime = func() time.Duration { return s.now() + time.Duration(leader.suspended.Load()) }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			s.Run(ctx)
+			close(done)
+		}()
+		<-leader.ended
+		synctest.Wait()
+		assert.Assert(t, s.SinceNewest() >= suspension, "%s", s.SinceNewest())
+		cancel()
+		<-done
+	})
+}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -77,7 +77,8 @@
 	synced      bool
 	leaseExpiry time.Duration
 	// newestAt is the time until which the revision held was the newest one,
-	// according to control.
+	// according to control. It is a reading of another clock than the other times,
+	// one that also runs while the VM is suspended.
 	newestAt time.Duration
 	// confirmedAt maps each other entry VM to the time at which its last
 	// confirmation was requested.
@@ -135,17 +136,21 @@
 }
 
 // RecordNewest records that the revision held was the newest one until after had
-// passed since sent, measured by the clock of the leader. after may be negative. It
+// passed since sent, measured by the clock of the leader. after may be negative.
+// sent is a reading of a clock that also runs while the VM is suspended. RecordNewest
 // must be called only for a lease that RecordLease has recorded.
 func (s *State) RecordNewest(sent, after time.Duration) {
 	if after > 0 {
 		after = SubtractDrift(after)
+	} else {
+		after = -AddDrift(-after)
 	}
 	s.newestAt = max(s.newestAt, sent+after)
 }
 
 // NewestAt returns the time until which the revision held was the newest one,
-// according to control. It reports false before the first lease.
+// according to control, on the clock of RecordNewest. It reports false before the
+// first lease.
 func (s *State) NewestAt() (time.Duration, bool) { return s.newestAt, s.synced }
 
 // RecordConfirmation records the response of another entry VM to a request sent at
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -53,7 +53,7 @@
 		{time.Second, 0, time.Second},
 		{2 * time.Second, 500 * time.Millisecond, 2*time.Second + SubtractDrift(500*time.Millisecond)},
 		{2 * time.Second, -500 * time.Millisecond, 2*time.Second + SubtractDrift(500*time.Millisecond)},
-		{4 * time.Second, -500 * time.Millisecond, 3500 * time.Millisecond},
+		{4 * time.Second, -500 * time.Millisecond, 4*time.Second - AddDrift(500*time.Millisecond)},
 	} {
 		s.RecordNewest(c.sent, c.after)
 		at, known := s.NewestAt()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -91,18 +92,11 @@
 func (c *call) prepare() error {
 	f := c.f
 	c.id = c.r.Header.Get(f.opts.Headers.RequestID)
-	// The age is read first, so that it is not that of a newer table.
-	age := f.state.sinceNewest()
-	table := f.state.routes.Load()
-	if table == nil {
-		return fault.NewRetryable(fault.NotFresh, startupRetryAfter, "no desired state received from control yet")
-	}
 	if c.r.Method == http.MethodConnect || c.r.Header.Get("Upgrade") != "" {
 		return fault.New(fault.UpgradeRefused, "")
 	}
-	c.route = table.Lookup(c.r.Host, c.r.URL.Path)
-	if c.route == nil {
-		return c.denial(age, fault.New(fault.NoRoute, "no route for host %q, path %q in desired state version %d", c.r.Host, c.r.URL.Path, table.Version()))
+	if err := c.findRoute(); err != nil {
+		return err
 	}
 	if f.opts.Closed() {
 		return fault.New(fault.Leaving, "")
@@ -121,6 +115,25 @@
 	return nil
 }
 
+// findRoute sets the route of the call, or returns the refusal.
+func (c *call) findRoute() error {
+	st := c.f.state
+	table := st.routes.Load()
+	if table == nil {
+		return fault.NewRetryable(fault.NotFresh, startupRetryAfter, "no desired state received from control yet")
+	}
+	if c.route = table.Lookup(c.r.Host, c.r.URL.Path); c.route != nil {
+		return nil
+	}
+	// The table is read after the age, so that the age is not that of a newer one.
+	age := st.sinceNewest()
+	table = st.routes.Load()
+	if c.route = table.Lookup(c.r.Host, c.r.URL.Path); c.route != nil {
+		return nil
+	}
+	return c.denial(age, fault.New(fault.NoRoute, "no route for host %q, path %q in desired state version %d", c.r.Host, c.r.URL.Path, table.Version()))
+}
+
 // denial returns the refusal of a call that the desired state held here does not
 // allow: denied if the state is known to be the newest one, otherwise a refusal that
 // says so. age is the time for which that has not been known.
@@ -306,13 +319,9 @@
 		c.body.length = 0
 		return nil
 	}
-	age := c.f.state.sinceNewest()
-	limit := int64(defaultMaxBodyBytes)
-	if l := c.f.state.config.Load().CallerLimits; l.GetMaxBodyBytes() > 0 {
-		limit = int64(l.MaxBodyBytes)
-	}
+	limit := c.f.state.maxBodyBytes()
 	if c.r.ContentLength > limit {
-		return c.denial(age, fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit))
+		return c.tooLarge(limit, fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit))
 	}
 	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.opts.BodyIdleTimeout)
 	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBody))
@@ -322,7 +331,7 @@
 	if err != nil {
 		refusal := forward.BodyReadError(err)
 		if refusal.Kind == fault.TooLarge {
-			return c.denial(age, refusal)
+			return c.tooLarge(limit, refusal)
 		}
 		return refusal
 	}
@@ -336,9 +345,15 @@
 	return nil
 }
 
-// defaultMaxBodyBytes is the limit of request bodies if the desired state sets
-// none.
-const defaultMaxBodyBytes = 256 << 20
+// tooLarge returns the refusal of a call whose body exceeds limit.
+func (c *call) tooLarge(limit int64, denied *fault.Error) error {
+	age := c.f.state.sinceNewest()
+	if c.f.state.maxBodyBytes() != limit {
+		// A newer state may allow the body.
+		age = math.MaxInt64
+	}
+	return c.denial(age, denied)
+}
 
 // fingerprint returns the quarantine key of the request. Requests that are
 // likely to crash an upstream in the same way share it: those of the same
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -201,6 +201,18 @@
 	return "/"
 }
 
+// defaultMaxBodyBytes is the limit of request bodies if the desired state sets
+// none.
+const defaultMaxBodyBytes = 256 << 20
+
+// maxBodyBytes returns the limit of request bodies.
+func (st *state) maxBodyBytes() int64 {
+	if n := st.config.Load().GetCallerLimits().GetMaxBodyBytes(); n > 0 {
+		return int64(n)
+	}
+	return defaultMaxBodyBytes
+}
+
 // connectionFraction is the fraction of the connections that an upstream takes
 // which gateways open. It leaves room for gateways that are not in the
 // configuration yet, and for connections of restarted ones that the upstream has
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -50,7 +50,7 @@
 		{"config_revision", gauge, "gateway, entry", "", "revision of the configuration in force"},
 		{"config_state_version", gauge, "gateway", "", "version of the desired state in force"},
 		{"config_unheard_seconds", gauge, "gateway", "", "age of the configuration: time since a control VM last answered"},
-		{"config_unconfirmed_seconds", gauge, "gateway", "", "time for which the configuration has not been known to be the newest one; it grows while control does not answer, and is huge before the first lease and after a suspension of the VM"},
+		{"config_unconfirmed_seconds", gauge, "gateway", "", "time for which the configuration has not been known to be the newest one; it grows while control does not answer and while the VM is suspended, and is huge before the first lease"},
 		{"config_fresh", gauge, "entry", "", "1 while the configuration lease is valid, else 0"},
 		{"log_lines_dropped", gauge, "gateway, control", "", "log lines dropped since the start because the log queue was full"},
 		{"answers", counter, "entry", "kind", "calls by the kind of the error, or `ok`"},
