Let differences of configurations remove limits on callers

A desired state without limits after one with limits left the old ones at gateways that were sent the difference: they refused bodies with 413 that the newest state allows (DENIED).

TestDeltaRemovesCallerLimits failed before: caller_limits:{max_body_bytes:1000} in the patched configuration of a state without limits.

--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -68,6 +68,10 @@
 	d.DeletedPools = keysOf(pools, deletedPools)
 	if !proto.Equal(base.CallerLimits, next.CallerLimits) {
 		d.CallerLimits = next.CallerLimits
+		if d.CallerLimits == nil {
+			// Without limits, the delta would keep those of base.
+			d.CallerLimits = &catalogpb.CallerLimits{}
+		}
 	}
 	return d
 }
@@ -122,6 +126,9 @@
 	if d.CallerLimits != nil {
 		next.CallerLimits = d.CallerLimits
 	}
+	if proto.Size(next.CallerLimits) == 0 {
+		next.CallerLimits = nil
+	}
 }
 
 // Patch returns base with the delta d applied. If d was made from another
