Acknowledge a state that was just applied only once the leader holds it

A control VM that does not lead acknowledged a state that it held by itself, 250 ms after it had applied it. A starved leader, from which gateways get the state first, can apply it later than that, so that the time within which it must be in force ran before any gateway could get it; and while the follower was still applying, it did not wait at all (found in review: "0s (took time.Duration) != 250ms").

Now it asks the leader, by version only, unless it applied the state at least 2 s ago. TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime, which asserted the fixed wait, is replaced by TestUnsettledStateIsNotAcknowledgedWithoutLeader and TestStateSentAgainIsAcknowledgedThroughFollower.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -370,6 +370,20 @@
 	}
 }
 
+// A state that was sent again is acknowledged by a control VM that does not lead
+// once the leader says that it holds it, and does not go through the log again.
+func TestStateSentAgainIsAcknowledgedThroughFollower(t *testing.T) {
+	g := newGroup(t)
+	for range 2 {
+		_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(3)})
+		assert.NilError(t, err)
+	}
+	resp, err := g.followerAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(3)})
+	assert.NilError(t, err)
+	assert.Assert(t, !resp.Result.Applied)
+	assert.Equal(t, resp.Result.HeldVersion, uint64(3))
+}
+
 func TestRestartedGatewayGetsPackedConfig(t *testing.T) {
 	g := newGroup(t)
 	_, err := g.leaderAdmin().ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(3)})
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -29,8 +29,9 @@
 		return nil, fault.ToTwirp(err)
 	}
 	if held := a.heldState(req.State.Version); held != nil && !req.DryRun {
-		a.logState(req.State.Version, held)
-		a.awaitHeldState(ctx, held.Revision)
+		if err := a.awaitHeldState(ctx, held); err != nil {
+			return nil, err
+		}
 		return &adminpb.ApplyStateResponse{Result: held}, nil
 	}
 	state, err := catalog.CompressSource(req.State)
--- a/internal/control/state_machine.go
+++ b/internal/control/state_machine.go
@@ -14,9 +14,14 @@
 	history *history
 	now     func() time.Duration
 	changed chan struct{}
-	// stateAppliedAt is the time, in nanoseconds on the clock of now, at which the
-	// desired state last changed.
-	stateAppliedAt atomic.Int64
+	// stateApplied is the last change of the desired state.
+	stateApplied atomic.Pointer[stateChange]
+}
+
+// stateChange says since when a version of the desired state has been applied.
+type stateChange struct {
+	version uint64
+	at      time.Duration
 }
 
 // Apply applies one command and returns its result.
@@ -47,8 +52,8 @@
 // recordStateChange records the time if the desired state has another version than
 // the given one.
 func (m *stateMachine) recordStateChange(from uint64) {
-	if m.catalog.Config().StateVersion != from {
-		m.stateAppliedAt.Store(int64(m.now()))
+	if version := m.catalog.Config().StateVersion; version != from {
+		m.stateApplied.Store(&stateChange{version, m.now()})
 	}
 }
 
--- a/internal/control/state_proposal.go
+++ b/internal/control/state_proposal.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
@@ -66,21 +67,37 @@
 	return &catalogpb.DesiredStateResult{HeldVersion: cfg.StateVersion, Revision: cfg.Revision}
 }
 
+// settledStateAge is the age from which a desired state is acknowledged without
+// asking the leader. A leader can apply a state later than the other control VMs,
+// and gateways get it from the leader first.
+const settledStateAge = 2 * time.Second
+
 // awaitHeldState waits, before a state that is held is acknowledged, as long as
-// before a state that has just been committed: for acceptance of the revision on
-// the leader, and for the longest time that this takes on other control VMs.
-func (a *admin) awaitHeldState(ctx context.Context, revision uint64) {
-	if a.server.opts.Replica.Status().IsLeader {
-		a.server.awaitShortly(ctx, revision)
-		return
+// before a state that has just been committed. It fails if this control VM does not
+// lead, the state is not settled, and the leader does not say that it holds it too.
+func (a *admin) awaitHeldState(ctx context.Context, held *catalogpb.DesiredStateResult) error {
+	applied := a.server.stateMachine.stateApplied.Load()
+	if applied != nil && applied.version == held.HeldVersion && a.server.now()-applied.at >= settledStateAge {
+		return nil
+	}
+	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.ReadStateRequest{KnownVersion: held.HeldVersion}, adminpb.Admin.ReadState)
+	if !forwarded {
+		a.server.awaitShortly(ctx, held.Revision)
+		return nil
 	}
-	appliedAt := time.Duration(a.server.stateMachine.stateAppliedAt.Load())
-	timer := time.NewTimer(appliedAt + shortAcceptanceWait - a.server.now())
+	if err != nil {
+		return err
+	}
+	if resp.Version < held.HeldVersion {
+		return fault.ToTwirp(fault.New(fault.NotLeader, "the leader has applied desired state %d, not yet %d", resp.Version, held.HeldVersion))
+	}
+	timer := time.NewTimer(shortAcceptanceWait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return nil
 }
 
 // proposeState commits a desired state. The proposal goes on if ctx ends first.
@@ -102,7 +119,10 @@
 			return r, nil
 		}
 		// The state in progress may have had another content.
-		return a.heldState(state.Version), nil
+		if held := a.heldState(state.Version); held != nil {
+			return held, nil
+		}
+		return nil, fault.New(fault.Internal, "desired state %d was applied but is not held", state.Version)
 	case catalog.CommandResult:
 		return nil, r.Err
 	}
--- a/internal/control/state_proposal_test.go
+++ b/internal/control/state_proposal_test.go
@@ -107,6 +107,9 @@
 		assert.Assert(t, first.Result.Applied)
 		for _, leads := range []bool{true, false} {
 			r.leads = leads
+			if !leads {
+				time.Sleep(settledStateAge)
+			}
 			for _, version := range []uint64{4, 3} {
 				resp, err := applyState(s, version)
 				assert.NilError(t, err)
@@ -123,9 +126,10 @@
 	})
 }
 
-// TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime sends a state that has just been
-// committed, and again later, to a control VM that does not lead.
-func TestHeldStateIsNotAcknowledgedBeforeGatewaysHadTime(t *testing.T) {
+// TestUnsettledStateIsNotAcknowledgedWithoutLeader sends a state that has just been
+// committed, and again later, to a control VM that does not lead. Until the state is
+// settled, the leader may not have applied it.
+func TestUnsettledStateIsNotAcknowledgedWithoutLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, r := newStubServer()
 		r.leads = false
@@ -133,13 +137,17 @@
 		data, err := proto.Marshal(&catalogpb.Command{Kind: &catalogpb.Command_PutState{PutState: stateWithRoutes(4, 3)}})
 		assert.NilError(t, err)
 		s.StateMachine().Apply(1, data)
+		_, err = applyState(s, 4)
+		assert.Equal(t, fault.FromTwirp(err, "").Kind, fault.NotLeader)
+		time.Sleep(settledStateAge)
 		start := time.Now()
 		_, err = applyState(s, 4)
 		assert.NilError(t, err)
-		assert.Equal(t, time.Since(start), shortAcceptanceWait)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		// A state whose time is not recorded yet counts as not settled.
+		s.stateMachine.stateApplied.Store(&stateChange{version: 3})
 		_, err = applyState(s, 4)
-		assert.NilError(t, err)
-		assert.Equal(t, time.Since(start), shortAcceptanceWait)
+		assert.Equal(t, fault.FromTwirp(err, "").Kind, fault.NotLeader)
 	})
 }
 
