Grant no lease on a heartbeat round from before a suspension

A leader whose VM was suspended found its last heartbeat round recent, since its monotonic clock stood still: until it heard of its successor it granted leases, and called its configuration the newest one, while the successor may have committed changes.

Now the leader compares the monotonic clock with CLOCK_BOOTTIME; rounds that were sent before a suspension count as never answered.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -48,9 +49,11 @@
 	history      *history
 	stateMachine *stateMachine
 	start        time.Time
-	events       chan queuedEvent
-	done         chan struct{}
-	states       stateProposals
+	// bootTime reads a clock that also runs while the VM is suspended.
+	bootTime func() time.Duration
+	events   chan queuedEvent
+	done     chan struct{}
+	states   stateProposals
 }
 
 // queuedEvent is an event for the loop.
@@ -75,12 +78,13 @@
 	}
 	cat := catalog.New()
 	s := &Server{
-		opts:    opts,
-		catalog: cat,
-		history: &history{},
-		start:   time.Now(),
-		events:  make(chan queuedEvent, eventQueueSize),
-		done:    make(chan struct{}),
+		opts:     opts,
+		catalog:  cat,
+		history:  &history{},
+		start:    time.Now(),
+		bootTime: boottime.Now,
+		events:   make(chan queuedEvent, eventQueueSize),
+		done:     make(chan struct{}),
 	}
 	s.stateMachine = &stateMachine{catalog: cat, history: s.history, now: s.now, changed: make(chan struct{}, 1)}
 	return s
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -27,6 +27,10 @@
 	// confirmed.
 	deferredRenewals []*renewal
 	load             loopLoad
+	// stoodStill is the time for which the monotonic clock stood still while the VM
+	// was suspended, plus the time from the boot of the VM to the start of the
+	// server; wokeAt is the time at which it was last seen to have grown.
+	stoodStill, wokeAt time.Duration
 }
 
 // leadershipConfirmation is the event that reports whether the leadership of a
@@ -37,7 +41,7 @@
 }
 
 func newLoop(ctx context.Context, s *Server, workers *conc.WaitGroup) *loop {
-	return &loop{server: s, ctx: ctx, workers: workers}
+	return &loop{server: s, ctx: ctx, workers: workers, stoodStill: s.bootTime() - s.now()}
 }
 
 func (l *loop) run(ctx context.Context) {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -260,7 +260,7 @@
 		Isolated:           t.isolated,
 		IsolatedHash:       t.isolatedHash,
 	}
-	lastQuorum := l.server.monotonic(st.LastQuorum)
+	lastQuorum := l.lastQuorum(st)
 	lease, ok := t.tracker.GrantLease(l.server.now(), r.received, lastQuorum, entryKey(req.Entry))
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
@@ -274,6 +274,30 @@
 	r.reply <- resp
 }
 
+// lastQuorum returns the time of the last heartbeat round that a quorum has
+// answered. A round from before a suspension of the VM counts as one that was never
+// answered: the monotonic clock stood still, so that it seems recent, while another
+// replica may lead by now.
+func (l *loop) lastQuorum(st Status) time.Duration {
+	at := l.server.monotonic(st.LastQuorum)
+	now := l.server.now()
+	if stoodStill := l.server.bootTime() - now; stoodStill-l.stoodStill > minSuspension {
+		l.stoodStill, l.wokeAt = stoodStill, now
+	}
+	if at < l.wokeAt {
+		return neverAnswered
+	}
+	return at
+}
+
+// minSuspension is the shortest suspension of the VM that is noticed. Readings of
+// the two clocks are taken within less time, unless the process was paused between
+// them, which is harmless.
+const minSuspension = 20 * time.Millisecond
+
+// neverAnswered is earlier than any heartbeat round.
+const neverAnswered = time.Duration(math.MinInt32) * time.Second
+
 func floorMilliseconds(d time.Duration) int32 {
 	return int32(math.Floor(float64(d) / float64(time.Millisecond)))
 }
