Give gateways no slack for retries before they are registered

Seen by upstreams: more retries from all gateways together than the retry budget allows. Gateways that start while control has no majority get a configuration from the control VM that is left and serve, but cannot be registered. Each took the number of gateways that this configuration names as the number that share the slack: with one registered gateway, seven more had the whole slack each.

TestRetriesStayWithinTheBudgetBeforeRegistration plays that with real processes (three control processes of which two are killed, one gateway before and seven after).

Now a gateway that its configuration does not name has only the retries that its own requests allow, since the others leave no room for it. Once it is named, its part of the slack grows from 0 over a window, so that gateways that are registered one after the other do not each use the large part of a small group at once.

The fixture of the forwarder's tests names its gateway in the configuration, as its calls use the slack.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -195,11 +195,12 @@
 		state:   newState("g1", "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
 		crashes: &crashRecorder{},
 	}
-	// A gateway that has just started has no slack for retries yet.
-	fx.state.started = fx.state.started.Add(-time.Minute)
 	if cfg != nil {
+		cfg.Entries = []*catalogpb.Entry{{Id: "g1"}}
 		fx.state.applyConfig(configview.New(cfg))
 	}
+	// A gateway that has just started has no slack for retries yet.
+	fx.state.started = fx.state.started.Add(-time.Minute)
 	metrics := telemetry.NewMetrics("gateway", "g1")
 	t.Cleanup(func() { _ = metrics.Close() })
 	f := newForwarder(fx.state, upstreamconn.NewPool(nil), ForwarderOptions{
--- /dev/null
+++ b/internal/gateway/retry_budget_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/retry"
+)
+
+// TestGatewayHasNoSlackBeforeItIsRegistered starts a gateway whose configuration
+// does not name it. It must have no part of the slack of the retry budgets, and
+// once it is named, a part that grows over a window.
+func TestGatewayHasNoSlackBeforeItIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+		st := newState("g1", "a", 1, limits)
+		remaining := func() float64 {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			return st.retryBudget("p").Remaining(st.now(), limits, st.retryShare)
+		}
+		cfg := newConfig()
+		cfg.Entries = []*catalogpb.Entry{{Id: "g2"}}
+		st.applyConfig(configview.New(cfg))
+		time.Sleep(time.Minute)
+		assert.Equal(t, remaining(), 0.0)
+		assert.Assert(t, !st.consumeRetry("p"))
+
+		registered := newConfig()
+		registered.Revision = cfg.Revision + 1
+		registered.Entries = []*catalogpb.Entry{{Id: "g2"}, {Id: "g1"}}
+		st.applyConfig(configview.New(registered))
+		assert.Equal(t, remaining(), 0.0)
+		time.Sleep(limits.Window / 2)
+		half := remaining()
+		assert.Assert(t, half > 0)
+		time.Sleep(time.Minute)
+		assert.Equal(t, remaining(), 2*half)
+	})
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,9 @@
 	issuer *permit.Issuer
 	// clusterAddresses holds the cluster addresses of the gateways by ID.
 	clusterAddresses map[string]string
+	// retryShare is the part that this gateway has in the slack of the retry
+	// budgets.
+	retryShare retry.Share
 }
 
 func newState(gatewayID, zone string, coldRateShare float64, limits retry.Limits) *state {
@@ -98,6 +102,7 @@
 	st.balancer.Update(st.now(), st.placementConfig(v, pools))
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
+	st.updateRetryShare(cfg)
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
@@ -209,8 +214,8 @@
 	return max(1, int(connectionFraction*float64(p.MaxConnections))/st.gatewayCount())
 }
 
-// gatewayCount returns the number of gateways that share the retry budgets and the
-// connections to an upstream.
+// gatewayCount returns the number of gateways that share the connections to an
+// upstream.
 func (st *state) gatewayCount() int {
 	if cfg := st.config.Load(); cfg != nil {
 		return max(1, len(cfg.Entries))
@@ -218,6 +223,21 @@
 	return 1
 }
 
+// updateRetryShare determines the part of this gateway in the slack of the retry
+// budgets. While the configuration does not name it, it has none: gateways that
+// start while control cannot register them would each have the part of all. st.mu
+// must be held.
+func (st *state) updateRetryShare(cfg *catalogpb.Config) {
+	if !slices.ContainsFunc(cfg.Entries, func(e *catalogpb.Entry) bool { return e.Id == st.gatewayID }) {
+		st.retryShare = retry.Share{}
+		return
+	}
+	if st.retryShare.EntryVMs == 0 {
+		st.retryShare.Since = st.now()
+	}
+	st.retryShare.EntryVMs = len(cfg.Entries)
+}
+
 // countRequest adds a request of a caller to the retry budget of the pool.
 func (st *state) countRequest(pool string) {
 	st.mu.Lock()
@@ -230,7 +250,7 @@
 func (st *state) consumeRetry(pool string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.retryBudget(pool).Take(st.now(), st.retryLimits, st.gatewayCount())
+	return st.retryBudget(pool).Take(st.now(), st.retryLimits, st.retryShare)
 }
 
 // retryBudget returns the retry budget of the pool and creates it on first use.
@@ -265,7 +285,7 @@
 	m.RequestsInFlight.Update(float64(st.balancer.InFlight(pool)))
 	m.CallsWaiting.Update(float64(st.queue(pool).waiters.Len()))
 	m.LimitedUpstreams.Update(float64(st.balancer.CountLimited(pool)))
-	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.gatewayCount()))
+	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.retryShare))
 }
 
 // typicalTimeWeight is the weight of one response in the moving average of the
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -25,6 +25,16 @@
 	Window time.Duration
 }
 
+// Share is the part that one entry VM has in the slack. The zero value is that of
+// an entry VM which the others do not know of; it has no part.
+type Share struct {
+	// EntryVMs is the number of entry VMs that share the slack, this one included.
+	EntryVMs int
+	// Since is the time since which this entry VM is one of them, but not before
+	// its process started.
+	Since time.Duration
+}
+
 const (
 	// ratioFraction is the fraction of the ratio that is used. Requests are
 	// counted on arrival at the entry VM but retries on arrival at the
@@ -41,37 +51,39 @@
 )
 
 // Budget counts the requests and retries of one service at one entry VM. The
-// zero value is ready for use at an entry VM that started at time 0. It is not
-// safe for concurrent use.
+// zero value is ready for use. It is not safe for concurrent use.
 type Budget struct {
-	// startedAt is the time at which the entry VM started.
-	startedAt time.Duration
-	requests  slidingCounter
-	retries   slidingCounter
+	requests slidingCounter
+	retries  slidingCounter
 }
 
 // RecordRequest counts a request of a caller.
 func (b *Budget) RecordRequest(now time.Duration, l Limits) { b.requests.add(now, l.Window) }
 
 // Take reports whether the budget allows one more retry, and counts it if so.
-// entryVMs is the number of entry VMs that share the slack.
-func (b *Budget) Take(now time.Duration, l Limits, entryVMs int) bool {
-	if b.Remaining(now, l, entryVMs) < 1 {
+func (b *Budget) Take(now time.Duration, l Limits, s Share) bool {
+	if b.Remaining(now, l, s) < 1 {
 		return false
 	}
 	b.retries.add(now, l.Window)
 	return true
 }
 
-// Remaining returns the number of retries that the budget allows now. It may be
-// a fraction, or negative after requests have left the window. entryVMs is the
-// number of entry VMs that share the slack.
-func (b *Budget) Remaining(now time.Duration, l Limits, entryVMs int) float64 {
-	slack := l.Slack * slackFraction / float64(max(1, entryVMs)) * min(1, float64(now-b.startedAt)/float64(l.Window))
-	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + slack
+// Remaining returns the number of retries that the budget allows now. It may be a
+// fraction, or negative after requests have left the window.
+func (b *Budget) Remaining(now time.Duration, l Limits, s Share) float64 {
+	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + s.slack(now, l)
 	return allowed - float64(b.retries.sum(now, l.Window))
 }
 
+// slack returns the part of the slack that the entry VM may use now.
+func (s Share) slack(now time.Duration, l Limits) float64 {
+	if s.EntryVMs == 0 {
+		return 0
+	}
+	return l.Slack * slackFraction / float64(s.EntryVMs) * min(1, float64(now-s.Since)/float64(l.Window))
+}
+
 // slidingCounter counts events in a sliding window that is divided into
 // buckets. It has one bucket more than the window, so that no event is dropped
 // early.
--- a/internal/testbed/retry_budget_test.go
+++ b/internal/testbed/retry_budget_test.go
@@ -155,6 +155,28 @@
 	s.checkRetries()
 }
 
+// TestRetriesStayWithinTheBudgetBeforeRegistration starts gateways while control
+// has no majority, so that none of them can be registered: they serve with a
+// configuration that does not know of them.
+func TestRetriesStayWithinTheBudgetBeforeRegistration(t *testing.T) {
+	const seed = 1
+	s := newGatewaySystem(t, 3, retrySettings)
+	s.startRecordingUpstreams(8, drawnAnswers(seed))
+	s.addGateway()
+	s.awaitGateway(0)
+	s.awaitRegistered(1)
+	s.controls[0].kill()
+	s.controls[1].kill()
+	for i := 1; i < 8; i++ {
+		s.addGateway()
+		s.awaitGateway(i)
+	}
+	stop := s.startCallers(6, "/safe/x", 100*time.Millisecond, seed)
+	time.Sleep(2 * retryWindow)
+	stop()
+	s.checkRetries()
+}
+
 const (
 	crashPath = "/safe/crash"
 	// crashContact is the time within which gateways learn of a crash, and a gateway
