Count retries when they are sent, not when they are allowed

Seen in a test of the budget alone, not at an upstream: a retry was counted when it was allowed, and may then wait for an upstream with room, at most until half of the time left. What one window allowed and what the next one allowed could so arrive within the same window.

Now a retry is reserved when it is allowed, counts when its request is sent, and is released if it is not sent. If the requests that allowed it have left the window meanwhile, the call ends with the error of its last attempt. A retry for which there was no upstream used up the budget before; now it does not (TestRetryThatIsNotSentIsReleased). The metric `retries` counts those sent.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,10 +59,12 @@
 	// sends counts the attempts, ran those in which the upstream may have run the
 	// request.
 	sends, ran int
-	searches   int
-	waited     time.Duration
-	status     int
-	upstream   string
+	// retryReserved is set while a retry is reserved that has not been sent.
+	retryReserved bool
+	searches      int
+	waited        time.Duration
+	status        int
+	upstream      string
 	// choice is the last placement decision, loadAtResponse the load header of the
 	// response.
 	choice         balance.Choice
@@ -149,6 +151,8 @@
 		return err
 	}
 	c.quarantineKey = c.fingerprint()
+	defer c.releaseRetry()
+	var failed attemptFailure
 	for {
 		if err := c.f.opts.Crashes.Blocked(c.quarantineKey); err != nil {
 			return c.finalError(err)
@@ -157,8 +161,12 @@
 		if err != nil {
 			return c.finalError(err)
 		}
-		done, failed := c.attempt(res)
-		if done {
+		if c.retryReserved && !c.sendRetry() {
+			c.f.releaseUnused(res)
+			return c.finalError(failed.err)
+		}
+		var done bool
+		if done, failed = c.attempt(res); done {
 			return nil
 		}
 		if !c.allowRetry(failed) {
@@ -167,6 +175,24 @@
 	}
 }
 
+// sendRetry counts the reserved retry as sent. It reports false if the retry
+// budget no longer allows it.
+func (c *call) sendRetry() bool {
+	c.retryReserved = false
+	if !c.f.state.sendRetry(c.pool) {
+		return false
+	}
+	c.f.opts.Metrics.Retries.Inc(1)
+	return true
+}
+
+// releaseRetry gives up a reserved retry that is not sent.
+func (c *call) releaseRetry() {
+	if c.retryReserved {
+		c.f.state.releaseRetry(c.pool)
+	}
+}
+
 // finalError returns the error for the caller. After an attempt that may have
 // run, this is the error of that attempt, since a refusal would say that the
 // request did not run.
@@ -211,7 +237,7 @@
 }
 
 // allowRetry reports whether a further attempt is allowed after a failed one,
-// and takes it from the retry budget of the pool.
+// and reserves it in the retry budget of the pool.
 func (c *call) allowRetry(failed attemptFailure) bool {
 	if failed.mayHaveRun {
 		c.unknownOutcome = failed.err
@@ -222,11 +248,8 @@
 	if c.ctx.Err() != nil || c.sends >= maxUpstreamsPerCall || !c.body.replayable() || !c.enoughTimeLeft() {
 		return false
 	}
-	if c.sends > 0 && !c.f.state.consumeRetry(c.pool) {
-		return false
-	}
-	c.f.opts.Metrics.Retries.Inc(1)
-	return true
+	c.retryReserved = c.f.state.reserveRetry(c.pool)
+	return c.retryReserved
 }
 
 // enoughTimeLeft reports whether a response can still arrive before the
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,7 @@
 		st.applyConfig(configview.New(cfg))
 		time.Sleep(time.Minute)
 		assert.Equal(t, remaining(), 0.0)
-		assert.Assert(t, !st.consumeRetry("p"))
+		assert.Assert(t, !st.reserveRetry("p"))
 
 		registered := newConfig()
 		registered.Revision = cfg.Revision + 1
@@ -43,3 +44,23 @@
 		assert.Equal(t, remaining(), 2*half)
 	})
 }
+
+// TestRetryThatIsNotSentIsReleased sends requests that their only upstream turns
+// away: none can be sent again, and none may use up the retry budget.
+func TestRetryThatIsNotSentIsReleased(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	s.respond = s.responder(503, "Balsam-Not-Run: 1\r\n", "")
+	fx := startForwarder(t, newConfig(s))
+	remaining := func() float64 {
+		fx.state.mu.Lock()
+		defer fx.state.mu.Unlock()
+		return fx.state.retryBudget("p").Remaining(fx.state.now(), fx.state.retryLimits, fx.state.retryShare)
+	}
+	before := remaining()
+	for range 5 {
+		status, _, _ := fx.call(t, http.MethodGet, "/safe/x", "")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(s.requests()), 5)
+	assert.Assert(t, remaining() >= before)
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -245,12 +245,27 @@
 	st.retryBudget(pool).RecordRequest(st.now(), st.retryLimits)
 }
 
-// consumeRetry takes one retry from the budget of the pool. It reports false if
+// reserveRetry reserves one retry in the budget of the pool. It reports false if
 // the budget is used up.
-func (st *state) consumeRetry(pool string) bool {
+func (st *state) reserveRetry(pool string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.retryBudget(pool).Take(st.now(), st.retryLimits, st.retryShare)
+	return st.retryBudget(pool).Reserve(st.now(), st.retryLimits, st.retryShare)
+}
+
+// sendRetry counts a reserved retry as sent. It reports false if the budget no
+// longer allows it.
+func (st *state) sendRetry(pool string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.retryBudget(pool).Send(st.now(), st.retryLimits, st.retryShare)
+}
+
+// releaseRetry gives up a reserved retry that is not sent.
+func (st *state) releaseRetry(pool string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.retryBudget(pool).Release()
 }
 
 // retryBudget returns the retry budget of the pool and creates it on first use.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,6 +7,9 @@
 // part of the slack. Only a fraction of both is used; ratioFraction and
 // slackFraction give the reasons.
 //
+// A retry is reserved before an upstream is sought for it and counts when it is
+// sent, since only what is sent within a window is bounded.
+//
 // The package has no clock; times are readings of the caller's monotonic clock.
 package retry
 
@@ -55,25 +58,48 @@
 type Budget struct {
 	requests slidingCounter
 	retries  slidingCounter
+	// reserved is the number of retries that were reserved and neither sent nor
+	// released.
+	reserved int
 }
 
 // RecordRequest counts a request of a caller.
 func (b *Budget) RecordRequest(now time.Duration, l Limits) { b.requests.add(now, l.Window) }
 
-// Take reports whether the budget allows one more retry, and counts it if so.
-func (b *Budget) Take(now time.Duration, l Limits, s Share) bool {
+// Reserve reports whether the budget allows one more retry, and reserves it if
+// so. Each reserved retry must be passed to Send or Release once.
+func (b *Budget) Reserve(now time.Duration, l Limits, s Share) bool {
 	if b.Remaining(now, l, s) < 1 {
 		return false
 	}
+	b.reserved++
+	return true
+}
+
+// Send counts a reserved retry as sent. It reports false, and releases the retry,
+// if the budget no longer allows it: the requests that did may have left the
+// window.
+func (b *Budget) Send(now time.Duration, l Limits, s Share) bool {
+	b.reserved--
+	if b.allowed(now, l, s)-float64(b.retries.sum(now, l.Window)) < 1 {
+		return false
+	}
 	b.retries.add(now, l.Window)
 	return true
 }
 
-// Remaining returns the number of retries that the budget allows now. It may be a
+// Release gives up a reserved retry that is not sent.
+func (b *Budget) Release() { b.reserved-- }
+
+// Remaining returns the number of retries that can be reserved now. It may be a
 // fraction, or negative after requests have left the window.
 func (b *Budget) Remaining(now time.Duration, l Limits, s Share) float64 {
-	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + s.slack(now, l)
-	return allowed - float64(b.retries.sum(now, l.Window))
+	return b.allowed(now, l, s) - float64(b.retries.sum(now, l.Window)+b.reserved)
+}
+
+// allowed returns the number of retries in the window that ends now.
+func (b *Budget) allowed(now time.Duration, l Limits, s Share) float64 {
+	return l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + s.slack(now, l)
 }
 
 // slack returns the part of the slack that the entry VM may use now.
