Open one connection to an upstream before a gateway is registered

Seen: the cause of the retries before registration, in the bound on connections. Gateways that control cannot register count the gateways in a configuration that does not name them, and each takes the part of all. In a burst at two slow upstreams eight gateways, of which the configuration names one, opened 160 connections to one of them where the pool allows 40 (TestConnectionsStayWithinTheBoundBeforeRegistration, which failed before).

Now such a gateway opens one connection to each upstream. Both bounds use one number, which is 0 while the configuration does not name the gateway.

--- a/internal/gateway/limit_sum_test.go
+++ b/internal/gateway/limit_sum_test.go
@@ -181,3 +181,26 @@
 		}
 	})
 }
+
+// TestConnectionsStayWithinTheBoundBeforeRegistration sends a burst through
+// gateways of which the configuration names only one, as while control has no
+// majority and cannot register the others.
+func TestConnectionsStayWithinTheBoundBeforeRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxConnections = 40
+		g := newGatewayGroup(t, 8, "u1", "u2")
+		g.cfg.Pools[0].MaxConnections = maxConnections
+		g.cfg.Entries = g.cfg.Entries[:1]
+		for _, f := range g.forwarders {
+			f.state.applyConfig(configview.New(g.cfg))
+		}
+		for _, u := range g.upstreams {
+			u.work = time.Second
+		}
+		results := g.sendCalls(10*time.Millisecond, 3*time.Second)
+		assert.Assert(t, results.served > 0)
+		for _, u := range g.upstreams {
+			assert.Assert(t, u.mostOpen <= maxConnections, "%d connections, the pool allows %d", u.mostOpen, maxConnections)
+		}
+	})
+}
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -23,7 +23,7 @@
 		remaining := func() float64 {
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			return st.retryBudget("p").Remaining(st.now(), limits, st.retryShare)
+			return st.retryBudget("p").Remaining(st.now(), limits, st.retryShare())
 		}
 		cfg := newConfig()
 		cfg.Entries = []*catalogpb.Entry{{Id: "g2"}}
@@ -54,7 +54,7 @@
 	remaining := func() float64 {
 		fx.state.mu.Lock()
 		defer fx.state.mu.Unlock()
-		return fx.state.retryBudget("p").Remaining(fx.state.now(), fx.state.retryLimits, fx.state.retryShare)
+		return fx.state.retryBudget("p").Remaining(fx.state.now(), fx.state.retryLimits, fx.state.retryShare())
 	}
 	before := remaining()
 	for range 5 {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,6 +26,9 @@
 	routes    atomic.Pointer[route.Table]
 	config    atomic.Pointer[catalogpb.Config]
 	pools     atomic.Pointer[map[string]*catalogpb.Pool]
+	// gatewayCount is the number of gateways that share the retry budgets and the
+	// connections to an upstream, 0 while the configuration does not name this one.
+	gatewayCount atomic.Int64
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
 	// sinceNewest returns the time for which the configuration has not been known
@@ -56,9 +59,8 @@
 	issuer *permit.Issuer
 	// clusterAddresses holds the cluster addresses of the gateways by ID.
 	clusterAddresses map[string]string
-	// retryShare is the part that this gateway has in the slack of the retry
-	// budgets.
-	retryShare retry.Share
+	// registeredAt is the time since which the configuration names this gateway.
+	registeredAt time.Duration
 }
 
 func newState(gatewayID, zone string, coldRateShare float64, limits retry.Limits) *state {
@@ -102,7 +104,7 @@
 	st.balancer.Update(st.now(), st.placementConfig(v, pools))
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
-	st.updateRetryShare(cfg)
+	st.updateGatewayCount(cfg)
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
@@ -211,31 +213,32 @@
 	if p == nil || p.MaxConnections == 0 {
 		return 0
 	}
-	return max(1, int(connectionFraction*float64(p.MaxConnections))/st.gatewayCount())
-}
-
-// gatewayCount returns the number of gateways that share the connections to an
-// upstream.
-func (st *state) gatewayCount() int {
-	if cfg := st.config.Load(); cfg != nil {
-		return max(1, len(cfg.Entries))
+	gateways := int(st.gatewayCount.Load())
+	if gateways == 0 {
+		return 1
 	}
-	return 1
+	return max(1, int(connectionFraction*float64(p.MaxConnections))/gateways)
 }
 
-// updateRetryShare determines the part of this gateway in the slack of the retry
-// budgets. While the configuration does not name it, it has none: gateways that
-// start while control cannot register them would each have the part of all. st.mu
-// must be held.
-func (st *state) updateRetryShare(cfg *catalogpb.Config) {
+// updateGatewayCount determines with how many gateways this one shares. While the
+// configuration does not name it, the others leave no room for it: of gateways that
+// start while control cannot register them, each would otherwise take the part of
+// all. st.mu must be held.
+func (st *state) updateGatewayCount(cfg *catalogpb.Config) {
 	if !slices.ContainsFunc(cfg.Entries, func(e *catalogpb.Entry) bool { return e.Id == st.gatewayID }) {
-		st.retryShare = retry.Share{}
+		st.gatewayCount.Store(0)
 		return
 	}
-	if st.retryShare.EntryVMs == 0 {
-		st.retryShare.Since = st.now()
+	if st.gatewayCount.Load() == 0 {
+		st.registeredAt = st.now()
 	}
-	st.retryShare.EntryVMs = len(cfg.Entries)
+	st.gatewayCount.Store(int64(len(cfg.Entries)))
+}
+
+// retryShare returns the part of this gateway in the slack of the retry budgets.
+// st.mu must be held.
+func (st *state) retryShare() retry.Share {
+	return retry.Share{EntryVMs: int(st.gatewayCount.Load()), Since: st.registeredAt}
 }
 
 // countRequest adds a request of a caller to the retry budget of the pool.
@@ -250,7 +253,7 @@
 func (st *state) reserveRetry(pool string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.retryBudget(pool).Reserve(st.now(), st.retryLimits, st.retryShare)
+	return st.retryBudget(pool).Reserve(st.now(), st.retryLimits, st.retryShare())
 }
 
 // sendRetry counts a reserved retry as sent. It reports false if the budget no
@@ -258,7 +261,7 @@
 func (st *state) sendRetry(pool string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.retryBudget(pool).Send(st.now(), st.retryLimits, st.retryShare)
+	return st.retryBudget(pool).Send(st.now(), st.retryLimits, st.retryShare())
 }
 
 // releaseRetry gives up a reserved retry that is not sent.
@@ -300,7 +303,7 @@
 	m.RequestsInFlight.Update(float64(st.balancer.InFlight(pool)))
 	m.CallsWaiting.Update(float64(st.queue(pool).waiters.Len()))
 	m.LimitedUpstreams.Update(float64(st.balancer.CountLimited(pool)))
-	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.retryShare))
+	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.retryShare()))
 }
 
 // typicalTimeWeight is the weight of one response in the moving average of the
