Log the retries that a budget has sent and refused

The report came without logs, and nothing in the logs of a gateway said how many retries it had sent in a second, with how many gateways it shared the slack, or that it had refused any. `retries_refused` (event 330) says so once a second for each pool whose budget refused a retry.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -300,6 +300,7 @@
 	d.updateMetrics()
 	d.forwarder.checkLimits()
 	d.state.reportLimitedLoads(d.gatewayMetrics, d.log)
+	d.state.reportRetries(d.log)
 	d.logControlState()
 }
 
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -64,3 +64,27 @@
 	assert.Equal(t, len(s.requests()), 5)
 	assert.Assert(t, remaining() >= before)
 }
+
+// TestLogTellsRetriesSentFromRefused sends requests that their upstreams turn away
+// until the retry budget is used up: those of the first two calls are sent, and
+// refused are a second one of the second call and those of the other two.
+func TestLogTellsRetriesSentFromRefused(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for _, id := range []string{"u1", "u2"} {
+		s := startFakeUpstream(t, id, nil)
+		s.respond = s.responder(503, "Balsam-Not-Run: 1\r\n", "")
+		upstreams = append(upstreams, s)
+	}
+	var logs logFile
+	fx := startForwarderWithLog(t, newConfig(upstreams...), logs.logger("gateway", "g1"))
+	fx.state.retryLimits.Slack = 5
+	for range 4 {
+		status, _, _ := fx.call(t, http.MethodGet, "/safe/x", "")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	fx.state.reportRetries(logs.logger("gateway", "g1"))
+	fx.state.reportRetries(logs.logger("gateway", "g1"))
+	lines := logs.named(t, "retries_refused")
+	assert.Equal(t, len(lines), 1)
+	assertContains(t, lines[0], "pool=p", "sent=2", "refused=3", "gateways=1")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -282,6 +284,22 @@
 	return b
 }
 
+// reportRetries logs for each pool whose retry budget has refused retries since the
+// last call what was sent and refused.
+func (st *state) reportRetries(log event.Logger) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for pool, b := range st.retryBudgets {
+		counts := b.TakeCounts()
+		if counts.Refused == 0 {
+			continue
+		}
+		share := st.retryShare()
+		log.Log(event.RetriesRefused).Str("pool", pool).Uint64("sent", uint64(counts.Sent)).Uint64("refused", uint64(counts.Refused)).
+			Str("left", strconv.FormatFloat(b.Remaining(st.now(), st.retryLimits, share), 'f', 1, 64)).Uint64("gateways", uint64(share.EntryVMs)).Send()
+	}
+}
+
 // spentBefore estimates the time that a caller has used up on earlier attempts
 // from the timeout that it states now. Callers of a route start with the same
 // timeout, so that a shorter one means an earlier refusal or failure.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -61,6 +61,14 @@
 	// reserved is the number of retries that were reserved and neither sent nor
 	// released.
 	reserved int
+	counts   Counts
+}
+
+// Counts are what a budget has done in a period.
+type Counts struct {
+	// Sent is the number of retries that were sent, Refused the number that the
+	// budget did not allow.
+	Sent, Refused int
 }
 
 // RecordRequest counts a request of a caller.
@@ -70,6 +78,7 @@
 // so. Each reserved retry must be passed to Send or Release once.
 func (b *Budget) Reserve(now time.Duration, l Limits, s Share) bool {
 	if b.Remaining(now, l, s) < 1 {
+		b.counts.Refused++
 		return false
 	}
 	b.reserved++
@@ -82,12 +91,21 @@
 func (b *Budget) Send(now time.Duration, l Limits, s Share) bool {
 	b.reserved--
 	if b.allowed(now, l, s)-float64(b.retries.sum(now, l.Window)) < 1 {
+		b.counts.Refused++
 		return false
 	}
+	b.counts.Sent++
 	b.retries.add(now, l.Window)
 	return true
 }
 
+// TakeCounts returns the counts since the last call.
+func (b *Budget) TakeCounts() Counts {
+	counts := b.counts
+	b.counts = Counts{}
+	return counts
+}
+
 // Release gives up a reserved retry that is not sent.
 func (b *Budget) Release() { b.reserved-- }
 
