--- a/internal/testbed/gateway_test.go
+++ b/internal/testbed/gateway_test.go
@@ -413,9 +413,10 @@
 	return resp.StatusCode, nil
 }
 
-// startCallers starts n callers that send requests for the path to random gateways,
-// each with the given mean pause between them, and returns a function that stops
-// them.
+// startCallers starts n callers that send requests to random gateways, each with the
+// given mean pause between them, and returns a function that stops them. The id of
+// the request is added to a path that ends in a slash; other requests are all the
+// same.
 func (s *gatewaySystem) startCallers(n int, path string, pause time.Duration, seed uint64) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -426,10 +427,14 @@
 			c := &gatewayCaller{conns: make(map[string]net.Conn)}
 			defer c.close()
 			for k := 0; ctx.Err() == nil; k++ {
-				id := fmt.Sprintf("%s-%d-%d", path, i, k)
+				id := fmt.Sprintf("%d-%d-%d", seed, i, k)
+				target := path
+				if strings.HasSuffix(path, "/") {
+					target += id
+				}
 				gateway := addresses[rng.IntN(len(addresses))]
 				s.traffic.recordSent(id, gateway)
-				status, err := c.send(gateway, path, id, "")
+				status, err := c.send(gateway, target, id, "")
 				what := strconv.Itoa(status)
 				if err != nil {
 					what = "no answer"
--- a/internal/testbed/retry_budget_test.go
+++ b/internal/testbed/retry_budget_test.go
@@ -140,7 +140,7 @@
 		s.awaitGateway(i)
 	}
 	s.awaitRegistered(len(s.entries))
-	stop := s.startCallers(10, "/safe/x", 100*time.Millisecond, seed)
+	stop := s.startCallers(10, "/safe/", 100*time.Millisecond, seed)
 	// Every gateway has its whole part of the slack before the first kill.
 	time.Sleep(retryWindow)
 	for end := time.Now().Add(2 * retryWindow); time.Now().Before(end); {
@@ -171,7 +171,7 @@
 		s.addGateway()
 		s.awaitGateway(i)
 	}
-	stop := s.startCallers(6, "/safe/x", 100*time.Millisecond, seed)
+	stop := s.startCallers(6, "/safe/", 100*time.Millisecond, seed)
 	time.Sleep(2 * retryWindow)
 	stop()
 	s.checkRetries()
@@ -204,7 +204,7 @@
 		s.awaitGateway(i)
 	}
 	s.awaitRegistered(len(s.entries))
-	stopOthers := s.startCallers(4, "/safe/x", 50*time.Millisecond, seed)
+	stopOthers := s.startCallers(4, "/safe/", 50*time.Millisecond, seed)
 	stopCrashes := s.startCallers(2, crashPath, 100*time.Millisecond, seed+1)
 	// kills holds the times at which the gateways were killed, by address.
 	kills := make(map[string][]time.Time)
