--- a/internal/testbed/gateway_test.go
+++ b/internal/testbed/gateway_test.go
@@ -125,6 +125,23 @@
 	})
 }
 
+// awaitReplicated waits until all control VMs hold what is committed.
+func (s *gatewaySystem) awaitReplicated() {
+	s.t.Helper()
+	s.askControl("replication to all control VMs", func(ctx context.Context, a adminpb.Admin) error {
+		resp, err := a.GetStatus(ctx, &adminpb.GetStatusRequest{})
+		if err != nil {
+			return err
+		}
+		for _, m := range resp.Members {
+			if m.MatchIndex < resp.CommitIndex {
+				return fmt.Errorf("replica %d holds %d of %d entries", m.Member.ReplicaId, m.MatchIndex, resp.CommitIndex)
+			}
+		}
+		return nil
+	})
+}
+
 // upstreamAnswer is what an upstream does with a request.
 type upstreamAnswer int
 
--- a/internal/testbed/retry_budget_test.go
+++ b/internal/testbed/retry_budget_test.go
@@ -143,8 +143,10 @@
 	stop := s.startCallers(10, "/safe/", 100*time.Millisecond, seed)
 	// Every gateway has its whole part of the slack before the first kill.
 	time.Sleep(retryWindow)
+	kills := 0
 	for end := time.Now().Add(2 * retryWindow); time.Now().Before(end); {
 		for i, p := range s.entries {
+			kills++
 			p.kill()
 			p.start()
 			s.awaitGateway(i)
@@ -152,6 +154,7 @@
 		}
 	}
 	stop()
+	t.Logf("%d kills in %s", kills, 2*retryWindow)
 	s.checkRetries()
 }
 
@@ -165,6 +168,7 @@
 	s.addGateway()
 	s.awaitGateway(0)
 	s.awaitRegistered(1)
+	s.awaitReplicated()
 	s.controls[0].kill()
 	s.controls[1].kill()
 	for i := 1; i < 8; i++ {
