--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -49,6 +49,7 @@
 	UpstreamsLost   = Event{320, "upstreams_lost", zerolog.WarnLevel, "this gateway has no way to any upstream", "check the network of this VM to the upstreams"}
 	UpstreamsBack   = Event{321, "upstreams_back", zerolog.InfoLevel, "this gateway reaches upstreams again", ""}
 	RelayFailed     = Event{322, "relay_failed", zerolog.WarnLevel, "a call that this gateway relayed to another one got no response of an upstream", "see the error field and the log of the other gateway"}
+	RetriesRefused  = Event{330, "retries_refused", zerolog.WarnLevel, "the retry budget refused retries in the last second; gateways is the number that share its slack, 0 while control has not registered this one", "look for the reason of the failed attempts"}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
 	RequestSuspect  = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
 	RequestHeldOff  = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined after it repeatedly broke connections to upstreams", "examine the request; release it with the admin command"}
@@ -65,7 +66,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -366,7 +366,7 @@
 	counted := 0.0
 	for _, g := range gateways {
 		g.state.mu.Lock()
-		counted += g.state.retryBudget("p").Remaining(g.state.now(), limits, 2)
+		counted += g.state.retryBudget("p").Remaining(g.state.now(), limits, retry.Share{EntryVMs: 2})
 		g.state.mu.Unlock()
 	}
 	// The budget uses a part of the ratio.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -27,6 +30,9 @@
 	pools     atomic.Pointer[map[string]*catalogpb.Pool]
 	// reachTargets are the upstreams that show whether the gateway reaches any.
 	reachTargets atomic.Pointer[reachTargets]
+	// gatewayCount is the number of gateways that share the retry budgets and the
+	// connections to an upstream, 0 while the configuration does not name this one.
+	gatewayCount atomic.Int64
 	// reachable reports whether control has recently heard from a gateway.
 	reachable func(entry string) bool
 	// sinceNewest returns the time for which the configuration has not been known
@@ -60,6 +66,8 @@
 	issuer *permit.Issuer
 	// clusterAddresses holds the cluster addresses of the gateways by ID.
 	clusterAddresses map[string]string
+	// registeredAt is the time since which the configuration names this gateway.
+	registeredAt time.Duration
 }
 
 func newState(gatewayID, zone string, coldRateShare float64, limits retry.Limits) *state {
@@ -107,6 +115,7 @@
 	st.balancer.Update(st.now(), placement)
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
+	st.updateGatewayCount(cfg)
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
@@ -227,16 +236,32 @@
 	if p == nil || p.MaxConnections == 0 {
 		return 0
 	}
-	return max(1, int(connectionFraction*float64(p.MaxConnections))/st.gatewayCount())
+	gateways := int(st.gatewayCount.Load())
+	if gateways == 0 {
+		return 1
+	}
+	return max(1, int(connectionFraction*float64(p.MaxConnections))/gateways)
 }
 
-// gatewayCount returns the number of gateways that share the retry budgets and the
-// connections to an upstream.
-func (st *state) gatewayCount() int {
-	if cfg := st.config.Load(); cfg != nil {
-		return max(1, len(cfg.Entries))
+// updateGatewayCount determines with how many gateways this one shares. While the
+// configuration does not name it, the others leave no room for it: of gateways that
+// start while control cannot register them, each would otherwise take the part of
+// all. st.mu must be held.
+func (st *state) updateGatewayCount(cfg *catalogpb.Config) {
+	if !slices.ContainsFunc(cfg.Entries, func(e *catalogpb.Entry) bool { return e.Id == st.gatewayID }) {
+		st.gatewayCount.Store(0)
+		return
+	}
+	if st.gatewayCount.Load() == 0 {
+		st.registeredAt = st.now()
 	}
-	return 1
+	st.gatewayCount.Store(int64(len(cfg.Entries)))
+}
+
+// retryShare returns the part of this gateway in the slack of the retry budgets.
+// st.mu must be held.
+func (st *state) retryShare() retry.Share {
+	return retry.Share{EntryVMs: int(st.gatewayCount.Load()), Since: st.registeredAt}
 }
 
 // countRequest adds a request of a caller to the retry budget of the pool.
@@ -246,12 +271,27 @@
 	st.retryBudget(pool).RecordRequest(st.now(), st.retryLimits)
 }
 
-// consumeRetry takes one retry from the budget of the pool. It reports false if
+// reserveRetry reserves one retry in the budget of the pool. It reports false if
 // the budget is used up.
-func (st *state) consumeRetry(pool string) bool {
+func (st *state) reserveRetry(pool string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.retryBudget(pool).Take(st.now(), st.retryLimits, st.gatewayCount())
+	return st.retryBudget(pool).Reserve(st.now(), st.retryLimits, st.retryShare())
+}
+
+// sendRetry counts a reserved retry as sent. It reports false if the budget no
+// longer allows it.
+func (st *state) sendRetry(pool string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.retryBudget(pool).Send(st.now(), st.retryLimits, st.retryShare())
+}
+
+// releaseRetry gives up a reserved retry that is not sent.
+func (st *state) releaseRetry(pool string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.retryBudget(pool).Release()
 }
 
 // retryBudget returns the retry budget of the pool and creates it on first use.
@@ -265,6 +305,22 @@
 	return b
 }
 
+// reportRetries logs for each pool whose retry budget has refused retries since the
+// last call what was sent and refused.
+func (st *state) reportRetries(log event.Logger) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for pool, b := range st.retryBudgets {
+		counts := b.TakeCounts()
+		if counts.Refused == 0 {
+			continue
+		}
+		share := st.retryShare()
+		log.Log(event.RetriesRefused).Str("pool", pool).Uint64("sent", uint64(counts.Sent)).Uint64("refused", uint64(counts.Refused)).
+			Str("left", strconv.FormatFloat(b.Remaining(st.now(), st.retryLimits, share), 'f', 1, 64)).Uint64("gateways", uint64(share.EntryVMs)).Send()
+	}
+}
+
 // spentBefore estimates the time that a caller has used up on earlier attempts
 // from the timeout that it states now. Callers of a route start with the same
 // timeout, so that a shorter one means an earlier refusal or failure.
@@ -286,7 +342,7 @@
 	m.RequestsInFlight.Update(float64(st.balancer.InFlight(pool)))
 	m.CallsWaiting.Update(float64(st.queue(pool).waiters.Len()))
 	m.LimitedUpstreams.Update(float64(st.balancer.CountLimited(pool)))
-	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.gatewayCount()))
+	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.retryShare()))
 }
 
 // typicalTimeWeight is the weight of one response in the moving average of the
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,6 +7,9 @@
 // part of the slack. Only a fraction of both is used; ratioFraction and
 // slackFraction give the reasons.
 //
+// A retry is reserved before an upstream is sought for it and counts when it is
+// sent, since only what is sent within a window is bounded.
+//
 // The package has no clock; times are readings of the caller's monotonic clock.
 package retry
 
@@ -25,6 +28,16 @@
 	Window time.Duration
 }
 
+// Share is the part that one entry VM has in the slack. The zero value is that of
+// an entry VM which the others do not know of; it has no part.
+type Share struct {
+	// EntryVMs is the number of entry VMs that share the slack, this one included.
+	EntryVMs int
+	// Since is the time since which this entry VM is one of them, but not before
+	// its process started.
+	Since time.Duration
+}
+
 const (
 	// ratioFraction is the fraction of the ratio that is used. Requests are
 	// counted on arrival at the entry VM but retries on arrival at the
@@ -41,35 +54,78 @@
 )
 
 // Budget counts the requests and retries of one service at one entry VM. The
-// zero value is ready for use at an entry VM that started at time 0. It is not
-// safe for concurrent use.
+// zero value is ready for use. It is not safe for concurrent use.
 type Budget struct {
-	// startedAt is the time at which the entry VM started.
-	startedAt time.Duration
-	requests  slidingCounter
-	retries   slidingCounter
+	requests slidingCounter
+	retries  slidingCounter
+	// reserved is the number of retries that were reserved and neither sent nor
+	// released.
+	reserved int
+	counts   Counts
+}
+
+// Counts are what a budget has done in a period.
+type Counts struct {
+	// Sent is the number of retries that were sent, Refused the number that the
+	// budget did not allow.
+	Sent, Refused int
 }
 
 // RecordRequest counts a request of a caller.
 func (b *Budget) RecordRequest(now time.Duration, l Limits) { b.requests.add(now, l.Window) }
 
-// Take reports whether the budget allows one more retry, and counts it if so.
-// entryVMs is the number of entry VMs that share the slack.
-func (b *Budget) Take(now time.Duration, l Limits, entryVMs int) bool {
-	if b.Remaining(now, l, entryVMs) < 1 {
+// Reserve reports whether the budget allows one more retry, and reserves it if
+// so. Each reserved retry must be passed to Send or Release once.
+func (b *Budget) Reserve(now time.Duration, l Limits, s Share) bool {
+	if b.Remaining(now, l, s) < 1 {
+		b.counts.Refused++
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// Send counts a reserved retry as sent. It reports false, and releases the retry,
+// if the budget no longer allows it: the requests that did may have left the
+// window.
+func (b *Budget) Send(now time.Duration, l Limits, s Share) bool {
+	b.reserved--
+	if b.allowed(now, l, s)-float64(b.retries.sum(now, l.Window)) < 1 {
+		b.counts.Refused++
 		return false
 	}
+	b.counts.Sent++
 	b.retries.add(now, l.Window)
 	return true
 }
 
-// Remaining returns the number of retries that the budget allows now. It may be
-// a fraction, or negative after requests have left the window. entryVMs is the
-// number of entry VMs that share the slack.
-func (b *Budget) Remaining(now time.Duration, l Limits, entryVMs int) float64 {
-	slack := l.Slack * slackFraction / float64(max(1, entryVMs)) * min(1, float64(now-b.startedAt)/float64(l.Window))
-	allowed := l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + slack
-	return allowed - float64(b.retries.sum(now, l.Window))
+// TakeCounts returns the counts since the last call.
+func (b *Budget) TakeCounts() Counts {
+	counts := b.counts
+	b.counts = Counts{}
+	return counts
+}
+
+// Release gives up a reserved retry that is not sent.
+func (b *Budget) Release() { b.reserved-- }
+
+// Remaining returns the number of retries that can be reserved now. It may be a
+// fraction, or negative after requests have left the window.
+func (b *Budget) Remaining(now time.Duration, l Limits, s Share) float64 {
+	return b.allowed(now, l, s) - float64(b.retries.sum(now, l.Window)+b.reserved)
+}
+
+// allowed returns the number of retries in the window that ends now.
+func (b *Budget) allowed(now time.Duration, l Limits, s Share) float64 {
+	return l.Ratio*ratioFraction*float64(b.requests.sum(now, l.Window)) + s.slack(now, l)
+}
+
+// slack returns the part of the slack that the entry VM may use now.
+func (s Share) slack(now time.Duration, l Limits) float64 {
+	if s.EntryVMs == 0 {
+		return 0
+	}
+	return l.Slack * slackFraction / float64(s.EntryVMs) * min(1, float64(now-s.Since)/float64(l.Window))
 }
 
 // slidingCounter counts events in a sliding window that is divided into
