Send nothing more to an upstream that says it is leaving

Seen: an upstream that says in every answer that it is leaving went on getting requests and load probes for as long as control listed it as ready.

Cause: gateways learnt of a departure from control alone. One that is out of touch, or gets the announcement late, sent on.

Now an answer that says so is enough, whatever kind it is: a success, an error, a refusal, an interim answer, one that breaks off after its head, the answer to a load probe or to housekeeping. internal/notice holds the fact for one start of an upstream (ID and start time), so that its address, its pool, an older configuration and an absence of up to an hour change nothing; a later start gets requests. It is checked in the choice, before each probe, before a freed slot is given to a waiting call, and once more right before a reserved request is sent. When all upstreams of a pool leave, calls are refused at once, waiting ones too. A value other than 1 says nothing and is logged (notice_invalid).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -16,6 +16,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // Load is the load that an upstream reports.
@@ -108,6 +110,8 @@
 	// usual ones of the same routes.
 	relativeLatency float64
 	limit           rateLimit
+	// notice is what the upstream has said of itself, nil if nothing.
+	notice *notice.Status
 	// permitAfter is the time before which no permit is expected.
 	permitAfter time.Duration
 	// limitedRequests and limitedProbes count what was sent since the last call
@@ -122,6 +126,9 @@
 	upstreams   map[string]*upstream
 	pools       map[string][]*upstream
 	closedZones map[string]bool
+	// notices holds what upstreams have said of themselves, also of those that the
+	// configuration no longer holds.
+	notices *notice.Notices
 }
 
 // NewBalancer returns a Balancer without upstreams for an entry VM in the given
@@ -131,6 +138,7 @@
 		zone:      zone,
 		upstreams: make(map[string]*upstream),
 		pools:     make(map[string][]*upstream),
+		notices:   notice.New(),
 	}
 }
 
@@ -155,20 +163,27 @@
 			u.coldUntil = max(u.coldUntil, now+d.ColdFor)
 		}
 		u.Upstream = d
+		u.notice = b.notices.Find(d.start())
 		next[d.ID] = u
 		b.pools[d.Pool] = append(b.pools[d.Pool], u)
 	}
 	b.upstreams = next
 	b.closedZones = cfg.ClosedZones
+	b.notices.Retain(now, func(s notice.Start) bool {
+		u := next[s.ID]
+		return u != nil && u.Started == s.Started
+	})
 }
 
-// acceptsWork reports whether the upstream may get new requests: it is not
-// draining and its zone is open.
-func (b *Balancer) acceptsWork(u *upstream) bool { return !u.Draining && !b.closedZones[u.Zone] }
+// acceptsWork reports whether the upstream may get new requests, perhaps after a
+// pause: it is not draining, its zone is open, and it has not said that it is
+// leaving.
+func (b *Balancer) acceptsWork(u *upstream) bool { return b.configured(u) && !u.notice.Leaving() }
 
 // Candidates returns up to n upstreams of the pool to probe, best rank first.
 // jitter returns a random number in [0, 1) that varies the order among similar
-// upstreams. Upstreams in exclude and those that name a rate limit are left out.
+// upstreams. Upstreams in exclude, those that pause and those that name a rate
+// limit are left out.
 // Those in backoff or cold start come last, so that they are probed only when
 // nothing better is left.
 func (b *Balancer) Candidates(now time.Duration, pool string, exclude []string, n int, jitter func() float64) []Upstream {
@@ -178,7 +193,7 @@
 	}
 	list := make([]ranked, 0, len(b.pools[pool]))
 	for _, u := range b.pools[pool] {
-		if !b.acceptsWork(u) || u.limit.Named || slices.Contains(exclude, u.ID) {
+		if !b.acceptsWork(u) || u.limit.Named || !u.notice.AdmitsProbe(now, len(u.inFlight)) || slices.Contains(exclude, u.ID) {
 			continue
 		}
 		list = append(list, ranked{u, b.rank(now, u) + jitter()*rankJitter})
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -56,7 +56,7 @@
 // usableWithPermit is usable for a request with a permit, which an upstream that
 // names a rate limit needs.
 func (b *Balancer) usableWithPermit(now time.Duration, u *upstream) bool {
-	return b.acceptsWork(u) && now >= u.coldUntil && u.loadKnown
+	return b.acceptsWork(u) && u.notice.AdmitsRequest(now, len(u.inFlight)) && now >= u.coldUntil && u.loadKnown
 }
 
 // Requirements are what a request demands of its upstream.
@@ -122,7 +122,7 @@
 func (b *Balancer) ColdCandidate(now time.Duration, ids []string) (Upstream, bool) {
 	for _, id := range ids {
 		u := b.upstreams[id]
-		if u != nil && b.coldWithRoom(u) && now < u.coldUntil && now >= u.permitAfter {
+		if u != nil && b.coldWithRoom(now, u) && now < u.coldUntil && now >= u.permitAfter {
 			return u.Upstream, true
 		}
 	}
@@ -131,30 +131,30 @@
 
 // coldWithRoom reports whether the upstream may be sent a request with a permit
 // for its cold start.
-func (b *Balancer) coldWithRoom(u *upstream) bool {
-	return b.acceptsWork(u) && !u.limit.Named && u.loadKnown && u.load.Running < u.load.Slots
+func (b *Balancer) coldWithRoom(now time.Duration, u *upstream) bool {
+	return b.acceptsWork(u) && u.notice.AdmitsRequest(now, len(u.inFlight)) && !u.limit.Named && u.loadKnown && u.load.Running < u.load.Slots
 }
 
 // ChooseCold selects the given upstream, for which a permit has been taken, unless
 // it has no free slot any more.
 func (b *Balancer) ChooseCold(now time.Duration, id string) Choice {
 	u := b.upstreams[id]
-	if u == nil || !b.coldWithRoom(u) {
+	if u == nil || !b.coldWithRoom(now, u) {
 		return Choice{Outcome: Unavailable}
 	}
 	return Choice{Selected, u.Upstream, b.cost(u, 0), u.load, now - u.loadTime, now}
 }
 
 // CountUpstreams returns the number of upstreams of the pool that accept new
-// requests (open) and how many of these are in neither cold start nor backoff
-// (ready).
+// requests (open) and how many of these are in neither cold start nor backoff and
+// do not pause (ready).
 func (b *Balancer) CountUpstreams(now time.Duration, pool string) (open, ready int) {
 	for _, u := range b.pools[pool] {
 		if !b.acceptsWork(u) {
 			continue
 		}
 		open++
-		if now >= u.coldUntil && now >= u.backoffUntil {
+		if now >= u.coldUntil && now >= u.backoffUntil && !u.notice.Paused(now) {
 			ready++
 		}
 	}
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -119,7 +119,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range b.pools[pool] {
-		if !u.limit.Named || !b.acceptsWork(u) || now < max(u.permitAfter, u.coldUntil, u.backoffUntil) || slices.Contains(exclude, u.ID) {
+		if !u.limit.Named || !b.acceptsWork(u) || !u.notice.AdmitsProbe(now, len(u.inFlight)) || now < max(u.permitAfter, u.coldUntil, u.backoffUntil) || slices.Contains(exclude, u.ID) {
 			continue
 		}
 		if rank := b.rank(now, u) + jitter()*rankJitter; best == nil || rank < lowest {
@@ -143,12 +143,12 @@
 // PermitWait returns the time until a permit may be available for some upstream
 // of the pool that is not in exclude, after ahead other requests have got one. A
 // request takes units of the rate limits. It reports false if there is an upstream
-// that needs no permit, or no upstream at all.
+// that needs no permit, or no upstream at all; those that pause do not count.
 func (b *Balancer) PermitWait(now time.Duration, pool string, exclude []string, ahead, units int) (time.Duration, bool) {
 	var open []*upstream
 	perSecond := 0.0
 	for _, u := range b.pools[pool] {
-		if !b.acceptsWork(u) || slices.Contains(exclude, u.ID) {
+		if !b.acceptsWork(u) || u.notice.Paused(now) || slices.Contains(exclude, u.ID) {
 			continue
 		}
 		if !u.limit.Named {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,9 +88,12 @@
 // the system.
 var contextEvents = []event.Event{
 	event.Started, event.Stopping, event.BecameLeader, event.LostLeadership, event.ConfigAdopted, event.StateApplied,
-	event.ZoneSet, event.UpstreamState, event.UpstreamHeld, event.ControlLost, event.ControlRegained, event.RequestHeldOff,
+	event.ZoneSet, event.UpstreamState, event.UpstreamHeld, event.UpstreamLeaving, event.ControlLost, event.ControlRegained, event.RequestHeldOff,
 }
 
+// excludingEvents are the contextEvents by which a gateway sends an upstream nothing.
+var excludingEvents = []event.Event{event.UpstreamHeld, event.UpstreamLeaving}
+
 // Timeline returns the lines of the request, and the relevant state changes from
 // ContextPeriod before the first of them to ContextPeriod after the last, in order
 // of time. It is empty if there is no line of the request.
@@ -143,12 +146,13 @@
 	if !slices.ContainsFunc(contextEvents, func(e event.Event) bool { return e.Number == l.Event }) {
 		return false
 	}
-	if l.Event == event.UpstreamState.Number || l.Event == event.UpstreamHeld.Number {
+	excluded := slices.ContainsFunc(excludingEvents, func(e event.Event) bool { return e.Number == l.Event })
+	if l.Event == event.UpstreamState.Number || excluded {
 		name, _ := l.Fields["upstream"].(string)
 		pool, _ := l.Fields["pool"].(string)
 		// An upstream that the gateway of the request excluded explains why the
 		// request found no free upstream.
-		return involved[name] || l.Event == event.UpstreamHeld.Number && involved[pool] && involved[l.Process]
+		return involved[name] || excluded && involved[pool] && involved[l.Process]
 	}
 	role, _ := l.Fields["role"].(string)
 	return involved[l.Process] || role == "control"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,7 @@
 		return false, c.connectionFailed(u, x.MayHaveRun, err)
 	}
 	resp := x.Response
+	c.f.recordNotice(u, answerHead{source: fromCall, request: c.id, status: resp.StatusCode, header: resp.Header})
 	if c.notRun(resp) {
 		c.f.recordLimit(u, balance.RefusedAnswer, resp)
 		return false, c.refusedByUpstream(u, res.conn, x)
@@ -100,6 +101,7 @@
 		MatchesResponse: func(h http.Header) bool {
 			return id == "" || h.Get(names.RequestID) == id
 		},
+		OnInterim: c.f.onInterim(u, fromInterim, id),
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,10 +59,13 @@
 	// sends counts the attempts, ran those in which the upstream may have run the
 	// request.
 	sends, ran int
-	searches   int
-	waited     time.Duration
-	status     int
-	upstream   string
+	// withheld counts the reservations that were not used, as the upstream had begun
+	// to leave or to pause.
+	withheld int
+	searches int
+	waited   time.Duration
+	status   int
+	upstream string
 	// choice is the last placement decision, loadAtResponse the load header of the
 	// response.
 	choice         balance.Choice
@@ -141,6 +144,9 @@
 		if err != nil {
 			return c.finalError(err)
 		}
+		if !c.confirm(res) {
+			continue
+		}
 		done, failed := c.attempt(res)
 		if done {
 			return nil
@@ -298,8 +304,10 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
+	leaving, _ := st.balancer.CountNotices(st.now(), c.pool)
 	line.Uint64("upstreams_open", uint64(open)).Uint64("upstreams_ready", uint64(ready)).
 		Uint64("upstreams_limited", uint64(st.balancer.CountLimited(c.pool))).
+		Uint64("upstreams_leaving", uint64(leaving)).
 		Uint64("calls_waiting", uint64(st.queue(c.pool).waiters.Len())).
 		Uint64("sent_in_flight", uint64(st.balancer.InFlight(c.pool)))
 }
@@ -325,6 +333,9 @@
 		line.Str("load_at_choice", fmt.Sprint(c.choice.Load)).Uint64("load_age_us", uint64(c.choice.LoadAge.Microseconds())).
 			Str("load_at_answer", c.loadAtResponse)
 	}
+	if c.withheld > 0 {
+		line.Uint64("withheld", uint64(c.withheld))
+	}
 	if c.route != nil {
 		line.Str("route", c.route.Name)
 	}
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -39,11 +39,47 @@
 	mu    sync.Mutex
 	limit string
 	cold  bool
+	// respond, if it is not nil, may write the answer to a request or a probe.
+	respond func(conn net.Conn, r *http.Request) answered
 	// work is the time that a request takes.
 	work time.Duration
 	// open is the number of open connections, mostOpen the highest so far.
 	open, mostOpen int
 	arrived        []arrival
+	conns          []net.Conn
+}
+
+// startedConn is a connection that names the start of the gateway that opened it.
+type startedConn struct {
+	net.Conn
+	gatewayStart string
+}
+
+// kill closes all connections of the upstream.
+func (u *limitedUpstream) kill() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		_ = c.Close()
+	}
+}
+
+// answered says what a function has done with a request.
+type answered int
+
+const (
+	// notAnswered leaves the usual answer to the upstream.
+	notAnswered answered = iota
+	// keptOpen and broken mean that the function has written all that is to be
+	// written, and whether the connection is kept.
+	keptOpen
+	broken
+)
+
+func (u *limitedUpstream) setRespond(respond func(conn net.Conn, r *http.Request) answered) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.respond = respond
 }
 
 func (u *limitedUpstream) setLimit(limit string) {
@@ -80,6 +116,9 @@
 func (u *limitedUpstream) serve(conn net.Conn, gateway string) {
 	u.countConnection(1)
 	defer u.countConnection(-1)
+	u.mu.Lock()
+	u.conns = append(u.conns, conn)
+	u.mu.Unlock()
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -89,9 +128,17 @@
 		}
 		at := time.Since(u.start)
 		u.mu.Lock()
-		limit, cold := u.limit, u.cold
+		id, limit, cold, respond := u.id, u.limit, u.cold, u.respond
 		u.arrived = append(u.arrived, arrival{at, gateway, r.URL.Path == "/health"})
 		u.mu.Unlock()
+		if respond != nil {
+			switch respond(conn, r) {
+			case keptOpen:
+				continue
+			case broken:
+				return
+			}
+		}
 		header := ""
 		if limit != "" {
 			header = "Balsam-Limit: " + limit + "\r\n"
@@ -103,7 +150,7 @@
 			time.Sleep(u.work)
 			header += "Balsam-Request-Id: " + r.Header.Get("Balsam-Request-Id") + "\r\n"
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: 0 0 100 100\r\n%sContent-Length: 0\r\n\r\n", u.id, header)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: 0 0 100 100\r\n%sContent-Length: 0\r\n\r\n", id, header)
 	}
 }
 
@@ -120,12 +167,14 @@
 	// cut off from control, by ID.
 	stopped, cut map[string]time.Time
 	conns        []net.Conn
+	// starts counts the starts of each gateway by its ID.
+	starts map[string]int
 }
 
 // newGatewayGroup returns n gateways and the upstreams with the given IDs.
 func newGatewayGroup(t *testing.T, n int, upstreams ...string) *gatewayGroup {
 	t.Helper()
-	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig(), stopped: make(map[string]time.Time), cut: make(map[string]time.Time)}
+	g := &gatewayGroup{upstreams: make(map[string]*limitedUpstream), cfg: newConfig(), stopped: make(map[string]time.Time), cut: make(map[string]time.Time), starts: make(map[string]int)}
 	for _, id := range upstreams {
 		g.upstreams[id+":1"] = &limitedUpstream{id: id, start: time.Now(), work: 20 * time.Millisecond}
 		g.cfg.Upstreams = append(g.cfg.Upstreams, &catalogpb.Upstream{
@@ -157,12 +206,16 @@
 	st.applyConfig(configview.New(g.cfg))
 	metrics := telemetry.NewMetrics("gateway", id)
 	t.Cleanup(func() { _ = metrics.Close() })
+	g.mu.Lock()
+	g.starts[id]++
+	gatewayStart := fmt.Sprint(id, "#", g.starts[id])
+	g.mu.Unlock()
 	dial := func(_ context.Context, address string) (net.Conn, error) {
 		near, far := net.Pipe()
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.conns = append(g.conns, near)
-		go g.upstreams[address].serve(far, id)
+		go g.upstreams[address].serve(startedConn{far, gatewayStart}, id)
 		return near, nil
 	}
 	return newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"balsamcourse.example/balsamcourse/internal/balance"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // Headers holds the names of the HTTP headers that gateways exchange with
@@ -31,6 +32,8 @@
 	// Limit carries the number of requests per second that the upstream takes from
 	// all gateways together. Responses without it name no limit.
 	Limit string
+	// Leaving carries the value 1 in all answers of an upstream that is leaving.
+	Leaving string
 	// ParseLoad parses the value of Load; it reports false if the value is invalid.
 	ParseLoad func(value string) (balance.Load, bool)
 }
@@ -47,6 +50,7 @@
 		NotRun:         "Balsam-Not-Run",
 		ServedBy:       "Balsam-Upstream",
 		Limit:          "Balsam-Limit",
+		Leaving:        notice.HeaderLeaving,
 		ParseLoad:      parseLoad,
 	}
 }
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/balance"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
+)
+
+// errWithheld means that a probe was not sent, as the upstream is leaving or wants
+// no more requests now.
+var errWithheld = errors.New("the upstream is leaving or has asked for a pause")
+
+// answerHead is the head of an answer of an upstream. request is the ID of the
+// call, "" for a probe; source names the kind of answer in log lines.
+type answerHead struct {
+	source, request string
+	status          int
+	header          http.Header
+}
+
+// recordNotice records what the answer says of the upstream itself: that it is
+// leaving, or wants no requests for some time. An answer of another upstream at
+// the address says nothing.
+func (f *Forwarder) recordNotice(u balance.Upstream, a answerHead) {
+	if a.status == http.StatusMisdirectedRequest {
+		return
+	}
+	names := f.opts.Headers
+	if values := a.header.Values(names.Leaving); len(values) > 0 {
+		leaving, invalid := notice.ParseLeaving(values)
+		f.logInvalidNotice(u, a, names.Leaving, invalid)
+		if leaving {
+			f.recordLeaving(u, a)
+		}
+	}
+}
+
+func (f *Forwarder) recordLeaving(u balance.Upstream, a answerHead) {
+	st := f.state
+	st.mu.Lock()
+	isNew := st.balancer.RecordLeaving(u)
+	if isNew {
+		st.dismissPaused(u.Pool)
+	}
+	st.mu.Unlock()
+	if isNew {
+		f.opts.Events.Log(event.UpstreamLeaving).Str("upstream", u.ID).Str("pool", u.Pool).Uint64("started_ms", u.Started).
+			Str("source", a.source).Str("answer_to", a.request).Uint64("status", uint64(a.status)).Send()
+	}
+}
+
+// logInvalidNotice logs a value that is not followed, unless it is the last one of
+// the upstream.
+func (f *Forwarder) logInvalidNotice(u balance.Upstream, a answerHead, header, value string) {
+	if value == "" {
+		return
+	}
+	f.state.mu.Lock()
+	changed := f.state.balancer.RecordInvalidNotice(u, value)
+	f.state.mu.Unlock()
+	if changed {
+		f.opts.Events.Log(event.NoticeInvalid).Str("upstream", u.ID).Str("pool", u.Pool).Str("source", a.source).
+			Str("answer_to", a.request).Str("header", header).Str("value", value).Send()
+	}
+}
+
+// onInterim returns the function that records what interim answers (status 1xx)
+// to the request with the given ID, "" for a probe, say of the upstream.
+func (f *Forwarder) onInterim(u balance.Upstream, source, request string) func(int, http.Header) {
+	return func(status int, h http.Header) {
+		if id := h.Get(f.opts.Headers.RequestID); id == "" || id == request {
+			f.recordNotice(u, answerHead{source: source, request: request, status: status, header: h})
+		}
+	}
+}
+
+// Sources of notices in log lines.
+const (
+	fromCall    = "call"
+	fromProbe   = "probe"
+	fromInterim = "interim"
+)
+
+// beginProbe counts a probe as in flight until said is passed to endProbe. It
+// reports false if none may be sent to the upstream now.
+func (st *state) beginProbe(u balance.Upstream) (said *notice.Status, ok bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.balancer.BeginProbe(st.now(), u)
+}
+
+func (st *state) endProbe(said *notice.Status) {
+	if said == nil {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	said.EndProbe()
+}
+
+// accepts reports whether the upstream may be sent something now: it may have said
+// that it is leaving, or asked for a pause, since it was chosen.
+func (st *state) accepts(u balance.Upstream) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.balancer.Notice(u).Open(st.now())
+}
+
+// confirm reports whether the reservation may still be used. It releases one that
+// may not.
+func (c *call) confirm(res reservation) bool {
+	u := res.choice.Upstream
+	st := c.f.state
+	st.mu.Lock()
+	said := st.balancer.Notice(u)
+	open := said.Open(st.now())
+	st.mu.Unlock()
+	if open {
+		return true
+	}
+	c.f.releaseUnused(res)
+	c.withheld++
+	c.f.opts.Metrics.Pool(u.Pool).WithheldLeaving.Inc(1)
+	return false
+}
+
+// closedByNotices reports whether all upstreams of the pool are leaving or pause.
+// st.mu must be held.
+func (st *state) closedByNotices(now time.Duration, pool string) bool {
+	_, _, closed := st.balancer.PauseWait(now, pool)
+	return closed
+}
+
+// refusedByNotices returns the refusal of a call to a pool all of whose upstreams
+// are leaving or pause.
+func (c *call) refusedByNotices() error {
+	st := c.f.state
+	st.mu.Lock()
+	now := st.now()
+	leaving, _ := st.balancer.CountNotices(now, c.pool)
+	st.mu.Unlock()
+	c.f.opts.Metrics.Pool(c.pool).WithheldLeaving.Inc(1)
+	return fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "pool %q: all %d upstreams are leaving", c.pool, leaving)
+}
+
+// dismissPaused removes all calls from the queue of the pool if all its upstreams
+// are leaving or pause. st.mu must be held.
+func (st *state) dismissPaused(pool string) {
+	if !st.closedByNotices(st.now(), pool) {
+		return
+	}
+	q := st.queue(pool)
+	for _, id := range q.waiters.RemoveAll(func(balance.Waiter) bool { return true }) {
+		q.reservations[id] <- reservation{closed: true}
+		delete(q.reservations, id)
+	}
+}
+
+// isWithheld reports whether a probe failed only because it was not sent.
+func isWithheld(err error) bool { return errors.Is(err, errWithheld) }
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -209,7 +209,7 @@
 	for _, id := range st.issuer.LimitedUpstreams() {
 		u, known := st.balancer.Find(id)
 		limit := st.balancer.Limit(id)
-		if known && limit.Named && st.issuer.TakeCheck(now, id, limit.PerSecond, limit.At) {
+		if known && limit.Named && st.balancer.Notice(u).Open(now) && st.issuer.TakeCheck(now, id, limit.PerSecond, limit.At) {
 			due = append(due, u)
 		}
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -43,6 +43,8 @@
 type reservation struct {
 	choice balance.Choice
 	conn   *upstreamconn.Conn
+	// closed is set if there is none because all upstreams leave or pause.
+	closed bool
 }
 
 // probe asks the candidates for their load in parallel and reserves the best
@@ -141,12 +143,17 @@
 // probeOne asks one upstream for its load and records the result or the
 // failure.
 func (f *Forwarder) probeOne(ctx context.Context, c balance.Upstream) probeOutcome {
+	said, ok := f.state.beginProbe(c)
+	if !ok {
+		return probeOutcome{candidate: c, err: errWithheld}
+	}
+	defer f.state.endProbe(said)
 	probedAt := f.state.now()
 	conn, result, err := f.fetchLoad(ctx, c)
 	st := f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if errors.Is(err, upstreamconn.ErrTooManyConnections) {
+	if errors.Is(err, upstreamconn.ErrTooManyConnections) || isWithheld(err) {
 		return probeOutcome{candidate: c, err: err}
 	}
 	st.balancer.RecordProbeSent(c.ID)
@@ -170,7 +177,7 @@
 		return nil, balance.ProbeResult{}, err
 	}
 	result, err := f.fetchLoadOn(ctx, conn, c)
-	if err == nil || !conn.Reused || ctx.Err() != nil {
+	if err == nil || !conn.Reused || ctx.Err() != nil || isWithheld(err) {
 		return conn, result, err
 	}
 	if conn, err = f.conns.Open(ctx, c.Address, maxOpen); err != nil {
@@ -183,6 +190,10 @@
 // fetchLoadOn sends the health request on conn. The response must carry no
 // request ID: one that does answers an earlier request.
 func (f *Forwarder) fetchLoadOn(ctx context.Context, conn *upstreamconn.Conn, c balance.Upstream) (balance.ProbeResult, error) {
+	if !f.state.accepts(c) {
+		f.conns.Release(conn, nil)
+		return balance.ProbeResult{}, errWithheld
+	}
 	stop := conn.InterruptOnDone(ctx)
 	defer stop()
 	names := f.opts.Headers
@@ -192,10 +203,14 @@
 		Host:            c.Address,
 		Header:          http.Header{names.ExpectUpstream: {c.ID}},
 		MatchesResponse: func(h http.Header) bool { return h.Get(names.RequestID) == "" },
+		OnInterim:       f.onInterim(c, fromProbe, ""),
 	})
 	if err != nil {
 		return balance.ProbeResult{}, err
 	}
+	if !wrongUpstreamID(x.Response.Header.Get(names.UpstreamID), c.ID) {
+		f.recordNotice(c, answerHead{source: fromProbe, status: x.Response.StatusCode, header: x.Response.Header})
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxHealthBody)); err != nil {
 		conn.Close()
 		return balance.ProbeResult{}, err
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -109,7 +109,11 @@
 	st := c.f.state
 	st.mu.Lock()
 	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
+	closed := st.closedByNotices(st.now(), c.pool)
 	st.mu.Unlock()
+	if closed {
+		return c.refusedByNotices()
+	}
 	return fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "pool %q: %d upstreams accept work, %d of them are ready, %d were tried", c.pool, open, ready, len(c.avoid))
 }
 
@@ -166,6 +170,10 @@
 	st.mu.Lock()
 	now := st.now()
 	q := st.queue(c.pool)
+	if st.closedByNotices(now, c.pool) {
+		st.mu.Unlock()
+		return reservation{}, c.refusedByNotices()
+	}
 	work := st.typicalTimes[c.route.Name]
 	startBy := now + c.maxWait(work)
 	if permitWait, late := st.permitTooLate(now, c.pool, c.avoid, q.waiters.Len(), startBy); late {
@@ -230,6 +238,9 @@
 // checkReservation returns the reservation that a queued call has received, or the
 // refusal if it has received one without a connection.
 func (c *call) checkReservation(res reservation) (reservation, error) {
+	if res.closed {
+		return reservation{}, c.refusedByNotices()
+	}
 	if res.conn == nil {
 		wait, _ := c.permitWait()
 		return reservation{}, c.rateLimited(wait)
@@ -306,10 +317,12 @@
 }
 
 // dismissRateLimited removes from the queue of the pool the calls that can only be
-// sent with a permit and for which none is expected in time.
+// sent with a permit and for which none is expected in time, and all calls if all
+// upstreams leave or pause.
 func (st *state) dismissRateLimited(pool string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.dismissPaused(pool)
 	now := st.now()
 	q := st.queue(pool)
 	kept := 0
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -40,6 +40,8 @@
 		{"upstreams_limited", gauge, "gateway", "pool", "upstreams that accept requests and name the request rate that they take from all gateways together"},
 		{"limited_requests", counter, "gateway", "pool", "requests that this gateway has sent to upstreams while they named a request rate"},
 		{"limited_probes", counter, "gateway", "pool", "load probes that this gateway has sent to upstreams while they named a request rate"},
+		{"upstreams_leaving", gauge, "gateway", "pool", "upstreams that have said in an answer that they are leaving, while the configuration lets them get requests"},
+		{"calls_withheld_leaving", counter, "gateway", "pool", "calls refused, or moved to another upstream right before they were sent, as upstreams are leaving"},
 		{"upstream_requests_in_flight", gauge, "gateway", "pool", "requests of this gateway in flight at upstreams"},
 		{"permit_seconds", histogram, "gateway", "", "time until another gateway answered a request for a permit, which an upstream needs that names a request rate or is cold"},
 		{"retries", counter, "gateway, entry", "", "attempts after the first one of a call"},
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -64,6 +64,12 @@
 	// sent to them.
 	LimitedUpstreams               tally.Gauge
 	LimitedRequests, LimitedProbes tally.Counter
+	// LeavingUpstreams is the number of upstreams that have said in an answer that
+	// they are leaving.
+	LeavingUpstreams tally.Gauge
+	// WithheldLeaving counts calls that were refused, or moved to another upstream
+	// right before they were sent, for this reason.
+	WithheldLeaving tally.Counter
 }
 
 // NewGatewayMetrics creates the metrics of a gateway in scope s.
@@ -136,6 +142,8 @@
 			LimitedUpstreams: s.Gauge("upstreams_limited"),
 			LimitedRequests:  s.Counter("limited_requests"),
 			LimitedProbes:    s.Counter("limited_probes"),
+			LeavingUpstreams: s.Gauge("upstreams_leaving"),
+			WithheldLeaving:  s.Counter("calls_withheld_leaving"),
 		}
 		m.pools[name] = p
 	}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -76,6 +76,9 @@
 	// MatchesResponse reports whether a response with this header belongs to the
 	// request; nil accepts every response.
 	MatchesResponse func(http.Header) bool
+	// OnInterim is called with the status and header of each interim response
+	// (status 1xx); nil means that nothing is called.
+	OnInterim func(status int, h http.Header)
 }
 
 // Exchange is one request and its response.
@@ -180,7 +183,7 @@
 func (c *Conn) receive(x *Exchange, r *Request, sendErr error) error {
 	sent := &http.Request{Method: r.Method}
 	for range maxUnmatchedResponses {
-		resp, err := c.readFinal(sent)
+		resp, err := c.readFinal(sent, r.OnInterim)
 		if err != nil {
 			if sendErr != nil {
 				return sendErr
@@ -202,8 +205,9 @@
 	return ErrNoMatchingResponse
 }
 
-// readFinal reads a response and skips interim ones (status 1xx).
-func (c *Conn) readFinal(sent *http.Request) (*http.Response, error) {
+// readFinal reads a response. It skips interim ones (status 1xx), with which it
+// calls onInterim unless that is nil.
+func (c *Conn) readFinal(sent *http.Request, onInterim func(int, http.Header)) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, sent)
 		if err != nil {
@@ -212,6 +216,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if onInterim != nil {
+			onInterim(resp.StatusCode, resp.Header)
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("upstream switched protocols without being asked to")
 		}
