Refuse calls at once while all upstreams of a pool leave or pause, until when

Seen: with all upstreams of a pool paused, calls were told to come back long before the first pause ended: after 10 ms where 3 s were left, and after 158 ms where 4.9 s were left.

Cause: Retry-After came from the queue, which knows no pauses, and was cut to a part of the time that the caller has left.

Now such calls, waiting ones too, are refused at once (upstreams_paused, not run). Retry-After is the time to the end of the first pause, plus a random part of half of it and half a target, so that callers come back one after the other to an upstream that takes few requests at first; it is not cut, as nothing can be sent before.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -37,6 +37,7 @@
 	NoDispatcher      Kind = "no_dispatcher"
 	QueueFull         Kind = "queue_full"
 	RateLimited       Kind = "rate_limited"
+	UpstreamsPaused   Kind = "upstreams_paused"
 	DeadlineTooShort  Kind = "deadline_too_short"
 	Overloaded        Kind = "overloaded"
 	Leaving           Kind = "leaving"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -50,6 +50,7 @@
 	NoDispatcher:      {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "no dispatcher of the service answers"},
 	QueueFull:         {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the queue of the cell is full"},
 	RateLimited:       {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "every upstream of the service names a request rate that is used up"},
+	UpstreamsPaused:   {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "every upstream of the service has asked for a pause or is leaving"},
 	DeadlineTooShort:  {http.StatusServiceUnavailable, twirp.DeadlineExceeded, NotRun, retryShort, ExitUnavailable, "no slot is expected before the deadline"},
 	Overloaded:        {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "this entry VM has reached its own limit"},
 	Leaving:           {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retrySoon, ExitUnavailable, "this entry VM is stopping; ask another one"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,15 +136,16 @@
 }
 
 // shedRetryAfter returns the Retry-After for a request that an upstream has
-// shed. While no call waits for the pool or for a permit, other upstreams probably have room and
-// only the retry budget kept the request from them, so that the caller may come
-// back at once.
+// shed. While no call waits for the pool or for a permit, and not all upstreams
+// leave or pause, other upstreams probably have room and only the retry budget kept
+// the request from them, so that the caller may come back at once.
 func (c *call) shedRetryAfter() time.Duration {
 	st := c.f.state
 	st.mu.Lock()
 	waiting := st.queue(c.pool).waiters.Len()
+	closed := st.closedByNotices(st.now(), c.pool)
 	st.mu.Unlock()
-	if _, limited := c.permitWait(); limited || waiting > 0 {
+	if _, limited := c.permitWait(); limited || closed || waiting > 0 {
 		return c.retryAfter(0)
 	}
 	return minRetryAfter
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/route"
 )
@@ -173,11 +174,15 @@
 // retryAfter returns the time after which the caller should try again: the
 // predicted wait plus jitter, so that refused callers do not return together,
 // and at most 30 % of the time left to the deadline, since callers wait for a
-// third of their time. While all upstreams name a rate limit, the time is not cut,
-// as nothing can be sent before the next permit.
+// third of their time. While all upstreams name a rate limit, or leave or pause,
+// the time is not cut, as nothing can be sent before the next permit or the end of
+// a pause.
 func (c *call) retryAfter(predicted time.Duration) time.Duration {
 	left := time.Until(c.deadline)
 	pause := predicted + time.Duration((0.5+rand.Float64())*float64(c.route.TargetLatency)/2)
+	if wait, paused := c.pauseWait(); paused {
+		return notice.RetryAfter(wait, c.route.TargetLatency/2, rand.Float64())
+	}
 	if wait, limited := c.permitWait(); limited {
 		return max(minRetryAfter, pause, wait)
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -67,6 +67,9 @@
 	st.mu.Lock()
 	now := st.now()
 	until, isNew := st.balancer.RecordPause(now, u, pause)
+	if isNew {
+		st.dismissPaused(u.Pool)
+	}
 	st.mu.Unlock()
 	if isNew {
 		f.opts.Events.Log(event.UpstreamPaused).Str("upstream", u.ID).Str("pool", u.Pool).Uint64("started_ms", u.Started).
@@ -155,6 +158,17 @@
 	return false
 }
 
+// pauseWait returns the time until the first pause of an upstream of the pool
+// ends. It reports false unless all of them are leaving or pause and at least one
+// pauses.
+func (c *call) pauseWait() (time.Duration, bool) {
+	st := c.f.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	wait, paused, _ := st.balancer.PauseWait(st.now(), c.pool)
+	return wait, paused > 0
+}
+
 // resuming reports whether an upstream that the call may be sent to takes few
 // requests at a time after a pause.
 func (c *call) resuming() bool {
@@ -177,6 +191,7 @@
 	st := c.f.state
 	st.mu.Lock()
 	now := st.now()
+	wait, _, _ := st.balancer.PauseWait(now, c.pool)
 	leaving, paused := st.balancer.CountNotices(now, c.pool)
 	st.mu.Unlock()
 	pool := c.f.opts.Metrics.Pool(c.pool)
@@ -185,7 +200,7 @@
 		return fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "pool %q: all %d upstreams are leaving", c.pool, leaving)
 	}
 	pool.WithheldPaused.Inc(1)
-	return fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "pool %q: %d upstreams have asked for a pause, and %d are leaving", c.pool, paused, leaving)
+	return fault.NewRetryable(fault.UpstreamsPaused, c.retryAfter(0), "pool %q: %d upstreams have asked for a pause, the first one for %s more, and %d are leaving", c.pool, paused, wait, leaving)
 }
 
 // dismissPaused removes all calls from the queue of the pool if all its upstreams
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -165,6 +166,45 @@
 	})
 }
 
+// TestCallsAreRefusedAtOnceWhileAllUpstreamsPause lets all upstreams pause, one
+// for longer. Calls must be refused at once, with a time after the end of the
+// shorter pause that differs between calls and at which a call is served.
+func TestCallsAreRefusedAtOnceWhileAllUpstreamsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGatewayGroup(t, 1, "u1", "u2")
+		f := g.forwarders[0]
+		for id, value := range map[string]string{"u1": "2", "u2": "60"} {
+			f.recordNotice(balance.Upstream{ID: id, Pool: "p"}, answerHead{source: fromCall, status: 503, header: http.Header{"Retry-After": {value}}})
+		}
+		end := time.Now().Add(2 * time.Second)
+		told := make(map[time.Duration]bool)
+		var comeBack []time.Time
+		for range 20 {
+			w := g.callOnce(f)
+			assert.Equal(t, w.Code, 503)
+			assert.Equal(t, w.Header().Get("Balsam-Fault"), "upstreams_paused")
+			assert.Equal(t, w.Header().Get("Balsam-Run"), "not run")
+			seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			after := time.Duration(seconds * float64(time.Second))
+			assert.Assert(t, !time.Now().Add(after).Before(end), "told to come back after %s, %s before the end", after, time.Until(end))
+			assert.Assert(t, after <= 2*time.Until(end)+time.Second, "told to come back after %s, %s before the end", after, time.Until(end))
+			told[after] = true
+			comeBack = append(comeBack, time.Now().Add(after))
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, len(told) > 10, "%d different times", len(told))
+		var calls sync.WaitGroup
+		for _, at := range comeBack {
+			calls.Go(func() {
+				time.Sleep(time.Until(at))
+				assert.Check(t, g.callOnce(f).Code == 200)
+			})
+		}
+		calls.Wait()
+	})
+}
+
 // callOnce sends one call to the gateway.
 func (g *gatewayGroup) callOnce(f *Forwarder) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodGet, "/safe/x", nil)
@@ -175,6 +215,44 @@
 	return w
 }
 
+// TestRefusalByOnlyUpstreamNamesEndOfItsPause calls the only upstream, which turns
+// the request away for 3 s. The caller must not be told to come back before.
+func TestRefusalByOnlyUpstreamNamesEndOfItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGatewayGroup(t, 1, "u1")
+		g.upstreams["u1:1"].say(refusal, "Retry-After: 3\r\n")
+		w := g.callOnce(g.forwarders[0])
+		assert.Equal(t, w.Code, 503)
+		seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= 3, "told to come back after %v s", seconds)
+	})
+}
+
+// TestWaitingCallsAreRefusedWhenLastUpstreamPauses fills the only upstream and
+// lets it answer the running request with a pause.
+func TestWaitingCallsAreRefusedWhenLastUpstreamPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGatewayGroup(t, 1, "u1")
+		u := g.upstreams["u1:1"]
+		u.setRespond(func(conn net.Conn, r *http.Request) answered {
+			if r.URL.Path == "/health" {
+				requests, _ := u.arrivals(0, u.now()+1)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: u1\r\nBalsam-Load: %d 0 1 100\r\n%s", requests, answerEnd)
+				return keptOpen
+			}
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprintf(conn, refusal.format, "r1", "Retry-After: 5\r\n")
+			return keptOpen
+		})
+		results := g.sendCalls(10*time.Millisecond, 90*time.Millisecond)
+		assert.Equal(t, results.served, 0)
+		slowest := results.refusalTimes[len(results.refusalTimes)-1]
+		assert.Assert(t, slowest <= 110*time.Millisecond, "a call was refused after %s", slowest)
+		assert.Assert(t, results.shortestRetryAfter >= 4900*time.Millisecond, "told to come back after %s", results.shortestRetryAfter)
+	})
+}
+
 // TestHousekeepingSendsNothingToPausedUpstream lets an upstream with a rate limit
 // pause; the issuer of its permits must not probe it meanwhile.
 func TestHousekeepingSendsNothingToPausedUpstream(t *testing.T) {
@@ -225,7 +303,7 @@
 		assert.Equal(t, len(paused), 1)
 		assertContains(t, paused[0], "upstream=u1", "pool=p", "source=call", "answer_to=r1", "pause_ms=2500", "until=")
 		events := logs.eventsOf(t, "r1")
-		assertContains(t, events["call_ended"], "upstreams_paused=1", "1 upstreams have asked for a pause")
+		assertContains(t, events["call_ended"], "upstreams_paused", "upstreams_paused=1", "1 upstreams have asked for a pause")
 		assertContains(t, events["upstream_paused"], "upstream=u1")
 	})
 }
