Entry VMs and dispatchers follow what upstreams say of themselves

Seen: on the product's own interface an upstream that says in its answers that it is leaving, or turns requests away for some time, went on getting grants.

Cause: as in gateways, only announcements counted.

Now an entry VM reads both from the heads of all answers, interim ones included, by the decisions of internal/notice, uses no grant of such an upstream (it asks for another one, without a charge to the retry budget), and tells the dispatcher with the release of the slot, which carries two more fields. In the cell, a start that leaves drains, as if it had announced so, and a later announcement of the same start changes nothing. A pause binds all entry VMs (docs/DESIGN.md says why); no grant and no probe before its end, then one request at first. Calls are refused at once while all upstreams of a cell pause. The Retry-After of a shed answer is read in the same place as all others, with fractions.

The stand-in upstream of the test bed can leave and pause, and counts what it did not want; load experiment has both as faults (leave, pause). It no longer adds Retry-After: 1 to each request that it sheds when its queue is full: that is now a request for a pause of a second, which a full queue does not mean.

Evidence: with the dispatcher told nothing, TestUpstreamThatSaysItLeavesGetsNoGrant fails (a grant for a refusal); with the check before sending taken out, TestGrantIsNotUsedAfterUpstreamHasSaidThatItLeaves (5 requests for 1; 10 for 1 with a pause) and TestCallIsRefusedIfOnlyLeavingUpstreamsAreGranted (200 for 503); with the pause left out of the release, TestDispatcherLearnsWhatUpstreamHasSaidToOtherEntryVM.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -43,7 +43,7 @@
 		[]string{settings.PolicyRandom, settings.PolicyP2C, settings.PolicyP2CShared, settings.PolicyCell}, "policies to compare")
 	f.Float64SliceVar(&o.plan.Loads, "loads", []float64{0.5, 0.7, 0.85, 0.95}, "request loads as fractions of all slots")
 	f.Float64Var(&o.plan.FaultLoad, "fault-load", 0.85, "request load of the runs with faults or heavy-tailed service times")
-	f.StringSliceVar(&o.faults, "faults", []string{"straggler", "cold", "failfast", "stall", "drain", "zone"}, "faults to inject")
+	f.StringSliceVar(&o.faults, "faults", []string{"straggler", "cold", "failfast", "stall", "drain", "zone"}, "faults to inject: straggler, cold, failfast, stall, drain, leave, pause, zone")
 	f.BoolVar(&o.plan.HeavyTailed, "heavy", true, "add runs with heavy-tailed service times")
 	f.DurationVar(&o.plan.Duration, "duration", 15*time.Second, "duration of one run, warm-up included")
 	f.DurationVar(&o.plan.Warmup, "warmup", 3*time.Second, "time at the start of each run that is excluded from the results")
--- a/internal/dispatch/cell.go
+++ b/internal/dispatch/cell.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // Cell dispatches requests to the upstreams of one service in one availability
@@ -46,6 +47,10 @@
 	// drained holds upstreams that were removed after draining, so that late
 	// announcements do not add them again.
 	drained map[string]drainedUpstream
+	// notices holds what upstreams have said of themselves in their answers.
+	notices *notice.Notices
+	// noticesCheckedAt is when absent upstreams were last looked for in notices.
+	noticesCheckedAt time.Duration
 	// meanDeviation is the moving mean of the absolute deviation of logarithmic
 	// service times from their reference.
 	meanDeviation float64
@@ -84,6 +89,7 @@
 		priorLimits:       make(map[string]UpstreamLimit),
 		probes:            make(map[uint64]*upstream),
 		drained:           make(map[string]drainedUpstream),
+		notices:           notice.New(),
 		meanDeviation:     initialDeviation,
 	}
 	c.handover = newHandover(cfg.TicketHolders)
@@ -202,6 +208,9 @@
 	case !c.handover.allowsGrants(c.now) && !c.overrides.noHandoverWait:
 		return fault.NoDispatcher
 	case c.capacity() == 0:
+		if _, paused := c.pauseWait(); paused {
+			return fault.UpstreamsPaused
+		}
 		return fault.NoUpstream
 	}
 	return ""
@@ -255,9 +264,14 @@
 }
 
 // refuse answers a request with kind. If retryAfter is zero, it is derived from
-// the expected wait.
+// the end of the first pause if all upstreams pause, otherwise from the expected
+// wait.
 func (c *Cell) refuse(k RequestKey, kind fault.Kind, retryAfter time.Duration) {
 	wait := c.expectedWait()
+	if kind == fault.UpstreamsPaused {
+		left, _ := c.pauseWait()
+		retryAfter = notice.RetryAfter(left, minRetryAfter, c.rng.Float64())
+	}
 	if retryAfter == 0 {
 		retryAfter = min(max(wait, minRetryAfter), maxRetryAfter)
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -5,6 +5,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 )
 
@@ -73,6 +74,8 @@
 	Key         RequestKey
 	Outcome     clusterpb.Outcome
 	ServiceTime time.Duration
+	// Notice is what the upstream has said of itself.
+	Notice notice.Notice
 }
 
 // HeldTicket is a ticket granted in an earlier epoch whose request has not
@@ -119,6 +122,8 @@
 	OK bool
 	// Elapsed is the duration of the probe.
 	Elapsed time.Duration
+	// Notice is what the upstream has said of itself in its answer.
+	Notice notice.Notice
 }
 
 // AssignmentAccepted reports that the assignment of the cell to this dispatcher
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -40,7 +40,7 @@
 	first := c.rng.IntN(n)
 	for i := range n {
 		u := c.upstreams[(first+i)%n]
-		if u.freeSlots() == 0 || !c.isGrantable(u) || slices.Contains(w.avoid, u.id) {
+		if u.freeSlots() == 0 || !c.isGrantable(u) || !u.notice.AdmitsRequest(c.now, u.inFlight) || slices.Contains(w.avoid, u.id) {
 			continue
 		}
 		if cost := c.cost(u); best == nil || cost < bestCost {
@@ -79,7 +79,7 @@
 func (c *Cell) freeSlots() int {
 	n := 0
 	for _, u := range c.upstreams {
-		if c.isGrantable(u) {
+		if c.isGrantable(u) && u.notice.AdmitsRequest(c.now, u.inFlight) {
 			n += u.freeSlots()
 		}
 	}
@@ -90,7 +90,7 @@
 func (c *Cell) capacity() int {
 	n := 0
 	for _, u := range c.upstreams {
-		if c.isGrantable(u) {
+		if c.isGrantable(u) && u.notice.Open(c.now) {
 			n += u.limit
 		}
 	}
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -13,8 +13,9 @@
 
 // probeState is the schedule of probes of one ejected upstream.
 type probeState struct {
-	// id is that of the running probe, or 0.
-	id uint64
+	// id is that of the running probe, or 0, and incarnation that of the upstream
+	// when it began.
+	id, incarnation uint64
 	// deadline is the time at which the running probe counts as failed.
 	deadline time.Duration
 	nextAt   time.Duration
@@ -85,7 +86,7 @@
 	if p.id != 0 && c.now >= p.deadline {
 		c.endProbe(u, false)
 	}
-	if u.state != stateEjected || p.id != 0 || c.now < p.nextAt || u.inFlight >= c.coldLimit(u) {
+	if u.state != stateEjected || p.id != 0 || !u.notice.AdmitsProbe(c.now, u.inFlight) || c.now < p.nextAt || u.inFlight >= c.coldLimit(u) {
 		return
 	}
 	if !c.cfg.ProbeEnabled {
@@ -97,7 +98,7 @@
 		return
 	}
 	c.lastProbeID++
-	p.id = c.lastProbeID
+	p.id, p.incarnation = c.lastProbeID, u.incarnation
 	p.deadline = c.now + timeout + ticketExpiryGrace
 	c.probes[p.id] = u
 	u.inFlight++
@@ -111,7 +112,9 @@
 	}
 	timeout := probeTimeoutFactor * c.cfg.ProbeCost
 	c.probeBudget.refund(timeout - min(max(0, e.Elapsed), timeout))
+	incarnation := u.probe.incarnation
 	c.endProbe(u, e.OK && e.Elapsed <= maxProbeTimeFactor*c.cfg.ProbeCost)
+	c.observeNotice(u.id, incarnation, e.Notice)
 }
 
 // endProbe returns an ejected upstream to service as a cold one if the probe
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -9,15 +9,17 @@
 
 // ticket is a slot of an upstream granted to a request.
 type ticket struct {
-	upstream  string
-	grantedAt time.Duration
-	deadline  time.Duration
+	upstream string
+	// incarnation is that of the upstream, 0 if it is not known.
+	incarnation uint64
+	grantedAt   time.Duration
+	deadline    time.Duration
 	// inherited is set on re-registered tickets of an earlier epoch.
 	inherited bool
 }
 
 func (c *Cell) grant(w *waiter, u *upstream) {
-	t := &ticket{upstream: u.id, grantedAt: c.now, deadline: w.deadline}
+	t := &ticket{upstream: u.id, incarnation: u.incarnation, grantedAt: c.now, deadline: w.deadline}
 	c.tickets[w.key] = t
 	u.inFlight++
 	c.sendGrant(w.key, u)
@@ -27,7 +29,7 @@
 // or refuses if the upstream may not receive new requests any more.
 func (c *Cell) resendGrant(k RequestKey, t *ticket) {
 	u := c.upstream(t.upstream)
-	if u == nil || t.inherited || u.limit == 0 || !c.cfg.ZoneOpen {
+	if u == nil || t.inherited || u.limit == 0 || !u.notice.Open(c.now) || !c.cfg.ZoneOpen {
 		c.refuse(k, fault.NoUpstream, minRetryAfter)
 		return
 	}
@@ -49,8 +51,12 @@
 		return
 	}
 	c.removeTicket(e.Key, t)
+	c.observeNotice(t.upstream, t.incarnation, e.Notice)
 	if u := c.upstream(t.upstream); u != nil {
 		c.observeRelease(u, t, e)
+		if e.Outcome == clusterpb.Outcome_OUTCOME_OK {
+			u.notice.RecordAnswer(c.now, u.slots)
+		}
 	}
 }
 
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamcourse.example/balsamcourse/charts"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 )
 
@@ -78,6 +79,8 @@
 	lastSampleAt time.Duration
 	failures     failureStats
 	probe        probeState
+	// notice is what this start of the upstream has said of itself, nil if nothing.
+	notice *notice.Status
 }
 
 // freeSlots returns the number of further requests that the upstream may run.
@@ -114,6 +117,7 @@
 	if e.Incarnation > u.incarnation {
 		u.incarnation = e.Incarnation
 		u.reportedState = e.State
+		u.notice = c.notices.Find(u.start())
 		c.applyChartEvent(u, eventRestarted)
 	}
 	u.address = e.Address
@@ -134,10 +138,15 @@
 	c.setSlots(u, e.Slots)
 	i, _ := c.upstreamIndex(e.ID)
 	c.upstreams = slices.Insert(c.upstreams, i, u)
+	u.notice = c.notices.Find(u.start())
 	if e.State == ReportedDraining {
 		c.applyReportedState(u, e.State)
 		return
 	}
+	if u.notice.Leaving() {
+		c.applyChartEvent(u, eventDrain)
+		return
+	}
 	c.applyChartEvent(u, eventAdmittedCold)
 	c.adoptPriorLimit(u)
 }
@@ -303,6 +312,7 @@
 			delete(c.drained, id)
 		}
 	}
+	c.checkNotices()
 	c.probeBudget.accrue(c.now, c.probeBudgetRate())
 	running := c.runningTimes()
 	for _, u := range slices.Clone(c.upstreams) {
--- a/internal/dispatchserver/probe.go
+++ b/internal/dispatchserver/probe.go
@@ -8,6 +8,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/dispatch"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // maxProbeBody is the largest number of bytes read from a probe's response body.
@@ -26,25 +27,25 @@
 	key, url := c.key, "http://"+p.Address+c.probePath
 	s.wg.Go(func() {
 		started := time.Now()
-		ok := s.probe(url, p.Timeout)
-		s.post(message{key: key, event: dispatch.ProbeDone{ID: p.ID, OK: ok, Elapsed: time.Since(started)}})
+		ok, said := s.probe(url, p.Timeout)
+		s.post(message{key: key, event: dispatch.ProbeDone{ID: p.ID, OK: ok, Elapsed: time.Since(started), Notice: said}})
 	})
 }
 
 // probe reports whether a GET of url succeeds within the timeout. Every status
-// below 500 is a success.
-func (s *Server) probe(url string, timeout time.Duration) bool {
+// below 500 is a success. It also returns what the upstream says of itself.
+func (s *Server) probe(url string, timeout time.Duration) (ok bool, said notice.Notice) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return false, said
 	}
 	resp, err := s.opts.ProbeClient.Do(req)
 	if err != nil {
-		return false
+		return false, said
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBody))
-	return err == nil && resp.StatusCode < http.StatusInternalServerError
+	return err == nil && resp.StatusCode < http.StatusInternalServerError, notice.FromAnswer(resp.StatusCode, resp.Header, time.Now())
 }
--- a/internal/dispatchserver/service.go
+++ b/internal/dispatchserver/service.go
@@ -8,6 +8,7 @@
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/dispatch"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // service implements the Twirp service Dispatch on top of a Server.
@@ -48,7 +49,10 @@
 	for _, rel := range r.Releases {
 		key := dispatch.RequestKey{Entry: r.Entry, Incarnation: r.Incarnation, ID: rel.Ticket}
 		serviceTime := time.Duration(rel.ServiceTimeUs) * time.Microsecond
-		ev := dispatch.Release{Key: key, Outcome: rel.Outcome, ServiceTime: serviceTime}
+		ev := dispatch.Release{
+			Key: key, Outcome: rel.Outcome, ServiceTime: serviceTime,
+			Notice: notice.Notice{Leaving: rel.Leaving, Pause: millis(rel.PauseMs)},
+		}
 		if !svc.s.Release(cellKey(rel.Cell), ev) {
 			return nil, fault.ToTwirp(fault.New(fault.NoDispatcher, "this entry VM does not dispatch the cell"))
 		}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -25,6 +25,11 @@
 	ShortStalls Fault = "stall"
 	// Draining makes upstreams drain for 2 s and then restart cold.
 	Draining Fault = "drain"
+	// Leaving makes upstreams say in their answers, and nowhere else, that they are
+	// leaving, for 2 s before they restart cold.
+	Leaving Fault = "leave"
+	// Pausing makes upstreams turn requests away with a pause of 2 s.
+	Pausing Fault = "pause"
 	// ZoneOutage takes an availability zone out of service and returns it
 	// after 3 s with cold upstreams.
 	ZoneOutage Fault = "zone"
@@ -84,6 +89,11 @@
 	case Draining:
 		u.Drain()
 		defer u.Restart()
+	case Leaving:
+		u.Leave()
+		defer u.Restart()
+	case Pausing:
+		u.Pause(faultDuration)
 	}
 	sleep(ctx, faultDuration)
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -53,8 +53,11 @@
 	SlotLosses int64 `json:"cuts"`
 	// Overloads counts requests that reached an upstream with all slots in
 	// use.
-	Overloads int64       `json:"overloads"`
-	Report    load.Report `json:"report"`
+	Overloads int64 `json:"overloads"`
+	// Unwanted counts requests that reached an upstream after it had said that it
+	// leaves, or during a pause that it had asked for.
+	Unwanted int64       `json:"unwanted"`
+	Report   load.Report `json:"report"`
 }
 
 // Run executes the plan and writes a Markdown table to out, with one row for
@@ -146,6 +149,7 @@
 		u.PeakColdInFlight.Store(0)
 		u.ColdLimitBreaches.Store(0)
 		u.Overloads.Store(0)
+		u.Unwanted.Store(0)
 		u.Probes.Store(0)
 	}
 	before := s.network.upstreamConnections.Load()
@@ -197,6 +201,7 @@
 		r.PeakColdInFlight = max(r.PeakColdInFlight, u.PeakColdInFlight.Load())
 		r.ColdLimitBreaches += u.ColdLimitBreaches.Load()
 		r.Overloads += u.Overloads.Load()
+		r.Unwanted += u.Unwanted.Load()
 	}
 	r.ProbeShare = float64(time.Duration(probes)*probeCost) / float64(slotTime)
 	r.ConnectShare = float64(time.Duration(connections)*connectionCost) / float64(slotTime)
@@ -204,15 +209,15 @@
 }
 
 func printHeader(out io.Writer) {
-	fmt.Fprintln(out, "| deployment | times | load | fault | policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput/s | refused | failed | probes % | connects % | cold peak | cold breaches | over slots | cuts |")
-	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(out, "| deployment | times | load | fault | policy | p50 ms | p99 ms | p99.9 ms | answered % | goodput/s | refused | failed | probes % | connects % | cold peak | cold breaches | over slots | cuts | unwanted |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 }
 
 // print writes the row as a row of a Markdown table.
 func (r Row) print(out io.Writer) {
 	p := r.Report
 	answered := 100 * float64(p.Answered) / float64(max(1, p.Arrived))
-	fmt.Fprintf(out, "| %s | %s | %.2f | %s | %s | %.0f | %.0f | %.0f | %.2f | %.0f | %d | %d | %.3f | %.3f | %d | %d | %d | %d |\n",
+	fmt.Fprintf(out, "| %s | %s | %.2f | %s | %s | %.0f | %.0f | %.0f | %.2f | %.0f | %d | %d | %.3f | %.3f | %d | %d | %d | %d | %d |\n",
 		r.Deployment, r.ServiceTimes, r.Load, r.Fault, r.Policy, p.Latency.P50Ms, p.Latency.P99Ms, p.Latency.P999Ms, answered,
-		p.Goodput, p.Refused, p.Failed, 100*r.ProbeShare, 100*r.ConnectShare, r.PeakColdInFlight, r.ColdLimitBreaches, r.Overloads, r.SlotLosses)
+		p.Goodput, p.Refused, p.Failed, 100*r.ProbeShare, 100*r.ConnectShare, r.PeakColdInFlight, r.ColdLimitBreaches, r.Overloads, r.SlotLosses, r.Unwanted)
 }
--- a/internal/forward/acquire.go
+++ b/internal/forward/acquire.go
@@ -121,5 +121,6 @@
 	default:
 		reporter.Abandoned()
 	}
+	r.Notice = f.notices.said(g)
 	f.opts.Slots.Release(g, r)
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -65,6 +65,9 @@
 	// avoid lists the upstreams that have failed this call.
 	avoid    []string
 	attempts int
+	// withheld counts the grants that were not used, as the upstream had begun to
+	// leave or to pause.
+	withheld int
 	err      error
 	// mayHaveRunErr is the error of an earlier attempt that may have run.
 	// Once it is set, no refusal may report "not run".
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -15,6 +15,7 @@
 	"balsamcourse.example/balsamcourse/internal/admission"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
@@ -47,6 +48,8 @@
 	addresses []string
 	granted   int
 	outcomes  []clusterpb.Outcome
+	// released holds the releases by upstream.
+	released map[string][]slot.Result
 	// onAcquire, when set, is called for each slot request.
 	onAcquire func()
 }
@@ -65,10 +68,36 @@
 	return slot.Grant{Cell: configview.CellKey{Service: r.Service, Zone: "a"}, Upstream: a, Address: a}, nil
 }
 
-func (s *fakeSlots) Release(_ slot.Grant, r slot.Result) {
+func (s *fakeSlots) Release(g slot.Grant, r slot.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes = append(s.outcomes, r.Outcome)
+	if s.released == nil {
+		s.released = make(map[string][]slot.Result)
+	}
+	s.released[g.Upstream] = append(s.released[g.Upstream], r)
+}
+
+// outcomesOf and noticesOf return the outcomes and the notices with which slots of
+// the upstream were released.
+func (s *fakeSlots) outcomesOf(upstream string) []clusterpb.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []clusterpb.Outcome
+	for _, r := range s.released[upstream] {
+		all = append(all, r.Outcome)
+	}
+	return all
+}
+
+func (s *fakeSlots) noticesOf(upstream string) []notice.Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []notice.Notice
+	for _, r := range s.released[upstream] {
+		all = append(all, r.Notice)
+	}
+	return all
 }
 
 func (s *fakeSlots) releasedOutcomes() []clusterpb.Outcome {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,6 +62,7 @@
 	retryBudgets *retryBudgets
 	latencies    *latencyTracker
 	rules        ruleCache
+	notices      *notices
 }
 
 // New returns a Forwarder. It panics when the embedded state machine of a
@@ -73,6 +74,7 @@
 		actions:      callActions(),
 		retryBudgets: newRetryBudgets(),
 		latencies:    newLatencyTracker(),
+		notices:      newNotices(),
 	}
 }
 
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -28,7 +28,7 @@
 	delay, ok := c.hedgeDelay()
 	if !ok {
 		a := &attempt{started: time.Now()}
-		resp, err := c.f.opts.Transport.RoundTrip(c.newUpstreamRequest(a.withTrace(ctx, c), c.grant))
+		resp, err := c.exchange(c.newUpstreamRequest(a.withTrace(ctx, c, c.grant), c.grant), c.grant)
 		return a, resp, err
 	}
 	results := make(chan *parallelAttempt, 2)
@@ -62,9 +62,9 @@
 func (c *call) startAttempt(ctx context.Context, g slot.Grant, reporter AttemptReporter, results chan<- *parallelAttempt) *parallelAttempt {
 	p := &parallelAttempt{grant: g, reporter: reporter, attempt: &attempt{started: time.Now()}}
 	ctx, p.cancel = context.WithCancel(ctx)
-	out := c.newUpstreamRequest(p.attempt.withTrace(ctx, c), g)
+	out := c.newUpstreamRequest(p.attempt.withTrace(ctx, c, g), g)
 	go func() {
-		p.resp, p.err = c.f.opts.Transport.RoundTrip(out)
+		p.resp, p.err = c.exchange(out, g)
 		results <- p
 	}()
 	return p
@@ -88,7 +88,7 @@
 		return nil
 	}
 	reporter, refusal := c.f.opts.Quarantine.Admit(ctx, c.service.Name, c.fingerprint)
-	if refusal != nil || !c.grantUsable(g) {
+	if refusal != nil || !c.grantUsable(g) || !c.f.notices.open(g) {
 		if reporter != nil {
 			reporter.Abandoned()
 		}
@@ -101,6 +101,16 @@
 	return c.startAttempt(ctx, g, reporter, results)
 }
 
+// exchange sends the request and returns the response. It records what the response
+// says of the upstream itself.
+func (c *call) exchange(out *http.Request, g slot.Grant) (*http.Response, error) {
+	resp, err := c.f.opts.Transport.RoundTrip(out)
+	if err == nil {
+		c.f.recordNotice(g, resp.StatusCode, resp.Header)
+	}
+	return resp, err
+}
+
 // grantUsable reports whether the configuration in force still allows
 // sending to the granted upstream.
 func (c *call) grantUsable(g slot.Grant) bool {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -14,6 +14,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -70,6 +71,9 @@
 	if c.ctx.Err() != nil {
 		return c.abortBeforeSend(fault.New(fault.DeadlineTooShort, "deadline passed or request cancelled before it was sent"))
 	}
+	if !c.f.notices.open(c.grant) {
+		return c.withhold()
+	}
 	if c.claim == nil {
 		return ""
 	}
@@ -140,13 +144,14 @@
 
 // withTrace returns ctx with hooks that record the progress of the attempt
 // and forward interim responses to the caller.
-func (a *attempt) withTrace(ctx context.Context, c *call) context.Context {
+func (a *attempt) withTrace(ctx context.Context, c *call, g slot.Grant) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.connected.Store(true)
 			a.newConn.Store(!info.Reused)
 		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			c.f.recordNotice(g, code, http.Header(header))
 			return c.interim.forward(c.w, code, header)
 		},
 	})
@@ -243,6 +248,6 @@
 // shedError returns the refusal for a request that the upstream refused
 // without running it. It carries the upstream's Retry-After.
 func shedError(resp *http.Response) *fault.Error {
-	seconds, _ := strconv.Atoi(resp.Header.Get(fault.HeaderRetryAfter))
-	return fault.NewRetryable(fault.Shed, time.Duration(seconds)*time.Second, "")
+	pause, _ := notice.ParsePause(resp.Header, time.Now())
+	return fault.NewRetryable(fault.Shed, pause, "")
 }
--- a/internal/slot/candidates.go
+++ b/internal/slot/candidates.go
@@ -152,6 +152,8 @@
 func refusalPriority(k fault.Kind) int {
 	switch k {
 	case fault.QueueFull, fault.DeadlineTooShort:
+		return 4
+	case fault.UpstreamsPaused:
 		return 3
 	case fault.NoUpstream:
 		return 2
--- a/internal/slot/client_test.go
+++ b/internal/slot/client_test.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/dispatchserver"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // source is a configview.Source whose view and freshness are set by a test.
@@ -140,6 +141,33 @@
 	assert.Equal(t, fault.KindOf(err), fault.NotFresh)
 }
 
+// TestDispatcherLearnsWhatUpstreamHasSaidToOtherEntryVM lets an upstream pause, and
+// then leave, in answers to an entry VM that does not dispatch its cell. No entry
+// VM may get its slots any more.
+func TestDispatcherLearnsWhatUpstreamHasSaidToOtherEntryVM(t *testing.T) {
+	for said, want := range map[notice.Notice]fault.Kind{
+		{Pause: time.Minute}: fault.UpstreamsPaused,
+		{Leaving: true}:      fault.NoUpstream,
+	} {
+		cl := newCluster(t, 2, &catalogpb.Service{Name: "s", ColdSlots: 4})
+		cl.announce(1, "u1", "z1", 4)
+		g := cl.acquireEventually(0)
+		assert.Equal(t, g.Dispatcher, "e1")
+		cl.vms[0].client.Release(g, Result{Outcome: clusterpb.Outcome_OUTCOME_OK, ServiceTime: time.Millisecond, Notice: said})
+		var err error
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && err == nil; {
+			if g, err = cl.acquire(1); err == nil {
+				cl.vms[1].client.Release(g, Result{Outcome: clusterpb.Outcome_OUTCOME_UNUSED})
+			}
+		}
+		assert.Equal(t, fault.KindOf(err), want)
+		if want == fault.UpstreamsPaused {
+			after := fault.FromError(err).RetryAfter
+			assert.Assert(t, after > 50*time.Second && after < 2*time.Minute, "told to come back after %s", after)
+		}
+	}
+}
+
 // waitQueued waits until a request is in a queue of entry VM i.
 func (cl *cluster) waitQueued(i int) {
 	for {
--- a/internal/slot/outbox.go
+++ b/internal/slot/outbox.go
@@ -79,6 +79,7 @@
 		Key:         dispatch.RequestKey{Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, ID: r.ticket},
 		Outcome:     r.result.Outcome,
 		ServiceTime: r.result.ServiceTime,
+		Notice:      r.result.Notice,
 	}
 }
 
@@ -147,6 +148,9 @@
 	}
 }
 
+// milliseconds returns d in milliseconds, rounded up.
+func milliseconds(d time.Duration) uint32 { return uint32((d + time.Millisecond - 1).Milliseconds()) }
+
 // sendReleases reports whether the entry VM has received all releases of batch.
 func (c *Client) sendReleases(ctx context.Context, entry string, batch []release) bool {
 	v := c.opts.View.View()
@@ -162,6 +166,7 @@
 		req.Releases = append(req.Releases, &clusterpb.Release{
 			Cell: cellID(r.cell), Epoch: r.epoch, Ticket: r.ticket, Outcome: r.result.Outcome,
 			ServiceTimeUs: uint32(r.result.ServiceTime.Microseconds()), NewConnection: r.result.NewConnection,
+			Leaving: r.result.Notice.Leaving, PauseMs: milliseconds(r.result.Notice.Pause),
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -9,6 +9,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 // Request asks for a slot at an upstream of a service.
@@ -48,6 +49,8 @@
 	Outcome       clusterpb.Outcome
 	ServiceTime   time.Duration
 	NewConnection bool
+	// Notice is what the upstream has said of itself.
+	Notice notice.Notice
 }
 
 // Allocator grants slots. Acquire returns a *fault.Error when it cannot get a slot.
--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/notice"
 )
 
 const (
@@ -81,7 +83,11 @@
 	Overloads         atomic.Int64
 	PeakColdInFlight  atomic.Int64
 	BusyMicros        atomic.Int64
-	Probes            atomic.Int64
+	// Unwanted counts requests that started after the upstream had said in an
+	// answer that it is leaving, or had turned a request away for some time that
+	// was not over.
+	Unwanted atomic.Int64
+	Probes   atomic.Int64
 
 	inFlight          atomic.Int64
 	completed         atomic.Int64
@@ -92,6 +98,13 @@
 	reportedLoad      atomic.Int64
 	incarnation       atomic.Uint64
 	stallUntil        atomic.Int64
+	leaving           atomic.Bool
+	// pauseUntil is the end of the pause that the upstream asks for, in Unix
+	// nanoseconds.
+	pauseUntil atomic.Int64
+	// saidLeaving and saidPauseUntil are what answers have said so far.
+	saidLeaving    atomic.Bool
+	saidPauseUntil atomic.Int64
 
 	slots    chan struct{}
 	mu       sync.Mutex
@@ -164,6 +177,14 @@
 	u.stallUntil.Store(time.Now().Add(d).UnixNano())
 }
 
+// Leave makes the upstream say in all its answers that it is leaving.
+// Announcements do not say so.
+func (u *Upstream) Leave() { u.leaving.Store(true) }
+
+// Pause makes the upstream turn all requests away until d has passed, and say for
+// how long.
+func (u *Upstream) Pause(d time.Duration) { u.pauseUntil.Store(time.Now().Add(d).UnixNano()) }
+
 // Drain makes the upstream announce that it accepts no new requests.
 func (u *Upstream) Drain() { u.draining.Store(true) }
 
@@ -173,6 +194,10 @@
 	u.completed.Store(0)
 	u.incarnation.Store(uint64(time.Now().UnixNano()))
 	u.draining.Store(false)
+	u.leaving.Store(false)
+	u.pauseUntil.Store(0)
+	u.saidLeaving.Store(false)
+	u.saidPauseUntil.Store(0)
 }
 
 // InFlight returns the number of requests in flight, queued ones included.
@@ -220,6 +245,19 @@
 	n := u.inFlight.Add(1)
 	defer u.inFlight.Add(-1)
 	u.checkColdLimit(n)
+	if u.saidLeaving.Load() || time.Now().UnixNano() < u.saidPauseUntil.Load() {
+		u.Unwanted.Add(1)
+	}
+	if u.leaving.Load() {
+		w.Header().Set(notice.HeaderLeaving, "1")
+		defer u.saidLeaving.Store(true)
+	}
+	if left := time.Until(time.Unix(0, u.pauseUntil.Load())); left > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+		defer u.saidPauseUntil.Store(u.pauseUntil.Load())
+		u.shed(w)
+		return
+	}
 	if u.failFast.Load() {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
@@ -263,7 +301,6 @@
 // shed rejects a request and reports that it has not run.
 func (u *Upstream) shed(w http.ResponseWriter) {
 	w.Header().Set("Balsam-Run", "not run")
-	w.Header().Set("Retry-After", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
