Let held-back answers end before a history with notices is checked

TestNoticesHoldThroughFaults with -notice-seeds 400 ended at about the 350th history with "deadlock: main bubble goroutine has exited but blocked goroutines remain": upstreams still held answers back, for up to 3 s, when the test waited for 1 s at its end. A fault of the test; no bound is changed.

--- a/internal/gateway/notice_faults_test.go
+++ b/internal/gateway/notice_faults_test.go
@@ -32,6 +32,9 @@
 	pauseSlack    = 2
 )
 
+// maxStall is the longest time for which the answers to a gateway are held back.
+const maxStall = 3 * time.Second
+
 // exchange is a request or probe that has reached an upstream, and what the
 // answer said.
 type exchange struct {
@@ -258,7 +261,7 @@
 			g.cutOff(f)
 		}
 	case 10:
-		h.set(func() { h.stalled[f.state.gatewayID] = h.now() + time.Duration(h.rand.IntN(3000))*time.Millisecond })
+		h.set(func() { h.stalled[f.state.gatewayID] = h.now() + time.Duration(h.rand.Int64N(int64(maxStall))) })
 	}
 }
 
@@ -319,6 +322,8 @@
 				h.group.sendCalls(interval, time.Duration(h.rand.IntN(2000))*time.Millisecond)
 				h.step()
 			}
+			// Lets the answers that are held back end.
+			time.Sleep(maxStall)
 			l, p := h.check()
 			leaving, pauses = leaving+l, pauses+p
 		})
