--- a/internal/dispatchserver/server_test.go
+++ b/internal/dispatchserver/server_test.go
@@ -151,7 +151,8 @@
 	for name, h := range cases {
 		up := httptest.NewServer(h)
 		s := New(Options{Entry: "e", Incarnation: 1, View: &source{}, ProbeClient: httpnet.NewHTTP1Client(nil)})
-		assert.Check(t, !s.probe(up.URL, 10*time.Second), name)
+		ok, _ := s.probe(up.URL, 10*time.Second)
+		assert.Check(t, !ok, name)
 		up.CloseClientConnections()
 		up.Close()
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,9 @@
 	LimitedLoad     = Event{314, "limited_load", zerolog.InfoLevel, "what this gateway sent in the last second to an upstream that names a request rate", ""}
 	PermitsIssued   = Event{315, "permits_issued", zerolog.InfoLevel, "permits that this gateway issued in the last second for an upstream that names a request rate or is cold", ""}
 	PermitFailed    = Event{316, "permit_failed", zerolog.WarnLevel, "the gateway that issues the permits for an upstream did not answer; the upstream gets no request", "if it persists, check that gateway and the network to it"}
+	UpstreamLeaving = Event{317, "upstream_leaving", zerolog.InfoLevel, "an upstream said in an answer that it is leaving; this gateway sends it nothing more", ""}
+	UpstreamPaused  = Event{318, "upstream_paused", zerolog.InfoLevel, "an upstream turned a request away and named a time in which it wants none; this gateway sends it nothing until then", "if it is frequent, add upstreams"}
+	NoticeInvalid   = Event{319, "notice_invalid", zerolog.WarnLevel, "an answer says that the upstream leaves, or asks for a pause, with a value that is not followed", "correct the upstream: 1 says that it leaves; a pause is a number of seconds or an HTTP date, at most an hour ahead"}
 	UpstreamsLost   = Event{320, "upstreams_lost", zerolog.WarnLevel, "this gateway has no way to any upstream", "check the network of this VM to the upstreams"}
 	UpstreamsBack   = Event{321, "upstreams_back", zerolog.InfoLevel, "this gateway reaches upstreams again", ""}
 	RelayFailed     = Event{322, "relay_failed", zerolog.WarnLevel, "a call that this gateway relayed to another one got no response of an upstream", "see the error field and the log of the other gateway"}
@@ -66,7 +69,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, UpstreamLeaving, UpstreamPaused, NoticeInvalid,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,7 @@
 	}
 	c.f.recordAnswer()
 	resp := x.Response
+	c.f.recordNotice(u, answerHead{source: fromCall, request: c.id, status: resp.StatusCode, header: resp.Header})
 	if c.notRun(resp) {
 		c.f.recordLimit(u, balance.RefusedAnswer, resp)
 		return false, c.refusedByUpstream(u, res.conn, x)
@@ -65,6 +66,7 @@
 	slowdown := c.choice.Load.Slowdown()
 	typical := st.typicalTimes[c.route.Name]
 	st.balancer.RecordSuccess(id, took, time.Duration(slowdown*float64(typical)))
+	st.balancer.RecordAnswer(st.now(), id)
 	st.recordResponseTime(c.route.Name, time.Duration(float64(took)/slowdown))
 }
 
@@ -114,6 +116,7 @@
 		MatchesResponse: func(h http.Header) bool {
 			return id == "" || h.Get(names.RequestID) == id
 		},
+		OnInterim: c.f.onInterim(u, fromInterim, id),
 	}
 }
 
@@ -151,15 +154,16 @@
 }
 
 // shedRetryAfter returns the Retry-After for a request that an upstream has
-// shed. While no call waits for the pool or for a permit, other upstreams probably have room and
-// only the retry budget kept the request from them, so that the caller may come
-// back at once.
+// shed. While no call waits for the pool or for a permit, and not all upstreams
+// leave or pause, other upstreams probably have room and only the retry budget kept
+// the request from them, so that the caller may come back at once.
 func (c *call) shedRetryAfter() time.Duration {
 	st := c.f.state
 	st.mu.Lock()
 	waiting := st.queue(c.pool).waiters.Len()
+	closed := st.closedByNotices(st.now(), c.pool)
 	st.mu.Unlock()
-	if _, limited := c.permitWait(); limited || waiting > 0 {
+	if _, limited := c.permitWait(); limited || closed || waiting > 0 {
 		return c.retryAfter(0)
 	}
 	return minRetryAfter
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/notice"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -65,10 +66,13 @@
 	sends, ran int
 	// retryReserved is set while a retry is reserved that has not been sent.
 	retryReserved bool
-	searches      int
-	waited        time.Duration
-	status        int
-	upstream      string
+	// withheld counts the reservations that were not used, as the upstream had begun
+	// to leave or to pause.
+	withheld int
+	searches int
+	waited   time.Duration
+	status   int
+	upstream string
 	// choice is the last placement decision, loadAtResponse the load header of the
 	// response.
 	choice         balance.Choice
@@ -215,6 +219,9 @@
 		if err != nil {
 			return c.finalError(err)
 		}
+		if !c.confirm(res) {
+			continue
+		}
 		if c.retryReserved && !c.sendRetry() {
 			c.f.releaseUnused(res)
 			return c.finalError(failed.err)
@@ -275,11 +282,15 @@
 // retryAfter returns the time after which the caller should try again: the
 // predicted wait plus jitter, so that refused callers do not return together,
 // and at most 30 % of the time left to the deadline, since callers wait for a
-// third of their time. While all upstreams name a rate limit, the time is not cut,
-// as nothing can be sent before the next permit.
+// third of their time. While all upstreams name a rate limit, or leave or pause,
+// the time is not cut, as nothing can be sent before the next permit or the end of
+// a pause.
 func (c *call) retryAfter(predicted time.Duration) time.Duration {
 	left := time.Until(c.deadline)
 	pause := predicted + time.Duration((0.5+rand.Float64())*float64(c.route.TargetLatency)/2)
+	if wait, paused := c.pauseWait(); paused {
+		return notice.RetryAfter(wait, c.route.TargetLatency/2, rand.Float64())
+	}
 	if wait, limited := c.permitWait(); limited {
 		return max(minRetryAfter, pause, wait)
 	}
@@ -413,8 +424,10 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
+	leaving, paused := st.balancer.CountNotices(st.now(), c.pool)
 	line.Uint64("upstreams_open", uint64(open)).Uint64("upstreams_ready", uint64(ready)).
 		Uint64("upstreams_limited", uint64(st.balancer.CountLimited(c.pool))).
+		Uint64("upstreams_leaving", uint64(leaving)).Uint64("upstreams_paused", uint64(paused)).
 		Uint64("calls_waiting", uint64(st.queue(c.pool).waiters.Len())).
 		Uint64("sent_in_flight", uint64(st.balancer.InFlight(c.pool)))
 }
@@ -440,6 +453,9 @@
 		line.Str("load_at_choice", fmt.Sprint(c.choice.Load)).Uint64("load_age_us", uint64(c.choice.LoadAge.Microseconds())).
 			Str("load_at_answer", c.loadAtResponse)
 	}
+	if c.withheld > 0 {
+		line.Uint64("withheld", uint64(c.withheld))
+	}
 	if c.route != nil {
 		line.Str("route", c.route.Name)
 	}
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -39,13 +39,49 @@
 	mu    sync.Mutex
 	limit string
 	cold  bool
+	// respond, if it is not nil, may write the answer to a request or a probe.
+	respond func(conn net.Conn, r *http.Request) answered
 	// work is the time that a request takes.
 	work time.Duration
 	// open is the number of open connections, mostOpen the highest so far.
 	open, mostOpen int
 	arrived        []arrival
 	// runs counts the requests that arrived, by request ID.
-	runs map[string]int
+	runs  map[string]int
+	conns []net.Conn
+}
+
+// startedConn is a connection that names the start of the gateway that opened it.
+type startedConn struct {
+	net.Conn
+	gatewayStart string
+}
+
+// kill closes all connections of the upstream.
+func (u *limitedUpstream) kill() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		_ = c.Close()
+	}
+}
+
+// answered says what a function has done with a request.
+type answered int
+
+const (
+	// notAnswered leaves the usual answer to the upstream.
+	notAnswered answered = iota
+	// keptOpen and broken mean that the function has written all that is to be
+	// written, and whether the connection is kept.
+	keptOpen
+	broken
+)
+
+func (u *limitedUpstream) setRespond(respond func(conn net.Conn, r *http.Request) answered) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.respond = respond
 }
 
 func (u *limitedUpstream) setLimit(limit string) {
@@ -91,6 +127,9 @@
 func (u *limitedUpstream) serve(conn net.Conn, gateway string) {
 	u.countConnection(1)
 	defer u.countConnection(-1)
+	u.mu.Lock()
+	u.conns = append(u.conns, conn)
+	u.mu.Unlock()
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -100,9 +139,17 @@
 		}
 		at := time.Since(u.start)
 		u.mu.Lock()
-		limit, cold := u.limit, u.cold
+		id, limit, cold, respond := u.id, u.limit, u.cold, u.respond
 		u.arrived = append(u.arrived, arrival{at, gateway, r.URL.Path == "/health"})
 		u.mu.Unlock()
+		if respond != nil {
+			switch respond(conn, r) {
+			case keptOpen:
+				continue
+			case broken:
+				return
+			}
+		}
 		header := ""
 		if limit != "" {
 			header = "Balsam-Limit: " + limit + "\r\n"
@@ -115,7 +162,7 @@
 			time.Sleep(u.work)
 			header += "Balsam-Request-Id: " + r.Header.Get("Balsam-Request-Id") + "\r\n"
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: 0 0 100 100\r\n%sContent-Length: 0\r\n\r\n", u.id, header)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: 0 0 100 100\r\n%sContent-Length: 0\r\n\r\n", id, header)
 	}
 }
 
@@ -140,6 +187,8 @@
 	relays []net.Conn
 	// background ends with the test.
 	background context.Context
+	// starts counts the starts of each gateway by its ID.
+	starts map[string]int
 }
 
 // newGatewayGroup returns n gateways and the upstreams with the given IDs, all in
@@ -156,6 +205,7 @@
 	g := &gatewayGroup{
 		upstreams: make(map[string]*limitedUpstream), cfg: newConfig(),
 		stopped: make(map[string]time.Time), cut: make(map[string]time.Time), links: make(map[string]linkState),
+		starts: make(map[string]int),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.background = ctx
@@ -194,7 +244,13 @@
 	st.applyConfig(configview.New(g.cfg))
 	metrics := telemetry.NewMetrics("gateway", id)
 	t.Cleanup(func() { _ = metrics.Close() })
-	dial := func(ctx context.Context, address string) (net.Conn, error) { return g.dialUpstream(ctx, id, address) }
+	g.mu.Lock()
+	g.starts[id]++
+	start := fmt.Sprint(id, "#", g.starts[id])
+	g.mu.Unlock()
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return g.dialUpstream(ctx, id, start, address)
+	}
 	return newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
 		Headers:     DefaultHeaders(),
 		Crashes:     &crashRecorder{},
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -86,7 +86,9 @@
 	}
 }
 
-func (g *gatewayGroup) dialUpstream(ctx context.Context, gateway, address string) (net.Conn, error) {
+// dialUpstream opens a connection of a gateway to an upstream. start names the start
+// of the gateway.
+func (g *gatewayGroup) dialUpstream(ctx context.Context, gateway, start, address string) (net.Conn, error) {
 	switch g.linkOf(gateway, address) {
 	case linkSilent:
 		<-ctx.Done()
@@ -97,7 +99,7 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
-	go g.upstreams[address].serve(far, gateway)
+	go g.upstreams[address].serve(startedConn{far, start}, gateway)
 	conn := &link{Conn: near, group: g, gateway: gateway, address: address}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -43,6 +43,8 @@
 type reservation struct {
 	choice balance.Choice
 	conn   *upstreamconn.Conn
+	// closed is set if there is none because all upstreams leave or pause.
+	closed bool
 }
 
 // probe asks the candidates for their load in parallel and reserves the best
@@ -141,13 +143,18 @@
 // probeOne asks one upstream for its load and records the result or the
 // failure.
 func (f *Forwarder) probeOne(ctx context.Context, c balance.Upstream) probeOutcome {
+	said, ok := f.state.beginProbe(c)
+	if !ok {
+		return probeOutcome{candidate: c, err: errWithheld}
+	}
+	defer f.state.endProbe(said)
 	probedAt := f.state.now()
 	conn, result, err := f.fetchLoad(ctx, c)
 	st := f.state
 	f.recordProbeOutcome(ctx, c, err)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if errors.Is(err, upstreamconn.ErrTooManyConnections) || errors.Is(err, upstreamconn.ErrNoIdleConnection) {
+	if errors.Is(err, upstreamconn.ErrTooManyConnections) || errors.Is(err, upstreamconn.ErrNoIdleConnection) || isWithheld(err) {
 		return probeOutcome{candidate: c, err: err}
 	}
 	st.balancer.RecordProbeSent(c.ID)
@@ -178,7 +185,7 @@
 		return nil, balance.ProbeResult{}, notConnected(err)
 	}
 	result, err := f.fetchLoadOn(ctx, conn, c)
-	if err == nil || !conn.Reused || ctx.Err() != nil {
+	if err == nil || !conn.Reused || ctx.Err() != nil || isWithheld(err) {
 		return conn, result, err
 	}
 	conn, err = f.conns.Open(ctx, c.Address, maxOpen)
@@ -193,6 +200,10 @@
 // fetchLoadOn sends the health request on conn. The response must carry no
 // request ID: one that does answers an earlier request.
 func (f *Forwarder) fetchLoadOn(ctx context.Context, conn *upstreamconn.Conn, c balance.Upstream) (balance.ProbeResult, error) {
+	if !f.state.accepts(c) {
+		f.conns.Release(conn, nil)
+		return balance.ProbeResult{}, errWithheld
+	}
 	stop := conn.InterruptOnDone(ctx)
 	defer stop()
 	names := f.opts.Headers
@@ -202,10 +213,14 @@
 		Host:            c.Address,
 		Header:          http.Header{names.ExpectUpstream: {c.ID}},
 		MatchesResponse: func(h http.Header) bool { return h.Get(names.RequestID) == "" },
+		OnInterim:       f.onInterim(c, fromProbe, ""),
 	})
 	if err != nil {
 		return balance.ProbeResult{}, err
 	}
+	if !wrongUpstreamID(x.Response.Header.Get(names.UpstreamID), c.ID) {
+		f.recordNotice(c, answerHead{source: fromProbe, status: x.Response.StatusCode, header: x.Response.Header})
+	}
 	if err := x.DiscardBody(maxHealthBody); err != nil {
 		conn.Close()
 		return balance.ProbeResult{}, err
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -127,7 +127,7 @@
 	switch {
 	case err == nil, errors.Is(err, errWrongUpstream), errors.Is(err, errConnectionClosing):
 		f.recordAnswer()
-	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected):
+	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected), isWithheld(err):
 	default:
 		f.recordNoAnswer(u, err)
 	}
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -94,6 +94,13 @@
 	// sent to them.
 	LimitedUpstreams               tally.Gauge
 	LimitedRequests, LimitedProbes tally.Counter
+	// LeavingUpstreams and PausedUpstreams are the numbers of upstreams that have
+	// said in an answer that they are leaving, or have asked for a pause that has not
+	// ended.
+	LeavingUpstreams, PausedUpstreams tally.Gauge
+	// WithheldLeaving and WithheldPaused count calls that were refused, or moved to
+	// another upstream right before they were sent, for one of these reasons.
+	WithheldLeaving, WithheldPaused tally.Counter
 }
 
 // NewGatewayMetrics creates the metrics of a gateway in scope s.
@@ -168,6 +175,10 @@
 			LimitedUpstreams: s.Gauge("upstreams_limited"),
 			LimitedRequests:  s.Counter("limited_requests"),
 			LimitedProbes:    s.Counter("limited_probes"),
+			LeavingUpstreams: s.Gauge("upstreams_leaving"),
+			PausedUpstreams:  s.Gauge("upstreams_paused"),
+			WithheldLeaving:  s.Counter("calls_withheld_leaving"),
+			WithheldPaused:   s.Counter("calls_withheld_paused"),
 		}
 		m.pools[name] = p
 	}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -92,6 +92,9 @@
 	// MatchesResponse reports whether a response with this header belongs to the
 	// request; nil accepts every response.
 	MatchesResponse func(http.Header) bool
+	// OnInterim is called with the status and header of each interim response
+	// (status 1xx); nil means that nothing is called.
+	OnInterim func(status int, h http.Header)
 }
 
 // Exchange is one request and its response.
@@ -272,7 +275,7 @@
 func (c *Conn) receive(x *Exchange, r *Request, sendErr error) error {
 	sent := &http.Request{Method: r.Method}
 	for range maxUnmatchedResponses {
-		resp, err := c.readFinal(x, sent)
+		resp, err := c.readFinal(x, sent, r.OnInterim)
 		if err != nil {
 			if sendErr != nil {
 				return sendErr
@@ -295,8 +298,9 @@
 	return ErrNoMatchingResponse
 }
 
-// readFinal reads the head of a response and skips interim responses.
-func (c *Conn) readFinal(x *Exchange, sent *http.Request) (*http.Response, error) {
+// readFinal reads the head of a response. It skips interim responses, with which it
+// calls onInterim unless that is nil.
+func (c *Conn) readFinal(x *Exchange, sent *http.Request, onInterim func(int, http.Header)) (*http.Response, error) {
 	for {
 		resp, err := c.readHead(x, sent)
 		if err != nil {
@@ -305,6 +309,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if onInterim != nil {
+			onInterim(resp.StatusCode, resp.Header)
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("upstream switched protocols without being asked to")
 		}
