--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -69,7 +69,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, UpstreamLeaving, UpstreamPaused, NoticeInvalid,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -239,7 +239,8 @@
 }
 
 // probeOnNewConnection probes the upstream on a new connection. Upstreams that get
-// no requests without a permit are only connected to.
+// no requests without a permit, are leaving or have asked for a pause are only
+// connected to.
 func (f *Forwarder) probeOnNewConnection(ctx context.Context, u balance.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -255,7 +256,7 @@
 		st.balancer.RecordProbeSent(u.ID)
 	}
 	st.mu.Unlock()
-	if needsPermit {
+	if needsPermit || !st.accepts(u) {
 		conn.Close()
 		f.recordAnswer()
 		return
@@ -263,6 +264,10 @@
 	probedAt := st.now()
 	result, err := f.fetchLoadOn(ctx, conn, u)
 	f.recordProbeOutcome(ctx, u, err)
+	if isWithheld(err) {
+		// The connection has been returned to the pool.
+		return
+	}
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -60,8 +60,9 @@
 	}
 	for i, g := range gateways {
 		st := newState(fmt.Sprint("g", i), "a", 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
-		st.started = st.started.Add(-time.Minute)
 		st.applyConfig(configview.New(cfg))
+		// A gateway that has just been registered has no slack for retries yet.
+		st.started = st.started.Add(-time.Minute)
 		metrics := telemetry.NewMetrics("gateway", st.gatewayID)
 		t.Cleanup(func() { _ = metrics.Close() })
 		var dial upstreamconn.Dialer
