--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -306,11 +306,9 @@
 	ctx := context.Background()
 	for f.continueSearch(pool) {
 		res, _ := f.search(ctx, pool, nil, probesPerQueueSearch, balance.Requirements{MaxSlowdown: queueMaxSlowdown})
-		if res.conn != nil {
-			f.assignOrRelease(pool, res)
-		}
+		given := res.conn != nil && f.assignOrRelease(pool, res)
 		f.state.dismissRateLimited(pool)
-		if res.conn == nil {
+		if !given {
 			wait.For(ctx, queueSearchInterval)
 		}
 	}
@@ -359,8 +357,8 @@
 }
 
 // assignOrRelease assigns the reservation to the next queued call, or releases
-// it if no queued call can use it.
-func (f *Forwarder) assignOrRelease(pool string, res reservation) {
+// it if no queued call can use it. It reports whether it was assigned.
+func (f *Forwarder) assignOrRelease(pool string, res reservation) bool {
 	st := f.state
 	st.mu.Lock()
 	given := st.queue(pool).assign(st.now(), res)
@@ -368,6 +366,7 @@
 	if !given {
 		f.releaseUnused(res)
 	}
+	return given
 }
 
 // assign hands the reservation to the next waiter that can use it and reports
