--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -47,7 +47,7 @@
 }
 
 // read reads a response body of the stated length, -1 if unknown, to its end or
-// until no more of it may be buffered. The caller must call release when the
+// until no more of it may be buffered. Of one that is too long it reads a small part. The caller must call release when the
 // bytes are no longer needed.
 func (b *responseBuffers) read(body io.Reader, length int64) (bufferedResponse, error) {
 	r := bufferedResponse{release: func() {}}
@@ -57,6 +57,9 @@
 		r.complete = err == nil
 		return r, err
 	}
+	if length > maxBufferedResponse {
+		return r, nil
+	}
 	need := int64(maxBufferedResponse)
 	if length >= 0 {
 		need = min(need, length)
--- a/internal/gateway/buffer_test.go
+++ b/internal/gateway/buffer_test.go
@@ -65,3 +65,13 @@
 	assert.Assert(t, h.Get("Content-Length") != "")
 	assert.Equal(t, fx.forwarder.buffers.left.Load(), int64(0))
 }
+
+// A response whose stated length shows that it cannot be buffered must take nothing
+// from the buffers while it is streamed.
+func TestTooLongResponseTakesNoBuffers(t *testing.T) {
+	b := newResponseBuffers()
+	r, err := b.read(strings.NewReader(strings.Repeat("x", 2<<20)), 100<<20)
+	assert.NilError(t, err)
+	assert.Assert(t, !r.complete)
+	assert.Equal(t, b.left.Load(), int64(responseBufferBytes))
+}
