End calls whose callers do not read a buffered response

The write of a buffered response had no time limit: a caller that sent several requests and read nothing kept a call, its slot and its buffer for as long as it wished (found in review: "timeout hit after 15s: calls in flight 1" with a deadline of 0.5 s). The limit of streamed responses holds for it now, also for relayed ones.

TestCallerThatDoesNotReadBufferedResponsesLosesItsCall.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,6 +286,8 @@
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
 	c.f.opts.Crashes.Completed(c.quarantineKey)
 	c.writeHeader(resp, int64(len(buffered.body)))
+	stop := c.limitLastWrite()
+	defer stop()
 	// A write error means that the caller has disconnected, which is no failure of
 	// the upstream.
 	_, _ = c.w.Write(buffered.body)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -431,3 +431,24 @@
 		assert.Check(t, resp.StatusCode == c.status, "%s: status %d", c.name, resp.StatusCode)
 	}
 }
+
+// TestCallerThatDoesNotReadBufferedResponsesLosesItsCall sends several requests on one
+// connection and reads no response. The calls must end soon after their deadlines, and
+// give back what they hold.
+func TestCallerThatDoesNotReadBufferedResponsesLosesItsCall(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	s.respond = s.responder(200, servedByHeader, strings.Repeat("x", 1<<20))
+	fx := startForwarder(t, newConfig(s))
+	caller, err := net.Dial("tcp", fx.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	assert.NilError(t, caller.(*net.TCPConn).SetReadBuffer(4096))
+	const request = "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nBalsam-Request-Id: r1\r\nBalsam-Timeout-Ms: 500\r\n\r\n"
+	_, err = io.WriteString(caller, strings.Repeat(request, 8))
+	assert.NilError(t, err)
+	waitUntil(t, "no response was written in part", func() bool { return len(s.requests()) > 0 })
+	f := fx.forwarder
+	waitUntil(t, "a call holds its slot or its buffers", func() bool {
+		return f.opts.Limiter.Total() == 0 && f.buffers.left.Load() == responseBufferBytes
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -331,6 +331,8 @@
 	c.ran++
 	c.status = resp.StatusCode
 	resp.Header.Del(relayOutcome)
+	stop := c.limitLastWrite()
+	defer stop()
 	if buffered.complete {
 		c.f.opts.Metrics.RelayedOut(telemetry.RelayServed).Inc(1)
 		c.writeHeader(resp, int64(len(buffered.body)))
@@ -339,8 +341,6 @@
 		return nil
 	}
 	c.writeHeader(resp, resp.ContentLength)
-	stop := c.limitLastWrite()
-	defer stop()
 	if _, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(buffered.body), resp.Body)); err != nil {
 		// The panic skips the call of finish in ServeHTTP.
 		c.finish(c.relayFailed(telemetry.RelayBroken, fault.New(fault.UpstreamBroken, "gateway %s, to which the call was relayed: response body broke off: %v", target, err)))
