Follow what a relayed answer says of its upstream

A gateway that is cut from all upstreams passed on the answer of an upstream that says that it leaves, and sent that upstream a request once its network was back (found in review: "after it had passed on an answer of the leaving upstream, the gateway sent it another request: 200 whole"). The gateway that made the attempt names the upstream and its start in its response to the relay; the other one records the notice and removes the headers.

TestRelayedAnswerOfLeavingUpstreamCounts.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -108,6 +108,7 @@
 	fromCall    = "call"
 	fromProbe   = "probe"
 	fromInterim = "interim"
+	fromRelay   = "relay"
 )
 
 // beginProbe counts a probe as in flight until said is passed to endProbe. It
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -58,6 +58,13 @@
 // the response is. Its values are those of the constants below.
 const relayOutcome = "Balsam-Relay-Outcome"
 
+// Headers of the response of an upstream to a relayed request that name the ID of the
+// upstream and its start in milliseconds.
+const (
+	relayUpstream        = "Balsam-Relay-Upstream"
+	relayUpstreamStarted = "Balsam-Relay-Upstream-Started"
+)
+
 const (
 	// outcomeResponse marks the response of an upstream.
 	outcomeResponse = "response"
@@ -319,6 +326,10 @@
 // the caller. If it breaks off before its first byte has been sent, the error for
 // the caller is returned, and later the connection to the caller is aborted.
 func (c *call) forwardRelayed(target string, resp *http.Response) error {
+	c.recordRelayedNotice(resp)
+	for _, name := range []string{relayOutcome, relayUpstream, relayUpstreamStarted} {
+		resp.Header.Del(name)
+	}
 	buffered, err := c.f.buffers.read(resp.Body, resp.ContentLength)
 	defer buffered.release()
 	if err != nil {
@@ -330,7 +341,6 @@
 	c.sends++
 	c.ran++
 	c.status = resp.StatusCode
-	resp.Header.Del(relayOutcome)
 	stop := c.limitLastWrite()
 	defer stop()
 	if buffered.complete {
@@ -350,6 +360,23 @@
 	return nil
 }
 
+// recordRelayedNotice records what the response to a relayed call says of the
+// upstream itself, which this gateway may reach again.
+func (c *call) recordRelayedNotice(resp *http.Response) {
+	started, err := strconv.ParseUint(resp.Header.Get(relayUpstreamStarted), 10, 64)
+	if err != nil {
+		// A gateway of an older build does not name the upstream.
+		return
+	}
+	st := c.f.state
+	st.mu.Lock()
+	u, known := st.balancer.Find(resp.Header.Get(relayUpstream))
+	st.mu.Unlock()
+	if known && u.Started == started {
+		c.f.recordNotice(u, answerHead{source: fromRelay, request: c.id, status: resp.StatusCode, header: resp.Header})
+	}
+}
+
 // relayOrigin is what the gateway that has relayed a call tells about it.
 type relayOrigin struct {
 	sends, ran int
@@ -418,7 +445,11 @@
 		return
 	}
 	outcome := outcomeResponse
-	if err != nil {
+	if err == nil {
+		u := c.choice.Upstream
+		c.w.Header().Set(relayUpstream, u.ID)
+		c.w.Header().Set(relayUpstreamStarted, strconv.FormatUint(u.Started, 10))
+	} else {
 		outcome = outcomeError
 		if e := fault.FromError(err); c.sends == c.origin.sends && e.Response().Run == fault.NotRun && (c.lost || servesElsewhere(e)) {
 			outcome = outcomeElsewhere
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -401,3 +401,26 @@
 		})
 	}
 }
+
+// TestRelayedAnswerOfLeavingUpstreamCounts relays a call whose answer says that the
+// upstream is leaving. Once it reaches upstreams again, the gateway that has passed
+// the answer on must send that upstream nothing.
+func TestRelayedAnswerOfLeavingUpstreamCounts(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	s.respond = s.responder(200, servedByHeader+"Balsam-Leaving: 1\r\n", "whole")
+	gateways := startRelayGateways(t, 2, 1, s)
+	g := gateways[0]
+	status, _, h := g.get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, 200)
+	assert.Equal(t, h.Get("Balsam-Leaving"), "1")
+	for name := range h {
+		assert.Assert(t, !strings.HasPrefix(name, "Balsam-Relay"), "caller gets header %s", name)
+	}
+	g.conns = gateways[1].conns
+	g.updateReach((*reach.Tracker).RecordOpened)
+	g.updateReach((*reach.Tracker).RecordAnswer)
+	before := len(s.requests())
+	status, _, _ = g.get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(s.requests()), before)
+}
