Notice at the bound of connections that new ones open again

A gateway counts new connections as lost until one opens. A probe now takes the place of an idle connection.

TestNewConnectionsAreNoticedAtTheConnectionBound.

--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -244,7 +244,7 @@
 func (f *Forwarder) probeOnNewConnection(ctx context.Context, u balance.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := f.conns.Open(ctx, u.Address, f.state.maxConnections(u.Pool))
+	conn, err := f.openForReach(ctx, u)
 	f.recordConnection(ctx, u, conn, err)
 	if err != nil {
 		return
@@ -277,3 +277,20 @@
 	st.mu.Unlock()
 	f.conns.Release(conn, nil)
 }
+
+// openForReach opens a new connection to the upstream. If as many as are allowed are
+// open, it takes the place of an idle one: otherwise a gateway with all its
+// connections open would never notice that new ones open again.
+func (f *Forwarder) openForReach(ctx context.Context, u balance.Upstream) (*upstreamconn.Conn, error) {
+	maxOpen := f.state.maxConnections(u.Pool)
+	conn, err := f.conns.Open(ctx, u.Address, maxOpen)
+	if !errors.Is(err, upstreamconn.ErrTooManyConnections) {
+		return conn, err
+	}
+	idle, idleErr := f.conns.GetIdle(u.Address)
+	if idleErr != nil {
+		return nil, err
+	}
+	idle.Close()
+	return f.conns.Open(ctx, u.Address, maxOpen)
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -424,3 +424,23 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(s.requests()), before)
 }
+
+// TestNewConnectionsAreNoticedAtTheConnectionBound lets a gateway lose new connections
+// for a moment while it has as many open as are allowed. It must notice that they open
+// again.
+func TestNewConnectionsAreNoticedAtTheConnectionBound(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	cfg := newConfig(s)
+	cfg.Revision = 2
+	// An equal part of one half of them is one connection.
+	cfg.Pools[0].MaxConnections = 2
+	cfg.Entries = []*catalogpb.Entry{{Id: "g0"}}
+	g := startRelayGateways(t, 1, 0, s)[0]
+	g.state.applyConfig(configview.New(cfg))
+	status, _, _ := g.get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, 200)
+	g.loseUpstreams()
+	assert.Assert(t, g.upstreamsLost() != reach.None)
+	waitUntil(t, "the gateway still counts new connections as lost", func() bool { return g.upstreamsLost() == reach.None })
+}
