Let probes for reachability open a connection beyond the bound for calls

With all connections open that calls may have, the probes that are to refute a suspected loss could open none. A probe may now open one connection more and closes it afterwards.

TestGatewayAtTheConnectionBoundIsNotCutOff.

--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -24,6 +24,9 @@
 	// lostProbeInterval while it is certain.
 	suspectProbeInterval = 100 * time.Millisecond
 	lostProbeInterval    = 250 * time.Millisecond
+	// reachConnections is the number of connections to one upstream that these probes
+	// may open beyond the bound for calls.
+	reachConnections = 1
 )
 
 // errNotConnected means that no new connection to the upstream was opened.
@@ -244,7 +247,12 @@
 func (f *Forwarder) probeOnNewConnection(ctx context.Context, u balance.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := f.openForReach(ctx, u)
+	maxOpen := f.state.maxConnections(u.Pool)
+	if maxOpen > 0 {
+		// Calls may have all connections open that they are allowed.
+		maxOpen += reachConnections
+	}
+	conn, err := f.conns.Open(ctx, u.Address, maxOpen)
 	f.recordConnection(ctx, u, conn, err)
 	if err != nil {
 		return
@@ -275,22 +283,6 @@
 	st.mu.Lock()
 	st.balancer.RecordProbe(st.now(), probedAt, u.ID, result)
 	st.mu.Unlock()
-	f.conns.Release(conn, nil)
-}
-
-// openForReach opens a new connection to the upstream. If as many as are allowed are
-// open, it takes the place of an idle one: otherwise a gateway with all its
-// connections open would never notice that new ones open again.
-func (f *Forwarder) openForReach(ctx context.Context, u balance.Upstream) (*upstreamconn.Conn, error) {
-	maxOpen := f.state.maxConnections(u.Pool)
-	conn, err := f.conns.Open(ctx, u.Address, maxOpen)
-	if !errors.Is(err, upstreamconn.ErrTooManyConnections) {
-		return conn, err
-	}
-	idle, idleErr := f.conns.GetIdle(u.Address)
-	if idleErr != nil {
-		return nil, err
-	}
-	idle.Close()
-	return f.conns.Open(ctx, u.Address, maxOpen)
+	// Kept, the connection would take the place of one for calls.
+	conn.Close()
 }
--- /dev/null
+++ b/internal/gateway/reach_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/reach"
+)
+
+// TestGatewayAtTheConnectionBoundIsNotCutOff keeps as many connections open as are
+// allowed while four of twelve upstreams do not answer, and after that.
+func TestGatewayAtTheConnectionBoundIsNotCutOff(t *testing.T) {
+	for _, c := range []struct {
+		maxConnections uint32
+		atATime        int
+	}{{4, 6}, {12, 20}} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newZonedGroup(t, []string{"a", "b"}, 2, ids("u", 12)...)
+			g.cfg.Pools[0].MaxConnections = c.maxConnections
+			for _, f := range g.forwarders {
+				f.state.applyConfig(configview.New(g.cfg))
+			}
+			g.sendFirstTries(20*time.Millisecond, time.Second, c.atATime, nil)
+			for _, lost := range []map[string]bool{{"u0:1": true, "u1:1": true, "u2:1": true, "u3:1": true}, nil} {
+				g.mu.Lock()
+				g.lostUpstreams = lost
+				g.mu.Unlock()
+				for range 20 {
+					r := g.sendFirstTries(20*time.Millisecond, 100*time.Millisecond, c.atATime, nil)
+					assert.Equal(t, r.others.served, r.others.sent)
+					for _, f := range g.forwarders {
+						assert.Equal(t, f.upstreamsLost(), reach.None)
+					}
+				}
+			}
+		})
+	}
+}
