Go on probing while all upstreams are lost, also without one to probe

The probing ended when all known upstreams were draining during one round, and nothing started it again: a gateway whose calls were relayed well stayed lost for good (found in review: the link up for 30 s, 600 of 600 calls relayed, still "no answers").

TestLossEndsAfterAllUpstreamsWereReplaced.

--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -209,8 +209,8 @@
 func (f *Forwarder) probeReach() {
 	ctx := f.opts.Context
 	for {
-		targets, interval := f.nextReachProbes(ctx)
-		if len(targets) == 0 {
+		targets, interval, ok := f.nextReachProbes(ctx)
+		if !ok {
 			return
 		}
 		var probes sync.WaitGroup
@@ -222,23 +222,23 @@
 	}
 }
 
-// nextReachProbes returns the upstreams to probe now and the pause after that. It
-// returns none, and marks the probing as ended, if no loss is suspected or ctx has
-// ended.
-func (f *Forwarder) nextReachProbes(ctx context.Context) ([]balance.Upstream, time.Duration) {
+// nextReachProbes returns the upstreams to probe now, of which there may be none at
+// times, and the pause after that. It reports false, and marks the probing as ended,
+// if no loss is suspected or ctx has ended.
+func (f *Forwarder) nextReachProbes(ctx context.Context) ([]balance.Upstream, time.Duration, bool) {
 	r := &f.reach
 	targets := f.state.reachTargets.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var chosen []balance.Upstream
-	if ctx.Err() == nil && r.tracker.Suspect(targets.known) {
-		chosen = targets.choose(reachProbes, r.tracker.HasFailed)
+	r.probing = ctx.Err() == nil && (r.status.Lost() || r.tracker.Suspect(targets.known))
+	if !r.probing {
+		return nil, 0, false
 	}
-	r.probing = len(chosen) > 0
+	interval := suspectProbeInterval
 	if r.status.Lost() {
-		return chosen, lostProbeInterval
+		interval = lostProbeInterval
 	}
-	return chosen, suspectProbeInterval
+	return targets.choose(reachProbes, r.tracker.HasFailed), interval, true
 }
 
 // probeOnNewConnection probes the upstream on a new connection. Upstreams that get
--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -5,8 +5,10 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/reach"
 )
@@ -40,3 +42,29 @@
 		})
 	}
 }
+
+// TestLossEndsAfterAllUpstreamsWereReplaced lets a gateway lose all upstreams, and all
+// of them drain for a while. Once its links are up, it must notice it.
+func TestLossEndsAfterAllUpstreamsWereReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newZonedGroup(t, []string{"a", "b"}, 2, ids("u", 6)...)
+		g.sendFirstTries(50*time.Millisecond, time.Second, 1, nil)
+		g.setLinks(linkSilent, "g0")
+		g.sendFirstTries(50*time.Millisecond, 2*time.Second, 1, nil)
+		assert.Assert(t, g.forwarders[0].upstreamsLost() != reach.None)
+		for i, state := range []catalogpb.UpstreamState{catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING, catalogpb.UpstreamState_UPSTREAM_STATE_READY} {
+			cfg := proto.CloneOf(g.cfg)
+			cfg.Revision += uint64(i) + 1
+			for _, u := range cfg.Upstreams {
+				u.State = state
+			}
+			for _, f := range g.forwarders {
+				f.state.applyConfig(configview.New(cfg))
+			}
+			time.Sleep(time.Second)
+		}
+		g.setLinks(linkUp, "g0")
+		g.sendFirstTries(50*time.Millisecond, 5*time.Second, 1, []string{"g0"})
+		assert.Equal(t, g.forwarders[0].upstreamsLost(), reach.None)
+	})
+}
