Do not avoid a gateway that lacks the route of one relayed call

A refusal because the other gateway lacked the route closed it to all relayed calls for a second; a change of the desired state during a cut could close all of them at once (found in review: the next call on a route that it has got 503).

TestRouteThatAnotherGatewayLacksClosesItToNoOtherRoute.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -223,9 +223,12 @@
 		}
 		return false, c.finalError(c.relayFailed(telemetry.RelayRefused, refusal))
 	case outcomeElsewhere:
-		c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
 		c.counted = c.counted || resp.Header.Get(relayCounted) == "true"
 		refusal := relayedError(resp)
+		if refusal.Kind != fault.NoRoute && refusal.Kind != fault.NotFresh {
+			// These two say that it lacks the route, but serves others.
+			c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
+		}
 		return true, c.relayFailed(telemetry.RelayRefused, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s, to which the call was relayed: %v", target.Id, refusal))
 	}
 	c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
@@ -444,3 +445,19 @@
 	assert.Assert(t, g.upstreamsLost() != reach.None)
 	waitUntil(t, "the gateway still counts new connections as lost", func() bool { return g.upstreamsLost() == reach.None })
 }
+
+// TestRouteThatAnotherGatewayLacksClosesItToNoOtherRoute relays a call on a route that
+// the other gateway does not have, and then one on a route that it has.
+func TestRouteThatAnotherGatewayLacksClosesItToNoOtherRoute(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	g := startRelayGateways(t, 2, 1, s)
+	cfg := proto.CloneOf(g[1].state.config.Load())
+	cfg.StateVersion, cfg.Revision = 2, 2
+	cfg.Routes = cfg.Routes[:1]
+	g[1].state.applyConfig(configview.New(cfg))
+	status, _, _ := g[0].get(t, http.MethodPost, "/unsafe/x")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	status, _, _ = g[0].get(t, http.MethodGet, "/safe/x")
+	assert.Equal(t, status, http.StatusOK)
+}
