--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/reach"
 )
 
@@ -68,3 +71,28 @@
 		assert.Equal(t, g.forwarders[0].upstreamsLost(), reach.None)
 	})
 }
+
+// TestRefusalOfRelayedCallArrivesBeforeTheDeadline relays calls to gateways whose
+// upstreams do not answer. They refuse the calls at the deadline without having sent
+// them, and the caller must be told so.
+func TestRefusalOfRelayedCallArrivesBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newZonedGroup(t, []string{"a", "b"}, 3, ids("u", 6)...)
+		g.sendFirstTries(50*time.Millisecond, time.Second, 1, nil)
+		g.setLinks(linkSilent, "g0")
+		g.sendFirstTries(50*time.Millisecond, 2*time.Second, 1, nil)
+		g.setLinks(linkUnanswered, "g1", "g2")
+		for range 20 {
+			r := httptest.NewRequest(http.MethodPost, "/unsafe/x", nil)
+			r.Host = "host.example"
+			r.Header.Set("Balsam-Request-Id", "r1")
+			r.Header.Set("Balsam-Timeout-Ms", "60")
+			w := httptest.NewRecorder()
+			g.forwarders[0].ServeHTTP(w, r)
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, w.Header().Get(fault.HeaderRun), string(fault.NotRun))
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.setLinks(linkUp, "g0", "g1", "g2")
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -82,6 +82,9 @@
 	// relayDialTimeout bounds the dialling of another gateway. Gateways are within
 	// 1 ms of each other.
 	relayDialTimeout = 200 * time.Millisecond
+	// relayMargin is how much earlier the other gateway gives up a call, so that its
+	// refusal, which says whether the request ran, arrives before the deadline.
+	relayMargin = 5 * time.Millisecond
 	// relayAvoidDuration is how long a gateway that could not be reached, or has
 	// no way to any upstream either, gets no relayed calls.
 	relayAvoidDuration = time.Second
@@ -263,7 +266,7 @@
 	if c.stated > 0 {
 		h.Set(c.f.opts.Headers.Deadline, formatMs(c.stated-time.Since(c.arrived)))
 	}
-	h.Set(relayLeft, formatMs(time.Until(c.deadline)))
+	h.Set(relayLeft, formatMs(time.Until(c.deadline)-relayMargin))
 	h.Set(relayTarget, requestTarget(c.r))
 	h.Set(relayCaller, httpnet.RemoteHost(c.r))
 	h.Set(relaySends, strconv.Itoa(c.sends))
