--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -1,9 +1,10 @@
 package catalog
 
 import (
+	"github.com/juju/errors"
+
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/deflate"
-	"github.com/juju/errors"
 )
 
 const (
@@ -22,8 +23,8 @@
 }
 
 // CompressSource returns a copy of state whose text is compressed and which shares
-// its items, or state itself if its text is short. Each change sends the whole desired state to every
-// control VM, and its text is highly repetitive.
+// its items, or state itself if its text is short. Each change sends the whole
+// desired state to every control VM, and its text is highly repetitive.
 func CompressSource(state *catalogpb.DesiredState) (*catalogpb.DesiredState, error) {
 	if len(state.GetSource()) < minCompressedBytes {
 		return state, nil
--- a/internal/catalog/state_cost_test.go
+++ b/internal/catalog/state_cost_test.go
@@ -11,7 +11,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
 
-// TestUnchangedItemsOfDesiredStateAreShared guards against incident inc2 (DENIED):
+// TestUnchangedItemsOfDesiredStateAreShared guards against incident inc2:
 // every comparison of two configurations looked into all routes, although a change
 // concerns few of them.
 func TestUnchangedItemsOfDesiredStateAreShared(t *testing.T) {
@@ -29,7 +29,7 @@
 	assert.Assert(t, after.Pools[0] == before.Pools[0])
 }
 
-// TestSharedSlicesAreNotSearched guards against incident inc2 (DENIED): each
+// TestSharedSlicesAreNotSearched guards against incident inc2: each
 // announcement of an upstream compared all routes on every control VM.
 func TestSharedSlicesAreNotSearched(t *testing.T) {
 	// A search would call key.
@@ -43,7 +43,7 @@
 	assert.DeepEqual(t, keysOf(pools, deleted), []string{"b"})
 }
 
-// TestDiffFormatsOnlyLinesThatAreShown guards against incident inc2 (DENIED): all
+// TestDiffFormatsOnlyLinesThatAreShown guards against incident inc2: all
 // control VMs formatted a line for each route when they applied a change.
 func TestDiffFormatsOnlyLinesThatAreShown(t *testing.T) {
 	cost := func(n int) float64 {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -195,7 +195,7 @@
 	select {
 	case s.events <- isolationChanged{}:
 	default:
-		// The next renewal tells it.
+		// Sent with the next renewal.
 	}
 }
 
--- a/internal/configsync/transfer_test.go
+++ b/internal/configsync/transfer_test.go
@@ -101,7 +101,7 @@
 	}{
 		{"fast link", 1, time.Millisecond, 0, 1, 100 * time.Millisecond},
 		{"three seconds for one answer", 15, 200 * time.Millisecond, 0, 1, 3500 * time.Millisecond},
-		{"connection falls silent during the answer", 4, 10 * time.Millisecond, 1, 2, 2500 * time.Millisecond},
+		{"connection stops responding during the answer", 4, 10 * time.Millisecond, 1, 2, 2500 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -341,7 +341,7 @@
 	return len(s.checker.entries) > before
 }
 
-// TestLeaderThatStoodStillStaysLeader guards against incident inc2 (DENIED): a
+// TestLeaderThatStoodStillStaysLeader guards against incident inc2: a
 // leader that was busy for longer than the election timeout stepped down before it
 // had asked whether the others still follow it.
 func TestLeaderThatStoodStillStaysLeader(t *testing.T) {
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -38,7 +38,7 @@
 	assert.Assert(t, proto.Equal(base, third))
 }
 
-// TestConfigIsAddedWhileDeltasAreComputed guards against incident inc2 (DENIED): the
+// TestConfigIsAddedWhileDeltasAreComputed guards against incident inc2: the
 // goroutine that applies commands and sends heartbeats waited for the deltas of a
 // large change.
 func TestConfigIsAddedWhileDeltasAreComputed(t *testing.T) {
--- a/internal/control/silent_test.go
+++ b/internal/control/silent_test.go
@@ -52,8 +52,8 @@
 	})
 }
 
-// TestSilentEntriesAreNotSearchedForEachResponse guards against incident inc2
-// (DENIED): each response to a gateway searched the reports of all gateways.
+// TestSilentEntriesAreNotSearchedForEachResponse guards against incident inc2:
+// each response to a gateway searched the reports of all gateways.
 func TestSilentEntriesAreNotSearchedForEachResponse(t *testing.T) {
 	l := registeredLoop(t, 3)
 	now := l.server.now()
--- a/internal/control/state_cost_test.go
+++ b/internal/control/state_cost_test.go
@@ -65,7 +65,7 @@
 	return resp
 }
 
-// TestLargeChangeIsEncodedOnceForAllGateways guards against incident inc2 (DENIED): a
+// TestLargeChangeIsEncodedOnceForAllGateways guards against incident inc2: a
 // change that added 1,400 routes was compared again for each revision that a gateway
 // held, and encoded and sent uncompressed for each gateway.
 func TestLargeChangeIsEncodedOnceForAllGateways(t *testing.T) {
--- a/internal/control/state_proposal_test.go
+++ b/internal/control/state_proposal_test.go
@@ -69,7 +69,7 @@
 	return s.Admin().ApplyState(ctx, &adminpb.ApplyStateRequest{State: stateWithRoutes(version, 3)})
 }
 
-// TestDesiredStateSentAgainIsReplicatedOnce guards against incident inc2 (DENIED):
+// TestDesiredStateSentAgainIsReplicatedOnce guards against incident inc2:
 // an operator that got no answer in time sent the state again, and each time the
 // whole state went through the log once more while control was busy with the first.
 func TestDesiredStateSentAgainIsReplicatedOnce(t *testing.T) {
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -41,8 +41,8 @@
 }
 
 // TestHealthBodyIsNotTakenForAnAnswer connects to an upstream that sends the rest of
-// a long health body only when it is sent a request. In an earlier version the
-// caller got that rest as its answer.
+// a long health body only when it is sent a request. The
+// caller must not get that rest as its answer.
 func TestHealthBodyIsNotTakenForAnAnswer(t *testing.T) {
 	const firstPart = 4 << 10
 	forged := "HTTP/1.1 200 OK\r\nBalsam-Request-Id: r1\r\n" + servedByHeader + "Content-Length: 6\r\n\r\nforged"
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -62,7 +62,7 @@
 	return g.links[gateway]
 }
 
-// loseUpstreams lets the upstreams of a zone fall silent for all gateways.
+// loseUpstreams makes the upstreams of a zone stop responding to all gateways.
 func (g *gatewayGroup) loseUpstreams(zone string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// TestLostZoneOfUpstreamsIsNotACut lets all upstreams of a zone fall silent. Gateways
+// TestLostZoneOfUpstreamsIsNotACut makes all upstreams of a zone stop responding. Gateways
 // of that zone, which ask upstreams of their own zone first, must not conclude that
 // they have lost all.
 func TestLostZoneOfUpstreamsIsNotACut(t *testing.T) {
--- a/internal/notice/parse.go
+++ b/internal/notice/parse.go
@@ -27,7 +27,7 @@
 		if strings.TrimSpace(v) == leavingValue {
 			leaving = true
 		} else if invalid == "" {
-			invalid = printable(v)
+			invalid = loggedValue(v)
 		}
 	}
 	return leaving, invalid
@@ -48,7 +48,7 @@
 	for _, value := range header.Values("Retry-After") {
 		d, ok := parseRetryAfter(strings.TrimSpace(value), header.Get("Date"), wall)
 		if !ok || d > MaxPause {
-			invalid = printable(value)
+			invalid = loggedValue(value)
 		}
 		if ok {
 			pause = max(pause, min(d, MaxPause))
@@ -107,8 +107,8 @@
 // maxInvalid is the number of bytes of an invalid value that are kept.
 const maxInvalid = 64
 
-// printable returns the beginning of an invalid value for a log line.
-func printable(value string) string {
+// loggedValue returns the beginning of an invalid value for a log line.
+func loggedValue(value string) string {
 	if value == "" {
 		return "(empty)"
 	}
--- a/internal/replica/loop_test.go
+++ b/internal/replica/loop_test.go
@@ -47,8 +47,8 @@
 	return m.tableStateMachine.Apply(index, data)
 }
 
-// TestHeartbeatsThatWaitCountBeforeElectionTimeout guards against incident inc2
-// (DENIED): a follower that was busy with a large entry for longer than the election
+// TestHeartbeatsThatWaitCountBeforeElectionTimeout guards against incident inc2:
+// a follower that was busy with a large entry for longer than the election
 // timeout started an election although heartbeats had arrived meanwhile.
 func TestHeartbeatsThatWaitCountBeforeElectionTimeout(t *testing.T) {
 	const entries = 20
--- a/internal/replica/pack_test.go
+++ b/internal/replica/pack_test.go
@@ -27,7 +27,7 @@
 	return c.next.RoundTrip(r)
 }
 
-// TestLargeEntryIsSentCompressed guards against incident inc2 (DENIED): a leader sent
+// TestLargeEntryIsSentCompressed guards against incident inc2: a leader sent
 // each large desired state uncompressed to all other control VMs.
 func TestLargeEntryIsSentCompressed(t *testing.T) {
 	t.Parallel()
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -63,7 +63,7 @@
 	})
 }
 
-// TestLookupDoesNotSearchAllRoutes guards against incident inc2 (DENIED): each call
+// TestLookupDoesNotSearchAllRoutes guards against incident inc2: each call
 // was compared with all routes of its host.
 func TestLookupDoesNotSearchAllRoutes(t *testing.T) {
 	table := NewTable(largeConfig(2000), 0)
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -340,8 +340,7 @@
 
 // TestContextOfEarlierExchangeDoesNotInterruptNext ends the context of an exchange
 // after its connection has gone to the next one, as when a response is still being
-// written to its caller. In an earlier version the next exchange failed with a
-// timeout.
+// written to its caller. The next exchange must not fail with a timeout.
 func TestContextOfEarlierExchangeDoesNotInterruptNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
