Log the requests that broke upstreams, and how crashes are counted

A fingerprint alone does not show which part of the request varies: upstream_broke names caller, method, host, target and body of each attempt that is reported as a crash; request_suspect and request_held_off say how many crashes the coincidence and the attribution rules have left out; broken_attempts counts the attempts that ended without a complete response by reason, also those that are no crashes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,7 +14,9 @@
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
+	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
 
@@ -228,9 +232,11 @@
 	}
 	if c.ctx.Err() != nil {
 		if c.r.Context().Err() != nil {
+			c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCallerGone).Inc(1)
 			c.recordNeutralEnd(u.ID)
 			return c.recordFailure(u, attemptFailure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun})
 		}
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenDeadline).Inc(1)
 		if x.ResponseBegun || x.Response != nil {
 			c.recordUnfinished(u)
 			return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not finish its answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
@@ -241,12 +247,35 @@
 	c.recordEnd(u.ID, false, 0)
 	c.f.recordNoAnswer(u, err)
 	if !mayHaveRun {
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenNotSent).Inc(1)
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
+	c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCrash).Inc(1)
+	c.logCrash(u)
 	c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
 	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
 
+// maxLoggedTarget is the number of bytes of a request target that a log line holds.
+const maxLoggedTarget = 256
+
+// logCrash logs the request whose attempt is reported as a crash of the upstream,
+// with the parts that its fingerprint is made of.
+func (c *call) logCrash(u balance.Upstream) {
+	target := requestTarget(c.r)
+	if len(target) > maxLoggedTarget {
+		target = target[:maxLoggedTarget]
+	}
+	body := sha256.Sum256(c.body.buffered)
+	c.f.opts.Events.Log(event.UpstreamBroke).Str("request", c.id).Str("upstream", u.ID).Str("pool", u.Pool).
+		Str("route", c.route.Name).Str("fingerprint", c.quarantineKey.Fingerprint).
+		Str("caller", httpnet.RemoteHost(c.r)).Str("method", c.r.Method).Str("host", c.r.Host).Str("target", target).
+		Str("body_length", strconv.FormatInt(c.body.length, 10)).Str("body_hash", hex.EncodeToString(body[:loggedHashBytes])).Send()
+}
+
+// loggedHashBytes is the number of bytes of a body hash that a log line holds.
+const loggedHashBytes = 8
+
 // recordFailure logs a failed attempt and excludes the upstream from further
 // attempts of the call.
 func (c *call) recordFailure(u balance.Upstream, failed attemptFailure) attemptFailure {
@@ -363,10 +392,13 @@
 func (c *call) recordBrokenStream(u balance.Upstream, readErr error, took time.Duration) {
 	switch {
 	case readErr == nil || c.r.Context().Err() != nil:
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCallerGone).Inc(1)
 		c.recordNeutralEnd(u.ID)
 	case c.ctx.Err() != nil:
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenDeadline).Inc(1)
 		c.recordUnfinished(u)
 	default:
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenStream).Inc(1)
 		c.recordEnd(u.ID, false, took)
 	}
 }
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -143,3 +143,15 @@
 		})
 	}
 }
+
+// TestLogNamesRequestThatBrokeUpstream compares requests that broke connections:
+// the log must show the parts that make up the fingerprint.
+func TestLogNamesRequestThatBrokeUpstream(t *testing.T) {
+	s := startFakeUpstream(t, "u1", func(io.Writer, *http.Request) bool { return false })
+	var logs logFile
+	fx := startForwarderWithLog(t, newConfig(s), logs.logger("gateway", "g1"))
+	status, _, _ := fx.call(t, http.MethodPost, "/unsafe/x?page=2", "")
+	assert.Equal(t, status, 502)
+	assertContains(t, logs.eventsOf(t, "r1")["upstream_broke"],
+		"upstream=u1", "pool=p", "route=unsafe", "caller=127.0.0.1", "method=POST", "host=host.example", "target=/unsafe/x?page=2", "body_length=0")
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -182,7 +182,10 @@
 	} else if r.Entry != s.origin {
 		return
 	}
-	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).Send()
+	evidence := s.detector.Evidence(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint})
+	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).
+		Uint64("crashes", uint64(evidence.Crashes)).Uint64("coincident", uint64(evidence.Coincident)).
+		Uint64("attributed", uint64(evidence.Attributed)).Send()
 }
 
 // now returns the time since New.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -59,6 +59,25 @@
 	return st
 }
 
+// Evidence says how the crashes during which a request was in flight are counted.
+type Evidence struct {
+	// Crashes is the number of crashes since the last release of the request.
+	Crashes int
+	// Coincident and Attributed are the numbers of those that the coincidence rule
+	// and the attribution rule leave out.
+	Coincident, Attributed int
+}
+
+// Evidence returns how the crashes of the request are counted.
+func (d *Detector) Evidence(now time.Duration, r Request) Evidence {
+	x, _ := d.suspect(now, r)
+	return Evidence{
+		Crashes:    x.total,
+		Coincident: x.total - len(x.crashes),
+		Attributed: len(x.crashes) - d.decide(now, x).crashes,
+	}
+}
+
 // isAttributedToOther reports whether a quarantined request with more crashes
 // than x was involved in the crash. The recursion ends because the number of
 // crashes increases.
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -75,6 +75,29 @@
 	return m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed_in")
 }
 
+// Reasons why an attempt ended without a complete response, the values of the tag
+// "why" of the metric "broken_attempts".
+const (
+	// BrokenCrash counts connections that broke with the request in flight: they are
+	// reported as crashes of the upstream.
+	BrokenCrash = "crash"
+	// BrokenNotSent counts connections that broke before the request was sent.
+	BrokenNotSent = "not_sent"
+	// BrokenCallerGone and BrokenDeadline count attempts that ended because the
+	// caller had disconnected or the deadline had passed.
+	BrokenCallerGone = "caller_gone"
+	BrokenDeadline   = "deadline"
+	// BrokenStream counts connections that broke after a part of the response had
+	// been forwarded.
+	BrokenStream = "stream"
+)
+
+// BrokenAttempts returns the counter of attempts without a complete response, by
+// reason.
+func (m *GatewayMetrics) BrokenAttempts(why string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"why": why}).Counter("broken_attempts")
+}
+
 // callSeries holds the tag values of one series of the metric "calls".
 type callSeries struct{ pool, routeKind, outcome string }
 
