--- /dev/null
+++ b/internal/gateway/crash_group_test.go
@@ -0,0 +1,346 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/gossip"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
+)
+
+const (
+	// allowedLateAttempts is the number of client attempts of a crashing request that
+	// may reach upstreams later than crashContact after its third crash.
+	allowedLateAttempts = 3
+	crashContact        = 3 * time.Second
+	// timeToCrash is the time that a crashing request runs before the upstream ends,
+	// restartTime the time until the upstream is back under another ID.
+	timeToCrash = 80 * time.Millisecond
+	restartTime = 4 * time.Second
+	// crashHistory is the length of a history.
+	crashHistory = 25 * time.Second
+)
+
+// crashGroup is a group of gateways that exchange crash reports. Its upstreams have
+// two slots each; all that run a crashing request end.
+type crashGroup struct {
+	*gatewayGroup
+	t     *testing.T
+	rand  *rand.Rand
+	calls sync.WaitGroup
+
+	mu sync.Mutex
+	// running and down hold the state of the upstreams by address.
+	running map[string]int
+	down    map[string]bool
+	starts  int
+	// crashes holds the times of the crashes by crashing request, arrivals the first
+	// time at which an attempt of a client reached an upstream.
+	crashes  map[string][]time.Time
+	arrivals map[string]map[string]time.Time
+	// harmless counts the answers to harmless requests by status or kind of error.
+	harmless map[string]int
+}
+
+// crashingRequest is one variant of a request that ends each upstream that runs it.
+type crashingRequest struct{ name, caller, target string }
+
+func newCrashGroup(t *testing.T, seed uint64) *crashGroup {
+	t.Helper()
+	var ids []string
+	for i := range 13 {
+		ids = append(ids, fmt.Sprint("u", i))
+	}
+	g := &crashGroup{
+		gatewayGroup: newGatewayGroup(t, 6, ids...), t: t, rand: rand.New(rand.NewPCG(seed, 0)),
+		running: make(map[string]int), down: make(map[string]bool),
+		crashes: make(map[string][]time.Time), arrivals: make(map[string]map[string]time.Time), harmless: make(map[string]int),
+	}
+	for _, r := range g.cfg.Routes {
+		r.TimeoutMs = 15_000
+		r.TargetLatencyMs = 2_000
+	}
+	for _, u := range g.cfg.Upstreams {
+		u.Slots = 2
+		g.upstreams[u.Address].setRespond(func(conn net.Conn, r *http.Request) answered { return g.respond(u.Address, conn, r) })
+	}
+	services := make(map[string]*gossip.Service)
+	client := &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+		w := httptest.NewRecorder()
+		services[strings.TrimSuffix(r.URL.Host, ":2")].Handler().ServeHTTP(w, r)
+		return w.Result(), nil
+	})}
+	for _, f := range g.forwarders {
+		id := f.state.gatewayID
+		s := gossip.New(gossip.Options{
+			EntryID: id, Incarnation: 1, Client: client,
+			Limits: quarantine.Limits{Threshold: 3, Hold: 10 * time.Minute, MaxReports: 10_000},
+		})
+		s.OnConfig(configview.New(g.cfg))
+		services[id] = s
+		f.opts.Crashes = s
+	}
+	for _, s := range services {
+		go s.Run(g.background)
+	}
+	g.applyConfig()
+	return g
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func (g *crashGroup) applyConfig() {
+	g.mu.Lock()
+	cfg := proto.Clone(g.cfg).(*catalogpb.Config)
+	g.mu.Unlock()
+	for _, f := range g.forwarders {
+		f.state.applyConfig(configview.New(cfg))
+	}
+}
+
+// respond serves one request or probe of an upstream.
+func (g *crashGroup) respond(address string, conn net.Conn, r *http.Request) answered {
+	g.mu.Lock()
+	down, running := g.down[address], g.running[address]
+	id := g.idAt(address)
+	g.mu.Unlock()
+	switch {
+	case down:
+		return broken
+	case r.URL.Path == "/health":
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: %d 0 2 100\r\nContent-Length: 0\r\n\r\n", id, running)
+		return keptOpen
+	}
+	g.countRunning(address, 1)
+	defer g.countRunning(address, -1)
+	if name := r.Header.Get("Test-Crashes"); name != "" {
+		g.recordArrival(name, r.Header.Get("Balsam-Request-Id"))
+		time.Sleep(timeToCrash)
+		g.crash(name, address)
+		return broken
+	}
+	time.Sleep(300 * time.Millisecond)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsam-Upstream: %s\r\nBalsam-Load: %d 0 2 100\r\nBalsam-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+		id, running, r.Header.Get("Balsam-Request-Id"))
+	return keptOpen
+}
+
+// idAt returns the ID of the upstream at the address. g.mu must be held.
+func (g *crashGroup) idAt(address string) string {
+	for _, u := range g.cfg.Upstreams {
+		if u.Address == address {
+			return u.Id
+		}
+	}
+	return ""
+}
+
+func (g *crashGroup) countRunning(address string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[address] += n
+}
+
+func (g *crashGroup) recordArrival(name, attempt string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.arrivals[name] == nil {
+		g.arrivals[name] = make(map[string]time.Time)
+	}
+	if _, ok := g.arrivals[name][attempt]; !ok {
+		g.arrivals[name][attempt] = time.Now()
+	}
+}
+
+// crash ends the upstream at the address, with all requests that it runs.
+func (g *crashGroup) crash(name, address string) {
+	g.mu.Lock()
+	if g.down[address] {
+		g.mu.Unlock()
+		return
+	}
+	g.down[address] = true
+	g.crashes[name] = append(g.crashes[name], time.Now())
+	g.mu.Unlock()
+	g.upstreams[address].kill()
+	time.AfterFunc(restartTime, func() { g.start(address) })
+}
+
+// start starts an upstream at the address under a new ID.
+func (g *crashGroup) start(address string) {
+	g.mu.Lock()
+	g.starts++
+	for _, u := range g.cfg.Upstreams {
+		if u.Address == address {
+			u.Id = fmt.Sprint("r", g.starts)
+		}
+	}
+	g.cfg.Revision++
+	g.down[address] = false
+	g.mu.Unlock()
+	g.applyConfig()
+}
+
+// send sends one attempt of a client to a random gateway and returns the status, or
+// the kind of error, and the time after which the client may come again.
+func (g *crashGroup) send(id, caller, target, crashes string) (string, time.Duration) {
+	r := httptest.NewRequest(http.MethodGet, target, nil)
+	r.Host = "host.example"
+	r.RemoteAddr = caller + ":4000"
+	r.Header.Set("Balsam-Request-Id", id)
+	if crashes != "" {
+		r.Header.Set("Test-Crashes", crashes)
+	}
+	w := httptest.NewRecorder()
+	g.mu.Lock()
+	f := g.forwarders[g.rand.IntN(len(g.forwarders))]
+	g.mu.Unlock()
+	f.ServeHTTP(w, r)
+	if kind := w.Header().Get(fault.HeaderKind); kind != "" {
+		return kind, 300 * time.Millisecond
+	}
+	return fmt.Sprint(w.Code), 0
+}
+
+// sendCrashing sends a crashing request, and again up to two times after failures.
+func (g *crashGroup) sendCrashing(i int, c crashingRequest) {
+	g.calls.Go(func() {
+		for attempt := range 3 {
+			status, wait := g.send(fmt.Sprintf("%s.%d.%d", c.name, i, attempt), c.caller, c.target, c.name)
+			if status == "200" {
+				return
+			}
+			time.Sleep(wait)
+		}
+	})
+}
+
+// sendHarmless sends a harmless request.
+func (g *crashGroup) sendHarmless(i int, caller, target string) {
+	g.calls.Go(func() {
+		status, _ := g.send(fmt.Sprint("h", i), caller, target, "")
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.harmless[status]++
+	})
+}
+
+// run sends crashing requests at the given interval, from next, and harmless ones all
+// the while: some of them are sent once, one is sent again and again by its caller.
+func (g *crashGroup) run(interval time.Duration, next func(i int) crashingRequest) {
+	const step = 50 * time.Millisecond
+	crashing := 0
+	for i := range int(crashHistory / step) {
+		now := time.Duration(i) * step
+		for ; now >= 2*time.Second+time.Duration(crashing)*interval; crashing++ {
+			g.sendCrashing(crashing, next(crashing))
+		}
+		g.sendHarmless(2*i, fmt.Sprint("10.1.0.", i%40), fmt.Sprint("/safe/once", i))
+		if i%4 == 0 {
+			g.sendHarmless(2*i+1, "10.1.1.1", "/safe/polled?page=2")
+		}
+		time.Sleep(step)
+	}
+	g.calls.Wait()
+}
+
+// lateAttempts returns the number of attempts of the crashing request that reached an
+// upstream later than crashContact after its third crash.
+func (g *crashGroup) lateAttempts(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.crashes[name]) < 3 {
+		return 0
+	}
+	late := 0
+	for _, at := range g.arrivals[name] {
+		if at.Sub(g.crashes[name][2]) > crashContact {
+			late++
+		}
+	}
+	return late
+}
+
+const (
+	crashingPath   = "/safe/crashing"
+	crashingCaller = "10.0.0.1"
+)
+
+// crashCase is a way in which crashing requests arrive.
+type crashCase struct {
+	name     string
+	interval time.Duration
+	next     func(i int) crashingRequest
+}
+
+// check plays the case with some seeds and checks that each crashing request is held
+// off, and that harmless requests are not.
+func (c crashCase) check(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			g := newCrashGroup(t, seed)
+			g.run(c.interval, c.next)
+			for name := range g.arrivals {
+				late := g.lateAttempts(name)
+				t.Logf("seed %d: %s: %d crashes, %d attempts reached upstreams, %d of them late; harmless: %v",
+					seed, name, len(g.crashes[name]), len(g.arrivals[name]), late, g.harmless)
+				assert.Check(t, late <= allowedLateAttempts, "seed %d: %d attempts of %s reached upstreams later than %s after its third crash, want at most %d",
+					seed, late, name, crashContact, allowedLateAttempts)
+			}
+			assert.Check(t, g.harmless[string(fault.Quarantined)] == 0, "seed %d: answers to harmless requests: %v", seed, g.harmless)
+		})
+	}
+}
+
+// TestCrashingRequestsAreHeldOff guards against a crashing request that goes on to
+// reach upstreams because crashes at the same time clear each other, or because it
+// was waiting for an upstream when the third one ended.
+func TestCrashingRequestsAreHeldOff(t *testing.T) {
+	tests := []crashCase{
+		{"one", 400 * time.Millisecond, func(int) crashingRequest { return crashingRequest{"a", crashingCaller, crashingPath} }},
+		{"many at once", 50 * time.Millisecond, func(int) crashingRequest { return crashingRequest{"a", crashingCaller, crashingPath} }},
+		{"four by turns", 100 * time.Millisecond, func(i int) crashingRequest {
+			name := string(rune('a' + i%4))
+			return crashingRequest{name, crashingCaller, crashingPath + "-" + name}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, tt.check)
+	}
+}
+
+// TestVariantsOfCrashingRequestAreHeldOff guards against a crashing request that goes
+// on to reach upstreams because each variant of it counts by itself.
+func TestVariantsOfCrashingRequestAreHeldOff(t *testing.T) {
+	tests := []crashCase{
+		{"query varies", 400 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", crashingCaller, fmt.Sprint(crashingPath, "?n=", i)}
+		}},
+		{"caller varies", 400 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", fmt.Sprint("10.0.0.", i), crashingPath}
+		}},
+		{"query and caller vary", 400 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", fmt.Sprint("10.0.0.", i), fmt.Sprint(crashingPath, "?n=", i)}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, tt.check)
+	}
+}
