--- a/internal/entryvm/quarantine.go
+++ b/internal/entryvm/quarantine.go
@@ -23,27 +23,27 @@
 }
 
 // Blocked implements forward.Quarantine.
-func (g *quarantineGuard) Blocked(service, fingerprint string) *fault.Error {
-	return g.gossip.Blocked(quarantine.Request{Service: service, Fingerprint: fingerprint})
+func (g *quarantineGuard) Blocked(sig quarantine.Signature) *fault.Error {
+	return g.gossip.Blocked(sig)
 }
 
 // Admit implements forward.Quarantine.
-func (g *quarantineGuard) Admit(ctx context.Context, service, fingerprint string) (forward.AttemptReporter, *fault.Error) {
-	r := quarantine.Request{Service: service, Fingerprint: fingerprint}
-	if err := g.gossip.Blocked(r); err != nil {
+func (g *quarantineGuard) Admit(ctx context.Context, sig quarantine.Signature) (forward.AttemptReporter, *fault.Error) {
+	if err := g.gossip.Blocked(sig); err != nil {
 		return nil, err
 	}
-	t := &attempt{guard: g, request: r, release: func() {}}
-	if !g.gossip.Suspect(r) {
+	t := &attempt{guard: g, signature: sig, release: func() {}}
+	by, suspect := g.gossip.Suspect(sig)
+	if !suspect {
 		return t, nil
 	}
-	release, err := g.claims.AcquirePermit(ctx, service, fingerprint)
+	release, err := g.claims.AcquirePermit(ctx, by.Service, by.Fingerprint)
 	if err != nil {
 		return nil, err
 	}
 	// Another attempt of the request may have crashed an upstream during the wait
 	// for the permit.
-	if err := g.gossip.Blocked(r); err != nil {
+	if err := g.gossip.Blocked(sig); err != nil {
 		release()
 		return nil, err
 	}
@@ -54,15 +54,15 @@
 // attempt implements forward.AttemptReporter for one attempt. release returns the
 // permit, which only an attempt of a suspect request holds.
 type attempt struct {
-	guard   *quarantineGuard
-	request quarantine.Request
-	release func()
+	guard     *quarantineGuard
+	signature quarantine.Signature
+	release   func()
 }
 
 // Crashed implements forward.AttemptReporter. It holds the permit until the other
 // entry VMs have received the crash report, or flushTimeout has passed.
 func (t *attempt) Crashed(upstream string, incarnation uint64) {
-	t.guard.gossip.Crashed(t.request, quarantine.Crash{Upstream: upstream, Incarnation: incarnation})
+	t.guard.gossip.Crashed(t.signature, quarantine.Crash{Upstream: upstream, Incarnation: incarnation})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 		defer cancel()
@@ -73,7 +73,7 @@
 
 // Completed implements forward.AttemptReporter.
 func (t *attempt) Completed() {
-	t.guard.gossip.Completed(t.request)
+	t.guard.gossip.Completed(t.signature)
 	t.release()
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -59,6 +59,7 @@
 	CallEnded       = Event{403, "call_ended", zerolog.WarnLevel, "a call was refused, failed, or was sent more than once", ""}
 	AttemptFailed   = Event{404, "attempt_failed", zerolog.InfoLevel, "an attempt at an upstream returned no response that can be forwarded", ""}
 	UpstreamBroke   = Event{405, "upstream_broke", zerolog.WarnLevel, "an upstream broke the connection on which it ran the request; reported as a crash", "compare target, caller and body of the requests that did so"}
+	RequestCleared  = Event{406, "request_cleared", zerolog.InfoLevel, "variants of a request were released from quarantine, because some of them have recently completed at this process", ""}
 	WrongKey        = Event{500, "wrong_key", zerolog.WarnLevel, "a request had no valid key", "check the sender and its key"}
 	KeysReloaded    = Event{501, "keys_reloaded", zerolog.InfoLevel, "the changed key file was reloaded", ""}
 	KeysInvalid     = Event{502, "keys_invalid", zerolog.ErrorLevel, "a key file is missing or not valid; the old keys stay in force", "correct the named file"}
@@ -71,7 +72,7 @@
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
-		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke,
+		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, RequestCleared,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -11,6 +11,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -38,10 +39,10 @@
 	policy  policy
 	key     string
 	body    *requestBody
-	// fingerprint identifies the request to the quarantine.
-	fingerprint string
-	state       statechart.State
-	span        trace.Span
+	// signature identifies the request to the quarantine.
+	signature quarantine.Signature
+	state     statechart.State
+	span      trace.Span
 
 	// ctx ends at the deadline. Unless the call needs a claim, it also ends
 	// when the caller disconnects.
@@ -174,8 +175,8 @@
 		return c.fail(err)
 	}
 	c.body = body
-	c.fingerprint = fingerprint(c.r, body.digest)
-	if e := c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint); e != nil {
+	c.signature = sign(c.service.Name, c.r, body.digest)
+	if e := c.f.opts.Quarantine.Blocked(c.signature); e != nil {
 		return c.fail(e)
 	}
 	if c.needsClaim() {
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -16,6 +16,7 @@
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/notice"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
@@ -180,13 +181,13 @@
 	blocked *fault.Error
 }
 
-func (q *fakeQuarantine) Blocked(string, string) *fault.Error {
+func (q *fakeQuarantine) Blocked(quarantine.Signature) *fault.Error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.blocked
 }
 
-func (q *fakeQuarantine) Admit(context.Context, string, string) (AttemptReporter, *fault.Error) {
+func (q *fakeQuarantine) Admit(context.Context, quarantine.Signature) (AttemptReporter, *fault.Error) {
 	return fakeAttemptReporter{q}, nil
 }
 
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 )
 
 // hopByHop lists the headers that apply to a single connection (RFC 9110,
@@ -33,14 +35,19 @@
 	return dst
 }
 
-// fingerprint identifies the request to the quarantine. Requests with the
-// same method, path, query and buffered body are assumed to have the same
-// effect on an upstream.
-func fingerprint(r *http.Request, body [sha256.Size]byte) string {
-	h := sha256.New()
-	hashField(h, r.Method)
-	hashField(h, r.URL.Path)
-	hashField(h, r.URL.RawQuery)
-	h.Write(body[:])
-	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+// sign returns the signature of the request for the quarantine: method, path, query
+// and buffered body, and the same with any query.
+func sign(service string, r *http.Request, body [sha256.Size]byte) quarantine.Signature {
+	fingerprint := func(query string) string {
+		h := sha256.New()
+		hashField(h, r.Method)
+		hashField(h, r.URL.Path)
+		hashField(h, query)
+		h.Write(body[:])
+		return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+	}
+	return quarantine.Signature{Service: service, Exact: fingerprint(r.URL.RawQuery), General: []string{fingerprint(anyQuery)}}
 }
+
+// anyQuery stands for the query of a request. No query has a space.
+const anyQuery = " *"
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -89,7 +89,7 @@
 		c.f.retryBudgets.refund(c.service)
 		return nil
 	}
-	reporter, refusal := c.f.opts.Quarantine.Admit(ctx, c.service.Name, c.fingerprint)
+	reporter, refusal := c.f.opts.Quarantine.Admit(ctx, c.signature)
 	if refusal != nil || !c.grantUsable(g) || !c.f.notices.open(g) {
 		if reporter != nil {
 			reporter.Abandoned()
--- a/internal/forward/interfaces.go
+++ b/internal/forward/interfaces.go
@@ -5,6 +5,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 )
 
 // Claims ensures that a request with an Idempotency-Key that is not
@@ -34,12 +35,12 @@
 // Quarantine blocks requests that crash upstreams.
 type Quarantine interface {
 	// Blocked returns the refusal for a quarantined request, or nil.
-	Blocked(service, fingerprint string) *fault.Error
+	Blocked(quarantine.Signature) *fault.Error
 	// Admit must be called before each attempt. It returns a reporter for
 	// the outcome of the attempt, or a refusal. For a request that is
 	// suspected of crashing upstreams it waits, so that only one attempt
 	// runs at a time across all entry VMs.
-	Admit(ctx context.Context, service, fingerprint string) (AttemptReporter, *fault.Error)
+	Admit(ctx context.Context, sig quarantine.Signature) (AttemptReporter, *fault.Error)
 }
 
 // AttemptReporter receives the outcome of one attempt that Quarantine
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -34,7 +34,7 @@
 
 // send makes one attempt at the granted upstream, and a hedge if it is slow.
 func (c *call) send() statechart.Event {
-	reporter, refusal := c.f.opts.Quarantine.Admit(c.ctx, c.service.Name, c.fingerprint)
+	reporter, refusal := c.f.opts.Quarantine.Admit(c.ctx, c.signature)
 	if refusal != nil {
 		return c.abortBeforeSend(refusal)
 	}
@@ -205,7 +205,7 @@
 // retryOrFail retries a repeatable request after an attempt that may have
 // run, unless the request is quarantined, and fails the call otherwise.
 func (c *call) retryOrFail(err *fault.Error) statechart.Event {
-	if c.policy.repeatable && c.reserveRetry() && c.f.opts.Quarantine.Blocked(c.service.Name, c.fingerprint) == nil {
+	if c.policy.repeatable && c.reserveRetry() && c.f.opts.Quarantine.Blocked(c.signature) == nil {
 		c.err = err
 		c.mayHaveRunErr = err
 		c.avoid = append(c.avoid, c.grant.Upstream)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -252,7 +252,7 @@
 	}
 	c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCrash).Inc(1)
 	c.logCrash(u)
-	c.f.opts.Crashes.Crashed(c.quarantineKey, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	c.f.opts.Crashes.Crashed(c.signature, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
 	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
 
@@ -268,7 +268,7 @@
 	}
 	body := sha256.Sum256(c.body.buffered)
 	c.f.opts.Events.Log(event.UpstreamBroke).Str("request", c.id).Str("upstream", u.ID).Str("pool", u.Pool).
-		Str("route", c.route.Name).Str("fingerprint", c.quarantineKey.Fingerprint).
+		Str("route", c.route.Name).Str("fingerprint", c.signature.Exact).
 		Str("caller", httpnet.RemoteHost(c.r)).Str("method", c.r.Method).Str("host", c.r.Host).Str("target", target).
 		Str("body_length", strconv.FormatInt(c.body.length, 10)).Str("body_hash", hex.EncodeToString(body[:loggedHashBytes])).Send()
 }
@@ -313,7 +313,7 @@
 	}
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
-	c.f.opts.Crashes.Completed(c.quarantineKey)
+	c.f.opts.Crashes.Completed(c.signature)
 	c.writeHeader(resp, int64(len(buffered.body)))
 	stop := c.limitLastWrite()
 	defer stop()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/balance"
@@ -45,10 +46,10 @@
 	id      string
 	arrived time.Time
 
-	route         *route.Route
-	pool          string
-	body          body
-	quarantineKey quarantine.Request
+	route     *route.Route
+	pool      string
+	body      body
+	signature quarantine.Signature
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -187,11 +188,11 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.quarantineKey = c.fingerprint()
+	c.signature = c.sign()
 	defer c.releaseRetry()
 	var failed attemptFailure
 	for {
-		if err := c.f.opts.Crashes.Blocked(c.quarantineKey); err != nil {
+		if err := c.f.opts.Crashes.Blocked(c.signature); err != nil {
 			return c.finalError(err)
 		}
 		cause := c.f.upstreamsLost()
@@ -395,17 +396,26 @@
 	return c.denial(age, denied)
 }
 
-// fingerprint returns the quarantine key of the request. Requests that are
-// likely to crash an upstream in the same way share it: those of the same
-// caller host with the same method, URL, body length and buffered body.
-func (c *call) fingerprint() quarantine.Request {
+// sign returns the signature of the request for the quarantine: method, host, path,
+// query, body length and buffered body, from exactly this caller, from any caller,
+// and from any caller with any query.
+func (c *call) sign() quarantine.Signature {
 	sum := sha256.Sum256(c.body.buffered)
-	return quarantine.Request{
-		Service:     c.pool,
-		Fingerprint: quarantine.Fingerprint(c.r.Method, httpnet.RemoteHost(c.r)+" "+c.r.Host+c.r.RequestURI, c.body.length, sum[:]),
+	fingerprint := func(target string) string {
+		return quarantine.Fingerprint(c.r.Method, target, c.body.length, sum[:])
+	}
+	target := c.r.Host + c.r.RequestURI
+	path, _, _ := strings.Cut(target, "?")
+	return quarantine.Signature{
+		Service: c.pool,
+		Exact:   fingerprint(httpnet.RemoteHost(c.r) + " " + target),
+		General: []string{fingerprint(target), fingerprint(path + anyQuery)},
 	}
 }
 
+// anyQuery stands for the query of a request. No target has a space.
+const anyQuery = " *"
+
 // routeKind returns the kind of the route for metrics, "" if no route matched.
 func (c *call) routeKind() string {
 	if c.route == nil {
--- a/internal/gateway/crash_group_test.go
+++ b/internal/gateway/crash_group_test.go
@@ -242,25 +242,32 @@
 	})
 }
 
-// run sends crashing requests at the given interval, from next, and harmless ones all
-// the while: some of them are sent once, one is sent again and again by its caller.
+// run sends crashing requests at the given interval, from next unless it is nil, and
+// harmless ones all the while: some of them are sent once, one is sent again and again
+// by its caller, and some by many callers.
 func (g *crashGroup) run(interval time.Duration, next func(i int) crashingRequest) {
 	const step = 50 * time.Millisecond
 	crashing := 0
 	for i := range int(crashHistory / step) {
 		now := time.Duration(i) * step
-		for ; now >= 2*time.Second+time.Duration(crashing)*interval; crashing++ {
+		for ; next != nil && now >= 2*time.Second+time.Duration(crashing)*interval; crashing++ {
 			g.sendCrashing(crashing, next(crashing))
 		}
-		g.sendHarmless(2*i, fmt.Sprint("10.1.0.", i%40), fmt.Sprint("/safe/once", i))
+		g.sendHarmless(3*i, fmt.Sprint("10.1.0.", i%40), fmt.Sprint("/safe/once", i))
 		if i%4 == 0 {
-			g.sendHarmless(2*i+1, "10.1.1.1", "/safe/polled?page=2")
+			g.sendHarmless(3*i+1, "10.1.1.1", "/safe/polled?page=2")
+		}
+		if i%2 == 0 {
+			g.sendHarmless(3*i+2, fmt.Sprint("10.1.2.", i%40), fmt.Sprintf("%s?page=%d", popularPath, i%5))
 		}
 		time.Sleep(step)
 	}
 	g.calls.Wait()
 }
 
+// popularPath is the path of harmless requests of many callers, with some queries.
+const popularPath = "/safe/popular"
+
 // lateAttempts returns the number of attempts of the crashing request that reached an
 // upstream later than crashContact after its third crash.
 func (g *crashGroup) lateAttempts(name string) int {
@@ -326,6 +333,37 @@
 	}
 }
 
+// TestUpstreamsEndTogetherWithoutQuarantine ends upstreams at the same moment, for a
+// reason that no request has: no request may be quarantined for it.
+func TestUpstreamsEndTogetherWithoutQuarantine(t *testing.T) {
+	tests := []struct {
+		name  string
+		at    time.Duration
+		count int
+	}{
+		{"half", 5 * time.Second, 6},
+		{"all", 5 * time.Second, 13},
+		{"all, before the first answer", 250 * time.Millisecond, 13},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					g := newCrashGroup(t, seed)
+					time.AfterFunc(tt.at, func() {
+						for _, u := range g.cfg.Upstreams[:tt.count] {
+							g.crash("none", u.Address)
+						}
+					})
+					g.run(0, nil)
+					t.Logf("seed %d: harmless: %v", seed, g.harmless)
+					assert.Check(t, g.harmless[string(fault.Quarantined)] == 0, "seed %d: answers: %v", seed, g.harmless)
+				})
+			}
+		})
+	}
+}
+
 // TestVariantsOfCrashingRequestAreHeldOff guards against a crashing request that goes
 // on to reach upstreams because each variant of it counts by itself.
 func TestVariantsOfCrashingRequestAreHeldOff(t *testing.T) {
@@ -339,8 +377,41 @@
 		{"query and caller vary", 400 * time.Millisecond, func(i int) crashingRequest {
 			return crashingRequest{"a", fmt.Sprint("10.0.0.", i), fmt.Sprint(crashingPath, "?n=", i)}
 		}},
+		{"caller varies, many at once", 50 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", fmt.Sprint("10.0.0.", i%250), crashingPath}
+		}},
+		{"caller varies, rare", 4 * time.Second, func(i int) crashingRequest {
+			return crashingRequest{"a", fmt.Sprint("10.0.0.", i), crashingPath}
+		}},
+		{"two requests, caller varies", 100 * time.Millisecond, func(i int) crashingRequest {
+			name := string(rune('a' + i%2))
+			return crashingRequest{name, fmt.Sprint("10.0.0.", i), crashingPath + "-" + name}
+		}},
+		{"a query of a popular path", 400 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", fmt.Sprint("10.0.0.", i), popularPath + "?page=bad"}
+		}},
+		{"a caller of a popular request", 400 * time.Millisecond, func(i int) crashingRequest {
+			return crashingRequest{"a", crashingCaller, popularPath + "?page=1"}
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, tt.check)
 	}
 }
+
+// Calls must have fingerprints in common with those of other callers, and with those
+// that have another query.
+func TestSignaturesOfCalls(t *testing.T) {
+	sign := func(caller, target string) quarantine.Signature {
+		r := httptest.NewRequest(http.MethodGet, target, nil)
+		r.RemoteAddr = caller + ":4000"
+		return (&call{r: r, pool: "p"}).sign()
+	}
+	a := sign("10.0.0.1", "/safe/x?n=1")
+	sameQuery, otherQuery, otherPath := sign("10.0.0.2", "/safe/x?n=1"), sign("10.0.0.1", "/safe/x"), sign("10.0.0.1", "/safe/y?n=1")
+	assert.Assert(t, a.Exact != sameQuery.Exact && a.Exact != otherQuery.Exact)
+	assert.DeepEqual(t, a.General, sameQuery.General)
+	assert.Assert(t, a.General[0] != otherQuery.General[0])
+	assert.Equal(t, a.General[1], otherQuery.General[1])
+	assert.Assert(t, a.General[1] != otherPath.General[1])
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -33,12 +33,12 @@
 // CrashTracker keeps track of requests that crash upstreams.
 type CrashTracker interface {
 	// Blocked returns the refusal for a quarantined request, or nil.
-	Blocked(quarantine.Request) *fault.Error
+	Blocked(quarantine.Signature) *fault.Error
 	// Crashed records that the connection to an upstream broke with the request in
 	// flight.
-	Crashed(quarantine.Request, quarantine.Crash)
+	Crashed(quarantine.Signature, quarantine.Crash)
 	// Completed records that the request received a complete response.
-	Completed(quarantine.Request)
+	Completed(quarantine.Signature)
 }
 
 // ForwarderOptions configures a Forwarder.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -151,7 +151,7 @@
 	blocked bool
 }
 
-func (c *crashRecorder) Blocked(quarantine.Request) *fault.Error {
+func (c *crashRecorder) Blocked(quarantine.Signature) *fault.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.blocked {
@@ -160,13 +160,13 @@
 	return nil
 }
 
-func (c *crashRecorder) Crashed(_ quarantine.Request, crash quarantine.Crash) {
+func (c *crashRecorder) Crashed(_ quarantine.Signature, crash quarantine.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seen = append(c.seen, crash)
 }
 
-func (c *crashRecorder) Completed(quarantine.Request) {}
+func (c *crashRecorder) Completed(quarantine.Signature) {}
 
 func newRoute(name string, kind catalogpb.RouteKind) *catalogpb.Route {
 	return &catalogpb.Route{
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -19,7 +19,7 @@
 			before := cpuTime()
 			b.ResetTimer()
 			for i := range b.N {
-				r := quarantine.Request{Service: "lotboard", Fingerprint: fmt.Sprint(i)}
+				r := quarantine.Signature{Service: "lotboard", Exact: fmt.Sprint(i)}
 				services[0].Crashed(r, quarantine.Crash{Upstream: "u1", Incarnation: uint64(i)})
 				if err := services[0].Flush(context.Background()); err != nil {
 					b.Fatal(err)
--- a/internal/gossip/cost_test.go
+++ b/internal/gossip/cost_test.go
@@ -40,12 +40,13 @@
 // usual length.
 func crashReport(entry string, n int) *clusterpb.CrashReport {
 	return &clusterpb.CrashReport{
-		Service:     "lotboard",
-		Fingerprint: fmt.Sprintf("%032x", n),
-		Upstream:    fmt.Sprintf("i-%010x", n),
-		Incarnation: uint64(n),
-		Entry:       entry,
-		Sequence:    uint64(n),
+		Service:             "lotboard",
+		Fingerprint:         fmt.Sprintf("%032x", n),
+		GeneralFingerprints: []string{fmt.Sprintf("%032x", n/2), fmt.Sprintf("%032x", n/4)},
+		Upstream:            fmt.Sprintf("i-%010x", n),
+		Incarnation:         uint64(n),
+		Entry:               entry,
+		Sequence:            uint64(n),
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -73,8 +73,9 @@
 	// the goroutine of Run uses it.
 	gotAnswer bool
 
-	mu       sync.Mutex
-	detector *quarantine.Detector
+	mu          sync.Mutex
+	detector    *quarantine.Detector
+	completions quarantine.Completions
 }
 
 // New returns a Service that knows of no crashes.
@@ -106,41 +107,55 @@
 
 // Blocked returns an error of kind Quarantined, with the remaining time, if the
 // request is quarantined, and nil otherwise.
-func (s *Service) Blocked(r quarantine.Request) *fault.Error {
+func (s *Service) Blocked(sig quarantine.Signature) *fault.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left, ok := s.detector.Blocked(s.now(), r)
+	by, left, ok := s.detector.Blocked(s.now(), sig)
 	if !ok {
 		return nil
 	}
-	return fault.NewRetryable(fault.Quarantined, left, "request %s of service %s", r.Fingerprint, r.Service)
+	return fault.NewRetryable(fault.Quarantined, left, "request %s of service %s", by.Fingerprint, by.Service)
 }
 
-// Suspect reports whether the request may have crashed an upstream. At most one
-// attempt at such a request should run at a time.
-func (s *Service) Suspect(r quarantine.Request) bool {
+// Suspect reports whether the request may have crashed an upstream, and by which
+// fingerprint. At most one attempt of the requests with that fingerprint should
+// run at a time.
+func (s *Service) Suspect(sig quarantine.Signature) (by quarantine.Request, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.detector.Suspect(s.now(), r)
+	return s.detector.Suspect(s.now(), sig)
 }
 
 // Crashed records and replicates that the connection to an upstream broke with
-// the request in flight.
-func (s *Service) Crashed(r quarantine.Request, c quarantine.Crash) {
-	s.mergeAndQueue(&clusterpb.CrashReport{Service: r.Service, Fingerprint: r.Fingerprint, Upstream: c.Upstream, Incarnation: c.Incarnation})
+// the request in flight. General fingerprints of which other requests have recently
+// completed here are left out.
+func (s *Service) Crashed(sig quarantine.Signature, c quarantine.Crash) {
+	s.mu.Lock()
+	general := s.completions.Uncompleted(s.now(), sig)
+	s.mu.Unlock()
+	s.mergeAndQueue(&clusterpb.CrashReport{
+		Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: general, Upstream: c.Upstream, Incarnation: c.Incarnation,
+	})
 }
 
 // Completed clears the suspicion against a request that an upstream has
-// answered. It does nothing for requests that are not suspect.
-func (s *Service) Completed(r quarantine.Request) {
-	if s.Suspect(r) {
-		s.Release(r)
+// answered, and against its variants. It sends nothing for requests without a
+// crash that counts.
+func (s *Service) Completed(sig quarantine.Signature) {
+	s.mu.Lock()
+	now := s.now()
+	s.completions.Record(now, sig)
+	involved := s.detector.Involved(now, sig)
+	s.mu.Unlock()
+	if involved {
+		s.Release(sig)
 	}
 }
 
-// Release cancels the crash reports about a request on all entry VMs.
-func (s *Service) Release(r quarantine.Request) {
-	s.mergeAndQueue(&clusterpb.CrashReport{Service: r.Service, Fingerprint: r.Fingerprint, Released: true})
+// Release cancels the crash reports about a request, and about its variants if the
+// signature has general fingerprints, on all entry VMs.
+func (s *Service) Release(sig quarantine.Signature) {
+	s.mergeAndQueue(&clusterpb.CrashReport{Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: sig.General, Released: true})
 }
 
 // Quarantined returns the requests that are quarantined.
@@ -163,11 +178,32 @@
 
 func (s *Service) merge(reports []*clusterpb.CrashReport) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.now()
+	var cleared []quarantine.Signature
 	for _, r := range s.detector.Merge(now, reports) {
 		s.logDetection(now, r)
+		if sig, ok := s.completedHere(now, r); ok {
+			cleared = append(cleared, sig)
+		}
+	}
+	s.mu.Unlock()
+	for _, sig := range cleared {
+		s.opts.Logger.Log(event.RequestCleared).Str("service", sig.Service).Str("fingerprint", sig.General[0]).Send()
+		s.Release(sig)
+	}
+}
+
+// completedHere returns the general fingerprints of a report that are quarantined
+// although requests with them have recently completed here. The entry VM that made
+// the report may not have had any of these. The caller holds mu.
+func (s *Service) completedHere(now time.Duration, r *clusterpb.CrashReport) (quarantine.Signature, bool) {
+	if r.Released || len(r.GeneralFingerprints) == 0 {
+		return quarantine.Signature{}, false
 	}
+	sig := quarantine.Signature{Service: r.Service, General: r.GeneralFingerprints}
+	sig.General = sig.General[len(s.completions.Uncompleted(now, sig)):]
+	_, _, blocked := s.detector.Blocked(now, sig)
+	return sig, blocked
 }
 
 // logDetection logs a new report if it was made here or its request is
@@ -177,15 +213,16 @@
 		return
 	}
 	e := event.RequestSuspect
-	if _, blocked := s.detector.Blocked(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); blocked {
+	by, _, blocked := s.detector.Blocked(now, quarantine.SignatureOf(r))
+	if blocked {
 		e = event.RequestHeldOff
-	} else if r.Entry != s.origin {
+	} else if by = (quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); r.Entry != s.origin {
 		return
 	}
-	evidence := s.detector.Evidence(now, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint})
-	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("upstream", r.Upstream).
+	evidence := s.detector.Evidence(now, by)
+	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("by", by.Fingerprint).Str("upstream", r.Upstream).
 		Uint64("crashes", uint64(evidence.Crashes)).Uint64("coincident", uint64(evidence.Coincident)).
-		Uint64("attributed", uint64(evidence.Attributed)).Send()
+		Uint64("attributed", uint64(evidence.Attributed)).Uint64("variants", uint64(evidence.Variants)).Send()
 }
 
 // now returns the time since New.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -61,13 +61,18 @@
 	return services
 }
 
+func isSuspect(s *Service, sig quarantine.Signature) bool {
+	_, ok := s.Suspect(sig)
+	return ok
+}
+
 func TestFlushedReportsAreKnownToAllEntryVMs(t *testing.T) {
 	services := startServices(t, 4)
-	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
+	r := quarantine.Signature{Service: "lotboard", Exact: "f"}
 	services[0].Crashed(r, quarantine.Crash{Upstream: "u1", Incarnation: 1})
 	assert.NilError(t, services[0].Flush(context.Background()))
 	for _, s := range services {
-		assert.Assert(t, s.Suspect(r))
+		assert.Assert(t, isSuspect(s, r))
 		assert.Assert(t, s.Blocked(r) == nil)
 	}
 	services[1].Crashed(r, quarantine.Crash{Upstream: "u2", Incarnation: 1})
@@ -78,16 +83,16 @@
 	services[2].Release(r)
 	assert.NilError(t, services[2].Flush(context.Background()))
 	for _, s := range services {
-		assert.Assert(t, !s.Suspect(r))
+		assert.Assert(t, !isSuspect(s, r))
 	}
 }
 
 func TestReportThatWasNotPushedIsLearnedByComparison(t *testing.T) {
 	services := startServices(t, 2)
-	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
-	services[0].merge([]*clusterpb.CrashReport{{Service: r.Service, Fingerprint: r.Fingerprint, Upstream: "u1", Entry: "e9", Sequence: 1}})
+	r := quarantine.Signature{Service: "lotboard", Exact: "f"}
+	services[0].merge([]*clusterpb.CrashReport{{Service: r.Service, Fingerprint: r.Exact, Upstream: "u1", Entry: "e9", Sequence: 1}})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !services[1].Suspect(r) {
+		if !isSuspect(services[1], r) {
 			return poll.Continue("request is not yet suspect on the other entry VM")
 		}
 		return poll.Success()
@@ -110,12 +115,12 @@
 		}
 	}
 	assert.Equal(t, calls.Load(), int64(len(services)))
-	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
-	services[0].merge([]*clusterpb.CrashReport{{Service: r.Service, Fingerprint: r.Fingerprint, Upstream: "u1", Entry: "e9", Sequence: 1}})
+	r := quarantine.Signature{Service: "lotboard", Exact: "f"}
+	services[0].merge([]*clusterpb.CrashReport{{Service: r.Service, Fingerprint: r.Exact, Upstream: "u1", Entry: "e9", Sequence: 1}})
 	for range 40 {
 		services[0].compareWithRandomPeer(context.Background())
 	}
-	assert.Assert(t, services[1].Suspect(r) && services[2].Suspect(r))
+	assert.Assert(t, isSuspect(services[1], r) && isSuspect(services[2], r))
 }
 
 // TestCrashIsLoggedWhereItWasSeen guards against incident inc1: most log lines of
@@ -128,7 +133,7 @@
 		s.opts.Logger = event.NewLogger(&logs[i], zerolog.InfoLevel, "gateway", s.opts.EntryID)
 	}
 	count := func(i int, name string) int { return strings.Count(logs[i].String(), `"`+name+`"`) }
-	r := quarantine.Request{Service: "lotboard", Fingerprint: "f"}
+	r := quarantine.Signature{Service: "lotboard", Exact: "f"}
 	crash := func(upstream string) {
 		services[0].Crashed(r, quarantine.Crash{Upstream: upstream, Incarnation: 1})
 		queued := <-services[0].queue
@@ -142,3 +147,26 @@
 		assert.Equal(t, count(i, "request_held_off"), 1)
 	}
 }
+
+// TestVariantsThatCompleteElsewhereAreReleased guards against requests that are
+// quarantined for the crashes of a variant: the entry VM that reports these has not
+// seen the other variants complete, another one has.
+func TestVariantsThatCompleteElsewhereAreReleased(t *testing.T) {
+	services := startServices(t, 3)
+	sign := func(caller string) quarantine.Signature {
+		return quarantine.Signature{Service: "lotboard", Exact: caller, General: []string{"any caller"}}
+	}
+	services[2].Completed(sign("c"))
+	for i, caller := range []string{"a", "b"} {
+		services[i].Crashed(sign(caller), quarantine.Crash{Upstream: fmt.Sprint("u", i), Incarnation: 1})
+		assert.NilError(t, services[i].Flush(context.Background()))
+	}
+	for _, s := range services {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if err := s.Blocked(sign("d")); err != nil {
+				return poll.Continue("%v", err)
+			}
+			return poll.Success()
+		})
+	}
+}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // suspect is a request that was in flight during at least one crash since its
 // last release.
@@ -13,16 +16,33 @@
 	total int
 }
 
-// Blocked reports whether the request is quarantined, and for how much longer.
-func (d *Detector) Blocked(now time.Duration, r Request) (time.Duration, bool) {
-	return d.status(now, r).blocked(now)
+// Blocked reports whether a request is quarantined by one of its fingerprints,
+// by which one, and for how much longer.
+func (d *Detector) Blocked(now time.Duration, sig Signature) (by Request, left time.Duration, ok bool) {
+	for _, r := range sig.requests() {
+		if left, ok := d.status(now, r).blocked(now); ok {
+			return r, left, true
+		}
+	}
+	return Request{}, 0, false
+}
+
+// Suspect reports whether crashes make a request suspect, and by which fingerprint,
+// the most general one if there are several. At most one attempt of the requests
+// with that fingerprint should be in flight at a time.
+func (d *Detector) Suspect(now time.Duration, sig Signature) (by Request, ok bool) {
+	for _, r := range slices.Backward(sig.requests()) {
+		if d.status(now, r).suspect(now) {
+			return r, true
+		}
+	}
+	return Request{}, false
 }
 
-// Suspect reports whether the request was in flight during a crash that counts
-// against it. At most one attempt of a suspect request should be in flight at a
-// time.
-func (d *Detector) Suspect(now time.Duration, r Request) bool {
-	return d.status(now, r).suspect(now)
+// Involved reports whether a crash counts against one of the fingerprints of the
+// request.
+func (d *Detector) Involved(now time.Duration, sig Signature) bool {
+	return slices.ContainsFunc(sig.requests(), func(r Request) bool { return d.status(now, r).crashes > 0 })
 }
 
 // Snapshot returns the result of the detection for all suspect requests.
@@ -48,14 +68,24 @@
 
 func (d *Detector) decide(now time.Duration, x suspect) status {
 	st := status{}
+	counted := make(map[Crash]time.Duration, len(x.crashes))
 	for crash, at := range x.crashes {
 		if x.total < 2*d.limits.Threshold && !d.disabled.attribution && d.isAttributedToOther(now, crash, x) {
 			continue
 		}
-		st.crashes++
+		counted[crash] = at
 		st.until = max(st.until, at+d.limits.Hold)
 	}
+	st.crashes = len(counted)
 	st.quarantined = st.crashes >= d.limits.Threshold
+	st.suspected = st.crashes > 0
+	h := d.index.requests[x.request]
+	if h == nil || !h.isGeneral() || d.disabled.worstVariant {
+		return st
+	}
+	others := st.crashes - h.mostOfOneVariant(counted)
+	st.quarantined = st.quarantined && others >= max(1, d.limits.Threshold-1)
+	st.suspected = others > 0
 	return st
 }
 
@@ -66,6 +96,9 @@
 	// Coincident and Attributed are the numbers of those that the coincidence rule
 	// and the attribution rule leave out.
 	Coincident, Attributed int
+	// Variants is the number of variants that were in flight during crashes, 0 for
+	// the fingerprint of exactly one request.
+	Variants int
 }
 
 // Evidence returns how the crashes of the request are counted.
@@ -75,6 +108,7 @@
 		Crashes:    x.total,
 		Coincident: x.total - len(x.crashes),
 		Attributed: len(x.crashes) - d.decide(now, x).crashes,
+		Variants:   d.index.countVariants(r),
 	}
 }
 
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -96,13 +96,14 @@
 func (d *Detector) message(now time.Duration, id reportID) *clusterpb.CrashReport {
 	r := d.reports[id]
 	return &clusterpb.CrashReport{
-		Service:     r.request.Service,
-		Fingerprint: r.request.Fingerprint,
-		Upstream:    r.crash.Upstream,
-		Incarnation: r.crash.Incarnation,
-		Entry:       id.entry,
-		Sequence:    id.sequence,
-		AgeMs:       uint32((now - r.at) / time.Millisecond),
-		Released:    r.released,
+		Service:             r.signature.Service,
+		Fingerprint:         r.signature.Exact,
+		GeneralFingerprints: r.signature.General,
+		Upstream:            r.crash.Upstream,
+		Incarnation:         r.crash.Incarnation,
+		Entry:               id.entry,
+		Sequence:            id.sequence,
+		AgeMs:               uint32((now - r.at) / time.Millisecond),
+		Released:            r.released,
 	}
 }
--- a/internal/quarantine/index.go
+++ b/internal/quarantine/index.go
@@ -35,6 +35,48 @@
 	crashes map[Crash]*times
 	// releases holds the times at which it completed or was released.
 	releases times
+	// variants holds, for a general fingerprint, the crashes of each variant with
+	// the number of reports. A variant is the next less general fingerprint.
+	variants map[string]map[Crash]int
+}
+
+// isGeneral reports whether crashes are known by a general fingerprint.
+func (h *requestHistory) isGeneral() bool { return len(h.variants) > 0 }
+
+// mostOfOneVariant returns the highest number of the given crashes in which one
+// variant was involved.
+func (h *requestHistory) mostOfOneVariant(crashes map[Crash]time.Duration) int {
+	most := 0
+	for _, own := range h.variants {
+		n := 0
+		for crash := range own {
+			if _, ok := crashes[crash]; ok {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func (h *requestHistory) addVariant(variant string, crash Crash) {
+	if h.variants == nil {
+		h.variants = make(map[string]map[Crash]int)
+	}
+	if h.variants[variant] == nil {
+		h.variants[variant] = make(map[Crash]int)
+	}
+	h.variants[variant][crash]++
+}
+
+func (h *requestHistory) removeVariant(variant string, crash Crash) {
+	crashes := h.variants[variant]
+	if crashes[crash]--; crashes[crash] == 0 {
+		delete(crashes, crash)
+	}
+	if len(crashes) == 0 {
+		delete(h.variants, variant)
+	}
 }
 
 // serviceHistory holds the crashes of one service.
@@ -63,46 +105,75 @@
 	}
 }
 
+// countVariants returns the number of variants in flight during crashes.
+func (x *index) countVariants(r Request) int {
+	if h := x.requests[r]; h != nil {
+		return len(h.variants)
+	}
+	return 0
+}
+
 // add adds a report about the given crash.
 func (x *index) add(crash Crash, r report) {
-	h := x.requests[r.request]
-	if h == nil {
-		h = &requestHistory{crashes: make(map[Crash]*times)}
-		x.requests[r.request] = h
+	requests := r.signature.requests()
+	for i, request := range requests {
+		h := x.requests[request]
+		if h == nil {
+			h = &requestHistory{crashes: make(map[Crash]*times)}
+			x.requests[request] = h
+		}
+		if r.released {
+			h.releases.add(r.at)
+			continue
+		}
+		timesOf(h.crashes, crash).add(r.at)
+		if i > 0 {
+			h.addVariant(requests[i-1].Fingerprint, crash)
+		}
+		if x.involved[crash] == nil {
+			x.involved[crash] = make(map[Request]int)
+		}
+		x.involved[crash][request]++
 	}
 	if r.released {
-		h.releases.add(r.at)
 		return
 	}
-	timesOf(h.crashes, crash).add(r.at)
-	s := x.services[r.request.Service]
+	s := x.services[r.signature.Service]
 	if s == nil {
 		s = &serviceHistory{crashes: make(map[Crash]*times)}
-		x.services[r.request.Service] = s
+		x.services[r.signature.Service] = s
 	}
 	s.update(crash, func(t *times) { t.add(r.at) })
-	if x.involved[crash] == nil {
-		x.involved[crash] = make(map[Request]int)
-	}
-	x.involved[crash][r.request]++
 }
 
 // remove removes a report that was added with the same arguments.
 func (x *index) remove(crash Crash, r report) {
-	h := x.requests[r.request]
-	if r.released {
-		h.releases.remove(r.at)
-	} else {
-		t := h.crashes[crash]
-		t.remove(r.at)
-		if len(*t) == 0 {
-			delete(h.crashes, crash)
+	requests := r.signature.requests()
+	for i, request := range requests {
+		h := x.requests[request]
+		if r.released {
+			h.releases.remove(r.at)
+		} else {
+			h.removeCrash(crash, r.at)
+			x.removeInvolvement(crash, request)
+			if i > 0 {
+				h.removeVariant(requests[i-1].Fingerprint, crash)
+			}
+		}
+		if len(h.crashes) == 0 && len(h.releases) == 0 {
+			delete(x.requests, request)
 		}
-		x.services[r.request.Service].update(crash, func(t *times) { t.remove(r.at) })
-		x.removeInvolvement(crash, r.request)
 	}
-	if len(h.crashes) == 0 && len(h.releases) == 0 {
-		delete(x.requests, r.request)
+	if !r.released {
+		x.services[r.signature.Service].update(crash, func(t *times) { t.remove(r.at) })
+	}
+}
+
+func (h *requestHistory) removeCrash(crash Crash, at time.Duration) {
+	t := h.crashes[crash]
+	t.remove(at)
+	if len(*t) == 0 {
+		delete(h.crashes, crash)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,6 +11,12 @@
 // with fewer crashes. Neither rule applies to a request with at least twice the
 // threshold of crashes.
 //
+// A request that crashes upstreams may come in variants, for example from several
+// callers. So crashes count by several fingerprints: that of exactly the request,
+// and general ones that it shares with its variants. A general fingerprint is
+// quarantined only if enough of the crashes are left without its worst variant;
+// otherwise that variant alone is the likely cause.
+//
 // The package does no I/O and has no clock. Times are readings of the caller's
 // monotonic clock; reports carry ages, so that clocks of different VMs need not
 // agree.
@@ -43,12 +49,35 @@
 	MaxReports int
 }
 
-// Request identifies equal requests of a service.
+// Request identifies equal requests of a service, or all variants of a request.
 type Request struct {
 	Service     string
 	Fingerprint string
 }
 
+// Signature identifies a request of a service and the groups of variants that it
+// belongs to.
+type Signature struct {
+	Service string
+	// Exact is the fingerprint of exactly this request.
+	Exact string
+	// General holds the fingerprints that the request shares with its variants; each
+	// covers more requests than the one before.
+	General []string
+}
+
+// requests returns the request of each fingerprint, Exact first if there is one.
+func (s Signature) requests() []Request {
+	requests := make([]Request, 0, 1+len(s.General))
+	if s.Exact != "" {
+		requests = append(requests, Request{s.Service, s.Exact})
+	}
+	for _, f := range s.General {
+		requests = append(requests, Request{s.Service, f})
+	}
+	return requests
+}
+
 // Crash identifies a crash by the upstream and the incarnation that ended.
 type Crash struct {
 	Upstream    string
@@ -83,10 +112,10 @@
 // report records that a request was in flight during a crash or, if released is
 // set, that it completed or was released by an operator.
 type report struct {
-	request  Request
-	crash    Crash
-	at       time.Duration
-	released bool
+	signature Signature
+	crash     Crash
+	at        time.Duration
+	released  bool
 }
 
 // disabledRules disables individual rules, to show that the tests detect their
@@ -96,6 +125,7 @@
 	attribution   bool
 	release       bool
 	deduplication bool
+	worstVariant  bool
 }
 
 // Detector holds the crash reports known to one entry VM. The time to add a
@@ -148,10 +178,10 @@
 		return false
 	}
 	r := report{
-		request:  Request{pb.Service, pb.Fingerprint},
-		crash:    Crash{pb.Upstream, pb.Incarnation},
-		at:       at,
-		released: pb.Released,
+		signature: SignatureOf(pb),
+		crash:     Crash{pb.Upstream, pb.Incarnation},
+		at:        at,
+		released:  pb.Released,
 	}
 	d.reports[id] = r
 	i, _ := slices.BinarySearchFunc(d.byAge, at, func(a agedReport, at time.Duration) int { return cmp.Compare(a.at, at) })
@@ -163,6 +193,11 @@
 	return true
 }
 
+// SignatureOf returns the signature of the request that a report is about.
+func SignatureOf(pb *clusterpb.CrashReport) Signature {
+	return Signature{Service: pb.Service, Exact: pb.Fingerprint, General: pb.GeneralFingerprints}
+}
+
 // crashOf returns the crash that a report is about. Several entry VMs may
 // report the same crash.
 func (d *Detector) crashOf(id reportID, r report) Crash {
--- a/internal/quarantine/reference_test.go
+++ b/internal/quarantine/reference_test.go
@@ -27,17 +27,24 @@
 	attributed := make(map[Crash]int)
 	for _, x := range suspects {
 		st := status{}
+		counted := make(map[Crash]bool)
 		for crash, at := range x.crashes {
 			if attributed[crash] > len(x.crashes) && x.total < 2*d.limits.Threshold {
 				continue
 			}
+			counted[crash] = true
 			st.crashes++
 			st.until = max(st.until, at+d.limits.Hold)
 		}
 		if st.crashes == 0 {
 			continue
 		}
+		st.suspected = true
 		st.quarantined = st.crashes >= d.limits.Threshold
+		if worst, general := referenceWorstVariant(d, x.request, counted); general {
+			st.suspected = st.crashes-worst >= 1
+			st.quarantined = st.quarantined && st.crashes-worst >= d.limits.Threshold-1
+		}
 		s[x.request] = st
 		for crash := range x.crashes {
 			if st.quarantined {
@@ -52,22 +59,49 @@
 func referenceCrashes(d *Detector, now time.Duration) map[Request]map[Crash]time.Duration {
 	released := make(map[Request]time.Duration)
 	for _, r := range d.reports {
-		if at, ok := released[r.request]; r.released && (!ok || r.at > at) {
-			released[r.request] = r.at
+		for _, request := range r.signature.requests() {
+			if at, ok := released[request]; r.released && (!ok || r.at > at) {
+				released[request] = r.at
+			}
 		}
 	}
 	crashes := make(map[Request]map[Crash]time.Duration)
 	for _, r := range d.reports {
-		at, ok := released[r.request]
-		if r.released || (ok && r.at <= at) || now-r.at >= d.limits.Hold {
+		for _, request := range r.signature.requests() {
+			at, ok := released[request]
+			if r.released || (ok && r.at <= at) || now-r.at >= d.limits.Hold {
+				continue
+			}
+			if crashes[request] == nil {
+				crashes[request] = make(map[Crash]time.Duration)
+			}
+			crashes[request][r.crash] = max(crashes[request][r.crash], r.at)
+		}
+	}
+	return crashes
+}
+
+// referenceWorstVariant returns the number of counted crashes in which the variant
+// with most of them was involved. It returns false for an exact fingerprint.
+func referenceWorstVariant(d *Detector, request Request, counted map[Crash]bool) (worst int, general bool) {
+	variants := make(map[Request]map[Crash]bool)
+	for _, r := range d.reports {
+		requests := r.signature.requests()
+		i := slices.Index(requests, request)
+		if r.released || i < 1 {
 			continue
 		}
-		if crashes[r.request] == nil {
-			crashes[r.request] = make(map[Crash]time.Duration)
+		general = true
+		variant := requests[i-1]
+		if variants[variant] == nil {
+			variants[variant] = make(map[Crash]bool)
 		}
-		crashes[r.request][r.crash] = max(crashes[r.request][r.crash], r.at)
+		if counted[r.crash] {
+			variants[variant][r.crash] = true
+		}
+		worst = max(worst, len(variants[variant]))
 	}
-	return crashes
+	return worst, general
 }
 
 func referenceCoincidence(d *Detector, x suspect) suspect {
@@ -76,7 +110,7 @@
 	}
 	all := make(map[Crash]time.Duration)
 	for _, r := range d.reports {
-		if !r.released && r.request.Service == x.request.Service {
+		if !r.released && r.signature.Service == x.request.Service {
 			all[r.crash] = max(all[r.crash], r.at)
 		}
 	}
@@ -110,9 +144,12 @@
 		for range rapid.IntRange(1, 50).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond
 			sequence++
+			// Some requests have a variant, and all a path, in common.
+			request := rapid.IntRange(0, 4).Draw(rt, "request")
+			general := []string{fmt.Sprint("query ", request/2), "path"}[:rapid.IntRange(0, 2).Draw(rt, "general")]
 			r := &clusterpb.CrashReport{
 				Service:     rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "service"),
-				Fingerprint: fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "request")),
+				Fingerprint: fmt.Sprint(request), GeneralFingerprints: general,
 				Upstream:    fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "upstream")),
 				Incarnation: uint64(rapid.IntRange(0, 2).Draw(rt, "incarnation")),
 				Entry:       fmt.Sprint(rapid.IntRange(0, 1).Draw(rt, "entry")),
@@ -120,6 +157,9 @@
 				AgeMs:       uint32(min(rapid.IntRange(0, 2500).Draw(rt, "age"), int(now/time.Millisecond))),
 				Released:    rapid.IntRange(0, 6).Draw(rt, "released") == 0,
 			}
+			if r.Released && rapid.Bool().Draw(rt, "variants only") {
+				r.Fingerprint = ""
+			}
 			d.Merge(now, []*clusterpb.CrashReport{r, r})
 			if rapid.Bool().Draw(rt, "expire") {
 				d.Expire(now)
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -12,7 +12,9 @@
 
 // status is the result of the detection for one request.
 type status struct {
+	// crashes is the number of crashes that count against the request.
 	crashes     int
+	suspected   bool
 	quarantined bool
 	// until is when the newest crash no longer counts.
 	until time.Duration
@@ -26,8 +28,8 @@
 	return st.until - now, true
 }
 
-// suspect reports whether a crash counts against the request.
-func (st status) suspect(now time.Duration) bool { return st.crashes > 0 && now < st.until }
+// suspect reports whether the request is suspect.
+func (st status) suspect(now time.Duration) bool { return st.suspected && now < st.until }
 
 // Blocked reports whether the request is quarantined, and for how much longer.
 func (s Snapshot) Blocked(now time.Duration, r Request) (time.Duration, bool) {
--- /dev/null
+++ b/internal/quarantine/variants_test.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+)
+
+// variantStep is a crash of an upstream with a variant of a request in flight or, if
+// upstream is empty, the completion of a variant.
+type variantStep struct {
+	at            time.Duration
+	caller, query string
+	upstream      string
+}
+
+// signature returns the signature of a request with the path "path".
+func variantSignature(caller, query string) Signature {
+	return Signature{Service: "lotboard", Exact: caller + " path?" + query, General: []string{"path?" + query, "path"}}
+}
+
+// With a threshold of 3, crashes of several variants must quarantine what these have
+// in common, and crashes of one variant only that variant.
+func TestVariantsAreQuarantinedByWhatTheyShare(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name  string
+		steps []variantStep
+		want  []string
+	}{
+		{
+			name:  "one variant",
+			steps: []variantStep{{at: 0, caller: "a", upstream: "u1"}, {at: 5 * s, caller: "a", upstream: "u2"}, {at: 10 * s, caller: "a", upstream: "u3"}},
+			want:  []string{"a path?"},
+		},
+		{
+			name:  "three callers",
+			steps: []variantStep{{at: 0, caller: "a", upstream: "u1"}, {at: 5 * s, caller: "b", upstream: "u2"}, {at: 10 * s, caller: "c", upstream: "u3"}},
+			want:  []string{"path?"},
+		},
+		{
+			name: "another caller was in flight during a crash",
+			steps: []variantStep{
+				{at: 0, caller: "a", upstream: "u1"}, {at: 0, caller: "b", upstream: "u1"},
+				{at: 5 * s, caller: "a", upstream: "u2"}, {at: 10 * s, caller: "a", upstream: "u3"},
+			},
+			want: []string{"a path?"},
+		},
+		{
+			name: "three queries of several callers",
+			steps: []variantStep{
+				{at: 0, caller: "a", query: "1", upstream: "u1"}, {at: 5 * s, caller: "a", query: "2", upstream: "u2"}, {at: 10 * s, caller: "b", query: "3", upstream: "u3"},
+			},
+			want: []string{"path"},
+		},
+		{
+			name: "another query completes",
+			steps: []variantStep{
+				{at: 0, caller: "a", query: "1", upstream: "u1"}, {at: 5 * s, caller: "b", query: "1", upstream: "u2"},
+				{at: 6 * s, caller: "c", query: "2"}, {at: 10 * s, caller: "d", query: "1", upstream: "u3"},
+			},
+			want: []string{"path?1"},
+		},
+		{
+			name: "the same query completes for another caller",
+			steps: []variantStep{
+				{at: 0, caller: "a", upstream: "u1"}, {at: 5 * s, caller: "a", upstream: "u2"}, {at: 6 * s, caller: "b"}, {at: 10 * s, caller: "a", upstream: "u3"},
+			},
+			want: []string{"a path?"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(Limits{Threshold: 3, Hold: time.Minute, MaxReports: 100})
+			var now time.Duration
+			for i, st := range tt.steps {
+				now = st.at
+				sig := variantSignature(st.caller, st.query)
+				d.Merge(now, []*clusterpb.CrashReport{{
+					Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: sig.General,
+					Upstream: st.upstream, Released: st.upstream == "", Entry: "e1", Sequence: uint64(i + 1),
+				}})
+			}
+			var got []string
+			for _, q := range d.Snapshot(now).Quarantined(now) {
+				got = append(got, q.Request.Fingerprint)
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// Without the rule on the worst variant, crashes of one variant quarantine all.
+func TestWorstVariantRuleProtectsTheOthers(t *testing.T) {
+	for _, disabled := range []bool{false, true} {
+		d := New(Limits{Threshold: 2, Hold: time.Minute, MaxReports: 100})
+		d.disabled.worstVariant = disabled
+		for i := range 3 {
+			sig := variantSignature("a", "1")
+			d.Merge(0, []*clusterpb.CrashReport{{
+				Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: sig.General,
+				Upstream: fmt.Sprint(i), Entry: "e1", Sequence: uint64(i + 1),
+			}})
+		}
+		_, _, blocked := d.Blocked(0, variantSignature("b", "1"))
+		assert.Equal(t, blocked, disabled)
+	}
+}
+
+func TestCompletionsAreRememberedForAWhile(t *testing.T) {
+	var c Completions
+	done, other := variantSignature("a", "1"), variantSignature("b", "2")
+	c.Record(time.Minute, done)
+	assert.DeepEqual(t, c.Uncompleted(time.Minute, other), []string{"path?2"})
+	assert.Equal(t, len(c.Uncompleted(time.Minute+completionMemory, done)), 0)
+	assert.DeepEqual(t, c.Uncompleted(time.Minute+2*completionMemory, done), done.General)
+	for i := range 2 * maxCompletions {
+		c.Record(2*time.Minute, variantSignature("a", fmt.Sprint(i)))
+	}
+	assert.Assert(t, len(c.current)+len(c.previous) <= maxCompletions+2)
+	assert.Equal(t, len(c.Uncompleted(2*time.Minute, variantSignature("a", fmt.Sprint(2*maxCompletions-1)))), 0)
+}
