Do not blame a request that completes for upstreams that end together

When upstreams end one after the other for another reason, a harmless request that its caller repeats is in flight at many of them: with twice the threshold of crashes neither rule against false blame applied to it, and it was refused for ten minutes.

Crash reports now say whether the entry VM had seen the request complete within the last 15 s. Such a request is quarantined only after twice the threshold of crashes that span more than four seconds, and both rules always apply to it; for others too, crashes within four seconds are exempt from no rule. TestCompletingRequestIsNotBlamedForOthers failed before (blocked after 8 crashes of 16).

--- a/internal/gateway/crash_group_test.go
+++ b/internal/gateway/crash_group_test.go
@@ -232,13 +232,20 @@
 	})
 }
 
-// sendHarmless sends a harmless request.
+// sendHarmless sends a harmless request, and again up to two times after failures. It
+// counts each answer.
 func (g *crashGroup) sendHarmless(i int, caller, target string) {
 	g.calls.Go(func() {
-		status, _ := g.send(fmt.Sprint("h", i), caller, target, "")
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.harmless[status]++
+		for attempt := range 3 {
+			status, wait := g.send(fmt.Sprintf("h%d.%d", i, attempt), caller, target, "")
+			g.mu.Lock()
+			g.harmless[status]++
+			g.mu.Unlock()
+			if status == "200" {
+				return
+			}
+			time.Sleep(wait)
+		}
 	})
 }
 
@@ -333,33 +340,46 @@
 	}
 }
 
-// TestUpstreamsEndTogetherWithoutQuarantine ends upstreams at the same moment, for a
-// reason that no request has: no request may be quarantined for it.
+// TestUpstreamsEndTogetherWithoutQuarantine ends upstreams at the same moment or in
+// quick succession, for a reason that no request has: no request may be quarantined
+// for it.
 func TestUpstreamsEndTogetherWithoutQuarantine(t *testing.T) {
-	tests := []struct {
-		name  string
-		at    time.Duration
-		count int
-	}{
-		{"half", 5 * time.Second, 6},
-		{"all", 5 * time.Second, 13},
-		{"all, before the first answer", 250 * time.Millisecond, 13},
+	tests := []upstreamLoss{
+		{"half", 5 * time.Second, 6, 0},
+		{"all", 5 * time.Second, 13, 0},
+		{"all, before the first answer", 250 * time.Millisecond, 13, 0},
+		{"one after the other", 5 * time.Second, 13, 100 * time.Millisecond},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			for seed := range uint64(3) {
-				synctest.Test(t, func(t *testing.T) {
-					g := newCrashGroup(t, seed)
-					time.AfterFunc(tt.at, func() {
-						for _, u := range g.cfg.Upstreams[:tt.count] {
-							g.crash("none", u.Address)
-						}
-					})
-					g.run(0, nil)
-					t.Logf("seed %d: harmless: %v", seed, g.harmless)
-					assert.Check(t, g.harmless[string(fault.Quarantined)] == 0, "seed %d: answers: %v", seed, g.harmless)
-				})
+		t.Run(tt.name, tt.check)
+	}
+}
+
+// TestNewRequestIsNotBlamedForUpstreamsThatEndInTurn is the same for requests that
+// have never completed before and are in flight at most of the upstreams.
+func TestNewRequestIsNotBlamedForUpstreamsThatEndInTurn(t *testing.T) {
+	upstreamLoss{"one after the other, before the first answer", 50 * time.Millisecond, 13, 100 * time.Millisecond}.check(t)
+}
+
+// upstreamLoss ends count upstreams, the first at the given time and the others at
+// the interval.
+type upstreamLoss struct {
+	name     string
+	at       time.Duration
+	count    int
+	interval time.Duration
+}
+
+func (l upstreamLoss) check(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			g := newCrashGroup(t, seed)
+			for i, u := range g.cfg.Upstreams[:l.count] {
+				time.AfterFunc(l.at+time.Duration(i)*l.interval, func() { g.crash("none", u.Address) })
 			}
+			g.run(0, nil)
+			t.Logf("seed %d: harmless: %v", seed, g.harmless)
+			assert.Check(t, g.harmless[string(fault.Quarantined)] == 0, "seed %d: answers: %v", seed, g.harmless)
 		})
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -131,10 +131,12 @@
 // completed here are left out.
 func (s *Service) Crashed(sig quarantine.Signature, c quarantine.Crash) {
 	s.mu.Lock()
-	general := s.completions.Uncompleted(s.now(), sig)
+	now := s.now()
+	general, completed := s.completions.Uncompleted(now, sig), s.completions.Completed(now, sig)
 	s.mu.Unlock()
 	s.mergeAndQueue(&clusterpb.CrashReport{
-		Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: general, Upstream: c.Upstream, Incarnation: c.Incarnation,
+		Service: sig.Service, Fingerprint: sig.Exact, GeneralFingerprints: general, RecentlyCompleted: completed,
+		Upstream: c.Upstream, Incarnation: c.Incarnation,
 	})
 }
 
--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -14,10 +14,10 @@
 	maxCompletions = 8192
 )
 
-// Completions remembers which general fingerprints have recently had a request that
-// completed. Crashes of the other requests with such a fingerprint must have a cause
-// that it does not cover: a fault of the upstreams, or a part of the request that it
-// leaves out. Completions is not safe for concurrent use.
+// Completions remembers by which fingerprints requests have recently completed.
+// Crashes of the other requests with such a general fingerprint must have a cause that
+// it does not cover: a fault of the upstreams, or a part of the request that it leaves
+// out. Completions is not safe for concurrent use.
 type Completions struct {
 	// current holds the hashes of the fingerprints that have completed since
 	// startedAt, previous those of the period before.
@@ -25,14 +25,19 @@
 	startedAt         time.Duration
 }
 
-// Record remembers the general fingerprints of a request that has completed.
+// Record remembers the fingerprints of a request that has completed.
 func (c *Completions) Record(now time.Duration, sig Signature) {
 	c.advance(now)
-	for _, f := range sig.General {
-		c.current[completionHash(sig.Service, f)] = struct{}{}
+	for _, r := range sig.requests() {
+		c.current[completionHash(r)] = struct{}{}
 	}
 }
 
+// Completed reports whether exactly this request has completed recently.
+func (c *Completions) Completed(now time.Duration, sig Signature) bool {
+	return c.completed(now, Request{sig.Service, sig.Exact})
+}
+
 // Uncompleted returns the general fingerprints of the signature that have not
 // completed recently. A fingerprint that covers one that has completed has too.
 func (c *Completions) Uncompleted(now time.Duration, sig Signature) []string {
@@ -47,7 +52,7 @@
 // completed reports whether a request with the fingerprint has completed recently.
 func (c *Completions) completed(now time.Duration, r Request) bool {
 	c.advance(now)
-	h := completionHash(r.Service, r.Fingerprint)
+	h := completionHash(r)
 	if _, ok := c.current[h]; ok {
 		return true
 	}
@@ -68,6 +73,6 @@
 	c.startedAt = now
 }
 
-func completionHash(service, fingerprint string) uint64 {
-	return xxhash.Sum64String(service + "\x00" + fingerprint)
+func completionHash(r Request) uint64 {
+	return xxhash.Sum64String(r.Service + "\x00" + r.Fingerprint)
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -105,5 +105,6 @@
 		Sequence:            id.sequence,
 		AgeMs:               uint32((now - r.at) / time.Millisecond),
 		Released:            r.released,
+		RecentlyCompleted:   r.recentlyCompleted,
 	}
 }
--- a/internal/quarantine/index.go
+++ b/internal/quarantine/index.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -33,6 +34,9 @@
 	// crashes holds the times of the reports of each crash during which the
 	// request was in flight.
 	crashes map[Crash]*times
+	// completedBefore counts the reports of crashes shortly before which the request
+	// had completed.
+	completedBefore map[Crash]int
 	// releases holds the times at which it completed or was released.
 	releases times
 	// variants holds, for a general fingerprint, the crashes of each variant with
@@ -83,9 +87,15 @@
 type serviceHistory struct {
 	// crashes holds the times of the reports of each crash.
 	crashes map[Crash]*times
-	// newest holds, for each crash, the time of its newest report, in ascending
+	// byTime holds the crashes with the times of their newest reports, in ascending
 	// order.
-	newest times
+	byTime []timedCrash
+}
+
+// timedCrash is a crash with the time of its newest report.
+type timedCrash struct {
+	at    time.Duration
+	crash Crash
 }
 
 // index finds the reports that a decision depends on.
@@ -119,7 +129,7 @@
 	for i, request := range requests {
 		h := x.requests[request]
 		if h == nil {
-			h = &requestHistory{crashes: make(map[Crash]*times)}
+			h = &requestHistory{crashes: make(map[Crash]*times), completedBefore: make(map[Crash]int)}
 			x.requests[request] = h
 		}
 		if r.released {
@@ -127,6 +137,9 @@
 			continue
 		}
 		timesOf(h.crashes, crash).add(r.at)
+		if r.recentlyCompleted {
+			h.completedBefore[crash]++
+		}
 		if i > 0 {
 			h.addVariant(requests[i-1].Fingerprint, crash)
 		}
@@ -154,7 +167,7 @@
 		if r.released {
 			h.releases.remove(r.at)
 		} else {
-			h.removeCrash(crash, r.at)
+			h.removeCrash(crash, r)
 			x.removeInvolvement(crash, request)
 			if i > 0 {
 				h.removeVariant(requests[i-1].Fingerprint, crash)
@@ -169,12 +182,18 @@
 	}
 }
 
-func (h *requestHistory) removeCrash(crash Crash, at time.Duration) {
+func (h *requestHistory) removeCrash(crash Crash, r report) {
 	t := h.crashes[crash]
-	t.remove(at)
+	t.remove(r.at)
 	if len(*t) == 0 {
 		delete(h.crashes, crash)
 	}
+	if !r.recentlyCompleted {
+		return
+	}
+	if h.completedBefore[crash]--; h.completedBefore[crash] == 0 {
+		delete(h.completedBefore, crash)
+	}
 }
 
 func (x *index) removeInvolvement(crash Crash, r Request) {
@@ -190,15 +209,32 @@
 // update changes the times of the reports of a crash.
 func (s *serviceHistory) update(crash Crash, change func(*times)) {
 	t := timesOf(s.crashes, crash)
-	if at, ok := t.newest(); ok {
-		s.newest.remove(at)
-	}
+	before, _ := t.newest()
+	known := len(*t) > 0
 	change(t)
-	if at, ok := t.newest(); ok {
-		s.newest.add(at)
+	after, ok := t.newest()
+	if known && ok && before == after {
 		return
 	}
-	delete(s.crashes, crash)
+	if known {
+		for i := s.search(before); ; i++ {
+			if s.byTime[i].crash == crash {
+				s.byTime = slices.Delete(s.byTime, i, i+1)
+				break
+			}
+		}
+	}
+	if !ok {
+		delete(s.crashes, crash)
+		return
+	}
+	s.byTime = slices.Insert(s.byTime, s.search(after), timedCrash{after, crash})
+}
+
+// search returns the index of the first crash at the given time or later.
+func (s *serviceHistory) search(at time.Duration) int {
+	i, _ := slices.BinarySearchFunc(s.byTime, at, func(c timedCrash, at time.Duration) int { return cmp.Compare(c.at, at) })
+	return i
 }
 
 // newestOf returns the time of the newest report of a crash.
@@ -210,11 +246,9 @@
 	return 0
 }
 
-// countNear returns the number of crashes within coincidenceWindow of a time.
-func (s *serviceHistory) countNear(at time.Duration) int {
-	first, _ := slices.BinarySearch(s.newest, at-coincidenceWindow)
-	end, _ := slices.BinarySearch(s.newest, at+coincidenceWindow+1)
-	return end - first
+// near returns the crashes within coincidenceWindow of a time.
+func (s *serviceHistory) near(at time.Duration) []timedCrash {
+	return s.byTime[s.search(at-coincidenceWindow):s.search(at+coincidenceWindow+1)]
 }
 
 // timesOf returns the times of a crash in m, after adding it if necessary.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,7 +9,9 @@
 // crashes of its service at about the same time. The attribution rule: a crash
 // that is attributed to a quarantined request does not count against requests
 // with fewer crashes. Neither rule applies to a request with at least twice the
-// threshold of crashes.
+// threshold of crashes, if these are not all of about the same time. A
+// request that had completed shortly before a crash has twice the threshold, with
+// crashes that are not all of about the same time, and both rules apply to it in full.
 //
 // A request that crashes upstreams may come in variants, for example from several
 // callers. So crashes count by several fingerprints: that of exactly the request,
@@ -116,6 +118,9 @@
 	crash     Crash
 	at        time.Duration
 	released  bool
+	// recentlyCompleted is set if the request had completed shortly before at the
+	// entry VM that made the report.
+	recentlyCompleted bool
 }
 
 // disabledRules disables individual rules, to show that the tests detect their
@@ -178,10 +183,11 @@
 		return false
 	}
 	r := report{
-		signature: SignatureOf(pb),
-		crash:     Crash{pb.Upstream, pb.Incarnation},
-		at:        at,
-		released:  pb.Released,
+		signature:         SignatureOf(pb),
+		crash:             Crash{pb.Upstream, pb.Incarnation},
+		at:                at,
+		released:          pb.Released,
+		recentlyCompleted: pb.RecentlyCompleted,
 	}
 	d.reports[id] = r
 	i, _ := slices.BinarySearchFunc(d.byAge, at, func(a agedReport, at time.Duration) int { return cmp.Compare(a.at, at) })
--- a/internal/quarantine/reference_test.go
+++ b/internal/quarantine/reference_test.go
@@ -20,7 +20,12 @@
 func referenceSnapshot(d *Detector, now time.Duration) Snapshot {
 	var suspects []suspect
 	for r, crashes := range referenceCrashes(d, now) {
-		suspects = append(suspects, referenceCoincidence(d, suspect{request: r, crashes: crashes, total: len(crashes)}))
+		x := suspect{request: r, crashes: crashes, total: len(crashes)}
+		x.completes = referenceCompletes(d, r, crashes)
+		if times := slices.Sorted(maps.Values(crashes)); len(times) > 0 {
+			x.span = times[len(times)-1] - times[0]
+		}
+		suspects = append(suspects, referenceCoincidence(d, x))
 	}
 	slices.SortFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
 	s := make(Snapshot)
@@ -29,7 +34,7 @@
 		st := status{}
 		counted := make(map[Crash]bool)
 		for crash, at := range x.crashes {
-			if attributed[crash] > len(x.crashes) && x.total < 2*d.limits.Threshold {
+			if attributed[crash] > len(x.crashes) && !referenceExempt(d, x) {
 				continue
 			}
 			counted[crash] = true
@@ -40,7 +45,7 @@
 			continue
 		}
 		st.suspected = true
-		st.quarantined = st.crashes >= d.limits.Threshold
+		st.quarantined = st.crashes >= d.limits.Threshold && (!x.completes || st.crashes >= 2*d.limits.Threshold && x.span > 4*time.Second)
 		if worst, general := referenceWorstVariant(d, x.request, counted); general {
 			st.suspected = st.crashes-worst >= 1
 			st.quarantined = st.quarantined && st.crashes-worst >= d.limits.Threshold-1
@@ -104,8 +109,24 @@
 	return worst, general
 }
 
+// referenceCompletes reports whether the request had completed before one of its
+// crashes.
+func referenceCompletes(d *Detector, request Request, crashes map[Crash]time.Duration) bool {
+	for _, r := range d.reports {
+		if _, ok := crashes[r.crash]; ok && !r.released && r.recentlyCompleted && slices.Contains(r.signature.requests(), request) {
+			return true
+		}
+	}
+	return false
+}
+
+// referenceExempt reports whether the rules that protect requests do not apply.
+func referenceExempt(d *Detector, x suspect) bool {
+	return !x.completes && x.total >= 2*d.limits.Threshold && x.span > 4*time.Second
+}
+
 func referenceCoincidence(d *Detector, x suspect) suspect {
-	if x.total >= 2*d.limits.Threshold {
+	if referenceExempt(d, x) {
 		return x
 	}
 	all := make(map[Crash]time.Duration)
@@ -150,12 +171,13 @@
 			r := &clusterpb.CrashReport{
 				Service:     rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "service"),
 				Fingerprint: fmt.Sprint(request), GeneralFingerprints: general,
-				Upstream:    fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "upstream")),
-				Incarnation: uint64(rapid.IntRange(0, 2).Draw(rt, "incarnation")),
-				Entry:       fmt.Sprint(rapid.IntRange(0, 1).Draw(rt, "entry")),
-				Sequence:    sequence,
-				AgeMs:       uint32(min(rapid.IntRange(0, 2500).Draw(rt, "age"), int(now/time.Millisecond))),
-				Released:    rapid.IntRange(0, 6).Draw(rt, "released") == 0,
+				Upstream:          fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "upstream")),
+				Incarnation:       uint64(rapid.IntRange(0, 2).Draw(rt, "incarnation")),
+				Entry:             fmt.Sprint(rapid.IntRange(0, 1).Draw(rt, "entry")),
+				Sequence:          sequence,
+				AgeMs:             uint32(min(rapid.IntRange(0, 2500).Draw(rt, "age"), int(now/time.Millisecond))),
+				RecentlyCompleted: rapid.IntRange(0, 9).Draw(rt, "completed") == 0,
+				Released:          rapid.IntRange(0, 6).Draw(rt, "released") == 0,
 			}
 			if r.Released && rapid.Bool().Draw(rt, "variants only") {
 				r.Fingerprint = ""
--- a/internal/quarantine/variants_test.go
+++ b/internal/quarantine/variants_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+// TestCompletingRequestIsNotBlamedForOthers guards against a harmless request that is
+// quarantined because it is often in flight when crashing requests end upstreams: its
+// completions at another entry VM lie before these crashes.
+func TestCompletingRequestIsNotBlamedForOthers(t *testing.T) {
+	d := New(Limits{Threshold: 3, Hold: time.Minute, MaxReports: 100})
+	var rep reporter
+	now := time.Duration(0)
+	for i := range 16 {
+		now += 100 * time.Millisecond
+		upstream := fmt.Sprint("u", i)
+		d.Merge(now, []*clusterpb.CrashReport{rep.crash(fmt.Sprint(i%4), upstream)})
+		if i%2 == 0 {
+			harmless := rep.crash("harmless", upstream)
+			harmless.RecentlyCompleted = true
+			d.Merge(now, []*clusterpb.CrashReport{harmless})
+		}
+	}
+	_, _, blocked := d.Blocked(now, Signature{Service: "lotboard", Exact: "harmless"})
+	assert.Assert(t, !blocked)
+}
+
 func TestCompletionsAreRememberedForAWhile(t *testing.T) {
 	var c Completions
 	done, other := variantSignature("a", "1"), variantSignature("b", "2")
