Several crashing requests do not clear each other

The rule now leaves out crashes that another request which has reached the threshold, and never completed shortly before, may have caused. Where many upstreams end for another reason, the requests in flight have few crashes each, so that their crashes still set each other aside; above 64 crashes within two seconds no other causes are looked for. TestCrashingRequestsDoNotClearEachOther failed before (0 of 4 quarantined after three crashes each).

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -102,6 +102,8 @@
 	now      time.Duration
 	suspects map[Request]suspect
 	statuses map[Request]status
+	// likelyCauses holds the results of hasLikelyCause.
+	likelyCauses map[Crash]bool
 }
 
 func (d *Detector) evaluate(now time.Duration) *evaluation {
@@ -248,7 +250,9 @@
 }
 
 // isMajority reports whether x was involved in more than half of all crashes within
-// coincidenceWindow of a time.
+// coincidenceWindow of a time. If x has reached the threshold, the crashes that
+// other such requests may have caused are left out, so that several crashing requests
+// do not clear each other.
 func (e *evaluation) isMajority(x suspect, at time.Duration) bool {
 	near := e.index.services[x.request.Service].near(at)
 	own := 0
@@ -257,5 +261,59 @@
 			own++
 		}
 	}
-	return 2*own > len(near)
+	others := len(near) - own
+	if own > others {
+		return true
+	}
+	if x.total < e.limits.Threshold || x.completes || len(near) > maxExaminedCrashes {
+		return false
+	}
+	for _, c := range near {
+		if !x.includes(c.crash) && e.hasLikelyCause(c.crash) {
+			others--
+		}
+	}
+	return own > others
+}
+
+// maxExaminedCrashes bounds the crashes of about the same time for which other causes
+// are looked for. So many hardly come from a few requests.
+const maxExaminedCrashes = 64
+
+// hasLikelyCause reports whether a request that has reached the threshold, and has
+// not completed shortly before any crash, was involved in the crash.
+func (e *evaluation) hasLikelyCause(crash Crash) bool {
+	if likely, ok := e.likelyCauses[crash]; ok {
+		return likely
+	}
+	likely := false
+	for r := range e.index.involved[crash] {
+		if likely = e.isLikelyCause(e.index.requests[r], crash); likely {
+			break
+		}
+	}
+	if e.likelyCauses == nil {
+		e.likelyCauses = make(map[Crash]bool)
+	}
+	e.likelyCauses[crash] = likely
+	return likely
+}
+
+func (e *evaluation) isLikelyCause(h *requestHistory, crash Crash) bool {
+	if len(h.crashes) < e.limits.Threshold || len(h.completedBefore) > 0 {
+		return false
+	}
+	if at, _ := h.crashes[crash].newest(); !e.counts(h, at) {
+		return false
+	}
+	n := 0
+	for _, t := range h.crashes {
+		if at, _ := t.newest(); e.counts(h, at) {
+			n++
+		}
+		if n >= e.limits.Threshold {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,7 +9,8 @@
 // crashes of its service at about the same time. The attribution rule: a crash
 // that is attributed to a quarantined request does not count against requests
 // with fewer crashes. Neither rule applies to a request with at least twice the
-// threshold of crashes, if these are not all of about the same time. A
+// threshold of crashes, if these are not all of about the same time. The coincidence
+// rule leaves out the crashes of other requests that have reached the threshold. A
 // request that had completed shortly before a crash has twice the threshold, with
 // crashes that are not all of about the same time, and both rules apply to it in full.
 //
--- a/internal/quarantine/reference_test.go
+++ b/internal/quarantine/reference_test.go
@@ -25,7 +25,7 @@
 		if times := slices.Sorted(maps.Values(crashes)); len(times) > 0 {
 			x.span = times[len(times)-1] - times[0]
 		}
-		suspects = append(suspects, referenceCoincidence(d, x))
+		suspects = append(suspects, referenceCoincidence(d, now, x))
 	}
 	slices.SortFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
 	s := make(Snapshot)
@@ -120,15 +120,35 @@
 	return false
 }
 
+// referenceCauses returns the crashes of requests that have reached the threshold and
+// had not completed before any crash.
+func referenceCauses(d *Detector, now time.Duration) map[Crash]bool {
+	all := make(map[Crash]time.Duration)
+	for _, r := range d.reports {
+		all[r.crash] = r.at
+	}
+	causes := make(map[Crash]bool)
+	for r, crashes := range referenceCrashes(d, now) {
+		if len(crashes) < d.limits.Threshold || referenceCompletes(d, r, all) {
+			continue
+		}
+		for crash := range crashes {
+			causes[crash] = true
+		}
+	}
+	return causes
+}
+
 // referenceExempt reports whether the rules that protect requests do not apply.
 func referenceExempt(d *Detector, x suspect) bool {
 	return !x.completes && x.total >= 2*d.limits.Threshold && x.span > 4*time.Second
 }
 
-func referenceCoincidence(d *Detector, x suspect) suspect {
+func referenceCoincidence(d *Detector, now time.Duration, x suspect) suspect {
 	if referenceExempt(d, x) {
 		return x
 	}
+	causes := referenceCauses(d, now)
 	all := make(map[Crash]time.Duration)
 	for _, r := range d.reports {
 		if !r.released && r.signature.Service == x.request.Service {
@@ -142,10 +162,13 @@
 			if (otherAt - at).Abs() > coincidenceWindow {
 				continue
 			}
-			near++
-			if _, ok := x.crashes[other]; ok {
+			_, isOwn := x.crashes[other]
+			if isOwn {
 				own++
 			}
+			if isOwn || !causes[other] || x.total < d.limits.Threshold || x.completes {
+				near++
+			}
 		}
 		if 2*own > near {
 			counted[crash] = at
--- a/internal/quarantine/variants_test.go
+++ b/internal/quarantine/variants_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// TestCrashingRequestsDoNotClearEachOther guards against several crashing requests
+// that are not held off, because none of them is involved in most crashes.
+func TestCrashingRequestsDoNotClearEachOther(t *testing.T) {
+	const requests, threshold = 4, 3
+	d := New(Limits{Threshold: threshold, Hold: time.Minute, MaxReports: 100})
+	var rep reporter
+	now := time.Duration(0)
+	for i := range requests * threshold {
+		now += 100 * time.Millisecond
+		d.Merge(now, []*clusterpb.CrashReport{rep.crash(fmt.Sprint(i%requests), fmt.Sprint("u", i))})
+	}
+	assert.Equal(t, len(d.Snapshot(now).Quarantined(now)), requests)
+}
+
 // TestCompletingRequestIsNotBlamedForOthers guards against a harmless request that is
 // quarantined because it is often in flight when crashing requests end upstreams: its
 // completions at another entry VM lie before these crashes.
