--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -223,6 +223,11 @@
 		if !c.confirm(res) {
 			continue
 		}
+		// The request may have been quarantined during the wait.
+		if err := c.f.opts.Crashes.Blocked(c.signature); err != nil {
+			c.f.releaseUnused(res)
+			return c.finalError(err)
+		}
 		if c.retryReserved && !c.sendRetry() {
 			c.f.releaseUnused(res)
 			return c.finalError(failed.err)
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -151,6 +151,12 @@
 	blocked bool
 }
 
+func (c *crashRecorder) block() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = true
+}
+
 func (c *crashRecorder) Blocked(quarantine.Signature) *fault.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -480,8 +486,33 @@
 	s := startFakeUpstream(t, "u1", nil)
 	respondOK(s)
 	fx := startForwarder(t, newConfig(s))
-	fx.crashes.blocked = true
+	fx.crashes.block()
 	status, _, _ := fx.call(t, http.MethodGet, "/safe/x", "")
 	assert.Equal(t, status, 503)
 	assert.Equal(t, len(s.requests()), 0)
 }
+
+// TestRequestQuarantinedDuringItsWaitIsNotSent guards against a call that is sent on
+// what was known when it began to wait for an upstream.
+func TestRequestQuarantinedDuringItsWaitIsNotSent(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	s.setLoad("2 0 2 100")
+	fx := startForwarder(t, newConfig(s))
+	freed := make(chan struct{})
+	go func() {
+		defer close(freed)
+		for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+			fx.state.mu.Lock()
+			waiting = fx.state.queue("p").waiters.Len()
+			fx.state.mu.Unlock()
+		}
+		fx.crashes.block()
+		s.setLoad("0 0 2 100")
+	}()
+	status, _, h := fx.call(t, http.MethodGet, "/safe/x", "")
+	<-freed
+	assert.Equal(t, status, 503)
+	assert.Equal(t, h.Get(fault.HeaderKind), string(fault.Quarantined))
+	assert.Equal(t, len(s.requests()), 0)
+}
