An upstream's timeout clears no suspicion against a request

A request that ends upstreams after some time of work is given up by an upstream, with 504, when its caller's deadline is shorter than that. This answer cleared the crashes of the request at all gateways, as any complete answer did, at the entry VMs of the product too. TestTimeoutOfUpstreamClearsNoSuspicion (gateway and forward) failed before (1 completion for 0).

--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -174,8 +174,10 @@
 
 // fakeQuarantine admits every attempt and counts the reported crashes.
 type fakeQuarantine struct {
-	mu      sync.Mutex
-	crashes int
+	// completed counts the attempts that were reported as completed.
+	completed int
+	mu        sync.Mutex
+	crashes   int
 	// onCrash, when set, is called for each reported crash.
 	onCrash func()
 	blocked *fault.Error
@@ -197,6 +199,12 @@
 	return q.crashes
 }
 
+func (q *fakeQuarantine) completedCount() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.completed
+}
+
 type fakeAttemptReporter struct{ q *fakeQuarantine }
 
 func (r fakeAttemptReporter) Crashed(string, uint64) {
@@ -208,7 +216,12 @@
 	}
 }
 
-func (fakeAttemptReporter) Completed() {}
+func (r fakeAttemptReporter) Completed() {
+	r.q.mu.Lock()
+	defer r.q.mu.Unlock()
+	r.q.completed++
+}
+
 func (fakeAttemptReporter) Abandoned() {}
 
 // fixture is a forwarder behind an HTTP server, with fakes for its
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// TestTimeoutOfUpstreamClearsNoSuspicion guards against a crashing request that is
+// cleared because an upstream has given up on it before it could end.
+func TestTimeoutOfUpstreamClearsNoSuspicion(t *testing.T) {
+	for status, completed := range map[int]int{200: 1, 404: 1, 500: 1, 504: 0} {
+		fx := newFixture(t, newRawUpstream(t, fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status)))
+		resp, _ := sendRequest(t, "POST", fx.front.URL+"/s/x", "", "b")
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Equal(t, fx.quarantine.completedCount(), completed, "status %d", status)
+	}
+}
+
 func TestBrokenStreamAbortsCallerConnection(t *testing.T) {
 	response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n5\r\nwo"
 	fx := newFixture(t, newRawUpstream(t, response))
--- a/internal/forward/interfaces.go
+++ b/internal/forward/interfaces.go
@@ -49,7 +49,7 @@
 	// Crashed reports that the connection to the upstream broke. The
 	// incarnation identifies the upstream's process.
 	Crashed(upstream string, incarnation uint64)
-	// Completed reports a complete response of any status.
+	// Completed reports a complete response of any status but 504.
 	Completed()
 	// Abandoned reports that the attempt gave no evidence for or against the
 	// request.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -130,6 +130,7 @@
 	outcome := clusterpb.Outcome_OUTCOME_OK
 	if response.resp.StatusCode >= http.StatusInternalServerError {
 		outcome = clusterpb.Outcome_OUTCOME_FAILED
+		c.abandonTimeout(response)
 	} else {
 		c.f.retryBudgets.deposit(c.service)
 		c.f.latencies.record(c.service.Name, time.Since(response.attempt.started))
@@ -137,6 +138,15 @@
 	c.releaseSlot(outcome, time.Since(response.attempt.started), response.attempt.newConn.Load())
 }
 
+// abandonTimeout keeps an upstream's timeout from clearing the suspicion against the
+// request: the upstream may have given up before the request could end it.
+func (c *call) abandonTimeout(response *upstreamResponse) {
+	if response.resp.StatusCode == http.StatusGatewayTimeout && c.reporter != nil {
+		c.reporter.Abandoned()
+		c.reporter = nil
+	}
+}
+
 // newKeptAnswer returns the response in its stored form. It omits headers and
 // body and sets Truncated if the response was not buffered completely or its
 // body is longer than limit bytes.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -313,7 +313,11 @@
 	}
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
-	c.f.opts.Crashes.Completed(c.signature)
+	// An upstream that gives up at the deadline may have done so before the request
+	// could end it.
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		c.f.opts.Crashes.Completed(c.signature)
+	}
 	c.writeHeader(resp, int64(len(buffered.body)))
 	stop := c.limitLastWrite()
 	defer stop()
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -149,6 +149,8 @@
 	mu      sync.Mutex
 	seen    []quarantine.Crash
 	blocked bool
+	// completed counts the requests that were recorded as completed.
+	completed int
 }
 
 func (c *crashRecorder) block() {
@@ -172,7 +174,11 @@
 	c.seen = append(c.seen, crash)
 }
 
-func (c *crashRecorder) Completed(quarantine.Signature) {}
+func (c *crashRecorder) Completed(quarantine.Signature) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed++
+}
 
 func newRoute(name string, kind catalogpb.RouteKind) *catalogpb.Route {
 	return &catalogpb.Route{
@@ -516,3 +522,16 @@
 	assert.Equal(t, h.Get(fault.HeaderKind), string(fault.Quarantined))
 	assert.Equal(t, len(s.requests()), 0)
 }
+
+// TestTimeoutOfUpstreamClearsNoSuspicion guards against a crashing request that is
+// cleared because an upstream has given up on it before it could end.
+func TestTimeoutOfUpstreamClearsNoSuspicion(t *testing.T) {
+	for status, completed := range map[int]int{200: 1, 404: 1, 500: 1, 504: 0} {
+		s := startFakeUpstream(t, "u1", nil)
+		s.respond = s.responder(status, servedByHeader, "")
+		fx := startForwarder(t, newConfig(s))
+		got, _, _ := fx.call(t, http.MethodPost, "/unsafe/x", "")
+		assert.Equal(t, got, status)
+		assert.Equal(t, fx.crashes.completed, completed, "status %d", status)
+	}
+}
