Reproduce: pauses in answers that come after the gateway has stopped waiting

TestLateAnswerThatAsksForPauseIsFollowed fails: a gateway closes the connection of a probe after 80 ms, and that of a call at its deadline, and does not learn what the answer says. Pauses in answers that are read hold.

--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -324,3 +324,59 @@
 		assert.Equal(t, g.callOnce(g.forwarders[0]).Code, 200)
 	})
 }
+
+// TestLateAnswerThatAsksForPauseIsFollowed lets the only upstream take longer to turn
+// a probe or a request away than the gateway waits for it. The gateway must still
+// learn of the pause. A caller that leaves ends its request at the upstream too, so
+// that there is no answer.
+func TestLateAnswerThatAsksForPauseIsFollowed(t *testing.T) {
+	const pause, contact, allowed = 3 * time.Second, 500 * time.Millisecond, 2
+	cases := []struct {
+		name string
+		// probe is set if probes are turned away, otherwise requests.
+		probe bool
+		// after is the time that this takes.
+		after time.Duration
+		// timeoutMs is the time that callers wait.
+		timeoutMs string
+	}{
+		{"probe", true, 120 * time.Millisecond, "2000"},
+		{"request whose deadline has passed", false, 150 * time.Millisecond, "100"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGatewayGroup(t, 1, "u1")
+				u := g.upstreams["u1:1"]
+				g.sendCalls(10*time.Millisecond, time.Second)
+				var first time.Duration
+				u.setRespond(func(conn net.Conn, r *http.Request) answered {
+					if (r.URL.Path == "/health") != tc.probe {
+						return notAnswered
+					}
+					time.Sleep(tc.after)
+					if _, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nBalsam-Upstream: u1\r\nBalsam-Not-Run: 1\r\nBalsam-Request-Id: %s\r\nRetry-After: 3\r\n%s", r.Header.Get("Balsam-Request-Id"), answerEnd); err != nil {
+						return broken
+					}
+					if first == 0 {
+						first = u.now()
+					}
+					return keptOpen
+				})
+				var calls sync.WaitGroup
+				for range 80 {
+					r := httptest.NewRequest(http.MethodGet, "/safe/x", nil)
+					r.Host = "host.example"
+					r.Header.Set("Balsam-Request-Id", "r1")
+					r.Header.Set("Balsam-Timeout-Ms", tc.timeoutMs)
+					calls.Go(func() { g.forwarders[0].ServeHTTP(httptest.NewRecorder(), r) })
+					time.Sleep(50 * time.Millisecond)
+				}
+				calls.Wait()
+				assert.Assert(t, first > 0, "no answer that asks for a pause was read")
+				got := u.arrivedAfter(first+contact, first+pause)
+				assert.Assert(t, got <= allowed, "%d requests and probes while it pauses, want at most %d", got, allowed)
+			})
+		})
+	}
+}
