Learn of pauses and departures from answers that come late

An upstream that takes more than 80 ms to turn a probe away, or answers right after the deadline of a request, was not heard: the gateway had closed the connection, and went on probing and sending.

After a probe has timed out or a deadline has passed, the head of the answer is now awaited for 250 ms more, on at most one connection an upstream, which no longer counts as open. A caller that leaves still ends its request at once. Probes for reachability are not awaited.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,6 +121,8 @@
 			return id == "" || h.Get(names.RequestID) == id
 		},
 		OnInterim: c.f.onInterim(u, fromInterim, id),
+		OnLate:    c.f.onLate(u, id),
+		LateFor:   lateAnswerTimeout,
 	}
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -103,11 +103,28 @@
 	}
 }
 
+// lateAnswerTimeout is how long an answer is awaited for what it says of the upstream
+// after a probe has timed out or the deadline of a call has passed. An upstream that
+// has been told of the deadline does not work on.
+const lateAnswerTimeout = 250 * time.Millisecond
+
+// onLate returns the function that records what a late answer to the request with the
+// given ID, "" for a probe, says of the upstream.
+func (f *Forwarder) onLate(u balance.Upstream, request string) func(int, http.Header) {
+	return func(status int, h http.Header) {
+		if request == "" && wrongUpstreamID(h.Get(f.opts.Headers.UpstreamID), u.ID) {
+			return
+		}
+		f.recordNotice(u, answerHead{source: fromLate, request: request, status: status, header: h})
+	}
+}
+
 // Sources of notices in log lines.
 const (
 	fromCall    = "call"
 	fromProbe   = "probe"
 	fromInterim = "interim"
+	fromLate    = "late"
 	fromRelay   = "relay"
 )
 
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -349,6 +349,7 @@
 				g := newGatewayGroup(t, 1, "u1")
 				u := g.upstreams["u1:1"]
 				g.sendCalls(10*time.Millisecond, time.Second)
+				var mu sync.Mutex
 				var first time.Duration
 				u.setRespond(func(conn net.Conn, r *http.Request) answered {
 					if (r.URL.Path == "/health") != tc.probe {
@@ -358,6 +359,8 @@
 					if _, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nBalsam-Upstream: u1\r\nBalsam-Not-Run: 1\r\nBalsam-Request-Id: %s\r\nRetry-After: 3\r\n%s", r.Header.Get("Balsam-Request-Id"), answerEnd); err != nil {
 						return broken
 					}
+					mu.Lock()
+					defer mu.Unlock()
 					if first == 0 {
 						first = u.now()
 					}
@@ -373,6 +376,8 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 				calls.Wait()
+				mu.Lock()
+				defer mu.Unlock()
 				assert.Assert(t, first > 0, "no answer that asks for a pause was read")
 				got := u.arrivedAfter(first+contact, first+pause)
 				assert.Assert(t, got <= allowed, "%d requests and probes while it pauses, want at most %d", got, allowed)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -270,7 +270,8 @@
 		return
 	}
 	probedAt := st.now()
-	result, err := f.fetchLoadOn(ctx, conn, u)
+	// A connection that is kept for a late answer would count against the bound.
+	result, err := f.fetchLoadOn(ctx, conn, u, 0)
 	f.recordProbeOutcome(ctx, u, err)
 	if isWithheld(err) {
 		// The connection has been returned to the pool.
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,8 +73,12 @@
 	interrupts []func()
 	// unusable is set if the connection must not carry another exchange.
 	unusable bool
+	// detached is set if a late response is awaited on raw, which is closed after
+	// that.
+	detached bool
 	// onClose is called when the connection is closed, once.
 	onClose func()
+	pool    *Pool
 }
 
 // Request is a request for an upstream.
@@ -95,6 +100,11 @@
 	// OnInterim is called with the status and header of each interim response
 	// (status 1xx); nil means that nothing is called.
 	OnInterim func(status int, h http.Header)
+	// OnLate is called, in a goroutine of its own, with the status and header of the
+	// response if that arrives within LateFor after the end of ctx by its deadline
+	// has interrupted Do; nil means that the connection is closed at once.
+	OnLate  func(status int, h http.Header)
+	LateFor time.Duration
 }
 
 // Exchange is one request and its response.
@@ -137,7 +147,8 @@
 
 // Do sends r and reads the header of its response. It sends nothing if ctx has
 // ended already; use InterruptOnDone to interrupt a running exchange. After an
-// error the connection is closed. The returned exchange is never nil.
+// error the connection is closed, or will be once a late response has been awaited.
+// The returned exchange is never nil.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Exchange, error) {
 	x := &Exchange{headLeft: maxHeadBytes}
 	if err := ctx.Err(); err != nil {
@@ -154,12 +165,34 @@
 		err = c.receive(x, r, err)
 	}
 	if err != nil {
+		if r.OnLate != nil && ctx.Err() == context.DeadlineExceeded && errors.Is(err, os.ErrDeadlineExceeded) && !x.ResponseBegun && x.fullySent() {
+			c.awaitLate(r)
+		}
 		c.Close()
 		return x, errors.Trace(boundText(err))
 	}
 	return x, nil
 }
 
+// awaitLate reads the response in a goroutine and closes the connection after that.
+// It does nothing if another late response of the upstream is awaited. The connection
+// no longer counts as open, so that it takes no place from requests.
+func (c *Conn) awaitLate(r *Request) {
+	if !c.pool.beginLate(c.Address) {
+		return
+	}
+	late := &Conn{raw: c.raw, limit: c.limit, reader: c.reader}
+	c.detached = true
+	go func() {
+		defer c.pool.endLate(c.Address)
+		defer late.Close()
+		x := &Exchange{headLeft: maxHeadBytes}
+		if late.raw.SetDeadline(time.Now().Add(r.LateFor)) == nil && late.receive(x, r, nil) == nil {
+			r.OnLate(x.Response.StatusCode, x.Response.Header)
+		}
+	}()
+}
+
 // boundText returns err, or an error with the start of its text if that is
 // longer than maxErrorTextBytes. Errors of net/http quote the malformed line.
 func boundText(err error) error {
@@ -390,7 +423,9 @@
 // Close closes the connection at once.
 func (c *Conn) Close() {
 	c.unusable = true
-	_ = c.raw.Close()
+	if !c.detached {
+		_ = c.raw.Close()
+	}
 	if c.onClose != nil {
 		c.onClose()
 		c.onClose = nil
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -425,3 +425,56 @@
 	_, err = NewPool(nil).Open(t.Context(), "127.0.0.1:0", 1)
 	assert.Assert(t, err != nil)
 }
+
+// TestLateResponseIsReadAfterDeadline lets a response arrive after Do has returned:
+// its head must be passed on if the deadline has passed, not if the caller has
+// cancelled, and the connection must be closed in any case.
+func TestLateResponseIsReadAfterDeadline(t *testing.T) {
+	const wait, lateFor = 20 * time.Millisecond, 100 * time.Millisecond
+	cases := []struct {
+		name     string
+		response string
+		after    time.Duration
+		cancel   bool
+		want     int
+	}{
+		{"in time for what it says", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 50 * time.Millisecond, false, 503},
+		{"too late", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 200 * time.Millisecond, false, 0},
+		{"cancelled", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 50 * time.Millisecond, true, 0},
+		{"after an interim response", "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n", 50 * time.Millisecond, false, 200},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				closed := make(chan struct{})
+				go func() {
+					defer close(closed)
+					_, _ = http.ReadRequest(bufio.NewReader(far))
+					time.Sleep(tc.after)
+					_, _ = io.WriteString(far, tc.response)
+					_, _ = io.Copy(io.Discard, far)
+					_ = far.Close()
+				}()
+				pool := NewPool(func(context.Context, string) (net.Conn, error) { return near, nil })
+				conn, err := pool.Open(t.Context(), "u1", 1)
+				assert.NilError(t, err)
+				ctx, cancel := context.WithTimeout(t.Context(), wait)
+				if tc.cancel {
+					time.AfterFunc(wait/2, cancel)
+				}
+				defer cancel()
+				defer conn.InterruptOnDone(ctx)()
+				got := 0
+				_, err = conn.Do(ctx, &Request{Method: "GET", Target: "/", LateFor: lateFor, OnLate: func(status int, _ http.Header) { got = status }})
+				assert.Assert(t, err != nil)
+				assert.Equal(t, len(pool.open), 0)
+				conn.Close()
+				<-closed
+				synctest.Wait()
+				assert.Equal(t, got, tc.want)
+				assert.Equal(t, len(pool.late), 0)
+			})
+		})
+	}
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -35,6 +35,9 @@
 	openMu sync.Mutex
 	// open holds the number of open connections by address, idle ones included.
 	open map[string]int
+	// late holds the addresses from which a late response is awaited, on one
+	// connection each that is not among the open ones.
+	late map[string]bool
 }
 
 // ErrTooManyConnections means that the bound on open connections to the address
@@ -49,7 +52,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Pool{dial: dial, idle: make(map[string][]*Conn), open: make(map[string]int)}
+	return &Pool{dial: dial, idle: make(map[string][]*Conn), open: make(map[string]int), late: make(map[string]bool)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -107,6 +110,7 @@
 		writer:      bufio.NewWriterSize(raw, bufferSizeBytes),
 		idleTimeout: defaultIdleTimeout,
 		onClose:     func() { p.releaseOpen(address) },
+		pool:        p,
 	}, nil
 }
 
@@ -121,6 +125,24 @@
 	return true
 }
 
+// beginLate reports whether a late response may be awaited from the address. endLate
+// must be called after it.
+func (p *Pool) beginLate(address string) bool {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	if p.late[address] {
+		return false
+	}
+	p.late[address] = true
+	return true
+}
+
+func (p *Pool) endLate(address string) {
+	p.openMu.Lock()
+	defer p.openMu.Unlock()
+	delete(p.late, address)
+}
+
 // releaseOpen counts a connection to the address as closed.
 func (p *Pool) releaseOpen(address string) {
 	p.openMu.Lock()
