Count responses that are streamed as evidence for and against a request

Responses over 1 MiB are forwarded before they have arrived. Their end cleared no suspicion, so that a harmless request with a long response, once suspect, was never cleared; and a connection that broke in the middle of one was no crash, unlike that of a buffered response. TestStreamedResponsesCountAsEvidence failed before (0 completions for 1).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -253,8 +253,7 @@
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
 	c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCrash).Inc(1)
-	c.logCrash(u)
-	c.f.opts.Crashes.Crashed(c.signature, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	c.recordCrash(u)
 	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
 
@@ -315,11 +314,7 @@
 	}
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
 	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
-	// An upstream that gives up at the deadline may have done so before the request
-	// could end it.
-	if resp.StatusCode != http.StatusGatewayTimeout {
-		c.f.opts.Crashes.Completed(c.signature)
-	}
+	c.recordCompleted(resp)
 	c.writeHeader(resp, int64(len(buffered.body)))
 	stop := c.limitLastWrite()
 	defer stop()
@@ -329,6 +324,21 @@
 	return true, attemptFailure{}
 }
 
+// recordCompleted records that the upstream has completed the request. An upstream
+// that gives up at the deadline may have done so before the request could end it.
+func (c *call) recordCompleted(resp *http.Response) {
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		c.f.opts.Crashes.Completed(c.signature)
+	}
+}
+
+// recordCrash records that the upstream broke the connection on which it ran the
+// request.
+func (c *call) recordCrash(u balance.Upstream) {
+	c.logCrash(u)
+	c.f.opts.Crashes.Crashed(c.signature, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+}
+
 // writeHeader sends the status and the end-to-end headers of the response to the
 // caller. A negative length means an unknown one.
 func (c *call) writeHeader(resp *http.Response, length int64) {
@@ -365,6 +375,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.recordEnd(u.ID, true, time.Since(start))
+	c.recordCompleted(resp)
 	c.f.conns.Release(conn, x)
 }
 
@@ -405,6 +416,7 @@
 		c.recordUnfinished(u)
 	default:
 		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenStream).Inc(1)
+		c.recordCrash(u)
 		c.recordEnd(u.ID, false, took)
 	}
 }
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -535,3 +535,31 @@
 		assert.Equal(t, fx.crashes.completed, completed, "status %d", status)
 	}
 }
+
+// TestStreamedResponsesCountAsEvidence guards against a request with a long response
+// that is never cleared, or never suspected, because its response is forwarded before
+// it has arrived completely.
+func TestStreamedResponsesCountAsEvidence(t *testing.T) {
+	const length = 2 * maxBufferedResponse
+	for sent, want := range map[int]struct{ completed, crashed int }{length: {1, 0}, length - 1: {0, 1}} {
+		s := startFakeUpstream(t, "u1", func(w io.Writer, r *http.Request) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nBalsam-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+				r.Header.Get("Balsam-Request-Id"), servedByHeader, length, strings.Repeat("x", sent))
+			return sent == length
+		})
+		fx := startForwarder(t, newConfig(s))
+		r, err := http.NewRequest(http.MethodGet, fx.server.URL+"/safe/x", nil)
+		assert.NilError(t, err)
+		r.Host = "host.example"
+		r.Header.Set("Balsam-Request-Id", "r1")
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.Equal(t, err == nil, sent == length)
+		assert.NilError(t, resp.Body.Close())
+		fx.crashes.mu.Lock()
+		assert.Equal(t, fx.crashes.completed, want.completed, "%d bytes", sent)
+		assert.Equal(t, len(fx.crashes.seen), want.crashed, "%d bytes", sent)
+		fx.crashes.mu.Unlock()
+	}
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -41,7 +41,7 @@
 		{"upstreams_lost", gauge, "gateway", "", "1 while this gateway has no way to any upstream, else 0"},
 		{"relayed_out", counter, "gateway", "outcome", "calls that this gateway has relayed to others because it had no way to any upstream: `served`, `refused`, `unreachable` or `broken`"},
 		{"relayed_in", counter, "gateway", "outcome", "calls that other gateways have relayed to this one: `served` or `refused`"},
-		{"broken_attempts", counter, "gateway", "why", "attempts without a complete response: `crash` (reported as a crash of the upstream), `not_sent`, `caller_gone`, `deadline` or `stream` (broke after a part of the response had been forwarded)"},
+		{"broken_attempts", counter, "gateway", "why", "attempts without a complete response: `crash` (reported as a crash of the upstream), `not_sent`, `caller_gone`, `deadline` or `stream` (a crash after a part of the response had been forwarded)"},
 		{"limited_requests", counter, "gateway", "pool", "requests that this gateway has sent to upstreams while they named a request rate"},
 		{"limited_probes", counter, "gateway", "pool", "load probes that this gateway has sent to upstreams while they named a request rate"},
 		{"upstreams_leaving", gauge, "gateway", "pool", "upstreams that have said in an answer that they are leaving, while the configuration lets them get requests"},
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -87,7 +87,7 @@
 	// caller had disconnected or the deadline had passed.
 	BrokenCallerGone = "caller_gone"
 	BrokenDeadline   = "deadline"
-	// BrokenStream counts connections that broke after a part of the response had
+	// BrokenStream counts crashes that are reported after a part of the response had
 	// been forwarded.
 	BrokenStream = "stream"
 )
