--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
 // linkState is the state of the links of a gateway to all upstreams.
@@ -18,15 +19,20 @@
 	linkReset
 	// linkOldOnly carries open connections and refuses new ones.
 	linkOldOnly
+	// linkSlow delays everything by slowLinkDelay, as a link that is full does.
+	linkSlow
 	// linkUnanswered opens new connections, but nothing is answered on any: so do
 	// upstreams whose slots are all busy.
 	linkUnanswered
 )
 
 func (s linkState) String() string {
-	return [...]string{"up", "silent", "reset", "old only", "unanswered"}[s]
+	return [...]string{"up", "silent", "reset", "old only", "slow", "unanswered"}[s]
 }
 
+// slowLinkDelay is longer than a load probe is awaited.
+const slowLinkDelay = 150 * time.Millisecond
+
 // link is a connection of a gateway to an upstream.
 type link struct {
 	net.Conn
@@ -39,6 +45,9 @@
 func (l *link) Read(b []byte) (int, error) {
 	for {
 		n, err := l.Conn.Read(b)
+		if l.group.linkOf(l.gateway, l.address) == linkSlow {
+			time.Sleep(slowLinkDelay)
+		}
 		if state := l.group.linkOf(l.gateway, l.address); err != nil || state != linkSilent && state != linkUnanswered {
 			return n, err
 		}
@@ -97,6 +106,12 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET}
 	case linkOldOnly:
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case linkSlow:
+		select {
+		case <-time.After(slowLinkDelay):
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		}
 	}
 	near, far := net.Pipe()
 	go g.upstreams[address].serve(startedConn{far, start}, gateway)
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -153,6 +153,23 @@
 	})
 }
 
+// TestFullLinkIsNotALoss delays everything between one gateway and all upstreams, as a
+// link that is full does. The gateway must not conclude that it has lost them, and
+// relay nothing: that would fill the link further.
+func TestFullLinkIsNotALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newZonedGroup(t, []string{"a", "b", "c"}, 3, ids("u", 12)...)
+		g.sendFirstTries(50*time.Millisecond, time.Second, 1, nil)
+		g.setLinks(linkSlow, "g0")
+		for range 40 {
+			g.sendFirstTries(50*time.Millisecond, 100*time.Millisecond, 2, nil)
+			assert.Equal(t, g.forwarders[0].upstreamsLost(), reach.None)
+		}
+		assert.Equal(t, len(g.relays), 0)
+		g.setLinks(linkUp, "g0")
+	})
+}
+
 // TestBusyUpstreamsAreNotLost lets the few upstreams of a small system answer nothing
 // for two seconds, as when all their slots are busy, and refuse no connection. The
 // gateways must not conclude that they have lost them: other gateways could not
