--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -24,6 +24,9 @@
 	// lostProbeInterval while it is certain.
 	suspectProbeInterval = 100 * time.Millisecond
 	lostProbeInterval    = 250 * time.Millisecond
+	// reachProbeTimeout bounds such a probe. On a link that is full, a connection
+	// opens after some hundred milliseconds.
+	reachProbeTimeout = 400 * time.Millisecond
 	// reachConnections is the number of connections to one upstream that these probes
 	// may open beyond the bound for calls.
 	reachConnections = 1
@@ -115,8 +118,7 @@
 // connection broke with err.
 func (f *Forwarder) recordNoAnswer(u balance.Upstream, err error) {
 	now := f.state.now()
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if isTimeout(err) {
 		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, u.ID, u.Zone) })
 		return
 	}
@@ -137,18 +139,33 @@
 }
 
 // recordConnection records whether a new connection to the upstream was opened.
-// Connections from the pool show nothing.
+// Connections from the pool show nothing. One that does not open within the time of a
+// load probe may be delayed by a full link, and only raises the suspicion.
 func (f *Forwarder) recordConnection(ctx context.Context, u balance.Upstream, conn *upstreamconn.Conn, err error) {
 	switch {
 	case err == nil && !conn.Reused:
 		f.updateReach((*reach.Tracker).RecordOpened)
 	case err == nil, ctx.Err() == context.Canceled, errors.Is(err, upstreamconn.ErrTooManyConnections), errors.Is(err, upstreamconn.ErrNoIdleConnection):
-	default:
+	case isTimeout(err):
 		now := f.state.now()
-		f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, u.ID, u.Zone) })
+		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, u.ID, u.Zone) })
+	default:
+		f.recordNotOpened(u)
 	}
 }
 
+// recordNotOpened records that a new connection to the upstream could not be opened.
+func (f *Forwarder) recordNotOpened(u balance.Upstream) {
+	now := f.state.now()
+	f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, u.ID, u.Zone) })
+}
+
+// isTimeout reports whether err is that of an operation that took too long.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // updateReach records an outcome, logs a changed decision, and starts to probe
 // upstreams if all may be lost.
 func (f *Forwarder) updateReach(record func(*reach.Tracker)) {
@@ -245,7 +262,7 @@
 // no requests without a permit, are leaving or have asked for a pause are only
 // connected to.
 func (f *Forwarder) probeOnNewConnection(ctx context.Context, u balance.Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reachProbeTimeout)
 	defer cancel()
 	maxOpen := f.state.maxConnections(u.Pool)
 	if maxOpen > 0 {
@@ -253,6 +270,10 @@
 		maxOpen += reachConnections
 	}
 	conn, err := f.conns.Open(ctx, u.Address, maxOpen)
+	if isTimeout(err) {
+		f.recordNotOpened(u)
+		return
+	}
 	f.recordConnection(ctx, u, conn, err)
 	if err != nil {
 		return
