--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -227,7 +227,7 @@
 			assert.Assert(t, !c.confirm(res))
 			assert.Equal(t, f.state.balancer.InFlight("p"), 0)
 			assert.Equal(t, c.withheld, 1)
-			_, err := f.fetchLoadOn(t.Context(), res.conn, res.choice.Upstream, 0)
+			_, err := f.fetchLoadOn(t.Context(), res.conn, res.choice.Upstream)
 			assert.ErrorIs(t, err, errWithheld)
 		})
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return nil, balance.ProbeResult{}, notConnected(err)
 	}
-	result, err := f.fetchLoadOn(ctx, conn, c, lateAnswerTimeout)
+	result, err := f.fetchLoadOn(ctx, conn, c)
 	if err == nil || !conn.Reused || ctx.Err() != nil || isWithheld(err) {
 		return conn, result, err
 	}
@@ -193,14 +193,13 @@
 	if err != nil {
 		return nil, balance.ProbeResult{}, notConnected(err)
 	}
-	result, err = f.fetchLoadOn(ctx, conn, c, lateAnswerTimeout)
+	result, err = f.fetchLoadOn(ctx, conn, c)
 	return conn, result, err
 }
 
 // fetchLoadOn sends the health request on conn. The response must carry no
-// request ID: one that does answers an earlier request. After the deadline of ctx the
-// response is awaited for lateFor, for what it says of the upstream.
-func (f *Forwarder) fetchLoadOn(ctx context.Context, conn *upstreamconn.Conn, c balance.Upstream, lateFor time.Duration) (balance.ProbeResult, error) {
+// request ID: one that does answers an earlier request.
+func (f *Forwarder) fetchLoadOn(ctx context.Context, conn *upstreamconn.Conn, c balance.Upstream) (balance.ProbeResult, error) {
 	if !f.state.accepts(c) {
 		f.conns.Release(conn, nil)
 		return balance.ProbeResult{}, errWithheld
@@ -208,18 +207,16 @@
 	stop := conn.InterruptOnDone(ctx)
 	defer stop()
 	names := f.opts.Headers
-	req := &upstreamconn.Request{
+	x, err := conn.Do(ctx, &upstreamconn.Request{
 		Method:          http.MethodGet,
 		Target:          f.state.healthPath(c.Pool),
 		Host:            c.Address,
 		Header:          http.Header{names.ExpectUpstream: {c.ID}},
 		MatchesResponse: func(h http.Header) bool { return h.Get(names.RequestID) == "" },
 		OnInterim:       f.onInterim(c, fromProbe, ""),
-	}
-	if lateFor > 0 {
-		req.OnLate, req.LateFor = f.onLate(c, ""), lateFor
-	}
-	x, err := conn.Do(ctx, req)
+		OnLate:          f.onLate(c, ""),
+		LateFor:         lateAnswerTimeout,
+	})
 	if err != nil {
 		return balance.ProbeResult{}, err
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -291,8 +291,7 @@
 		return
 	}
 	probedAt := st.now()
-	// A connection that is kept for a late answer would count against the bound.
-	result, err := f.fetchLoadOn(ctx, conn, u, 0)
+	result, err := f.fetchLoadOn(ctx, conn, u)
 	f.recordProbeOutcome(ctx, u, err)
 	if isWithheld(err) {
 		// The connection has been returned to the pool.
