--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxComparedReports limits the reports that one comparison moves in each
-	// direction, to about 8 kB: a comparison a second must leave room on links of
+	// direction, to about 12 kB: a comparison a second must leave room on links of
 	// 1.5 Mbit/s.
 	maxComparedReports = 64
 	// maxComparedIDs limits the IDs that one comparison looks at, to 4 kB of
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -214,13 +214,14 @@
 	if r.Released {
 		return
 	}
-	e := event.RequestSuspect
+	e := event.RequestHeldOff
 	by, _, blocked := s.detector.Blocked(now, quarantine.SignatureOf(r))
-	if blocked {
-		e = event.RequestHeldOff
-	} else if by = (quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}); r.Entry != s.origin {
+	if !blocked && r.Entry != s.origin {
 		return
 	}
+	if !blocked {
+		e, by = event.RequestSuspect, quarantine.Request{Service: r.Service, Fingerprint: r.Fingerprint}
+	}
 	evidence := s.detector.Evidence(now, by)
 	s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).Str("by", by.Fingerprint).Str("upstream", r.Upstream).
 		Uint64("crashes", uint64(evidence.Crashes)).Uint64("coincident", uint64(evidence.Coincident)).
--- a/internal/quarantine/index.go
+++ b/internal/quarantine/index.go
@@ -237,15 +237,6 @@
 	return i
 }
 
-// newestOf returns the time of the newest report of a crash.
-func (s *serviceHistory) newestOf(crash Crash) time.Duration {
-	if t := s.crashes[crash]; t != nil {
-		at, _ := t.newest()
-		return at
-	}
-	return 0
-}
-
 // near returns the crashes within coincidenceWindow of a time.
 func (s *serviceHistory) near(at time.Duration) []timedCrash {
 	return s.byTime[s.search(at-coincidenceWindow):s.search(at+coincidenceWindow+1)]
