Form a new group also when a founder is lost early; transfer leadership past a voter that has just failed

A founder took part once all others had confirmed its own disk; one lost between its first vote and its last confirmation left the group without a quorum. The target of a transfer was chosen once. A replica also knows now when it has caught up since its start.

--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -38,10 +38,22 @@
 		r.mergeEntries(m.GetEntries())
 		reply.LogIndex = m.GetLogIndex() + uint64(len(m.GetEntries()))
 		r.commit = max(r.commit, min(m.GetCommit(), reply.LogIndex))
+		r.noteCaughtUp(m.GetCommit())
 	}
 	r.replyToAppend(reply, len(m.GetEntries()) == 0)
 }
 
+// noteCaughtUp sets caughtUpIndex if this replica has all entries up to the commit
+// index of the leader, and the last of them is of its term.
+func (r *Replica) noteCaughtUp(leaderCommit uint64) {
+	if r.caughtUpIndex > 0 || leaderCommit > r.commit {
+		return
+	}
+	if term, ok := r.log.term(r.commit); ok && term == r.term {
+		r.caughtUpIndex = r.commit
+	}
+}
+
 // replyToAppend sends the reply once everything it acknowledges is durable. The
 // reply to a heartbeat is sent at once and acknowledges only what is already
 // durable, so that a slow disk does not cost the leader its quorum.
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -10,17 +10,23 @@
 
 // formation is the protocol by which the replicas of a new group agree on their
 // disk ids. Each replica durably records the first disk id that it receives
-// from every other replica, and confirms it to that replica. A replica takes
-// part in the group once all others have confirmed its disk id. A replica that loses its
-// disk afterwards finds the earlier disk id recorded under its replica id and
-// never takes part again under that id.
+// from every other replica, and sends the others what it has recorded. A replica
+// takes part in the group once every other one has recorded the same disk ids for
+// all members as itself, or once a member that takes part names its disk id: that
+// member has seen the same records. So a member that takes part can let in each
+// of the others, also when a third one is lost meanwhile. A replica that loses its
+// disk finds the earlier disk id recorded under its replica id and never takes part
+// again under that id.
 type formation struct {
 	// members is the new group with the disk ids recorded so far.
 	members []*catalogpb.ControlMember
 	dirty   bool
-	// confirmedBy holds the replicas that have recorded this replica's disk id.
-	confirmedBy map[uint64]bool
-	nextSend    time.Duration
+	// recordedBy holds what the other replicas have recorded, by replica id.
+	recordedBy map[uint64][]*catalogpb.ControlMember
+	// admitted is set when a member that takes part has named this replica's
+	// disk id.
+	admitted bool
+	nextSend time.Duration
 	// diskMismatch is set when another replica has recorded a different disk id
 	// for this replica.
 	diskMismatch bool
@@ -29,7 +35,7 @@
 // startFormation begins with the members in saved, or with Config.Bootstrap if
 // saved is nil.
 func (r *Replica) startFormation(saved *clusterpb.Membership) {
-	r.formation.confirmedBy = map[uint64]bool{}
+	r.formation.recordedBy = map[uint64][]*catalogpb.ControlMember{}
 	r.formation.nextSend = r.now
 	r.formation.members = cloneMemberList(r.cfg.Bootstrap)
 	if saved != nil {
@@ -49,11 +55,15 @@
 
 // tickFormation periodically sends the recorded disk ids to the other replicas.
 func (r *Replica) tickFormation() {
-	r.completeIfConfirmed()
+	r.completeIfAgreed()
 	if r.role != Forming || r.now < r.formation.nextSend {
 		return
 	}
 	r.formation.nextSend = r.now + r.cfg.HeartbeatInterval
+	r.sendFormationToAll()
+}
+
+func (r *Replica) sendFormationToAll() {
 	for _, m := range r.formation.members {
 		if m.GetReplicaId() != r.cfg.ID {
 			r.sendFormation(m.GetReplicaId(), r.formation.members)
@@ -84,15 +94,19 @@
 	if peer.GetDiskId() == 0 {
 		peer.DiskId = m.GetFromDisk()
 		r.formation.dirty = true
+		r.formation.nextSend = r.now
 	}
 	own := findMember(m.GetFormation().GetMembers(), r.cfg.ID).GetDiskId()
 	switch {
 	case own != 0 && own != r.cfg.DiskID:
 		r.formation.diskMismatch = true
-	case own == r.cfg.DiskID && peer.GetDiskId() == m.GetFromDisk():
-		r.formation.confirmedBy[m.GetFrom()] = true
+	case peer.GetDiskId() != m.GetFromDisk():
+	case m.GetFormed():
+		r.formation.admitted = r.formation.admitted || own == r.cfg.DiskID
+	default:
+		r.formation.recordedBy[m.GetFrom()] = m.GetFormation().GetMembers()
 	}
-	r.completeIfConfirmed()
+	r.completeIfAgreed()
 }
 
 // replyWithMembership sends the membership to a member that is still forming
@@ -103,17 +117,38 @@
 	}
 }
 
-// completeIfConfirmed starts the group once every other replica has confirmed
-// this replica's disk id.
-func (r *Replica) completeIfConfirmed() {
-	if r.formation.diskMismatch || findMember(r.formation.members, r.cfg.ID) == nil {
+// completeIfAgreed starts the group once this replica may take part.
+func (r *Replica) completeIfAgreed() {
+	if r.formation.diskMismatch || findMember(r.formation.members, r.cfg.ID) == nil || !r.formation.recordedAll() {
 		return
 	}
-	if len(r.formation.confirmedBy) == len(r.formation.members)-1 {
+	if r.formation.admitted || r.formation.agreed(r.cfg.ID) {
 		r.completeFormation()
 	}
 }
 
+// recordedAll reports whether the disk ids of all members are recorded.
+func (f *formation) recordedAll() bool {
+	return !slices.ContainsFunc(f.members, func(m *catalogpb.ControlMember) bool { return m.GetDiskId() == 0 })
+}
+
+// agreed reports whether all replicas but self have recorded the same disk ids as
+// this one.
+func (f *formation) agreed(self uint64) bool {
+	for _, peer := range f.members {
+		if peer.GetReplicaId() == self {
+			continue
+		}
+		recorded := f.recordedBy[peer.GetReplicaId()]
+		for _, m := range f.members {
+			if findMember(recorded, m.GetReplicaId()).GetDiskId() != m.GetDiskId() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // completeFormation makes the agreed members the first membership of the log.
 func (r *Replica) completeFormation() {
 	r.log.installSnapshot(&clusterpb.ConsensusSnapshot{
@@ -123,4 +158,6 @@
 	r.formation.dirty = false
 	r.fire("formed")
 	r.updateRole()
+	// The others need not wait until they send their records again.
+	r.sendFormationToAll()
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -155,6 +155,7 @@
 		return
 	}
 	r.commit = n
+	r.noteCaughtUp(n)
 	r.completeReads()
 	r.tickTransfer()
 }
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -101,7 +101,12 @@
 	log        entryLog
 	commit     uint64
 	applied    uint64
-	disk       diskState
+	// caughtUpIndex is an index by which everything is included that was committed
+	// when this process started; 0 until one is known. Only an entry of the term of
+	// the leader shows that: before, a leader does not know what earlier terms have
+	// committed either.
+	caughtUpIndex uint64
+	disk          diskState
 
 	// leader is the replica id of the known leader; 0 if none is known.
 	// leaderHeardAt is when its last message arrived.
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -369,3 +369,20 @@
 	s.advance(simElection + 2*simHeartbeat)
 	assert.Assert(t, leader.r.role != Leader)
 }
+
+// TestLeadershipIsTransferredPastAVoterThatHasJustFailed ends a follower and transfers
+// leadership at once, while the follower still counts as live and holds all entries. The
+// other follower must lead before the transfer is given up.
+func TestLeadershipIsTransferredPastAVoterThatHasJustFailed(t *testing.T) {
+	for lost := uint64(2); lost <= 3; lost++ {
+		s := newSim(3, 1, 0)
+		s.advance(2 * time.Second)
+		s.electLeader(1)
+		s.advance(100 * time.Millisecond)
+		s.crash(s.node(lost))
+		s.step(s.node(1), Transfer{ID: s.nextCallID()})
+		s.advance(simElection - simTick)
+		assert.Assert(t, s.isLeader(5-lost)(), "replica %d is lost", lost)
+		assert.Equal(t, s.checker.violation, "")
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -25,6 +25,9 @@
 	Leader       uint64
 	CommitIndex  uint64
 	AppliedIndex uint64
+	// CaughtUpIndex is an index by which everything is included that was committed
+	// when this process started; 0 while none is known.
+	CaughtUpIndex uint64
 	// LastIndex is the index of the last log entry.
 	LastIndex uint64
 	// SnapshotIndex is the last index covered by the snapshot.
@@ -53,6 +56,7 @@
 		Leader:              r.leader,
 		CommitIndex:         r.commit,
 		AppliedIndex:        r.applied,
+		CaughtUpIndex:       r.caughtUpIndex,
 		LastIndex:           r.log.lastIndex(),
 		SnapshotIndex:       r.log.snapshot.GetIndex(),
 		LeaderSince:         r.leaderState.since,
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -1,22 +1,17 @@
 package consensus
 
 import (
+	"cmp"
+
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
-// transferLeadership starts a transfer to the live voter whose log is most
-// complete. Proposals are refused until the transfer completes or the election
-// timeout has passed.
+// transferLeadership starts a transfer to another live voter. Proposals are refused
+// until the transfer completes or the election timeout has passed.
 func (r *Replica) transferLeadership(e Transfer) {
 	result := ProposalResult{ID: e.ID, Fault: r.proposalFault()}
-	target := uint64(0)
-	for _, id := range r.voters() {
-		better := target == 0 || r.durableIndex(id) > r.durableIndex(target)
-		if id != r.cfg.ID && r.isLive(id) && better {
-			target = id
-		}
-	}
+	target := r.transferCandidate()
 	switch {
 	case result.Fault != "":
 	case target == 0:
@@ -31,23 +26,41 @@
 	}
 }
 
-// tickTransfer tells the target to start an election once all entries are
-// committed and the target holds them. It repeats this once per heartbeat round
-// until the transfer ends.
+// transferCandidate returns the live voter other than this replica whose log is most
+// complete; among equals the one that has answered the latest heartbeat round, because
+// a voter that has just failed still counts as live. It returns 0 if there is none.
+func (r *Replica) transferCandidate() uint64 {
+	best := uint64(0)
+	for _, id := range r.voters() {
+		if id == r.cfg.ID || !r.isLive(id) {
+			continue
+		}
+		if best == 0 || cmp.Or(cmp.Compare(r.durableIndex(id), r.durableIndex(best)), cmp.Compare(r.ackedRound(id), r.ackedRound(best))) > 0 {
+			best = id
+		}
+	}
+	return best
+}
+
+// tickTransfer tells the candidate to start an election once all entries are
+// committed and it holds them. It chooses again once per heartbeat round until the
+// transfer ends.
 func (r *Replica) tickTransfer() {
-	target := r.leaderState.transferTarget
-	if target == 0 {
+	if r.leaderState.transferTarget == 0 {
 		return
 	}
-	if r.now >= r.leaderState.transferDeadline || r.member(target) == nil {
+	if r.now >= r.leaderState.transferDeadline {
 		r.leaderState.transferTarget = 0
 		return
 	}
-	ready := r.commit == r.log.lastIndex() && r.durableIndex(target) == r.log.lastIndex()
-	if !ready || r.leaderState.transferRound == r.leaderState.round {
+	if r.commit != r.log.lastIndex() || r.leaderState.transferRound == r.leaderState.round {
+		return
+	}
+	target := r.transferCandidate()
+	if target == 0 || r.durableIndex(target) != r.log.lastIndex() {
 		return
 	}
-	r.leaderState.transferRound = r.leaderState.round
+	r.leaderState.transferTarget, r.leaderState.transferRound = target, r.leaderState.round
 	r.sendNow(&clusterpb.ConsensusMessage{
 		Kind: clusterpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW,
 		To:   target,
--- a/internal/replica/helpers_test.go
+++ b/internal/replica/helpers_test.go
@@ -20,6 +20,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
 // tableStateMachine keeps the last 500 entries, so that each entry changes the
@@ -51,6 +52,13 @@
 	return event.NewLogger(e, zerolog.InfoLevel, "control", "test")
 }
 
+// String returns the lines so far.
+func (e *eventLog) String() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.text.String()
+}
+
 // waitFor waits until an event is logged.
 func (e *eventLog) waitFor(t testing.TB, ev event.Event) {
 	t.Helper()
@@ -158,6 +166,23 @@
 	return found
 }
 
+// commitAtLeader commits an entry, and returns the leader that has done so and the index
+// of the entry. In a group that has just started, a replica that has not heard the first
+// leader yet may replace it; the entry is proposed again then.
+func commitAtLeader(t testing.TB, ctx context.Context, replicas []*testReplica, data []byte) (*testReplica, uint64) {
+	t.Helper()
+	for {
+		leader := waitForLeader(t, replicas)
+		_, index, err := leader.node.Propose(ctx, data)
+		if kind := fault.KindOf(err); kind == fault.NoQuorum || kind == fault.NotLeader {
+			t.Logf("replica %d: %v", leader.opts.ID, err)
+			continue
+		}
+		assert.NilError(t, err)
+		return leader, index
+	}
+}
+
 func waitForApplied(t testing.TB, r *testReplica, index uint64) {
 	t.Helper()
 	waitFor(t, func() bool { return r.node.Status().AppliedIndex >= index }, "applied entries")
--- a/internal/replica/loop_test.go
+++ b/internal/replica/loop_test.go
@@ -91,6 +91,9 @@
 	t.Helper()
 	synctest.Wait()
 	formed := []*catalogpb.ControlMember{{ReplicaId: n.opts.ID, DiskId: n.opts.Transport.(*recordingTransport).disk()}}
+	for _, m := range members[1:] {
+		formed = append(formed, &catalogpb.ControlMember{ReplicaId: m.ReplicaId, DiskId: m.ReplicaId})
+	}
 	for _, m := range members[1:] {
 		n.Deliver(m.ReplicaId, []*clusterpb.ConsensusMessage{{
 			Kind: clusterpb.MessageKind_MESSAGE_KIND_FORM, From: m.ReplicaId, To: n.opts.ID, FromDisk: m.ReplicaId,
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -31,7 +31,11 @@
 	// AppliedIndex is the index of the last entry that the state machine has
 	// applied.
 	AppliedIndex uint64
-	IsLeader     bool
+	// CaughtUp is set once everything is applied that was committed when this
+	// process started. Before, the state machine holds an older state, that of the
+	// snapshot on the disk.
+	CaughtUp bool
+	IsLeader bool
 	// Role is the name of the role in package consensus.
 	Role    string
 	Members []Member
@@ -61,6 +65,7 @@
 		Term:                st.Term,
 		CommitIndex:         st.CommitIndex,
 		AppliedIndex:        n.appliedIndex,
+		CaughtUp:            st.CaughtUpIndex > 0 && n.appliedIndex >= st.CaughtUpIndex,
 		IsLeader:            st.Role == consensus.Leader,
 		Role:                string(st.Role),
 		MembershipCommitted: st.MembershipCommitted,
