--- a/internal/configsync/connection_test.go
+++ b/internal/configsync/connection_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -78,6 +80,13 @@
 	}
 }
 
+// connected reports whether there is a connection that carries bytes.
+func (p *tcpProxy) connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.connections) > 0
+}
+
 func (p *tcpProxy) dropTraffic() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -151,3 +160,74 @@
 	c.revision.Store(2)
 	assert.Assert(t, reach(2), "revision 2 did not arrive within 10 s of the connection going silent")
 }
+
+// failureCounter counts the requests that got no answer.
+type failureCounter struct {
+	http.RoundTripper
+	failed atomic.Int64
+}
+
+func (c *failureCounter) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTripper.RoundTrip(r)
+	if err != nil {
+		c.failed.Add(1)
+	}
+	return resp, err
+}
+
+// When a network fault silences all open connections at once, the first renewal that
+// fails must be the last: one timeout for each control VM adds up to seconds for which a
+// newer configuration is not in force.
+func TestAllSilentConnectionsCostOneRenewal(t *testing.T) {
+	c := &leaselessControl{}
+	c.revision.Store(1)
+	server, err := httpnet.Listen("127.0.0.1:0", clusterpb.NewDistributionServer(c), httpnet.Limits{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	var proxies []*tcpProxy
+	var addresses []string
+	for range 4 {
+		p := newTCPProxy(t, server.Address())
+		proxies, addresses = append(proxies, p), append(addresses, p.address)
+	}
+	connections := httpnet.NewConnections(nil)
+	client := httpnet.NewClient(connections.Dial)
+	counter := &failureCounter{RoundTripper: client.Transport}
+	client.Transport = counter
+	s := New(Options{
+		Entry:            &catalogpb.Entry{Id: "g", ClusterAddress: "127.0.0.1:1", Incarnation: 1},
+		ControlAddresses: addresses,
+		Client:           client,
+		CloseConnections: connections.Close,
+		ServesStale:      true,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var workers conc.WaitGroup
+	workers.Go(func() { s.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		workers.Wait()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		// Renewals without a lease go from one control VM to the next.
+		for _, p := range proxies {
+			if !p.connected() {
+				return poll.Continue("no connection to %s yet", p.address)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	for _, p := range proxies {
+		p.dropTraffic()
+	}
+	before := counter.failed.Load()
+	c.revision.Store(2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.revision() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("revision 2 has not arrived")
+	}, poll.WithTimeout(30*time.Second))
+	failed := counter.failed.Load() - before
+	assert.Assert(t, failed <= 1, "%d renewals failed", failed)
+}
--- a/internal/configsync/loop.go
+++ b/internal/configsync/loop.go
@@ -64,13 +64,23 @@
 		case <-l.ctx.Done():
 			return
 		case <-timer.C:
+			l.resumeAfterPause()
 			l.handleTimer()
 		case ev := <-l.syncer.events:
+			l.resumeAfterPause()
 			l.handleEvent(ev)
 		}
 	}
 }
 
+// resumeAfterPause asks control again at once if the process has been paused.
+func (l *loop) resumeAfterPause() {
+	if l.syncer.pause.recordActive() && l.view != nil {
+		l.cancelRenewal()
+		l.startRenewal()
+	}
+}
+
 // sleepTime returns the time until the next renewal or round of confirmations
 // is due, between minSleep and maxSleep.
 func (l *loop) sleepTime(now time.Duration) time.Duration {
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -58,6 +59,8 @@
 	// controlIndex selects, modulo the number of control VMs, the one to try
 	// while the leader is not known.
 	controlIndex int
+	// membersKnown is set once an answer has named the control VMs.
+	membersKnown bool
 	// avoidUntil maps an address that did not answer to the time until which
 	// it is avoided if there are others.
 	avoidUntil map[string]time.Duration
@@ -79,8 +82,10 @@
 	sentAtBoot time.Duration
 	address    string
 	relayed    bool
-	resp       *clusterpb.RenewResponse
-	err        error
+	// wantsMembers is that of the request.
+	wantsMembers bool
+	resp         *clusterpb.RenewResponse
+	err          error
 }
 
 func (l *loop) startRenewal() {
@@ -94,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, timeout+maxRenewalTransfer)
 	r.cancel = cancel
 	r.sentAt = l.syncer.now()
-	ev := &renewalResult{number: r.number, sentAt: r.sentAt, sentAtBoot: l.syncer.bootTime(), address: address, relayed: relayed}
+	ev := &renewalResult{number: r.number, sentAt: r.sentAt, sentAtBoot: l.syncer.bootTime(), address: address, relayed: relayed, wantsMembers: req.WantsMembers}
 	crash.Go(l.workers, func() {
 		defer cancel()
 		stalled := time.AfterFunc(timeout, cancel)
@@ -123,6 +128,7 @@
 		ServesStale:        l.syncer.opts.ServesStale,
 		AcceptsPacked:      true,
 		AcceptsPackedState: true,
+		WantsMembers:       l.view == nil && !l.renew.membersKnown,
 		Isolated:           l.syncer.isolated.Load(),
 		IsolatedHash:       l.renew.isolatedHash,
 		QuietMs:            uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
@@ -218,8 +224,12 @@
 		l.logFailure(ev, ev.err)
 		// After a network partition, an open connection may never recover, or
 		// only after a TCP retransmission. Closing it makes the next call open
-		// a new one.
+		// a new one. What has silenced one connection may have silenced those to
+		// the other control VMs, each of which would cost another timeout.
 		l.syncer.opts.CloseConnections(ev.address)
+		for _, address := range r.controlAddresses {
+			l.syncer.opts.CloseConnections(address)
+		}
 		r.avoidUntil[ev.address] = l.syncer.now() + avoidDuration
 		l.forgetLeader(ev.address)
 		l.handleRenewalFailure()
@@ -229,6 +239,7 @@
 	if ev.resp.LeaderAddress == "" && ev.resp.LeaseMs > 0 && !ev.relayed {
 		ev.resp.LeaderAddress = ev.address
 	}
+	delete(r.avoidUntil, ev.address)
 	redirected := l.learnAddresses(ev.resp)
 	if ev.resp.LeaseMs > 0 {
 		l.syncer.silentEntries.Store(setOf(ev.resp.Silent))
@@ -243,10 +254,11 @@
 		l.state.RecordNewest(ev.sentAtBoot, time.Duration(ev.resp.NewestMs)*time.Millisecond)
 	}
 	l.publishSnapshot()
+	l.syncer.pause.recordRefresh(ev.sentAtBoot, granted)
 	switch {
 	case granted:
 		l.handleLeaseGranted(ev, changed)
-	case redirected:
+	case redirected, ev.wantsMembers && r.membersKnown:
 		r.failures = 0
 		r.nextAt = l.syncer.now()
 	default:
@@ -305,6 +317,14 @@
 		// The configured addresses stay in the list: they may be newer than
 		// those in the answer.
 		r.controlAddresses = union.Of(resp.ControlAddresses, l.syncer.opts.ControlAddresses)
+		if !r.membersKnown {
+			// Entry VMs that start together know the same few control VMs, which
+			// would have to send the first configuration to all of them.
+			r.membersKnown = true
+			rand.Shuffle(len(r.controlAddresses), func(i, j int) {
+				r.controlAddresses[i], r.controlAddresses[j] = r.controlAddresses[j], r.controlAddresses[i]
+			})
+		}
 	}
 	if resp.LeaderAddress == "" || resp.LeaderAddress == r.leaderAddress || l.isAvoided(resp.LeaderAddress) {
 		return false
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -70,6 +70,7 @@
 	startedAt time.Time
 	// bootTime reads a clock that also runs while the VM is suspended.
 	bootTime      func() time.Duration
+	pause         pauseDetector
 	snapshot      atomic.Pointer[snapshot]
 	silentEntries atomic.Pointer[map[string]bool]
 	// isolatedEntries are the entry VMs that have no way to any upstream.
@@ -126,6 +127,7 @@
 		events:    make(chan any, eventQueueSize),
 		done:      make(chan struct{}),
 	}
+	s.pause.now = func() time.Duration { return s.bootTime() }
 	s.snapshot.Store(&snapshot{})
 	return s
 }
--- a/internal/control/controltest/replica.go
+++ b/internal/control/controltest/replica.go
@@ -32,6 +32,9 @@
 	// quorumLostAt is the time at which the replica lost its quorum; zero if it
 	// has one.
 	quorumLostAt time.Time
+	// behind is set while the replica does not know what was committed before it
+	// started.
+	behind bool
 }
 
 // Add adds a replica at the address. The first replica becomes leader.
@@ -59,6 +62,14 @@
 	l.setLeaderLocked(r)
 }
 
+// SetBehind sets whether the replica has just started and does not know yet what was
+// committed before. It then has no leader.
+func (r *Replica) SetBehind(behind bool) {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	r.behind = behind
+}
+
 // LoseQuorum cuts every replica off from its quorum. The leader keeps its role.
 func (l *Log) LoseQuorum() {
 	l.mu.Lock()
@@ -127,6 +138,7 @@
 		IsLeader:      l.leader == r,
 		Term:          l.term,
 		CommitIndex:   l.index,
+		CaughtUp:      !r.behind,
 		LeaderSince:   l.leaderSince,
 		LastQuorum:    time.Now(),
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -26,6 +26,9 @@
 	// deferredRenewals holds renewals that arrived while leadership was being
 	// confirmed.
 	deferredRenewals []*renewal
+	// startingRenewals holds those of entry VMs without a configuration that arrived
+	// before this replica had caught up.
+	startingRenewals []*renewal
 	load             loopLoad
 	// stoodStill is the time for which the monotonic clock stood still while the VM
 	// was suspended, plus the time from the boot of the VM to the start of the
@@ -55,6 +58,7 @@
 		case <-tick.C:
 			l.onTick()
 		case <-l.server.stateMachine.changed:
+			l.handleStartingRenewals()
 			l.onConfigChanged()
 		case queued := <-l.server.events:
 			start := l.server.now()
@@ -88,6 +92,7 @@
 func (l *loop) onTick() {
 	st := l.server.opts.Replica.Status()
 	l.followLeadership(st)
+	l.handleStartingRenewals()
 	l.logLoad()
 	if l.term == nil {
 		return
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -87,6 +87,11 @@
 	}
 	for _, e := range pending {
 		old := t.registered(e.Id)
+		if supersedes(e, old) {
+			l.server.opts.Log.Log(event.EntryReplaced).Str("entry", e.Id).Str("address", e.ClusterAddress).Str("before", old.ClusterAddress).
+				Uint64("incarnation", e.Incarnation).Send()
+			return t.removeEndedCommand(old)
+		}
 		changesSet := old == nil || entryKey(old) != entryKey(e)
 		if changesSet && !t.tracker.CanChangeSet() {
 			continue
@@ -97,6 +102,20 @@
 	return nil
 }
 
+// supersedes reports whether e has taken the place of a process under the same ID at
+// another address. An ID belongs to one process at a time, so that the earlier one has
+// ended: it will never confirm a configuration again, and the set must not wait for it.
+func supersedes(e, old *catalogpb.Entry) bool {
+	return old != nil && e.Incarnation > old.Incarnation && entryKey(old) != entryKey(e)
+}
+
+// removeEndedCommand returns the command that removes an entry VM whose process has
+// ended from the set, also while an earlier change of the set waits for it.
+func (t *term) removeEndedCommand(e *catalogpb.Entry) *catalogpb.Command {
+	remove := &catalogpb.RemoveEntry{Id: e.Id, SetRevision: t.config.SetRevision, Ended: true, Pending: !t.tracker.CanChangeSet()}
+	return &catalogpb.Command{Kind: &catalogpb.Command_RemoveEntry{RemoveEntry: remove}}
+}
+
 // unregisteredEntries returns the live entry VMs that are not registered as
 // they describe themselves.
 func (l *loop) unregisteredEntries() []*catalogpb.Entry {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -30,6 +30,10 @@
 	maxConfigInterval = 400 * time.Millisecond
 )
 
+// maxStartHold limits how long a replica that has not caught up holds a renewal: the
+// entry VM should soon ask another one, which may have.
+const maxStartHold = 300 * time.Millisecond
+
 // responsesPerAddressList is the number of responses to an entry VM after which
 // the addresses of the control VMs are included again.
 const responsesPerAddressList = 32
@@ -69,6 +73,11 @@
 			return nil, fault.ToTwirp(err)
 		}
 	}
+	if req.WantsMembers {
+		if members := memberAddresses(d.server.opts.Replica.Status()); len(members) > 0 {
+			return &clusterpb.RenewResponse{ControlAddresses: members}, nil
+		}
+	}
 	r := &renewal{
 		request:  req,
 		received: d.server.now(),
@@ -104,7 +113,7 @@
 		return
 	}
 	if l.term == nil {
-		l.answerWithoutLease(r)
+		l.answerAsFollower(r)
 		return
 	}
 	if !l.term.completeEntry(r.request) {
@@ -135,6 +144,46 @@
 	}
 }
 
+// answerAsFollower answers a renewal while this replica does not lead. An entry VM
+// without a configuration waits until this replica may send it one: hundreds that
+// start together would otherwise ask again and again while control starts as well.
+func (l *loop) answerAsFollower(r *renewal) {
+	if l.withholdsConfig(r.request, l.server.opts.Replica.Status()) {
+		l.startingRenewals = append(l.startingRenewals, r)
+		return
+	}
+	l.answerWithoutLease(r)
+}
+
+// withholdsConfig reports whether an entry VM that has no configuration must not be
+// sent that of this replica: it has not caught up since its start, so that its
+// configuration may hold upstreams that have left and lack changes that entry VMs
+// have confirmed.
+func (l *loop) withholdsConfig(req *clusterpb.RenewRequest, st Status) bool {
+	return req.Revision == 0 && !st.CaughtUp
+}
+
+// handleStartingRenewals handles the renewals that wait until this replica has caught
+// up, and answers those that have waited for maxStartHold.
+func (l *loop) handleStartingRenewals() {
+	waiting := l.startingRenewals
+	if len(waiting) == 0 {
+		return
+	}
+	l.startingRenewals = nil
+	st := l.server.opts.Replica.Status()
+	for _, r := range waiting {
+		switch {
+		case st.CaughtUp:
+			l.onRenewal(r)
+		case l.server.now() >= r.received+min(holdTime(r.request), maxStartHold):
+			l.answerWithoutLease(r)
+		default:
+			l.startingRenewals = append(l.startingRenewals, r)
+		}
+	}
+}
+
 // recordAckAge records the age of the configuration that a renewal acknowledges
 // for the first time. It must be called before recordReport.
 func (l *loop) recordAckAge(req *clusterpb.RenewRequest) {
@@ -358,9 +407,11 @@
 		resp.LeaderAddress = st.LeaderAddress
 	}
 	cfg := l.server.catalog.Config()
-	if r.request.Revision < cfg.Revision {
-		resp.Revision = cfg.Revision
+	if !l.withholdsConfig(r.request, st) {
+		if r.request.Revision < cfg.Revision {
+			resp.Revision = cfg.Revision
+		}
+		l.addConfig(resp, r.request, cfg)
 	}
-	l.addConfig(resp, r.request, cfg)
 	r.reply <- resp
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -41,7 +41,10 @@
 	IsLeader      bool
 	Term          uint64
 	CommitIndex   uint64
-	Members       []Member
+	// CaughtUp is set once everything is applied that was committed when this
+	// process started.
+	CaughtUp bool
+	Members  []Member
 	// LeaderSince is the time at which this replica became leader.
 	LeaderSince time.Time
 	// LastQuorum is the time at which the last heartbeat round answered by a
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -102,10 +102,12 @@
 
 // dropRemovedReports deletes the reports of entry VMs that were registered in
 // the last configuration and are not in the new one. One that is still running
-// registers again with its next renewal.
+// registers again with its next renewal. The report of a process that has superseded
+// the one removed is kept.
 func (t *term) dropRemovedReports() {
 	for _, e := range t.config.Entries {
-		if t.entries[e.Id] == nil {
+		report := t.reports[e.Id]
+		if t.entries[e.Id] == nil && report != nil && !supersedes(report.entry, e) {
 			delete(t.reports, e.Id)
 		}
 	}
--- a/internal/controlvm/replica_adapter.go
+++ b/internal/controlvm/replica_adapter.go
@@ -45,6 +45,7 @@
 		IsLeader:      st.IsLeader,
 		Term:          st.Term,
 		CommitIndex:   st.CommitIndex,
+		CaughtUp:      st.CaughtUp,
 		LeaderSince:   st.LeaderSince,
 		LastQuorum:    st.LastQuorum,
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,7 @@
 	MemberRemoved   = Event{217, "member_removed", zerolog.WarnLevel, "a control VM was removed from the control group, by an operator or because it did not respond", "if the VM is to return, check that it runs and joins the group"}
 	LoopSlow        = Event{218, "loop_slow", zerolog.WarnLevel, "events waited long for the event loop of the leader", "check the CPU time of the VM"}
 	ConfigUnacked   = Event{219, "config_unacked", zerolog.WarnLevel, "live gateways have not acknowledged a desired state in time", "check the load of the leader and the links of the gateways"}
+	EntryReplaced   = Event{220, "entry_replaced", zerolog.InfoLevel, "an entry VM came back under its id at another address; the process before is removed", "check that no two VMs have the same id"}
 	ConfigAdopted   = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
 	LeaseLost       = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration lease has expired; refusing new calls", "check the network to control VMs and other entry VMs"}
 	LeaseRegained   = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration lease was renewed after it had expired", ""}
@@ -59,7 +60,7 @@
 	CallEnded       = Event{403, "call_ended", zerolog.WarnLevel, "a call was refused, failed, or was sent more than once", ""}
 	AttemptFailed   = Event{404, "attempt_failed", zerolog.InfoLevel, "an attempt at an upstream returned no response that can be forwarded", ""}
 	UpstreamBroke   = Event{405, "upstream_broke", zerolog.WarnLevel, "an upstream broke the connection on which it ran the request; reported as a crash", "compare target, caller and body of the requests that did so"}
-	RequestCleared  = Event{406, "request_cleared", zerolog.InfoLevel, "variants of a request were released from quarantine, because some of them have recently completed at this process", ""}
+	TrialFailed     = Event{407, "trial_failed", zerolog.WarnLevel, "the gateway that issues the permits for a suspect request did not answer; the request is not sent", "if it persists, check that gateway and the network to it"}
 	WrongKey        = Event{500, "wrong_key", zerolog.WarnLevel, "a request had no valid key", "check the sender and its key"}
 	KeysReloaded    = Event{501, "keys_reloaded", zerolog.InfoLevel, "the changed key file was reloaded", ""}
 	KeysInvalid     = Event{502, "keys_invalid", zerolog.ErrorLevel, "a key file is missing or not valid; the old keys stay in force", "correct the named file"}
@@ -70,9 +71,9 @@
 	return []Event{
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
-		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked,
+		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
-		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, RequestCleared,
+		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -53,6 +53,7 @@
 	UpstreamBroken    Kind = "upstream_broken"
 	UpstreamTimeout   Kind = "upstream_timeout"
 	Quarantined       Kind = "quarantined"
+	Suspect           Kind = "suspect"
 	CallerGone        Kind = "caller_gone"
 	DiskFailed        Kind = "disk_failed"
 	Settings          Kind = "settings"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -65,6 +65,7 @@
 	UpstreamBroken:    {http.StatusBadGateway, twirp.Unavailable, RunUnknown, retryShort, ExitUnavailable, "the connection to the upstream broke"},
 	UpstreamTimeout:   {http.StatusGatewayTimeout, twirp.DeadlineExceeded, RunUnknown, retryShort, ExitUnavailable, "the upstream did not answer in time"},
 	Quarantined:       {http.StatusServiceUnavailable, twirp.FailedPrecondition, RunUnknown, retryLong, ExitRefused, "the request broke several upstreams and is held off"},
+	Suspect:           {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "requests like this one may have broken upstreams and are sent one at a time"},
 	CallerGone:        {499, twirp.Canceled, RunUnknown, 0, ExitUnavailable, "the caller closed the connection"},
 	DiskFailed:        {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryLong, ExitUnavailable, "the disk of this control VM failed"},
 	Settings:          {http.StatusInternalServerError, twirp.FailedPrecondition, NotRun, 0, ExitSettings, "the settings file is not valid"},
