--- a/internal/httpnet/client.go
+++ b/internal/httpnet/client.go
@@ -10,7 +10,9 @@
 
 // Timeouts and connection limits of the clients.
 const (
-	clientIdleTimeout   = 2 * time.Minute
+	// clientIdleTimeout is short, since a process may talk to hundreds of others, each
+	// of them now and then.
+	clientIdleTimeout   = 15 * time.Second
 	dialTimeout         = time.Second
 	maxIdleConnsPerHost = 64
 	// maxResponseHeaderBytes bounds the headers of a response, including interim
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -2,34 +2,53 @@
 
 import (
 	"net"
+	"os"
 	"sync"
+	"time"
+
+	"github.com/juju/errors"
 )
 
 // limitedListener limits the number of open connections. Connections over the limit
 // wait in the accept backlog of the operating system.
 type limitedListener struct {
-	net.Listener
+	*net.TCPListener
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	// stopped is closed by stop.
+	stopped chan struct{}
+
+	mu sync.Mutex
+	// stopBy is the time by which a listener that stops is closed; zero before.
+	stopBy time.Time
 }
 
-func newLimitedListener(l net.Listener, limit int) *limitedListener {
+const (
+	// backlogWait is the time without a new connection after which the backlog of a
+	// listener that stops counts as empty.
+	backlogWait = 200 * time.Microsecond
+	// maxBacklogTime bounds the time for which a listener that stops goes on
+	// accepting. A backlog is accepted in much less time.
+	maxBacklogTime = 100 * time.Millisecond
+)
+
+func newLimitedListener(l *net.TCPListener, limit int) *limitedListener {
 	return &limitedListener{
-		Listener: l,
-		slots:    make(chan struct{}, limit),
-		closed:   make(chan struct{}),
+		TCPListener: l,
+		slots:       make(chan struct{}, limit),
+		closed:      make(chan struct{}),
+		stopped:     make(chan struct{}),
 	}
 }
 
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
+	if !l.takeSlot() {
+		_ = l.Close()
 		return nil, net.ErrClosed
 	}
-	conn, err := l.Listener.Accept()
+	conn, err := l.accept()
 	if err != nil {
 		<-l.slots
 		return nil, err
@@ -37,10 +56,76 @@
 	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
 }
 
+// takeSlot waits for a slot of a connection. It reports false if there is none and the
+// listener stops or is closed: open connections may stay idle until it is closed.
+func (l *limitedListener) takeSlot() bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	default:
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-l.stopped:
+	case <-l.closed:
+	}
+	return false
+}
+
+// accept accepts one connection. Once the listener stops and its backlog is empty, it
+// closes it.
+func (l *limitedListener) accept() (net.Conn, error) {
+	for {
+		stopping := l.extendDeadline()
+		conn, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if stopping {
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// extendDeadline lets the next Accept of a listener that stops wait for backlogWait. It
+// reports whether the listener stops.
+func (l *limitedListener) extendDeadline() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopBy.IsZero() {
+		return false
+	}
+	if next := time.Now().Add(backlogWait); next.Before(l.stopBy) {
+		_ = l.SetDeadline(next)
+	}
+	return true
+}
+
+// stop lets Accept return the connections in the backlog and then close the listener.
+// To close it at once would reset them, with requests that callers have sent.
+func (l *limitedListener) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopBy.IsZero() {
+		l.stopBy = time.Now().Add(maxBacklogTime)
+		close(l.stopped)
+		// Wakes a pending Accept.
+		_ = l.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (l *limitedListener) stopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.stopBy.IsZero()
+}
+
 // Close implements net.Listener.
 func (l *limitedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.TCPListener.Close()
 }
 
 // limitedConn releases its slot of the listener when it is closed.
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -56,6 +56,45 @@
 	})
 }
 
+// CloseWhenLeaving returns a handler that calls next and asks callers to close their
+// connections with each response that begins while leaving is true, also if its request
+// came before. An idle connection that a caller still uses could otherwise be closed
+// under its next request.
+func CloseWhenLeaving(next http.Handler, leaving func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&leavingWriter{ResponseWriter: w, leaving: leaving}, r)
+	})
+}
+
+// leavingWriter is the http.ResponseWriter of CloseWhenLeaving.
+type leavingWriter struct {
+	http.ResponseWriter
+	leaving func() bool
+	begun   bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *leavingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK && !w.begun {
+		w.begun = true
+		if w.leaving() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *leavingWriter) Write(b []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *leavingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // LimitReadTime returns a handler that calls next and makes reads of the request
 // body fail after the time limit, which must be longer than next takes otherwise.
 // It also bounds the time in which the server reads what next leaves of the body.
@@ -79,8 +118,10 @@
 // Server is a running HTTP server on one listener.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
-	failed   chan error
+	listener *limitedListener
+	// served is closed when the server accepts no more connections.
+	served chan struct{}
+	failed chan error
 }
 
 // ListenLogged is like Listen, and also logs a failure as event.ListenFailed.
@@ -96,7 +137,11 @@
 // without TLS, until Shutdown or Close.
 func Listen(address string, h http.Handler, limits Limits) (*Server, error) {
 	limits = limits.withDefaults()
-	l, err := net.Listen("tcp", address)
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", address)
+	}
+	l, err := net.ListenTCP("tcp", resolved)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
@@ -114,6 +159,7 @@
 			ErrorLog:          log.New(io.Discard, "", 0),
 		},
 		listener: newLimitedListener(l, limits.MaxConnections),
+		served:   make(chan struct{}),
 		failed:   make(chan error, 1),
 	}
 	go s.serve()
@@ -137,8 +183,9 @@
 }
 
 func (s *Server) serve() {
+	defer close(s.served)
 	err := s.http.Serve(s.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !s.listener.stopping() {
 		s.failed <- err
 	}
 }
@@ -150,9 +197,16 @@
 // Shutdown or Close.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-// Shutdown stops accepting connections and waits for requests in flight. When ctx
-// ends first, it closes the remaining connections and returns the error of ctx.
+// Shutdown stops accepting connections and waits for requests in flight, those on
+// connections that were open already included. When ctx ends first, it closes the
+// remaining connections and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.listener.stop()
+	// The server knows of a connection only once Serve has taken it from Accept.
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
