--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,6 +63,7 @@
 	latencies    *latencyTracker
 	rules        ruleCache
 	notices      *notices
+	echoes       *echoes
 }
 
 // New returns a Forwarder. It panics when the embedded state machine of a
@@ -75,6 +76,7 @@
 		retryBudgets: newRetryBudgets(),
 		latencies:    newLatencyTracker(),
 		notices:      newNotices(),
+		echoes:       newEchoes(),
 	}
 }
 
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -30,7 +32,7 @@
 	defer c.interim.close()
 	delay, ok := c.hedgeDelay()
 	if !ok {
-		resp, err := c.exchange(c.newUpstreamRequest(a.withTrace(ctx, c, c.grant), c.grant), c.grant)
+		resp, err := c.exchange(c.newUpstreamRequest(a.withTrace(ctx, c, c.grant), c.grant), c.grant, a)
 		return a, resp, err
 	}
 	results := make(chan *parallelAttempt, 2)
@@ -66,7 +68,7 @@
 	ctx, p.cancel = context.WithCancel(ctx)
 	out := c.newUpstreamRequest(p.attempt.withTrace(ctx, c, g), g)
 	go func() {
-		p.resp, p.err = c.exchange(out, g)
+		p.resp, p.err = c.exchange(out, g, a)
 		results <- p
 	}()
 	return p
@@ -103,14 +105,27 @@
 	return c.startAttempt(ctx, &attempt{started: time.Now()}, g, reporter, results)
 }
 
-// exchange sends the request and returns the response. It records what the response
-// says of the upstream itself.
-func (c *call) exchange(out *http.Request, g slot.Grant) (*http.Response, error) {
+// exchange sends the request and returns the response to it. It records what the
+// response says of the upstream itself.
+func (c *call) exchange(out *http.Request, g slot.Grant, a *attempt) (*http.Response, error) {
+	callerID := out.Header.Get(headerRequestID)
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	out.Header.Set(headerRequestID, id)
+	out.Close = !c.f.echoes.knows(g.Upstream)
 	resp, err := c.f.opts.Transport.RoundTrip(out)
-	if err == nil {
-		c.f.recordNotice(g, resp.StatusCode, resp.Header)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.f.echoes.checkEcho(g.Upstream, id, resp, a.newConn.Load()); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	resp.Header.Del(headerRequestID)
+	if callerID != "" {
+		resp.Header.Set(headerRequestID, callerID)
 	}
-	return resp, err
+	c.f.recordNotice(g, resp.StatusCode, resp.Header)
+	return resp, nil
 }
 
 // grantUsable reports whether the configuration in force still allows
