Send suspect requests one at a time; place calls at the worst load by room to spare

Reports spread over a graph with three successors. Gateways keep refusing until the last call has ended, and a call without an ID has a connection to itself.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -47,6 +47,10 @@
 // idleSlowPercent is the highest SlowPercent at which IsIdle holds.
 const idleSlowPercent = 120
 
+// SpareSlowdown is the highest Load.Slowdown of an upstream with room to spare: one
+// more request neither passes kneeUtilization nor meets a VM that is slow.
+const SpareSlowdown = idleSlowPercent / 100.0
+
 // usable reports whether the upstream may be sent a request now without a
 // permit, regardless of its load.
 func (b *Balancer) usable(now time.Duration, u *upstream) bool {
@@ -67,6 +71,8 @@
 	MaxSlowdown float64
 	// Bytes is the size of the request.
 	Bytes int64
+	// Idle admits only upstreams that run no other request.
+	Idle bool
 }
 
 // Choose selects one of the upstreams in ids, which have been probed. Cold
@@ -88,7 +94,7 @@
 		if u == nil || !usable(now, u) {
 			continue
 		}
-		if !hasFreeSlot(u) || u.load.Slowdown() > req.MaxSlowdown {
+		if !hasFreeSlot(u) || u.load.Slowdown() > req.MaxSlowdown || req.Idle && u.load.Running > 0 {
 			if choice.Outcome == Unavailable {
 				choice.Outcome = NoCapacity
 			}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -12,7 +12,8 @@
 	Priority int
 	// Late is set when the request can no longer meet its latency target. It is
 	// dequeued only when no other waiter can be started, as a response within
-	// the target is worth far more to the caller.
+	// the target is worth far more to the caller, and only for an upstream with room
+	// to spare, as requests that can still be in time wait at other entry VMs.
 	Late bool
 	// StartBy is the latest start time at which the request meets its latency
 	// target.
@@ -128,7 +129,7 @@
 	best := -1
 	for i, w := range q.waiters {
 		extra := time.Duration((slowdown - 1) * float64(w.ServiceTime))
-		if now+max(0, extra) > w.StartBy || slices.Contains(w.Exclude, upstream) {
+		if now+max(0, extra) > w.StartBy || w.Late && slowdown > SpareSlowdown || slices.Contains(w.Exclude, upstream) {
 			continue
 		}
 		if best < 0 || q.before(w, q.waiters[best]) {
--- a/internal/claimservice/permit.go
+++ b/internal/claimservice/permit.go
@@ -30,7 +30,7 @@
 	case fault.OutcomeUnknown:
 		return func() {}, nil
 	case fault.StillRunning:
-		return nil, fault.NewRetryable(fault.Quarantined, permitRetryDelay, "another attempt at this suspect request is in progress")
+		return nil, fault.NewRetryable(fault.Suspect, permitRetryDelay, "another attempt is in progress")
 	default:
 		return nil, d.Refusal
 	}
--- a/internal/entryvm/callers.go
+++ b/internal/entryvm/callers.go
@@ -67,12 +67,7 @@
 // wrapCallerHandler returns a handler that asks callers to close their connections
 // once this entry VM is leaving, and responds with an error if next panics.
 func (d *Daemon) wrapCallerHandler(next http.Handler) http.Handler {
-	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.lifecycle.leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	}), crash.PanicHandler(d.log))
+	return httpnet.CloseWhenLeaving(httpnet.Recover(next, crash.PanicHandler(d.log)), d.lifecycle.leaving)
 }
 
 // drained reports whether there are no calls in flight.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,11 @@
 	c.upstream = u.ID
 	c.choice = res.choice
 	start := time.Now()
+	if c.id == "" && !c.isolate(&res) {
+		c.recordNeutralEnd(u.ID)
+		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: no connection for a request without an ID", u.ID)})
+	}
+	res.conn.Carried = true
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := res.conn.Do(c.ctx, c.upstreamRequest(u))
@@ -55,6 +60,23 @@
 	return c.forwardResponse(u, res.conn, x, start)
 }
 
+// isolate makes sure that the connection of the reservation carries only the request of
+// this call, which has no ID: its response cannot be told from late copies of others. It
+// reports false if a new connection that this needs cannot be opened.
+func (c *call) isolate(res *reservation) bool {
+	if res.conn.Carried {
+		u := res.choice.Upstream
+		conn, err := c.f.conns.Open(c.ctx, u.Address, c.f.state.maxConnections(u.Pool))
+		c.f.conns.Release(res.conn, nil)
+		if err != nil {
+			return false
+		}
+		res.conn = conn
+	}
+	res.conn.PreventReuse()
+	return true
+}
+
 // recordEnd records the end of an attempt. After a failed one the upstream gets
 // no work for a while.
 func (c *call) recordEnd(id string, ok bool, took time.Duration) {
@@ -328,15 +350,29 @@
 // that gives up at the deadline may have done so before the request could end it.
 func (c *call) recordCompleted(resp *http.Response) {
 	if resp.StatusCode != http.StatusGatewayTimeout {
-		c.f.opts.Crashes.Completed(c.signature)
+		c.endTrial(c.f.opts.Crashes.Completed(c.signature))
 	}
 }
 
 // recordCrash records that the upstream broke the connection on which it ran the
-// request.
+// request, and reports a crash unless the upstream still runs.
 func (c *call) recordCrash(u balance.Upstream) {
 	c.logCrash(u)
-	c.f.opts.Crashes.Crashed(c.signature, quarantine.Crash{Upstream: u.ID, Incarnation: u.Started})
+	crash := quarantine.Crash{Upstream: u.ID, Incarnation: u.Started}
+	if c.trial == nil && !c.route.Repeatable {
+		// The caller need not wait for it: the request is not sent again from here.
+		go func() {
+			if !c.f.stillRuns(u) {
+				c.f.opts.Crashes.Crashed(c.signature, crash, false)
+			}
+		}()
+		return
+	}
+	if c.f.stillRuns(u) {
+		c.endTrial(nil)
+		return
+	}
+	c.endTrial(c.f.opts.Crashes.Crashed(c.signature, crash, c.trial != nil))
 }
 
 // writeHeader sends the status and the end-to-end headers of the response to the
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,6 +89,9 @@
 	lost bool
 	// relayTried is set if no other gateway could be asked to carry the call.
 	relayTried bool
+	// trial is the permit to send a request that is suspected of crashing upstreams;
+	// nil if the call holds none.
+	trial *trial
 	// unknownOutcome is the error of an attempt that may have run. Once it is set,
 	// no later refusal may say that the request did not run.
 	unknownOutcome *fault.Error
@@ -190,9 +193,11 @@
 	}
 	c.signature = c.sign()
 	defer c.releaseRetry()
+	defer func() { c.endTrial(nil) }()
 	var failed attemptFailure
 	for {
-		if err := c.f.opts.Crashes.Blocked(c.signature); err != nil {
+		c.f.state.awaitRefresh(c.ctx)
+		if err := c.f.opts.Crashes.Judge(c.signature).Refusal(); err != nil {
 			return c.finalError(err)
 		}
 		cause := c.f.upstreamsLost()
@@ -205,11 +210,16 @@
 			if c.retryReserved && !c.sendRetry() {
 				return c.finalError(failed.err)
 			}
+			// The other gateway asks for the permit of a trial itself.
+			c.endTrial(nil)
 			if asked, err := c.relay(); asked {
 				return err
 			}
 			c.relayTried = true
 		}
+		if err := c.waitForTrial(); err != nil {
+			return c.finalError(err)
+		}
 		if !c.counted {
 			c.count()
 		}
@@ -223,10 +233,9 @@
 		if !c.confirm(res) {
 			continue
 		}
-		// The request may have been quarantined during the wait.
-		if err := c.f.opts.Crashes.Blocked(c.signature); err != nil {
+		if !c.mayStillSend() {
 			c.f.releaseUnused(res)
-			return c.finalError(err)
+			continue
 		}
 		if c.retryReserved && !c.sendRetry() {
 			c.f.releaseUnused(res)
@@ -293,16 +302,36 @@
 // a pause.
 func (c *call) retryAfter(predicted time.Duration) time.Duration {
 	left := time.Until(c.deadline)
-	pause := predicted + time.Duration((0.5+rand.Float64())*float64(c.route.TargetLatency)/2)
+	need := time.Duration(typicalTimeMargin*float64(c.f.state.typicalTime(c.route.Name))) + returnTime
+	pause := chooseReturn(predicted, c.timeToTarget()-need, left, c.f.opts.Random())
 	if wait, paused := c.pauseWait(); paused {
-		return notice.RetryAfter(wait, c.route.TargetLatency/2, rand.Float64())
+		return notice.RetryAfter(wait, c.route.TargetLatency/2, c.f.opts.Random())
 	}
 	if wait, limited := c.permitWait(); limited {
 		return max(minRetryAfter, pause, wait)
 	}
-	return max(minRetryAfter, min(pause, left*3/10))
+	return max(minRetryAfter, min(pause, time.Duration(maxReturnShare*float64(left))))
 }
 
+// returnTime is the time that a caller takes to come back, beyond the pause.
+const returnTime = 20 * time.Millisecond
+
+// chooseReturn returns the time after which a refused caller should come back. spare is
+// the time for which its request could still wait and meet its target, left the time to
+// its deadline, and random is in [0, 1). In an overload, a caller that can still be in
+// time comes back within that time, spread over it. One that cannot comes back late, when
+// the burst may be over: before, it would take room from those that can be in time.
+func chooseReturn(predicted, spare, left time.Duration, random float64) time.Duration {
+	if hope := spare - predicted; hope > 0 {
+		return predicted + time.Duration(random*float64(hope))
+	}
+	return max(predicted, time.Duration((1+random)/2*maxReturnShare*float64(left)))
+}
+
+// maxReturnShare is the part of the time to its deadline that a caller may be told to
+// wait: callers wait for a third of it.
+const maxReturnShare = 0.3
+
 // minRetryAfter is the shortest Retry-After.
 const minRetryAfter = 10 * time.Millisecond
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -86,6 +86,12 @@
 const (
 	housekeepingInterval = time.Second
 	shutdownTimeout      = time.Second
+	// drainPollInterval is the interval at which a gateway that stops checks for calls
+	// in flight.
+	drainPollInterval = 20 * time.Millisecond
+	// gossipFanout is the number of gateways that crash reports are pushed to. With
+	// three, 449 gateways know of a report after six steps.
+	gossipFanout = 3
 	// controlLostAfter is longer than control may take to answer a renewal, which
 	// it holds open until something changes.
 	controlLostAfter  = 2 * time.Second
@@ -180,6 +186,7 @@
 	})
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
+	d.state.awaitRefresh = d.config.AwaitRefresh
 	d.state.maxDenialAge = denialAge(s.ApplyWithinMs.Duration())
 	d.state.isolated = d.config.Isolated
 	d.gossip = gossip.New(gossip.Options{
@@ -191,7 +198,9 @@
 			Hold:       s.Quarantine.HoldMs.Duration(),
 			MaxReports: s.Quarantine.MaxRequests,
 		},
-		Logger: d.log,
+		Logger:    d.log,
+		Fanout:    gossipFanout,
+		Reachable: d.config.Reachable,
 	})
 	d.config.OnLease(d.state.recordLease)
 	d.config.OnChange(func(v *configview.View) {
@@ -256,6 +265,7 @@
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.config.Handler())
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	cluster.Handle(clusterpb.PermitsPathPrefix, clusterpb.NewPermitsServer(&permitServer{state: d.state, log: d.log}))
+	cluster.Handle(clusterpb.TrialsPathPrefix, clusterpb.NewTrialsServer(&trialServer{state: d.state, crashes: d.gossip}))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
 	processes := http.NewServeMux()
 	processes.Handle("/", d.clusterRPCs)
@@ -305,6 +315,9 @@
 		Permits: func(address string) clusterpb.Permits {
 			return clusterpb.NewPermitsProtobufClient("http://"+address, d.client)
 		},
+		Trials: func(address string) clusterpb.Trials {
+			return clusterpb.NewTrialsProtobufClient("http://"+address, d.client)
+		},
 		ReportLost:      d.config.SetIsolated,
 		DialGateway:     d.dialGateway,
 		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
@@ -314,12 +327,7 @@
 }
 
 func (d *Daemon) callerHandler() http.Handler {
-	return httpnet.Recover(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		d.forwarder.ServeHTTP(w, r)
-	}), crash.PanicHandler(d.log))
+	return httpnet.CloseWhenLeaving(httpnet.Recover(d.forwarder, crash.PanicHandler(d.log)), d.stopping.Load)
 }
 
 func (d *Daemon) start(ctx context.Context) {
@@ -404,7 +412,14 @@
 	d.closed.Store(true)
 	stopCtx, cancel := context.WithDeadline(ctx, start.Add(d.settings.StopMs.Duration()))
 	defer cancel()
-	// Stops listening and closes idle connections at once.
+	// Callers that still come are refused, so that they learn that their requests have
+	// not run.
+	for d.limiter.Total() > 0 {
+		if !wait.For(stopCtx, drainPollInterval) {
+			break
+		}
+	}
+	// Idle connections are closed at once.
 	if err := d.callerServer.Shutdown(stopCtx); err != nil {
 		d.log.Log(event.StoppedHard).Uint64("calls_cut", uint64(d.limiter.Total())).Err(err).Send()
 	}
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -258,6 +258,7 @@
 		Metrics:     telemetry.NewGatewayMetrics(metrics.Scope),
 		Closed:      func() bool { return false },
 		Permits:     g.permits,
+		Trials:      g.trials,
 		Context:     g.background,
 		DialGateway: g.dialGateway,
 	})
@@ -345,6 +346,29 @@
 	return unreachablePermits{}
 }
 
+// trials returns a client of the trials of the gateway at the address.
+func (g *gatewayGroup) trials(address string) clusterpb.Trials {
+	for _, f := range g.forwarders {
+		if f.state.gatewayID+":2" == address && !g.isStopped(f) {
+			return &trialServer{state: f.state, crashes: f.opts.Crashes}
+		}
+	}
+	return unreachableTrials{}
+}
+
+// unreachableTrials is a client of a gateway that does not answer.
+type unreachableTrials struct{}
+
+func (unreachableTrials) Begin(ctx context.Context, _ *clusterpb.BeginTrialRequest) (*clusterpb.BeginTrialResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (unreachableTrials) End(ctx context.Context, _ *clusterpb.EndTrialRequest) (*clusterpb.EndTrialResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // unreachablePermits is a client of a gateway that does not answer.
 type unreachablePermits struct{}
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -158,6 +158,11 @@
 func (c *call) confirm(res reservation) bool {
 	u := res.choice.Upstream
 	st := c.f.state
+	if st.awaitRefresh(c.ctx) {
+		// The upstream may have left meanwhile, or its load has changed.
+		c.f.releaseUnused(res)
+		return false
+	}
 	st.mu.Lock()
 	said := st.balancer.Notice(u)
 	open, leaving := said.Open(st.now()), said.Leaving()
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -35,7 +34,7 @@
 func (f *Forwarder) searchLimited(ctx context.Context, pool string, avoid []string, req balance.Requirements) (reservation, string) {
 	st := f.state
 	st.mu.Lock()
-	u, ok := st.balancer.LimitedCandidate(st.now(), pool, avoid, rand.Float64)
+	u, ok := st.balancer.LimitedCandidate(st.now(), pool, avoid, f.opts.Random)
 	st.mu.Unlock()
 	if !ok {
 		return reservation{}, ""
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
@@ -152,6 +155,9 @@
 	conn, result, err := f.fetchLoad(ctx, c)
 	st := f.state
 	f.recordProbeOutcome(ctx, c, err)
+	if isEnded(err) {
+		f.opts.Crashes.UpstreamGone(c.Pool, quarantine.Crash{Upstream: c.ID, Incarnation: c.Started})
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if errors.Is(err, upstreamconn.ErrTooManyConnections) || errors.Is(err, upstreamconn.ErrNoIdleConnection) || isWithheld(err) {
@@ -168,6 +174,39 @@
 	return probeOutcome{candidate: c, conn: conn}
 }
 
+// stillRuns reports whether an upstream that has broken a connection answers on a new
+// one. Then it has not crashed. It is not asked if that would need a permit.
+func (f *Forwarder) stillRuns(u balance.Upstream) bool {
+	st := f.state
+	st.mu.Lock()
+	mayAsk := !st.balancer.NeedsPermit(st.now(), u.ID) && st.balancer.Notice(u).Open(st.now())
+	st.mu.Unlock()
+	if !mayAsk {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(f.opts.Context, probeTimeout)
+	defer cancel()
+	conn, err := f.conns.Open(ctx, u.Address, st.maxConnections(u.Pool))
+	if err != nil {
+		return false
+	}
+	_, err = f.fetchLoadOn(ctx, conn, u)
+	f.recordProbeOutcome(ctx, u, err)
+	switch {
+	case err == nil:
+		f.conns.Release(conn, nil)
+	case !isWithheld(err):
+		conn.Close()
+	}
+	return err == nil || errors.Is(err, errConnectionClosing)
+}
+
+// isEnded reports whether the failure of a probe says that the upstream has ended. A
+// reset does not: upstreams also reset connections while they are full.
+func isEnded(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // fetchLoad sends the health request. If it fails on a reused connection, which
 // the upstream may have closed while it was idle, it is sent once more on a new
 // connection.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,14 +17,18 @@
 	// a request joins the queue. Four rounds of two probes find a free upstream
 	// at ordinary load.
 	searchRounds = 4
+	// spareSearchRounds is the number of these that accept only upstreams with room
+	// to spare. A search takes a few milliseconds, while an upstream that is slow or
+	// nearly full adds most of the time of the work.
+	spareSearchRounds = 2
 	// queueMaxSlowdown is the largest slowdown, as a factor on the usual time of
 	// the work, of an upstream that is selected for queued calls. It admits
 	// upstreams that are slower because most of their slots are in use, but none
 	// whose VM is temporarily slow.
 	queueMaxSlowdown = 2
 	// lateMaxSlowdown is the same bound for a request that misses its target
-	// latency anyway.
-	lateMaxSlowdown = 2
+	// latency anyway: it takes no room that calls of any gateway need to be in time.
+	lateMaxSlowdown = balance.SpareSlowdown
 	// defaultMaxSlowdown is the same bound for a route without a known typical
 	// response time or without a target latency.
 	defaultMaxSlowdown = 2
@@ -83,9 +86,10 @@
 		return c.waitInQueue()
 	}
 	avoid := slices.Clone(c.avoid)
-	for range searchRounds {
+	for round := 0; round < searchRounds; round++ {
 		c.searches++
-		res, seen := c.f.search(c.ctx, c.pool, avoid, probesPerSearch, c.requirements(c.maxSlowdown()))
+		spare := round < spareSearchRounds
+		res, seen := c.f.search(c.ctx, c.pool, avoid, probesPerSearch, c.requirements(c.acceptedSlowdown(spare)))
 		switch {
 		case c.ctx.Err() != nil:
 			c.f.releaseUnused(res)
@@ -103,6 +107,11 @@
 			return reservation{}, c.noUpstream()
 		}
 		avoid = append(avoid, seen...)
+		if spare && (len(seen) == 0 || round == spareSearchRounds-1) {
+			// Those without room to spare may do for the other searches.
+			round = spareSearchRounds - 1
+			avoid = slices.Clone(c.avoid)
+		}
 	}
 	return c.waitInQueue()
 }
@@ -128,7 +137,7 @@
 func (f *Forwarder) search(ctx context.Context, pool string, avoid []string, n int, req balance.Requirements) (res reservation, seen []string) {
 	st := f.state
 	st.mu.Lock()
-	candidates := st.balancer.Candidates(st.now(), pool, avoid, n, rand.Float64)
+	candidates := st.balancer.Candidates(st.now(), pool, avoid, n, f.opts.Random)
 	st.mu.Unlock()
 	for _, c := range candidates {
 		seen = append(seen, c.ID)
@@ -235,7 +244,8 @@
 		return reservation{}, c.noUpstream()
 	}
 	// The target latency is missed, but the deadline has not passed yet.
-	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, c.requirements(lateMaxSlowdown)); res.conn != nil {
+	late := balance.Requirements{MaxSlowdown: lateMaxSlowdown, Bytes: c.body.length}
+	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, late); res.conn != nil {
 		return res, nil
 	}
 	if permitWait, limited := c.permitWait(); limited {
@@ -283,8 +293,18 @@
 // the target latency.
 func (c *call) missesTarget(typical time.Duration) bool { return c.timeToTarget() < typical }
 
+// requirements returns the requirements of the request. A trial goes to an idle upstream
+// if there is one: should the upstream end, no other request is lost or blamed.
 func (c *call) requirements(maxSlowdown float64) balance.Requirements {
-	return balance.Requirements{MaxSlowdown: maxSlowdown, Bytes: c.body.length}
+	return balance.Requirements{MaxSlowdown: maxSlowdown, Bytes: c.body.length, Idle: c.trial != nil}
+}
+
+// acceptedSlowdown returns the highest slowdown of an upstream that a search accepts.
+func (c *call) acceptedSlowdown(spare bool) float64 {
+	if spare {
+		return min(c.maxSlowdown(), balance.SpareSlowdown)
+	}
+	return c.maxSlowdown()
 }
 
 // maxSlowdown returns how many times longer than typical the work may take for
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -255,7 +255,7 @@
 	if r.status.Lost() {
 		interval = lostProbeInterval
 	}
-	return targets.choose(reachProbes, r.tracker.HasFailed), interval, true
+	return targets.choose(reachProbes, r.tracker.IsEvidence), interval, true
 }
 
 // probeOnNewConnection probes the upstream on a new connection. Upstreams that get
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -169,7 +168,7 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	return usable[rand.IntN(len(usable))]
+	return usable[int(f.opts.Random()*float64(len(usable)))]
 }
 
 // relay sends the call to other gateways until one answers it. It reports false if
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -40,6 +42,9 @@
 	// that the desired state does not allow a call.
 	sinceNewest  func() time.Duration
 	maxDenialAge time.Duration
+	// awaitRefresh waits after a pause of the process until control has been asked for
+	// the newest configuration, and reports whether it has waited.
+	awaitRefresh func(context.Context) bool
 	// isolated reports whether control knows that a gateway has no way to any
 	// upstream.
 	isolated func(entry string) bool
@@ -58,10 +63,9 @@
 	// typicalTimes holds the moving average of response times by route,
 	// normalised to an idle upstream on a VM without other load.
 	typicalTimes map[string]time.Duration
-	// longestTimeouts holds the longest timeout that a caller has stated, by
-	// route.
-	longestTimeouts map[string]time.Duration
-	queues          map[string]*poolQueue
+	// timeouts holds what callers have stated recently, by route.
+	timeouts map[string]*statedTimeouts
+	queues   map[string]*poolQueue
 	// issuer issues the permits for upstreams that name a rate limit or are cold.
 	issuer *permit.Issuer
 	// clusterAddresses holds the cluster addresses of the gateways by ID.
@@ -72,21 +76,22 @@
 
 func newState(gatewayID, zone string, coldRateShare float64, limits retry.Limits) *state {
 	st := &state{
-		gatewayID:       gatewayID,
-		started:         time.Now(),
-		reachable:       func(string) bool { return true },
-		sinceNewest:     func() time.Duration { return 0 },
-		maxDenialAge:    denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
-		isolated:        func(string) bool { return false },
-		coldRateShare:   coldRateShare,
-		retryLimits:     limits,
-		phase:           rand.Float64(),
-		balancer:        balance.NewBalancer(zone),
-		retryBudgets:    make(map[string]*retry.Budget),
-		typicalTimes:    make(map[string]time.Duration),
-		longestTimeouts: make(map[string]time.Duration),
-		queues:          make(map[string]*poolQueue),
-		issuer:          permit.NewIssuer(gatewayID),
+		gatewayID:     gatewayID,
+		started:       time.Now(),
+		reachable:     func(string) bool { return true },
+		sinceNewest:   func() time.Duration { return 0 },
+		awaitRefresh:  func(context.Context) bool { return false },
+		maxDenialAge:  denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
+		isolated:      func(string) bool { return false },
+		coldRateShare: coldRateShare,
+		retryLimits:   limits,
+		phase:         rand.Float64(),
+		balancer:      balance.NewBalancer(zone),
+		retryBudgets:  make(map[string]*retry.Budget),
+		typicalTimes:  make(map[string]time.Duration),
+		timeouts:      make(map[string]*statedTimeouts),
+		queues:        make(map[string]*poolQueue),
+		issuer:        permit.NewIssuer(gatewayID),
 	}
 	st.pools.Store(&map[string]*catalogpb.Pool{})
 	st.reachTargets.Store(&reachTargets{})
@@ -132,13 +137,8 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, known := range []map[string]time.Duration{st.typicalTimes, st.longestTimeouts} {
-		for name := range known {
-			if !kept[name] {
-				delete(known, name)
-			}
-		}
-	}
+	maps.DeleteFunc(st.typicalTimes, func(name string, _ time.Duration) bool { return !kept[name] })
+	maps.DeleteFunc(st.timeouts, func(name string, _ *statedTimeouts) bool { return !kept[name] })
 }
 
 // placementConfig converts the configuration to the input of package balance.
@@ -322,13 +322,16 @@
 }
 
 // spentBefore estimates the time that a caller has used up on earlier attempts
-// from the timeout that it states now. Callers of a route start with the same
-// timeout, so that a shorter one means an earlier refusal or failure.
-func (st *state) spentBefore(routeName string, left time.Duration) time.Duration {
+// from the timeout that it states now.
+func (st *state) spentBefore(routeName string, stated time.Duration) time.Duration {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.longestTimeouts[routeName] = max(st.longestTimeouts[routeName], left)
-	return st.longestTimeouts[routeName] - left
+	s := st.timeouts[routeName]
+	if s == nil {
+		s = &statedTimeouts{}
+		st.timeouts[routeName] = s
+	}
+	return s.record(stated)
 }
 
 // updatePoolMetrics sets the gauges of the pool.
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sourcegraph/conc/pool"
+	"google.golang.org/protobuf/proto"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
@@ -23,28 +23,11 @@
 	maxComparedIDs = 512
 )
 
-// collectBatch returns next and all other reports in the queue, with their ages
-// set.
-func (s *Service) collectBatch(next queuedReport) []*clusterpb.CrashReport {
-	var batch []*clusterpb.CrashReport
-	for {
-		next.report.AgeMs = uint32((s.now() - next.createdAt) / time.Millisecond)
-		batch = append(batch, next.report)
-		select {
-		case next = <-s.queue:
-		default:
-			return batch
-		}
-	}
-}
-
-// pushToAll sends reports to all other entry VMs.
-func (s *Service) pushToAll(ctx context.Context, reports []*clusterpb.CrashReport) {
-	p := pool.New().WithMaxGoroutines(maxConcurrentPushes)
-	for _, address := range *s.peers.Load() {
-		p.Go(func() { s.exchange(ctx, address, reports) })
-	}
-	p.Wait()
+// aged returns a copy of a report with its age.
+func aged(r *clusterpb.CrashReport, age time.Duration) *clusterpb.CrashReport {
+	out := proto.CloneOf(r)
+	out.AgeMs = uint32(age / time.Millisecond)
+	return out
 }
 
 // compareWithRandomPeer drops expired reports, then compares hashes with one
@@ -54,12 +37,13 @@
 func (s *Service) compareWithRandomPeer(ctx context.Context) {
 	s.mu.Lock()
 	s.detector.Expire(s.now())
+	s.peers = s.selectPeers()
+	peers := s.peers
 	s.mu.Unlock()
-	peers := *s.peers.Load()
 	if len(peers) == 0 || s.gotAnswer && s.stateHash() == emptyStateHash {
 		return
 	}
-	address := peers[rand.IntN(len(peers))]
+	address := peers[rand.IntN(len(peers))].address
 	answer := s.exchange(ctx, address, nil)
 	s.gotAnswer = s.gotAnswer || answer != nil
 	if answer == nil || answer.StateHash == s.stateHash() {
@@ -102,7 +86,7 @@
 		return nil
 	}
 	if len(answer.Crashes) > 0 {
-		s.merge(answer.Crashes)
+		s.Merge(answer.Crashes)
 	}
 	return answer
 }
@@ -112,7 +96,7 @@
 // buckets that differ.
 func (s *Service) Exchange(_ context.Context, in *clusterpb.ExchangeRequest) (*clusterpb.ExchangeResponse, error) {
 	if len(in.Crashes) > 0 {
-		s.merge(in.Crashes)
+		s.Merge(in.Crashes)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -13,11 +13,15 @@
 // so that at no time two entry VMs issue permits for one upstream. Meanwhile
 // nobody does, and the upstream gets nothing.
 //
+// The permits for trials of requests that are suspected of crashing upstreams come
+// from issuers that are found in the same way.
+//
 // The package has no clock; times are readings of the monotonic clock of one
 // entry VM.
 package permit
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -81,7 +85,9 @@
 	leaseEnd, heldSince time.Duration
 	leaving             bool
 	buckets             map[Key]*bucket
-	disabled            disabledRules
+	// trials holds the permits for trials by key.
+	trials   map[string]heldTrial
+	disabled disabledRules
 }
 
 // disabledRules disables individual rules, to show that the tests detect their
@@ -92,7 +98,7 @@
 
 // NewIssuer returns the Issuer of a newly started entry VM with the given ID.
 func NewIssuer(self string) *Issuer {
-	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket)}
+	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket), trials: make(map[string]heldTrial)}
 }
 
 // SetLive records the IDs of the entry VMs that are registered, not leaving, and
@@ -119,6 +125,11 @@
 			delete(i.buckets, key)
 		}
 	}
+	for key := range i.trials {
+		if i.IssuerOf(key) != i.self {
+			delete(i.trials, key)
+		}
+	}
 }
 
 // RecordLease records that the request for a lease that was sent at the time sent
@@ -127,6 +138,7 @@
 	if now >= i.leaseEnd && !i.disabled.gaps {
 		i.heldSince = now
 		clear(i.buckets)
+		clear(i.trials)
 	}
 	i.leaseEnd = max(i.leaseEnd, sent+leaseDuration)
 }
@@ -298,6 +310,7 @@
 			delete(i.buckets, key)
 		}
 	}
+	maps.DeleteFunc(i.trials, func(_ string, t heldTrial) bool { return now >= t.until })
 	return counts
 }
 
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -93,6 +93,21 @@
 	return out
 }
 
+// ReportsAbout returns at most limit of the known reports about a request, the
+// newest first.
+func (d *Detector) ReportsAbout(now time.Duration, r Request, limit int) []*clusterpb.CrashReport {
+	if d.index.requests[r] == nil {
+		return nil
+	}
+	var out []*clusterpb.CrashReport
+	for _, a := range slices.Backward(d.byAge) {
+		if len(out) < limit && slices.Contains(d.reports[a.id].signature.requests(), r) {
+			out = append(out, d.message(now, a.id))
+		}
+	}
+	return out
+}
+
 func (d *Detector) message(now time.Duration, id reportID) *clusterpb.CrashReport {
 	r := d.reports[id]
 	return &clusterpb.CrashReport{
@@ -105,6 +120,6 @@
 		Sequence:            id.sequence,
 		AgeMs:               uint32((now - r.at) / time.Millisecond),
 		Released:            r.released,
-		RecentlyCompleted:   r.recentlyCompleted,
+		Trial:               r.trial,
 	}
 }
--- a/internal/quarantine/index.go
+++ b/internal/quarantine/index.go
@@ -34,9 +34,8 @@
 	// crashes holds the times of the reports of each crash during which the
 	// request was in flight.
 	crashes map[Crash]*times
-	// completedBefore counts the reports of crashes shortly before which the request
-	// had completed.
-	completedBefore map[Crash]int
+	// trials counts the reports of crashes in trials of the request.
+	trials map[Crash]int
 	// releases holds the times at which it completed or was released.
 	releases times
 	// variants holds, for a general fingerprint, the crashes of each variant with
@@ -44,13 +43,9 @@
 	variants map[string]map[Crash]int
 }
 
-// isGeneral reports whether crashes are known by a general fingerprint.
-func (h *requestHistory) isGeneral() bool { return len(h.variants) > 0 }
-
-// mostOfOneVariant returns the highest number of the given crashes in which one
-// variant was involved.
-func (h *requestHistory) mostOfOneVariant(crashes map[Crash]time.Duration) int {
-	most := 0
+// isOfOneVariant reports whether the history is that of a general fingerprint, and
+// one variant was involved in all of the given crashes.
+func (h *requestHistory) isOfOneVariant(crashes map[Crash]time.Duration) bool {
 	for _, own := range h.variants {
 		n := 0
 		for crash := range own {
@@ -58,9 +53,11 @@
 				n++
 			}
 		}
-		most = max(most, n)
+		if n == len(crashes) {
+			return true
+		}
 	}
-	return most
+	return false
 }
 
 func (h *requestHistory) addVariant(variant string, crash Crash) {
@@ -74,24 +71,54 @@
 }
 
 func (h *requestHistory) removeVariant(variant string, crash Crash) {
-	crashes := h.variants[variant]
-	if crashes[crash]--; crashes[crash] == 0 {
-		delete(crashes, crash)
-	}
-	if len(crashes) == 0 {
+	decrement(h.variants[variant], crash)
+	if len(h.variants[variant]) == 0 {
 		delete(h.variants, variant)
 	}
 }
 
 // serviceHistory holds the crashes of one service.
 type serviceHistory struct {
-	// crashes holds the times of the reports of each crash.
-	crashes map[Crash]*times
+	// crashes holds the times of the reports of each crash, involved the requests that
+	// were in flight, with the number of reports, and trials those that were on trial.
+	crashes  map[Crash]*times
+	involved map[Crash]map[Request]int
+	trials   map[Crash]map[Request]*trialReports
+	// lastTrial is the time of the newest report about a trial.
+	lastTrial time.Duration
 	// byTime holds the crashes with the times of their newest reports, in ascending
 	// order.
 	byTime []timedCrash
 }
 
+// trialReports holds the reports about trials of one request during one crash.
+type trialReports struct {
+	// requests holds the fingerprints in the reports, with the number of reports.
+	requests map[Request]int
+	count    int
+}
+
+func (t *trialReports) add(requests []Request) {
+	t.count++
+	for _, r := range requests {
+		t.requests[r]++
+	}
+}
+
+func (s *serviceHistory) removeTrial(crash Crash, requests []Request) {
+	reports := s.trials[crash][requests[0]]
+	for _, r := range requests {
+		decrement(reports.requests, r)
+	}
+	if reports.count--; reports.count > 0 {
+		return
+	}
+	delete(s.trials[crash], requests[0])
+	if len(s.trials[crash]) == 0 {
+		delete(s.trials, crash)
+	}
+}
+
 // timedCrash is a crash with the time of its newest report.
 type timedCrash struct {
 	at    time.Duration
@@ -102,25 +129,13 @@
 type index struct {
 	requests map[Request]*requestHistory
 	services map[string]*serviceHistory
-	// involved holds the requests that were in flight during each crash, with
-	// the number of reports.
-	involved map[Crash]map[Request]int
 }
 
 func newIndex() index {
 	return index{
 		requests: make(map[Request]*requestHistory),
 		services: make(map[string]*serviceHistory),
-		involved: make(map[Crash]map[Request]int),
-	}
-}
-
-// countVariants returns the number of variants in flight during crashes.
-func (x *index) countVariants(r Request) int {
-	if h := x.requests[r]; h != nil {
-		return len(h.variants)
 	}
-	return 0
 }
 
 // add adds a report about the given crash.
@@ -129,7 +144,7 @@
 	for i, request := range requests {
 		h := x.requests[request]
 		if h == nil {
-			h = &requestHistory{crashes: make(map[Crash]*times), completedBefore: make(map[Crash]int)}
+			h = &requestHistory{crashes: make(map[Crash]*times), trials: make(map[Crash]int)}
 			x.requests[request] = h
 		}
 		if r.released {
@@ -137,25 +152,39 @@
 			continue
 		}
 		timesOf(h.crashes, crash).add(r.at)
-		if r.recentlyCompleted {
-			h.completedBefore[crash]++
+		if r.trial {
+			h.trials[crash]++
 		}
 		if i > 0 {
 			h.addVariant(requests[i-1].Fingerprint, crash)
 		}
-		if x.involved[crash] == nil {
-			x.involved[crash] = make(map[Request]int)
-		}
-		x.involved[crash][request]++
 	}
 	if r.released {
 		return
 	}
 	s := x.services[r.signature.Service]
 	if s == nil {
-		s = &serviceHistory{crashes: make(map[Crash]*times)}
+		s = &serviceHistory{
+			crashes: make(map[Crash]*times), involved: make(map[Crash]map[Request]int), trials: make(map[Crash]map[Request]*trialReports),
+		}
 		x.services[r.signature.Service] = s
 	}
+	if s.involved[crash] == nil {
+		s.involved[crash] = make(map[Request]int)
+	}
+	for _, request := range requests {
+		s.involved[crash][request]++
+	}
+	if r.trial {
+		if s.trials[crash] == nil {
+			s.trials[crash] = make(map[Request]*trialReports)
+		}
+		if s.trials[crash][requests[0]] == nil {
+			s.trials[crash][requests[0]] = &trialReports{requests: make(map[Request]int)}
+		}
+		s.trials[crash][requests[0]].add(requests)
+		s.lastTrial = max(s.lastTrial, r.at)
+	}
 	s.update(crash, func(t *times) { t.add(r.at) })
 }
 
@@ -168,7 +197,6 @@
 			h.releases.remove(r.at)
 		} else {
 			h.removeCrash(crash, r)
-			x.removeInvolvement(crash, request)
 			if i > 0 {
 				h.removeVariant(requests[i-1].Fingerprint, crash)
 			}
@@ -177,9 +205,20 @@
 			delete(x.requests, request)
 		}
 	}
-	if !r.released {
-		x.services[r.signature.Service].update(crash, func(t *times) { t.remove(r.at) })
+	if r.released {
+		return
+	}
+	s := x.services[r.signature.Service]
+	for _, request := range requests {
+		decrement(s.involved[crash], request)
+	}
+	if len(s.involved[crash]) == 0 {
+		delete(s.involved, crash)
 	}
+	if r.trial {
+		s.removeTrial(crash, requests)
+	}
+	s.update(crash, func(t *times) { t.remove(r.at) })
 }
 
 func (h *requestHistory) removeCrash(crash Crash, r report) {
@@ -188,21 +227,15 @@
 	if len(*t) == 0 {
 		delete(h.crashes, crash)
 	}
-	if !r.recentlyCompleted {
-		return
-	}
-	if h.completedBefore[crash]--; h.completedBefore[crash] == 0 {
-		delete(h.completedBefore, crash)
+	if r.trial {
+		decrement(h.trials, crash)
 	}
 }
 
-func (x *index) removeInvolvement(crash Crash, r Request) {
-	requests := x.involved[crash]
-	if requests[r]--; requests[r] == 0 {
-		delete(requests, r)
-	}
-	if len(requests) == 0 {
-		delete(x.involved, crash)
+// decrement lowers the count of a key and removes it at zero.
+func decrement[K comparable](counts map[K]int, key K) {
+	if counts[key]--; counts[key] == 0 {
+		delete(counts, key)
 	}
 }
 
@@ -237,9 +270,9 @@
 	return i
 }
 
-// near returns the crashes within coincidenceWindow of a time.
+// near returns the crashes within isolationBefore and isolationAfter of a time.
 func (s *serviceHistory) near(at time.Duration) []timedCrash {
-	return s.byTime[s.search(at-coincidenceWindow):s.search(at+coincidenceWindow+1)]
+	return s.byTime[s.search(at-isolationBefore):s.search(at+isolationAfter+1)]
 }
 
 // timesOf returns the times of a crash in m, after adding it if necessary.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,21 +3,22 @@
 //
 // Entry VMs report each request that was in flight on a connection that broke.
 // A crash is the end of one incarnation of one upstream. A request that was in
-// flight during at least Limits.Threshold crashes, and has not completed since,
-// is quarantined. Two rules protect other requests. The coincidence rule: a
-// crash counts against a request only if the request was involved in most
-// crashes of its service at about the same time. The attribution rule: a crash
-// that is attributed to a quarantined request does not count against requests
-// with fewer crashes. Neither rule applies to a request with at least twice the
-// threshold of crashes, if these are not all of about the same time. The coincidence
-// rule leaves out the crashes of other requests that have reached the threshold. A
-// request that had completed shortly before a crash has twice the threshold, with
-// crashes that are not all of about the same time, and both rules apply to it in full.
+// flight during a crash, and has not completed since, is suspect: of the requests
+// with its fingerprint only one attempt at a time may be in flight, over all entry
+// VMs, with a growing pause after each one that crashes an upstream. Such an
+// attempt is a trial. The first completion ends the suspicion. A request is
+// quarantined when enough trials in a row have crashed an upstream, without the trial of
+// another request there, and the last of these crashes is isolated: no other upstream
+// of the service has crashed at about the same time, but with requests in flight that
+// have crashed several in their own trials. Nothing else than the request explains that, while the
+// crashes before the suspicion count for nothing more, however many they are. Entry VMs
+// also report the crashes of upstreams at which they had no request in flight, while
+// that matters.
 //
 // A request that crashes upstreams may come in variants, for example from several
 // callers. So crashes count by several fingerprints: that of exactly the request,
 // and general ones that it shares with its variants. A general fingerprint is
-// quarantined only if enough of the crashes are left without its worst variant;
+// quarantined only if more than one variant was in flight during the crashes;
 // otherwise that variant alone is the likely cause.
 //
 // The package does no I/O and has no clock. Times are readings of the caller's
@@ -37,13 +38,10 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
 
-// coincidenceWindow is the maximum time between crashes that are assumed to
-// have the same cause.
-const coincidenceWindow = 2 * time.Second
-
 // Limits are the parameters of the detection.
 type Limits struct {
-	// Threshold is the number of crashes after which a request is quarantined.
+	// Threshold is the number of crashes after which a request is quarantined, at
+	// least 2: all but the first must be those of trials.
 	Threshold int
 	// Hold is how long a crash counts.
 	Hold time.Duration
@@ -119,19 +117,19 @@
 	crash     Crash
 	at        time.Duration
 	released  bool
-	// recentlyCompleted is set if the request had completed shortly before at the
-	// entry VM that made the report.
-	recentlyCompleted bool
+	// trial is set if the request was sent as a trial.
+	trial bool
 }
 
 // disabledRules disables individual rules, to show that the tests detect their
 // absence.
 type disabledRules struct {
-	coincidence   bool
-	attribution   bool
+	isolation     bool
+	trials        bool
+	single        bool
 	release       bool
 	deduplication bool
-	worstVariant  bool
+	variants      bool
 }
 
 // Detector holds the crash reports known to one entry VM. The time to add a
@@ -184,11 +182,11 @@
 		return false
 	}
 	r := report{
-		signature:         SignatureOf(pb),
-		crash:             Crash{pb.Upstream, pb.Incarnation},
-		at:                at,
-		released:          pb.Released,
-		recentlyCompleted: pb.RecentlyCompleted,
+		signature: SignatureOf(pb),
+		crash:     Crash{pb.Upstream, pb.Incarnation},
+		at:        at,
+		released:  pb.Released,
+		trial:     pb.Trial,
 	}
 	d.reports[id] = r
 	i, _ := slices.BinarySearchFunc(d.byAge, at, func(a agedReport, at time.Duration) int { return cmp.Compare(a.at, at) })
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -14,31 +14,23 @@
 type status struct {
 	// crashes is the number of crashes that count against the request.
 	crashes     int
-	suspected   bool
 	quarantined bool
 	// until is when the newest crash no longer counts.
 	until time.Duration
 }
 
-// blocked reports whether the request is quarantined, and for how much longer.
-func (st status) blocked(now time.Duration) (time.Duration, bool) {
+// Blocked reports whether the request is quarantined, and for how much longer.
+func (s Snapshot) Blocked(now time.Duration, r Request) (time.Duration, bool) {
+	st := s[r]
 	if !st.quarantined || now >= st.until {
 		return 0, false
 	}
 	return st.until - now, true
 }
 
-// suspect reports whether the request is suspect.
-func (st status) suspect(now time.Duration) bool { return st.suspected && now < st.until }
-
-// Blocked reports whether the request is quarantined, and for how much longer.
-func (s Snapshot) Blocked(now time.Duration, r Request) (time.Duration, bool) {
-	return s[r].blocked(now)
-}
-
 // Suspect reports whether the request was in flight during a crash that counts
 // against it.
-func (s Snapshot) Suspect(now time.Duration, r Request) bool { return s[r].suspect(now) }
+func (s Snapshot) Suspect(now time.Duration, r Request) bool { return now < s[r].until }
 
 // QuarantinedRequest describes a quarantined request.
 type QuarantinedRequest struct {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -143,12 +143,13 @@
 	t.RecordBroken(now, upstream, zone)
 }
 
-// HasFailed reports whether the upstream is among those that have failed since the
-// last success.
-func (t *Tracker) HasFailed(upstream string) bool {
+// IsEvidence reports whether failures of the upstream already count for the decision. A
+// request that was not answered does not: only a new connection shows whether the
+// upstream is just busy.
+func (t *Tracker) IsEvidence(upstream string) bool {
 	_, unopened := t.unopened.zones[upstream]
-	_, unanswered := t.unanswered.zones[upstream]
-	return unopened || unanswered
+	_, broken := t.broken.zones[upstream]
+	return unopened || broken
 }
 
 // Suspect reports whether the gateway should probe upstreams of its own accord,
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -70,8 +70,8 @@
 // Quarantine configures the rejection of requests that repeatedly broke the
 // connection to their upstream.
 type Quarantine struct {
-	// Threshold is the number of broken connections after which a request is
-	// quarantined.
+	// Threshold is the number of upstreams that a request has to crash to be
+	// quarantined, 2 at least: all but the first while it was sent alone.
 	Threshold int `toml:"threshold"`
 	// HoldMs is how long a broken connection counts towards Threshold, and hence
 	// how long a quarantined request is rejected.
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -61,6 +61,9 @@
 	// Reused is set if the connection has carried an exchange before and may
 	// carry another one.
 	Reused bool
+	// Carried is set if the connection has carried a request whose response may come
+	// a second time.
+	Carried bool
 
 	raw net.Conn
 	// limit is what reader reads from.
@@ -420,6 +423,9 @@
 	}
 }
 
+// PreventReuse makes this exchange the last one of the connection.
+func (c *Conn) PreventReuse() { c.unusable = true }
+
 // Close closes the connection at once.
 func (c *Conn) Close() {
 	c.unusable = true
