--- a/internal/testbed/upstream.go
+++ b/internal/testbed/upstream.go
@@ -239,6 +239,9 @@
 
 // ServeHTTP runs one request in a slot, or sheds it when the queue is full.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("Balsam-Request-Id"); id != "" {
+		w.Header().Set("Balsam-Request-Id", id)
+	}
 	if r.URL.Path == probePath {
 		u.Probes.Add(1)
 	}
