--- a/internal/testbed/gateway_test.go
+++ b/internal/testbed/gateway_test.go
@@ -119,6 +119,26 @@
 	})
 }
 
+// awaitServing waits until the gateway answers a request with the path by an upstream.
+// Before, it may hold a configuration from before the upstreams were announced.
+func (s *gatewaySystem) awaitServing(i int, path string) {
+	s.t.Helper()
+	attempt := 0
+	waitFor(s.t, "service of a gateway", func() string {
+		c := &gatewayCaller{conns: make(map[string]net.Conn)}
+		defer c.close()
+		attempt++
+		status, err := c.send(s.callers[i], path, fmt.Sprintf("serving-%d-%d", i, attempt), "")
+		if err != nil {
+			return err.Error()
+		}
+		if status != http.StatusOK {
+			return fmt.Sprint("status ", status)
+		}
+		return ""
+	})
+}
+
 // awaitRegistered waits until n gateways are in the configuration.
 func (s *gatewaySystem) awaitRegistered(n int) {
 	s.t.Helper()
--- a/internal/testbed/silent_test.go
+++ b/internal/testbed/silent_test.go
@@ -66,16 +66,20 @@
 		_, err := a.ApplyState(ctx, &adminpb.ApplyStateRequest{State: state})
 		return err
 	})
+	const shortWork = "/safe/short"
 	var mu sync.Mutex
 	runs := make(map[string]int)
 	s.startRecordingUpstreams(4, func(r *http.Request) upstreamAnswer {
+		if r.URL.Path == shortWork {
+			return answerOK
+		}
 		mu.Lock()
 		runs[r.URL.Path]++
 		mu.Unlock()
 		time.Sleep(longWork)
 		return answerOK
 	})
-	s.awaitGateway(0)
+	s.awaitServing(0, shortWork)
 	s.awaitRegistered(2)
 	for name, silent := range map[string][]*process{
 		"control":           s.controls,
