--- a/internal/gateway/crash_group_test.go
+++ b/internal/gateway/crash_group_test.go
@@ -416,6 +416,7 @@
 // was waiting for an upstream when the third one ended, or because many attempts are
 // under way before gateways know of the first crash.
 func TestCrashingRequestsAreHeldOff(t *testing.T) {
+	t.Parallel()
 	tests := []crashCase{
 		{"one", 400 * time.Millisecond, oneRequest, false},
 		{"one, rare", 4 * time.Second, oneRequest, false},
@@ -435,6 +436,7 @@
 // TestSeveralCrashingRequestsEndFewUpstreams checks for several crashing requests that
 // each ends few upstreams, although their crashes can hardly be told apart.
 func TestSeveralCrashingRequestsEndFewUpstreams(t *testing.T) {
+	t.Parallel()
 	tests := []crashCase{
 		{"two by turns, many at once", 25 * time.Millisecond, byTurns(2), false},
 		{"four by turns", 100 * time.Millisecond, byTurns(4), false},
@@ -451,6 +453,7 @@
 // quick succession, for a reason that no request has: no request may be refused
 // for it.
 func TestUpstreamsEndTogetherWithoutQuarantine(t *testing.T) {
+	t.Parallel()
 	tests := []upstreamLoss{
 		{"half", 5 * time.Second, 6, 0},
 		{"all", 5 * time.Second, 13, 0},
@@ -502,6 +505,7 @@
 // TestVariantsOfCrashingRequestAreHeldOff guards against a crashing request that goes
 // on to reach upstreams because each variant of it counts by itself.
 func TestVariantsOfCrashingRequestAreHeldOff(t *testing.T) {
+	t.Parallel()
 	tests := []crashCase{
 		{"query varies", 400 * time.Millisecond, func(i int) crashingRequest {
 			return crashingRequest{"a", crashingCaller, fmt.Sprint(crashingPath, "?n=", i)}
--- a/internal/gateway/limit_faults_test.go
+++ b/internal/gateway/limit_faults_test.go
@@ -166,6 +166,7 @@
 // restart and are cut off from control, and upstreams change their limits, under
 // calls to all gateways.
 func TestLimitHoldsThroughFaults(t *testing.T) {
+	t.Parallel()
 	windows := 0
 	for seed := range uint64(*limitSeeds) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/notice_faults_test.go
+++ b/internal/gateway/notice_faults_test.go
@@ -313,6 +313,7 @@
 // pause, restart and change their pool, and gateways restart, are cut off from
 // control, get older configurations and answers late, under calls to all gateways.
 func TestNoticesHoldThroughFaults(t *testing.T) {
+	t.Parallel()
 	leaving, pauses := 0, 0
 	for seed := range uint64(*noticeSeeds) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -248,6 +248,7 @@
 // refusal, must not take the room of those that can still be in time, which wait at
 // other gateways: three quarters of what the upstreams bear is served in time.
 func TestOverloadServesThoseInTime(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{1.5, 2.5} {
 		p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
 		p.perSecond = factor * bearable(p.upstreams)
@@ -260,6 +261,7 @@
 // Nearly full and slow upstreams are chosen only if no others are found: 99 of 100
 // calls are in time.
 func TestOrdinaryLoadFindsRoomToSpare(t *testing.T) {
+	t.Parallel()
 	p := loadPattern{gateways: 20, upstreams: 40, duration: 10 * time.Second}
 	p.perSecond = 0.5 * bearable(p.upstreams)
 	share := shareInTime(t, p)
@@ -270,6 +272,7 @@
 // many calls that are late before they arrive, as after a zone was dark. Those take
 // only what the others leave: nine of ten others are in time.
 func TestLateCallsTakeRoomToSpareOnly(t *testing.T) {
+	t.Parallel()
 	p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
 	p.perSecond = 0.5 * bearable(p.upstreams)
 	p.latePerSecond = bearable(p.upstreams)
--- a/internal/gateway/recover_faults_test.go
+++ b/internal/gateway/recover_faults_test.go
@@ -142,6 +142,7 @@
 // run, and one that was refused as not run has not. From contactTime after a change
 // on, cut gateways must serve calls as long as another one has a way to upstreams.
 func TestCallsRunOnceThroughCuts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*recoverSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -95,6 +95,7 @@
 // in each of the three ways and checks the rule from contactTime on. After the
 // partition the gateways must serve all calls.
 func TestGatewaysCutFromAllUpstreamsServeCalls(t *testing.T) {
+	t.Parallel()
 	for _, state := range []linkState{linkSilent, linkReset, linkOldOnly} {
 		for _, tc := range []struct {
 			name     string
