Answer the requests that a server reads while it shuts down

A connection that was accepted in the last moment, or a kept one whose next request arrives then, lost its request. Ruled out: the backlog (its connections end with a reset, not with EOF), and the deadline of the stop (no stopped_hard in the logs). Now, before that call, the server reads what has arrived on each connection and answers it: connections that carry no request only end their reads. TestRequestOnNewConnectionIsAnsweredDuringShutdown failed before.

--- /dev/null
+++ b/internal/httpnet/drain_test.go
@@ -0,0 +1,75 @@
+package httpnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// shutDown begins a shutdown of the server and returns a channel with its result.
+func shutDown(s *Server) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), ioTimeout)
+		defer cancel()
+		ended <- s.Shutdown(ctx)
+	}()
+	return ended
+}
+
+// TestRequestOnNewConnectionIsAnsweredDuringShutdown sends the first request of a
+// connection after the shutdown has begun. The server has accepted the connection and
+// reads the request, so it must answer it.
+func TestRequestOnNewConnectionIsAnsweredDuringShutdown(t *testing.T) {
+	s := listen(t, respondOK, Limits{})
+	conn := dial(t, s)
+	// The server has accepted the first connection once it answers on the second.
+	assert.Equal(t, requestStatus(dial(t, s), "Connection: close\r\n"), http.StatusOK)
+	ended := shutDown(s)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, requestStatus(conn, "Connection: close\r\n"), http.StatusOK)
+	assert.NilError(t, <-ended)
+}
+
+// TestUnusedConnectionsEndWithShutdown guards against a shutdown that waits for callers
+// that have connected and send nothing.
+func TestUnusedConnectionsEndWithShutdown(t *testing.T) {
+	s := listen(t, respondOK, Limits{})
+	unused, idle := dial(t, s), dial(t, s)
+	assert.Equal(t, requestStatus(idle, ""), http.StatusOK)
+	assert.NilError(t, <-shutDown(s))
+	for _, conn := range []net.Conn{unused, idle} {
+		_, err := conn.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// TestRequestThatRunsIsAnsweredDuringShutdown lets callers use kept connections all the
+// time until the shutdown has closed them. Each request that the server runs must be
+// answered: an unread one may be lost with its connection.
+func TestRequestThatRunsIsAnsweredDuringShutdown(t *testing.T) {
+	var ran, answered atomic.Int64
+	s := listen(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) }, Limits{})
+	var callers sync.WaitGroup
+	for range 64 {
+		conn := dial(t, s)
+		callers.Go(func() {
+			for requestStatus(conn, "") == http.StatusOK {
+				answered.Add(1)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, <-shutDown(s))
+	callers.Wait()
+	assert.Assert(t, ran.Load() > 64)
+	assert.Equal(t, answered.Load(), ran.Load())
+}
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,7 +54,7 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
+	return &limitedConn{Conn: conn, closeRead: conn.CloseRead, release: func() { <-l.slots }}, nil
 }
 
 // takeSlot waits for a slot of a connection. It reports false if there is none and the
@@ -75,10 +76,10 @@
 
 // accept accepts one connection. Once the listener stops and its backlog is empty, it
 // closes it.
-func (l *limitedListener) accept() (net.Conn, error) {
+func (l *limitedListener) accept() (*net.TCPConn, error) {
 	for {
 		stopping := l.extendDeadline()
-		conn, err := l.TCPListener.Accept()
+		conn, err := l.TCPListener.AcceptTCP()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
@@ -131,10 +132,23 @@
 // limitedConn releases its slot of the listener when it is closed.
 type limitedConn struct {
 	net.Conn
+	// closeRead ends reads once the bytes that have arrived are read.
+	closeRead func() error
+	// hasRead is set once a byte has been read.
+	hasRead atomic.Bool
 	once    sync.Once
 	release func()
 }
 
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.hasRead.Store(true)
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -118,6 +118,7 @@
 // Server is a running HTTP server on one listener.
 type Server struct {
 	http     *http.Server
+	open     *openConns
 	listener *limitedListener
 	// served is closed when the server accepts no more connections.
 	served chan struct{}
@@ -148,6 +149,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
+	open := newOpenConns()
 	s := &Server{
 		http: &http.Server{
 			Handler:           h,
@@ -157,7 +159,9 @@
 			Protocols:         protocols,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
 			ErrorLog:          log.New(io.Discard, "", 0),
+			ConnState:         open.record,
 		},
+		open:     open,
 		listener: newLimitedListener(l, limits.MaxConnections),
 		served:   make(chan struct{}),
 		failed:   make(chan error, 1),
@@ -207,6 +211,7 @@
 	case <-s.served:
 	case <-ctx.Done():
 	}
+	s.open.drain(ctx)
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
