Look at the backlog again before a listener is closed

Cause: on a busy machine the process may run milliseconds after the wait for further connections has ended; those that came meanwhile were reset. A poll right before the close finds them. maxBacklogTime is 500 ms, as such a process needs longer to accept a backlog.

--- a/internal/httpnet/drain_test.go
+++ b/internal/httpnet/drain_test.go
@@ -73,3 +73,30 @@
 	assert.Assert(t, ran.Load() > 64)
 	assert.Equal(t, answered.Load(), ran.Load())
 }
+
+// TestListenerThatStopsKnowsItsBacklog guards against a listener that is closed, and
+// resets the connections in its backlog, because its process did not run for longer than
+// backlogWait.
+func TestListenerThatStopsKnowsItsBacklog(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	l := newLimitedListener(tcp, 8)
+	defer func() { _ = l.Close() }()
+	assert.Assert(t, !l.hasBacklog())
+	const callers = 3
+	for range callers {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	assert.Assert(t, l.hasBacklog())
+	l.stop()
+	for range callers {
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		_ = conn.Close()
+	}
+	assert.Assert(t, !l.hasBacklog())
+	_, err = l.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // limitedListener limits the number of open connections. Connections over the limit
@@ -30,8 +31,9 @@
 	// listener that stops counts as empty.
 	backlogWait = 200 * time.Microsecond
 	// maxBacklogTime bounds the time for which a listener that stops goes on
-	// accepting. A backlog is accepted in much less time.
-	maxBacklogTime = 100 * time.Millisecond
+	// accepting. A backlog is accepted in much less time, also by a process that
+	// seldom runs.
+	maxBacklogTime = 500 * time.Millisecond
 )
 
 func newLimitedListener(l *net.TCPListener, limit int) *limitedListener {
@@ -83,13 +85,36 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-		if stopping {
+		// The process may not have run for a while since the deadline passed.
+		if stopping && (l.stopDue() || !l.hasBacklog()) {
 			_ = l.Close()
 			return nil, net.ErrClosed
 		}
 	}
 }
 
+// hasBacklog reports whether a connection waits to be accepted.
+func (l *limitedListener) hasBacklog() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waiting = err == nil && n > 0
+	})
+	return waiting
+}
+
+// stopDue reports whether a listener that stops must be closed.
+func (l *limitedListener) stopDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !time.Now().Before(l.stopBy)
+}
+
 // extendDeadline lets the next Accept of a listener that stops wait for backlogWait. It
 // reports whether the listener stops.
 func (l *limitedListener) extendDeadline() bool {
