Do not let heartbeats wait for large log entries

The transport made one call at a time to each replica; compression, transfer and decompression of a large entry took longer than the election timeout there, and heartbeats and replies waited for it: the leader lost its quorum. Now a large amount of log data has a call of its own, what follows in the log waits for it, everything else does not; a leader asks in heartbeats only for what is acknowledged while such data may be on its way, so that it is not sent again; the limit of the call counts the plain size. Responses leave large data to the sender.

--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -15,6 +15,10 @@
 	// is filled, so that empty entries count as well.
 	entryOverheadBytes = 24
 	maxBatchBytes      = 64 << 10
+	// bulkBytes is the amount of log data on its way that heartbeats may overtake,
+	// and minBytesPerSecond the rate at which it is expected to arrive at least.
+	bulkBytes         = 64 << 10
+	minBytesPerSecond = 1 << 20
 	// maxInflightEntries limits both the uncommitted entries of the leader and
 	// the entries sent to a peer without acknowledgement.
 	maxInflightEntries = 4096
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -25,6 +25,10 @@
 	probeSent bool
 	// snapshotRetryAt is when an unanswered snapshot is sent again.
 	snapshotRetryAt time.Duration
+	// bulkIndex is the last index of a large amount of log data. Until it is
+	// acknowledged, or bulkUntil has passed, heartbeats may overtake the data.
+	bulkIndex uint64
+	bulkUntil time.Duration
 	// lostEntries is set when the member has lost entries that it had
 	// acknowledged. Its answers no longer count.
 	lostEntries bool
@@ -60,8 +64,33 @@
 		p.probeSent = true
 		r.sendAppend(id, p.nextIndex-1, r.log.batch(p.nextIndex, maxBatchBytes))
 	case !r.sendBatches(id, p):
-		r.sendHeartbeat(id, p.nextIndex-1, heartbeat)
+		r.sendHeartbeat(id, r.heartbeatIndex(p), heartbeat)
+	}
+}
+
+// heartbeatIndex returns the index up to which a heartbeat asks the member to confirm
+// its log: that of the last entry sent, so that entries that were lost are sent again,
+// except while a large amount of log data may still be on its way. An append that comes
+// after lost entries is rejected at any time.
+func (r *Replica) heartbeatIndex(p *progress) uint64 {
+	if p.matchIndex < p.bulkIndex && r.now < p.bulkUntil && p.matchIndex >= r.log.baseIndex {
+		return p.matchIndex
 	}
+	return p.nextIndex - 1
+}
+
+// transferTime is the time that large log data may take to be transferred and answered.
+func (r *Replica) transferTime(bytes int) time.Duration {
+	return r.cfg.ElectionTimeout + time.Duration(bytes)*time.Second/minBytesPerSecond
+}
+
+// bytesOf returns the size of the entries.
+func bytesOf(entries []*clusterpb.LogEntry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.GetData())
+	}
+	return n
 }
 
 // sendBatches sends batches without waiting for replies, up to
@@ -74,9 +103,20 @@
 		p.nextIndex += uint64(len(entries))
 		sent = true
 	}
+	if sent {
+		r.noteBulk(p)
+	}
 	return sent
 }
 
+// noteBulk notes whether a large amount of log data is on its way to a member.
+func (r *Replica) noteBulk(p *progress) {
+	unacknowledged := r.log.slice(max(p.matchIndex, r.log.baseIndex)+1, p.nextIndex-1)
+	if bytes := bytesOf(unacknowledged); bytes >= bulkBytes {
+		p.bulkIndex, p.bulkUntil = p.nextIndex-1, r.now+r.transferTime(bytes)
+	}
+}
+
 func (r *Replica) sendHeartbeat(id, prev uint64, due bool) {
 	if due {
 		r.sendAppend(id, prev, nil)
@@ -98,7 +138,7 @@
 }
 
 func (r *Replica) sendSnapshot(id uint64, p *progress) {
-	p.snapshotRetryAt = r.now + r.cfg.ElectionTimeout
+	p.snapshotRetryAt = r.now + r.transferTime(len(r.log.snapshot.GetData()))
 	r.sendNow(&clusterpb.ConsensusMessage{
 		Kind:     clusterpb.MessageKind_MESSAGE_KIND_SNAPSHOT,
 		To:       id,
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -370,6 +370,38 @@
 	assert.Assert(t, leader.r.role != Leader)
 }
 
+// TestLeaderKeepsLeadingWhileLargeEntryIsOnItsWay guards against a leader that loses its
+// leadership, or sends a large entry again and again, while the entry takes longer than
+// the election timeout to arrive and heartbeats overtake it.
+func TestLeaderKeepsLeadingWhileLargeEntryIsOnItsWay(t *testing.T) {
+	s := newSim(3, 1, 0)
+	s.advance(2 * time.Second)
+	s.electLeader(1)
+	s.advance(100 * time.Millisecond)
+	term := s.node(1).r.term
+	// Within the time that half a megabyte may take.
+	s.bulkDelay = simElection * 3 / 2
+	s.step(s.node(1), Propose{ID: s.nextCallID(), Data: make([]byte, minBytesPerSecond/2)})
+	large := s.node(1).r.log.lastIndex()
+	s.advance(50 * time.Millisecond)
+	s.propose(s.node(1))
+	s.advance(simElection)
+	assert.Assert(t, s.node(1).r.commit < large)
+	s.advance(simElection)
+	assert.Equal(t, s.node(1).r.commit, large+1)
+	assert.Equal(t, s.node(1).r.term, term)
+	assert.Equal(t, s.bulks[2], 1)
+	assert.Equal(t, s.bulks[3], 1)
+	// One that is lost is sent again.
+	s.cutLinks[[2]uint64{1, 2}], s.cutLinks[[2]uint64{1, 3}] = true, true
+	s.proposeLarge(1)
+	clear(s.cutLinks)
+	s.advance(4 * simElection)
+	assert.Equal(t, s.node(1).r.commit, large+2)
+	assert.Equal(t, s.node(1).r.term, term)
+	assert.Equal(t, s.checker.violation, "")
+}
+
 // TestLeadershipIsTransferredPastAVoterThatHasJustFailed ends a follower and transfers
 // leadership at once, while the follower still counts as live and holds all entries. The
 // other follower must lead before the transfer is given up.
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -78,13 +78,19 @@
 	checker           *invariantChecker
 	nextReplicaID     uint64
 	lastCallID        uint64
+	// bulkDelay is the additional delay of log data from bulkBytes on, and of what
+	// follows it. bulks counts such messages, and bulkDue holds the time of the
+	// arrival of the last one, by receiver.
+	bulkDelay time.Duration
+	bulks     map[uint64]int
+	bulkDue   map[uint64]time.Duration
 	// sendBeforeSync sends messages before the write that they depend on is
 	// durable.
 	sendBeforeSync bool
 }
 
 func newSim(n int, seed uint64, disabledRules safetyRule) *sim {
-	s := &sim{disabledRules: disabledRules, rng: rand.New(rand.NewPCG(seed, 1)), cutLinks: map[[2]uint64]bool{}, checker: newInvariantChecker()}
+	s := &sim{disabledRules: disabledRules, rng: rand.New(rand.NewPCG(seed, 1)), cutLinks: map[[2]uint64]bool{}, checker: newInvariantChecker(), bulks: map[uint64]int{}, bulkDue: map[uint64]time.Duration{}}
 	s.networkFaults = networkFaults{maxDelay: 20 * time.Millisecond}
 	for i := range n {
 		s.initialMembers = append(s.initialMembers, &catalogpb.ControlMember{ReplicaId: uint64(i + 1), Address: "a"})
@@ -259,8 +265,15 @@
 }
 
 func (s *sim) post(m *clusterpb.ConsensusMessage) {
-	delay := time.Duration(s.rng.Int64N(int64(s.networkFaults.maxDelay)))
-	s.inFlight = append(s.inFlight, packet{s.now + delay, m})
+	due := s.now + time.Duration(s.rng.Int64N(int64(s.networkFaults.maxDelay)))
+	if to := m.GetTo(); len(m.GetEntries()) > 0 {
+		if bytesOf(m.GetEntries()) >= bulkBytes {
+			s.bulks[to]++
+			s.bulkDue[to] = due + s.bulkDelay
+		}
+		due = max(due, s.bulkDue[to])
+	}
+	s.inFlight = append(s.inFlight, packet{due, m})
 	if len(s.inFlight) > 5000 {
 		s.inFlight = s.inFlight[len(s.inFlight)-5000:]
 	}
--- a/internal/replica/helpers_test.go
+++ b/internal/replica/helpers_test.go
@@ -126,6 +126,12 @@
 // startGroup starts a group of n replicas with the given options, to which it
 // adds ids, the membership and data directories.
 func startGroup(t testing.TB, n int, opts Options) []*testReplica {
+	t.Helper()
+	return startGroupWith(t, n, func(uint64) Options { return opts })
+}
+
+// startGroupWith is startGroup with options for each replica ID.
+func startGroupWith(t testing.TB, n int, options func(id uint64) Options) []*testReplica {
 	t.Helper()
 	var members []*catalogpb.ControlMember
 	var listeners []net.Listener
@@ -136,6 +142,7 @@
 	}
 	var replicas []*testReplica
 	for i := range n {
+		opts := options(uint64(i + 1))
 		opts.ID, opts.Bootstrap, opts.DataDir = uint64(i+1), members, t.TempDir()
 		replicas = append(replicas, startReplica(t, listeners[i], opts))
 	}
--- a/internal/replica/pack_test.go
+++ b/internal/replica/pack_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 )
 
@@ -31,25 +29,15 @@
 // each large desired state uncompressed to all other control VMs.
 func TestLargeEntryIsSentCompressed(t *testing.T) {
 	t.Parallel()
-	const followers = 2
 	var sent atomic.Int64
-	var members []*catalogpb.ControlMember
-	var listeners []net.Listener
-	for id := range uint64(1 + followers) {
-		l := listen(t)
-		listeners, members = append(listeners, l), append(members, memberAt(id+1, l))
-	}
-	var replicas []*testReplica
-	for i, m := range members {
+	replicas := startGroupWith(t, 3, func(id uint64) Options {
 		client := NewHTTPClient()
 		client.Transport = countingRoundTripper{client.Transport, &sent}
-		opts := Options{ID: m.ReplicaId, Bootstrap: members, DataDir: t.TempDir(), Transport: NewTwirpTransport(m.ReplicaId, client)}
-		replicas = append(replicas, startReplica(t, listeners[i], opts))
-	}
-	leader, _ := commitAtLeader(t, testContext(t), replicas, []byte("small"))
+		return Options{Transport: NewTwirpTransport(id, client)}
+	})
+	commitAtLeader(t, testContext(t), replicas, []byte("small"))
 	data := bytes.Repeat([]byte("a route of the desired state "), 20_000)
-	_, index, err := leader.node.Propose(testContext(t), data)
-	assert.NilError(t, err)
+	_, index := commitAtLeader(t, testContext(t), replicas, data)
 	for _, r := range replicas {
 		waitForApplied(t, r, index)
 	}
@@ -130,7 +118,7 @@
 		wantPacked  int
 	}{{false, 0}, {true, 0}, {true, 1}, {false, 2}, {false, 2}, {true, 2}, {true, 3}} {
 		peer.accepts = step.peerAccepts
-		ack := transport.sendBatch(2, client, transport.newBatch([]*clusterpb.ConsensusMessage{appendOf(2, large)}, accepts))
+		ack := transport.sendBatch(2, client, []*clusterpb.ConsensusMessage{appendOf(2, large)}, accepts)
 		assert.Assert(t, ack != nil)
 		accepts = ack.AcceptsPacked
 		assert.Equal(t, peer.packed, step.wantPacked)
--- a/internal/replica/peer_queue.go
+++ b/internal/replica/peer_queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	messages []*clusterpb.ConsensusMessage
 	// openResponses is the number of responses that are waiting for messages.
 	openResponses int
+	// bulkInFlight is set while a call with a large amount of log data is in flight.
+	// Log data that follows waits for its end, other messages do not.
+	bulkInFlight bool
 }
 
 func newPeerQueue() *peerQueue {
@@ -56,14 +60,63 @@
 	}
 }
 
-// dequeueAll empties the queue. It returns the address of the replica and the
-// messages.
-func (q *peerQueue) dequeueAll() (string, []*clusterpb.ConsensusMessage) {
+// dequeue takes messages from the queue. It returns the address of the replica, a large
+// amount of log data, which has a call of its own, and the messages that do not wait for
+// it. After such data it has to be told of the end of that call by endBulk.
+func (q *peerQueue) dequeue() (address string, bulk, msgs []*clusterpb.ConsensusMessage) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	msgs := q.messages
+	if q.bulkInFlight {
+		return q.address, nil, q.takeWithoutData()
+	}
+	if dataBytes(q.messages) >= bulkBytes {
+		msgs = q.takeWithoutData()
+		q.bulkInFlight = true
+	}
+	rest := q.messages
 	q.messages = nil
-	return q.address, msgs
+	if q.bulkInFlight {
+		return q.address, rest, msgs
+	}
+	return q.address, nil, rest
+}
+
+// takeWithoutData takes the messages without log data. The caller holds mu.
+func (q *peerQueue) takeWithoutData() []*clusterpb.ConsensusMessage {
+	var taken []*clusterpb.ConsensusMessage
+	q.messages = slices.DeleteFunc(q.messages, func(m *clusterpb.ConsensusMessage) bool {
+		if carriesData(m) {
+			return false
+		}
+		taken = append(taken, m)
+		return true
+	})
+	return taken
+}
+
+// endBulk ends the call with a large amount of log data.
+func (q *peerQueue) endBulk() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.bulkInFlight = false
+	notify(q.sendReady)
+}
+
+// carriesData reports whether the message carries log data.
+func carriesData(m *clusterpb.ConsensusMessage) bool {
+	return len(m.GetEntries()) > 0 || m.GetSnapshot() != nil
+}
+
+// dataBytes returns the amount of log data in the messages.
+func dataBytes(msgs []*clusterpb.ConsensusMessage) int {
+	n := 0
+	for _, m := range msgs {
+		n += len(m.GetSnapshot().GetData())
+		for _, e := range m.GetEntries() {
+			n += len(e.GetData())
+		}
+	}
+	return n
 }
 
 // beginResponse registers a response that is going to call awaitResponse.
@@ -90,6 +143,11 @@
 		notify(q.sendReady)
 		return nil
 	}
+	if q.address != "" && (q.bulkInFlight || dataBytes(q.messages) >= bulkBytes) {
+		msgs := q.takeWithoutData()
+		notify(q.sendReady)
+		return msgs
+	}
 	msgs := q.messages
 	q.messages = nil
 	return msgs
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
@@ -17,7 +16,7 @@
 
 const (
 	// callTimeout is the time limit of a call, not counting the time for the
-	// transfer of the messages at minBytesPerSecond.
+	// transfer of the log data at minBytesPerSecond.
 	callTimeout       = 700 * time.Millisecond
 	minBytesPerSecond = 1 << 20
 	// pingIdleTime is how long a connection may receive nothing before it is
@@ -25,6 +24,9 @@
 	pingIdleTime = time.Second
 	pingTimeout  = time.Second
 	dialTimeout  = 500 * time.Millisecond
+	// bulkBytes is the amount of log data from which a call may take so long that other
+	// messages do not wait for it.
+	bulkBytes = 64 << 10
 )
 
 // Receiver receives messages from other replicas; a Node is one.
@@ -34,8 +36,9 @@
 }
 
 // TwirpTransport is a Transport that sends messages by Twirp, one call at a
-// time to each replica. Messages queued during a call travel in the next one.
-// Replies may travel in the response.
+// time to each replica. Messages queued during a call travel in the next one. A
+// large amount of log data has a call of its own, so that heartbeats, replies and
+// votes do not wait for it. Replies may travel in the response.
 type TwirpTransport struct {
 	id     uint64
 	client *http.Client
@@ -117,29 +120,48 @@
 func (t *TwirpTransport) sendLoop(id uint64, q *peerQueue) {
 	var clients clientCache
 	acceptsPacked := false
+	acks := make(chan *clusterpb.ConsensusAck, 1)
+	recordAck := func(ack *clusterpb.ConsensusAck) {
+		if ack != nil {
+			acceptsPacked = ack.GetAcceptsPacked()
+		}
+	}
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
+		case ack := <-acks:
+			recordAck(ack)
+			q.endBulk()
+			continue
 		case <-q.sendReady:
 		}
-		address, msgs := q.dequeueAll()
-		if len(msgs) > 0 && address != "" {
-			ack := t.sendBatch(id, clients.get(address, t.client), t.newBatch(msgs, acceptsPacked))
-			if ack != nil {
-				acceptsPacked = ack.GetAcceptsPacked()
+		address, bulk, msgs := q.dequeue()
+		if address == "" {
+			if len(bulk) > 0 {
+				q.endBulk()
 			}
+			continue
+		}
+		client := clients.get(address, t.client)
+		if len(bulk) > 0 {
+			packed := acceptsPacked
+			crash.Go(&t.group, func() { acks <- t.sendBatch(id, client, bulk, packed) })
+		}
+		if len(msgs) > 0 {
+			recordAck(t.sendBatch(id, client, msgs, acceptsPacked))
 		}
 	}
 }
 
 // sendBatch makes one call and returns the response, or nil if the call fails. Its
 // messages are lost then; the consensus protocol sends those again that matter.
-func (t *TwirpTransport) sendBatch(id uint64, client clusterpb.Consensus, batch *clusterpb.ConsensusBatch) *clusterpb.ConsensusAck {
-	transferTime := time.Duration(proto.Size(batch)) * time.Second / minBytesPerSecond
+func (t *TwirpTransport) sendBatch(id uint64, client clusterpb.Consensus, msgs []*clusterpb.ConsensusMessage, acceptsPacked bool) *clusterpb.ConsensusAck {
+	// Large entries also take time to be compressed and decompressed.
+	transferTime := time.Duration(dataBytes(msgs)) * time.Second / minBytesPerSecond
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout+transferTime)
 	defer cancel()
-	ack, err := client.Send(ctx, batch)
+	ack, err := client.Send(ctx, t.newBatch(msgs, acceptsPacked))
 	if err != nil {
 		return nil
 	}
