Show in status why a revision is not accepted, and each VM's build

It shows the address of each registered process now, what it has acknowledged, a process that takes its place, and since when a revision has not been accepted; the command line names what holds it back and the command that removes it. Renewals carry the commit of the program; the control VM that answers names its own.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -362,8 +362,17 @@
 }
 
 func (t *Tracker) hasAcked(key freshness.EntryKey, revision uint64) bool {
+	return t.entries[key] != nil && t.Acknowledged(key) >= revision
+}
+
+// Acknowledged returns the newest revision that the entry VM has acknowledged in this
+// term, 0 if none.
+func (t *Tracker) Acknowledged(key freshness.EntryKey) uint64 {
 	m := t.entries[key]
-	return m != nil && m.ackedRevision() >= revision
+	if m == nil {
+		return 0
+	}
+	return m.ackedRevision()
 }
 
 // MissingAcks returns the ids of the registered entry VMs that have not
--- a/internal/cli/admin_status.go
+++ b/internal/cli/admin_status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 
@@ -33,7 +34,7 @@
 func newAdminStatus(a *admin) *cobra.Command {
 	return &cobra.Command{
 		Use:     "status",
-		Short:   "Show the leader, the members, and the revision of each entry VM",
+		Short:   "Show the leader, the members, and the revision and build of each entry VM",
 		Example: "  balsamcourse admin status",
 		Args:    cobra.NoArgs,
 		RunE: withErrorKind(func(cmd *cobra.Command, _ []string) error {
@@ -44,8 +45,12 @@
 			if a.output == outputJSON {
 				return printMessage(a.out, status)
 			}
-			fmt.Fprintf(a.out, "leader %d, term %d, revision %d, accepted revision %d\n\n",
-				status.GetLeaderId(), status.GetTerm(), status.GetRevision(), status.GetAcceptedRevision())
+			fmt.Fprintf(a.out, "leader %d, term %d, revision %d, accepted revision %d, build %s\n",
+				status.GetLeaderId(), status.GetTerm(), status.GetRevision(), status.GetAcceptedRevision(), status.GetBuild())
+			for _, line := range explainUnaccepted(status) {
+				fmt.Fprintln(a.out, line)
+			}
+			fmt.Fprintln(a.out)
 			if err := a.printMemberStatus(status); err != nil {
 				return err
 			}
@@ -56,13 +61,37 @@
 }
 
 func (a *admin) printEntries(status *adminpb.GetStatusResponse) error {
-	t := newTable(a.out, "ENTRY", "ZONE", "REVISION", "LIVE", "HEARD MS AGO")
+	t := newTable(a.out, "ENTRY", "ADDRESS", "ZONE", "REVISION", "LIVE", "HEARD MS AGO", "BUILD")
 	for _, e := range status.GetEntries() {
-		t.row(e.GetId(), e.GetZone(), e.GetRevision(), e.GetLive(), e.GetLastHeardMs())
+		t.row(e.GetId(), e.GetClusterAddress(), e.GetZone(), e.GetRevision(), e.GetLive(), e.GetLastHeardMs(), cmp.Or(e.GetBuild(), "-"))
 	}
 	return t.flush()
 }
 
+// explainUnaccepted says why the newest revision is not accepted, one line for each
+// entry VM that has not acknowledged it, and what an operator can do.
+func explainUnaccepted(status *adminpb.GetStatusResponse) []string {
+	if status.GetAcceptedRevision() >= status.GetRevision() || status.GetUnacceptedMs() == 0 {
+		return nil
+	}
+	lines := []string{fmt.Sprintf("revision %d is not accepted, since %d ms some are not; a revision waits until each entry VM has acknowledged it or its lease and confirmations have expired",
+		status.GetRevision(), status.GetUnacceptedMs())}
+	for _, e := range status.GetEntries() {
+		if e.GetAcknowledgedRevision() >= status.GetRevision() {
+			continue
+		}
+		line := fmt.Sprintf("  %s at %s has acknowledged revision %d", e.GetId(), e.GetClusterAddress(), e.GetAcknowledgedRevision())
+		switch {
+		case e.GetSupersededBy() != "":
+			line += fmt.Sprintf("; a process at %s reports under its ID and takes its place", e.GetSupersededBy())
+		case !e.GetLive():
+			line += fmt.Sprintf(" and is silent for %d ms; if its process has ended for good: balsamcourse admin entry remove %s --ended", e.GetLastHeardMs(), e.GetId())
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
 func newAdminConfig(a *admin) *cobra.Command {
 	return &cobra.Command{
 		Use:     "config",
@@ -109,21 +138,30 @@
 }
 
 func newEntryRemove(a *admin) *cobra.Command {
-	return &cobra.Command{
-		Use:     "remove ID",
-		Short:   "Remove an entry VM that is permanently out of service",
-		Example: "  balsamcourse admin entry remove entry-a1",
+	ended := false
+	cmd := &cobra.Command{
+		Use:   "remove ID",
+		Short: "Remove an entry VM that is permanently out of service",
+		Long: `Remove an entry VM that is permanently out of service.
+
+Without --ended the removal waits until the last change to the set of entry VMs is
+accepted. With --ended you state that the process has ended and will never run again:
+its acknowledgement is not waited for, also when a majority of the entry VMs is gone.
+If the statement is wrong, that process may admit work under an old configuration.`,
+		Example: "  balsamcourse admin entry remove entry-a1 --ended",
 		Args:    cobra.ExactArgs(1),
 		RunE: withErrorKind(func(cmd *cobra.Command, args []string) error {
 			client, err := a.connect()
 			if err != nil {
 				return err
 			}
-			if _, err := callWithFailover(cmd.Context(), client, adminpb.Admin.RemoveEntry, &adminpb.RemoveEntryRequest{Id: args[0]}); err != nil {
+			if _, err := callWithFailover(cmd.Context(), client, adminpb.Admin.RemoveEntry, &adminpb.RemoveEntryRequest{Id: args[0], Ended: ended}); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintln(a.out, "removed")
 			return err
 		}),
 	}
+	cmd.Flags().BoolVar(&ended, "ended", false, "state that the process has ended for good")
+	return cmd
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -38,7 +38,13 @@
 
 func (f *fakeAdmin) serve(t *testing.T) string {
 	t.Helper()
-	srv := httptest.NewServer(adminpb.NewAdminServer(f))
+	return serveAdmin(t, f)
+}
+
+// serveAdmin serves the service and returns its address.
+func serveAdmin(t *testing.T, a adminpb.Admin) string {
+	t.Helper()
+	srv := httptest.NewServer(adminpb.NewAdminServer(a))
 	t.Cleanup(srv.Close)
 	return srv.Listener.Addr().String()
 }
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
 	"balsamcourse.example/balsamcourse/charts"
+	"balsamcourse.example/balsamcourse/internal/buildinfo"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/settings"
@@ -134,7 +134,7 @@
 			if err := checkOutput(output); err != nil {
 				return err
 			}
-			v := readBuildInfo()
+			v := buildinfo.Read()
 			if output == outputJSON {
 				return printJSON(env.out, v)
 			}
@@ -145,25 +145,3 @@
 	cmd.Flags().StringVar(&output, "output", outputText, "text or json")
 	return cmd
 }
-
-// buildInfo contains the version of the program and of Go.
-type buildInfo struct {
-	Version string `json:"version"`
-	Commit  string `json:"commit"`
-	Go      string `json:"go"`
-}
-
-func readBuildInfo() buildInfo {
-	v := buildInfo{Version: "unknown", Commit: "unknown"}
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return v
-	}
-	v.Version, v.Go = info.Main.Version, info.GoVersion
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			v.Commit = s.Value
-		}
-	}
-	return v
-}
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -128,6 +128,7 @@
 		ServesStale:        l.syncer.opts.ServesStale,
 		AcceptsPacked:      true,
 		AcceptsPackedState: true,
+		Build:              l.syncer.build,
 		WantsMembers:       l.view == nil && !l.renew.membersKnown,
 		Isolated:           l.syncer.isolated.Load(),
 		IsolatedHash:       l.renew.isolatedHash,
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -24,6 +24,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/boottime"
+	"balsamcourse.example/balsamcourse/internal/buildinfo"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/freshness"
@@ -69,8 +70,10 @@
 	opts      Options
 	startedAt time.Time
 	// bootTime reads a clock that also runs while the VM is suspended.
-	bootTime      func() time.Duration
-	pause         pauseDetector
+	bootTime func() time.Duration
+	pause    pauseDetector
+	// build is the commit of the program.
+	build         string
 	snapshot      atomic.Pointer[snapshot]
 	silentEntries atomic.Pointer[map[string]bool]
 	// isolatedEntries are the entry VMs that have no way to any upstream.
@@ -127,6 +130,7 @@
 		events:    make(chan any, eventQueueSize),
 		done:      make(chan struct{}),
 	}
+	s.build = buildinfo.Read().Short()
 	s.pause.now = func() time.Duration { return s.bootTime() }
 	s.snapshot.Store(&snapshot{})
 	return s
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/buildinfo"
 	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
@@ -16,7 +19,9 @@
 type entryStatusReply struct {
 	isLeader         bool
 	acceptedRevision uint64
-	entries          []*adminpb.EntryStatus
+	// unaccepted is the time for which some revision has not been accepted.
+	unaccepted time.Duration
+	entries    []*adminpb.EntryStatus
 }
 
 // entrySetQuery asks the event loop for the state of the registered set.
@@ -52,18 +57,37 @@
 	t := l.term
 	now := l.server.now()
 	status := entryStatusReply{isLeader: true, acceptedRevision: t.tracker.Accepted()}
+	if status.acceptedRevision < t.config.Revision {
+		status.unaccepted = now - t.unacceptedSince
+	}
 	for _, e := range t.config.Entries {
-		es := &adminpb.EntryStatus{Id: e.Id, Zone: e.Zone, Incarnation: e.Incarnation}
-		es.LastHeardMs = uint64(t.timeSinceReport(now, e.Id).Milliseconds())
-		if report := t.reports[e.Id]; report != nil {
-			es.Revision = report.revision
-			es.Live = now-report.receivedAt <= freshness.LiveTimeout
-		}
-		status.entries = append(status.entries, es)
+		status.entries = append(status.entries, t.statusOf(now, e))
 	}
 	return status
 }
 
+// statusOf returns the status of a registered entry VM. Another process under the same
+// ID, which reports but is not registered, says nothing of the registered one.
+func (t *term) statusOf(now time.Duration, e *catalogpb.Entry) *adminpb.EntryStatus {
+	es := &adminpb.EntryStatus{
+		Id: e.Id, Zone: e.Zone, Incarnation: e.Incarnation, ClusterAddress: e.ClusterAddress,
+		AcknowledgedRevision: t.tracker.Acknowledged(entryKey(e)),
+	}
+	report := t.reports[e.Id]
+	switch {
+	case report == nil:
+		es.LastHeardMs = uint64(t.timeSinceReport(now, e.Id).Milliseconds())
+	case entryKey(report.entry) != entryKey(e):
+		es.LastHeardMs = uint64((now - t.leaderSince).Milliseconds())
+		es.SupersededBy = report.entry.ClusterAddress
+	default:
+		es.LastHeardMs = uint64(t.timeSinceReport(now, e.Id).Milliseconds())
+		es.Revision, es.Build = report.revision, report.build
+		es.Live = now-report.receivedAt <= freshness.LiveTimeout
+	}
+	return es
+}
+
 // query sends ev to the event loop and waits for its reply. It reports false if
 // the loop has stopped or ctx ends first.
 func query[T any](ctx context.Context, s *Server, ev any, reply chan T) (T, bool) {
@@ -90,6 +114,7 @@
 		Term:        st.Term,
 		CommitIndex: st.CommitIndex,
 		Revision:    s.catalog.Config().Revision,
+		Build:       buildinfo.Read().Short(),
 	}
 	for _, m := range st.Members {
 		resp.Members = append(resp.Members, &adminpb.MemberStatus{Member: m.Member, MatchIndex: m.MatchIndex, Live: m.Live})
@@ -97,6 +122,7 @@
 	q := &entryStatusQuery{reply: make(chan entryStatusReply, 1)}
 	entries, ok := query(ctx, s, q, q.reply)
 	resp.AcceptedRevision = entries.acceptedRevision
+	resp.UnacceptedMs = uint64(entries.unaccepted.Milliseconds())
 	resp.Entries = entries.entries
 	return resp, ok && entries.isLeader
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -33,7 +33,10 @@
 	// nothing.
 	lastEmptyPlan cellPlanInputs
 	lastState     statePublication
-	silent        silentCache
+	// unacceptedSince is the time since which some revision has not been accepted;
+	// valid while one is not.
+	unacceptedSince time.Duration
+	silent          silentCache
 	// isolated lists the entry VMs that have no way to any upstream, by id in order.
 	// isolatedHash identifies the list; it is 0 if the list is empty.
 	isolated     []string
@@ -48,6 +51,8 @@
 	responses  int
 	// configSentAt is the time at which it was last sent a configuration.
 	configSentAt time.Duration
+	// build is the commit of its program.
+	build string
 	// isolated is set while the entry VM has no way to any upstream.
 	isolated bool
 	// isolatedSentAt is the time at which it was last sent a list of such entry VMs
@@ -61,7 +66,9 @@
 		leaderSince: since,
 		tracker:     acceptance.New(since, acceptanceRevision(cfg)),
 		config:      cfg,
-		reports:     make(map[string]*entryReport),
+		// Until the entry VMs have reported, nothing is known to be accepted.
+		unacceptedSince: since,
+		reports:         make(map[string]*entryReport),
 	}
 	t.indexEntries(cfg.Entries)
 	return t
@@ -82,6 +89,9 @@
 	if cfg.StateVersion != t.config.StateVersion {
 		t.lastState = statePublication{version: cfg.StateVersion, revision: cfg.Revision, at: now}
 	}
+	if t.tracker.Accepted() == t.config.Revision {
+		t.unacceptedSince = now
+	}
 	t.config = cfg
 	t.tracker.AddRevision(t.acceptanceRevision(cfg))
 	return true
@@ -183,6 +193,7 @@
 		report.entry = e
 	}
 	report.revision = r.request.Revision
+	report.build = r.request.Build
 	if report.isolated != r.request.Isolated {
 		report.isolated = r.request.Isolated
 		t.updateIsolated()
