--- a/internal/testbed/mixed_test.go
+++ b/internal/testbed/mixed_test.go
@@ -18,20 +18,6 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 )
 
-// compatibleCommits returns the commits of COMPATIBLE.txt.
-func compatibleCommits(t *testing.T) []string {
-	t.Helper()
-	text, err := os.ReadFile("../../COMPATIBLE.txt")
-	assert.NilError(t, err)
-	var commits []string
-	for line := range strings.Lines(string(text)) {
-		if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
-			commits = append(commits, line)
-		}
-	}
-	return commits
-}
-
 // buildCommit builds the program of an earlier commit from the history of the
 // repository and returns its path. Without that history the test is not run.
 func buildCommit(t *testing.T, commit string) string {
@@ -58,7 +44,9 @@
 // gateways first, half of them go back and forward again. Meanwhile a desired state
 // comes into force, and an upstream leaves.
 func TestUpgradeInAnyOrderAndBack(t *testing.T) {
-	for _, commit := range compatibleCommits(t) {
+	commits, err := CompatibleCommits("../..")
+	assert.NilError(t, err)
+	for _, commit := range commits {
 		t.Run(commit, func(t *testing.T) {
 			t.Parallel()
 			old := buildCommit(t, commit)
