--- a/internal/testbed/call_cost_test.go
+++ b/internal/testbed/call_cost_test.go
@@ -41,7 +41,7 @@
 
 // usage reads the CPU time and the resident memory of the process from /proc.
 func (p *process) usage() usage {
-	pid := strconv.Itoa(p.cmd.Process.Pid)
+	pid := strconv.Itoa(p.PID())
 	stat, err := os.ReadFile(filepath.Join("/proc", pid, "stat"))
 	assert.NilError(p.t, err)
 	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
@@ -181,6 +181,6 @@
 	time.Sleep(idleDuration)
 	for i, p := range all {
 		u := p.usage()
-		t.Logf("%-10s %.2f%% of a core, resident %.1f MB", p.name, 100*(u.cpu-before[i].cpu).Seconds()/idleDuration.Seconds(), float64(u.rss)/mebibyte)
+		t.Logf("%-10s %.2f%% of a core, resident %.1f MB", p.Name, 100*(u.cpu-before[i].cpu).Seconds()/idleDuration.Seconds(), float64(u.rss)/mebibyte)
 	}
 }
--- a/internal/testbed/change_time_test.go
+++ b/internal/testbed/change_time_test.go
@@ -95,7 +95,7 @@
 
 // cpuTime returns the CPU time, user and system, that the process has used.
 func (p *process) cpuTime() time.Duration {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
 	assert.NilError(p.t, err)
 	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+2:]))
 	ticks := 0
@@ -110,7 +110,7 @@
 
 // residentMemory returns the resident memory as the kernel prints it, in kB.
 func (p *process) residentMemory() string {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
 	assert.NilError(p.t, err)
 	_, rest, _ := strings.Cut(string(data), "VmRSS:")
 	line, _, _ := strings.Cut(rest, "\n")
@@ -133,7 +133,7 @@
 			role = " (leader)"
 		}
 		share := 100 * float64(p.cpuTime()-before[i]) / float64(window)
-		c.t.Logf("idle: %s%s: %.2f %% of a core, %s", p.name, role, share, p.residentMemory())
+		c.t.Logf("idle: %s%s: %.2f %% of a core, %s", p.Name, role, share, p.residentMemory())
 	}
 }
 
--- a/internal/testbed/freeze_test.go
+++ b/internal/testbed/freeze_test.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		for i, p := range c.entries {
-			if p.name == cell.GetEntry() {
+			if p.Name == cell.GetEntry() {
 				return i
 			}
 		}
--- a/internal/testbed/mixed_test.go
+++ b/internal/testbed/mixed_test.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -84,10 +85,10 @@
 	}
 	replace := func(p *process, program string) {
 		assert.NilError(t, p.stop())
-		p.program = program
+		p.Program = cmp.Or(program, binary)
 		starts := p.countStarts()
 		p.start()
-		waitFor(t, "start of "+p.name, func() string {
+		waitFor(t, "start of "+p.Name, func() string {
 			if p.countStarts() == starts {
 				return "not logged"
 			}
@@ -141,7 +142,7 @@
 // countStarts returns the number of starts that the log of the process holds.
 func (p *process) countStarts() int {
 	p.t.Helper()
-	text, err := os.ReadFile(p.log)
+	text, err := os.ReadFile(p.Log)
 	assert.NilError(p.t, err)
 	return strings.Count(string(text), `"name":"started"`)
 }
--- a/internal/testbed/new_address_test.go
+++ b/internal/testbed/new_address_test.go
@@ -22,12 +22,12 @@
 func TestRestartedDevServerServesAgain(t *testing.T) {
 	free, err := FreeAddresses(4)
 	assert.NilError(t, err)
-	p := &process{t: t, name: "dev", log: filepath.Join(t.TempDir(), "dev.log"), args: []string{
+	p := &process{t: t, Process: &Process{Name: "dev", Program: binary, Log: filepath.Join(t.TempDir(), "dev.log"), Args: []string{
 		"dev", "--data-dir", filepath.Join(t.TempDir(), "data"), "--caller-listen", free[0], "--operator-listen", free[1],
 		"--announce-listen", free[2], "--metrics-listen", free[3],
-	}}
+	}}}
 	t.Cleanup(func() {
-		if p.cmd != nil {
+		if p.Started() {
 			p.kill()
 		}
 	})
@@ -47,7 +47,7 @@
 	waitFor(t, "first start", hello)
 	for i, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGTERM, syscall.SIGKILL} {
 		p.signal(sig)
-		<-p.done
+		_ = p.Wait()
 		p.start()
 		start := time.Now()
 		waitFor(t, "restart", hello)
@@ -60,7 +60,7 @@
 // moveEntry gives the entry VM, which must be stopped, another cluster address.
 func (c *cluster) moveEntry(i int) {
 	c.t.Helper()
-	path := c.entries[i].args[len(c.entries[i].args)-1]
+	path := c.entries[i].Args[len(c.entries[i].Args)-1]
 	text, err := os.ReadFile(path)
 	assert.NilError(c.t, err)
 	address := freeAddress(c.t)
--- a/internal/testbed/process_test.go
+++ b/internal/testbed/process_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -22,9 +21,6 @@
 	clusterKey  = "cluster-key-0123456789"
 )
 
-// stopTimeout limits the wait for a graceful shutdown.
-const stopTimeout = 30 * time.Second
-
 // binary is the path of the program under test, which TestMain builds once.
 var binary string
 
@@ -49,53 +45,20 @@
 
 // process is one control or entry process of the program under test.
 type process struct {
-	t    *testing.T
-	name string
-	args []string
-	log  string
-	// program is the file of the program; empty means the one under test.
-	program string
-	cmd     *exec.Cmd
-	done    chan error
+	*Process
+	t *testing.T
 }
 
 func (p *process) start() {
 	p.t.Helper()
-	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(p.t, err)
-	p.cmd = exec.Command(cmp.Or(p.program, binary), p.args...)
-	p.cmd.Stdout = f
-	p.cmd.Stderr = f
-	assert.NilError(p.t, p.cmd.Start())
-	_ = f.Close()
-	p.done = make(chan error, 1)
-	go func(cmd *exec.Cmd, done chan<- error) { done <- cmd.Wait() }(p.cmd, p.done)
+	assert.NilError(p.t, p.Start())
 }
 
-func (p *process) signal(sig syscall.Signal) {
-	_ = p.cmd.Process.Signal(sig)
-}
+func (p *process) signal(sig syscall.Signal) { p.Signal(sig) }
 
-// kill sends SIGKILL to the process and waits until it has ended.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-	p.done <- nil
-}
+func (p *process) kill() { p.Kill() }
 
-// stop shuts the process down by SIGTERM and returns the exit error. It kills
-// the process after stopTimeout.
-func (p *process) stop() error {
-	p.signal(syscall.SIGTERM)
-	select {
-	case err := <-p.done:
-		p.done <- err
-		return err
-	case <-time.After(stopTimeout):
-		p.kill()
-		return fmt.Errorf("%s did not stop within %v of SIGTERM", p.name, stopTimeout)
-	}
-}
+func (p *process) stop() error { return p.Stop() }
 
 // cluster is a complete system of control and entry processes on loopback.
 type cluster struct {
@@ -162,7 +125,7 @@
 
 func (c *cluster) close() {
 	for _, p := range append(append([]*process(nil), c.controls...), c.entries...) {
-		if p.cmd != nil {
+		if p.Started() {
 			p.signal(syscall.SIGCONT)
 			p.kill()
 		}
@@ -174,10 +137,10 @@
 
 // showLogTail adds the last 40 lines of a process's log to the test's log.
 func (c *cluster) showLogTail(p *process) {
-	data, err := os.ReadFile(p.log)
+	data, err := os.ReadFile(p.Log)
 	if err == nil {
 		lines := strings.Split(string(data), "\n")
-		c.t.Logf("%s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+		c.t.Logf("%s:\n%s", p.Name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
 	}
 }
 
@@ -235,13 +198,12 @@
 
 func (c *cluster) newProcess(role, name, settings string) *process {
 	path := c.writeFile(name+".toml", settings)
-	return &process{
-		t:       c.t,
-		name:    name,
-		args:    []string{role, "--settings", path},
-		log:     filepath.Join(c.dir, name+".log"),
-		program: c.program,
-	}
+	return &process{t: c.t, Process: &Process{
+		Name:    name,
+		Program: cmp.Or(c.program, binary),
+		Args:    []string{role, "--settings", path},
+		Log:     filepath.Join(c.dir, name+".log"),
+	}}
 }
 
 // freeAddress returns a loopback address with a free TCP port.
--- a/internal/testbed/wiped_disk_test.go
+++ b/internal/testbed/wiped_disk_test.go
@@ -21,7 +21,7 @@
 // missingEvent returns an empty string when the process has logged the event,
 // otherwise what is missing.
 func (p *process) missingEvent(event int) string {
-	data, err := os.ReadFile(p.log)
+	data, err := os.ReadFile(p.Log)
 	if err != nil {
 		return err.Error()
 	}
