--- a/cmd/balsamcourse/main.go
+++ b/cmd/balsamcourse/main.go
@@ -14,6 +14,7 @@
 	"balsamcourse.example/balsamcourse/internal/entryvm"
 	"balsamcourse.example/balsamcourse/internal/gateway"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/soak"
 	"balsamcourse.example/balsamcourse/platform"
 )
 
@@ -23,7 +24,7 @@
 		Entry:   runEntry,
 		Gateway: runGateway,
 		Dev:     dev.Run,
-		Extra:   []*cobra.Command{platform.Commands(os.Stdout)},
+		Extra:   []*cobra.Command{platform.Commands(os.Stdout), soak.Command(os.Stdout, soak.OwnDialect(), platform.SoakDialect())},
 	}
 	os.Exit(cli.Execute(context.Background(), os.Args[1:], daemons, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/soak/strike.go
@@ -0,0 +1,193 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/wait"
+)
+
+// strike carries out one disruption and returns when it is over.
+func (r *run) strike(ctx context.Context, d Disruption) {
+	k := kindOf(d.Kind)
+	r.journal("disruption", d)
+	switch k.class {
+	case onGateway:
+		r.strikeNode(ctx, d, r.system.gateways[d.Target])
+	case onControl:
+		r.strikeNode(ctx, d, r.system.controls[d.Target])
+	case onAllControl:
+		r.strikeAllControl(ctx, d)
+	case onUpstream:
+		r.strikeUpstream(ctx, d, r.system.upstreams[d.Target])
+	case onZone:
+		r.takeZoneOut(ctx, d)
+	case onCallers:
+		r.addCallers(ctx, d)
+	}
+}
+
+// burstFactor is the number of callers of a burst for each that is always there.
+const burstFactor = 4
+
+// addCallers adds callers that do not pause for the time of a burst.
+func (r *run) addCallers(ctx context.Context, d Disruption) {
+	end := r.history.begin(d)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, d.For)
+	defer cancel()
+	var callers sync.WaitGroup
+	for range r.size.callers * burstFactor {
+		c := r.newExtraCaller()
+		callers.Go(func() { c.run(ctx) })
+	}
+	callers.Wait()
+}
+
+// linkKinds are the disruptions of links, which may overlap with those of processes.
+var linkKinds = map[string]func(l *proxy){
+	cutGateway:      (*proxy).cut,
+	cutControl:      (*proxy).cut,
+	cutUpstream:     (*proxy).cut,
+	silenceGateway:  (*proxy).silence,
+	silenceControl:  (*proxy).silence,
+	silenceUpstream: (*proxy).silence,
+	resetControl:    (*proxy).reset,
+	resetUpstream:   (*proxy).reset,
+	slowControl:     func(l *proxy) { l.bytesPerSecond.Store(20 << 10) },
+	slowUpstream:    func(l *proxy) { l.bytesPerSecond.Store(20 << 10) },
+	delayUpstream:   func(l *proxy) { l.delay.Store(int64(60 * time.Millisecond)) },
+}
+
+func (r *run) strikeLink(ctx context.Context, d Disruption, l *proxy) {
+	end := r.history.begin(d)
+	linkKinds[d.Kind](l)
+	wait.For(ctx, d.For)
+	l.heal()
+	end()
+}
+
+// strikeNode disrupts the process or the link of a VM.
+func (r *run) strikeNode(ctx context.Context, d Disruption, n *node) {
+	if linkKinds[d.Kind] != nil {
+		r.strikeLink(ctx, d, n.link)
+		return
+	}
+	if !n.busy.TryLock() {
+		// Another disruption of the process is under way.
+		return
+	}
+	defer n.busy.Unlock()
+	end := r.history.begin(d)
+	defer end()
+	p := n.process
+	switch d.Kind {
+	case pauseGateway, pauseControl:
+		p.Signal(syscall.SIGSTOP)
+		wait.For(ctx, d.For)
+		p.Signal(syscall.SIGCONT)
+		return
+	case stopGateway, stopControl:
+		r.fail(p.Stop())
+	default:
+		p.Kill()
+	}
+	wait.For(ctx, d.For)
+	switch d.Kind {
+	case wipeControl:
+		r.fail(r.system.wipe(n))
+	case moveGateway:
+		r.fail(r.system.move(n))
+	case upgrade:
+		p.Program = r.system.programs[rand.IntN(len(r.system.programs))]
+	}
+	r.fail(r.system.restart(n))
+}
+
+func (r *run) strikeAllControl(ctx context.Context, d Disruption) {
+	var all sync.WaitGroup
+	for i, n := range r.system.controls {
+		all.Go(func() {
+			d := d
+			d.Target = i
+			d.Kind = killControl
+			r.strikeNode(ctx, d, n)
+		})
+	}
+	all.Wait()
+}
+
+// upstreamFaults are the faults of an upstream that a disruption turns on and off.
+var upstreamFaults = map[string]func(f *faults, on bool){
+	slowWork:      func(f *faults, on bool) { f.slow = on },
+	hangUpstream:  func(f *faults, on bool) { f.hang = on },
+	greyUpstream:  func(f *faults, on bool) { f.grey = on },
+	lyingHealth:   func(f *faults, on bool) { f.liesIll = on },
+	doubleAnswers: func(f *faults, on bool) { f.double = on },
+	brokenAnswers: func(f *faults, on bool) { f.broken = on },
+}
+
+func (r *run) strikeUpstream(ctx context.Context, d Disruption, u *upstream) {
+	if linkKinds[d.Kind] != nil {
+		r.strikeLink(ctx, d, u.link)
+		return
+	}
+	end := r.history.begin(d)
+	defer end()
+	if fault := upstreamFaults[d.Kind]; fault != nil {
+		u.set(func(f *faults) { fault(f, true) })
+		wait.For(ctx, d.For)
+		u.set(func(f *faults) { fault(f, false) })
+		return
+	}
+	switch d.Kind {
+	case crashUpstream:
+		r.fail(u.restart(ctx, d.For))
+	case leaveUpstream:
+		r.fail(u.leave(ctx, d.For, d.Target%3 == 0))
+	case pauseUpstream:
+		until := r.history.now() + d.For
+		u.set(func(f *faults) { f.pauseUntil = until })
+		wait.For(ctx, d.For)
+	case crashingRequest:
+		r.sendCrashing(ctx)
+	}
+}
+
+// crashingAttempts is how often a crashing request is sent.
+const crashingAttempts = 12
+
+// sendCrashing sends a request that ends each upstream which runs it again and again.
+func (r *run) sendCrashing(ctx context.Context) {
+	c := r.newExtraCaller()
+	c.pause = callPause
+	for i := range crashingAttempts {
+		id := c.name(i)
+		result, _ := c.callAt(id, crashRoute, c.rng.IntN(len(c.addresses)))
+		r.history.addCall(result)
+		if !wait.For(ctx, 200*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// takeZoneOut takes a zone of upstreams out and back.
+func (r *run) takeZoneOut(ctx context.Context, d Disruption) {
+	if !r.zoneBusy.TryLock() {
+		return
+	}
+	defer r.zoneBusy.Unlock()
+	end := r.history.begin(d)
+	defer end()
+	if !r.order(ctx, func(ctx context.Context, o Operator) error { return o.SetZoneOut(ctx, zoneName(d.Target), true) }) {
+		return
+	}
+	e := evacuation{zone: d.Target, acked: r.history.now()}
+	wait.For(ctx, d.For)
+	e.back = r.history.now()
+	r.history.addEvacuation(e)
+	r.order(ctx, func(ctx context.Context, o Operator) error { return o.SetZoneOut(ctx, zoneName(d.Target), false) })
+}
