--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -43,18 +42,9 @@
 	if len(files) == 0 {
 		return explain.Read(in)
 	}
-	var all []explain.Line
-	for _, path := range files {
-		f, err := os.Open(path)
-		if err != nil {
-			return nil, fault.New(fault.BadRequest, "%v", err)
-		}
-		lines, err := explain.Read(f)
-		_ = f.Close()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, lines...)
+	lines, err := explain.ReadFiles(files...)
+	if err != nil {
+		return nil, fault.New(fault.BadRequest, "%v", err)
 	}
-	return all, nil
+	return lines, nil
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"sort"
 	"strings"
@@ -58,6 +59,25 @@
 	return lines, errors.Annotate(s.Err(), "read log")
 }
 
+// ReadFiles returns the event lines of the files. Errors are those of Read, and of files
+// that cannot be opened.
+func ReadFiles(files ...string) ([]Line, error) {
+	var all []Line
+	for _, path := range files {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		lines, err := Read(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
 func parseLine(text []byte) (Line, bool) {
 	brace := bytes.IndexByte(text, '{')
 	if brace < 0 {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -10,6 +10,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/explain"
 )
 
 // progress prints one line.
@@ -70,10 +72,31 @@
 				fmt.Fprintf(r.out, "    %s: %s of %d\n", s.from.Round(time.Millisecond), s.Kind, s.Target)
 			}
 		}
+		if v.ID != "" {
+			if err := r.explain(dir, v.ID); err != nil {
+				return err
+			}
+		}
 	}
 	return errors.Trace(os.WriteFile(filepath.Join(dir, "timeline.svg"), []byte(h.timeline()), 0o600))
 }
 
+// explain writes the timeline of a request from the logs of all processes.
+func (r *run) explain(dir, id string) error {
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	lines, err := explain.ReadFiles(logs...)
+	if err != nil {
+		return err
+	}
+	for _, l := range explain.Timeline(lines, id) {
+		fmt.Fprintf(r.out, "    %s\n", l)
+	}
+	return nil
+}
+
 func outcomeOf(c call) string {
 	switch {
 	case c.status == http.StatusOK:
