--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,8 @@
 	// routeTimeout.
 	callerPatience = 5 * time.Second
 	connectTimeout = time.Second
+	// failurePause is the pause after a call without an answer.
+	failurePause = 20 * time.Millisecond
 	// maxRefusalPause bounds the time for which a caller heeds a Retry-After.
 	maxRefusalPause = 500 * time.Millisecond
 )
@@ -40,6 +42,8 @@
 	conns     map[int]*callerConn
 	// pause is the mean pause between two calls.
 	pause time.Duration
+	// only is the gateway that it calls; nil means any.
+	only *int
 }
 
 type callerConn struct {
@@ -73,20 +77,25 @@
 // call makes one call at a random gateway, and returns the time after which the caller
 // may come again.
 func (c *caller) call(id string) (call, time.Duration) {
-	return c.callAt(id, c.drawRoute(), c.rng.IntN(len(c.addresses)))
+	at := c.rng.IntN(len(c.addresses))
+	if c.only != nil {
+		at = *c.only
+	}
+	return c.callAt(id, c.drawRoute(), at)
 }
 
 func (c *caller) callAt(id string, r route, at int) (call, time.Duration) {
 	result := call{id: id, route: r, gateway: at, sent: c.history.now()}
+	first := c.conns[at] == nil
 	resp, body, err := c.exchange(&result)
 	result.ended = c.history.now()
 	if err != nil {
-		result.why = err.Error()
+		result.why, result.cutOnFirst = err.Error(), first && isEOF(err)
 		if conn := c.conns[at]; conn != nil {
 			_ = conn.Close()
 			delete(c.conns, at)
 		}
-		return result, 0
+		return result, failurePause
 	}
 	result.answered, result.status = true, resp.StatusCode
 	switch resp.StatusCode {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -326,13 +326,13 @@
 	return false
 }
 
-// checkStops looks at the calls that ran while their gateway carried out a planned stop,
-// and were cut off by nothing else.
+// checkStops looks at the calls that ran, or were read, while their gateway carried out a
+// planned stop, and were cut off by nothing else.
 func checkStops(h *history) []Violation {
 	arrived := h.arrivalsByID()
 	var out []Violation
 	for _, c := range h.calls {
-		if c.answered || len(arrived[c.id]) == 0 || slices.ContainsFunc(arrived[c.id], func(a arrival) bool { return a.spoilt }) {
+		if c.answered || len(arrived[c.id]) == 0 && !c.cutOnFirst || slices.ContainsFunc(arrived[c.id], func(a arrival) bool { return a.spoilt }) {
 			continue
 		}
 		stopped, disturbed := false, false
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -78,7 +78,7 @@
 	},
 	"a planned stop cuts off no call": {
 		&history{
-			calls: []call{{id: "1", sent: 10 * sec, ended: 11 * sec}}, arrivals: []arrival{{id: "1"}},
+			calls:   []call{{id: "1", sent: 10 * sec, ended: 11 * sec, cutOnFirst: true}},
 			strikes: []*strike{{Disruption: Disruption{Kind: stopGateway}, from: 9 * sec, to: 12 * sec, done: true}},
 		},
 		&history{
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -49,8 +49,11 @@
 	pool string
 	// wrong says what is wrong with a complete answer; empty if nothing is.
 	wrong string
-	// why says how a call without an answer ended.
-	why string
+	// why says how a call without an answer ended. cutOnFirst is set if its connection,
+	// of which it was the first request, was closed in an orderly way: a process that has
+	// not read the request resets it.
+	why        string
+	cutOnFirst bool
 }
 
 // arrival is a request that has reached an upstream.
--- a/internal/soak/message.go
+++ b/internal/soak/message.go
@@ -60,8 +60,13 @@
 	return rand.New(rand.NewPCG(h.Sum64(), 1))
 }
 
-// maxFiller is the largest amount of filler in a body.
-const maxFiller = 12 << 10
+const (
+	// maxFiller is the largest amount of filler in most bodies. One in largeShare has
+	// largeFiller more, so that gateways pass the answer on before it is whole.
+	maxFiller   = 12 << 10
+	largeFiller = 1200 << 10
+	largeShare  = 40
+)
 
 // bodyOf returns the body of a request, or of an answer if pool is not empty: the first
 // line says whose it is, and the last holds the checksum of all before it.
@@ -69,8 +74,15 @@
 	rng := randomOf(id + pool)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %s\n", id, pool, upstream)
-	for range rng.IntN(maxFiller) {
-		b.WriteByte(byte('a' + rng.IntN(26)))
+	filler := make([]byte, 1+rng.IntN(maxFiller))
+	for i := range filler {
+		filler[i] = byte('a' + rng.IntN(26))
+	}
+	b.Write(filler)
+	if pool != "" && rng.IntN(largeShare) == 0 {
+		for range largeFiller / len(filler) {
+			b.Write(filler)
+		}
 	}
 	fmt.Fprintf(&b, "\n%08x", crc32.ChecksumIEEE([]byte(b.String())))
 	return b.String()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"balsamcourse.example/balsamcourse/internal/testbed"
 	"balsamcourse.example/balsamcourse/internal/wait"
 )
 
@@ -90,7 +91,9 @@
 		wait.For(ctx, d.For)
 		p.Signal(syscall.SIGCONT)
 		return
-	case stopGateway, stopControl:
+	case stopGateway:
+		r.stopUnderLoad(ctx, d.Target, p)
+	case stopControl:
 		r.fail(p.Stop())
 	default:
 		p.Kill()
@@ -107,6 +110,23 @@
 	r.fail(r.system.restart(n))
 }
 
+// stopCallers is the number of callers that press on a gateway during its planned stop.
+const stopCallers = 24
+
+// stopUnderLoad carries out a planned stop while callers go on using the gateway.
+func (r *run) stopUnderLoad(ctx context.Context, gateway int, p *testbed.Process) {
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for range stopCallers {
+		c := r.newExtraCaller()
+		c.only = &gateway
+		callers.Go(func() { c.run(ctx) })
+	}
+	r.fail(p.Stop())
+	cancel()
+	callers.Wait()
+}
+
 func (r *run) strikeAllControl(ctx context.Context, d Disruption) {
 	var all sync.WaitGroup
 	for i, n := range r.system.controls {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -342,7 +342,9 @@
 		})
 		return false
 	}
-	broken := f.broken && rng.IntN(3) == 0
+	body := bodyOf(a.id, a.pool, own)
+	large := len(body) > largeFiller
+	broken := f.broken && (large || rng.IntN(3) == 0)
 	a.spoilt = f.hang || broken
 	u.history.addArrival(a)
 	time.Sleep(took)
@@ -350,7 +352,6 @@
 		time.Sleep(hangTime)
 		return false
 	}
-	body := bodyOf(a.id, a.pool, own)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: %s\r\n", common, u.headers.ServedBy, own)
 	var answer string
 	if rng.IntN(2) == 0 {
@@ -359,7 +360,12 @@
 		answer = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 	}
 	if broken {
-		write(conn, answer[:rng.IntN(len(answer))])
+		kept := rng.IntN(len(answer))
+		if large {
+			// The gateway has passed on the beginning by then.
+			kept = len(answer) - rng.IntN(maxFiller) - 1
+		}
+		write(conn, answer[:kept])
 		if rng.IntN(2) == 0 {
 			closeWithReset(conn)
 		}
