Log why leadership was lost, and how many renewals are answered at once

In the incident leaders lost their leadership without a fault; the log did not say whether they had lost their quorum themselves or had heard of a newer term, nor whether the answers to gateways came before it. lost_leadership has why and unanswered_ms now, loop_slow the largest number of answers under way.

--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -124,6 +124,8 @@
 	votesRequestedAt  time.Duration
 	formation         formation
 	leaderState       leaderState
+	// leadershipEnd is how this replica last lost its leadership.
+	leadershipEnd LeadershipEnd
 	// out collects the actions of the current step.
 	out Actions
 }
--- a/internal/consensus/role.go
+++ b/internal/consensus/role.go
@@ -11,6 +11,9 @@
 	if !ok {
 		return false
 	}
+	if r.role == Leader && next != Leader {
+		r.leadershipEnd = r.endOfLeadership(ev)
+	}
 	r.role = next
 	for _, a := range actions {
 		r.runAction(a)
@@ -33,6 +36,15 @@
 	}
 }
 
+// endOfLeadership describes how leadership ends by the event.
+func (r *Replica) endOfLeadership(ev statechart.Event) LeadershipEnd {
+	end := LeadershipEnd{Why: ev}
+	if since := r.leaderState.unansweredSince; since != noDeadline {
+		end.Unanswered = r.now - since
+	}
+	return end
+}
+
 // updateRole makes the replica a follower or a learner according to the latest
 // membership.
 func (r *Replica) updateRole() {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -42,11 +42,21 @@
 	Members    []MemberStatus
 	// MembershipCommitted means that the latest membership is committed.
 	MembershipCommitted bool
+	// LeadershipEnd is how this replica last lost its leadership.
+	LeadershipEnd LeadershipEnd
 	// DiskMismatch means that the group has recorded a different disk id for
 	// this replica id.
 	DiskMismatch bool
 }
 
+// LeadershipEnd describes how a replica lost its leadership.
+type LeadershipEnd struct {
+	// Why is the event of the state chart: "quorum_lost" or "higher_term", for instance.
+	Why statechart.Event
+	// Unanswered is the time for which no quorum had answered a heartbeat round.
+	Unanswered time.Duration
+}
+
 // Status returns the current state. The members are shared and must not be
 // modified.
 func (r *Replica) Status() Status {
@@ -63,6 +73,7 @@
 		LastQuorum:          r.leaderState.lastQuorum,
 		MembershipCommitted: r.log.latestMembership().index <= r.commit,
 		DiskMismatch:        r.formation.diskMismatch,
+		LeadershipEnd:       r.leadershipEnd,
 	}
 	for _, m := range r.members() {
 		id := m.GetReplicaId()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,6 +54,7 @@
 	events   chan queuedEvent
 	done     chan struct{}
 	states   stateProposals
+	answers  answers
 }
 
 // queuedEvent is an event for the loop.
@@ -116,7 +117,7 @@
 // DistributionHandler returns the handler of the Distribution service for entry
 // VMs.
 func (s *Server) DistributionHandler() http.Handler {
-	return withoutDate(clusterpb.NewDistributionServer(&distribution{server: s}))
+	return withoutDate(s.answers.wrap(clusterpb.NewDistributionServer(&distribution{server: s})))
 }
 
 // withoutDate omits the Date header from responses. Entry VMs do not use it,
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -12,6 +12,10 @@
 	// slowLoopWait is the wait of an event from which on the loop counts as slow.
 	// It is half of maxConfigInterval.
 	slowLoopWait = 200 * time.Millisecond
+	// manyAnswers is the number of answers to renewals under way at once from which on
+	// the control VM counts as slow: at a tenth of a millisecond of CPU time each they
+	// take a quarter of a core for 50 ms.
+	manyAnswers = 128
 )
 
 // loopLoad is the load of the event loop in the current window.
@@ -37,12 +41,13 @@
 	}
 	w := l.load
 	l.load = loopLoad{startedAt: now}
-	if w.maxWait < slowLoopWait {
+	answers := l.server.answers.takePeak()
+	if w.maxWait < slowLoopWait && answers < manyAnswers {
 		return
 	}
 	line := l.server.opts.Log.Log(event.LoopSlow).Uint64("events", uint64(w.events)).
 		Uint64("max_wait_ms", uint64(w.maxWait.Milliseconds())).Uint64("busy_ms", uint64(w.busy.Milliseconds())).
-		Uint64("window_ms", uint64((now - w.startedAt).Milliseconds()))
+		Uint64("window_ms", uint64((now-w.startedAt).Milliseconds())).Uint64("answers", uint64(answers))
 	if t := l.term; t != nil {
 		line.Uint64("revision", t.config.Revision).Uint64("accepted", t.tracker.Accepted()).Uint64("held_renewals", uint64(len(t.heldRenewals)))
 	}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -102,7 +102,8 @@
 	leads := st.Role == consensus.Leader
 	if n.reported.leading && (!leads || st.Term != n.reported.term) {
 		n.pending.failAll(fault.New(fault.NoQuorum, "the replica has lost leadership; the outcome is unknown"))
-		n.opts.Events.Log(event.LostLeadership).Uint64("term", n.reported.term).Send()
+		n.opts.Events.Log(event.LostLeadership).Uint64("term", n.reported.term).Str("why", string(st.LeadershipEnd.Why)).
+			Uint64("unanswered_ms", uint64(st.LeadershipEnd.Unanswered.Milliseconds())).Send()
 	}
 	if leads && (!n.reported.leading || st.Term != n.reported.term) {
 		n.opts.Events.Log(event.BecameLeader).Uint64("term", st.Term).Send()
