Answer renewals of gateways in order, a few at a time

Cause: a change answered all gateways at once. 449 answers were encoded and written together on 0.24 of a core, and the messages of the control group, which pass several goroutines, waited behind them for longer than the election timeout (600 ms). All gateways then asked the next leader for what they had missed.

Now answers wait for their turn, eight at a time; the run queue stays short whatever changes. A turn ends when the answer is written, or after 10 ms if its connection is slow, so that slow links hold up nobody. Renewals whose sender has gone take no turn.

--- a/internal/control/answers.go
+++ b/internal/control/answers.go
@@ -4,62 +4,128 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
+
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+)
+
+const (
+	// maxAnswers bounds the answers to renewals that are encoded and written at once.
+	// Hundreds of them, after a change, would hold up the messages of the control group
+	// for longer than its election timeout on a fraction of a core.
+	maxAnswers = 8
+	// maxAnswerTurn is the time after which an answer that is still being written no
+	// longer counts: its connection is slow, and takes no processor time.
+	maxAnswerTurn = 10 * time.Millisecond
 )
 
-// answers counts the answers to renewals that are encoded and written.
+// answers sends the answers to renewals in order, at most maxAnswers at a time. It is
+// safe for concurrent use.
 type answers struct {
 	mu sync.Mutex
-	// open is the number under way, peak the largest one since takePeak.
-	open, peak int
+	// open is the number of answers under way, waiting are those to come.
+	open    int
+	waiting []answer
+	// peak is the largest number of both since takePeak.
+	peak int
+}
+
+type answer struct {
+	renewal  *renewal
+	response *clusterpb.RenewResponse
 }
 
-func (a *answers) begin() {
+// answerState is where the answer to a renewal stands. answers.mu guards it.
+type answerState int
+
+const (
+	unanswered answerState = iota
+	abandoned
+	underWay
+	answered
+)
+
+// send sends the response to a renewal once its turn has come, unless the renewal is
+// abandoned before. It does not block.
+func (a *answers) send(r *renewal, resp *clusterpb.RenewResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.open++
-	a.peak = max(a.peak, a.open)
+	a.waiting = append(a.waiting, answer{r, resp})
+	a.peak = max(a.peak, a.open+len(a.waiting))
+	a.startNext()
+}
+
+// startNext starts the next answers. a.mu must be held.
+func (a *answers) startNext() {
+	for a.open < maxAnswers && len(a.waiting) > 0 {
+		next := a.waiting[0]
+		a.waiting[0] = answer{}
+		a.waiting = a.waiting[1:]
+		r := next.renewal
+		if r.state == abandoned {
+			continue
+		}
+		r.state = underWay
+		a.open++
+		r.turn = time.AfterFunc(maxAnswerTurn, func() { a.end(r) })
+		r.reply <- next.response
+	}
 }
 
-func (a *answers) end() {
+// end ends the turn of a renewal, if it has one.
+func (a *answers) end(r *renewal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if r.state != underWay {
+		return
+	}
+	r.state = answered
+	r.turn.Stop()
 	a.open--
+	a.startNext()
+}
+
+// abandon gives up a renewal whose sender no longer waits. It reports false if the
+// answer has been sent already.
+func (a *answers) abandon(r *renewal) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.state != unanswered {
+		return false
+	}
+	r.state = abandoned
+	return true
 }
 
-// takePeak returns the largest number of answers under way at once since the last
-// call.
+// takePeak returns the largest number of answers that were under way or waiting at
+// once since the last call.
 func (a *answers) takePeak() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	peak := a.peak
-	a.peak = a.open
+	a.peak = a.open + len(a.waiting)
 	return peak
 }
 
-type answerKey struct{}
+type renewalKey struct{}
 
-// answerTurn is the part of a request that answers has counted.
-type answerTurn struct{ begun bool }
-
-// beginAnswer counts the answer to the request of ctx until its handler has ended.
-func (a *answers) beginAnswer(ctx context.Context) {
-	turn, ok := ctx.Value(answerKey{}).(*answerTurn)
-	if !ok || turn.begun {
-		return
+// setRenewal tells the handler of the request of ctx which renewal it answers.
+func setRenewal(ctx context.Context, r *renewal) {
+	if of, ok := ctx.Value(renewalKey{}).(**renewal); ok {
+		*of = r
 	}
-	turn.begun = true
-	a.begin()
 }
 
-// wrap returns a handler whose answers end when next has written them.
+// wrap returns a handler that calls next and ends the turn of the renewal when next
+// has written the answer.
 func (a *answers) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		turn := &answerTurn{}
+		var of *renewal
 		defer func() {
-			if turn.begun {
-				a.end()
+			if of != nil {
+				a.end(of)
 			}
 		}()
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), answerKey{}, turn)))
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), renewalKey{}, &of)))
 	})
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -42,7 +42,11 @@
 type renewal struct {
 	request  *clusterpb.RenewRequest
 	received time.Duration
-	reply    chan *clusterpb.RenewResponse
+	// reply receives the response when its turn has come. It has room for it.
+	reply chan *clusterpb.RenewResponse
+	// state and turn belong to answers.
+	state answerState
+	turn  *time.Timer
 }
 
 // confirmedRenewal is the event that the confirmed read for a renewal has ended;
@@ -83,14 +87,17 @@
 		received: d.server.now(),
 		reply:    make(chan *clusterpb.RenewResponse, 1),
 	}
+	setRenewal(ctx, r)
 	if d.server.post(ctx, r) {
 		select {
 		case resp := <-r.reply:
-			d.server.answers.beginAnswer(ctx)
 			return resp, nil
 		case <-ctx.Done():
 		case <-d.server.done:
 		}
+		if !d.server.answers.abandon(r) {
+			return <-r.reply, nil
+		}
 	}
 	return nil, fault.ToTwirp(fault.New(fault.Leaving, "the control VM is stopping"))
 }
@@ -321,7 +328,7 @@
 		resp.LeaderAddress = st.LeaderAddress
 	}
 	l.addMissingConfig(resp, req, st)
-	r.reply <- resp
+	l.server.answers.send(r, resp)
 }
 
 // lastQuorum returns the time of the last heartbeat round that a quorum has
@@ -414,5 +421,5 @@
 		}
 		l.addConfig(resp, r.request, cfg)
 	}
-	r.reply <- resp
+	l.server.answers.send(r, resp)
 }
