Pace configurations by the time that answers take

A gateway gets a configuration every 400 ms at most while news goes on, whatever that costs: at 449 gateways and 0.24 of a core that is all of the processor.

Now the interval is such that answers to all gateways take at most half of it, by a moving average of what an answer takes from the others, and at most a second.

--- a/internal/control/answers.go
+++ b/internal/control/answers.go
@@ -17,6 +17,8 @@
 	// maxAnswerTurn is the time after which an answer that is still being written no
 	// longer counts: its connection is slow, and takes no processor time.
 	maxAnswerTurn = 10 * time.Millisecond
+	// answerTimeWeight is the weight of one answer in the moving average of their cost.
+	answerTimeWeight = 1.0 / 64
 )
 
 // answers sends the answers to renewals in order, at most maxAnswers at a time. It is
@@ -28,6 +30,9 @@
 	waiting []answer
 	// peak is the largest number of both since takePeak.
 	peak int
+	// cost is the moving average of the time that an answer takes from the others: its
+	// turn divided by the number of turns at once.
+	cost time.Duration
 }
 
 type answer struct {
@@ -67,6 +72,7 @@
 		}
 		r.state = underWay
 		a.open++
+		r.turnBegan, r.turnsAtOnce = time.Now(), a.open
 		r.turn = time.AfterFunc(maxAnswerTurn, func() { a.end(r) })
 		r.reply <- next.response
 	}
@@ -81,6 +87,8 @@
 	}
 	r.state = answered
 	r.turn.Stop()
+	took := time.Since(r.turnBegan) / time.Duration(max(r.turnsAtOnce, a.open))
+	a.cost += time.Duration(answerTimeWeight * float64(took-a.cost))
 	a.open--
 	a.startNext()
 }
@@ -97,6 +105,13 @@
 	return true
 }
 
+// costOf returns the time that n answers are expected to take.
+func (a *answers) costOf(n int) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(n) * a.cost
+}
+
 // takePeak returns the largest number of answers that were under way or waiting at
 // once since the last call.
 func (a *answers) takePeak() int {
--- a/internal/control/answers_test.go
+++ b/internal/control/answers_test.go
@@ -27,9 +27,28 @@
 	*httptest.ResponseRecorder
 	blocked <-chan struct{}
 	begun   *atomic.Int32
+	// processor is used to write an answer; nil means that it takes no time.
+	processor *processor
+}
+
+// processor is one core, used by one at a time.
+type processor struct {
+	turn chan struct{}
+	each time.Duration
+	used atomic.Int64
+}
+
+func (p *processor) use() {
+	p.turn <- struct{}{}
+	time.Sleep(p.each)
+	p.used.Add(int64(p.each))
+	<-p.turn
 }
 
 func (c blockedConn) Write(b []byte) (int, error) {
+	if c.processor != nil {
+		c.processor.use()
+	}
 	if c.blocked != nil {
 		c.begun.Add(1)
 		<-c.blocked
@@ -43,8 +62,9 @@
 	replica *controltest.Replica
 	handler http.Handler
 	// blocked keeps answers from being written; nil means that none are.
-	blocked chan struct{}
-	begun   atomic.Int32
+	blocked   chan struct{}
+	begun     atomic.Int32
+	processor *processor
 }
 
 func newAnsweringLeader(t *testing.T) *answeringLeader {
@@ -65,7 +85,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (l *answeringLeader) RoundTrip(r *http.Request) (*http.Response, error) {
-	w := blockedConn{ResponseRecorder: httptest.NewRecorder(), blocked: l.blocked, begun: &l.begun}
+	w := blockedConn{ResponseRecorder: httptest.NewRecorder(), blocked: l.blocked, begun: &l.begun, processor: l.processor}
 	l.handler.ServeHTTP(w, r)
 	if err := r.Context().Err(); err != nil {
 		return nil, err
@@ -83,13 +103,15 @@
 	})
 }
 
-func (l *answeringLeader) announce(id string) {
+// announce commits an upstream and returns the revision.
+func (l *answeringLeader) announce(id string) uint64 {
 	data, err := proto.Marshal(&catalogpb.Command{Kind: &catalogpb.Command_PutUpstream{PutUpstream: &catalogpb.Upstream{
 		Id: id, Address: id + ":1", Zone: "a", Pool: "p", Slots: 1, StartedMs: 1, State: catalogpb.UpstreamState_UPSTREAM_STATE_READY,
 	}}})
 	assert.NilError(l.t, err)
-	_, _, err = l.replica.Propose(context.Background(), data)
+	_, index, err := l.replica.Propose(context.Background(), data)
 	assert.NilError(l.t, err)
+	return index
 }
 
 // registerAll registers gateways and returns the revision that they hold.
@@ -142,3 +164,53 @@
 		calls.Wait()
 	})
 }
+
+// TestContinuousNewsLeavesTheLeaderProcessorTime guards against a leader that is busy
+// with answers to gateways alone while upstreams come and go: orders of operators and
+// its heartbeats need the rest.
+func TestContinuousNewsLeavesTheLeaderProcessorTime(t *testing.T) {
+	const (
+		gateways = 449
+		// An answer takes 0.3 ms of CPU time, on a quarter of a core.
+		perAnswer = 1200 * time.Microsecond
+		newsEvery = 10 * time.Millisecond
+		observed  = 10 * time.Second
+		mostUsed  = 0.7
+		// Changes must be in force within two seconds.
+		oldest = 1500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := newAnsweringLeader(t)
+		held := l.registerAll(gateways)
+		l.processor = &processor{turn: make(chan struct{}, 1), each: perAnswer}
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls sync.WaitGroup
+		var oldestNews atomic.Int64
+		start, committedAt := time.Now(), sync.Map{}
+		for i := range gateways {
+			calls.Go(func() {
+				for revision := held; ctx.Err() == nil; {
+					resp, err := l.renew(ctx, fmt.Sprint("g", i), revision, true)
+					if err != nil {
+						continue
+					}
+					// The first change that this gateway had not got before.
+					if at, ok := committedAt.Load(revision + 1); ok && resp.Revision > revision {
+						oldestNews.Store(max(oldestNews.Load(), int64(time.Since(at.(time.Time)))))
+					}
+					revision = max(revision, resp.Revision)
+				}
+			})
+		}
+		for n := 0; time.Since(start) < observed; n++ {
+			index := l.announce(fmt.Sprint("u", n))
+			committedAt.Store(index, time.Now())
+			time.Sleep(newsEvery)
+		}
+		used := float64(l.processor.used.Load()) / float64(time.Since(start))
+		assert.Check(t, used <= mostUsed, "answers take %.2f of the processor", used)
+		assert.Check(t, time.Duration(oldestNews.Load()) <= oldest, "a change took %s to a gateway", time.Duration(oldestNews.Load()))
+		cancel()
+		calls.Wait()
+	})
+}
--- a/internal/control/cost_test.go
+++ b/internal/control/cost_test.go
@@ -69,6 +69,13 @@
 	})
 }
 
+// TestConfigIntervalGrowsWithTheGroup checks the interval while answers take no time.
+func TestConfigIntervalGrowsWithTheGroup(t *testing.T) {
+	for gateways, want := range map[int]time.Duration{1: time.Millisecond, 50: 50 * time.Millisecond, 449: maxConfigInterval} {
+		assert.Equal(t, registeredLoop(t, gateways).configInterval(), want)
+	}
+}
+
 // BenchmarkCommit measures a commit that concerns no gateway, with all renewals
 // held.
 func BenchmarkCommit(b *testing.B) {
--- a/internal/control/isolated.go
+++ b/internal/control/isolated.go
@@ -27,10 +27,10 @@
 // nextIsolatedAt returns the earliest time at which an entry VM may be sent another
 // list of the isolated ones. Changes in quick succession are sent together, like
 // configurations.
-func (t *term) nextIsolatedAt(id string) time.Duration {
+func (t *term) nextIsolatedAt(id string, interval time.Duration) time.Duration {
 	report := t.reports[id]
 	if report == nil || report.isolatedSentAt == 0 {
 		return 0
 	}
-	return report.isolatedSentAt + min(time.Duration(len(t.config.Entries))*configIntervalPerEntry, maxConfigInterval)
+	return report.isolatedSentAt + interval
 }
--- a/internal/control/isolated_test.go
+++ b/internal/control/isolated_test.go
@@ -39,9 +39,10 @@
 	assert.Assert(t, tm.isolatedHash != one)
 	report("g0", false)
 	assert.Equal(t, tm.isolatedHash, one)
-	assert.Equal(t, tm.nextIsolatedAt("g1"), time.Duration(0))
+	const interval = 50 * time.Millisecond
+	assert.Equal(t, tm.nextIsolatedAt("g1", interval), time.Duration(0))
 	tm.reports["g1"].isolatedSentAt = 2 * time.Second
-	assert.Equal(t, tm.nextIsolatedAt("g1"), 2*time.Second+50*time.Millisecond)
+	assert.Equal(t, tm.nextIsolatedAt("g1", interval), 2*time.Second+interval)
 	// A gateway that is removed from the configuration is not listed.
 	next := &catalogpb.Config{Revision: 2, Entries: cfg.Entries[4:]}
 	assert.Assert(t, tm.publish(time.Second, next))
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -49,7 +49,8 @@
 	}
 	line := l.server.opts.Log.Log(event.LoopSlow).Uint64("events", uint64(w.events)).
 		Uint64("max_wait_ms", uint64(w.maxWait.Milliseconds())).Uint64("busy_ms", uint64(w.busy.Milliseconds())).
-		Uint64("window_ms", uint64((now-w.startedAt).Milliseconds())).Uint64("answers", uint64(answers)).Uint64("acceptance_searches", uint64(w.searches))
+		Uint64("window_ms", uint64((now-w.startedAt).Milliseconds())).Uint64("answers", uint64(answers)).Uint64("acceptance_searches", uint64(w.searches)).
+		Uint64("answer_us", uint64(l.server.answers.costOf(1).Microseconds()))
 	if t := l.term; t != nil {
 		line.Uint64("revision", t.config.Revision).Uint64("accepted", t.tracker.Accepted()).Uint64("held_renewals", uint64(len(t.heldRenewals)))
 	}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -21,13 +21,17 @@
 const (
 	// configIntervalPerEntry is multiplied by the number of registered entry
 	// VMs to get the minimum interval between two configurations sent to a
-	// gateway. Sending one costs the leader about 0.5 ms of CPU time; in the
-	// largest deployments, a leader with a quarter of a core serves 191
-	// gateways.
+	// gateway. Sending one costs the leader about 0.5 ms of CPU time.
 	configIntervalPerEntry = time.Millisecond
-	// maxConfigInterval limits that interval, well below the two seconds within
-	// which a change must be in force.
+	// maxConfigInterval limits that interval while answers to all gateways take less
+	// than half of it.
 	maxConfigInterval = 400 * time.Millisecond
+	// answerShare is the share of the interval that answers to all gateways may take. The
+	// leader needs the rest for the control group, operators and upstreams.
+	answerShare = 0.5
+	// maxPacedInterval limits the interval in any case. It leaves half of the two seconds
+	// within which a change must be in force.
+	maxPacedInterval = time.Second
 )
 
 // maxStartHold limits how long a replica that has not caught up holds a renewal: the
@@ -44,9 +48,11 @@
 	received time.Duration
 	// reply receives the response when its turn has come. It has room for it.
 	reply chan *clusterpb.RenewResponse
-	// state and turn belong to answers.
-	state answerState
-	turn  *time.Timer
+	// The fields below belong to answers.
+	state       answerState
+	turn        *time.Timer
+	turnBegan   time.Time
+	turnsAtOnce int
 }
 
 // confirmedRenewal is the event that the confirmed read for a renewal has ended;
@@ -247,26 +253,35 @@
 	}
 	now := l.server.now()
 	switch {
-	case !req.Synced, now >= r.received+holdTime(req), req.IsolatedHash != t.isolatedHash && now >= t.nextIsolatedAt(req.Entry.Id):
+	case !req.Synced, now >= r.received+holdTime(req), req.IsolatedHash != t.isolatedHash && now >= t.nextIsolatedAt(req.Entry.Id, l.configInterval()):
 		return true
 	case req.ServesStale:
 		// Gateways do not use the accepted revision.
-		return req.Revision < t.config.Revision && now >= t.nextConfigAt(req.Entry.Id)
+		return req.Revision < t.config.Revision && now >= t.nextConfigAt(req.Entry.Id, l.configInterval())
 	default:
 		return req.Revision < t.config.Revision || req.AcceptedRevision < t.tracker.AcceptedIn(req.Entry.Region)
 	}
 }
 
+// configInterval returns the minimum interval between two configurations sent to a
+// gateway. It grows with the number of entry VMs and with the time that answers take,
+// so that many changes in a row are sent together and do not take up the CPU time of
+// the leader and the gateways.
+func (l *loop) configInterval() time.Duration {
+	n := len(l.term.config.Entries)
+	usual := min(time.Duration(n)*configIntervalPerEntry, maxConfigInterval)
+	paced := time.Duration(float64(l.server.answers.costOf(n)) / answerShare)
+	return max(usual, min(paced, maxPacedInterval))
+}
+
 // nextConfigAt returns the earliest time at which a gateway may be sent another
-// configuration. The interval grows with the number of entry VMs, so that many
-// changes in a row are sent together and do not take up the CPU time of the
-// leader and the gateways.
-func (t *term) nextConfigAt(id string) time.Duration {
+// configuration.
+func (t *term) nextConfigAt(id string, interval time.Duration) time.Duration {
 	report := t.reports[id]
 	if report == nil || report.configSentAt == 0 {
 		return 0
 	}
-	return report.configSentAt + min(time.Duration(len(t.config.Entries))*configIntervalPerEntry, maxConfigInterval)
+	return report.configSentAt + interval
 }
 
 func holdTime(req *clusterpb.RenewRequest) time.Duration {
