--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,11 +50,12 @@
 	stateMachine *stateMachine
 	start        time.Time
 	// bootTime reads a clock that also runs while the VM is suspended.
-	bootTime func() time.Duration
-	events   chan queuedEvent
-	done     chan struct{}
-	states   stateProposals
-	answers  answers
+	bootTime  func() time.Duration
+	events    chan queuedEvent
+	done      chan struct{}
+	states    stateProposals
+	answers   answers
+	encodings encodings
 }
 
 // queuedEvent is an event for the loop.
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -97,6 +97,7 @@
 	if d.server.post(ctx, r) {
 		select {
 		case resp := <-r.reply:
+			d.server.encodings.share(resp)
 			return resp, nil
 		case <-ctx.Done():
 		case <-d.server.done:
