Send a difference packed to gateways if several get it

From the fifth gateway on it is compressed, once; gateways say that they can read it (accepts_packed_delta), others get it plain.

--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -116,6 +116,31 @@
 	return AddStateDelta(d, state), nil
 }
 
+// PackDelta returns an encoded and compressed delta. It returns an error if d cannot be
+// encoded.
+func PackDelta(d *catalogpb.ConfigDelta) ([]byte, error) {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode difference")
+	}
+	return deflate.Compress(data)
+}
+
+// UnpackDelta returns the delta that PackDelta has packed. It returns an error if packed
+// cannot be decompressed or decoded, and one that satisfies errors.IsNotValid if it is
+// longer than a configuration may be.
+func UnpackDelta(packed []byte) (*catalogpb.ConfigDelta, error) {
+	data, err := deflate.Decompress(packed, maxConfigBytes)
+	if err != nil {
+		return nil, errors.Annotate(err, "unpack difference")
+	}
+	d := &catalogpb.ConfigDelta{}
+	if err := proto.Unmarshal(data, d); err != nil {
+		return nil, errors.Annotate(err, "decode difference")
+	}
+	return d, nil
+}
+
 // applyStateDelta sets the desired state and the upstreams of next to those of
 // base with the differences in d applied.
 func applyStateDelta(next, base *catalogpb.Config, d *catalogpb.ConfigDelta) {
--- a/internal/configsync/config_of_test.go
+++ b/internal/configsync/config_of_test.go
@@ -22,6 +22,11 @@
 		assert.NilError(t, err)
 		return packed
 	}
+	packDelta := func(base, next *catalogpb.Config) []byte {
+		packed, err := catalog.PackDelta(catalog.Delta(base, next))
+		assert.NilError(t, err)
+		return packed
+	}
 	state, err := catalog.PackStateDelta(&catalogpb.ConfigDelta{StateVersion: 7, DeletedRoutes: []string{strings.Repeat("r", 1<<11)}})
 	assert.NilError(t, err)
 	for _, tc := range []struct {
@@ -35,6 +40,10 @@
 		{"delta to the held one", &clusterpb.RenewResponse{Delta: catalog.Delta(configs[1], configs[3])}, 3, false},
 		{"delta to another one", &clusterpb.RenewResponse{Delta: catalog.Delta(configs[2], configs[3])}, 0, true},
 		{"packed", &clusterpb.RenewResponse{PackedConfig: pack(configs[2])}, 2, false},
+		{"packed delta to the held one", &clusterpb.RenewResponse{PackedDelta: packDelta(configs[1], configs[3])}, 3, false},
+		{"packed delta to another one", &clusterpb.RenewResponse{PackedDelta: packDelta(configs[2], configs[3])}, 0, true},
+		{"packed delta that is damaged", &clusterpb.RenewResponse{PackedDelta: []byte("x")}, 0, true},
+		{"packed with packed delta", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), PackedDelta: packDelta(configs[2], configs[3])}, 3, false},
 		{"packed with delta", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[2], configs[3])}, 3, false},
 		{"packed with delta to another one", &clusterpb.RenewResponse{PackedConfig: pack(configs[2]), Delta: catalog.Delta(configs[1], configs[3])}, 0, true},
 		{"delta with packed state", &clusterpb.RenewResponse{Delta: catalog.DeltaWithoutState(configs[1], configs[3]), PackedStateDelta: state}, 3, false},
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -128,6 +128,7 @@
 		ServesStale:        l.syncer.opts.ServesStale,
 		AcceptsPacked:      true,
 		AcceptsPackedState: true,
+		AcceptsPackedDelta: true,
 		Build:              l.syncer.build,
 		WantsMembers:       l.view == nil && !l.renew.membersKnown,
 		Isolated:           l.syncer.isolated.Load(),
@@ -371,13 +372,20 @@
 		}
 		base = unpacked
 	}
-	if resp.Delta == nil {
+	delta := resp.Delta
+	if resp.PackedDelta != nil {
+		unpacked, err := catalog.UnpackDelta(resp.PackedDelta)
+		if err != nil {
+			return nil, err
+		}
+		delta = unpacked
+	}
+	if delta == nil {
 		return base, nil
 	}
 	if base == nil {
 		base = l.heldConfig()
 	}
-	delta := resp.Delta
 	if resp.PackedStateDelta != nil {
 		complete, err := catalog.AddPackedStateDelta(delta, resp.PackedStateDelta)
 		if err != nil {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -24,10 +24,11 @@
 	// gateway. Sending one costs the leader about 0.5 ms of CPU time.
 	configIntervalPerEntry = time.Millisecond
 	// maxConfigInterval limits that interval while answers to all gateways take less
-	// than half of it.
+	// than answerShare of it.
 	maxConfigInterval = 400 * time.Millisecond
-	// answerShare is the share of the interval that answers to all gateways may take. The
-	// leader needs the rest for the control group, operators and upstreams.
+	// answerShare is the share of the interval that answers to all gateways may take. To
+	// read and handle the renewals takes about as much again, and the leader needs the rest
+	// for the control group, operators and upstreams.
 	answerShare = 0.5
 	// maxPacedInterval limits the interval in any case. It leaves half of the two seconds
 	// within which a change must be in force.
@@ -97,7 +98,7 @@
 	if d.server.post(ctx, r) {
 		select {
 		case resp := <-r.reply:
-			d.server.encodings.share(resp)
+			d.server.encodings.share(resp, req.AcceptsPackedDelta)
 			return resp, nil
 		case <-ctx.Done():
 		case <-d.server.done:
