--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -29,7 +29,7 @@
 	// answerShare is the share of the interval that answers to all gateways may take. To
 	// read and handle the renewals takes about as much again, and the leader needs the rest
 	// for the control group, operators and upstreams.
-	answerShare = 0.5
+	answerShare = 0.25
 	// maxPacedInterval limits the interval in any case. It leaves half of the two seconds
 	// within which a change must be in force.
 	maxPacedInterval = time.Second
