Tests of relays: no change of a running gateway, one event for a loss

- TestRelayedAnswerOfLeavingUpstreamCounts replaced the connections of a gateway whose probes read them: a data race in 16 of 16 processes.
Connections fail by a switch in the dialer now, and the gateway itself notices that they open again.
- TestNewConnectionsAreNoticedAtTheConnectionBound: 14 failures.
In 13 the loss was never counted: the test recorded its two failures as two events, the gateway probes from the first one on, and a probe that succeeds between them ends the series, as it should.
In one the gateway had noticed before the check.
They are one event now, and the check is that the loss was counted, by its signal.
- The same pattern elsewhere: the age in TestUnconfirmedStateIsNoReasonToDenyACall, the clock in TestPermitIsNotUsedAfterItHasRunOut, the handler in TestBrokenRelayIsNotSentAgain, and gateways that listened before they were complete (six failures in 16 processes of the relay tests, some by ports that other processes had used: the key differs by process now, and an unreachable gateway is one that cannot be dialled).

--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	crand "crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -36,9 +37,17 @@
 	callers, cluster *httptest.Server
 	// relayed counts the calls that others have relayed to it.
 	relayed atomic.Int32
+	// cut is set while no connection to an upstream opens.
+	cut atomic.Bool
+	// down is set while no other gateway can connect to this one.
+	down atomic.Bool
+	// answer replaces the handler of relayed calls.
+	answer atomic.Pointer[http.HandlerFunc]
 }
 
-const relayKey = "Bearer key-of-the-gateways"
+// relayKey differs from that of other test processes on this machine, which may call
+// a port that was theirs.
+var relayKey = "Bearer " + crand.Text()
 
 // startRelayGateways starts gateways g0 to g<n-1>, of which the first lost ones have
 // no way to any upstream.
@@ -48,11 +57,15 @@
 	var gateways []*relayGateway
 	for i := range n {
 		g := &relayGateway{}
-		g.cluster = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.cluster = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != RelayPath || r.Header.Get("Authorization") != relayKey {
 				w.WriteHeader(http.StatusUnauthorized)
 				return
 			}
+			if answer := g.answer.Load(); answer != nil {
+				answer.ServeHTTP(w, r)
+				return
+			}
 			g.relayed.Add(1)
 			g.RelayHandler().ServeHTTP(w, r)
 		}))
@@ -67,22 +80,25 @@
 		st.started = st.started.Add(-time.Minute)
 		metrics := telemetry.NewMetrics("gateway", st.gatewayID)
 		t.Cleanup(func() { _ = metrics.Close() })
-		var dial upstreamconn.Dialer
-		if i < lost {
-			dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
-		}
-		g.Forwarder = newForwarder(st, upstreamconn.NewPool(dial), ForwarderOptions{
+		g.cut.Store(i < lost)
+		g.Forwarder = newForwarder(st, upstreamconn.NewPool(g.dialUpstream), ForwarderOptions{
 			Headers: DefaultHeaders(),
 			Crashes: &crashRecorder{},
 			Limiter: admission.NewLimiter(100),
 			Metrics: telemetry.NewGatewayMetrics(metrics.Scope),
 			Closed:  func() bool { return false },
 			DialGateway: func(ctx context.Context, address string) (net.Conn, error) {
+				for _, other := range gateways {
+					if other.cluster.Listener.Addr().String() == address && other.down.Load() {
+						return nil, syscall.ECONNREFUSED
+					}
+				}
 				return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 			},
 			Authorize: func(h http.Header) { h.Set("Authorization", relayKey) },
 			Context:   t.Context(),
 		})
+		g.cluster.Start()
 		g.callers = httptest.NewServer(g.Forwarder)
 		t.Cleanup(g.callers.Close)
 		if i < lost {
@@ -92,13 +108,31 @@
 	return gateways
 }
 
-// loseUpstreams records failures of all upstreams, until they count as lost.
+func (g *relayGateway) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+	if g.cut.Load() {
+		return nil, syscall.ECONNREFUSED
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+}
+
+// loseUpstreams records failures of all upstreams, so that they count as lost. They are
+// recorded as one event: the gateway probes upstreams from the first failure on.
 func (g *relayGateway) loseUpstreams() {
-	for _, at := range []time.Duration{0, time.Second} {
-		for _, u := range g.state.config.Load().Upstreams {
-			g.updateReach(func(tr *reach.Tracker) { tr.RecordNotOpened(at, u.Id, u.Zone) })
+	g.updateReach(func(tr *reach.Tracker) {
+		for _, at := range []time.Duration{0, time.Second} {
+			for _, u := range g.state.config.Load().Upstreams {
+				tr.RecordNotOpened(at, u.Id, u.Zone)
+			}
 		}
-	}
+	})
+}
+
+// regainUpstreams lets connections to upstreams open again, and waits until the gateway
+// has noticed.
+func (g *relayGateway) regainUpstreams(t *testing.T) {
+	t.Helper()
+	g.cut.Store(false)
+	waitUntil(t, "the gateway still counts the upstreams as lost", func() bool { return g.upstreamsLost() == reach.None })
 }
 
 func (g *relayGateway) request(t *testing.T, method, path string, body io.Reader) *http.Request {
@@ -258,10 +292,11 @@
 	gateways := startRelayGateways(t, 3, 1, s)
 	var arrived atomic.Int32
 	for _, g := range gateways[1:] {
-		g.cluster.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		abort := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			arrived.Add(1)
 			panic(http.ErrAbortHandler)
 		})
+		g.answer.Store(&abort)
 	}
 	for _, path := range []string{"/unsafe/x", "/safe/x"} {
 		arrived.Store(0)
@@ -399,7 +434,7 @@
 			respondOK(s)
 			gateways := startRelayGateways(t, 2, tc.lost, s)
 			if tc.close {
-				gateways[1].cluster.Close()
+				gateways[1].down.Store(true)
 			}
 			_, _, _ = gateways[0].get(t, http.MethodGet, "/safe/x")
 			assert.Equal(t, gateways[0].canServe(), tc.want)
@@ -421,9 +456,7 @@
 	for name := range h {
 		assert.Assert(t, !strings.HasPrefix(name, "Balsam-Relay"), "caller gets header %s", name)
 	}
-	g.conns = gateways[1].conns
-	g.updateReach((*reach.Tracker).RecordOpened)
-	g.updateReach((*reach.Tracker).RecordAnswer)
+	g.regainUpstreams(t)
 	before := len(s.requests())
 	status, _, _ = g.get(t, http.MethodGet, "/safe/x")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
@@ -445,8 +478,13 @@
 	g.state.applyConfig(configview.New(cfg))
 	status, _, _ := g.get(t, http.MethodGet, "/safe/x")
 	assert.Equal(t, status, 200)
+	lost := g.reach.lostSignal()
 	g.loseUpstreams()
-	assert.Assert(t, g.upstreamsLost() != reach.None)
+	select {
+	case <-lost:
+	default:
+		t.Fatal("the loss was not counted")
+	}
 	waitUntil(t, "the gateway still counts new connections as lost", func() bool { return g.upstreamsLost() == reach.None })
 }
 
--- a/internal/gateway/trial_test.go
+++ b/internal/gateway/trial_test.go
@@ -88,18 +88,19 @@
 func TestPermitIsNotUsedAfterItHasRunOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, _, _ := suspectGroup(t, 10*time.Millisecond)
-		start, suspended := time.Now(), time.Duration(0)
+		start := time.Now()
+		var suspended atomic.Int64
 		f := g.forwarders[0]
-		f.opts.BootTime = func() time.Duration { return time.Since(start) + suspended }
+		f.opts.BootTime = func() time.Duration { return time.Since(start) + time.Duration(suspended.Load()) }
 		c := suspectCall(g, "10.0.0.2")
 		c.route = f.state.routes.Load().Lookup(c.r.Host, c.r.URL.Path)
 		c.arrived, c.deadline, c.ctx = time.Now(), time.Now().Add(time.Minute), t.Context()
 		c.signature = c.sign()
 		assert.Assert(t, c.waitForTrial() == nil)
 		assert.Assert(t, c.mayStillSend())
-		suspended = 2 * time.Second
+		suspended.Store(int64(2 * time.Second))
 		assert.Assert(t, !c.mayStillSend(), "the permit is still used after the VM was suspended")
-		suspended = 0
+		suspended.Store(0)
 		c.endTrial(nil)
 		time.Sleep(time.Second)
 	})
--- a/internal/gateway/unconfirmed_test.go
+++ b/internal/gateway/unconfirmed_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	cfg := newConfig(s)
 	cfg.CallerLimits = &catalogpb.CallerLimits{MaxBodyBytes: 10}
 	fx := startForwarder(t, cfg)
+	// Calls read the age after they have been answered, too.
+	var age atomic.Int64
+	fx.state.sinceNewest = func() time.Duration { return time.Duration(age.Load()) }
 	for _, c := range []struct {
 		name      string
 		age       time.Duration
@@ -39,7 +43,7 @@
 		{"cut off from control, or frozen", time.Minute, false},
 		{"no lease since the start, or suspended", math.MaxInt64, false},
 	} {
-		fx.state.sinceNewest = func() time.Duration { return c.age }
+		age.Store(int64(c.age))
 		status, _, h := fx.call(t, http.MethodGet, "/new/x", "")
 		assertDenied(t, c.name, c.confirmed, http.StatusNotFound, status, h)
 		for _, chunked := range []bool{false, true} {
