--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -370,6 +370,20 @@
 	assert.Assert(t, leader.r.role != Leader)
 }
 
+// TestStatusSaysWhyLeadershipWasLost guards against leaders that are lost without a trace
+// of the cause.
+func TestStatusSaysWhyLeadershipWasLost(t *testing.T) {
+	s := newSim(3, 1, 0)
+	s.advance(2 * time.Second)
+	leader := s.leader()
+	assert.Equal(t, leader.r.Status().LeadershipEnd, LeadershipEnd{})
+	s.dropIncoming(leader.id)
+	s.advance(simElection + 2*simHeartbeat)
+	end := leader.r.Status().LeadershipEnd
+	assert.Equal(t, string(end.Why), "quorum_lost")
+	assert.Assert(t, end.Unanswered >= simElection, "%s", end.Unanswered)
+}
+
 // TestLeaderKeepsLeadingWhileLargeEntryIsOnItsWay guards against a leader that loses its
 // leadership, or sends a large entry again and again, while the entry takes longer than
 // the election timeout to arrive and heartbeats overtake it.
