--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -12,10 +12,9 @@
 	// slowLoopWait is the wait of an event from which on the loop counts as slow.
 	// It is half of maxConfigInterval.
 	slowLoopWait = 200 * time.Millisecond
-	// manyAnswers is the number of answers to renewals under way at once from which on
-	// the control VM counts as slow: at a tenth of a millisecond of CPU time each they
-	// take a quarter of a core for 50 ms.
-	manyAnswers = 128
+	// slowAnswers is the time that the answers due at once take from which on they count
+	// as slow.
+	slowAnswers = slowLoopWait
 )
 
 // loopLoad is the load of the event loop in the current window.
@@ -35,7 +34,8 @@
 	w.busy += busy
 }
 
-// logLoad logs the load of the last window, if events waited long in it.
+// logLoad logs the load of the last window, if events waited long in it or many answers
+// to renewals were due at once.
 func (l *loop) logLoad() {
 	now := l.server.now()
 	if now < l.load.startedAt+loadWindow {
@@ -44,7 +44,7 @@
 	w := l.load
 	l.load = loopLoad{startedAt: now}
 	answers := l.server.answers.takePeak()
-	if w.maxWait < slowLoopWait && answers < manyAnswers {
+	if w.maxWait < slowLoopWait && l.server.answers.costOf(answers) < slowAnswers {
 		return
 	}
 	line := l.server.opts.Log.Log(event.LoopSlow).Uint64("events", uint64(w.events)).
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -29,7 +29,7 @@
 	JoinFailed      = Event{215, "join_failed", zerolog.WarnLevel, "this replica could not join the control group; it will retry", "check the seeds in the settings"}
 	OrderRefused    = Event{216, "order_refused", zerolog.WarnLevel, "a request from an operator or an upstream was refused", "see the error field"}
 	MemberRemoved   = Event{217, "member_removed", zerolog.WarnLevel, "a control VM was removed from the control group, by an operator or because it did not respond", "if the VM is to return, check that it runs and joins the group"}
-	LoopSlow        = Event{218, "loop_slow", zerolog.WarnLevel, "events waited long for the event loop of the control server, or the answers to many renewals were under way at once", "check the CPU time of the VM"}
+	LoopSlow        = Event{218, "loop_slow", zerolog.WarnLevel, "events waited long for the event loop of the control server, or answers to renewals took long", "check the CPU time of the VM"}
 	ConfigUnacked   = Event{219, "config_unacked", zerolog.WarnLevel, "live gateways have not acknowledged a desired state in time", "check the load of the leader and the links of the gateways"}
 	EntryReplaced   = Event{220, "entry_replaced", zerolog.InfoLevel, "an entry VM came back under its id at another address; the process before is removed", "check that no two VMs have the same id"}
 	ConfigAdopted   = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
