--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -82,7 +82,7 @@
 func (c *clients) fetch(ctx context.Context, u *user, g *process) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	target := fmt.Sprintf("http://%s:%d/api/resolve?%s", g.ip, directoryPort, url.Values{"name": {"retakes.example"}, "region": {"jm-south"}, "zone": {g.zone}}.Encode())
+	target := fmt.Sprintf("http://%s:%d%s?%s", g.ip, directoryPort, names["resolve"], url.Values{"name": {"retakes.example"}, "region": {"jm-south"}, "zone": {g.zone}}.Encode())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return err
@@ -171,7 +171,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(deadline)
 	left := time.Until(deadline).Milliseconds()
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", k.method, k.path, k.host, a.id, left)
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %d\r\n\r\n", k.method, k.path, k.host, a.id, names["deadline"], left)
 	a.sent = time.Now()
 	if err != nil {
 		a.err, a.ended, a.unsent = err, time.Now(), true
