--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -37,6 +37,11 @@
 	waiting int
 	tokens  chan struct{}
 	runs    map[string]runTime
+	// draining is set when the instance is leaving, drained is closed once that has been
+	// acknowledged.
+	draining bool
+	drained  chan struct{}
+	leaving  chan struct{}
 }
 
 // runTime is the time of one run; end is zero while it lasts.
@@ -53,6 +58,7 @@
 	return &instance{
 		id: fmt.Sprintf("i-%s-%d", zone, n), service: service, zone: zone, slots: slots, work: work, spread: spread,
 		listen: l, tokens: make(chan struct{}, slots), runs: make(map[string]runTime),
+		drained: make(chan struct{}), leaving: make(chan struct{}),
 	}, nil
 }
 
@@ -88,14 +94,66 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-i.leaving:
+			if i.reportLeaving(ctx, s, sequence+1) {
+				return
+			}
 		case <-time.After(heartbeat):
 		}
 	}
 }
 
+// reportLeaving reports that the instance is draining until that is acknowledged.
+func (i *instance) reportLeaving(ctx context.Context, s *system, sequence int) bool {
+	for ; ctx.Err() == nil; sequence++ {
+		if i.reportTo(ctx, s, s.controls[rand.IntN(len(s.controls))], sequence) {
+			s.rec.line("planned work: %s has had it acknowledged that it leaves", i.id)
+			close(i.drained)
+			return true
+		}
+	}
+	return false
+}
+
+// serveOn is how long an instance that leaves serves on: the bound drain and a little longer.
+const serveOn = 4 * time.Second
+
+// scaleIn lets the instance leave: it drains, serves on, deregisters and ends.
+func (i *instance) scaleIn(ctx context.Context, s *system) {
+	i.mu.Lock()
+	i.draining = true
+	i.mu.Unlock()
+	close(i.leaving)
+	select {
+	case <-i.drained:
+	case <-ctx.Done():
+		return
+	}
+	pause(ctx, serveOn)
+	for n := 0; ctx.Err() == nil; n++ {
+		status, _ := s.call(ctx, s.controls[n%len(s.controls)], fmt.Sprintf(names["leave"], i.id), fmt.Appendf(nil, `{"born":%d}`, i.born))
+		if status == "200 OK" {
+			break
+		}
+	}
+	s.rec.line("planned work: %s has left", i.id)
+	i.stop()
+}
+
+// isDraining reports whether the instance is leaving.
+func (i *instance) isDraining() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.draining
+}
+
 func (i *instance) reportTo(ctx context.Context, s *system, vm *process, sequence int) bool {
+	state := "ready"
+	if i.isDraining() {
+		state = "draining"
+	}
 	body := fmt.Sprintf(heartbeatFormat,
-		i.listen.Addr(), i.born, i.service, i.zone, i.slots, sequence)
+		i.listen.Addr(), i.born, i.service, i.zone, i.slots, state, sequence)
 	status, _ := s.call(ctx, vm, fmt.Sprintf(names["beat"], i.id), []byte(body))
 	return status == "200 OK"
 }
@@ -111,9 +169,15 @@
 
 func (i *instance) serve(s *system, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Keep-Alive", "timeout=10")
+	if i.isDraining() {
+		w.Header().Set(names["leaving"], "1")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(names["instance"], i.id)
 		i.setLoad(w)
+		if i.isDraining() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("Request-Id")
--- a/review/standin/planned_stop.go
+++ b/review/standin/planned_stop.go
@@ -10,22 +10,27 @@
 )
 
 // Load of the case: 36 slots for 41 requests a second, of which 24 for 27 a second are
-// left while a zone is evacuated.
+// left after three times scale_in.
 const (
 	proofWork      = 880 * time.Millisecond
 	proofPerSecond = 35.0
 	proofBudget    = 15 * time.Second
 	instanceCount  = 18
+	// scaleIns is the number of times that leaveCount instances leave, scaleInGap the time
+	// between them.
+	scaleIns   = 3
+	leaveCount = 2
+	scaleInGap = 2 * time.Second
 	// stopCount is the number of stops, of each gateway in turn.
 	stopCount = 5
-	// stopAfter is the time from the evacuation, or the end of one stop, to the next stop.
+	// stopAfter is the time from the last scale_in, or the end of one stop, to the next stop.
 	stopAfter = 11 * time.Second
 	// latestSend is the time after SIGTERM up to which a request that is still at work
 	// near the end of grace is excused.
 	latestSend = 3 * time.Second
 )
 
-// plannedStop evacuates a zone, so that the rest is overloaded, stops one gateway with
+// plannedStop lets a third of the instances leave, so that the rest is overloaded, stops one gateway with
 // SIGTERM, and checks the rule LOST around that.
 func plannedStop(ctx context.Context, rec *recorder, trouble bool) (int, error) {
 	s, err := newSystem(rec, 3, 3)
@@ -48,8 +53,11 @@
 	defer stop()
 	go c.send(sending, class{"retakes.example", http.MethodGet, "/proofs/3", proofBudget, 2}, proofPerSecond)
 	pause(ctx, 5*time.Second)
-	if _, err := s.order(ctx, s.controls, fmt.Sprintf(names["evacuate"], zoneNames[2]), nil); err != nil {
-		return 0, err
+	for n := range scaleIns {
+		for _, i := range s.instances[n*leaveCount : (n+1)*leaveCount] {
+			go i.scaleIn(ctx, s)
+		}
+		pause(ctx, scaleInGap)
 	}
 	breaks := 0
 	for n := range stopCount {
