--- a/api/cluster/v1/cluster.twirp.go
+++ b/api/cluster/v1/cluster.twirp.go
@@ -1586,39 +1586,29 @@
 }
 
 // ==================
-// Dispatch Interface
+// Rollouts Interface
 // ==================
 
-// Dispatch is served by the entry VM to which a cell is assigned, the
-// dispatcher of that cell.
-type Dispatch interface {
-	// Acquire waits for a free slot and returns a grant, or refuses.
-	Acquire(context.Context, *AcquireRequest) (*AcquireResponse, error)
-
-	// Release ends grants.
-	Release(context.Context, *ReleaseRequest) (*ReleaseResponse, error)
-
-	// Announce relays the announcements of upstreams to the dispatcher.
-	Announce(context.Context, *AnnounceRequest) (*AnnounceResponse, error)
-
-	// Reregister reports the grants still in use to a new dispatcher.
-	Reregister(context.Context, *ReregisterRequest) (*ReregisterResponse, error)
+// Rollouts is served by control VMs.
+type Rollouts interface {
+	// Report delivers evidence at once that should not wait for the next renewal.
+	Report(context.Context, *ReportEvidenceRequest) (*ReportEvidenceResponse, error)
 }
 
 // ========================
-// Dispatch Protobuf Client
+// Rollouts Protobuf Client
 // ========================
 
-type dispatchProtobufClient struct {
+type rolloutsProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewDispatchProtobufClient creates a Protobuf client that implements the Dispatch interface.
+// NewRolloutsProtobufClient creates a Protobuf client that implements the Rollouts interface.
 // It communicates using Protobuf and can be configured with a custom HTTPClient.
-func NewDispatchProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Dispatch {
+func NewRolloutsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Rollouts {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -1638,15 +1628,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
-	urls := [4]string{
-		serviceURL + "Acquire",
-		serviceURL + "Release",
-		serviceURL + "Announce",
-		serviceURL + "Reregister",
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Rollouts")
+	urls := [1]string{
+		serviceURL + "Report",
 	}
 
-	return &dispatchProtobufClient{
+	return &rolloutsProtobufClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -1654,26 +1641,26 @@
 	}
 }
 
-func (c *dispatchProtobufClient) Acquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+func (c *rolloutsProtobufClient) Report(ctx context.Context, in *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
-	caller := c.callAcquire
+	ctx = ctxsetters.WithServiceName(ctx, "Rollouts")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+		caller = func(ctx context.Context, req *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquireRequest)
+					typedReq, ok := req.(*ReportEvidenceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportEvidenceRequest) when calling interceptor")
 					}
-					return c.callAcquire(ctx, typedReq)
+					return c.callReport(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquireResponse)
+				typedResp, ok := resp.(*ReportEvidenceResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportEvidenceResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1683,8 +1670,8 @@
 	return caller(ctx, in)
 }
 
-func (c *dispatchProtobufClient) callAcquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
-	out := new(AcquireResponse)
+func (c *rolloutsProtobufClient) callReport(ctx context.Context, in *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
+	out := new(ReportEvidenceResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -1700,158 +1687,20 @@
 	return out, nil
 }
 
-func (c *dispatchProtobufClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Release")
-	caller := c.callRelease
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReleaseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
-					}
-					return c.callRelease(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReleaseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchProtobufClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
-	out := new(ReleaseResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-func (c *dispatchProtobufClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	caller := c.callAnnounce
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
-					}
-					return c.callAnnounce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchProtobufClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
-	out := new(AnnounceResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-func (c *dispatchProtobufClient) Reregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
-	caller := c.callReregister
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReregisterRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
-					}
-					return c.callReregister(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReregisterResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchProtobufClient) callReregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
-	out := new(ReregisterResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 // ====================
-// Dispatch JSON Client
+// Rollouts JSON Client
 // ====================
 
-type dispatchJSONClient struct {
+type rolloutsJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewDispatchJSONClient creates a JSON client that implements the Dispatch interface.
+// NewRolloutsJSONClient creates a JSON client that implements the Rollouts interface.
 // It communicates using JSON and can be configured with a custom HTTPClient.
-func NewDispatchJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Dispatch {
+func NewRolloutsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Rollouts {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -1871,15 +1720,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
-	urls := [4]string{
-		serviceURL + "Acquire",
-		serviceURL + "Release",
-		serviceURL + "Announce",
-		serviceURL + "Reregister",
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Rollouts")
+	urls := [1]string{
+		serviceURL + "Report",
 	}
 
-	return &dispatchJSONClient{
+	return &rolloutsJSONClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -1887,26 +1733,26 @@
 	}
 }
 
-func (c *dispatchJSONClient) Acquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+func (c *rolloutsJSONClient) Report(ctx context.Context, in *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
-	caller := c.callAcquire
+	ctx = ctxsetters.WithServiceName(ctx, "Rollouts")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+		caller = func(ctx context.Context, req *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquireRequest)
+					typedReq, ok := req.(*ReportEvidenceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportEvidenceRequest) when calling interceptor")
 					}
-					return c.callAcquire(ctx, typedReq)
+					return c.callReport(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquireResponse)
+				typedResp, ok := resp.(*ReportEvidenceResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportEvidenceResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1916,8 +1762,8 @@
 	return caller(ctx, in)
 }
 
-func (c *dispatchJSONClient) callAcquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
-	out := new(AcquireResponse)
+func (c *rolloutsJSONClient) callReport(ctx context.Context, in *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
+	out := new(ReportEvidenceResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -1933,161 +1779,23 @@
 	return out, nil
 }
 
-func (c *dispatchJSONClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Release")
-	caller := c.callRelease
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReleaseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
-					}
-					return c.callRelease(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReleaseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchJSONClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
-	out := new(ReleaseResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
+// =======================
+// Rollouts Server Handler
+// =======================
 
-	return out, nil
+type rolloutsServer struct {
+	Rollouts
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-func (c *dispatchJSONClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	caller := c.callAnnounce
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
-					}
-					return c.callAnnounce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchJSONClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
-	out := new(AnnounceResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-func (c *dispatchJSONClient) Reregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
-	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
-	caller := c.callReregister
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReregisterRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
-					}
-					return c.callReregister(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReregisterResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *dispatchJSONClient) callReregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
-	out := new(ReregisterResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-// =======================
-// Dispatch Server Handler
-// =======================
-
-type dispatchServer struct {
-	Dispatch
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewDispatchServer builds a TwirpServer that can be used as an http.Handler to handle
+// NewRolloutsServer builds a TwirpServer that can be used as an http.Handler to handle
 // HTTP requests that are routed to the right method in the provided svc implementation.
 // The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewDispatchServer(svc Dispatch, opts ...interface{}) TwirpServer {
+func NewRolloutsServer(svc Rollouts, opts ...interface{}) TwirpServer {
 	serverOpts := newServerOpts(opts)
 
 	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
@@ -2100,8 +1808,8 @@
 		pathPrefix = "/twirp" // default prefix
 	}
 
-	return &dispatchServer{
-		Dispatch:         svc,
+	return &rolloutsServer{
+		Rollouts:         svc,
 		hooks:            serverOpts.Hooks,
 		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
 		pathPrefix:       pathPrefix,
@@ -2112,12 +1820,12 @@
 
 // writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
 // If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *dispatchServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+func (s *rolloutsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
 	writeError(ctx, resp, err, s.hooks)
 }
 
 // handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *dispatchServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+func (s *rolloutsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
 	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
@@ -2129,16 +1837,16 @@
 	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
 }
 
-// DispatchPathPrefix is a convenience constant that may identify URL paths.
+// RolloutsPathPrefix is a convenience constant that may identify URL paths.
 // Should be used with caution, it only matches routes generated by Twirp Go clients,
 // with the default "/twirp" prefix and default CamelCase service and method names.
 // More info: https://twitchtv.github.io/twirp/docs/routing.html
-const DispatchPathPrefix = "/twirp/balsamcourse.cluster.v1.Dispatch/"
+const RolloutsPathPrefix = "/twirp/balsamcourse.cluster.v1.Rollouts/"
 
-func (s *dispatchServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+func (s *rolloutsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
 	ctx := req.Context()
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithServiceName(ctx, "Rollouts")
 	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
 	var err error
@@ -2156,7 +1864,7 @@
 
 	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
 	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.cluster.v1.Dispatch" {
+	if pkgService != "balsamcourse.cluster.v1.Rollouts" {
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
@@ -2168,17 +1876,8 @@
 	}
 
 	switch method {
-	case "Acquire":
-		s.serveAcquire(ctx, resp, req)
-		return
-	case "Release":
-		s.serveRelease(ctx, resp, req)
-		return
-	case "Announce":
-		s.serveAnnounce(ctx, resp, req)
-		return
-	case "Reregister":
-		s.serveReregister(ctx, resp, req)
+	case "Report":
+		s.serveReport(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -2187,7 +1886,7 @@
 	}
 }
 
-func (s *dispatchServer) serveAcquire(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *rolloutsServer) serveReport(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2195,9 +1894,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveAcquireJSON(ctx, resp, req)
+		s.serveReportJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveAcquireProtobuf(ctx, resp, req)
+		s.serveReportProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2205,9 +1904,9 @@
 	}
 }
 
-func (s *dispatchServer) serveAcquireJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *rolloutsServer) serveReportJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2220,29 +1919,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(AcquireRequest)
+	reqContent := new(ReportEvidenceRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Dispatch.Acquire
+	handler := s.Rollouts.Report
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+		handler = func(ctx context.Context, req *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquireRequest)
+					typedReq, ok := req.(*ReportEvidenceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportEvidenceRequest) when calling interceptor")
 					}
-					return s.Dispatch.Acquire(ctx, typedReq)
+					return s.Rollouts.Report(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquireResponse)
+				typedResp, ok := resp.(*ReportEvidenceResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportEvidenceResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2251,7 +1950,7 @@
 	}
 
 	// Call service method
-	var respContent *AcquireResponse
+	var respContent *ReportEvidenceResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2262,7 +1961,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquireResponse and nil error while calling Acquire. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportEvidenceResponse and nil error while calling Report. nil responses are not supported"))
 		return
 	}
 
@@ -2288,9 +1987,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *dispatchServer) serveAcquireProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *rolloutsServer) serveReportProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2302,28 +2001,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(AcquireRequest)
+	reqContent := new(ReportEvidenceRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Dispatch.Acquire
+	handler := s.Rollouts.Report
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+		handler = func(ctx context.Context, req *ReportEvidenceRequest) (*ReportEvidenceResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquireRequest)
+					typedReq, ok := req.(*ReportEvidenceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportEvidenceRequest) when calling interceptor")
 					}
-					return s.Dispatch.Acquire(ctx, typedReq)
+					return s.Rollouts.Report(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquireResponse)
+				typedResp, ok := resp.(*ReportEvidenceResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportEvidenceResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2332,7 +2031,7 @@
 	}
 
 	// Call service method
-	var respContent *AcquireResponse
+	var respContent *ReportEvidenceResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2343,7 +2042,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquireResponse and nil error while calling Acquire. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportEvidenceResponse and nil error while calling Report. nil responses are not supported"))
 		return
 	}
 
@@ -2367,236 +2066,196 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *dispatchServer) serveRelease(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveReleaseJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveReleaseProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
+func (s *rolloutsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
 }
 
-func (s *dispatchServer) serveReleaseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Release")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
+func (s *rolloutsServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
 
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(ReleaseRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *rolloutsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Rollouts")
+}
 
-	handler := s.Dispatch.Release
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReleaseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
-					}
-					return s.Dispatch.Release(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReleaseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
+// ==================
+// Dispatch Interface
+// ==================
 
-	// Call service method
-	var respContent *ReleaseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
+// Dispatch is served by the entry VM to which a cell is assigned, the
+// dispatcher of that cell.
+type Dispatch interface {
+	// Acquire waits for a free slot and returns a grant, or refuses.
+	Acquire(context.Context, *AcquireRequest) (*AcquireResponse, error)
 
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseResponse and nil error while calling Release. nil responses are not supported"))
-		return
-	}
+	// Release ends grants.
+	Release(context.Context, *ReleaseRequest) (*ReleaseResponse, error)
 
-	ctx = callResponsePrepared(ctx, s.hooks)
+	// Announce relays the announcements of upstreams to the dispatcher.
+	Announce(context.Context, *AnnounceRequest) (*AnnounceResponse, error)
 
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
+	// Reregister reports the grants still in use to a new dispatcher.
+	Reregister(context.Context, *ReregisterRequest) (*ReregisterResponse, error)
+}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
+// ========================
+// Dispatch Protobuf Client
+// ========================
 
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
+type dispatchProtobufClient struct {
+	client      HTTPClient
+	urls        [4]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
 }
 
-func (s *dispatchServer) serveReleaseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Release")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+// NewDispatchProtobufClient creates a Protobuf client that implements the Dispatch interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewDispatchProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Dispatch {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
 	}
 
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
 	}
-	reqContent := new(ReleaseRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
-		return
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
 	}
 
-	handler := s.Dispatch.Release
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
-			resp, err := s.interceptor(
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
+	urls := [4]string{
+		serviceURL + "Acquire",
+		serviceURL + "Release",
+		serviceURL + "Announce",
+		serviceURL + "Reregister",
+	}
+
+	return &dispatchProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *dispatchProtobufClient) Acquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	caller := c.callAcquire
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReleaseRequest)
+					typedReq, ok := req.(*AcquireRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
 					}
-					return s.Dispatch.Release(ctx, typedReq)
+					return c.callAcquire(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReleaseResponse)
+				typedResp, ok := resp.(*AcquireResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
 			return nil, err
 		}
 	}
+	return caller(ctx, in)
+}
 
-	// Call service method
-	var respContent *ReleaseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
+func (c *dispatchProtobufClient) callAcquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+	out := new(AcquireResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseResponse and nil error while calling Release. nil responses are not supported"))
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
-		return
-	}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
+	return out, nil
 }
 
-func (s *dispatchServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveAnnounceJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveAnnounceProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
+func (c *dispatchProtobufClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
 }
 
-func (s *dispatchServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	ctx, err = callRequestRouted(ctx, s.hooks)
+func (c *dispatchProtobufClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
+	out := new(ReleaseResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(AnnounceRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-	handler := s.Dispatch.Announce
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
-			resp, err := s.interceptor(
+	return out, nil
+}
+
+func (c *dispatchProtobufClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*AnnounceRequest)
 					if !ok {
 						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
 					}
-					return s.Dispatch.Announce(ctx, typedReq)
+					return c.callAnnounce(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -2609,125 +2268,1458 @@
 			return nil, err
 		}
 	}
+	return caller(ctx, in)
+}
 
-	// Call service method
-	var respContent *AnnounceResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
+func (c *dispatchProtobufClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	out := new(AnnounceResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *dispatchProtobufClient) Reregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	caller := c.callReregister
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReregisterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+					}
+					return c.callReregister(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReregisterResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *dispatchProtobufClient) callReregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
+	out := new(ReregisterResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Dispatch JSON Client
+// ====================
+
+type dispatchJSONClient struct {
+	client      HTTPClient
+	urls        [4]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewDispatchJSONClient creates a JSON client that implements the Dispatch interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewDispatchJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Dispatch {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
+	urls := [4]string{
+		serviceURL + "Acquire",
+		serviceURL + "Release",
+		serviceURL + "Announce",
+		serviceURL + "Reregister",
+	}
+
+	return &dispatchJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *dispatchJSONClient) Acquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	caller := c.callAcquire
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcquireRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+					}
+					return c.callAcquire(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcquireResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *dispatchJSONClient) callAcquire(ctx context.Context, in *AcquireRequest) (*AcquireResponse, error) {
+	out := new(AcquireResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *dispatchJSONClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *dispatchJSONClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseResponse, error) {
+	out := new(ReleaseResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *dispatchJSONClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return c.callAnnounce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *dispatchJSONClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	out := new(AnnounceResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *dispatchJSONClient) Reregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	caller := c.callReregister
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReregisterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+					}
+					return c.callReregister(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReregisterResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *dispatchJSONClient) callReregister(ctx context.Context, in *ReregisterRequest) (*ReregisterResponse, error) {
+	out := new(ReregisterResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =======================
+// Dispatch Server Handler
+// =======================
+
+type dispatchServer struct {
+	Dispatch
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewDispatchServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewDispatchServer(svc Dispatch, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &dispatchServer{
+		Dispatch:         svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *dispatchServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *dispatchServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// DispatchPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const DispatchPathPrefix = "/twirp/balsamcourse.cluster.v1.Dispatch/"
+
+func (s *dispatchServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Dispatch")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "balsamcourse.cluster.v1.Dispatch" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Acquire":
+		s.serveAcquire(ctx, resp, req)
+		return
+	case "Release":
+		s.serveRelease(ctx, resp, req)
+		return
+	case "Announce":
+		s.serveAnnounce(ctx, resp, req)
+		return
+	case "Reregister":
+		s.serveReregister(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *dispatchServer) serveAcquire(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAcquireJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAcquireProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *dispatchServer) serveAcquireJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AcquireRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Dispatch.Acquire
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcquireRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+					}
+					return s.Dispatch.Acquire(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcquireResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AcquireResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquireResponse and nil error while calling Acquire. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveAcquireProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AcquireRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Dispatch.Acquire
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AcquireRequest) (*AcquireResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcquireRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcquireRequest) when calling interceptor")
+					}
+					return s.Dispatch.Acquire(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcquireResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquireResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AcquireResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquireResponse and nil error while calling Acquire. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveRelease(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReleaseJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReleaseProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *dispatchServer) serveReleaseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReleaseRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Dispatch.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return s.Dispatch.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseResponse and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveReleaseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReleaseRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Dispatch.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return s.Dispatch.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseResponse and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAnnounceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAnnounceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *dispatchServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Dispatch.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Dispatch.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Dispatch.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Dispatch.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveReregister(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReregisterJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReregisterProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *dispatchServer) serveReregisterJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReregisterRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Dispatch.Reregister
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReregisterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+					}
+					return s.Dispatch.Reregister(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReregisterResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReregisterResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReregisterResponse and nil error while calling Reregister. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) serveReregisterProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReregisterRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Dispatch.Reregister
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReregisterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+					}
+					return s.Dispatch.Reregister(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReregisterResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReregisterResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReregisterResponse and nil error while calling Reregister. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *dispatchServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 3
+}
+
+func (s *dispatchServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *dispatchServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
+}
+
+// ================
+// Claims Interface
+// ================
+
+// Claims is served by the entry VMs that store claims on idempotency keys.
+type Claims interface {
+	// Step delivers claim messages and returns the messages in reply.
+	Step(context.Context, *ClaimBatch) (*ClaimBatch, error)
+}
+
+// ======================
+// Claims Protobuf Client
+// ======================
+
+type claimsProtobufClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewClaimsProtobufClient creates a Protobuf client that implements the Claims interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewClaimsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Claims {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Claims")
+	urls := [1]string{
+		serviceURL + "Step",
+	}
+
+	return &claimsProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *claimsProtobufClient) Step(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Step")
+	caller := c.callStep
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimBatch)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+					}
+					return c.callStep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimBatch)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsProtobufClient) callStep(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+	out := new(ClaimBatch)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ==================
+// Claims JSON Client
+// ==================
+
+type claimsJSONClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewClaimsJSONClient creates a JSON client that implements the Claims interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewClaimsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Claims {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Claims")
+	urls := [1]string{
+		serviceURL + "Step",
+	}
+
+	return &claimsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *claimsJSONClient) Step(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithMethodName(ctx, "Step")
+	caller := c.callStep
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimBatch)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+					}
+					return c.callStep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimBatch)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *claimsJSONClient) callStep(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+	out := new(ClaimBatch)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Claims Server Handler
+// =====================
+
+type claimsServer struct {
+	Claims
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewClaimsServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewClaimsServer(svc Claims, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &claimsServer{
+		Claims:           svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *claimsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *claimsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
 	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
 		return
 	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
+// ClaimsPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ClaimsPathPrefix = "/twirp/balsamcourse.cluster.v1.Claims/"
 
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
+func (s *claimsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
-func (s *dispatchServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	ctx, err = callRequestRouted(ctx, s.hooks)
+	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
 
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(AnnounceRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	handler := s.Dispatch.Announce
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
-					}
-					return s.Dispatch.Announce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AnnounceResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "balsamcourse.cluster.v1.Claims" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+	switch method {
+	case "Step":
+		s.serveStep(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
 }
 
-func (s *dispatchServer) serveReregister(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *claimsServer) serveStep(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2735,9 +3727,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveReregisterJSON(ctx, resp, req)
+		s.serveStepJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveReregisterProtobuf(ctx, resp, req)
+		s.serveStepProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2745,9 +3737,9 @@
 	}
 }
 
-func (s *dispatchServer) serveReregisterJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *claimsServer) serveStepJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	ctx = ctxsetters.WithMethodName(ctx, "Step")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2760,29 +3752,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ReregisterRequest)
+	reqContent := new(ClaimBatch)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Dispatch.Reregister
+	handler := s.Claims.Step
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+		handler = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReregisterRequest)
+					typedReq, ok := req.(*ClaimBatch)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
 					}
-					return s.Dispatch.Reregister(ctx, typedReq)
+					return s.Claims.Step(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReregisterResponse)
+				typedResp, ok := resp.(*ClaimBatch)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2791,7 +3783,7 @@
 	}
 
 	// Call service method
-	var respContent *ReregisterResponse
+	var respContent *ClaimBatch
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2802,7 +3794,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReregisterResponse and nil error while calling Reregister. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimBatch and nil error while calling Step. nil responses are not supported"))
 		return
 	}
 
@@ -2828,9 +3820,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *dispatchServer) serveReregisterProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *claimsServer) serveStepProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Reregister")
+	ctx = ctxsetters.WithMethodName(ctx, "Step")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2842,28 +3834,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ReregisterRequest)
+	reqContent := new(ClaimBatch)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Dispatch.Reregister
+	handler := s.Claims.Step
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReregisterRequest) (*ReregisterResponse, error) {
+		handler = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReregisterRequest)
+					typedReq, ok := req.(*ClaimBatch)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReregisterRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
 					}
-					return s.Dispatch.Reregister(ctx, typedReq)
+					return s.Claims.Step(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReregisterResponse)
+				typedResp, ok := resp.(*ClaimBatch)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReregisterResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2872,7 +3864,7 @@
 	}
 
 	// Call service method
-	var respContent *ReregisterResponse
+	var respContent *ClaimBatch
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2883,7 +3875,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReregisterResponse and nil error while calling Reregister. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimBatch and nil error while calling Step. nil responses are not supported"))
 		return
 	}
 
@@ -2907,45 +3899,46 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *dispatchServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 2
+func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 4
 }
 
-func (s *dispatchServer) ProtocGenTwirpVersion() string {
+func (s *claimsServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *dispatchServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Dispatch")
+func (s *claimsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Claims")
 }
 
 // ================
-// Claims Interface
+// Gossip Interface
 // ================
 
-// Claims is served by the entry VMs that store claims on idempotency keys.
-type Claims interface {
-	// Step delivers claim messages and returns the messages in reply.
-	Step(context.Context, *ClaimBatch) (*ClaimBatch, error)
+// Gossip distributes soft state among entry VMs: state that is not stored and
+// expires if it is not refreshed.
+type Gossip interface {
+	// Exchange exchanges crash reports and upstream announcements.
+	Exchange(context.Context, *ExchangeRequest) (*ExchangeResponse, error)
 }
 
 // ======================
-// Claims Protobuf Client
+// Gossip Protobuf Client
 // ======================
 
-type claimsProtobufClient struct {
+type gossipProtobufClient struct {
 	client      HTTPClient
 	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewClaimsProtobufClient creates a Protobuf client that implements the Claims interface.
+// NewGossipProtobufClient creates a Protobuf client that implements the Gossip interface.
 // It communicates using Protobuf and can be configured with a custom HTTPClient.
-func NewClaimsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Claims {
+func NewGossipProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Gossip {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -2965,12 +3958,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Claims")
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Gossip")
 	urls := [1]string{
-		serviceURL + "Step",
+		serviceURL + "Exchange",
 	}
 
-	return &claimsProtobufClient{
+	return &gossipProtobufClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -2978,26 +3971,26 @@
 	}
 }
 
-func (c *claimsProtobufClient) Step(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+func (c *gossipProtobufClient) Exchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Claims")
-	ctx = ctxsetters.WithMethodName(ctx, "Step")
-	caller := c.callStep
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+		caller = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimBatch)
+					typedReq, ok := req.(*ExchangeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
 					}
-					return c.callStep(ctx, typedReq)
+					return c.callExchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimBatch)
+				typedResp, ok := resp.(*ExchangeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3007,8 +4000,8 @@
 	return caller(ctx, in)
 }
 
-func (c *claimsProtobufClient) callStep(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
-	out := new(ClaimBatch)
+func (c *gossipProtobufClient) callExchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
+	out := new(ExchangeResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -3025,19 +4018,19 @@
 }
 
 // ==================
-// Claims JSON Client
+// Gossip JSON Client
 // ==================
 
-type claimsJSONClient struct {
+type gossipJSONClient struct {
 	client      HTTPClient
 	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewClaimsJSONClient creates a JSON client that implements the Claims interface.
+// NewGossipJSONClient creates a JSON client that implements the Gossip interface.
 // It communicates using JSON and can be configured with a custom HTTPClient.
-func NewClaimsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Claims {
+func NewGossipJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Gossip {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -3057,12 +4050,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Claims")
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Gossip")
 	urls := [1]string{
-		serviceURL + "Step",
+		serviceURL + "Exchange",
 	}
 
-	return &claimsJSONClient{
+	return &gossipJSONClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -3070,26 +4063,26 @@
 	}
 }
 
-func (c *claimsJSONClient) Step(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
+func (c *gossipJSONClient) Exchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Claims")
-	ctx = ctxsetters.WithMethodName(ctx, "Step")
-	caller := c.callStep
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+		caller = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimBatch)
+					typedReq, ok := req.(*ExchangeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
 					}
-					return c.callStep(ctx, typedReq)
+					return c.callExchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimBatch)
+				typedResp, ok := resp.(*ExchangeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3099,8 +4092,8 @@
 	return caller(ctx, in)
 }
 
-func (c *claimsJSONClient) callStep(ctx context.Context, in *ClaimBatch) (*ClaimBatch, error) {
-	out := new(ClaimBatch)
+func (c *gossipJSONClient) callExchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
+	out := new(ExchangeResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -3117,11 +4110,11 @@
 }
 
 // =====================
-// Claims Server Handler
+// Gossip Server Handler
 // =====================
 
-type claimsServer struct {
-	Claims
+type gossipServer struct {
+	Gossip
 	interceptor      twirp.Interceptor
 	hooks            *twirp.ServerHooks
 	pathPrefix       string // prefix for routing
@@ -3129,10 +4122,10 @@
 	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-// NewClaimsServer builds a TwirpServer that can be used as an http.Handler to handle
+// NewGossipServer builds a TwirpServer that can be used as an http.Handler to handle
 // HTTP requests that are routed to the right method in the provided svc implementation.
 // The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewClaimsServer(svc Claims, opts ...interface{}) TwirpServer {
+func NewGossipServer(svc Gossip, opts ...interface{}) TwirpServer {
 	serverOpts := newServerOpts(opts)
 
 	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
@@ -3145,8 +4138,8 @@
 		pathPrefix = "/twirp" // default prefix
 	}
 
-	return &claimsServer{
-		Claims:           svc,
+	return &gossipServer{
+		Gossip:           svc,
 		hooks:            serverOpts.Hooks,
 		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
 		pathPrefix:       pathPrefix,
@@ -3157,12 +4150,12 @@
 
 // writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
 // If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *claimsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+func (s *gossipServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
 	writeError(ctx, resp, err, s.hooks)
 }
 
 // handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *claimsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+func (s *gossipServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
 	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
@@ -3174,16 +4167,16 @@
 	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
 }
 
-// ClaimsPathPrefix is a convenience constant that may identify URL paths.
+// GossipPathPrefix is a convenience constant that may identify URL paths.
 // Should be used with caution, it only matches routes generated by Twirp Go clients,
 // with the default "/twirp" prefix and default CamelCase service and method names.
 // More info: https://twitchtv.github.io/twirp/docs/routing.html
-const ClaimsPathPrefix = "/twirp/balsamcourse.cluster.v1.Claims/"
+const GossipPathPrefix = "/twirp/balsamcourse.cluster.v1.Gossip/"
 
-func (s *claimsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
 	ctx := req.Context()
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Claims")
+	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
 	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
 	var err error
@@ -3201,7 +4194,7 @@
 
 	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
 	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.cluster.v1.Claims" {
+	if pkgService != "balsamcourse.cluster.v1.Gossip" {
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
@@ -3213,8 +4206,8 @@
 	}
 
 	switch method {
-	case "Step":
-		s.serveStep(ctx, resp, req)
+	case "Exchange":
+		s.serveExchange(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -3223,7 +4216,7 @@
 	}
 }
 
-func (s *claimsServer) serveStep(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchange(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -3231,9 +4224,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveStepJSON(ctx, resp, req)
+		s.serveExchangeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveStepProtobuf(ctx, resp, req)
+		s.serveExchangeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -3241,9 +4234,9 @@
 	}
 }
 
-func (s *claimsServer) serveStepJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchangeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Step")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -3256,29 +4249,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ClaimBatch)
+	reqContent := new(ExchangeRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Claims.Step
+	handler := s.Gossip.Exchange
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+		handler = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimBatch)
+					typedReq, ok := req.(*ExchangeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
 					}
-					return s.Claims.Step(ctx, typedReq)
+					return s.Gossip.Exchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimBatch)
+				typedResp, ok := resp.(*ExchangeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3287,7 +4280,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimBatch
+	var respContent *ExchangeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -3298,7 +4291,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimBatch and nil error while calling Step. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExchangeResponse and nil error while calling Exchange. nil responses are not supported"))
 		return
 	}
 
@@ -3324,9 +4317,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *claimsServer) serveStepProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchangeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Step")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -3338,28 +4331,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ClaimBatch)
+	reqContent := new(ExchangeRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Claims.Step
+	handler := s.Gossip.Exchange
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimBatch) (*ClaimBatch, error) {
+		handler = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimBatch)
+					typedReq, ok := req.(*ExchangeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimBatch) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
 					}
-					return s.Claims.Step(ctx, typedReq)
+					return s.Gossip.Exchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimBatch)
+				typedResp, ok := resp.(*ExchangeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimBatch) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3368,7 +4361,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimBatch
+	var respContent *ExchangeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -3379,7 +4372,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimBatch and nil error while calling Step. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExchangeResponse and nil error while calling Exchange. nil responses are not supported"))
 		return
 	}
 
@@ -3403,46 +4396,50 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 3
+func (s *gossipServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 5
 }
 
-func (s *claimsServer) ProtocGenTwirpVersion() string {
+func (s *gossipServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *claimsServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Claims")
+func (s *gossipServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Gossip")
 }
 
 // ================
-// Gossip Interface
+// Trials Interface
 // ================
 
-// Gossip distributes soft state among entry VMs: state that is not stored and
-// expires if it is not refreshed.
-type Gossip interface {
-	// Exchange exchanges crash reports and upstream announcements.
-	Exchange(context.Context, *ExchangeRequest) (*ExchangeResponse, error)
+// Trials is served by gateways. Each issues the permits for some requests that
+// are suspected of crashing upstreams: of the requests with the same fingerprint
+// only one attempt is in flight at a time, over all gateways.
+type Trials interface {
+	// Begin asks for the permit, or renews it.
+	Begin(context.Context, *BeginTrialRequest) (*BeginTrialResponse, error)
+
+	// End returns the permit.
+	End(context.Context, *EndTrialRequest) (*EndTrialResponse, error)
 }
 
 // ======================
-// Gossip Protobuf Client
+// Trials Protobuf Client
 // ======================
 
-type gossipProtobufClient struct {
+type trialsProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewGossipProtobufClient creates a Protobuf client that implements the Gossip interface.
+// NewTrialsProtobufClient creates a Protobuf client that implements the Trials interface.
 // It communicates using Protobuf and can be configured with a custom HTTPClient.
-func NewGossipProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Gossip {
+func NewTrialsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Trials {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -3462,12 +4459,13 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Gossip")
-	urls := [1]string{
-		serviceURL + "Exchange",
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Trials")
+	urls := [2]string{
+		serviceURL + "Begin",
+		serviceURL + "End",
 	}
 
-	return &gossipProtobufClient{
+	return &trialsProtobufClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -3475,26 +4473,26 @@
 	}
 }
 
-func (c *gossipProtobufClient) Exchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
+func (c *trialsProtobufClient) Begin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
-	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
-	caller := c.callExchange
+	ctx = ctxsetters.WithServiceName(ctx, "Trials")
+	ctx = ctxsetters.WithMethodName(ctx, "Begin")
+	caller := c.callBegin
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
+		caller = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ExchangeRequest)
+					typedReq, ok := req.(*BeginTrialRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
 					}
-					return c.callExchange(ctx, typedReq)
+					return c.callBegin(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ExchangeResponse)
+				typedResp, ok := resp.(*BeginTrialResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3504,8 +4502,8 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipProtobufClient) callExchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
-	out := new(ExchangeResponse)
+func (c *trialsProtobufClient) callBegin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
+	out := new(BeginTrialResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -3521,20 +4519,66 @@
 	return out, nil
 }
 
+func (c *trialsProtobufClient) End(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Trials")
+	ctx = ctxsetters.WithMethodName(ctx, "End")
+	caller := c.callEnd
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndTrialRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
+					}
+					return c.callEnd(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndTrialResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *trialsProtobufClient) callEnd(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
+	out := new(EndTrialResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
-// Gossip JSON Client
+// Trials JSON Client
 // ==================
 
-type gossipJSONClient struct {
+type trialsJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewGossipJSONClient creates a JSON client that implements the Gossip interface.
+// NewTrialsJSONClient creates a JSON client that implements the Trials interface.
 // It communicates using JSON and can be configured with a custom HTTPClient.
-func NewGossipJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Gossip {
+func NewTrialsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Trials {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -3554,39 +4598,86 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Gossip")
-	urls := [1]string{
-		serviceURL + "Exchange",
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Trials")
+	urls := [2]string{
+		serviceURL + "Begin",
+		serviceURL + "End",
+	}
+
+	return &trialsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *trialsJSONClient) Begin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Trials")
+	ctx = ctxsetters.WithMethodName(ctx, "Begin")
+	caller := c.callBegin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginTrialRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
+					}
+					return c.callBegin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginTrialResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
+}
 
-	return &gossipJSONClient{
-		client:      client,
-		urls:        urls,
-		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
-		opts:        clientOpts,
+func (c *trialsJSONClient) callBegin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
+	out := new(BeginTrialResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
 }
 
-func (c *gossipJSONClient) Exchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
+func (c *trialsJSONClient) End(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
-	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
-	caller := c.callExchange
+	ctx = ctxsetters.WithServiceName(ctx, "Trials")
+	ctx = ctxsetters.WithMethodName(ctx, "End")
+	caller := c.callEnd
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
+		caller = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ExchangeRequest)
+					typedReq, ok := req.(*EndTrialRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
 					}
-					return c.callExchange(ctx, typedReq)
+					return c.callEnd(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ExchangeResponse)
+				typedResp, ok := resp.(*EndTrialResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3596,9 +4687,9 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipJSONClient) callExchange(ctx context.Context, in *ExchangeRequest) (*ExchangeResponse, error) {
-	out := new(ExchangeResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+func (c *trialsJSONClient) callEnd(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
+	out := new(EndTrialResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -3614,11 +4705,11 @@
 }
 
 // =====================
-// Gossip Server Handler
+// Trials Server Handler
 // =====================
 
-type gossipServer struct {
-	Gossip
+type trialsServer struct {
+	Trials
 	interceptor      twirp.Interceptor
 	hooks            *twirp.ServerHooks
 	pathPrefix       string // prefix for routing
@@ -3626,10 +4717,10 @@
 	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-// NewGossipServer builds a TwirpServer that can be used as an http.Handler to handle
+// NewTrialsServer builds a TwirpServer that can be used as an http.Handler to handle
 // HTTP requests that are routed to the right method in the provided svc implementation.
 // The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewGossipServer(svc Gossip, opts ...interface{}) TwirpServer {
+func NewTrialsServer(svc Trials, opts ...interface{}) TwirpServer {
 	serverOpts := newServerOpts(opts)
 
 	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
@@ -3642,8 +4733,8 @@
 		pathPrefix = "/twirp" // default prefix
 	}
 
-	return &gossipServer{
-		Gossip:           svc,
+	return &trialsServer{
+		Trials:           svc,
 		hooks:            serverOpts.Hooks,
 		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
 		pathPrefix:       pathPrefix,
@@ -3654,12 +4745,12 @@
 
 // writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
 // If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *gossipServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+func (s *trialsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
 	writeError(ctx, resp, err, s.hooks)
 }
 
 // handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *gossipServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+func (s *trialsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
 	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
@@ -3671,16 +4762,16 @@
 	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
 }
 
-// GossipPathPrefix is a convenience constant that may identify URL paths.
+// TrialsPathPrefix is a convenience constant that may identify URL paths.
 // Should be used with caution, it only matches routes generated by Twirp Go clients,
 // with the default "/twirp" prefix and default CamelCase service and method names.
 // More info: https://twitchtv.github.io/twirp/docs/routing.html
-const GossipPathPrefix = "/twirp/balsamcourse.cluster.v1.Gossip/"
+const TrialsPathPrefix = "/twirp/balsamcourse.cluster.v1.Trials/"
 
-func (s *gossipServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+func (s *trialsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
 	ctx := req.Context()
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
+	ctx = ctxsetters.WithServiceName(ctx, "Trials")
 	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
 	var err error
@@ -3698,7 +4789,7 @@
 
 	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
 	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.cluster.v1.Gossip" {
+	if pkgService != "balsamcourse.cluster.v1.Trials" {
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
@@ -3710,8 +4801,11 @@
 	}
 
 	switch method {
-	case "Exchange":
-		s.serveExchange(ctx, resp, req)
+	case "Begin":
+		s.serveBegin(ctx, resp, req)
+		return
+	case "End":
+		s.serveEnd(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -3720,7 +4814,187 @@
 	}
 }
 
-func (s *gossipServer) serveExchange(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *trialsServer) serveBegin(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBeginJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBeginProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *trialsServer) serveBeginJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Begin")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BeginTrialRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Trials.Begin
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginTrialRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
+					}
+					return s.Trials.Begin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginTrialResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginTrialResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginTrialResponse and nil error while calling Begin. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *trialsServer) serveBeginProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Begin")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BeginTrialRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Trials.Begin
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginTrialRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
+					}
+					return s.Trials.Begin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginTrialResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginTrialResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginTrialResponse and nil error while calling Begin. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *trialsServer) serveEnd(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -3728,9 +5002,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveExchangeJSON(ctx, resp, req)
+		s.serveEndJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveExchangeProtobuf(ctx, resp, req)
+		s.serveEndProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -3738,9 +5012,9 @@
 	}
 }
 
-func (s *gossipServer) serveExchangeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *trialsServer) serveEndJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	ctx = ctxsetters.WithMethodName(ctx, "End")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -3753,29 +5027,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ExchangeRequest)
+	reqContent := new(EndTrialRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Gossip.Exchange
+	handler := s.Trials.End
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
+		handler = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ExchangeRequest)
+					typedReq, ok := req.(*EndTrialRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
 					}
-					return s.Gossip.Exchange(ctx, typedReq)
+					return s.Trials.End(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ExchangeResponse)
+				typedResp, ok := resp.(*EndTrialResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3784,7 +5058,7 @@
 	}
 
 	// Call service method
-	var respContent *ExchangeResponse
+	var respContent *EndTrialResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -3795,7 +5069,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExchangeResponse and nil error while calling Exchange. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndTrialResponse and nil error while calling End. nil responses are not supported"))
 		return
 	}
 
@@ -3821,9 +5095,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *gossipServer) serveExchangeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *trialsServer) serveEndProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	ctx = ctxsetters.WithMethodName(ctx, "End")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -3835,28 +5109,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ExchangeRequest)
+	reqContent := new(EndTrialRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Gossip.Exchange
+	handler := s.Trials.End
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
+		handler = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ExchangeRequest)
+					typedReq, ok := req.(*EndTrialRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ExchangeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
 					}
-					return s.Gossip.Exchange(ctx, typedReq)
+					return s.Trials.End(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ExchangeResponse)
+				typedResp, ok := resp.(*EndTrialResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ExchangeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -3865,7 +5139,7 @@
 	}
 
 	// Call service method
-	var respContent *ExchangeResponse
+	var respContent *EndTrialResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -3876,7 +5150,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ExchangeResponse and nil error while calling Exchange. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndTrialResponse and nil error while calling End. nil responses are not supported"))
 		return
 	}
 
@@ -3900,50 +5174,48 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *gossipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 4
+func (s *trialsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 6
 }
 
-func (s *gossipServer) ProtocGenTwirpVersion() string {
+func (s *trialsServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *gossipServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Gossip")
+func (s *trialsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Trials")
 }
 
-// ================
-// Trials Interface
-// ================
-
-// Trials is served by gateways. Each issues the permits for some requests that
-// are suspected of crashing upstreams: of the requests with the same fingerprint
-// only one attempt is in flight at a time, over all gateways.
-type Trials interface {
-	// Begin asks for the permit, or renews it.
-	Begin(context.Context, *BeginTrialRequest) (*BeginTrialResponse, error)
+// =================
+// Permits Interface
+// =================
 
-	// End returns the permit.
-	End(context.Context, *EndTrialRequest) (*EndTrialResponse, error)
+// Permits is served by gateways. Each issues the permits for some upstreams
+// that take only so many requests per second from all gateways together: those
+// that name a rate limit, and those in cold start.
+type Permits interface {
+	// Acquire reports what the sender knows of the rate limit of an upstream, and
+	// asks for a permit to send it requests.
+	Acquire(context.Context, *AcquirePermitRequest) (*AcquirePermitResponse, error)
 }
 
-// ======================
-// Trials Protobuf Client
-// ======================
+// =======================
+// Permits Protobuf Client
+// =======================
 
-type trialsProtobufClient struct {
+type permitsProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewTrialsProtobufClient creates a Protobuf client that implements the Trials interface.
+// NewPermitsProtobufClient creates a Protobuf client that implements the Permits interface.
 // It communicates using Protobuf and can be configured with a custom HTTPClient.
-func NewTrialsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Trials {
+func NewPermitsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Permits {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -3963,13 +5235,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Trials")
-	urls := [2]string{
-		serviceURL + "Begin",
-		serviceURL + "End",
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Permits")
+	urls := [1]string{
+		serviceURL + "Acquire",
 	}
 
-	return &trialsProtobufClient{
+	return &permitsProtobufClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -3977,26 +5248,26 @@
 	}
 }
 
-func (c *trialsProtobufClient) Begin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
+func (c *permitsProtobufClient) Acquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Trials")
-	ctx = ctxsetters.WithMethodName(ctx, "Begin")
-	caller := c.callBegin
+	ctx = ctxsetters.WithServiceName(ctx, "Permits")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	caller := c.callAcquire
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
+		caller = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BeginTrialRequest)
+					typedReq, ok := req.(*AcquirePermitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
 					}
-					return c.callBegin(ctx, typedReq)
+					return c.callAcquire(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*BeginTrialResponse)
+				typedResp, ok := resp.(*AcquirePermitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4006,8 +5277,8 @@
 	return caller(ctx, in)
 }
 
-func (c *trialsProtobufClient) callBegin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
-	out := new(BeginTrialResponse)
+func (c *permitsProtobufClient) callAcquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+	out := new(AcquirePermitResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -4023,165 +5294,72 @@
 	return out, nil
 }
 
-func (c *trialsProtobufClient) End(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Trials")
-	ctx = ctxsetters.WithMethodName(ctx, "End")
-	caller := c.callEnd
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*EndTrialRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
-					}
-					return c.callEnd(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*EndTrialResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *trialsProtobufClient) callEnd(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
-	out := new(EndTrialResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-// ==================
-// Trials JSON Client
-// ==================
+// ===================
+// Permits JSON Client
+// ===================
 
-type trialsJSONClient struct {
+type permitsJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewTrialsJSONClient creates a JSON client that implements the Trials interface.
+// NewPermitsJSONClient creates a JSON client that implements the Permits interface.
 // It communicates using JSON and can be configured with a custom HTTPClient.
-func NewTrialsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Trials {
+func NewPermitsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Permits {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
 
 	clientOpts := twirp.ClientOptions{}
-	for _, o := range opts {
-		o(&clientOpts)
-	}
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	literalURLs := false
-	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
-	var pathPrefix string
-	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
-	}
-
-	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
-	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Trials")
-	urls := [2]string{
-		serviceURL + "Begin",
-		serviceURL + "End",
-	}
-
-	return &trialsJSONClient{
-		client:      client,
-		urls:        urls,
-		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
-		opts:        clientOpts,
-	}
-}
-
-func (c *trialsJSONClient) Begin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Trials")
-	ctx = ctxsetters.WithMethodName(ctx, "Begin")
-	caller := c.callBegin
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BeginTrialRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
-					}
-					return c.callBegin(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*BeginTrialResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
+	for _, o := range opts {
+		o(&clientOpts)
 	}
-	return caller(ctx, in)
-}
 
-func (c *trialsJSONClient) callBegin(ctx context.Context, in *BeginTrialRequest) (*BeginTrialResponse, error) {
-	out := new(BeginTrialResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
 	}
 
-	callClientResponseReceived(ctx, c.opts.Hooks)
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Permits")
+	urls := [1]string{
+		serviceURL + "Acquire",
+	}
 
-	return out, nil
+	return &permitsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
 }
 
-func (c *trialsJSONClient) End(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
+func (c *permitsJSONClient) Acquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Trials")
-	ctx = ctxsetters.WithMethodName(ctx, "End")
-	caller := c.callEnd
+	ctx = ctxsetters.WithServiceName(ctx, "Permits")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	caller := c.callAcquire
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
+		caller = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*EndTrialRequest)
+					typedReq, ok := req.(*AcquirePermitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
 					}
-					return c.callEnd(ctx, typedReq)
+					return c.callAcquire(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*EndTrialResponse)
+				typedResp, ok := resp.(*AcquirePermitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4191,9 +5369,9 @@
 	return caller(ctx, in)
 }
 
-func (c *trialsJSONClient) callEnd(ctx context.Context, in *EndTrialRequest) (*EndTrialResponse, error) {
-	out := new(EndTrialResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+func (c *permitsJSONClient) callAcquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+	out := new(AcquirePermitResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -4208,12 +5386,12 @@
 	return out, nil
 }
 
-// =====================
-// Trials Server Handler
-// =====================
+// ======================
+// Permits Server Handler
+// ======================
 
-type trialsServer struct {
-	Trials
+type permitsServer struct {
+	Permits
 	interceptor      twirp.Interceptor
 	hooks            *twirp.ServerHooks
 	pathPrefix       string // prefix for routing
@@ -4221,10 +5399,10 @@
 	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-// NewTrialsServer builds a TwirpServer that can be used as an http.Handler to handle
+// NewPermitsServer builds a TwirpServer that can be used as an http.Handler to handle
 // HTTP requests that are routed to the right method in the provided svc implementation.
 // The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewTrialsServer(svc Trials, opts ...interface{}) TwirpServer {
+func NewPermitsServer(svc Permits, opts ...interface{}) TwirpServer {
 	serverOpts := newServerOpts(opts)
 
 	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
@@ -4237,8 +5415,8 @@
 		pathPrefix = "/twirp" // default prefix
 	}
 
-	return &trialsServer{
-		Trials:           svc,
+	return &permitsServer{
+		Permits:          svc,
 		hooks:            serverOpts.Hooks,
 		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
 		pathPrefix:       pathPrefix,
@@ -4249,256 +5427,73 @@
 
 // writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
 // If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *trialsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+func (s *permitsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
 	writeError(ctx, resp, err, s.hooks)
 }
 
 // handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *trialsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+func (s *permitsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
 	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
 	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
-	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
-}
-
-// TrialsPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const TrialsPathPrefix = "/twirp/balsamcourse.cluster.v1.Trials/"
-
-func (s *trialsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
-	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Trials")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
-
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-
-	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
-	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.cluster.v1.Trials" {
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-	if prefix != s.pathPrefix {
-		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-
-	switch method {
-	case "Begin":
-		s.serveBegin(ctx, resp, req)
-		return
-	case "End":
-		s.serveEnd(ctx, resp, req)
-		return
-	default:
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-}
-
-func (s *trialsServer) serveBegin(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveBeginJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveBeginProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
-}
-
-func (s *trialsServer) serveBeginJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Begin")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(BeginTrialRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-
-	handler := s.Trials.Begin
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BeginTrialRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
-					}
-					return s.Trials.Begin(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*BeginTrialResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *BeginTrialResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginTrialResponse and nil error while calling Begin. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *trialsServer) serveBeginProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Begin")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(BeginTrialRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
 		return
 	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
 
-	handler := s.Trials.Begin
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *BeginTrialRequest) (*BeginTrialResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BeginTrialRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BeginTrialRequest) when calling interceptor")
-					}
-					return s.Trials.Begin(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*BeginTrialResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BeginTrialResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
+// PermitsPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const PermitsPathPrefix = "/twirp/balsamcourse.cluster.v1.Permits/"
 
-	// Call service method
-	var respContent *BeginTrialResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
+func (s *permitsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Permits")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginTrialResponse and nil error while calling Begin. nil responses are not supported"))
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "balsamcourse.cluster.v1.Permits" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
+	switch method {
+	case "Acquire":
+		s.serveAcquire(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
 	}
-	callResponseSent(ctx, s.hooks)
 }
 
-func (s *trialsServer) serveEnd(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *permitsServer) serveAcquire(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -4506,9 +5501,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveEndJSON(ctx, resp, req)
+		s.serveAcquireJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveEndProtobuf(ctx, resp, req)
+		s.serveAcquireProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -4516,9 +5511,9 @@
 	}
 }
 
-func (s *trialsServer) serveEndJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *permitsServer) serveAcquireJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "End")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -4531,29 +5526,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(EndTrialRequest)
+	reqContent := new(AcquirePermitRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Trials.End
+	handler := s.Permits.Acquire
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
+		handler = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*EndTrialRequest)
+					typedReq, ok := req.(*AcquirePermitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
 					}
-					return s.Trials.End(ctx, typedReq)
+					return s.Permits.Acquire(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*EndTrialResponse)
+				typedResp, ok := resp.(*AcquirePermitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4562,7 +5557,7 @@
 	}
 
 	// Call service method
-	var respContent *EndTrialResponse
+	var respContent *AcquirePermitResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -4573,7 +5568,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndTrialResponse and nil error while calling End. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquirePermitResponse and nil error while calling Acquire. nil responses are not supported"))
 		return
 	}
 
@@ -4599,9 +5594,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *trialsServer) serveEndProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *permitsServer) serveAcquireProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "End")
+	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -4613,28 +5608,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(EndTrialRequest)
+	reqContent := new(AcquirePermitRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Trials.End
+	handler := s.Permits.Acquire
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *EndTrialRequest) (*EndTrialResponse, error) {
+		handler = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*EndTrialRequest)
+					typedReq, ok := req.(*AcquirePermitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*EndTrialRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
 					}
-					return s.Trials.End(ctx, typedReq)
+					return s.Permits.Acquire(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*EndTrialResponse)
+				typedResp, ok := resp.(*AcquirePermitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*EndTrialResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4643,7 +5638,7 @@
 	}
 
 	// Call service method
-	var respContent *EndTrialResponse
+	var respContent *AcquirePermitResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -4654,7 +5649,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndTrialResponse and nil error while calling End. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquirePermitResponse and nil error while calling Acquire. nil responses are not supported"))
 		return
 	}
 
@@ -4678,48 +5673,46 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *trialsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 5
+func (s *permitsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 7
 }
 
-func (s *trialsServer) ProtocGenTwirpVersion() string {
+func (s *permitsServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *trialsServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Trials")
+func (s *permitsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Permits")
 }
 
-// =================
-// Permits Interface
-// =================
+// ====================
+// Allotments Interface
+// ====================
 
-// Permits is served by gateways. Each issues the permits for some upstreams
-// that take only so many requests per second from all gateways together: those
-// that name a rate limit, and those in cold start.
-type Permits interface {
-	// Acquire reports what the sender knows of the rate limit of an upstream, and
-	// asks for a permit to send it requests.
-	Acquire(context.Context, *AcquirePermitRequest) (*AcquirePermitResponse, error)
+// Allotments is served by gateways. Each issues the permits for the requests of some
+// organisations, whose sum over all gateways is limited.
+type Allotments interface {
+	// Take asks for permits and hands back those that were not used.
+	Take(context.Context, *TakeAllotmentRequest) (*TakeAllotmentResponse, error)
 }
 
-// =======================
-// Permits Protobuf Client
-// =======================
+// ==========================
+// Allotments Protobuf Client
+// ==========================
 
-type permitsProtobufClient struct {
+type allotmentsProtobufClient struct {
 	client      HTTPClient
 	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewPermitsProtobufClient creates a Protobuf client that implements the Permits interface.
+// NewAllotmentsProtobufClient creates a Protobuf client that implements the Allotments interface.
 // It communicates using Protobuf and can be configured with a custom HTTPClient.
-func NewPermitsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Permits {
+func NewAllotmentsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Allotments {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -4739,12 +5732,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Permits")
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Allotments")
 	urls := [1]string{
-		serviceURL + "Acquire",
+		serviceURL + "Take",
 	}
 
-	return &permitsProtobufClient{
+	return &allotmentsProtobufClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -4752,26 +5745,26 @@
 	}
 }
 
-func (c *permitsProtobufClient) Acquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+func (c *allotmentsProtobufClient) Take(ctx context.Context, in *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Permits")
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
-	caller := c.callAcquire
+	ctx = ctxsetters.WithServiceName(ctx, "Allotments")
+	ctx = ctxsetters.WithMethodName(ctx, "Take")
+	caller := c.callTake
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+		caller = func(ctx context.Context, req *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquirePermitRequest)
+					typedReq, ok := req.(*TakeAllotmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TakeAllotmentRequest) when calling interceptor")
 					}
-					return c.callAcquire(ctx, typedReq)
+					return c.callTake(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquirePermitResponse)
+				typedResp, ok := resp.(*TakeAllotmentResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeAllotmentResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4781,8 +5774,8 @@
 	return caller(ctx, in)
 }
 
-func (c *permitsProtobufClient) callAcquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
-	out := new(AcquirePermitResponse)
+func (c *allotmentsProtobufClient) callTake(ctx context.Context, in *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
+	out := new(TakeAllotmentResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -4798,20 +5791,20 @@
 	return out, nil
 }
 
-// ===================
-// Permits JSON Client
-// ===================
+// ======================
+// Allotments JSON Client
+// ======================
 
-type permitsJSONClient struct {
+type allotmentsJSONClient struct {
 	client      HTTPClient
 	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
 
-// NewPermitsJSONClient creates a JSON client that implements the Permits interface.
+// NewAllotmentsJSONClient creates a JSON client that implements the Allotments interface.
 // It communicates using JSON and can be configured with a custom HTTPClient.
-func NewPermitsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Permits {
+func NewAllotmentsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Allotments {
 	if c, ok := client.(*http.Client); ok {
 		client = withoutRedirects(c)
 	}
@@ -4831,12 +5824,12 @@
 
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Permits")
+	serviceURL += baseServicePath(pathPrefix, "balsamcourse.cluster.v1", "Allotments")
 	urls := [1]string{
-		serviceURL + "Acquire",
+		serviceURL + "Take",
 	}
 
-	return &permitsJSONClient{
+	return &allotmentsJSONClient{
 		client:      client,
 		urls:        urls,
 		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
@@ -4844,26 +5837,26 @@
 	}
 }
 
-func (c *permitsJSONClient) Acquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+func (c *allotmentsJSONClient) Take(ctx context.Context, in *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Permits")
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
-	caller := c.callAcquire
+	ctx = ctxsetters.WithServiceName(ctx, "Allotments")
+	ctx = ctxsetters.WithMethodName(ctx, "Take")
+	caller := c.callTake
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+		caller = func(ctx context.Context, req *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquirePermitRequest)
+					typedReq, ok := req.(*TakeAllotmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TakeAllotmentRequest) when calling interceptor")
 					}
-					return c.callAcquire(ctx, typedReq)
+					return c.callTake(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquirePermitResponse)
+				typedResp, ok := resp.(*TakeAllotmentResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeAllotmentResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -4873,8 +5866,8 @@
 	return caller(ctx, in)
 }
 
-func (c *permitsJSONClient) callAcquire(ctx context.Context, in *AcquirePermitRequest) (*AcquirePermitResponse, error) {
-	out := new(AcquirePermitResponse)
+func (c *allotmentsJSONClient) callTake(ctx context.Context, in *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
+	out := new(TakeAllotmentResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -4890,12 +5883,12 @@
 	return out, nil
 }
 
-// ======================
-// Permits Server Handler
-// ======================
+// =========================
+// Allotments Server Handler
+// =========================
 
-type permitsServer struct {
-	Permits
+type allotmentsServer struct {
+	Allotments
 	interceptor      twirp.Interceptor
 	hooks            *twirp.ServerHooks
 	pathPrefix       string // prefix for routing
@@ -4903,10 +5896,10 @@
 	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-// NewPermitsServer builds a TwirpServer that can be used as an http.Handler to handle
+// NewAllotmentsServer builds a TwirpServer that can be used as an http.Handler to handle
 // HTTP requests that are routed to the right method in the provided svc implementation.
 // The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewPermitsServer(svc Permits, opts ...interface{}) TwirpServer {
+func NewAllotmentsServer(svc Allotments, opts ...interface{}) TwirpServer {
 	serverOpts := newServerOpts(opts)
 
 	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
@@ -4919,8 +5912,8 @@
 		pathPrefix = "/twirp" // default prefix
 	}
 
-	return &permitsServer{
-		Permits:          svc,
+	return &allotmentsServer{
+		Allotments:       svc,
 		hooks:            serverOpts.Hooks,
 		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
 		pathPrefix:       pathPrefix,
@@ -4931,12 +5924,12 @@
 
 // writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
 // If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *permitsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+func (s *allotmentsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
 	writeError(ctx, resp, err, s.hooks)
 }
 
 // handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *permitsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+func (s *allotmentsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
 	if context.Canceled == ctx.Err() {
 		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
@@ -4948,16 +5941,16 @@
 	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
 }
 
-// PermitsPathPrefix is a convenience constant that may identify URL paths.
+// AllotmentsPathPrefix is a convenience constant that may identify URL paths.
 // Should be used with caution, it only matches routes generated by Twirp Go clients,
 // with the default "/twirp" prefix and default CamelCase service and method names.
 // More info: https://twitchtv.github.io/twirp/docs/routing.html
-const PermitsPathPrefix = "/twirp/balsamcourse.cluster.v1.Permits/"
+const AllotmentsPathPrefix = "/twirp/balsamcourse.cluster.v1.Allotments/"
 
-func (s *permitsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+func (s *allotmentsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
 	ctx := req.Context()
 	ctx = ctxsetters.WithPackageName(ctx, "balsamcourse.cluster.v1")
-	ctx = ctxsetters.WithServiceName(ctx, "Permits")
+	ctx = ctxsetters.WithServiceName(ctx, "Allotments")
 	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
 	var err error
@@ -4975,7 +5968,7 @@
 
 	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
 	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "balsamcourse.cluster.v1.Permits" {
+	if pkgService != "balsamcourse.cluster.v1.Allotments" {
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
@@ -4987,8 +5980,8 @@
 	}
 
 	switch method {
-	case "Acquire":
-		s.serveAcquire(ctx, resp, req)
+	case "Take":
+		s.serveTake(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -4997,7 +5990,7 @@
 	}
 }
 
-func (s *permitsServer) serveAcquire(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *allotmentsServer) serveTake(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -5005,9 +5998,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveAcquireJSON(ctx, resp, req)
+		s.serveTakeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveAcquireProtobuf(ctx, resp, req)
+		s.serveTakeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -5015,9 +6008,9 @@
 	}
 }
 
-func (s *permitsServer) serveAcquireJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *allotmentsServer) serveTakeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx = ctxsetters.WithMethodName(ctx, "Take")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -5030,29 +6023,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(AcquirePermitRequest)
+	reqContent := new(TakeAllotmentRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Permits.Acquire
+	handler := s.Allotments.Take
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+		handler = func(ctx context.Context, req *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquirePermitRequest)
+					typedReq, ok := req.(*TakeAllotmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TakeAllotmentRequest) when calling interceptor")
 					}
-					return s.Permits.Acquire(ctx, typedReq)
+					return s.Allotments.Take(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquirePermitResponse)
+				typedResp, ok := resp.(*TakeAllotmentResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeAllotmentResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -5061,7 +6054,7 @@
 	}
 
 	// Call service method
-	var respContent *AcquirePermitResponse
+	var respContent *TakeAllotmentResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -5072,7 +6065,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquirePermitResponse and nil error while calling Acquire. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeAllotmentResponse and nil error while calling Take. nil responses are not supported"))
 		return
 	}
 
@@ -5098,9 +6091,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *permitsServer) serveAcquireProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *allotmentsServer) serveTakeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Acquire")
+	ctx = ctxsetters.WithMethodName(ctx, "Take")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
