@@ -5112,28 +6105,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(AcquirePermitRequest)
+	reqContent := new(TakeAllotmentRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Permits.Acquire
+	handler := s.Allotments.Take
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AcquirePermitRequest) (*AcquirePermitResponse, error) {
+		handler = func(ctx context.Context, req *TakeAllotmentRequest) (*TakeAllotmentResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AcquirePermitRequest)
+					typedReq, ok := req.(*TakeAllotmentRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AcquirePermitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TakeAllotmentRequest) when calling interceptor")
 					}
-					return s.Permits.Acquire(ctx, typedReq)
+					return s.Allotments.Take(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AcquirePermitResponse)
+				typedResp, ok := resp.(*TakeAllotmentResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AcquirePermitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeAllotmentResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -5142,7 +6135,7 @@
 	}
 
 	// Call service method
-	var respContent *AcquirePermitResponse
+	var respContent *TakeAllotmentResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -5153,7 +6146,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcquirePermitResponse and nil error while calling Acquire. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeAllotmentResponse and nil error while calling Take. nil responses are not supported"))
 		return
 	}
 
@@ -5177,19 +6170,19 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *permitsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 6
+func (s *allotmentsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 8
 }
 
-func (s *permitsServer) ProtocGenTwirpVersion() string {
+func (s *allotmentsServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *permitsServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Permits")
+func (s *allotmentsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "balsamcourse.cluster.v1", "Allotments")
 }
 
 // =====
@@ -5758,218 +6751,251 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 3397 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x5a, 0xcb, 0x6f, 0x1b, 0xc9,
-	0xd1, 0xff, 0x86, 0x6f, 0x16, 0x49, 0x89, 0x6e, 0xcb, 0x36, 0xfd, 0xd6, 0x8e, 0xd7, 0x5e, 0xad,
-	0xf7, 0xfb, 0xec, 0x6f, 0xb5, 0x1f, 0xf0, 0x65, 0x5f, 0x46, 0x68, 0x91, 0x5e, 0x2b, 0x96, 0x28,
-	0xa1, 0x29, 0xed, 0x62, 0x17, 0x0b, 0x4c, 0x46, 0x33, 0x2d, 0x72, 0xa2, 0xe1, 0x0c, 0x3d, 0x33,
-	0x94, 0xac, 0x20, 0xc7, 0x3c, 0x0e, 0x01, 0x82, 0x4d, 0x82, 0x1c, 0x02, 0x24, 0xa7, 0x5c, 0x16,
-	0xc1, 0x1e, 0x72, 0xc8, 0x25, 0xa7, 0x20, 0x97, 0x5c, 0x73, 0x0c, 0xf2, 0x87, 0xe4, 0x96, 0x43,
-	0xd0, 0xd5, 0xdd, 0x33, 0x43, 0x8a, 0x0f, 0xd9, 0xce, 0x6d, 0xaa, 0xfa, 0x55, 0xfd, 0xab, 0x5f,
-	0x57, 0x57, 0x17, 0x09, 0x0d, 0xcb, 0x1d, 0x85, 0x11, 0x0b, 0x1e, 0x1e, 0xbf, 0xfb, 0x50, 0x7e,
-	0x3e, 0x18, 0x06, 0x7e, 0xe4, 0x93, 0x2b, 0x07, 0xa6, 0x1b, 0x9a, 0x03, 0xcb, 0x1f, 0x05, 0x21,
-	0x7b, 0xa0, 0xda, 0x8e, 0xdf, 0xbd, 0xd6, 0xb0, 0xcc, 0xc8, 0x74, 0xfd, 0x1e, 0x0e, 0x11, 0x9f,
-	0x62, 0x88, 0xfe, 0x67, 0x0d, 0x96, 0x36, 0x7c, 0x2f, 0x64, 0x5e, 0x38, 0x0a, 0x1f, 0x9b, 0x91,
-	0xd5, 0x27, 0x04, 0x72, 0x87, 0x81, 0x3f, 0x68, 0x68, 0xab, 0xda, 0x5a, 0x8e, 0xe2, 0x37, 0x69,
-	0x43, 0x69, 0xc0, 0xc2, 0xd0, 0xec, 0xb1, 0xb0, 0x91, 0x59, 0xcd, 0xae, 0x55, 0xd6, 0xdf, 0x7e,
-	0x30, 0x63, 0xb1, 0x07, 0xf1, 0x74, 0xdb, 0x62, 0x04, 0x8d, 0x87, 0x12, 0x0a, 0xcb, 0x43, 0xd3,
-	0x3a, 0x62, 0xb6, 0x11, 0xcf, 0xb6, 0xf2, 0xb2, 0xb3, 0x2d, 0x89, 0x19, 0xa4, 0x18, 0xea, 0x3f,
-	0x80, 0x6a, 0xdc, 0xa7, 0x69, 0x1d, 0x8d, 0x99, 0xaa, 0xbd, 0xba, 0xa9, 0x77, 0x61, 0xc9, 0xb4,
-	0x2c, 0x36, 0x8c, 0x42, 0x43, 0x2c, 0xd8, 0x58, 0x59, 0xd5, 0xd6, 0x4a, 0xb4, 0x26, 0xb5, 0xbb,
-	0xa8, 0xd4, 0xbf, 0xd6, 0xa0, 0xb4, 0xe5, 0xf7, 0xda, 0x5e, 0x14, 0x9c, 0x72, 0xe4, 0x22, 0x16,
-	0xc4, 0xc8, 0xf1, 0x6f, 0xb2, 0x02, 0x79, 0xc7, 0xb3, 0xd9, 0x8b, 0x46, 0x06, 0x95, 0x42, 0xe0,
-	0x3d, 0x6d, 0x33, 0x32, 0x1b, 0xd9, 0x55, 0x6d, 0xad, 0x4a, 0xf1, 0x9b, 0x7c, 0x0c, 0xc5, 0x01,
-	0x1b, 0x1c, 0xb0, 0x20, 0x6c, 0xe4, 0x56, 0xb5, 0xb5, 0xca, 0xfa, 0x9d, 0x99, 0x76, 0x6f, 0x8b,
-	0x7e, 0x7d, 0x67, 0x48, 0xd5, 0x18, 0x72, 0x1b, 0x2a, 0x12, 0x5b, 0x9c, 0x79, 0x05, 0x67, 0x06,
-	0xa1, 0x6a, 0x99, 0x91, 0xa9, 0x77, 0x00, 0x92, 0x71, 0xe4, 0xdb, 0xc9, 0x6a, 0x02, 0xa5, 0x7b,
-	0x13, 0xab, 0x49, 0x9a, 0x08, 0x94, 0xa2, 0xc0, 0x77, 0xc5, 0xe0, 0x78, 0x41, 0xfd, 0x2b, 0x0d,
-	0x2e, 0xc4, 0x00, 0x76, 0x3d, 0x73, 0x18, 0xf6, 0xfd, 0x28, 0xd9, 0xaf, 0x36, 0xb1, 0x5f, 0x44,
-	0x26, 0x93, 0x42, 0x26, 0xb5, 0xdf, 0xec, 0x2b, 0xec, 0x57, 0x41, 0x98, 0x4b, 0x20, 0xd4, 0xff,
-	0x94, 0x83, 0xfa, 0xa4, 0x4f, 0xc9, 0xb7, 0x20, 0x77, 0xe4, 0x78, 0x36, 0x1a, 0xb4, 0xb4, 0xfe,
-	0xe6, 0x9c, 0x45, 0xb0, 0xff, 0x33, 0xc7, 0xb3, 0x29, 0x8e, 0x88, 0x4f, 0x42, 0x26, 0x75, 0x12,
-	0x96, 0x20, 0x13, 0xf9, 0x68, 0x70, 0x8e, 0x66, 0x22, 0x3f, 0xde, 0x59, 0x2e, 0xb5, 0xb3, 0xeb,
-	0x50, 0x76, 0xfd, 0x9e, 0x21, 0x70, 0xc8, 0x63, 0x43, 0xc9, 0xf5, 0x7b, 0x9b, 0x08, 0xc5, 0x55,
-	0xe0, 0xdf, 0x06, 0x0e, 0x2a, 0x60, 0x5b, 0xd1, 0xf5, 0x7b, 0x7b, 0x7c, 0xdc, 0x65, 0x28, 0x58,
-	0xfe, 0x60, 0xe0, 0x44, 0x8d, 0x22, 0x36, 0x48, 0x89, 0x7c, 0x08, 0x45, 0xe6, 0x45, 0x81, 0xc3,
-	0xc2, 0x46, 0x09, 0x7d, 0xf5, 0xc6, 0xcc, 0x4d, 0x28, 0x2e, 0x52, 0x35, 0x82, 0x4f, 0x1a, 0xb0,
-	0xef, 0x31, 0x2b, 0x6a, 0x94, 0x91, 0xc0, 0x52, 0xe2, 0x7c, 0x11, 0x5f, 0x46, 0xdf, 0xf1, 0xa2,
-	0x06, 0xe0, 0x8a, 0x20, 0x54, 0x4f, 0x1d, 0x0f, 0x3d, 0x19, 0xf8, 0x23, 0xcf, 0x6e, 0x54, 0x84,
-	0x27, 0x51, 0x20, 0x4f, 0xa0, 0x14, 0x4a, 0x5f, 0x37, 0xaa, 0xe8, 0xb6, 0xfb, 0x8b, 0x8f, 0x97,
-	0x62, 0x07, 0x8d, 0xc7, 0x72, 0x8c, 0x38, 0x9e, 0x86, 0xed, 0x84, 0x47, 0x8d, 0x9a, 0xc0, 0x88,
-	0x2b, 0x5a, 0x4e, 0x78, 0x44, 0xae, 0x40, 0x31, 0xf2, 0x45, 0xd3, 0x92, 0x40, 0x22, 0xf2, 0xb1,
-	0xa1, 0x09, 0xe5, 0x43, 0x3f, 0x18, 0x98, 0x91, 0xe3, 0x7b, 0x8d, 0xe5, 0xf3, 0xb3, 0x26, 0x19,
-	0xc5, 0xf1, 0xe0, 0x02, 0xb3, 0x1b, 0x75, 0x81, 0x87, 0x90, 0xf4, 0xdf, 0xe6, 0xa0, 0x4a, 0x99,
-	0xc7, 0x4e, 0x28, 0x7b, 0x3e, 0x62, 0x61, 0x44, 0xfe, 0x0f, 0xf2, 0x1c, 0xc3, 0x53, 0x24, 0x4e,
-	0x65, 0xfd, 0xd6, 0xcc, 0xf3, 0x21, 0x00, 0x17, 0x9d, 0xc9, 0x35, 0x28, 0x05, 0xec, 0xd8, 0x09,
-	0xb9, 0x81, 0x82, 0x37, 0xb1, 0xcc, 0xb7, 0x75, 0x62, 0x3a, 0x91, 0x31, 0x10, 0x8c, 0xaf, 0xd1,
-	0x02, 0x17, 0xb7, 0x43, 0xd2, 0x80, 0x62, 0xc0, 0x5c, 0xf3, 0x94, 0xd9, 0xc8, 0xa3, 0x12, 0x55,
-	0x22, 0xb7, 0x36, 0x3c, 0xf5, 0x2c, 0x66, 0x23, 0x8f, 0x4a, 0x54, 0x4a, 0xe4, 0x1d, 0xb8, 0x20,
-	0x02, 0x11, 0xb3, 0x8d, 0x78, 0x3d, 0x41, 0xa7, 0xba, 0x6a, 0xa0, 0x6a, 0xdd, 0xab, 0x50, 0x7a,
-	0x3e, 0x72, 0x18, 0x2e, 0x5c, 0xc4, 0x85, 0x8b, 0x28, 0x6f, 0x87, 0xe4, 0x0d, 0xa8, 0x86, 0x2c,
-	0x38, 0x66, 0xa1, 0x11, 0x46, 0xa6, 0xcb, 0x1a, 0x25, 0x5c, 0xa5, 0x22, 0x74, 0x5d, 0xae, 0x9a,
-	0x12, 0x09, 0xcb, 0x53, 0x22, 0x21, 0xdf, 0xb8, 0x13, 0xfa, 0xae, 0x19, 0x31, 0x1b, 0xc9, 0x54,
-	0xa2, 0xb1, 0x4c, 0xee, 0x40, 0x4d, 0x7d, 0x1b, 0x7d, 0x33, 0xec, 0x23, 0xa5, 0x0a, 0xb4, 0xaa,
-	0x94, 0x4f, 0xcd, 0xb0, 0x4f, 0xfe, 0x17, 0x56, 0xc6, 0xd7, 0xe1, 0x26, 0x45, 0x4c, 0xc6, 0x5d,
-	0x32, 0xb6, 0x5a, 0x97, 0xb7, 0xf0, 0x69, 0x4f, 0x4c, 0x2f, 0x0a, 0x0d, 0x15, 0x47, 0x2e, 0x61,
-	0xd7, 0x2a, 0x2a, 0xa5, 0xf7, 0x39, 0x8d, 0x0f, 0x46, 0x8e, 0x6b, 0x37, 0x2e, 0xaf, 0x6a, 0x6b,
-	0x65, 0x2a, 0x84, 0x29, 0x8b, 0xd9, 0xcc, 0x8d, 0xcc, 0xc6, 0xda, 0x94, 0xc5, 0x5a, 0xbc, 0x45,
-	0xff, 0x47, 0x0e, 0x6a, 0x92, 0x1f, 0xe1, 0x90, 0x13, 0x1b, 0x4f, 0x32, 0x33, 0x43, 0xc6, 0x61,
-	0xd5, 0x04, 0xac, 0x28, 0x6f, 0x87, 0xe4, 0xff, 0xf9, 0x49, 0xf6, 0x0e, 0x9d, 0x1e, 0x72, 0xa0,
-	0xb2, 0x7e, 0x7b, 0x5e, 0x70, 0x3d, 0x74, 0x7a, 0x54, 0x76, 0x1f, 0xa3, 0x4f, 0x76, 0x82, 0x3e,
-	0x53, 0x7d, 0x9e, 0x9b, 0xe1, 0xf3, 0xbb, 0xb0, 0xe4, 0x32, 0xd3, 0x66, 0x81, 0x61, 0xda, 0x76,
-	0xc0, 0xc2, 0x10, 0x09, 0x54, 0xa6, 0x35, 0xa1, 0x6d, 0x0a, 0x25, 0x9f, 0xd3, 0x12, 0xe1, 0x5d,
-	0xf5, 0x63, 0x61, 0xa3, 0xb0, 0x9a, 0x5d, 0x2b, 0xd3, 0xba, 0x6c, 0x68, 0x2a, 0x3d, 0xf9, 0x00,
-	0xf2, 0x02, 0xa5, 0x22, 0x6e, 0xea, 0xcd, 0x05, 0x9b, 0x42, 0xdc, 0xa8, 0x18, 0x82, 0x44, 0x76,
-	0x5c, 0xe6, 0x45, 0x18, 0xc2, 0xca, 0x54, 0x4a, 0xe4, 0x21, 0x5c, 0x8c, 0x37, 0xc5, 0x8e, 0x59,
-	0x70, 0x7a, 0xd2, 0x67, 0x01, 0x43, 0x8a, 0xe5, 0x94, 0x1f, 0x98, 0xdd, 0x8e, 0x5b, 0xb8, 0xd3,
-	0xa5, 0xc7, 0x24, 0xc2, 0x80, 0x17, 0x40, 0x55, 0x28, 0x37, 0x62, 0x18, 0x63, 0x32, 0x56, 0x70,
-	0xbd, 0x39, 0x64, 0xac, 0x4e, 0x21, 0xe3, 0x7f, 0x03, 0x49, 0x93, 0x50, 0xb2, 0x43, 0x5c, 0xaa,
-	0xf5, 0x61, 0xc2, 0x41, 0xdc, 0x23, 0x0f, 0x66, 0x1e, 0x3b, 0x61, 0x21, 0x9e, 0xb0, 0x5b, 0xab,
-	0xda, 0xda, 0x05, 0x5a, 0x12, 0x0a, 0x71, 0xc4, 0xce, 0x50, 0xac, 0x4a, 0xe5, 0x65, 0x2d, 0xb8,
-	0xf5, 0x18, 0x93, 0xb0, 0x43, 0x27, 0x18, 0xa8, 0xe0, 0xb3, 0x92, 0x0e, 0x3e, 0xe5, 0x73, 0x04,
-	0x17, 0xfd, 0xa7, 0x1a, 0x2c, 0xc7, 0x93, 0x48, 0x86, 0xbe, 0x05, 0xcb, 0xd2, 0xae, 0x78, 0x98,
-	0xb8, 0x96, 0x97, 0x84, 0x3a, 0x66, 0x4b, 0x12, 0x66, 0x32, 0x63, 0x61, 0x26, 0xe1, 0x71, 0xf6,
-	0xa5, 0x78, 0xac, 0x87, 0x50, 0xd9, 0x1d, 0x85, 0x7d, 0xb5, 0x9d, 0x64, 0x1e, 0xed, 0xe5, 0xce,
-	0xc3, 0x54, 0xce, 0x67, 0xa6, 0x73, 0x5e, 0xbf, 0x0f, 0x55, 0xb1, 0xa8, 0xdc, 0x7e, 0x1a, 0x2e,
-	0x6d, 0x02, 0xae, 0x2d, 0x28, 0x6c, 0x30, 0xd7, 0xdd, 0x6c, 0xf1, 0xe0, 0xcb, 0xc3, 0x9d, 0x63,
-	0x31, 0x09, 0xb6, 0x12, 0xf9, 0xdd, 0xfe, 0x7d, 0xdf, 0x63, 0xb8, 0x5e, 0x99, 0xe2, 0x37, 0x77,
-	0x4c, 0xd8, 0x37, 0x03, 0x5b, 0x46, 0x70, 0x21, 0xe8, 0x7f, 0xc9, 0xc0, 0x52, 0xd3, 0x7a, 0x3e,
-	0x72, 0x02, 0xa6, 0xb6, 0xfc, 0x1e, 0xe4, 0x2c, 0xe6, 0xba, 0x33, 0x36, 0x9c, 0xba, 0x24, 0xd1,
-	0x0a, 0x8a, 0x9d, 0xd1, 0xed, 0x43, 0xdf, 0xea, 0xab, 0x6c, 0x11, 0x85, 0x84, 0x0c, 0xd9, 0x34,
-	0x19, 0x6e, 0x02, 0x04, 0x62, 0x2d, 0xc3, 0xb1, 0x65, 0x1c, 0x28, 0x4b, 0xcd, 0xa6, 0xcd, 0xef,
-	0x77, 0x9b, 0x99, 0xb6, 0xeb, 0x78, 0x18, 0xa0, 0xf2, 0x68, 0x2e, 0x28, 0xd5, 0x76, 0x48, 0x6e,
-	0x41, 0x65, 0x60, 0xbe, 0x30, 0xd4, 0x8d, 0x54, 0xc0, 0x0e, 0xe5, 0x81, 0xf9, 0xe2, 0x33, 0x71,
-	0x29, 0xad, 0x40, 0xde, 0x3c, 0xf6, 0x1d, 0xbb, 0x51, 0xc4, 0x03, 0x24, 0x04, 0xb2, 0x0a, 0x15,
-	0xc7, 0xb3, 0xcc, 0xc0, 0x13, 0x77, 0x70, 0x09, 0x97, 0x4d, 0xab, 0xc8, 0x2d, 0x6e, 0xd7, 0x90,
-	0x99, 0x91, 0x79, 0xe0, 0x32, 0x79, 0x57, 0xa4, 0x34, 0x9c, 0x6b, 0xcf, 0x47, 0x6c, 0xc4, 0x42,
-	0x3c, 0xb9, 0x35, 0x2a, 0x25, 0xfd, 0x9f, 0x19, 0x58, 0x8e, 0x31, 0x94, 0x1e, 0x6c, 0x40, 0xb1,
-	0x17, 0x98, 0x1e, 0x3f, 0xc6, 0x9a, 0xb8, 0x18, 0xa5, 0xc8, 0x7d, 0x3b, 0x1a, 0x86, 0x51, 0xc0,
-	0xcc, 0x81, 0xf4, 0x4f, 0x2c, 0xf3, 0x51, 0x2a, 0xe8, 0x09, 0xc4, 0x94, 0xc8, 0xd7, 0x8e, 0x1c,
-	0xeb, 0x88, 0x45, 0x12, 0x2f, 0x29, 0x25, 0xb8, 0xe7, 0xd3, 0xb8, 0xe3, 0xb5, 0x7c, 0x38, 0x0a,
-	0x4d, 0x17, 0xd1, 0x29, 0x53, 0x25, 0x92, 0x37, 0x61, 0x29, 0x60, 0x51, 0x70, 0x6a, 0x98, 0x87,
-	0x11, 0x0b, 0x92, 0x7b, 0xb5, 0x8a, 0xda, 0x26, 0x57, 0x0a, 0x04, 0x87, 0x81, 0x7f, 0xa0, 0x6e,
-	0x55, 0x21, 0x88, 0xac, 0x92, 0x09, 0x64, 0x6a, 0x14, 0xbf, 0xe3, 0xcc, 0x60, 0x14, 0x83, 0xc2,
-	0xc5, 0x7d, 0x9c, 0xc2, 0x75, 0x78, 0x46, 0x58, 0x11, 0x74, 0x43, 0x81, 0x1b, 0x76, 0xcc, 0x02,
-	0xe4, 0x75, 0x55, 0xa4, 0x90, 0x52, 0x24, 0xef, 0xc2, 0x8a, 0x82, 0xc1, 0x48, 0xfb, 0x49, 0x64,
-	0x58, 0x17, 0x55, 0xdb, 0x66, 0xd2, 0xa4, 0x7f, 0x93, 0x81, 0x22, 0x65, 0x78, 0x73, 0xfd, 0x27,
-	0x49, 0x9b, 0x40, 0x9d, 0x1d, 0x83, 0xfa, 0x03, 0x28, 0xfa, 0xa3, 0xc8, 0xf2, 0x07, 0x0c, 0x7d,
-	0xb0, 0xb4, 0xbe, 0x3a, 0x73, 0x95, 0x1d, 0xd1, 0x8f, 0xaa, 0x01, 0xe4, 0x1e, 0x2c, 0xcb, 0xb3,
-	0x69, 0x44, 0xce, 0x80, 0x71, 0xb8, 0x04, 0xaf, 0x6b, 0x52, 0xbd, 0xe7, 0x0c, 0xd8, 0x3e, 0x3e,
-	0xde, 0x3c, 0x76, 0xc2, 0x2f, 0x08, 0x8f, 0x59, 0x91, 0x4a, 0x8d, 0x4a, 0xb4, 0xe6, 0xb1, 0x93,
-	0x8d, 0x58, 0xc9, 0x61, 0x74, 0x99, 0x79, 0xec, 0x78, 0x3d, 0x74, 0x5f, 0x89, 0x2a, 0x91, 0x5f,
-	0xed, 0x43, 0x73, 0x24, 0xae, 0xf6, 0x92, 0xb8, 0xda, 0x51, 0xde, 0x0e, 0xf5, 0x1f, 0x6b, 0xb0,
-	0x24, 0xe1, 0x9a, 0x1f, 0xac, 0x3f, 0xe2, 0xd1, 0x07, 0xfb, 0xa9, 0x37, 0xf3, 0xec, 0x9d, 0xaa,
-	0x09, 0xe3, 0x11, 0x93, 0xe7, 0x2c, 0x7b, 0xe6, 0x9c, 0xe9, 0x17, 0x60, 0x39, 0xb6, 0x43, 0x1c,
-	0x17, 0xfd, 0x17, 0x19, 0xa8, 0x36, 0x3d, 0xcf, 0x1f, 0x79, 0x16, 0x1b, 0xf0, 0xdb, 0xf5, 0xe5,
-	0x62, 0xdb, 0xec, 0x73, 0xb3, 0x04, 0x19, 0x19, 0x63, 0xca, 0x34, 0xe3, 0xd8, 0x18, 0x05, 0x5d,
-	0x3f, 0x52, 0xf0, 0x0b, 0x81, 0xdb, 0x9c, 0x40, 0xae, 0x22, 0x4a, 0x5a, 0x35, 0xb9, 0xab, 0xe2,
-	0xd9, 0xe8, 0xc1, 0x67, 0xc6, 0xb4, 0xaf, 0x24, 0xb0, 0x0c, 0x55, 0xa6, 0xe7, 0xfa, 0xa6, 0x6d,
-	0x0c, 0x59, 0x30, 0x70, 0x5c, 0x57, 0x1d, 0x9e, 0x2a, 0x57, 0xee, 0x4a, 0x1d, 0xb9, 0x04, 0x05,
-	0xb3, 0x87, 0x2e, 0x13, 0x67, 0x28, 0x6f, 0xf6, 0xb8, 0xc3, 0xfe, 0xa8, 0xc1, 0xb2, 0x02, 0x45,
-	0x79, 0xec, 0x19, 0xd4, 0xcc, 0x14, 0x4e, 0xea, 0x0d, 0x7c, 0x77, 0xa6, 0x83, 0xd2, 0xa8, 0xd2,
-	0xf1, 0xb1, 0x89, 0xfb, 0x33, 0x69, 0xf7, 0x3f, 0xe2, 0x57, 0xde, 0x88, 0xcf, 0x9d, 0x9d, 0xfa,
-	0xbe, 0x4e, 0xe6, 0xde, 0x97, 0x87, 0x72, 0x83, 0x77, 0xa7, 0x72, 0x94, 0x7e, 0x00, 0xb5, 0xb1,
-	0x86, 0x39, 0xbe, 0x9c, 0x17, 0x0b, 0xaf, 0x43, 0xd9, 0xf1, 0x8c, 0x43, 0xd7, 0xe9, 0xf5, 0x23,
-	0x79, 0x67, 0x95, 0x1c, 0xef, 0x09, 0xca, 0x3a, 0x81, 0x7a, 0x82, 0x8c, 0xe4, 0xd0, 0x37, 0x1a,
-	0xc0, 0x53, 0xe6, 0xda, 0x7b, 0xe2, 0xb8, 0xbe, 0x52, 0x44, 0x98, 0x67, 0x50, 0x1c, 0x2d, 0xb2,
-	0xd3, 0xa3, 0xc5, 0x78, 0x60, 0x5e, 0x74, 0x8b, 0xe9, 0xbf, 0xd4, 0x12, 0x9c, 0xb6, 0x30, 0x38,
-	0xa6, 0x17, 0xd7, 0x26, 0x16, 0x9f, 0xe0, 0x5f, 0x66, 0x2a, 0xff, 0x44, 0xc0, 0xcd, 0xa6, 0x03,
-	0x6e, 0x6c, 0x74, 0x6e, 0xe2, 0x7e, 0x50, 0x61, 0x38, 0x3f, 0x16, 0x86, 0xf5, 0x5f, 0x65, 0xe0,
-	0x02, 0x65, 0x01, 0xeb, 0x39, 0x1c, 0x9f, 0xf9, 0x71, 0xe2, 0x63, 0x28, 0x8a, 0xcd, 0xaa, 0x30,
-	0x31, 0xfb, 0x45, 0x9b, 0xf8, 0x85, 0xaa, 0x31, 0xb1, 0x83, 0xb2, 0xaf, 0x14, 0xb2, 0xc7, 0xf6,
-	0x33, 0x81, 0x4e, 0xfe, 0x2c, 0x3a, 0x8f, 0xa0, 0x80, 0x80, 0x88, 0x37, 0xc2, 0x79, 0x48, 0x8d,
-	0x3e, 0xa1, 0x72, 0x94, 0xbe, 0x02, 0x24, 0x0d, 0x8b, 0xa4, 0xdc, 0xef, 0x33, 0x50, 0xd9, 0x70,
-	0x4d, 0x67, 0x40, 0x99, 0xe5, 0x07, 0xf6, 0x1c, 0xa6, 0xd7, 0x21, 0x7b, 0xc4, 0xd4, 0x41, 0xe3,
-	0x9f, 0x9c, 0x38, 0xb6, 0xd3, 0x63, 0x61, 0x24, 0x6b, 0x69, 0x52, 0xe2, 0x3b, 0xf4, 0x4f, 0x3c,
-	0x16, 0xc8, 0xa0, 0x25, 0x04, 0x8c, 0x70, 0x51, 0xc4, 0x06, 0xc3, 0x48, 0x79, 0x4c, 0x8a, 0xe4,
-	0x7d, 0x15, 0x77, 0x0a, 0x78, 0x29, 0xcd, 0xf6, 0x01, 0x1a, 0x8a, 0xb9, 0xbf, 0x0a, 0x4e, 0x29,
-	0x1a, 0x14, 0xc7, 0x6f, 0xe3, 0x0f, 0xa1, 0x60, 0x7a, 0xe1, 0x09, 0x0b, 0x30, 0x9a, 0xcd, 0xf3,
-	0xec, 0x33, 0x36, 0x8c, 0x9a, 0xd8, 0x95, 0xca, 0x21, 0xa9, 0x70, 0x26, 0x1e, 0x43, 0x32, 0x9c,
-	0xfd, 0x5c, 0x03, 0x48, 0x7a, 0x63, 0xe6, 0x1e, 0x99, 0xd1, 0x48, 0x3d, 0x41, 0xa5, 0x44, 0xde,
-	0x87, 0x62, 0x1f, 0x5f, 0x7a, 0x8a, 0x55, 0xb7, 0xe7, 0xb0, 0x8a, 0xf7, 0xa3, 0xaa, 0x3f, 0xbf,
-	0x1a, 0x0e, 0x7c, 0xfb, 0x54, 0x15, 0x27, 0xf9, 0x37, 0xb9, 0x01, 0xe5, 0x28, 0x18, 0x79, 0x16,
-	0xbe, 0xa8, 0x44, 0x8d, 0x22, 0x51, 0xe8, 0xeb, 0x50, 0x10, 0x93, 0xf0, 0xb1, 0x9e, 0x39, 0x50,
-	0x7e, 0xc3, 0x6f, 0xee, 0x8a, 0x63, 0xd3, 0x1d, 0xa9, 0xbb, 0x46, 0x08, 0xfa, 0x0f, 0x73, 0x50,
-	0x45, 0x2c, 0x55, 0x9d, 0xee, 0xe3, 0xb1, 0x3a, 0xdd, 0xdb, 0xf3, 0x1d, 0x30, 0xbf, 0x58, 0x57,
-	0x3e, 0x53, 0xac, 0x2b, 0x63, 0xb1, 0x6e, 0x3a, 0xed, 0xc7, 0x13, 0xe9, 0xfc, 0x64, 0x22, 0xfd,
-	0x11, 0x14, 0x02, 0xe4, 0x25, 0x52, 0xa3, 0x32, 0xa7, 0x82, 0x98, 0xe2, 0x30, 0x95, 0x63, 0xc8,
-	0x23, 0x9e, 0x43, 0xf2, 0xaf, 0x10, 0xf3, 0xe8, 0xf3, 0x0e, 0x57, 0x83, 0xd2, 0x19, 0x70, 0x69,
-	0x3c, 0x03, 0x4e, 0x65, 0xa7, 0xe5, 0x45, 0xd9, 0x29, 0x4c, 0xc9, 0x4e, 0x27, 0x4e, 0x7b, 0xe5,
-	0xec, 0x69, 0xbf, 0x01, 0xe5, 0xa1, 0x19, 0x44, 0x4e, 0xa4, 0x12, 0xcd, 0x1a, 0x4d, 0x14, 0xa4,
-	0x05, 0x15, 0x8b, 0x5b, 0x6c, 0x08, 0x48, 0x6b, 0x53, 0x19, 0x9e, 0x7a, 0xd8, 0xf1, 0xbe, 0x6d,
-	0xde, 0x95, 0x82, 0x15, 0x7f, 0xeb, 0x3b, 0x00, 0xd8, 0x22, 0x7e, 0x7b, 0x68, 0x9e, 0x29, 0xde,
-	0xdf, 0x3d, 0x17, 0x0f, 0x92, 0xc2, 0xbd, 0xfe, 0x37, 0x1e, 0x4c, 0x02, 0x93, 0x3f, 0x03, 0x87,
-	0x7e, 0x30, 0xef, 0xda, 0x5c, 0x85, 0xca, 0xa1, 0xe3, 0xf5, 0x58, 0x30, 0x0c, 0x1c, 0x2f, 0x92,
-	0xc4, 0x49, 0xab, 0xc6, 0xae, 0x92, 0xec, 0xfc, 0xab, 0x24, 0x37, 0xf5, 0x2a, 0x11, 0xe1, 0x3e,
-	0x3f, 0xf1, 0x86, 0x0f, 0x39, 0xb7, 0x3c, 0x8b, 0xc9, 0x82, 0x5d, 0x2c, 0xa7, 0x8e, 0x7c, 0x31,
-	0x95, 0xc1, 0x88, 0x77, 0x2c, 0x66, 0x7a, 0x8a, 0x04, 0xb1, 0xcc, 0x13, 0xfe, 0x1e, 0xf3, 0x58,
-	0x60, 0xba, 0x46, 0xca, 0x72, 0x1e, 0x33, 0xf8, 0xa3, 0xed, 0xa2, 0x6c, 0x7b, 0x92, 0x6a, 0xe2,
-	0x76, 0x45, 0x81, 0x63, 0xba, 0xe8, 0xf2, 0x12, 0x15, 0xc2, 0x77, 0x72, 0x25, 0xa8, 0x57, 0x28,
-	0x09, 0x98, 0xc5, 0xbc, 0xc8, 0x3d, 0x35, 0x2c, 0x7f, 0x30, 0x74, 0x19, 0x3f, 0xdd, 0x5f, 0x65,
-	0x60, 0xb9, 0xfd, 0xc2, 0xea, 0x9b, 0x5e, 0x6f, 0x41, 0xca, 0xfb, 0x08, 0x8a, 0x16, 0x87, 0x3e,
-	0xce, 0x78, 0xe7, 0x90, 0x3d, 0x71, 0x11, 0x55, 0x83, 0xce, 0xa6, 0x65, 0xd9, 0xd7, 0x48, 0xcb,
-	0x6e, 0x02, 0x88, 0xda, 0x0d, 0x16, 0x79, 0x72, 0x58, 0xe4, 0x29, 0xa3, 0x06, 0x2b, 0x3c, 0x77,
-	0xa0, 0x76, 0x30, 0xe2, 0x57, 0x28, 0xb6, 0x33, 0x9e, 0x5b, 0x64, 0xd7, 0x0a, 0xb4, 0x2a, 0x94,
-	0x4f, 0x85, 0x41, 0x97, 0xa1, 0x70, 0x22, 0x0e, 0x5f, 0x01, 0x5b, 0xa5, 0xa4, 0x7f, 0xad, 0x41,
-	0x3d, 0x81, 0x44, 0x3e, 0x56, 0x53, 0xbb, 0xd7, 0x5e, 0x65, 0xf7, 0xe3, 0x06, 0x67, 0x26, 0x0d,
-	0x6e, 0x40, 0x51, 0xd8, 0x26, 0x60, 0xa9, 0x51, 0x25, 0x62, 0x8e, 0x67, 0xab, 0x6d, 0xe4, 0xd0,
-	0xd0, 0x92, 0x63, 0x8b, 0x2d, 0xe8, 0xcf, 0x21, 0xbf, 0xc7, 0x1d, 0xfc, 0x5a, 0x07, 0x61, 0x7a,
-	0x05, 0xe2, 0x32, 0x14, 0xbc, 0xd1, 0xe0, 0x40, 0x5e, 0xb2, 0x39, 0x2a, 0x25, 0x7d, 0x13, 0x2e,
-	0x3c, 0x66, 0x3d, 0xc7, 0xc3, 0x75, 0x53, 0xe5, 0x74, 0xc1, 0xba, 0xe9, 0xe5, 0xf4, 0x04, 0x1b,
-	0x31, 0x4a, 0x74, 0xd6, 0x7f, 0xa2, 0x01, 0x49, 0xcf, 0xb5, 0xb0, 0x2e, 0x90, 0xaa, 0xb1, 0x67,
-	0xc6, 0x6a, 0xec, 0x29, 0xef, 0x64, 0x5f, 0xc1, 0x3b, 0xdc, 0x92, 0xe5, 0xb6, 0x67, 0xbf, 0xfe,
-	0x9e, 0x5e, 0xf7, 0x94, 0xf0, 0xac, 0x3d, 0x31, 0x44, 0xa6, 0x50, 0xbf, 0xd1, 0xa0, 0xaa, 0x52,
-	0x2e, 0xca, 0x93, 0x92, 0x15, 0xc8, 0x1f, 0x79, 0xfe, 0x89, 0x27, 0xf1, 0x11, 0x02, 0xbe, 0x78,
-	0x79, 0x26, 0x16, 0x17, 0xfa, 0x94, 0xc8, 0xc9, 0x37, 0x64, 0x81, 0x11, 0x32, 0xcb, 0xf7, 0x44,
-	0x71, 0x4b, 0xa3, 0xe5, 0x21, 0x0b, 0xba, 0xa8, 0x48, 0x45, 0xa6, 0x5c, 0x3a, 0x32, 0xdd, 0x83,
-	0x65, 0x7e, 0xc5, 0xdb, 0xc6, 0xc1, 0xa9, 0x81, 0xd5, 0x8d, 0x50, 0xfe, 0x4e, 0x51, 0x43, 0xf5,
-	0xe3, 0xd3, 0x5d, 0x54, 0xea, 0x7f, 0xd7, 0x60, 0x45, 0xd6, 0x76, 0xf0, 0xb9, 0x16, 0x2d, 0xac,
-	0x73, 0xce, 0x7c, 0x3f, 0x88, 0x53, 0x12, 0x44, 0xcc, 0x56, 0xbf, 0xa3, 0xe4, 0xf0, 0x94, 0x70,
-	0x8d, 0xa8, 0xb9, 0x8c, 0x3c, 0x9e, 0xa0, 0x4a, 0x3b, 0x51, 0x20, 0xef, 0x43, 0x2e, 0xe0, 0xc9,
-	0x5d, 0x1e, 0xfd, 0x74, 0x77, 0x61, 0xd6, 0xca, 0x21, 0xa4, 0x38, 0x84, 0xaf, 0x67, 0xf9, 0x2e,
-	0xd6, 0x81, 0x83, 0x48, 0xd6, 0x11, 0xca, 0x5c, 0xd3, 0xe5, 0x0a, 0xfd, 0x47, 0x1a, 0x5c, 0x9a,
-	0xd8, 0xd9, 0xab, 0x73, 0x54, 0x99, 0x99, 0x7d, 0x69, 0x33, 0xef, 0xff, 0x2e, 0x03, 0x95, 0x54,
-	0x52, 0x44, 0x6e, 0x40, 0x63, 0xbb, 0xdd, 0xed, 0x36, 0x3f, 0x69, 0x1b, 0xcf, 0x36, 0x3b, 0x2d,
-	0x63, 0xbf, 0xd3, 0xdd, 0x6d, 0x6f, 0x6c, 0x3e, 0xd9, 0x6c, 0xb7, 0xea, 0xff, 0x45, 0xae, 0xc2,
-	0xa5, 0xb1, 0xd6, 0x5d, 0xda, 0x36, 0x3e, 0xdd, 0xd9, 0x6b, 0xd7, 0x35, 0x72, 0x1b, 0xae, 0x4f,
-	0x6d, 0x32, 0x68, 0x7b, 0x77, 0xeb, 0xf3, 0x7a, 0x86, 0x5c, 0x82, 0x0b, 0x63, 0x1d, 0x70, 0x5c,
-	0x96, 0x5c, 0x87, 0x2b, 0x67, 0xd4, 0x72, 0x4c, 0x8e, 0x5c, 0x81, 0x8b, 0x63, 0x8d, 0xcd, 0xdd,
-	0xdd, 0x76, 0xa7, 0x55, 0xcf, 0x93, 0x9b, 0x70, 0x75, 0x4a, 0x83, 0x1c, 0x57, 0x38, 0x63, 0x67,
-	0xb7, 0xd3, 0xdc, 0xed, 0x3e, 0xdd, 0xd9, 0xab, 0x17, 0xcf, 0x6c, 0x70, 0x6f, 0x73, 0xbb, 0xbd,
-	0xb3, 0xbf, 0x67, 0x74, 0x76, 0x3e, 0xab, 0x97, 0xce, 0x18, 0xf9, 0x64, 0x87, 0x6e, 0xd7, 0xcb,
-	0xf7, 0xff, 0xa0, 0x41, 0x51, 0x56, 0x95, 0xb8, 0x4d, 0x3b, 0xfb, 0x7b, 0x1b, 0x3b, 0xdb, 0xed,
-	0x09, 0x70, 0x96, 0x00, 0x54, 0xc3, 0xce, 0xb3, 0xba, 0x46, 0xea, 0x50, 0x55, 0x72, 0xf7, 0x69,
-	0xbb, 0x55, 0xcf, 0x10, 0x02, 0x4b, 0x4a, 0xf3, 0xa4, 0xb9, 0xb9, 0xd5, 0x6e, 0xd5, 0xb3, 0x69,
-	0xdd, 0x63, 0xba, 0xf3, 0xac, 0xdd, 0x11, 0xdb, 0x4e, 0x96, 0xa0, 0xed, 0xe6, 0xc6, 0xd3, 0xe6,
-	0xe3, 0xad, 0x76, 0x3d, 0xcf, 0xcd, 0x53, 0x0d, 0x1b, 0xcd, 0xce, 0x46, 0x7b, 0x8b, 0xcf, 0x51,
-	0x48, 0xcf, 0xb1, 0xdf, 0xd9, 0xef, 0xb6, 0x5b, 0xf5, 0xe2, 0xfd, 0xaf, 0x35, 0x99, 0x21, 0x89,
-	0xdf, 0xbc, 0xae, 0xc3, 0x95, 0x8d, 0xad, 0xe6, 0xe6, 0xb6, 0xd1, 0xdd, 0x6b, 0xee, 0x4d, 0x5a,
-	0x7e, 0x05, 0x2e, 0xa6, 0x1b, 0xf1, 0xbb, 0xdd, 0xaa, 0x6b, 0x93, 0x0d, 0x74, 0xbf, 0xd3, 0xd9,
-	0xec, 0x7c, 0x52, 0xcf, 0x90, 0x06, 0xac, 0xa4, 0x1b, 0x9e, 0x6c, 0x76, 0x36, 0x71, 0x8f, 0xd9,
-	0xc9, 0x21, 0xfb, 0x9d, 0x67, 0x9d, 0x9d, 0xcf, 0xf8, 0xa6, 0x26, 0x86, 0xd0, 0xf6, 0x56, 0xbb,
-	0xc9, 0x4d, 0xcd, 0xdf, 0xff, 0x97, 0x06, 0xf5, 0xc9, 0xec, 0x9c, 0xe8, 0x70, 0x4b, 0x74, 0x9f,
-	0x43, 0xc7, 0x1b, 0xd0, 0x98, 0xd2, 0x07, 0x55, 0x75, 0x6d, 0xc6, 0x0c, 0x42, 0xa5, 0x48, 0x79,
-	0x13, 0xae, 0x4e, 0x5b, 0x65, 0xb7, 0xd5, 0x44, 0x72, 0xde, 0x81, 0xdb, 0x33, 0x9b, 0x63, 0x92,
-	0xc6, 0xd0, 0x8e, 0x53, 0xee, 0xf3, 0xce, 0x46, 0x3d, 0x4f, 0xde, 0x80, 0x9b, 0x33, 0x1a, 0x15,
-	0x59, 0xd7, 0x2d, 0x28, 0xc7, 0xbf, 0x78, 0x93, 0x4f, 0x21, 0xd7, 0x65, 0x9e, 0x4d, 0xde, 0x5a,
-	0xfc, 0xeb, 0x38, 0xa6, 0xbe, 0xd7, 0xee, 0x2e, 0xee, 0xd8, 0xb4, 0x8e, 0xd6, 0x7f, 0x9d, 0x81,
-	0x6a, 0xcb, 0x09, 0xa3, 0xc0, 0x39, 0x18, 0x61, 0x96, 0xf9, 0x29, 0xe4, 0xf1, 0x67, 0x49, 0x72,
-	0x77, 0x4e, 0x75, 0x31, 0xf9, 0x59, 0xfb, 0xda, 0xbd, 0x45, 0xdd, 0x64, 0xf8, 0xfa, 0x12, 0x8a,
-	0xf2, 0xe7, 0xa4, 0xf9, 0x7b, 0x48, 0xfd, 0x6a, 0x75, 0x6d, 0x6d, 0x71, 0x47, 0x39, 0x7b, 0x17,
-	0x72, 0xbb, 0xa3, 0xb0, 0x4f, 0x66, 0x5f, 0x7d, 0xa9, 0x9f, 0x8f, 0xe6, 0x60, 0x93, 0xfe, 0xbd,
-	0x67, 0xfd, 0x67, 0x59, 0x28, 0xb5, 0x9c, 0x70, 0x88, 0x4f, 0x89, 0x2f, 0xa1, 0x28, 0xe3, 0xf2,
-	0x1c, 0xfb, 0xc7, 0x7f, 0xb3, 0x99, 0x63, 0xff, 0xe4, 0x0f, 0x13, 0x5f, 0x26, 0x35, 0xf3, 0xb7,
-	0x16, 0x56, 0x75, 0x17, 0xce, 0x3e, 0x51, 0xc7, 0x25, 0x06, 0x94, 0x54, 0x66, 0x4b, 0xd6, 0x16,
-	0x26, 0xbf, 0x6a, 0xfe, 0xb7, 0xcf, 0xd1, 0x53, 0x2e, 0xc0, 0x00, 0x92, 0x3a, 0x0c, 0xb9, 0x3f,
-	0xc7, 0xb0, 0x89, 0x1a, 0xd6, 0xb5, 0x77, 0xce, 0xd5, 0x57, 0x3a, 0xe4, 0x0b, 0x28, 0x60, 0x3c,
-	0x08, 0xc9, 0x2e, 0xe4, 0xba, 0x11, 0x1b, 0x92, 0x05, 0x75, 0x15, 0x71, 0x14, 0xce, 0xd3, 0x69,
-	0xdd, 0x81, 0xc2, 0x27, 0x7e, 0x18, 0x3a, 0x43, 0x8e, 0x96, 0xca, 0xc5, 0xe7, 0xa0, 0x35, 0xf1,
-	0x82, 0x99, 0x83, 0xd6, 0x64, 0x62, 0xbf, 0xfe, 0x57, 0x0d, 0x0a, 0x98, 0x6e, 0x85, 0xe4, 0xbb,
-	0x90, 0xc7, 0x74, 0x74, 0x0e, 0x66, 0x67, 0x52, 0xdf, 0x39, 0x98, 0x4d, 0x49, 0x6d, 0xbf, 0x80,
-	0x6c, 0xdb, 0xb3, 0xe7, 0x6d, 0x64, 0x3c, 0x09, 0x9d, 0xb7, 0x91, 0x89, 0x2c, 0x71, 0x3d, 0x84,
-	0xa2, 0x48, 0x52, 0x42, 0xd2, 0x4f, 0x8e, 0xc7, 0xff, 0x2c, 0x62, 0xfd, 0x58, 0xca, 0x76, 0xed,
-	0xc1, 0x79, 0xbb, 0x8b, 0x45, 0x1f, 0x7f, 0xf4, 0xc5, 0x07, 0x63, 0x03, 0xd8, 0x0b, 0x93, 0xbf,
-	0x2c, 0x1f, 0xa6, 0x95, 0x0f, 0xcd, 0xa1, 0xf3, 0x30, 0xf9, 0x5f, 0xe3, 0x87, 0xf2, 0x73, 0x78,
-	0x70, 0x50, 0xc0, 0xff, 0x29, 0xbe, 0xf7, 0xef, 0x00, 0x00, 0x00, 0xff, 0xff, 0x30, 0x99, 0xc2,
-	0xd0, 0xf6, 0x28, 0x00, 0x00,
+	// 3929 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x7a, 0x4b, 0x6f, 0x1b, 0xc9,
+	0x76, 0xf0, 0xd7, 0x7c, 0xf3, 0x90, 0x94, 0xe8, 0xb2, 0x64, 0xd3, 0x6f, 0x4d, 0xcf, 0x78, 0x46,
+	0xf6, 0xfd, 0x62, 0x67, 0x74, 0x03, 0x24, 0xf3, 0x32, 0x42, 0x4b, 0xf4, 0x58, 0xb1, 0x5e, 0x28,
+	0x4a, 0x1e, 0xdc, 0xc1, 0x00, 0x9d, 0x16, 0xbb, 0x44, 0x76, 0xd4, 0xec, 0xa6, 0xbb, 0x9a, 0x92,
+	0x95, 0x75, 0x1e, 0x8b, 0x00, 0x17, 0xf7, 0x26, 0xb8, 0x40, 0x82, 0x24, 0xab, 0x6c, 0x06, 0xc9,
+	0x5d, 0x64, 0x91, 0x4d, 0x96, 0xd9, 0x64, 0x9b, 0x65, 0x10, 0x64, 0x9f, 0x7f, 0x90, 0x5d, 0x16,
+	0x41, 0x9d, 0xaa, 0xea, 0x6e, 0x52, 0x64, 0x53, 0xb6, 0xb3, 0xeb, 0x73, 0xaa, 0x4e, 0xd5, 0x79,
+	0xd5, 0x79, 0x54, 0x35, 0xb4, 0x7a, 0xde, 0x98, 0x47, 0x2c, 0x7c, 0x7a, 0xf6, 0xf9, 0x53, 0xf5,
+	0xf9, 0x64, 0x14, 0x06, 0x51, 0x40, 0x6e, 0x1e, 0xdb, 0x1e, 0xb7, 0x87, 0xbd, 0x60, 0x1c, 0x72,
+	0xf6, 0x44, 0x8f, 0x9d, 0x7d, 0x7e, 0xbb, 0xd5, 0xb3, 0x23, 0xdb, 0x0b, 0xfa, 0x48, 0x22, 0x3f,
+	0x25, 0x89, 0xf9, 0x9f, 0x06, 0x2c, 0x6d, 0x06, 0x3e, 0x67, 0x3e, 0x1f, 0xf3, 0xe7, 0x76, 0xd4,
+	0x1b, 0x10, 0x02, 0x85, 0x93, 0x30, 0x18, 0xb6, 0x8c, 0x35, 0x63, 0xbd, 0x40, 0xf1, 0x9b, 0x74,
+	0xa0, 0x32, 0x64, 0x9c, 0xdb, 0x7d, 0xc6, 0x5b, 0xb9, 0xb5, 0xfc, 0x7a, 0x6d, 0xe3, 0xd1, 0x93,
+	0x39, 0x9b, 0x3d, 0x89, 0x97, 0xdb, 0x95, 0x14, 0x34, 0x26, 0x25, 0x14, 0x96, 0x47, 0x76, 0xef,
+	0x94, 0x39, 0x56, 0xbc, 0xda, 0xca, 0xbb, 0xae, 0xb6, 0x24, 0x57, 0xd8, 0xd5, 0x6b, 0xde, 0x86,
+	0xca, 0x09, 0xb3, 0xa3, 0x71, 0xc8, 0x78, 0x6b, 0x15, 0x59, 0x8e, 0x61, 0xf3, 0x2f, 0x0d, 0xa8,
+	0xc7, 0x0b, 0xb4, 0x7b, 0xa7, 0x13, 0x72, 0x18, 0xef, 0x2f, 0xc7, 0x43, 0x58, 0xb2, 0x7b, 0x3d,
+	0x36, 0x8a, 0xb8, 0x25, 0xb9, 0x69, 0xad, 0xac, 0x19, 0xeb, 0x15, 0xda, 0x50, 0xd8, 0x03, 0x44,
+	0x66, 0xb2, 0xf6, 0xa3, 0x01, 0x95, 0x9d, 0xa0, 0xdf, 0xf1, 0xa3, 0xf0, 0x42, 0xa8, 0x3c, 0x62,
+	0x61, 0xac, 0x72, 0xf1, 0x4d, 0x56, 0xa0, 0xe8, 0xfa, 0x0e, 0x7b, 0xdb, 0xca, 0x21, 0x52, 0x02,
+	0x62, 0xa6, 0x63, 0x47, 0x76, 0x2b, 0xbf, 0x66, 0xac, 0xd7, 0x29, 0x7e, 0x93, 0x6f, 0xa0, 0x3c,
+	0x64, 0xc3, 0x63, 0x16, 0xf2, 0x56, 0x61, 0xcd, 0x58, 0xaf, 0x6d, 0x7c, 0x3c, 0x57, 0xa6, 0x5d,
+	0x39, 0x6f, 0xe0, 0x8e, 0xa8, 0xa6, 0x21, 0x0f, 0xa0, 0xa6, 0x8c, 0x82, 0x2b, 0xaf, 0xe0, 0xca,
+	0x20, 0x51, 0x5b, 0x76, 0x64, 0x9b, 0x7b, 0x00, 0x09, 0x1d, 0xf9, 0xdd, 0x64, 0x37, 0xa9, 0xc1,
+	0x4f, 0xa7, 0x76, 0x53, 0xfe, 0x25, 0x35, 0x18, 0x85, 0x81, 0x27, 0x89, 0xe3, 0x0d, 0xcd, 0x5f,
+	0x18, 0x70, 0x2d, 0x56, 0x6e, 0xd7, 0xb7, 0x47, 0x7c, 0x10, 0x44, 0x89, 0xbc, 0xc6, 0x94, 0xbc,
+	0xa8, 0x99, 0x5c, 0x4a, 0x33, 0x29, 0x79, 0xf3, 0xef, 0x21, 0xaf, 0x56, 0x61, 0x21, 0x51, 0xa1,
+	0xf9, 0xcf, 0x05, 0x68, 0x4e, 0xdb, 0x9b, 0xfc, 0x0e, 0x14, 0x4e, 0x5d, 0xdf, 0x41, 0x86, 0x96,
+	0x36, 0x3e, 0xc9, 0xd8, 0x04, 0xe7, 0xbf, 0x72, 0x7d, 0x87, 0x22, 0x45, 0x7c, 0x84, 0x72, 0xa9,
+	0x23, 0xb4, 0x04, 0xb9, 0x28, 0x40, 0x86, 0x0b, 0x34, 0x17, 0x05, 0xb1, 0x64, 0x85, 0x94, 0x64,
+	0x77, 0xa0, 0xea, 0x05, 0x7d, 0x4b, 0xea, 0xa1, 0x28, 0x3d, 0xc6, 0x0b, 0xfa, 0xdb, 0xa8, 0x8a,
+	0x5b, 0x20, 0xbe, 0x2d, 0x24, 0x2a, 0xe1, 0x58, 0xd9, 0x0b, 0xfa, 0x87, 0x82, 0xee, 0x06, 0x94,
+	0x7a, 0xc1, 0x70, 0xe8, 0x46, 0xad, 0x32, 0x0e, 0x28, 0x88, 0x7c, 0x05, 0x65, 0xe6, 0x47, 0xa1,
+	0xcb, 0x78, 0xab, 0x82, 0xb6, 0xfa, 0x68, 0xae, 0x10, 0xda, 0x17, 0xa9, 0xa6, 0x10, 0x8b, 0x86,
+	0xec, 0x0f, 0x58, 0x2f, 0x6a, 0x55, 0xd1, 0xb9, 0x15, 0x24, 0xfc, 0x45, 0x7e, 0x59, 0x03, 0xd7,
+	0x8f, 0x5a, 0x80, 0x3b, 0x82, 0x44, 0xbd, 0x74, 0x7d, 0xb4, 0x64, 0x18, 0x8c, 0x7d, 0xa7, 0x55,
+	0x93, 0x96, 0x44, 0x80, 0xbc, 0x80, 0x0a, 0x57, 0xb6, 0x6e, 0xd5, 0xd1, 0x6c, 0x8f, 0x17, 0x1f,
+	0x3d, 0xed, 0x1d, 0x34, 0xa6, 0x15, 0x3a, 0x12, 0xfa, 0xb4, 0x1c, 0x97, 0x9f, 0xb6, 0x1a, 0xea,
+	0x54, 0x85, 0xc1, 0x70, 0xcb, 0xe5, 0xa7, 0xe4, 0x26, 0x94, 0xa3, 0x40, 0x0e, 0x2d, 0x49, 0x4d,
+	0x44, 0x01, 0x0e, 0xb4, 0xa1, 0x7a, 0x12, 0x84, 0x43, 0x3b, 0x72, 0x03, 0xbf, 0xb5, 0x7c, 0x75,
+	0xaf, 0x49, 0xa8, 0x84, 0x3e, 0x04, 0xc0, 0x9c, 0x56, 0x53, 0xea, 0x43, 0x42, 0xe6, 0xcf, 0x8b,
+	0x50, 0xa7, 0xcc, 0x67, 0xe7, 0x94, 0xbd, 0x19, 0x33, 0x1e, 0x91, 0xdf, 0x82, 0xa2, 0xd0, 0xe1,
+	0x05, 0x3a, 0x4e, 0x6d, 0xe3, 0xfe, 0xdc, 0xf3, 0x21, 0x15, 0x2e, 0x27, 0x8b, 0x60, 0x11, 0xb2,
+	0x33, 0x97, 0x0b, 0x06, 0xa5, 0xdf, 0xc4, 0xb0, 0x10, 0xeb, 0xdc, 0x76, 0x23, 0x6b, 0x28, 0x3d,
+	0xbe, 0x41, 0x4b, 0x02, 0xdc, 0xe5, 0xa4, 0x05, 0xe5, 0x90, 0x79, 0xf6, 0x05, 0x73, 0xd0, 0x8f,
+	0x2a, 0x54, 0x83, 0x82, 0x5b, 0x7e, 0xe1, 0xf7, 0x98, 0x83, 0x7e, 0x54, 0xa1, 0x0a, 0x22, 0x3f,
+	0x81, 0x6b, 0x32, 0x48, 0x31, 0xc7, 0x8a, 0xf7, 0x93, 0xee, 0xd4, 0xd4, 0x03, 0x54, 0xef, 0x7b,
+	0x0b, 0x2a, 0x6f, 0xc6, 0x2e, 0xc3, 0x8d, 0xcb, 0xb8, 0x71, 0x19, 0xe1, 0x5d, 0x4e, 0x3e, 0x82,
+	0x3a, 0x67, 0xe1, 0x19, 0xe3, 0x16, 0x8f, 0x6c, 0x8f, 0xb5, 0x2a, 0xb8, 0x4b, 0x4d, 0xe2, 0xba,
+	0x02, 0x35, 0x23, 0x4a, 0x56, 0xe7, 0x44, 0x49, 0x97, 0x07, 0x9e, 0x1d, 0x31, 0x07, 0x9d, 0xa9,
+	0x42, 0x63, 0x98, 0x7c, 0x0c, 0x0d, 0xfd, 0x6d, 0x0d, 0x6c, 0x3e, 0x40, 0x97, 0x2a, 0xd1, 0xba,
+	0x46, 0xbe, 0xb4, 0xf9, 0x80, 0xfc, 0x26, 0xac, 0x4c, 0xee, 0x23, 0x58, 0x8a, 0x98, 0x8a, 0xc9,
+	0x64, 0x62, 0xb7, 0xae, 0x18, 0x11, 0xcb, 0x9e, 0xdb, 0x7e, 0xc4, 0x2d, 0x1d, 0x47, 0x56, 0x71,
+	0x6a, 0x1d, 0x91, 0xca, 0xfa, 0xc2, 0x8d, 0x8f, 0xc7, 0xae, 0xe7, 0xb4, 0x6e, 0xac, 0x19, 0xeb,
+	0x55, 0x2a, 0x81, 0x19, 0x9b, 0x39, 0xcc, 0x8b, 0xec, 0xd6, 0xfa, 0x8c, 0xcd, 0xb6, 0xc4, 0xc8,
+	0x44, 0x16, 0x78, 0x34, 0x99, 0x05, 0x48, 0x17, 0x9a, 0x61, 0xe0, 0x79, 0xc1, 0x38, 0xb2, 0xd8,
+	0x99, 0xeb, 0x30, 0xbf, 0xc7, 0x5a, 0x8f, 0xf1, 0xa4, 0xae, 0xcf, 0xf5, 0x4e, 0x2a, 0x09, 0x3a,
+	0x6a, 0x3e, 0x5d, 0x0e, 0x27, 0x11, 0xe6, 0x2f, 0x73, 0xb0, 0x3c, 0x35, 0x49, 0x44, 0x9b, 0x51,
+	0x10, 0x78, 0xe8, 0x92, 0x55, 0x8a, 0xdf, 0xe4, 0x11, 0x34, 0x79, 0x64, 0x87, 0x13, 0x9e, 0x20,
+	0x3d, 0x6f, 0x59, 0xe1, 0x63, 0x47, 0x78, 0x06, 0xa5, 0x30, 0x18, 0x47, 0x4c, 0xf8, 0xdf, 0xac,
+	0x98, 0x9f, 0xe6, 0x6e, 0x1c, 0xb1, 0x98, 0x37, 0x45, 0x45, 0xee, 0x42, 0xf5, 0xdc, 0x8d, 0x06,
+	0x4e, 0x68, 0x9f, 0xfb, 0xca, 0x53, 0x13, 0x84, 0x60, 0x8e, 0x33, 0x3f, 0x52, 0x11, 0x0f, 0xbf,
+	0x89, 0x09, 0x8d, 0xc0, 0x73, 0x2c, 0xd7, 0xb7, 0x4e, 0x3c, 0xb7, 0x3f, 0x88, 0xd0, 0x47, 0x1b,
+	0xb4, 0x16, 0x78, 0xce, 0xb6, 0xff, 0x02, 0x51, 0x42, 0x00, 0x7b, 0x34, 0xf2, 0xdc, 0xb4, 0x00,
+	0x32, 0x00, 0x2e, 0x2b, 0xbc, 0x16, 0xc0, 0xfc, 0x5b, 0x03, 0x1a, 0x13, 0xac, 0xa9, 0x28, 0x15,
+	0x31, 0xa5, 0x12, 0x09, 0x90, 0x2f, 0x21, 0x1f, 0x78, 0x0e, 0xaa, 0x21, 0xcb, 0x06, 0xaf, 0x59,
+	0x28, 0x96, 0xdd, 0x1f, 0x47, 0xbd, 0x60, 0xc8, 0x38, 0x15, 0x44, 0x82, 0xd6, 0x67, 0xe7, 0x2a,
+	0x27, 0xbd, 0x03, 0xad, 0xcf, 0xce, 0xcd, 0xff, 0x32, 0x60, 0x79, 0x6a, 0x40, 0x46, 0x04, 0x0c,
+	0x29, 0x5c, 0x25, 0xc5, 0x18, 0x46, 0xa7, 0xb2, 0x5d, 0x0f, 0x9d, 0x4a, 0x45, 0x0b, 0x0d, 0x0b,
+	0x65, 0x0f, 0x6d, 0x4f, 0xc5, 0x2a, 0x99, 0x70, 0x12, 0x04, 0x2a, 0xdb, 0x0b, 0xce, 0x75, 0xde,
+	0x11, 0xdf, 0x22, 0x58, 0x78, 0x81, 0xed, 0xa8, 0x60, 0x51, 0xa0, 0x0a, 0x22, 0xf7, 0x00, 0xe4,
+	0x97, 0x75, 0x6c, 0x3b, 0x2a, 0x4a, 0x54, 0x25, 0xe6, 0xb9, 0xed, 0x90, 0x0d, 0x58, 0x15, 0xe4,
+	0x4e, 0x70, 0xee, 0x5b, 0x23, 0x16, 0x0e, 0x5d, 0xcf, 0x63, 0x16, 0x1f, 0x0f, 0x95, 0x11, 0xae,
+	0xeb, 0xc1, 0x03, 0x35, 0xd6, 0x1d, 0x0f, 0xcd, 0x5f, 0x19, 0xb0, 0x4a, 0xd9, 0x28, 0x08, 0x13,
+	0x07, 0x56, 0x61, 0x73, 0x25, 0x1d, 0x36, 0xab, 0x3a, 0x2c, 0xae, 0x41, 0xcd, 0xf5, 0x7b, 0x76,
+	0xe8, 0xcb, 0xd0, 0x2d, 0x65, 0x4d, 0xa3, 0xc8, 0x16, 0x54, 0xe2, 0xb3, 0x93, 0x7f, 0xc7, 0xb3,
+	0x13, 0x53, 0x9a, 0x2d, 0xb8, 0x31, 0xcd, 0x16, 0x1f, 0x89, 0x34, 0x64, 0xfe, 0x47, 0x01, 0x1a,
+	0x2a, 0xbe, 0x4b, 0x0c, 0x66, 0x62, 0x66, 0x73, 0x26, 0xc2, 0xa2, 0x21, 0xc3, 0x22, 0xc2, 0xbb,
+	0x9c, 0xfc, 0xb6, 0xc8, 0xc4, 0xfe, 0x89, 0xdb, 0x57, 0x2e, 0xf4, 0x20, 0xab, 0x38, 0x3a, 0x71,
+	0xfb, 0x54, 0x4d, 0x9f, 0x08, 0xff, 0xf9, 0xa9, 0xf0, 0x3f, 0x33, 0x66, 0x17, 0xe6, 0xc4, 0xec,
+	0x87, 0xb0, 0xe4, 0x31, 0xdb, 0x61, 0xa1, 0x65, 0x3b, 0x4e, 0xc8, 0x38, 0x47, 0x9b, 0x56, 0x69,
+	0x43, 0x62, 0xdb, 0x12, 0x29, 0xd6, 0xec, 0xc9, 0xf2, 0x4c, 0xcf, 0x63, 0xbc, 0x55, 0x5a, 0xcb,
+	0xaf, 0x57, 0x69, 0x53, 0x0d, 0xb4, 0x35, 0x9e, 0x7c, 0x09, 0x45, 0x19, 0xe5, 0xca, 0x28, 0xd4,
+	0x27, 0x0b, 0x84, 0xc2, 0xb8, 0x47, 0x25, 0x09, 0x26, 0x22, 0xd7, 0x13, 0xc7, 0xbb, 0x82, 0xab,
+	0x2b, 0x88, 0x3c, 0x85, 0xeb, 0xb1, 0x50, 0xec, 0x8c, 0x85, 0x17, 0xe7, 0x03, 0x16, 0x32, 0x4c,
+	0x11, 0x05, 0x1d, 0x47, 0x99, 0xd3, 0x89, 0x47, 0x44, 0xd0, 0x56, 0x11, 0x57, 0x69, 0x18, 0xb0,
+	0x80, 0xab, 0x4b, 0xe4, 0x66, 0xac, 0xc6, 0x38, 0x99, 0xd4, 0x70, 0xbf, 0x8c, 0x64, 0x52, 0x9f,
+	0x91, 0x4c, 0xfe, 0x3f, 0x90, 0x74, 0x12, 0x51, 0xd1, 0x5d, 0x16, 0xc5, 0xcd, 0x51, 0x92, 0x43,
+	0x64, 0x6c, 0xbf, 0x03, 0x55, 0x9f, 0x9d, 0x33, 0x8e, 0x19, 0xf2, 0xfe, 0x9a, 0xb1, 0x7e, 0x8d,
+	0x56, 0x24, 0x42, 0xa6, 0xc8, 0x4b, 0x29, 0xa2, 0x4e, 0x55, 0xb1, 0x8d, 0xf4, 0xe6, 0x73, 0xec,
+	0xbe, 0x4e, 0xdc, 0x70, 0x98, 0x7d, 0x0a, 0x32, 0x8a, 0x03, 0xf3, 0xcf, 0x0c, 0x58, 0x8e, 0x17,
+	0x51, 0x1e, 0xfa, 0x19, 0x2c, 0x2b, 0xbe, 0x62, 0x32, 0x19, 0x41, 0x96, 0x24, 0x3a, 0xf6, 0x96,
+	0xa4, 0x4c, 0xc8, 0x4d, 0x94, 0x09, 0x89, 0x1f, 0xe7, 0xdf, 0xc9, 0x8f, 0x4d, 0x0e, 0xb5, 0x83,
+	0x31, 0x1f, 0x68, 0x71, 0x92, 0x75, 0x8c, 0x77, 0x3b, 0x0f, 0x33, 0x7d, 0x3e, 0x37, 0xdb, 0xe7,
+	0xcd, 0xc7, 0x50, 0x97, 0x9b, 0x2a, 0xf1, 0xd3, 0xea, 0x32, 0xa6, 0xd4, 0xb5, 0x03, 0xa5, 0x4d,
+	0xe6, 0x79, 0xdb, 0x5b, 0xa2, 0x78, 0x12, 0xe5, 0x8a, 0xdb, 0xd3, 0x39, 0x40, 0x83, 0x22, 0x46,
+	0xfe, 0x61, 0xe0, 0x33, 0xdc, 0xaf, 0x4a, 0xf1, 0x5b, 0x18, 0x86, 0x0f, 0xec, 0xd0, 0x51, 0x15,
+	0x98, 0x04, 0xcc, 0x7f, 0xc9, 0xc1, 0x52, 0xbb, 0xf7, 0x66, 0xec, 0x86, 0x71, 0x1c, 0xfb, 0x29,
+	0x14, 0x7a, 0xcc, 0xf3, 0xe6, 0x08, 0x9c, 0x2a, 0x72, 0x91, 0x0b, 0x8a, 0x93, 0xd1, 0xec, 0xa3,
+	0xa0, 0x37, 0xd0, 0xdd, 0x1e, 0x02, 0x89, 0x33, 0xe4, 0xd3, 0xce, 0x70, 0x0f, 0x40, 0xe5, 0x01,
+	0xcb, 0x75, 0x54, 0x1c, 0xa8, 0x2a, 0xcc, 0xb6, 0x23, 0xea, 0x73, 0x87, 0xd9, 0x8e, 0xe7, 0xfa,
+	0x18, 0xa0, 0x8a, 0xc8, 0x2e, 0x68, 0xd4, 0x2e, 0x27, 0xf7, 0xa1, 0x36, 0xb4, 0xdf, 0x5a, 0xba,
+	0xa2, 0x94, 0x89, 0xb5, 0x3a, 0xb4, 0xdf, 0x7e, 0x27, 0x8b, 0xca, 0x15, 0x28, 0xda, 0x67, 0x81,
+	0xeb, 0xb4, 0xca, 0x78, 0x80, 0x24, 0x30, 0x1d, 0x88, 0x2b, 0x97, 0x03, 0xf1, 0x7d, 0xc1, 0xd7,
+	0x88, 0xd9, 0x91, 0x7d, 0xec, 0x31, 0x55, 0xeb, 0xa5, 0x30, 0xc2, 0xd7, 0xde, 0x8c, 0xd9, 0x98,
+	0x71, 0x3c, 0xb9, 0x0d, 0xaa, 0x20, 0xf3, 0xbf, 0x73, 0xb0, 0x1c, 0xeb, 0x50, 0x59, 0xb0, 0x05,
+	0xe5, 0x7e, 0x68, 0xfb, 0xe2, 0x18, 0x1b, 0xb2, 0xb0, 0x55, 0xa0, 0xb0, 0xed, 0x78, 0xc4, 0xa3,
+	0x90, 0xd9, 0x43, 0x65, 0x9f, 0x18, 0x16, 0x54, 0x3a, 0xe8, 0x49, 0x8d, 0x69, 0x50, 0xec, 0x1d,
+	0xb9, 0xbd, 0x53, 0x16, 0x29, 0x7d, 0x29, 0x28, 0xd1, 0x7b, 0x31, 0xad, 0x77, 0x2c, 0xab, 0x4f,
+	0xc6, 0xdc, 0xf6, 0x50, 0x3b, 0x55, 0xaa, 0x41, 0xf2, 0x09, 0x2c, 0x85, 0x2c, 0x0a, 0x2f, 0x2c,
+	0xfb, 0x24, 0x62, 0x61, 0x52, 0x17, 0xd7, 0x11, 0xdb, 0x16, 0x48, 0xa9, 0xc1, 0x51, 0x18, 0x1c,
+	0xeb, 0xaa, 0x58, 0x02, 0xb2, 0x2b, 0x64, 0x52, 0x33, 0x0d, 0x8a, 0xdf, 0x71, 0x65, 0x3f, 0x8e,
+	0x95, 0x22, 0xc0, 0x23, 0x5c, 0xc2, 0x73, 0x45, 0x47, 0x57, 0x93, 0xee, 0x86, 0x80, 0x60, 0xec,
+	0x4c, 0x56, 0x09, 0x18, 0xbc, 0x0a, 0x54, 0x83, 0xe4, 0x73, 0x58, 0xd1, 0x6a, 0xb0, 0xd2, 0x76,
+	0x92, 0x1d, 0xd2, 0x75, 0x3d, 0xb6, 0x9d, 0x0c, 0x99, 0xbf, 0xce, 0x41, 0x99, 0x32, 0xcc, 0x5c,
+	0xff, 0x97, 0x4e, 0x9b, 0xa8, 0x3a, 0x3f, 0xa1, 0xea, 0x2f, 0xa1, 0x1c, 0xc8, 0xd2, 0x06, 0x6d,
+	0xb0, 0xb4, 0xb1, 0x36, 0x77, 0x17, 0x55, 0x02, 0x51, 0x4d, 0x40, 0x3e, 0x85, 0x65, 0x75, 0x36,
+	0xad, 0xc8, 0x1d, 0x32, 0xa1, 0x2e, 0xe9, 0xd7, 0x0d, 0x85, 0x3e, 0x74, 0x87, 0xec, 0x08, 0x2f,
+	0x66, 0x7c, 0x76, 0x2e, 0x12, 0x84, 0xcf, 0x7a, 0x91, 0x6e, 0x6d, 0x2a, 0xb4, 0xe1, 0xb3, 0xf3,
+	0xcd, 0x18, 0x29, 0xd4, 0xe8, 0x31, 0xfb, 0xcc, 0xf5, 0xfb, 0x68, 0xbe, 0x0a, 0xd5, 0xa0, 0x48,
+	0xed, 0x23, 0x7b, 0x2c, 0x53, 0x7b, 0x45, 0xa6, 0x76, 0x84, 0x77, 0xb9, 0xf9, 0x27, 0x06, 0x2c,
+	0x29, 0x75, 0x65, 0x07, 0xeb, 0xaf, 0x45, 0xf4, 0xc1, 0x79, 0xfa, 0xb2, 0x6c, 0xbe, 0xa4, 0x7a,
+	0xc1, 0x98, 0x62, 0xfa, 0x9c, 0xe5, 0x2f, 0x9d, 0x33, 0xf3, 0x1a, 0x2c, 0xc7, 0x7c, 0xa8, 0x1a,
+	0xe5, 0xcf, 0x73, 0x50, 0x6f, 0xfb, 0x7e, 0x30, 0xf6, 0x7b, 0x6c, 0x28, 0xb2, 0xeb, 0xbb, 0xc5,
+	0xb6, 0xf9, 0xe7, 0x66, 0x09, 0x72, 0x2a, 0xc6, 0x54, 0x69, 0xce, 0x75, 0x30, 0x0a, 0x7a, 0x41,
+	0xa4, 0xd5, 0x2f, 0x01, 0xc1, 0x73, 0xa2, 0x72, 0x1d, 0x51, 0xd2, 0xa8, 0x69, 0xa9, 0xca, 0x97,
+	0xa3, 0x87, 0x58, 0x19, 0xdb, 0xb6, 0x8a, 0xd4, 0x25, 0xd7, 0x9d, 0x9a, 0xa8, 0x37, 0xe3, 0xf2,
+	0x52, 0x1d, 0x9e, 0xba, 0x40, 0xea, 0xb2, 0x92, 0xac, 0x42, 0xc9, 0xee, 0xa3, 0xc9, 0xe4, 0x19,
+	0x2a, 0xda, 0x7d, 0x61, 0xb0, 0x7f, 0x32, 0x60, 0x59, 0x2b, 0x45, 0x5b, 0xec, 0x15, 0x34, 0xec,
+	0x94, 0x9e, 0xf4, 0x1d, 0xd6, 0xc3, 0xb9, 0x06, 0x4a, 0x6b, 0x95, 0x4e, 0xd2, 0x26, 0xe6, 0xcf,
+	0xa5, 0xcd, 0xff, 0x4c, 0xa4, 0xbc, 0xb1, 0x58, 0x7b, 0x51, 0xaf, 0x74, 0xa4, 0x0e, 0xe5, 0xa6,
+	0x98, 0x4e, 0x15, 0x95, 0x79, 0x0c, 0x8d, 0x89, 0x81, 0x0c, 0x5b, 0x66, 0xc5, 0xc2, 0x3b, 0x50,
+	0x4d, 0x9a, 0x27, 0x99, 0xb3, 0x2a, 0xae, 0xea, 0x9c, 0x4c, 0x02, 0xcd, 0x44, 0x33, 0xca, 0x87,
+	0x7e, 0x6d, 0x00, 0xbc, 0x64, 0x9e, 0x73, 0x28, 0x8f, 0xeb, 0x7b, 0x45, 0x84, 0x2c, 0x86, 0xe2,
+	0x68, 0x91, 0x9f, 0x1d, 0x2d, 0x26, 0x03, 0xf3, 0xa2, 0x2c, 0x66, 0xfe, 0x85, 0x91, 0xe8, 0x69,
+	0x07, 0x83, 0x63, 0x7a, 0x73, 0x63, 0x6a, 0xf3, 0xc5, 0x6d, 0x44, 0x1c, 0x70, 0xf3, 0xe9, 0x80,
+	0x1b, 0x33, 0x5d, 0x98, 0xca, 0x0f, 0x3a, 0x0c, 0x17, 0x27, 0xc2, 0xb0, 0xf9, 0xab, 0x1c, 0x5c,
+	0xa3, 0x2c, 0x64, 0x7d, 0x57, 0xe8, 0x27, 0x3b, 0x4e, 0x7c, 0x03, 0x65, 0x29, 0xac, 0x0e, 0x13,
+	0xf3, 0x6f, 0xa4, 0x12, 0xbb, 0x50, 0x4d, 0x13, 0x1b, 0x28, 0xff, 0x5e, 0x21, 0x7b, 0x42, 0x9e,
+	0x29, 0xed, 0x14, 0x2f, 0x6b, 0xe7, 0x19, 0x94, 0x50, 0x21, 0xb2, 0x47, 0xb8, 0x8a, 0x53, 0xa3,
+	0x4d, 0xa8, 0xa2, 0x32, 0x57, 0x80, 0xa4, 0xd5, 0xa2, 0x5c, 0xee, 0xef, 0x73, 0x50, 0xdb, 0xf4,
+	0x6c, 0x77, 0x48, 0x59, 0x2f, 0x08, 0x9d, 0x0c, 0x4f, 0x6f, 0x42, 0xfe, 0x94, 0xe9, 0x83, 0x26,
+	0x3e, 0x85, 0xe3, 0x38, 0x6e, 0x9f, 0xf1, 0x48, 0xdd, 0x85, 0x2b, 0x48, 0x48, 0x18, 0x9c, 0xfb,
+	0x2c, 0x54, 0x41, 0x4b, 0x02, 0x18, 0xe1, 0xa2, 0x88, 0x0d, 0x47, 0xfa, 0x96, 0x41, 0x83, 0xe4,
+	0x0b, 0x1d, 0x77, 0x4a, 0x98, 0x94, 0xe6, 0xdb, 0x00, 0x19, 0xc5, 0xda, 0x5f, 0x07, 0xa7, 0x94,
+	0x1b, 0x94, 0x27, 0xb3, 0xf1, 0x57, 0x50, 0xb2, 0x7d, 0x7e, 0xce, 0x42, 0x8c, 0x66, 0x59, 0x96,
+	0x7d, 0xc5, 0x46, 0x51, 0x1b, 0xa7, 0x52, 0x45, 0x92, 0x0a, 0x67, 0xb2, 0x19, 0x52, 0xe1, 0xec,
+	0x97, 0x06, 0x40, 0x32, 0x1b, 0x2b, 0xf7, 0xc8, 0x8e, 0xc6, 0xba, 0x05, 0x55, 0x10, 0xf9, 0x02,
+	0xca, 0x03, 0xec, 0xf4, 0xb4, 0x57, 0x3d, 0xc8, 0xf0, 0x2a, 0x31, 0x8f, 0xea, 0xf9, 0x22, 0x35,
+	0x1c, 0x07, 0xce, 0x85, 0x7e, 0x5c, 0x10, 0xdf, 0xe4, 0x2e, 0x54, 0xa3, 0x70, 0xec, 0xf7, 0xb0,
+	0xa3, 0x52, 0x37, 0x37, 0x31, 0xc2, 0xdc, 0x80, 0x92, 0x5c, 0x44, 0xd0, 0xfa, 0xf6, 0x50, 0xdb,
+	0x0d, 0xbf, 0x85, 0x29, 0xce, 0x6c, 0x6f, 0xac, 0x73, 0x8d, 0x04, 0xcc, 0x3f, 0x2a, 0x40, 0x1d,
+	0x75, 0xa9, 0xef, 0xd9, 0xbf, 0x99, 0xb8, 0x67, 0x7f, 0x94, 0x6d, 0x80, 0xec, 0xcb, 0xf6, 0xea,
+	0xa5, 0xcb, 0xf6, 0x2a, 0x5e, 0xb6, 0xcf, 0x76, 0xfb, 0xc9, 0x42, 0xba, 0x38, 0x5d, 0x48, 0x7f,
+	0x0d, 0xa5, 0x10, 0xfd, 0x12, 0x5d, 0xa3, 0x96, 0xf1, 0x02, 0x90, 0xf2, 0x61, 0xaa, 0x68, 0xc8,
+	0x33, 0x51, 0x43, 0x8a, 0x2f, 0x8e, 0x75, 0xf4, 0x55, 0xc9, 0x35, 0x51, 0xba, 0x02, 0xae, 0x4c,
+	0x56, 0xc0, 0xa9, 0xea, 0xb4, 0xba, 0xa8, 0x3a, 0x85, 0x19, 0xd5, 0xe9, 0xd4, 0x69, 0xaf, 0x5d,
+	0x3e, 0xed, 0x77, 0xa1, 0x3a, 0xb2, 0xc3, 0xc8, 0x8d, 0x74, 0xa1, 0xd9, 0xa0, 0x09, 0x82, 0x6c,
+	0x41, 0xad, 0x27, 0x38, 0xb6, 0xa4, 0x4a, 0x1b, 0x33, 0x3d, 0x3c, 0xd5, 0xd8, 0x89, 0xb9, 0x1d,
+	0x31, 0x95, 0x42, 0x2f, 0xfe, 0x36, 0xf7, 0x01, 0x70, 0x44, 0x3e, 0x3a, 0xb6, 0x2f, 0x3d, 0xcc,
+	0x3d, 0xbc, 0x92, 0x1f, 0x24, 0x8f, 0x72, 0xe6, 0xbf, 0x89, 0x60, 0x12, 0xda, 0xa2, 0x0d, 0x1c,
+	0x05, 0x61, 0x56, 0xda, 0x5c, 0x83, 0xda, 0x89, 0xeb, 0xf7, 0x59, 0x38, 0x0a, 0x5d, 0x3f, 0x52,
+	0x8e, 0x93, 0x46, 0x4d, 0xa4, 0x92, 0x7c, 0x76, 0x2a, 0x29, 0xcc, 0x4c, 0x25, 0x32, 0xdc, 0x17,
+	0xa7, 0x7a, 0x78, 0x2e, 0x7c, 0xcb, 0xef, 0x31, 0x75, 0x95, 0x16, 0xc3, 0xa9, 0x23, 0x5f, 0x4e,
+	0x55, 0x30, 0xb2, 0x8f, 0xc5, 0x4a, 0x4f, 0x3b, 0x41, 0x0c, 0x8b, 0x82, 0xbf, 0xcf, 0x7c, 0x16,
+	0xda, 0x9e, 0x95, 0xe2, 0x5c, 0xc4, 0x0c, 0xd1, 0xb4, 0x5d, 0x57, 0x63, 0x2f, 0x52, 0x43, 0x82,
+	0xaf, 0x28, 0x74, 0x6d, 0x0f, 0x4d, 0x5e, 0xa1, 0x12, 0xf8, 0xbd, 0x42, 0x05, 0x9a, 0x35, 0x4a,
+	0x42, 0xd6, 0x63, 0x7e, 0xe4, 0x5d, 0x58, 0xbd, 0x60, 0x38, 0xf2, 0x98, 0x38, 0xdd, 0xbf, 0xc8,
+	0xc1, 0x72, 0xe7, 0x6d, 0x6f, 0x60, 0xfb, 0xfd, 0x05, 0x25, 0xef, 0x33, 0x28, 0xf7, 0x84, 0xea,
+	0xe3, 0x8a, 0x37, 0xc3, 0xd9, 0x13, 0x13, 0x51, 0x4d, 0x74, 0xb9, 0x2c, 0xcb, 0x7f, 0x40, 0x59,
+	0x76, 0x0f, 0x40, 0xde, 0xdd, 0xe0, 0x25, 0x4f, 0x01, 0x2f, 0x79, 0xaa, 0x88, 0xc1, 0x1b, 0x9e,
+	0x8f, 0xa1, 0x71, 0x3c, 0x16, 0x29, 0x14, 0xc7, 0x99, 0xa8, 0x2d, 0xf2, 0xeb, 0x25, 0x5a, 0x97,
+	0xc8, 0x97, 0x92, 0xa1, 0x1b, 0x50, 0x3a, 0x97, 0x87, 0xaf, 0x84, 0xa3, 0x0a, 0x32, 0x7f, 0x34,
+	0xa0, 0x99, 0xa8, 0x44, 0x35, 0xab, 0x29, 0xe9, 0x8d, 0xf7, 0x91, 0x7e, 0x92, 0xe1, 0xdc, 0x34,
+	0xc3, 0x2d, 0x28, 0x4b, 0xde, 0xa4, 0x5a, 0x1a, 0x54, 0x83, 0x58, 0xe3, 0x39, 0x5a, 0x8c, 0x02,
+	0x32, 0x5a, 0x71, 0x1d, 0x29, 0x82, 0xf9, 0x06, 0x8a, 0x87, 0xc2, 0xc0, 0x1f, 0x74, 0x10, 0x66,
+	0xdf, 0x40, 0xdc, 0x80, 0x92, 0x3f, 0x1e, 0x1e, 0xab, 0x24, 0x5b, 0xa0, 0x0a, 0x32, 0xb7, 0xe1,
+	0xda, 0x73, 0xd6, 0x77, 0x7d, 0xdc, 0x37, 0xf5, 0x1c, 0x26, 0xbd, 0x6e, 0xf6, 0x73, 0x58, 0xa2,
+	0x1b, 0x49, 0x25, 0x27, 0x9b, 0x7f, 0x6a, 0x00, 0x49, 0xaf, 0xb5, 0xf0, 0x5e, 0x20, 0xf5, 0x46,
+	0x96, 0x9b, 0x78, 0x23, 0x4b, 0x59, 0x27, 0xff, 0x1e, 0xd6, 0x11, 0x9c, 0x2c, 0x77, 0x7c, 0xe7,
+	0xc3, 0x65, 0xfa, 0xd0, 0x53, 0x22, 0xaa, 0xf6, 0x84, 0x11, 0x55, 0x42, 0xfd, 0x8d, 0x01, 0x75,
+	0x5d, 0x72, 0x51, 0x51, 0x94, 0xac, 0x40, 0xf1, 0xd4, 0x0f, 0xce, 0x7d, 0xa5, 0x1f, 0x09, 0x60,
+	0xc7, 0x2b, 0x2a, 0xb1, 0xf8, 0xa2, 0x4f, 0x83, 0xc2, 0xf9, 0x46, 0x2c, 0xb4, 0x38, 0xeb, 0x05,
+	0xbe, 0xbc, 0xdc, 0x32, 0x68, 0x75, 0xc4, 0xc2, 0x2e, 0x22, 0x52, 0x91, 0xa9, 0x90, 0x8e, 0x4c,
+	0x9f, 0xc2, 0xb2, 0x48, 0xf1, 0x8e, 0x75, 0x7c, 0x61, 0xe1, 0xed, 0x06, 0x57, 0xef, 0x8c, 0x0d,
+	0x44, 0x3f, 0xbf, 0x38, 0x40, 0xa4, 0xf9, 0xef, 0x06, 0xac, 0xa8, 0xbb, 0x1d, 0x6c, 0xd7, 0xa2,
+	0x85, 0xf7, 0x9c, 0x73, 0xfb, 0x07, 0x79, 0x4a, 0xf0, 0xb9, 0x4a, 0xbd, 0x83, 0x16, 0xf0, 0x94,
+	0x08, 0x8c, 0xbc, 0x73, 0x19, 0xfb, 0xa2, 0x40, 0x55, 0x7c, 0x22, 0x40, 0xbe, 0x80, 0x42, 0x28,
+	0x8a, 0xbb, 0x22, 0xda, 0xe9, 0xe1, 0xc2, 0xaa, 0x55, 0xa8, 0x90, 0x22, 0x89, 0xd8, 0xaf, 0x17,
+	0x78, 0x78, 0x0f, 0x1c, 0x46, 0xea, 0x1e, 0xa1, 0x2a, 0x30, 0x5d, 0x81, 0x30, 0xff, 0xd8, 0x80,
+	0xd5, 0x29, 0xc9, 0xde, 0xdf, 0x47, 0x35, 0x9b, 0xf9, 0x77, 0x66, 0xd3, 0xfc, 0xeb, 0x1c, 0xac,
+	0x1c, 0xda, 0xa7, 0xac, 0xed, 0x79, 0x41, 0x84, 0xe1, 0xf0, 0x03, 0xdf, 0x53, 0x4c, 0xa8, 0x07,
+	0x61, 0xdf, 0xf6, 0x5d, 0x9e, 0xdc, 0x40, 0x54, 0xe9, 0x04, 0x6e, 0x8e, 0xb2, 0x31, 0x5d, 0x45,
+	0xe3, 0xd0, 0x57, 0x0f, 0x49, 0x0d, 0x1a, 0xc3, 0x64, 0x0d, 0xea, 0x0e, 0x1b, 0xda, 0x3e, 0xb6,
+	0xf2, 0x96, 0xbc, 0x23, 0x30, 0x44, 0x43, 0x27, 0x70, 0x07, 0x2c, 0xec, 0x8a, 0x3a, 0x6e, 0xc0,
+	0x3c, 0x47, 0x65, 0x40, 0xfc, 0x16, 0xb1, 0x5a, 0x46, 0x46, 0x5d, 0x67, 0xcb, 0x6b, 0xc7, 0x3a,
+	0x22, 0xd5, 0x7b, 0xd9, 0x44, 0x62, 0xad, 0x4e, 0x26, 0x56, 0xf3, 0x1f, 0x0c, 0x58, 0x9d, 0xd2,
+	0xce, 0x6c, 0x2b, 0x35, 0x12, 0x2b, 0xdd, 0x82, 0xca, 0x99, 0xed, 0xb9, 0x4e, 0x62, 0xa6, 0x32,
+	0xc2, 0xbb, 0x7c, 0xfe, 0x43, 0xfc, 0x7d, 0xa8, 0xf1, 0x81, 0x1d, 0x32, 0x25, 0x5d, 0x41, 0x1e,
+	0x23, 0x44, 0xa1, 0x70, 0x9f, 0xc0, 0x92, 0x1c, 0x8f, 0x57, 0x96, 0x0a, 0xaa, 0x23, 0xf6, 0xb5,
+	0x5c, 0xfe, 0xf1, 0xdf, 0xe5, 0xa0, 0x96, 0x2a, 0x70, 0xc9, 0x5d, 0x68, 0xed, 0x76, 0xba, 0xdd,
+	0xf6, 0xb7, 0x1d, 0xeb, 0xd5, 0xf6, 0xde, 0x96, 0x75, 0xb4, 0xd7, 0x3d, 0xe8, 0x6c, 0x6e, 0xbf,
+	0xd8, 0xee, 0x6c, 0x35, 0xff, 0x1f, 0xb9, 0x05, 0xab, 0x13, 0xa3, 0x07, 0xb4, 0x63, 0xbd, 0xde,
+	0x3f, 0xec, 0x34, 0x0d, 0xf2, 0x00, 0xee, 0xcc, 0x1c, 0xb2, 0x68, 0xe7, 0x60, 0xe7, 0x67, 0xcd,
+	0x1c, 0x59, 0x85, 0x6b, 0x13, 0x13, 0x90, 0x2e, 0x4f, 0xee, 0xc0, 0xcd, 0x4b, 0x68, 0x45, 0x53,
+	0x20, 0x37, 0xe1, 0xfa, 0xc4, 0x60, 0xfb, 0xe0, 0xa0, 0xb3, 0xb7, 0xd5, 0x2c, 0x92, 0x7b, 0x70,
+	0x6b, 0xc6, 0x80, 0xa2, 0x2b, 0x5d, 0xe2, 0xb3, 0xbb, 0xd7, 0x3e, 0xe8, 0xbe, 0xdc, 0x3f, 0x6c,
+	0x96, 0x2f, 0x09, 0x78, 0xb8, 0xbd, 0xdb, 0xd9, 0x3f, 0x3a, 0xb4, 0xf6, 0xf6, 0xbf, 0x6b, 0x56,
+	0x2e, 0x31, 0xf9, 0x62, 0x9f, 0xee, 0x36, 0xab, 0x8f, 0xff, 0xd1, 0x80, 0xb2, 0xba, 0x21, 0x14,
+	0x3c, 0xed, 0x1f, 0x1d, 0x6e, 0xee, 0xef, 0x76, 0xa6, 0x94, 0xb3, 0x04, 0xa0, 0x07, 0xf6, 0x5f,
+	0x35, 0x0d, 0xd2, 0x84, 0xba, 0x86, 0xbb, 0x2f, 0x3b, 0x5b, 0xcd, 0x1c, 0x21, 0xb0, 0xa4, 0x31,
+	0x2f, 0xda, 0xdb, 0x3b, 0x9d, 0xad, 0x66, 0x3e, 0x8d, 0x7b, 0x4e, 0xf7, 0x5f, 0x75, 0xf6, 0xa4,
+	0xd8, 0xc9, 0x16, 0xb4, 0xd3, 0xde, 0x7c, 0xd9, 0x7e, 0xbe, 0xd3, 0x69, 0x16, 0x05, 0x7b, 0x7a,
+	0x60, 0xb3, 0xbd, 0xb7, 0xd9, 0xd9, 0x11, 0x6b, 0x94, 0xd2, 0x6b, 0x1c, 0xed, 0x1d, 0x75, 0x3b,
+	0x5b, 0xcd, 0xf2, 0xe3, 0x1f, 0x0d, 0x55, 0xed, 0xca, 0xff, 0x0f, 0xee, 0xc0, 0xcd, 0xcd, 0x9d,
+	0xf6, 0xf6, 0xae, 0xd5, 0x3d, 0x6c, 0x1f, 0x4e, 0x73, 0x7e, 0x13, 0xae, 0xa7, 0x07, 0xf1, 0xbb,
+	0xb3, 0xd5, 0x34, 0xa6, 0x07, 0xe8, 0xd1, 0xde, 0xde, 0xf6, 0xde, 0xb7, 0xcd, 0x1c, 0x69, 0xc1,
+	0x4a, 0x7a, 0xe0, 0xc5, 0xf6, 0xde, 0x36, 0xca, 0x98, 0x9f, 0x26, 0x39, 0xda, 0x7b, 0xb5, 0xb7,
+	0xff, 0x9d, 0x10, 0x6a, 0x8a, 0x84, 0x76, 0x76, 0x3a, 0x6d, 0xc1, 0x6a, 0xf1, 0xf1, 0xff, 0x18,
+	0xd0, 0x9c, 0xee, 0xb4, 0x88, 0x09, 0xf7, 0xe5, 0xf4, 0x0c, 0x77, 0xbc, 0x0b, 0xad, 0x19, 0x73,
+	0x10, 0xd5, 0x34, 0xe6, 0xac, 0x20, 0x51, 0xda, 0x29, 0xef, 0xc1, 0xad, 0x59, 0xbb, 0x1c, 0x6c,
+	0xb5, 0xd1, 0x39, 0x3f, 0x86, 0x07, 0x73, 0x87, 0x63, 0x27, 0x8d, 0x55, 0x3b, 0xe9, 0x72, 0x3f,
+	0xdb, 0xdb, 0x6c, 0x16, 0xc9, 0x47, 0x70, 0x6f, 0xce, 0xa0, 0x76, 0xd6, 0x8d, 0x1e, 0x54, 0xe3,
+	0xbf, 0x8f, 0xc8, 0x6b, 0x28, 0x74, 0x99, 0xef, 0x90, 0xcf, 0x16, 0xff, 0xa9, 0x84, 0x6d, 0xcc,
+	0xed, 0x87, 0x8b, 0x27, 0xb6, 0x7b, 0xa7, 0x1b, 0x7f, 0x95, 0x83, 0xfa, 0x96, 0xcb, 0xa3, 0xd0,
+	0x3d, 0x1e, 0x63, 0x3c, 0x7d, 0x0d, 0x45, 0x7c, 0x62, 0x26, 0x0f, 0x33, 0x6e, 0x8a, 0x93, 0x5f,
+	0x8c, 0x6e, 0x7f, 0xba, 0x68, 0x9a, 0x0a, 0x72, 0x3f, 0x40, 0x59, 0x3d, 0x0d, 0x66, 0xcb, 0x90,
+	0x7a, 0x81, 0xbc, 0xbd, 0xbe, 0x78, 0xa2, 0x5a, 0xbd, 0x0b, 0x85, 0x83, 0x31, 0x1f, 0x90, 0xf9,
+	0x65, 0x4c, 0xea, 0x29, 0x30, 0x43, 0x37, 0xe9, 0xb7, 0xbb, 0x8d, 0x31, 0x54, 0xd4, 0x2b, 0x3d,
+	0x27, 0x2e, 0x94, 0x54, 0x33, 0xf7, 0x24, 0x43, 0xe0, 0x19, 0x3f, 0x13, 0xdc, 0x7e, 0x7a, 0xe5,
+	0xf9, 0x6a, 0xdb, 0x9f, 0xe7, 0xa1, 0xb2, 0xe5, 0xf2, 0x11, 0x76, 0xa3, 0x3f, 0x40, 0x59, 0xa5,
+	0xf6, 0x0c, 0xb5, 0x4d, 0x3e, 0xfb, 0x65, 0xa8, 0x6d, 0xfa, 0x6d, 0xeb, 0x87, 0xe4, 0xd9, 0xe5,
+	0xb3, 0x85, 0x0f, 0x03, 0x0b, 0x57, 0x9f, 0x7a, 0x0a, 0x20, 0x16, 0x54, 0x74, 0x73, 0x44, 0xd6,
+	0x17, 0xf6, 0x4f, 0x7a, 0xfd, 0x47, 0x57, 0x98, 0xa9, 0x36, 0x60, 0x00, 0xc9, 0x55, 0x1e, 0x79,
+	0x9c, 0xc1, 0xd8, 0xd4, 0x35, 0xe8, 0xed, 0x9f, 0x5c, 0x69, 0xae, 0x32, 0xc8, 0xf7, 0x50, 0xc2,
+	0x30, 0xc4, 0xc9, 0x01, 0x14, 0xba, 0x11, 0x1b, 0x91, 0x05, 0x57, 0x73, 0xf2, 0x04, 0x5e, 0x65,
+	0xd2, 0x86, 0x0b, 0xa5, 0x6f, 0x03, 0xce, 0xdd, 0x91, 0xd0, 0x96, 0x6e, 0xe7, 0x32, 0xb4, 0x35,
+	0xd5, 0x04, 0x67, 0x68, 0x6b, 0xba, 0x37, 0xdc, 0xf8, 0x57, 0x03, 0x4a, 0x58, 0xb1, 0x73, 0xf2,
+	0xfb, 0x50, 0xc4, 0x8e, 0x26, 0x43, 0x67, 0x97, 0xba, 0xa7, 0x0c, 0x9d, 0xcd, 0xe8, 0x8e, 0xbe,
+	0x87, 0x7c, 0xc7, 0x77, 0xb2, 0x04, 0x99, 0xec, 0x63, 0xb2, 0x04, 0x99, 0x6a, 0x34, 0x36, 0x38,
+	0x94, 0x65, 0x9d, 0xcb, 0xc9, 0x20, 0x39, 0x1e, 0xbf, 0xb1, 0xc8, 0xeb, 0x27, 0xaa, 0xfe, 0xdb,
+	0x4f, 0xae, 0x3a, 0x3d, 0xde, 0x14, 0xe2, 0xca, 0x8d, 0x13, 0x06, 0x05, 0x51, 0xcb, 0x65, 0x6c,
+	0x3a, 0xab, 0x10, 0xce, 0xd8, 0x74, 0x66, 0x65, 0xf8, 0xfc, 0xeb, 0xef, 0xbf, 0x9c, 0x20, 0x60,
+	0x6f, 0xed, 0xe1, 0xc8, 0x63, 0x4f, 0xd3, 0xc8, 0xa7, 0xf6, 0xc8, 0x7d, 0x9a, 0xfc, 0x88, 0xff,
+	0x95, 0xfa, 0x1c, 0x1d, 0x1f, 0x97, 0xf0, 0xc7, 0xfa, 0x9f, 0xfe, 0x6f, 0x00, 0x00, 0x00, 0xff,
+	0xff, 0x27, 0x5a, 0x66, 0xc7, 0xa7, 0x2f, 0x00, 0x00,
 }
