Gateways get their first configuration sooner, and calls wait for it

After a loss of power of all VMs, a gateway asked one control VM at a time and gave up on one that was not up yet after 200 ms. Until the first configuration arrived, calls were refused and came back late.

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -12,6 +12,7 @@
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/union"
 )
 
@@ -30,6 +31,10 @@
 	// firstRetryInterval replaces retryInterval until the first configuration
 	// has been received. It is shorter because callers are refused until then.
 	firstRetryInterval = 40 * time.Millisecond
+	// firstDialTimeout bounds the dialling of a control VM until the first
+	// configuration has been received. After a loss of power, control VMs that are
+	// not up yet do not refuse connections, and the next one may already answer.
+	firstDialTimeout = 50 * time.Millisecond
 	// minRenewInterval is the shortest interval between renewals that bring no
 	// change.
 	minRenewInterval = 200 * time.Millisecond
@@ -97,6 +102,9 @@
 	req.Relayed = relayed
 	timeout := time.Duration(req.WaitMs)*time.Millisecond + renewTimeoutMargin
 	ctx, cancel := context.WithTimeout(l.ctx, timeout+maxRenewalTransfer)
+	if l.view == nil {
+		ctx = httpnet.WithDialTimeout(ctx, firstDialTimeout)
+	}
 	r.cancel = cancel
 	r.sentAt = l.syncer.now()
 	ev := &renewalResult{number: r.number, sentAt: r.sentAt, sentAtBoot: l.syncer.bootTime(), address: address, relayed: relayed, wantsMembers: req.WantsMembers}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -129,6 +129,9 @@
 func (c *call) findRoute() error {
 	st := c.f.state
 	table := st.routes.Load()
+	if table == nil && c.awaitFirstState() {
+		table = st.routes.Load()
+	}
 	if table == nil {
 		return fault.NewRetryable(fault.NotFresh, startupRetryAfter, "no desired state received from control yet")
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -95,10 +95,12 @@
 	buffers *responseBuffers
 	// lastWaiterID is the ID of the call that joined a queue last.
 	lastWaiterID atomic.Uint64
-	trials       trialGates
-	reach        reachability
-	relays       relayTargets
-	relayConns   *upstreamconn.Pool
+	// startupWaiters is the number of calls that wait for the first desired state.
+	startupWaiters atomic.Int64
+	trials         trialGates
+	reach          reachability
+	relays         relayTargets
+	relayConns     *upstreamconn.Pool
 }
 
 func newForwarder(st *state, conns *upstreamconn.Pool, o ForwarderOptions) *Forwarder {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -28,8 +28,10 @@
 	gatewayID string
 	started   time.Time
 	routes    atomic.Pointer[route.Table]
-	config    atomic.Pointer[catalogpb.Config]
-	pools     atomic.Pointer[map[string]*catalogpb.Pool]
+	// firstState is closed once a desired state has been received.
+	firstState chan struct{}
+	config     atomic.Pointer[catalogpb.Config]
+	pools      atomic.Pointer[map[string]*catalogpb.Pool]
 	// reachTargets are the upstreams that show whether the gateway reaches any.
 	reachTargets atomic.Pointer[reachTargets]
 	// gatewayCount is the number of gateways that share the retry budgets and the
@@ -78,6 +80,7 @@
 	st := &state{
 		gatewayID:     gatewayID,
 		started:       time.Now(),
+		firstState:    make(chan struct{}),
 		reachable:     func(string) bool { return true },
 		sinceNewest:   func() time.Duration { return 0 },
 		awaitRefresh:  func(context.Context) bool { return false },
@@ -125,6 +128,9 @@
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
 		st.routes.Store(route.NewTable(cfg, st.phase))
+		if t == nil {
+			close(st.firstState)
+		}
 		st.dropRemovedRoutes(cfg)
 	}
 }
--- a/internal/httpnet/client.go
+++ b/internal/httpnet/client.go
@@ -25,8 +25,23 @@
 
 // DialWithTimeout returns a DialFunc that fails if the connection is not open within
 // the timeout.
+// A shorter timeout may be set for a request by WithDialTimeout.
 func DialWithTimeout(timeout time.Duration) DialFunc {
-	return (&net.Dialer{Timeout: timeout}).DialContext
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		limit := timeout
+		if d, ok := ctx.Value(dialTimeoutKey{}).(time.Duration); ok {
+			limit = min(limit, d)
+		}
+		return (&net.Dialer{Timeout: limit}).DialContext(ctx, network, address)
+	}
+}
+
+type dialTimeoutKey struct{}
+
+// WithDialTimeout returns a context for a request. A connection that is opened for the
+// request by a DialFunc of DialWithTimeout has to be open within d.
+func WithDialTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, dialTimeoutKey{}, d)
 }
 
 // NewClient returns a client for requests to other processes. It uses HTTP/2
