Ask the next control VM at once after one that does not answer

Until the first configuration, a gateway paused for 40 ms after each control VM that did not answer.

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -200,6 +201,12 @@
 	return r.controlAddresses[r.controlIndex%len(r.controlAddresses)]
 }
 
+// hasUntriedControl reports whether there is a control VM that has not failed to answer
+// recently.
+func (l *loop) hasUntriedControl() bool {
+	return slices.ContainsFunc(l.renew.controlAddresses, func(address string) bool { return !l.isAvoided(address) })
+}
+
 func (l *loop) isAvoided(address string) bool {
 	return l.syncer.now() < l.renew.avoidUntil[address]
 }
@@ -243,6 +250,10 @@
 		r.avoidUntil[ev.address] = l.syncer.now() + avoidDuration
 		l.forgetLeader(ev.address)
 		l.handleRenewalFailure()
+		if l.view == nil && l.hasUntriedControl() {
+			r.nextAt = l.syncer.now()
+			l.startRenewal()
+		}
 		return
 	}
 	l.syncer.lastControlContact.Store(int64(l.syncer.now()))
