Desired states may contain organisations with API keys

Cause: a desired state with organisations was refused as a whole (unknown resource type), so that a deployment that uses them served nothing. Change: organisations are decoded, validated, applied and sent to gateways as digests of their keys. A gateway checks the key when a call arrives and again right before the request is sent, sets the header with the name of the organisation, and uses the organisation's priority in queues. Requests with a key are refused once the configuration has not been confirmed for 0.9 of revoke_within_ms.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -142,6 +142,7 @@
 		Pools:            cfg.Pools,
 		CallerLimits:     cfg.CallerLimits,
 		Upstreams:        cfg.Upstreams,
+		Organisations:    cfg.Organisations,
 	}
 }
 
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -66,6 +66,9 @@
 	var deletedPools []*catalogpb.Pool
 	d.PutPools, deletedPools = pools.compare(base.Pools, next.Pools)
 	d.DeletedPools = keysOf(pools, deletedPools)
+	var deletedOrganisations []*catalogpb.Organisation
+	d.PutOrganisations, deletedOrganisations = organisations.compare(base.Organisations, next.Organisations)
+	d.DeletedOrganisations = keysOf(organisations, deletedOrganisations)
 	if !proto.Equal(base.CallerLimits, next.CallerLimits) {
 		d.CallerLimits = next.CallerLimits
 		if d.CallerLimits == nil {
@@ -83,6 +86,7 @@
 	d.PutRoutes, d.DeletedRoutes = state.PutRoutes, state.DeletedRoutes
 	d.PutPools, d.DeletedPools = state.PutPools, state.DeletedPools
 	d.CallerLimits = state.CallerLimits
+	d.PutOrganisations, d.DeletedOrganisations = state.PutOrganisations, state.DeletedOrganisations
 	return d
 }
 
@@ -147,6 +151,7 @@
 	next.StateVersion = d.StateVersion
 	next.Routes = routes.merge(base.Routes, d.PutRoutes, d.DeletedRoutes)
 	next.Pools = pools.merge(base.Pools, d.PutPools, d.DeletedPools)
+	next.Organisations = organisations.merge(base.Organisations, d.PutOrganisations, d.DeletedOrganisations)
 	next.Upstreams = upstreams.merge(base.Upstreams, d.PutUpstreams, d.DeletedUpstreams)
 	if d.CallerLimits != nil {
 		next.CallerLimits = d.CallerLimits
--- a/internal/catalog/desired_state.go
+++ b/internal/catalog/desired_state.go
@@ -25,6 +25,9 @@
 	if len(state.Source) > maxSourceBytes {
 		return invalid("source of the desired state has %d bytes, expected at most %d", len(state.Source), maxSourceBytes)
 	}
+	if bad := CheckOrganisations(state.Organisations); bad != nil {
+		return invalid("%s %s", bad.path(), bad.Reason)
+	}
 	pools := make(map[string]bool, len(state.Pools))
 	for _, p := range state.Pools {
 		if err := checkPool(p); err != nil {
@@ -131,6 +134,7 @@
 	next.Routes = routes.replace(next.Routes, state.Routes)
 	next.Pools = pools.replace(next.Pools, state.Pools)
 	next.CallerLimits = state.Limits
+	next.Organisations = organisations.replace(next.Organisations, state.Organisations)
 }
 
 // StateDryRun returns the result that applying state would have now, without
@@ -165,6 +169,7 @@
 	var d diffText
 	addDiff(&d, pools, "pool", base.Pools, next.Pools)
 	addDiff(&d, routes, "route", base.Routes, next.Routes)
+	addOrganisationDiff(&d, base.Organisations, next.Organisations)
 	if !proto.Equal(base.CallerLimits, next.CallerLimits) {
 		d.add(func() string { return "~ caller limits" })
 	}
--- a/internal/catalog/equal.go
+++ b/internal/catalog/equal.go
@@ -22,6 +22,7 @@
 		sameItems(a.Routes, b.Routes) &&
 		sameItems(a.Pools, b.Pools) &&
 		sameItems(a.Upstreams, b.Upstreams) &&
+		sameItems(a.Organisations, b.Organisations) &&
 		proto.Equal(a.ClaimEpoch, b.ClaimEpoch) &&
 		proto.Equal(a.CallerLimits, b.CallerLimits)
 }
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -39,6 +39,8 @@
 		Pools:        state.Pools,
 		Limits:       state.Limits,
 		PackedSource: packed,
+
+		Organisations: state.Organisations,
 	}, nil
 }
 
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -27,6 +27,8 @@
 	pools    = table[*catalogpb.Pool]{func(p *catalogpb.Pool) string { return p.Name }}
 
 	upstreams = table[*catalogpb.Upstream]{func(u *catalogpb.Upstream) string { return u.Id }}
+
+	organisations = table[*catalogpb.Organisation]{func(o *catalogpb.Organisation) string { return o.Name }}
 )
 
 // keySeparator joins the parts of a key. It cannot occur in a name.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,11 @@
 		c.recordNeutralEnd(u.ID)
 		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: no connection for a request without an ID", u.ID)})
 	}
+	// No wait follows in which the key could be removed.
+	if err := c.lookupOrganisation(); err != nil {
+		c.f.releaseUnused(res)
+		return false, attemptFailure{err: fault.FromError(err), denied: true}
+	}
 	res.conn.Carried = true
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
@@ -128,6 +133,7 @@
 		h.Del(name)
 	}
 	left := max(1, time.Until(c.deadline).Milliseconds())
+	c.setOrganisation(h)
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.ExpectUpstream, u.ID)
 	id := c.id
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,12 +12,14 @@
 	"strings"
 	"time"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/notice"
+	"balsamcourse.example/balsamcourse/internal/organisation"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -46,7 +48,15 @@
 	id      string
 	arrived time.Time
 
-	route     *route.Route
+	route *route.Route
+	// routeVersion is the version of the desired state that route belongs to.
+	routeVersion uint64
+	// credential is what the caller has sent as its API key, organisation whom the
+	// key belongs to, nil without a key.
+	credential     organisation.Credential
+	credentialRead bool
+	organisation   *catalogpb.Organisation
+
 	pool      string
 	body      body
 	signature quarantine.Signature
@@ -108,6 +118,9 @@
 	if err := c.findRoute(); err != nil {
 		return err
 	}
+	if err := c.lookupOrganisation(); err != nil {
+		return err
+	}
 	if f.opts.Closed() {
 		return fault.New(fault.Leaving, "")
 	}
@@ -133,12 +146,14 @@
 		return fault.NewRetryable(fault.NotFresh, startupRetryAfter, "no desired state received from control yet")
 	}
 	if c.route = table.Lookup(c.r.Host, c.r.URL.Path); c.route != nil {
+		c.routeVersion = table.Version()
 		return nil
 	}
 	// The table is read after the age, so that the age is not that of a newer one.
 	age := st.sinceNewest()
 	table = st.routes.Load()
 	if c.route = table.Lookup(c.r.Host, c.r.URL.Path); c.route != nil {
+		c.routeVersion = table.Version()
 		return nil
 	}
 	return c.denial(age, fault.New(fault.NoRoute, "no route for host %q, path %q in desired state version %d", c.r.Host, c.r.URL.Path, table.Version()))
@@ -346,6 +361,8 @@
 	err *fault.Error
 	// mayHaveRun is false only if the upstream cannot have run the request.
 	mayHaveRun bool
+	// denied is set if this gateway may no longer send the request.
+	denied bool
 }
 
 // allowRetry reports whether a further attempt is allowed after a failed one,
@@ -357,6 +374,9 @@
 			return false
 		}
 	}
+	if failed.denied {
+		return false
+	}
 	if c.ctx.Err() != nil || c.sends >= maxUpstreamsPerCall || !c.body.replayable() || !c.enoughTimeLeft() {
 		return false
 	}
@@ -503,6 +523,9 @@
 	if c.route != nil {
 		line.Str("route", c.route.Name)
 	}
+	if c.organisation != nil {
+		line.Str("organisation", c.organisation.Name)
+	}
 	if c.relayedTo != "" {
 		line.Str("relayed_to", c.relayedTo)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -23,6 +23,7 @@
 	"balsamcourse.example/balsamcourse/internal/gossip"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/lookup"
+	"balsamcourse.example/balsamcourse/internal/organisation"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/reach"
 	"balsamcourse.example/balsamcourse/internal/retry"
@@ -188,6 +189,7 @@
 	d.state.sinceNewest = d.config.SinceNewest
 	d.state.awaitRefresh = d.config.AwaitRefresh
 	d.state.maxDenialAge = denialAge(s.ApplyWithinMs.Duration())
+	d.state.keyBounds = organisation.NewBounds(s.RevokeWithinMs.Duration())
 	d.state.isolated = d.config.Isolated
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -34,6 +34,11 @@
 	Limit string
 	// Leaving carries the value 1 in all answers of an upstream that is leaving.
 	Leaving string
+	// APIKey carries the API key of the caller. It is never sent to upstreams.
+	APIKey string
+	// Organisation carries the name of the caller's organisation to upstreams. What
+	// callers send in it is removed.
+	Organisation string
 	// ParseLoad parses the value of Load; it reports false if the value is invalid.
 	ParseLoad func(value string) (balance.Load, bool)
 }
@@ -51,6 +56,8 @@
 		ServedBy:       "Balsam-Upstream",
 		Limit:          "Balsam-Limit",
 		Leaving:        notice.HeaderLeaving,
+		APIKey:         "Balsam-Api-Key",
+		Organisation:   "Balsam-Organisation",
 		ParseLoad:      parseLoad,
 	}
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -194,7 +194,7 @@
 		return reservation{}, c.rateLimited(permitWait)
 	}
 	wait, ok := q.waiters.Enqueue(now, balance.Waiter{
-		ID: id, Priority: c.route.Priority, Late: c.missesTarget(work), StartBy: startBy, ServiceTime: work, Exclude: c.avoid,
+		ID: id, Priority: c.priority(), Late: c.missesTarget(work), StartBy: startBy, ServiceTime: work, Exclude: c.avoid,
 	})
 	search := ok && !q.searching
 	if ok {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -227,8 +227,8 @@
 	case outcomeElsewhere:
 		c.counted = c.counted || resp.Header.Get(relayCounted) == "true"
 		refusal := relayedError(resp)
-		if refusal.Kind != fault.NoRoute && refusal.Kind != fault.NotFresh {
-			// These two say that it lacks the route, but serves others.
+		if refusal.Kind != fault.NoRoute && refusal.Kind != fault.NotFresh && refusal.Kind != fault.Unauthorized {
+			// These say that it lacks the route or the API key, but serves others.
 			c.f.relays.avoid(target.Id, c.f.state.now()+relayAvoidDuration, false)
 		}
 		return true, c.relayFailed(telemetry.RelayRefused, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s, to which the call was relayed: %v", target.Id, refusal))
@@ -259,6 +259,7 @@
 		h[relayAuthorization] = a
 		h.Del("Authorization")
 	}
+	c.setRelayedKey(h)
 	if c.f.opts.Authorize != nil {
 		c.f.opts.Authorize(h)
 	}
@@ -400,6 +401,7 @@
 			fault.WriteHTTPFractional(w, err)
 			return
 		}
+		f.restoreRelayedKey(r.Header)
 		f.serve(&call{f: f, w: w, r: r, arrived: time.Now(), origin: origin, sends: origin.sends, ran: origin.ran, counted: origin.counted})
 	})
 }
@@ -437,7 +439,7 @@
 // has refused with the error before it sent the request.
 func servesElsewhere(err *fault.Error) bool {
 	switch err.Kind {
-	case fault.NoRoute, fault.NotFresh, fault.Leaving, fault.Overloaded:
+	case fault.NoRoute, fault.NotFresh, fault.Unauthorized, fault.Leaving, fault.Overloaded:
 		return true
 	}
 	return false
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -14,6 +14,7 @@
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/organisation"
 	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/retry"
 	"balsamcourse.example/balsamcourse/internal/route"
@@ -42,6 +43,8 @@
 	// that the desired state does not allow a call.
 	sinceNewest  func() time.Duration
 	maxDenialAge time.Duration
+	// keyBounds limits the age of the configuration for requests with an API key.
+	keyBounds organisation.Bounds
 	// awaitRefresh waits after a pause of the process until control has been asked for
 	// the newest configuration, and reports whether it has waited.
 	awaitRefresh func(context.Context) bool
--- a/internal/gateway/system_test.go
+++ b/internal/gateway/system_test.go
@@ -76,9 +76,14 @@
 	return startSystemGatewayWith(t, id, control, Options{Logs: io.Discard})
 }
 
-func startSystemGatewayWith(t *testing.T, id, control string, o Options) *systemGateway {
+// startSystemGatewayWith starts a gateway with the default settings as changed by
+// edits.
+func startSystemGatewayWith(t *testing.T, id, control string, o Options, edits ...func(*settings.Gateway)) *systemGateway {
 	t.Helper()
 	s := settings.DefaultGateway()
+	for _, edit := range edits {
+		edit(&s)
+	}
 	s.ID, s.Zone, s.Region = id, "a", "r"
 	free, err := testbed.FreeAddresses(2)
 	assert.NilError(t, err)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -15,6 +15,7 @@
 	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/organisation"
 )
 
 // Route is a route of the desired state.
@@ -36,6 +37,8 @@
 	// MaxAttempts is the maximum number of upstreams that may execute the same
 	// request.
 	MaxAttempts int
+	// Public is set when requests need no API key.
+	Public bool
 
 	shares []poolShare
 	// picks counts the requests that NextPool has distributed over several
@@ -56,6 +59,9 @@
 type Table struct {
 	version uint64
 	hosts   map[string]*hostRoutes
+	// organisations are those of the same version, so that a request is not checked
+	// against the routes of one version and the keys of another.
+	organisations *organisation.Index
 }
 
 // hostRoutes is an index of the routes of one host.
@@ -69,7 +75,7 @@
 // start of the sequence that NextPool uses. It should differ between processes,
 // so that those started together do not all begin with the same pool.
 func NewTable(cfg *catalogpb.Config, offset float64) *Table {
-	t := &Table{version: cfg.StateVersion, hosts: make(map[string]*hostRoutes)}
+	t := &Table{version: cfg.StateVersion, hosts: make(map[string]*hostRoutes), organisations: organisation.NewIndex(cfg.Organisations)}
 	hostsByName := make(map[string]*hostRoutes)
 	for _, r := range cfg.Routes {
 		routes := hostsByName[r.Host]
@@ -106,6 +112,9 @@
 // from.
 func (t *Table) Version() uint64 { return t.version }
 
+// Organisations returns the organisations of that version.
+func (t *Table) Organisations() *organisation.Index { return t.organisations }
+
 // kindNames holds the names of the kinds of routes in lower case.
 var kindNames = newKindNames()
 
@@ -128,6 +137,7 @@
 		TargetLatency: time.Duration(r.TargetLatencyMs) * time.Millisecond,
 		Priority:      int(r.Priority),
 		MaxAttempts:   int(r.MaxAttempts),
+		Public:        r.Public,
 		offset:        offset,
 	}
 	sum := 0.0
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,12 @@
 	// in force. A gateway whose configuration has not been confirmed for nearly as
 	// long does not refuse a call as one that the desired state does not allow.
 	ApplyWithinMs Millis `toml:"apply_within_ms"`
+	// RevokeWithinMs is the time after the acknowledgement of a desired state by
+	// which the API keys that it removes must not work at any gateway, also at one
+	// that is out of contact with control; 0 means no such guarantee. A gateway
+	// refuses requests with an API key once its configuration has not been confirmed
+	// for 0.9 of it.
+	RevokeWithinMs Millis `toml:"revoke_within_ms"`
 	// Retry is the retry budget that all gateways share.
 	Retry RetryBudget `toml:"retry"`
 	// ColdShare is the fraction, from 0 to 1, of a cold upstream's maximum request
@@ -96,6 +102,11 @@
 	c.between("serve_ms", int64(s.ServeMs), 0, 600_000)
 	c.between("stop_ms", int64(s.StopMs), int64(s.ServeMs), 3_600_000)
 	c.between("apply_within_ms", int64(s.ApplyWithinMs), 100, 600_000)
+	if s.RevokeWithinMs != 0 {
+		// Below a second, the time between two confirmations by control would exceed
+		// the limit on a gateway that is in contact with it.
+		c.between("revoke_within_ms", int64(s.RevokeWithinMs), 1_000, 600_000)
+	}
 	c.between("retry.window_ms", int64(s.Retry.WindowMs), 100, 600_000)
 	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
 		c.addf("retry.ratio", "%v must lie between 0 and 1", s.Retry.Ratio)
--- a/internal/settings/state.go
+++ b/internal/settings/state.go
@@ -4,6 +4,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/organisation"
 )
 
 // State is the TOML form of a complete desired state, which operators write.
@@ -13,6 +14,21 @@
 	Pools   []StatePool  `toml:"pools"`
 	Routes  []StateRoute `toml:"routes"`
 	Limits  StateLimits  `toml:"limits"`
+	// Organisations are the groups of callers that have API keys. Without any,
+	// requests need no key.
+	Organisations []StateOrganisation `toml:"organisations"`
+}
+
+// StateOrganisation is a group of callers that share API keys and an allotment.
+type StateOrganisation struct {
+	Name    string   `toml:"name"`
+	APIKeys []string `toml:"api_keys"`
+	// Priority takes precedence over the priority of the route if it is set.
+	Priority *uint32 `toml:"priority"`
+	// RatePerS and Burst limit the requests over all gateways; if both are 0 there
+	// is no limit.
+	RatePerS float64 `toml:"rate_per_s"`
+	Burst    float64 `toml:"burst"`
 }
 
 // StatePool is a set of upstreams that announce themselves under the same pool
@@ -37,6 +53,8 @@
 	Priority        uint32       `toml:"priority"`
 	MaxAttempts     uint32       `toml:"max_attempts"`
 	Shares          []StateShare `toml:"shares"`
+	// Public routes take requests without an API key.
+	Public bool `toml:"public"`
 }
 
 // StateShare is the weight of a pool in the traffic split of a route.
@@ -92,6 +110,11 @@
 	for _, r := range s.Routes {
 		state.Routes = append(state.Routes, r.message())
 	}
+	for _, o := range s.Organisations {
+		state.Organisations = append(state.Organisations, &catalogpb.Organisation{
+			Name: o.Name, KeyDigests: organisation.Digests(o.APIKeys), Priority: o.Priority, RatePerS: o.RatePerS, Burst: o.Burst,
+		})
+	}
 	if err := catalog.CheckState(state); err != nil {
 		return nil, fault.New(fault.InvalidChange, "%s: %s", file, err.Detail)
 	}
@@ -108,6 +131,7 @@
 		TargetLatencyMs: r.TargetLatencyMs,
 		Priority:        r.Priority,
 		MaxAttempts:     r.MaxAttempts,
+		Public:          r.Public,
 	}
 	for _, s := range r.Shares {
 		m.Shares = append(m.Shares, &catalogpb.RouteShare{Pool: s.Pool, Weight: s.Weight})
