--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -56,6 +57,9 @@
 	states    stateProposals
 	answers   answers
 	encodings encodings
+	// missingFeatures returns which control member or gateway does not state that it
+	// supports the features, "" if all do; nil means that all do.
+	missingFeatures func(features.Set) string
 }
 
 // queuedEvent is an event for the loop.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -43,6 +43,9 @@
 	if forwarded {
 		return resp, err
 	}
+	if err := a.checkOrganisations(req.State); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	if req.DryRun {
 		return a.dryRunState(ctx, req.State)
 	}
--- a/internal/gateway/organisation.go
+++ b/internal/gateway/organisation.go
@@ -6,6 +6,7 @@
 
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/organisation"
+	"balsamcourse.example/balsamcourse/internal/route"
 )
 
 // relayAPIKey is the header of a relayed request that carries the API key of the
@@ -18,28 +19,23 @@
 // waited.
 func (c *call) lookupOrganisation() error {
 	st := c.f.state
-	// The age is read before the table, so that it is not that of a newer one.
-	var age time.Duration
 	table := st.routes.Load()
-	if table.Organisations().KeysRequired() {
-		age = st.sinceNewest()
-		table = st.routes.Load()
-	}
-	r := c.route
-	if table.Version() != c.routeVersion {
-		if newest := table.Lookup(c.r.Host, c.r.URL.Path); newest != nil {
-			r = newest
-		}
+	if !table.Organisations().KeysRequired() {
+		c.organisation = nil
+		return nil
 	}
+	// The table is read after the age, so that the age is not that of a newer one.
+	age := st.sinceNewest()
+	table = st.routes.Load()
 	if !c.credentialRead {
 		c.credential = organisation.CredentialOf(c.r.Header.Values(c.f.opts.Headers.APIKey))
 		c.credentialRead = true
 	}
-	o, verdict := table.Organisations().Check(c.credential, r.Public, age, st.keyBounds)
+	o, verdict := table.Organisations().Check(c.credential, c.isPublic(table), age, st.keyBounds)
 	c.organisation = o
 	switch verdict {
 	case organisation.Missing:
-		return c.denial(age, fault.New(fault.Unauthorized, "route %q needs an API key and the request has none, desired state version %d", r.Name, table.Version()))
+		return c.denial(age, fault.New(fault.Unauthorized, "route %q needs an API key and the request has none, desired state version %d", c.route.Name, table.Version()))
 	case organisation.Unknown:
 		return c.denial(age, fault.New(fault.Unauthorized, "%s in desired state version %d", c.credential, table.Version()))
 	case organisation.Unconfirmed:
@@ -49,6 +45,17 @@
 	return nil
 }
 
+// isPublic reports whether the route of the call needs no API key according to the
+// table. If the table no longer has the route, the one found at arrival counts.
+func (c *call) isPublic(table *route.Table) bool {
+	if table.Version() != c.routeVersion {
+		if newest := table.Lookup(c.r.Host, c.r.URL.Path); newest != nil {
+			return newest.Public
+		}
+	}
+	return c.route.Public
+}
+
 // maxLoggedAge limits the age in an error, which is the longest duration before the
 // first confirmation.
 const maxLoggedAge = time.Hour
