Refuse organisations while processes that ignore them take part

The check is one function of control, whose answer is set once the leader computes the intersection of features; until then it lets all states pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -57,8 +57,8 @@
 	states    stateProposals
 	answers   answers
 	encodings encodings
-	// missingFeatures returns which control member or gateway does not state that it
-	// supports the features, "" if all do; nil means that all do.
+	// missingFeatures implements missingSupport; nil means that all processes support
+	// the features.
 	missingFeatures func(features.Set) string
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -30,6 +30,7 @@
 	replicas []*controltest.Replica
 	servers  []*httpnet.Server
 	operator string
+	controls []*control.Server
 }
 
 func newGroup(t *testing.T) *group {
@@ -55,6 +56,7 @@
 		mux.Handle(adminpb.AdminPathPrefix, s.PeerAdminHandler())
 		workers.Go(func() { s.Run(ctx) })
 		g.servers = append(g.servers, server)
+		g.controls = append(g.controls, s)
 		g.replicas = append(g.replicas, r)
 	}
 	return g
--- a/internal/control/organisations.go
+++ b/internal/control/organisations.go
@@ -9,7 +9,9 @@
 // checkOrganisations returns the refusal of a desired state with organisations while a
 // control member or a registered gateway does not obey them: an old gateway would serve
 // requests without a key, and an old control member would not send the organisations
-// to gateways. Only the leader calls it.
+// to gateways. A control VM that does not lead checks that the leader supports them
+// before it forwards the order: an old leader would commit the fields that it does not
+// know. The leader checks again.
 func (a *admin) checkOrganisations(state *catalogpb.DesiredState) *fault.Error {
 	if len(state.GetOrganisations()) == 0 {
 		return nil
@@ -21,7 +23,8 @@
 }
 
 // missingSupport returns which process does not state that it supports the features,
-// or "" if all control members and registered gateways do.
+// or "" if all control members and registered gateways do. On a control VM that does
+// not lead, only the leader counts.
 func (s *Server) missingSupport(want features.Set) string {
 	if s.missingFeatures == nil {
 		return ""
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -34,6 +34,9 @@
 		}
 		return &adminpb.ApplyStateResponse{Result: held}, nil
 	}
+	if err := a.checkOrganisations(req.State); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	state, err := catalog.CompressSource(req.State)
 	if err != nil {
 		return nil, fault.ToTwirp(fault.New(fault.Internal, "compress the desired state: %v", err))
@@ -43,9 +46,6 @@
 	if forwarded {
 		return resp, err
 	}
-	if err := a.checkOrganisations(req.State); err != nil {
-		return nil, fault.ToTwirp(err)
-	}
 	if req.DryRun {
 		return a.dryRunState(ctx, req.State)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -137,6 +137,7 @@
 		{`ratio = 0.2`, `ratio = 2.0`, "retry.ratio"},
 		{`slack = 40`, `slack = -1`, "retry.slack"},
 		{`stop_ms = 5700`, `stop_ms = 100`, "stop_ms"},
+		{`revoke_within_ms = 0`, `revoke_within_ms = 900`, "revoke_within_ms"},
 		{`cold_share = 0.8`, `cold_share = 1.8`, "cold_share"},
 		{`lookup_ttl_ms = 1000`, `lookup_ttl = 1000`, "lookup_ttl"},
 		{`cluster_keys_file = "/etc/balsamcourse/cluster.keys"`, ``, "cluster_keys_file"},
@@ -152,12 +153,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, state.Version, uint64(1))
 	assert.Equal(t, state.Routes[0].Shares[0].Pool, "booking")
+	assert.Assert(t, !state.Routes[0].Public && state.Routes[1].Public)
+	assert.Equal(t, *state.Organisations[0].Priority, uint32(1))
+	assert.Equal(t, len(state.Organisations[0].KeyDigests[0]), 16)
 	for old, replacement := range map[string]string{
-		`pool = "booking", weight`: `pool = "other", weight`,
-		`kind = "safe"`:            `kind = "sage"`,
-		`max_attempts = 2`:         `max_attempts = 0`,
-		`version = 1`:              `version = 0`,
-		`priority = 2`:             `prio = 2`,
+		`pool = "booking", weight`:            `pool = "other", weight`,
+		`kind = "safe"`:                       `kind = "sage"`,
+		`max_attempts = 2`:                    `max_attempts = 0`,
+		`version = 1`:                         `version = 0`,
+		`priority = 2`:                        `prio = 2`,
+		`rate_per_s = 300`:                    `rate_per_s = -300`,
+		`["replace-with-a-long-random-text"]`: `["a", ""]`,
 	} {
 		_, err := ParseState("s.toml", []byte(editedSample(t, "../../settings/state.sample.toml", old, replacement)))
 		assert.ErrorContains(t, err, "s.toml")
