--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -184,6 +184,7 @@
 		CloseConnections: connections.Close,
 		Log:              d.log,
 		ServesStale:      true,
+		RenewInterval:    organisation.RenewInterval(s.RevokeWithinMs.Duration()),
 	})
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
--- a/internal/gateway/organisation_test.go
+++ b/internal/gateway/organisation_test.go
@@ -19,6 +19,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/explain"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/organisation"
 )
@@ -254,7 +255,7 @@
 	assert.Equal(t, status, 200, "without revoke_within_ms, an old state serves its keys")
 }
 
-// TestRefusalSaysWhyWithoutTheKey reads the log lines of refused calls.
+// TestRefusalSaysWhyWithoutTheKey reads the timeline of refused calls from the log.
 func TestRefusalSaysWhyWithoutTheKey(t *testing.T) {
 	var logs bytes.Buffer
 	s := startFakeUpstream(t, "u1", nil)
@@ -262,14 +263,17 @@
 	fx.state.keyBounds = organisation.NewBounds(5 * time.Second)
 	digest := organisation.DigestOf("other-secret").String()
 	fx.send(t, "/safe/x", keyHeader("r1", "other-secret"))
-	fx.send(t, "/safe/x", http.Header{})
+	fx.send(t, "/safe/x", http.Header{"Balsam-Request-Id": {"r1"}})
 	fx.state.sinceNewest = func() time.Duration { return 5 * time.Second }
 	fx.send(t, "/safe/x", keyHeader("r1", "k1-secret"))
 	fx.server.Close()
-	for _, want := range []string{"API key with digest " + digest, "needs an API key", `organisation \"a\" may have been removed`, "5000 ms, limit is 4500 ms"} {
-		assert.Assert(t, strings.Contains(logs.String(), want), "the log lacks %q:\n%s", want, logs.String())
-	}
 	assert.Assert(t, !strings.Contains(logs.String(), "secret"), logs.String())
+	lines, err := explain.Read(&logs)
+	assert.NilError(t, err)
+	timeline := fmt.Sprint(explain.Timeline(lines, "r1"))
+	for _, want := range []string{"API key with digest " + digest, "needs an API key", `organisation "a" may have been removed`, "5000 ms, limit is 4750 ms", "organisation=a"} {
+		assert.Assert(t, strings.Contains(timeline, want), "the timeline lacks %q:\n%s", want, timeline)
+	}
 }
 
 // TestPriorityOfTheOrganisationComesBeforeThatOfTheRoute queues calls while the
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -132,10 +132,15 @@
 }
 
 // ageShare is the part of the time within which a removed key must stop working that
-// the state may be unconfirmed. The rest covers clocks that run at different rates
-// (0.1 % at most) and the time from the confirmed state of control to the
-// acknowledgement of the next one.
-const ageShare = 0.9
+// the state may be unconfirmed. A confirmation names a time before the acknowledgement
+// of the next state, so that the rest only has to cover clocks that run at different
+// rates (0.1 % at most). A gateway that loses contact while a renewal is held open has
+// an age of up to renewShare plus 300 ms (a heartbeat round of the control group and
+// the network) by then, and must serve keys for 0.6 of the time after that.
+const ageShare = 0.95
+
+// renewShare is the part of that time for which a renewal may be held open.
+const renewShare = 0.2
 
 // NewBounds returns the bounds for keys that must stop working within revokeWithin
 // after the acknowledgement of their removal; 0 means no such guarantee.
@@ -143,6 +148,12 @@
 	return Bounds{MaxAge: time.Duration(ageShare * float64(revokeWithin))}
 }
 
+// RenewInterval returns the longest time for which the renewals of a gateway with such
+// a guarantee may be held open, 0 without one.
+func RenewInterval(revokeWithin time.Duration) time.Duration {
+	return time.Duration(renewShare * float64(revokeWithin))
+}
+
 // Check decides whether a request may be sent and returns its organisation, nil for a
 // request without a key. age is the time for which the state has not been confirmed as
 // the newest one. It must be read before x is, so that it is not that of a newer state.
--- a/internal/organisation/organisation_test.go
+++ b/internal/organisation/organisation_test.go
@@ -23,7 +23,7 @@
 	x := NewIndex([]*catalogpb.Organisation{newOrganisation("a", "k1", "k2"), newOrganisation("no keys left")})
 	lastKeyRemoved := NewIndex([]*catalogpb.Organisation{newOrganisation("a")})
 	strict := NewBounds(revoke)
-	assert.Assert(t, strict.MaxAge >= revoke*6/10 && strict.MaxAge < revoke)
+	assert.Assert(t, strict.MaxAge >= revoke*6/10+RenewInterval(revoke)+300*time.Millisecond && strict.MaxAge < revoke*98/100)
 	cases := []struct {
 		name    string
 		index   *Index
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,7 +45,7 @@
 	// which the API keys that it removes must not work at any gateway, also at one
 	// that is out of contact with control; 0 means no such guarantee. A gateway
 	// refuses requests with an API key once its configuration has not been confirmed
-	// for 0.9 of it.
+	// for 0.95 of it.
 	RevokeWithinMs Millis `toml:"revoke_within_ms"`
 	// Retry is the retry budget that all gateways share.
 	Retry RetryBudget `toml:"retry"`
@@ -103,8 +103,8 @@
 	c.between("stop_ms", int64(s.StopMs), int64(s.ServeMs), 3_600_000)
 	c.between("apply_within_ms", int64(s.ApplyWithinMs), 100, 600_000)
 	if s.RevokeWithinMs != 0 {
-		// Below a second, the time between two confirmations by control would exceed
-		// the limit on a gateway that is in contact with it.
+		// Below a second, usual pauses between two confirmations by control exceed the
+		// limit on a gateway that is in contact with it.
 		c.between("revoke_within_ms", int64(s.RevokeWithinMs), 1_000, 600_000)
 	}
 	c.between("retry.window_ms", int64(s.Retry.WindowMs), 100, 600_000)
