Avoid a control VM that did not answer for 0.2 s only until the first lease

After a loss of power, gateways asked the control VM of their settings that became leader before it was up, avoided it for 3 s and got no lease from the others, which name it: nothing was confirmed for 5 s, and a deployment with API keys served nothing.

--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -42,6 +42,9 @@
 	// avoidDuration is the time for which an address that did not answer is
 	// avoided.
 	avoidDuration = 3 * time.Second
+	// firstAvoidDuration replaces avoidDuration until the first lease. After a loss of
+	// power, a control VM that did not answer yet may lead shortly afterwards.
+	firstAvoidDuration = 200 * time.Millisecond
 	// seedReloadFailures is the number of consecutive failures after which
 	// Options.Seeds is called again.
 	seedReloadFailures = 8
@@ -201,6 +204,13 @@
 	return r.controlAddresses[r.controlIndex%len(r.controlAddresses)]
 }
 
+func (l *loop) avoidDuration() time.Duration {
+	if !l.state.Synced() {
+		return firstAvoidDuration
+	}
+	return avoidDuration
+}
+
 // hasUntriedControl reports whether there is a control VM that has not failed to answer
 // recently.
 func (l *loop) hasUntriedControl() bool {
@@ -247,7 +257,7 @@
 		for _, address := range r.controlAddresses {
 			l.syncer.opts.CloseConnections(address)
 		}
-		r.avoidUntil[ev.address] = l.syncer.now() + avoidDuration
+		r.avoidUntil[ev.address] = l.syncer.now() + l.avoidDuration()
 		l.forgetLeader(ev.address)
 		l.handleRenewalFailure()
 		if l.view == nil && l.hasUntriedControl() {
