--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,6 +13,7 @@
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/union"
 )
 
@@ -30,12 +32,19 @@
 	// firstRetryInterval replaces retryInterval until the first configuration
 	// has been received. It is shorter because callers are refused until then.
 	firstRetryInterval = 40 * time.Millisecond
+	// firstDialTimeout bounds the dialling of a control VM until the first
+	// configuration has been received. After a loss of power, control VMs that are
+	// not up yet do not refuse connections, and the next one may already answer.
+	firstDialTimeout = 50 * time.Millisecond
 	// minRenewInterval is the shortest interval between renewals that bring no
 	// change.
 	minRenewInterval = 200 * time.Millisecond
 	// avoidDuration is the time for which an address that did not answer is
 	// avoided.
 	avoidDuration = 3 * time.Second
+	// firstAvoidDuration replaces avoidDuration until the first lease. After a loss of
+	// power, a control VM that did not answer yet may lead shortly afterwards.
+	firstAvoidDuration = 200 * time.Millisecond
 	// seedReloadFailures is the number of consecutive failures after which
 	// Options.Seeds is called again.
 	seedReloadFailures = 8
@@ -97,6 +106,9 @@
 	req.Relayed = relayed
 	timeout := time.Duration(req.WaitMs)*time.Millisecond + renewTimeoutMargin
 	ctx, cancel := context.WithTimeout(l.ctx, timeout+maxRenewalTransfer)
+	if l.view == nil {
+		ctx = httpnet.WithDialTimeout(ctx, firstDialTimeout)
+	}
 	r.cancel = cancel
 	r.sentAt = l.syncer.now()
 	ev := &renewalResult{number: r.number, sentAt: r.sentAt, sentAtBoot: l.syncer.bootTime(), address: address, relayed: relayed, wantsMembers: req.WantsMembers}
@@ -192,6 +204,19 @@
 	return r.controlAddresses[r.controlIndex%len(r.controlAddresses)]
 }
 
+func (l *loop) avoidDuration() time.Duration {
+	if !l.state.Synced() {
+		return firstAvoidDuration
+	}
+	return avoidDuration
+}
+
+// hasUntriedControl reports whether there is a control VM that has not failed to answer
+// recently.
+func (l *loop) hasUntriedControl() bool {
+	return slices.ContainsFunc(l.renew.controlAddresses, func(address string) bool { return !l.isAvoided(address) })
+}
+
 func (l *loop) isAvoided(address string) bool {
 	return l.syncer.now() < l.renew.avoidUntil[address]
 }
@@ -232,9 +257,13 @@
 		for _, address := range r.controlAddresses {
 			l.syncer.opts.CloseConnections(address)
 		}
-		r.avoidUntil[ev.address] = l.syncer.now() + avoidDuration
+		r.avoidUntil[ev.address] = l.syncer.now() + l.avoidDuration()
 		l.forgetLeader(ev.address)
 		l.handleRenewalFailure()
+		if l.view == nil && l.hasUntriedControl() {
+			r.nextAt = l.syncer.now()
+			l.startRenewal()
+		}
 		return
 	}
 	l.syncer.lastControlContact.Store(int64(l.syncer.now()))
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -34,6 +34,9 @@
 		}
 		return &adminpb.ApplyStateResponse{Result: held}, nil
 	}
+	if err := a.checkOrganisations(req.State); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	state, err := catalog.CompressSource(req.State)
 	if err != nil {
 		return nil, fault.ToTwirp(fault.New(fault.Internal, "compress the desired state: %v", err))
@@ -168,3 +171,13 @@
 	}
 	return applied.Revision, nil
 }
+
+// StartRollout implements adminpb.Admin.
+func (a *admin) StartRollout(context.Context, *adminpb.StartRolloutRequest) (*adminpb.StartRolloutResponse, error) {
+	return nil, fault.ToTwirp(fault.New(fault.NotFresh, "roll-outs are not available on this control VM"))
+}
+
+// GetRollout implements adminpb.Admin.
+func (a *admin) GetRollout(context.Context, *adminpb.GetRolloutRequest) (*adminpb.GetRolloutResponse, error) {
+	return nil, fault.ToTwirp(fault.New(fault.NotFresh, "roll-outs are not available on this control VM"))
+}
