Bound the age of orders by the state on which they are based

Cause: a control VM that was frozen or cut off executed an order that it held after the opposite had been ordered and acknowledged elsewhere. Change: the first control VM notes the log index that it has applied when an order arrives. The state machine rejects the order with a retryable error if the object was changed later and is not in the requested state. Membership changes are compared with the leader's log, removals of entry VMs with the revision of their set. Members of the control group and gateways state what they support; until all members support base revisions, the old form is used.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -52,8 +52,8 @@
 func (c *Catalog) Index() uint64 { return c.index.Load() }
 
 // Apply executes the encoded command at the given log index. The result is a
-// *catalogpb.ChangeResult for an operator's change, a
-// *catalogpb.DesiredStateResult for a valid desired state and a
+// *catalogpb.ChangeResult for an operator's change, unless that is based on an
+// outdated state, a *catalogpb.DesiredStateResult for a valid desired state and a
 // CommandResult otherwise. Empty data changes nothing.
 func (c *Catalog) Apply(index uint64, data []byte) any {
 	c.mu.Lock()
@@ -77,8 +77,8 @@
 	if state := cmd.GetPutState(); state != nil {
 		return c.putState(index, state)
 	}
-	next := shallowCopy(c.Config())
-	if err := runCommand(next, index, &cmd); err != nil {
+	next, err := c.run(index, &cmd)
+	if err != nil {
 		return c.reject(err)
 	}
 	c.publish(index, next)
@@ -118,7 +118,7 @@
 	case *catalogpb.Command_DropUpstream:
 		return dropUpstream(next, kind.DropUpstream)
 	case *catalogpb.Command_SetZoneOut:
-		return setZoneOut(next, kind.SetZoneOut)
+		return setZoneOut(next, index, kind.SetZoneOut)
 	}
 	return fault.New(fault.BadRequest, "command has no known kind")
 }
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -11,21 +11,30 @@
 
 // applyChange executes an operator's change at most once. A change that is sent
 // again under the same id gets the result of the first execution.
-func (c *Catalog) applyChange(index uint64, change *catalogpb.OperatorChange) *catalogpb.ChangeResult {
+// The result is a CommandResult if the change is based on an outdated state: it is not
+// recorded then, so that the same change can be sent again.
+func (c *Catalog) applyChange(index uint64, change *catalogpb.OperatorChange) any {
 	if result := c.resultForID(change); result != nil {
 		return result
 	}
+	if err := c.outdatedChange(index, change); err != nil {
+		return c.reject(err)
+	}
 	next, result := evaluate(c.Config(), index, change)
 	if next != nil {
 		next.OperatorRevision++
 		next.Revision = index
 		c.config.Store(next)
 	}
-	c.changes.add(&catalogpb.ChangeRecord{
+	record := &catalogpb.ChangeRecord{
 		Id:          change.Id,
 		ContentHash: contentHash(change),
 		Result:      result,
-	})
+	}
+	if change.BaseRevision != 0 {
+		record.Object = changeObject(change.Change)
+	}
+	c.changes.add(record)
 	return result
 }
 
--- a/internal/catalog/change_history.go
+++ b/internal/catalog/change_history.go
@@ -72,6 +72,22 @@
 	h.expiredThrough[id.Operator] = max(h.expiredThrough[id.Operator], id.Number)
 }
 
+// changedAfter reports whether a change has changed the object after the revision
+// base. A change without a recorded object counts as one of every object, and so do
+// those that have been evicted.
+func (h *changeHistory) changedAfter(object string, base uint64) bool {
+	for _, r := range slices.Backward(h.records) {
+		// The revisions of the results are in ascending order.
+		if r.Result.GetRevision() <= base {
+			return false
+		}
+		if len(r.Result.GetDiff()) > 0 && (r.Object == object || r.Object == "") {
+			return true
+		}
+	}
+	return len(h.expiredThrough) > 0
+}
+
 // highestExpiredIDs returns the id with the highest evicted number of each
 // operator, ordered by operator.
 func (h *changeHistory) highestExpiredIDs() []*catalogpb.ChangeID {
--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -142,7 +142,8 @@
 }
 
 // dropUpstream marks an upstream as gone. An unknown one is recorded as gone as
-// well, because its first announcement may still arrive.
+// well, because its first announcement may still arrive. With a base revision, the
+// start time is the one known where the order arrived: a later start is not dropped.
 func dropUpstream(next *catalogpb.Config, drop *catalogpb.DropUpstream) *fault.Error {
 	if drop.Id == "" {
 		return invalid("upstream has no id")
@@ -152,6 +153,9 @@
 		markGone(next, &catalogpb.Upstream{Id: drop.Id, StartedMs: drop.StartedMs})
 		return nil
 	}
+	if drop.BaseRevision != 0 && drop.StartedMs < old.StartedMs && old.State != catalogpb.UpstreamState_UPSTREAM_STATE_GONE {
+		return outdatedOrder("upstream %q was started again after revision %d", drop.Id, drop.BaseRevision)
+	}
 	if drop.StartedMs != 0 && drop.StartedMs < old.StartedMs {
 		return nil
 	}
--- a/internal/catalog/zone.go
+++ b/internal/catalog/zone.go
@@ -41,11 +41,12 @@
 	if err := checkName("availability zone", given.Name); err != nil {
 		return err
 	}
-	state := initialZoneState()
+	state, outRevision := initialZoneState(), uint64(0)
 	if old, ok := zones.get(next.Zones, given.Name); ok {
-		state = old.State
+		state, outRevision = old.State, old.OutRevision
 	}
 	z := proto.CloneOf(given)
+	z.OutRevision = outRevision
 	if z.State == catalogpb.ZoneState_ZONE_STATE_UNSPECIFIED {
 		z.State = state
 	}
@@ -93,8 +94,10 @@
 }
 
 // setZoneOut records whether an availability zone takes new work. It is
-// idempotent. An unknown zone is added only if it is to take no new work.
-func setZoneOut(next *catalogpb.Config, set *catalogpb.SetZoneOut) *fault.Error {
+// idempotent. An unknown zone is added only if it is to take no new work. The revision
+// is recorded only for a command with a base revision: without one, the command must
+// have the same effect as in builds that do not know the field.
+func setZoneOut(next *catalogpb.Config, index uint64, set *catalogpb.SetZoneOut) *fault.Error {
 	if err := checkName("availability zone", set.Zone); err != nil {
 		return err
 	}
@@ -107,7 +110,11 @@
 		if !set.Out {
 			return nil
 		}
-		next.Zones = zones.put(next.Zones, &catalogpb.Zone{Name: set.Zone, State: state})
+		added := &catalogpb.Zone{Name: set.Zone, State: state}
+		if set.BaseRevision != 0 {
+			added.OutRevision = index
+		}
+		next.Zones = zones.put(next.Zones, added)
 		return nil
 	}
 	if closedToNewWork(old.State) == set.Out {
@@ -115,6 +122,9 @@
 	}
 	updated := proto.CloneOf(old)
 	updated.State = state
+	if set.BaseRevision != 0 {
+		updated.OutRevision = index
+	}
 	next.Zones = zones.put(next.Zones, updated)
 	return nil
 }
--- a/internal/cli/control_client.go
+++ b/internal/cli/control_client.go
@@ -111,7 +111,7 @@
 // shouldFailOver reports whether the call may succeed at another control VM.
 func shouldFailOver(err error) bool {
 	switch fault.KindOf(err) {
-	case fault.NotLeader, fault.NoQuorum, fault.Leaving, fault.DiskFailed, fault.Unreachable:
+	case fault.NotLeader, fault.NoQuorum, fault.OutdatedOrder, fault.Leaving, fault.DiskFailed, fault.Unreachable:
 		return true
 	default:
 		return false
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -12,6 +12,7 @@
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/union"
 )
 
@@ -133,6 +134,7 @@
 		WantsMembers:       l.view == nil && !l.renew.membersKnown,
 		Isolated:           l.syncer.isolated.Load(),
 		IsolatedHash:       l.renew.isolatedHash,
+		Features:           uint64(features.Supported),
 		QuietMs:            uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewInterval
--- a/internal/consensus/event.go
+++ b/internal/consensus/event.go
@@ -30,6 +30,10 @@
 type AddMember struct {
 	ID     uint64
 	Member *catalogpb.ControlMember
+	// Base is the index of the log up to which entries were applied where the order
+	// arrived. If the members have changed later, and not as requested, the order is
+	// rejected; 0 disables this check.
+	Base uint64
 }
 
 // RemoveMember asks the leader to remove a replica other than itself from the
@@ -37,6 +41,8 @@
 type RemoveMember struct {
 	ID        uint64
 	ReplicaID uint64
+	// Base: see AddMember.
+	Base uint64
 }
 
 // Transfer asks the leader to hand over leadership to the live voter whose log
--- a/internal/consensus/member_change.go
+++ b/internal/consensus/member_change.go
@@ -23,12 +23,22 @@
 	return ""
 }
 
+// membersChangedAfter reports whether the members have changed after the index base
+// of the log, unless base is 0. Membership changes are appended by the leader alone
+// and one at a time, so that the order in its log is the order in which they take
+// effect.
+func (r *Replica) membersChangedAfter(base uint64) bool {
+	return base != 0 && r.log.latestMembership().index > base
+}
+
 func (r *Replica) addMember(e AddMember) {
 	result := ProposalResult{ID: e.ID, Fault: r.memberChangeFault()}
 	present := r.member(e.Member.GetReplicaId())
 	switch {
 	case result.Fault != "":
 	case present != nil && present.GetAddress() == e.Member.GetAddress():
+	case r.membersChangedAfter(e.Base):
+		result.Fault = fault.OutdatedOrder
 	case present != nil || !r.canAdd(e.Member):
 		result.Fault = fault.InvalidChange
 	default:
@@ -53,6 +63,8 @@
 	switch {
 	case result.Fault != "":
 	case r.member(e.ReplicaID) == nil:
+	case r.membersChangedAfter(e.Base):
+		result.Fault = fault.OutdatedOrder
 	case e.ReplicaID == r.cfg.ID:
 		result.Fault = fault.InvalidChange
 	case !r.hasLiveMajorityWithout(e.ReplicaID):
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -9,6 +9,7 @@
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -21,6 +22,9 @@
 	// commitTimeout limits how long a call waits for a quorum of the control
 	// group.
 	commitTimeout = 5 * time.Second
+	// statusReadTimeout limits the confirmation of a forwarded GetStatus. The control
+	// VM that forwarded it reports its own state then, which must not take long.
+	statusReadTimeout = time.Second
 )
 
 // admin implements the Admin service for operators.
@@ -42,6 +46,10 @@
 	if err := a.checkOperator(ctx, req.Change); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	ctx = a.server.withOrder(ctx)
+	// A base revision is set by the control VMs alone.
+	req = proto.CloneOf(req)
+	req.Change.BaseRevision = 0
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.Apply)
 	if forwarded {
 		return resp, err
@@ -49,6 +57,7 @@
 	if req.DryRun {
 		return a.dryRun(ctx, req.Change)
 	}
+	req.Change.BaseRevision = a.bound(ctx).base
 	result, err := a.applyChange(ctx, req.Change)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -82,10 +91,17 @@
 }
 
 func (a *admin) applyChange(ctx context.Context, change *catalogpb.OperatorChange) (*catalogpb.ChangeResult, error) {
-	result, err := a.propose(ctx, &catalogpb.Command{Kind: &catalogpb.Command_OperatorChange{OperatorChange: change}})
+	cmd := &catalogpb.Command{Kind: &catalogpb.Command_OperatorChange{OperatorChange: change}}
+	if err := a.checkOrder(cmd); err != nil {
+		return nil, err
+	}
+	result, err := a.propose(ctx, cmd)
 	if err != nil {
 		return nil, err
 	}
+	if rejected, ok := result.(catalog.CommandResult); ok && rejected.Err != nil {
+		return nil, a.outdated(rejected.Err)
+	}
 	changed, ok := result.(*catalogpb.ChangeResult)
 	if !ok {
 		return nil, fault.New(fault.Internal, "unexpected result of type %T from the state machine", result)
@@ -108,7 +124,11 @@
 }
 
 func (a *admin) confirmedRead(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	return a.confirmedReadWithin(ctx, commitTimeout)
+}
+
+func (a *admin) confirmedReadWithin(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := a.server.opts.Replica.ConfirmedRead(ctx)
 	return quorumError(ctx, err)
@@ -141,14 +161,22 @@
 	if forwarded && err == nil {
 		return resp, nil
 	}
+	if _, forwardedHere := ctx.Value(forwardedCallKey{}).(forwardedCall); forwardedHere {
+		// A leader that has been replaced must not answer for the group.
+		if err := a.confirmedReadWithin(ctx, statusReadTimeout); err != nil {
+			return nil, fault.ToTwirp(err)
+		}
+	}
 	local, _ := a.server.status(ctx)
 	return local, nil
 }
 
 // RemoveEntry removes an entry VM permanently. It fails with an error of kind
 // NotLeader while the previous change to the set of entry VMs is not accepted,
-// unless the request states that the process has ended.
+// unless the request states that the process has ended. An entry VM that was removed
+// already is no error.
 func (a *admin) RemoveEntry(ctx context.Context, req *adminpb.RemoveEntryRequest) (*adminpb.RemoveEntryResponse, error) {
+	ctx = a.server.withOrder(ctx)
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.RemoveEntry)
 	if forwarded {
 		return resp, err
@@ -171,6 +199,13 @@
 	if !set.accepted && !req.Ended {
 		return fault.New(fault.NotLeader, "the last change to the set of entry VMs is not accepted yet; try again")
 	}
+	if a.server.history.removedEntry(req.Id, a.server.catalog.Config()) {
+		return nil
+	}
+	// The state machine rejects the command if the set has changed since.
+	if base := orderOf(ctx).base; base != 0 && set.revision > base {
+		return a.outdated(fault.New(fault.OutdatedOrder, "the set of entry VMs was changed at revision %d, after revision %d on which the order is based", set.revision, base))
+	}
 	remove := &catalogpb.RemoveEntry{
 		Id:          req.Id,
 		SetRevision: set.revision,
@@ -178,5 +213,8 @@
 		Pending:     !set.accepted,
 	}
 	_, err := a.proposeForRevision(ctx, &catalogpb.Command{Kind: &catalogpb.Command_RemoveEntry{RemoveEntry: remove}})
+	if fault.KindOf(err) == fault.StaleRevision {
+		return a.outdated(fault.New(fault.OutdatedOrder, "the set of entry VMs changes at the same time: %v", err))
+	}
 	return err
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
@@ -54,6 +55,7 @@
 	events    chan queuedEvent
 	done      chan struct{}
 	states    stateProposals
+	arrivals  arrivals
 	answers   answers
 	encodings encodings
 }
@@ -136,6 +138,7 @@
 	var workers conc.WaitGroup
 	defer s.states.workers.Wait()
 	defer workers.Wait()
+	crash.Go(&workers, func() { s.sampleArrivals(ctx) })
 	l := newLoop(ctx, s, &workers)
 	l.run(ctx)
 }
--- a/internal/control/controltest/replica.go
+++ b/internal/control/controltest/replica.go
@@ -10,6 +10,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 // Log is an in-memory log, shared by replicas in one process, that commits
@@ -35,13 +36,15 @@
 	// behind is set while the replica does not know what was committed before it
 	// started.
 	behind bool
+	// features is what the replica has stated to support.
+	features features.Set
 }
 
 // Add adds a replica at the address. The first replica becomes leader.
 func (l *Log) Add(address string, machine control.StateMachine) *Replica {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &Replica{log: l, id: uint64(len(l.replicas) + 1), address: address, machine: machine}
+	r := &Replica{log: l, id: uint64(len(l.replicas) + 1), address: address, machine: machine, features: features.Supported}
 	l.replicas = append(l.replicas, r)
 	if l.leader == nil {
 		l.setLeaderLocked(r)
@@ -70,6 +73,13 @@
 	r.behind = behind
 }
 
+// SetFeatures sets what the replica has stated to support.
+func (r *Replica) SetFeatures(supported features.Set) {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	r.features = supported
+}
+
 // LoseQuorum cuts every replica off from its quorum. The leader keeps its role.
 func (l *Log) LoseQuorum() {
 	l.mu.Lock()
@@ -147,7 +157,7 @@
 	}
 	for _, each := range l.replicas {
 		member := &catalogpb.ControlMember{ReplicaId: each.id, Address: each.address}
-		st.Members = append(st.Members, control.Member{Member: member, MatchIndex: l.index, Live: true})
+		st.Members = append(st.Members, control.Member{Member: member, MatchIndex: l.index, Live: true, Features: each.features})
 	}
 	return st
 }
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -29,7 +29,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerForwarded) != "" {
 			f := forwardedCall{operator: r.Header.Get(headerOperator)}
-			r = r.WithContext(context.WithValue(r.Context(), forwardedCallKey{}, f))
+			ctx := context.WithValue(r.Context(), forwardedCallKey{}, f)
+			if o, ok := orderFromHeader(r.Header); ok {
+				ctx = context.WithValue(ctx, orderKey{}, o)
+			}
+			r = r.WithContext(ctx)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -61,6 +65,7 @@
 	header := http.Header{}
 	header.Set(headerForwarded, "1")
 	header.Set(headerOperator, s.operator(ctx))
+	orderOf(ctx).setHeader(header)
 	ctx, err := twirp.WithHTTPRequestHeaders(ctx, header)
 	if err != nil {
 		return none, true, fault.ToTwirp(err)
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -112,6 +112,29 @@
 	return h.configs[i], true
 }
 
+// removedEntry reports whether the entry VM with the given id is not registered in cfg
+// and was in a retained configuration.
+func (h *history) removedEntry(id string, cfg *catalogpb.Config) bool {
+	named := func(e *catalogpb.Entry) bool { return e.Id == id }
+	if slices.ContainsFunc(cfg.Entries, named) {
+		return false
+	}
+	h.configsMu.Lock()
+	defer h.configsMu.Unlock()
+	searched := cfg.Entries
+	for _, c := range slices.Backward(h.configs) {
+		// Successive configurations mostly share their entries.
+		if sameSlice(c.Entries, searched) {
+			continue
+		}
+		searched = c.Entries
+		if slices.ContainsFunc(searched, named) {
+			return true
+		}
+	}
+	return false
+}
+
 // update returns the delta from a revision to next, with the desired state packed
 // if that saves bytes and packedState allows it. The delta is nil if that revision
 // is not retained.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,6 +81,8 @@
 		ev.reply <- l.entryStatus()
 	case *entrySetQuery:
 		ev.reply <- l.entrySetState()
+	case *supportQuery:
+		ev.reply <- l.gatewaySupport(ev.want)
 	case *leadershipConfirmation:
 		l.onLeadershipConfirmation(ev)
 	case *proposalDone:
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -23,6 +23,7 @@
 // AddMember adds a control replica. The response says whether it was promoted
 // to voter before the wait ended.
 func (a *admin) AddMember(ctx context.Context, req *adminpb.AddMemberRequest) (*adminpb.MemberResponse, error) {
+	ctx = a.server.withOrder(ctx)
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.AddMember)
 	if forwarded {
 		return resp, err
@@ -37,7 +38,7 @@
 	if replaces == 0 {
 		replaces = a.replicaAtAddress(req.Member)
 	}
-	complete, err := m.AddMember(ctx, req.Member, replaces)
+	complete, err := m.AddMember(ctx, req.Member, replaces, orderOf(ctx).base)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -58,6 +59,7 @@
 
 // RemoveMember removes a control replica.
 func (a *admin) RemoveMember(ctx context.Context, req *adminpb.RemoveMemberRequest) (*adminpb.MemberResponse, error) {
+	ctx = a.server.withOrder(ctx)
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.RemoveMember)
 	if forwarded {
 		return resp, err
@@ -68,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait(req.WaitMs))
 	defer cancel()
-	if err := m.RemoveMember(ctx, req.ReplicaId); err != nil {
+	if err := m.RemoveMember(ctx, req.ReplicaId, orderOf(ctx).base); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
 	return a.memberResponse(true), nil
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 // Replica is the local replica of the control log.
@@ -27,10 +28,12 @@
 type Membership interface {
 	// AddMember adds a learner and promotes it to voter once it has caught up.
 	// It reports whether that happened before ctx ended. A non-zero replaces is
-	// the id of the replica that the new one replaces.
-	AddMember(ctx context.Context, member *catalogpb.ControlMember, replaces uint64) (bool, error)
-	// RemoveMember removes a replica from the group.
-	RemoveMember(ctx context.Context, id uint64) error
+	// the id of the replica that the new one replaces. A change of the members
+	// after the log index base rejects the order, unless it is carried out
+	// already; 0 disables this check.
+	AddMember(ctx context.Context, member *catalogpb.ControlMember, replaces, base uint64) (bool, error)
+	// RemoveMember removes a replica from the group. For base see AddMember.
+	RemoveMember(ctx context.Context, id, base uint64) error
 }
 
 // Status is the state of a replica.
@@ -41,6 +44,9 @@
 	IsLeader      bool
 	Term          uint64
 	CommitIndex   uint64
+	// AppliedIndex is the index of the last entry that the state machine has
+	// applied.
+	AppliedIndex uint64
 	// CaughtUp is set once everything is applied that was committed when this
 	// process started.
 	CaughtUp bool
@@ -58,6 +64,8 @@
 	Member     *catalogpb.ControlMember
 	MatchIndex uint64
 	Live       bool
+	// Features is what the replica supports according to its last message.
+	Features features.Set
 }
 
 // StateMachine applies committed commands.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -96,13 +96,18 @@
 	return &adminpb.ReadStateResponse{Version: version, Source: text}, nil
 }
 
-// SetZoneOut stops or resumes sending new work to an availability zone.
+// SetZoneOut stops or resumes sending new work to an availability zone. It fails with
+// an error of kind OutdatedOrder if the zone was changed otherwise after the order had
+// arrived at the first control VM.
 func (a *admin) SetZoneOut(ctx context.Context, req *adminpb.SetZoneOutRequest) (*adminpb.SetZoneOutResponse, error) {
-	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.SetZoneOut)
+	ctx = a.server.withOrder(ctx)
+	change := &catalogpb.SetZoneOut{Zone: req.Change.GetZone(), Out: req.Change.GetOut()}
+	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.SetZoneOutRequest{Change: change}, adminpb.Admin.SetZoneOut)
 	if forwarded {
 		return resp, err
 	}
-	cmd := &catalogpb.Command{Kind: &catalogpb.Command_SetZoneOut{SetZoneOut: req.Change}}
+	change.BaseRevision = a.bound(ctx).base
+	cmd := &catalogpb.Command{Kind: &catalogpb.Command_SetZoneOut{SetZoneOut: change}}
 	revision, err := a.proposeForRevision(ctx, cmd)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -136,13 +141,21 @@
 	return &adminpb.AnnounceUpstreamResponse{}, nil
 }
 
-// DropUpstream records that an upstream has left.
+// DropUpstream records that an upstream has left. Without a start time it concerns the
+// start that is known where the order arrives. If the upstream is started again before
+// the order is carried out, it fails with an error of kind OutdatedOrder.
 func (a *admin) DropUpstream(ctx context.Context, req *adminpb.DropUpstreamRequest) (*adminpb.DropUpstreamResponse, error) {
-	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.DropUpstream)
+	drop := &catalogpb.DropUpstream{Id: req.Drop.GetId(), StartedMs: req.Drop.GetStartedMs()}
+	ctx = a.server.withUpstreamStart(ctx, drop.Id)
+	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.DropUpstreamRequest{Drop: drop}, adminpb.Admin.DropUpstream)
 	if forwarded {
 		return resp, err
 	}
-	cmd := &catalogpb.Command{Kind: &catalogpb.Command_DropUpstream{DropUpstream: req.Drop}}
+	if drop.StartedMs == 0 {
+		o := a.bound(ctx)
+		drop.StartedMs, drop.BaseRevision = o.start, o.base
+	}
+	cmd := &catalogpb.Command{Kind: &catalogpb.Command_DropUpstream{DropUpstream: drop}}
 	revision, err := a.proposeForRevision(ctx, cmd)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -155,6 +168,9 @@
 // proposeForRevision commits a command that is not an operator change, and
 // returns the revision of the resulting configuration.
 func (a *admin) proposeForRevision(ctx context.Context, cmd *catalogpb.Command) (uint64, error) {
+	if err := a.checkOrder(cmd); err != nil {
+		return 0, err
+	}
 	result, err := a.propose(ctx, cmd)
 	if err != nil {
 		return 0, err
@@ -164,7 +180,7 @@
 		return 0, fault.New(fault.Internal, "unexpected result of type %T from the state machine", result)
 	}
 	if applied.Err != nil {
-		return 0, applied.Err
+		return 0, a.outdated(applied.Err)
 	}
 	return applied.Revision, nil
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -7,6 +7,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/acceptance"
 	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
@@ -53,8 +54,9 @@
 	responses  int
 	// configSentAt is the time at which it was last sent a configuration.
 	configSentAt time.Duration
-	// build is the commit of its program.
-	build string
+	// build is the commit of its program, features what it supports.
+	build    string
+	features features.Set
 	// isolated is set while the entry VM has no way to any upstream.
 	isolated bool
 	// isolatedSentAt is the time at which it was last sent a list of such entry VMs
@@ -196,6 +198,7 @@
 	}
 	report.revision = r.request.Revision
 	report.build = r.request.Build
+	report.features = features.Set(r.request.Features)
 	if report.isolated != r.request.Isolated {
 		report.isolated = r.request.Isolated
 		t.updateIsolated()
--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -179,7 +179,7 @@
 	}
 	d.node = node
 	d.peers.SetReceiver(node)
-	d.control.SetReplica(replicaAdapter{node})
+	d.control.SetReplica(replicaAdapter{node, d.peers})
 	return nil
 }
 
--- a/internal/controlvm/metrics.go
+++ b/internal/controlvm/metrics.go
@@ -21,7 +21,7 @@
 }
 
 func (d *Daemon) updateReplicaMetrics(m *telemetry.ControlMetrics) {
-	st := replicaAdapter{d.node}.Status()
+	st := replicaAdapter{d.node, d.peers}.Status()
 	leader, live := 0.0, 0.0
 	if st.IsLeader {
 		leader = 1
--- a/internal/controlvm/replica_adapter.go
+++ b/internal/controlvm/replica_adapter.go
@@ -6,13 +6,15 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/control"
+	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/replica"
 )
 
 // replicaAdapter implements control.Replica and control.Membership with a
 // replica.Node.
 type replicaAdapter struct {
-	node *replica.Node
+	node  *replica.Node
+	peers *replica.TwirpTransport
 }
 
 // Propose implements control.Replica.
@@ -26,13 +28,13 @@
 }
 
 // AddMember implements control.Membership.
-func (r replicaAdapter) AddMember(ctx context.Context, m *catalogpb.ControlMember, replaces uint64) (bool, error) {
-	return r.node.AddMember(ctx, m, replaces)
+func (r replicaAdapter) AddMember(ctx context.Context, m *catalogpb.ControlMember, replaces, base uint64) (bool, error) {
+	return r.node.AddMember(ctx, m, replaces, base)
 }
 
 // RemoveMember implements control.Membership.
-func (r replicaAdapter) RemoveMember(ctx context.Context, id uint64) error {
-	return r.node.RemoveMember(ctx, id)
+func (r replicaAdapter) RemoveMember(ctx context.Context, id, base uint64) error {
+	return r.node.RemoveMember(ctx, id, base)
 }
 
 // Status implements control.Replica.
@@ -45,12 +47,17 @@
 		IsLeader:      st.IsLeader,
 		Term:          st.Term,
 		CommitIndex:   st.CommitIndex,
+		AppliedIndex:  st.AppliedIndex,
 		CaughtUp:      st.CaughtUp,
 		LeaderSince:   st.LeaderSince,
 		LastQuorum:    st.LastQuorum,
 	}
 	for _, m := range st.Members {
-		out.Members = append(out.Members, control.Member{Member: m.ControlMember, MatchIndex: m.MatchIndex, Live: m.Live})
+		supported := features.Supported
+		if m.GetReplicaId() != st.ID {
+			supported = r.peers.Features(m.GetReplicaId())
+		}
+		out.Members = append(out.Members, control.Member{Member: m.ControlMember, MatchIndex: m.MatchIndex, Live: m.Live, Features: supported})
 	}
 	return out
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,7 @@
 	LoopSlow        = Event{218, "loop_slow", zerolog.WarnLevel, "events waited long for the event loop of the control server, or answers to renewals took long", "check the CPU time of the VM"}
 	ConfigUnacked   = Event{219, "config_unacked", zerolog.WarnLevel, "live gateways have not acknowledged a desired state in time", "check the load of the leader and the links of the gateways"}
 	EntryReplaced   = Event{220, "entry_replaced", zerolog.InfoLevel, "an entry VM came back under its id at another address; the process before is removed", "check that no two VMs have the same id"}
+	OrderOutdated   = Event{225, "order_outdated", zerolog.WarnLevel, "an order was rejected because its object has changed since the order arrived at a control VM", "order it again if it is still wanted; if it is frequent, check for control VMs that pause or are cut off"}
 	ConfigAdopted   = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
 	LeaseLost       = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration lease has expired; refusing new calls", "check the network to control VMs and other entry VMs"}
 	LeaseRegained   = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration lease was renewed after it had expired", ""}
@@ -71,7 +72,7 @@
 	return []Event{
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
-		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced,
+		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, OrderOutdated,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -26,6 +26,8 @@
 	Unauthorized      Kind = "unauthorized"
 	Conflict          Kind = "conflict"
 	StaleRevision     Kind = "stale_revision"
+	OutdatedOrder     Kind = "outdated_order"
+	UnsupportedYet    Kind = "unsupported_yet"
 	InvalidChange     Kind = "invalid_change"
 	ChangeExpired     Kind = "change_expired"
 	NotAccepted       Kind = "not_accepted"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -38,6 +38,8 @@
 	Unauthorized:      {http.StatusUnauthorized, twirp.Unauthenticated, NotRun, 0, ExitRefused, "the key is missing or wrong"},
 	Conflict:          {http.StatusConflict, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the change id was used for another change"},
 	StaleRevision:     {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "the expected revision is not the current one"},
+	OutdatedOrder:     {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "the object has changed since the order arrived; order it again if it is still wanted"},
+	UnsupportedYet:    {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "a process that must obey the order runs an older build"},
 	InvalidChange:     {http.StatusUnprocessableEntity, twirp.InvalidArgument, NotRun, 0, ExitRefused, "the change is not valid in this configuration"},
 	ChangeExpired:     {http.StatusGone, twirp.OutOfRange, RunUnknown, 0, ExitConflict, "the change id is older than the retained ids"},
 	NotAccepted:       {http.StatusAccepted, twirp.Unavailable, RunUnknown, retryMedium, ExitUnavailable, "the change is committed but not yet in force everywhere"},
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -44,8 +44,10 @@
 // AddMember adds m as a learner. The leader promotes it to a voter once it has
 // caught up, and then removes the replica whose id is replaces, unless that is
 // 0. AddMember waits until all this is committed. If ctx ends first, complete is false and
-// the change continues. Calling it again for the same member is harmless.
-func (n *Node) AddMember(ctx context.Context, m *catalogpb.ControlMember, replaces uint64) (complete bool, err error) {
+// the change continues. Calling it again for the same member is harmless. If the
+// members have changed after the log index base otherwise than requested, it fails
+// with fault.OutdatedOrder; a base of 0 disables this check.
+func (n *Node) AddMember(ctx context.Context, m *catalogpb.ControlMember, replaces, base uint64) (complete bool, err error) {
 	member := &catalogpb.ControlMember{
 		ReplicaId: m.GetReplicaId(),
 		Address:   m.GetAddress(),
@@ -53,7 +55,7 @@
 		Replaces:  replaces,
 	}
 	err = n.changeMembership(ctx, func(id uint64) consensus.Event {
-		return consensus.AddMember{ID: id, Member: member}
+		return consensus.AddMember{ID: id, Member: member, Base: base}
 	})
 	if err != nil {
 		return false, err
@@ -71,8 +73,8 @@
 
 // RemoveMember removes a replica and waits until the change is committed. A
 // leader does not remove itself: it transfers leadership and returns
-// fault.NotLeader.
-func (n *Node) RemoveMember(ctx context.Context, id uint64) error {
+// fault.NotLeader. For base see AddMember.
+func (n *Node) RemoveMember(ctx context.Context, id, base uint64) error {
 	if id == n.opts.ID && n.Status().IsLeader {
 		if err := n.TransferLeadership(ctx); err != nil {
 			return err
@@ -80,7 +82,7 @@
 		return n.notLeaderError()
 	}
 	return n.changeMembership(ctx, func(call uint64) consensus.Event {
-		return consensus.RemoveMember{ID: call, ReplicaID: id}
+		return consensus.RemoveMember{ID: call, ReplicaID: id, Base: base}
 	})
 }
 
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -112,7 +112,7 @@
 	t.Helper()
 	for {
 		leader := waitForLeader(t, voters)
-		complete, err := leader.node.AddMember(ctx, member, replaces)
+		complete, err := leader.node.AddMember(ctx, member, replaces, 0)
 		if kind := fault.KindOf(err); kind == fault.NoQuorum || kind == fault.NotLeader {
 			t.Logf("replica %d: %v", leader.opts.ID, err)
 			continue
@@ -143,7 +143,7 @@
 	failed := make(chan error, 1)
 	go func() {
 		// The member cannot catch up yet.
-		_, err := leader.node.AddMember(ctx, member, lost.opts.ID)
+		_, err := leader.node.AddMember(ctx, member, lost.opts.ID, 0)
 		failed <- err
 	}()
 	waitFor(t, func() bool { return len(leader.node.Status().Members) == 4 }, "learner in the group")
@@ -189,7 +189,7 @@
 	replicas := startGroup(t, 3, Options{})
 	for {
 		leader, _ := commitAtLeader(t, ctx, replicas, []byte("x"))
-		err := leader.node.RemoveMember(ctx, leader.opts.ID)
+		err := leader.node.RemoveMember(ctx, leader.opts.ID, 0)
 		if kind := fault.KindOf(err); kind != fault.NoQuorum {
 			assert.Equal(t, kind, fault.NotLeader)
 			break
--- a/internal/replica/pack.go
+++ b/internal/replica/pack.go
@@ -9,6 +9,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/deflate"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 const (
@@ -116,7 +117,7 @@
 // newBatch returns a batch of messages, with large entries compressed if the
 // receiver accepts that.
 func (t *TwirpTransport) newBatch(msgs []*clusterpb.ConsensusMessage, acceptsPacked bool) *clusterpb.ConsensusBatch {
-	batch := &clusterpb.ConsensusBatch{From: t.id}
+	batch := &clusterpb.ConsensusBatch{From: t.id, Features: uint64(features.Supported)}
 	if acceptsPacked {
 		if packed, any := t.packer.pack(msgs); any {
 			batch.PackedMessages = packed
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -5,6 +5,7 @@
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 // Server receives messages from other replicas by Twirp.
@@ -27,14 +28,19 @@
 	if err != nil {
 		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "%v", err))
 	}
+	s.transport.recordFeatures(batch.GetFrom(), batch.GetFeatures())
 	if !containsRequest(msgs) {
 		s.receiver.Deliver(batch.GetFrom(), msgs)
-		return &clusterpb.ConsensusAck{AcceptsPacked: true}, nil
+		return newAck(nil), nil
 	}
 	q := s.transport.queue(batch.GetFrom())
 	q.beginResponse()
 	s.receiver.Deliver(batch.GetFrom(), msgs)
-	return &clusterpb.ConsensusAck{Messages: q.awaitResponse(ctx), AcceptsPacked: true}, nil
+	return newAck(q.awaitResponse(ctx)), nil
+}
+
+func newAck(msgs []*clusterpb.ConsensusMessage) *clusterpb.ConsensusAck {
+	return &clusterpb.ConsensusAck{Messages: msgs, AcceptsPacked: true, Features: uint64(features.Supported)}
 }
 
 // containsRequest reports whether one of the messages is a request that will
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -12,6 +12,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 
 	"balsamcourse.example/balsamcourse/internal/crash"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 const (
@@ -50,6 +51,8 @@
 	mu       sync.Mutex
 	receiver Receiver
 	queues   map[uint64]*peerQueue
+	// features holds what each replica has last stated to support.
+	features map[uint64]features.Set
 }
 
 // NewTwirpTransport returns a transport for replica id. If client is nil, it
@@ -58,7 +61,7 @@
 	if client == nil {
 		client = NewHTTPClient()
 	}
-	t := &TwirpTransport{id: id, client: client, queues: map[uint64]*peerQueue{}}
+	t := &TwirpTransport{id: id, client: client, queues: map[uint64]*peerQueue{}, features: map[uint64]features.Set{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
@@ -87,6 +90,20 @@
 	t.receiver = r
 }
 
+// Features returns what a replica supports according to its last message or
+// response; 0 if it has sent none since this process started.
+func (t *TwirpTransport) Features(id uint64) features.Set {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.features[id]
+}
+
+func (t *TwirpTransport) recordFeatures(id, stated uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.features[id] = features.Set(stated)
+}
+
 // Send implements Transport. Messages to a replica whose address is unknown
 // travel only in responses to its calls.
 func (t *TwirpTransport) Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage) {
@@ -165,6 +182,7 @@
 	if err != nil {
 		return nil
 	}
+	t.recordFeatures(id, ack.GetFeatures())
 	t.mu.Lock()
 	r := t.receiver
 	t.mu.Unlock()
