--- a/internal/catalog/bounded.go
+++ b/internal/catalog/bounded.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
@@ -26,12 +28,27 @@
 func (c *Catalog) run(index uint64, cmd *catalogpb.Command) (*catalogpb.Config, *fault.Error) {
 	next := shallowCopy(c.Config())
 	err := runCommand(next, index, cmd)
-	if outdated := c.outdatedCommand(cmd); outdated != nil && (err != nil || !sameContent(next, c.Config())) {
+	inEffect := err == nil && sameContent(next, c.Config())
+	if outdated := c.outdatedCommand(cmd); outdated != nil && !inEffect {
 		return nil, outdated
 	}
+	if set := cmd.GetSetZoneOut(); inEffect && set.GetBaseRevision() != 0 {
+		confirmZone(next, index, set.Zone)
+	}
 	return next, err
 }
 
+// confirmZone records that an order found the zone in the requested state. That order is
+// acknowledged, so that one from before it must not take effect any more.
+func confirmZone(next *catalogpb.Config, index uint64, name string) {
+	confirmed := &catalogpb.Zone{Name: name, State: initialZoneState()}
+	if old, known := zones.get(next.Zones, name); known {
+		confirmed = proto.CloneOf(old)
+	}
+	confirmed.OutRevision = index
+	next.Zones = zones.put(next.Zones, confirmed)
+}
+
 // outdatedCommand returns an error if the object of a bounded command was changed
 // after its base revision.
 func (c *Catalog) outdatedCommand(cmd *catalogpb.Command) *fault.Error {
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -32,7 +32,7 @@
 		Result:      result,
 	}
 	if change.BaseRevision != 0 {
-		record.Object = changeObject(change.Change)
+		record.Object, record.Index = changeObject(change.Change), index
 	}
 	c.changes.add(record)
 	return result
--- a/internal/catalog/change_history.go
+++ b/internal/catalog/change_history.go
@@ -72,16 +72,16 @@
 	h.expiredThrough[id.Operator] = max(h.expiredThrough[id.Operator], id.Number)
 }
 
-// changedAfter reports whether a change has changed the object after the revision
-// base. A change without a recorded object counts as one of every object, and so do
-// those that have been evicted.
+// changedAfter reports whether a change of the object was acknowledged after the
+// revision base, also one that was in effect already. A change without a recorded
+// object counts as one of every object, and so do those that have been evicted.
 func (h *changeHistory) changedAfter(object string, base uint64) bool {
 	for _, r := range slices.Backward(h.records) {
-		// The revisions of the results are in ascending order.
-		if r.Result.GetRevision() <= base {
+		// Indexes and revisions are in ascending order.
+		if max(r.Index, r.Result.GetRevision()) <= base {
 			return false
 		}
-		if len(r.Result.GetDiff()) > 0 && (r.Object == object || r.Object == "") {
+		if r.Result.GetOutcome() == catalogpb.ChangeOutcome_CHANGE_OUTCOME_APPLIED && (r.Object == object || r.Object == "") {
 			return true
 		}
 	}
--- a/internal/consensus/member_change.go
+++ b/internal/consensus/member_change.go
@@ -31,12 +31,22 @@
 	return base != 0 && r.log.latestMembership().index > base
 }
 
+// confirmMembers appends the members as they are for an order that is in effect already.
+// The order is acknowledged, so that the opposite one from before it, which another
+// replica may hold, must not take effect any more.
+func (r *Replica) confirmMembers(result *ProposalResult, base uint64) {
+	if base != 0 {
+		result.Index, result.Term = r.appendEntry(nil, r.cloneMembers()), r.term
+	}
+}
+
 func (r *Replica) addMember(e AddMember) {
 	result := ProposalResult{ID: e.ID, Fault: r.memberChangeFault()}
 	present := r.member(e.Member.GetReplicaId())
 	switch {
 	case result.Fault != "":
 	case present != nil && present.GetAddress() == e.Member.GetAddress():
+		r.confirmMembers(&result, e.Base)
 	case r.membersChangedAfter(e.Base):
 		result.Fault = fault.OutdatedOrder
 	case present != nil || !r.canAdd(e.Member):
@@ -63,6 +73,7 @@
 	switch {
 	case result.Fault != "":
 	case r.member(e.ReplicaID) == nil:
+		r.confirmMembers(&result, e.Base)
 	case r.membersChangedAfter(e.Base):
 		result.Fault = fault.OutdatedOrder
 	case e.ReplicaID == r.cfg.ID:
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -84,6 +84,8 @@
 	bulkDelay time.Duration
 	bulks     map[uint64]int
 	bulkDue   map[uint64]time.Duration
+	// onApply, if set, gets each entry that a replica applies.
+	onApply func(n *simNode, e *clusterpb.LogEntry)
 	// sendBeforeSync sends messages before the write that they depend on is
 	// durable.
 	sendBeforeSync bool
@@ -292,6 +294,9 @@
 		n.stateHash = hashEntry(n.stateHash, e)
 		n.applied = e.GetIndex()
 		s.checker.checkCommitted(n, e)
+		if s.onApply != nil {
+			s.onApply(n, e)
+		}
 	}
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -29,6 +29,7 @@
 	log      controltest.Log
 	replicas []*controltest.Replica
 	servers  []*httpnet.Server
+	control  []*control.Server
 	operator string
 }
 
@@ -55,6 +56,7 @@
 		mux.Handle(adminpb.AdminPathPrefix, s.PeerAdminHandler())
 		workers.Go(func() { s.Run(ctx) })
 		g.servers = append(g.servers, server)
+		g.control = append(g.control, s)
 		g.replicas = append(g.replicas, r)
 	}
 	return g
@@ -74,6 +76,9 @@
 	return clusterpb.NewDistributionProtobufClient("http://"+g.servers[0].Address(), httpnet.NewClient(nil))
 }
 
+// config returns the configuration of the control VM that leads.
+func (g *group) config() *catalogpb.Config { return g.control[0].Config() }
+
 // renewGateway sends a renewal of a gateway that has no configuration yet.
 func (g *group) renewGateway(id string) *clusterpb.RenewResponse {
 	resp, err := g.leaderDistribution().Renew(context.Background(), &clusterpb.RenewRequest{
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -18,6 +18,9 @@
 
 type forwardedCallKey struct{}
 
+// ownCallKey marks the calls that another control VM makes for itself.
+type ownCallKey struct{}
+
 // forwardedCall describes a call that another control VM forwarded.
 type forwardedCall struct {
 	operator string
@@ -34,6 +37,8 @@
 				ctx = context.WithValue(ctx, orderKey{}, o)
 			}
 			r = r.WithContext(ctx)
+		} else {
+			r = r.WithContext(context.WithValue(r.Context(), ownCallKey{}, true))
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -23,7 +23,11 @@
 // AddMember adds a control replica. The response says whether it was promoted
 // to voter before the wait ended.
 func (a *admin) AddMember(ctx context.Context, req *adminpb.AddMemberRequest) (*adminpb.MemberResponse, error) {
-	ctx = a.server.withOrder(ctx)
+	// A control VM that joins repeats its call until it is a member, beside others that
+	// join at the same time. This is no order of an operator, and its age is not bounded.
+	if ctx.Value(ownCallKey{}) == nil {
+		ctx = a.server.withOrder(ctx)
+	}
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.AddMember)
 	if forwarded {
 		return resp, err
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -38,7 +38,9 @@
 	if _, known := ctx.Value(orderKey{}).(order); known {
 		return ctx
 	}
-	return context.WithValue(ctx, orderKey{}, order{base: s.arrivals.arrive(s.bootTime(), s.appliedIndex())})
+	base := s.arrivals.arrive(s.bootTime(), s.appliedIndex())
+	// The first entry of the log changes nothing, and a base of 0 would mean none.
+	return context.WithValue(ctx, orderKey{}, order{base: max(base, 1)})
 }
 
 // withUpstreamStart is withOrder for an order to drop an upstream. It adds the known
