Let a leader pass on what the members support; pages of bounded orders

Followers exchange no messages: one that becomes leader while another is frozen would have treated that one as an old build and not bounded orders.

--- a/internal/replica/pack.go
+++ b/internal/replica/pack.go
@@ -114,10 +114,15 @@
 	return batch.GetPackedMessages(), nil
 }
 
-// newBatch returns a batch of messages, with large entries compressed if the
-// receiver accepts that.
+// newBatch returns a batch of messages. Large entries are compressed if the receiver
+// accepts that. With the messages of a leader go the features of all members.
 func (t *TwirpTransport) newBatch(msgs []*clusterpb.ConsensusMessage, acceptsPacked bool) *clusterpb.ConsensusBatch {
 	batch := &clusterpb.ConsensusBatch{From: t.id, Features: uint64(features.Supported)}
+	if slices.ContainsFunc(msgs, func(m *clusterpb.ConsensusMessage) bool {
+		return m.GetKind() == clusterpb.MessageKind_MESSAGE_KIND_APPEND
+	}) {
+		batch.MemberFeatures = t.memberFeatures()
+	}
 	if acceptsPacked {
 		if packed, any := t.packer.pack(msgs); any {
 			batch.PackedMessages = packed
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, fault.ToTwirp(fault.New(fault.BadRequest, "%v", err))
 	}
-	s.transport.recordFeatures(batch.GetFrom(), batch.GetFeatures())
+	s.transport.recordBatchFeatures(batch)
 	if !containsRequest(msgs) {
 		s.receiver.Deliver(batch.GetFrom(), msgs)
 		return newAck(nil), nil
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -104,6 +104,26 @@
 	t.features[id] = features.Set(stated)
 }
 
+// memberFeatures returns what all replicas have stated, for a batch of a leader.
+func (t *TwirpTransport) memberFeatures() map[uint64]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stated := make(map[uint64]uint64, len(t.features))
+	for id, f := range t.features {
+		stated[id] = uint64(f)
+	}
+	return stated
+}
+
+// recordBatchFeatures records what the sender of a batch states for itself and, as a
+// leader, for the other members.
+func (t *TwirpTransport) recordBatchFeatures(batch *clusterpb.ConsensusBatch) {
+	for id, stated := range batch.GetMemberFeatures() {
+		t.recordFeatures(id, stated)
+	}
+	t.recordFeatures(batch.GetFrom(), batch.GetFeatures())
+}
+
 // Send implements Transport. Messages to a replica whose address is unknown
 // travel only in responses to its calls.
 func (t *TwirpTransport) Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage) {
