--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -27,6 +27,7 @@
 	"balsamcourse.example/balsamcourse/internal/buildinfo"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/freshness"
 )
 
@@ -123,6 +124,10 @@
 		opts.CloseConnections = func(string) {}
 	}
 	opts.Entry = proto.CloneOf(opts.Entry)
+	if opts.Entry == nil {
+		opts.Entry = &catalogpb.Entry{}
+	}
+	opts.Entry.Features = uint64(features.Supported)
 	s := &Syncer{
 		opts:      opts,
 		startedAt: time.Now(),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,8 +22,8 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/catalog"
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
-	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -55,11 +55,9 @@
 	events    chan queuedEvent
 	done      chan struct{}
 	states    stateProposals
+	arrivals  arrivals
 	answers   answers
 	encodings encodings
-	// missingFeatures implements missingSupport; nil means that all processes support
-	// the features.
-	missingFeatures func(features.Set) string
 }
 
 // queuedEvent is an event for the loop.
@@ -140,6 +138,7 @@
 	var workers conc.WaitGroup
 	defer s.states.workers.Wait()
 	defer workers.Wait()
+	crash.Go(&workers, func() { s.sampleArrivals(ctx) })
 	l := newLoop(ctx, s, &workers)
 	l.run(ctx)
 }
--- a/internal/control/organisations.go
+++ b/internal/control/organisations.go
@@ -16,18 +16,14 @@
 	if len(state.GetOrganisations()) == 0 {
 		return nil
 	}
-	if missing := a.server.missingSupport(features.Organisations); missing != "" {
-		return fault.New(fault.NotFresh, "desired state version %d has organisations, which not all processes support yet: %s", state.Version, missing)
+	var err error
+	if a.server.opts.Replica.Status().IsLeader {
+		err = a.server.supports(features.Organisations, true)
+	} else {
+		err = a.server.leaderSupport(features.Organisations)
 	}
-	return nil
-}
-
-// missingSupport returns which process does not state that it supports the features,
-// or "" if all control members and registered gateways do. On a control VM that does
-// not lead, only the leader counts.
-func (s *Server) missingSupport(want features.Set) string {
-	if s.missingFeatures == nil {
-		return ""
+	if err != nil {
+		return fault.New(fault.FromError(err).Kind, "desired state version %d has organisations: %v", state.Version, err)
 	}
-	return s.missingFeatures(want)
+	return nil
 }
--- a/internal/control/organisations_test.go
+++ b/internal/control/organisations_test.go
@@ -1,13 +1,13 @@
 package control_test
 
 import (
-	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/features"
 )
@@ -17,29 +17,41 @@
 // VM, and states without organisations are not affected.
 func TestOrganisationsWaitForOldBuilds(t *testing.T) {
 	g := newGroup(t)
-	var old atomic.Bool
-	for _, s := range g.controls {
-		s.SetMissingFeatures(func(want features.Set) string {
-			if old.Load() && want.Has(features.Organisations) {
-				return "gateway g1"
+	assert.Assert(t, features.Supported.Has(features.Organisations))
+	for i, c := range []struct {
+		name            string
+		gateway, member features.Set
+		refused         bool
+	}{
+		{"old gateway and control member", 0, 0, true},
+		{"old gateway", 0, features.Supported, true},
+		{"old control member that leads", features.Supported, 0, true},
+		{"all know organisations", features.Supported, features.Supported, false},
+	} {
+		register(g, uint64(i+1), c.gateway)
+		g.replicas[0].SetFeatures(c.member)
+		for k, admin := range []adminpb.Admin{g.leaderAdmin(), g.followerAdmin()} {
+			version := uint64(10*i + 2*k + 1)
+			_, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(version)})
+			assert.NilError(t, err, c.name)
+			state := desiredState(version + 1)
+			state.Organisations = []*catalogpb.Organisation{{Name: "a"}}
+			resp, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: state})
+			if c.refused {
+				assert.Equal(t, fault.FromTwirp(err, "").Kind, fault.UnsupportedYet, c.name)
+				continue
 			}
-			return ""
-		})
+			assert.NilError(t, err, c.name)
+			assert.Assert(t, resp.Result.Applied, c.name)
+		}
 	}
-	assert.Assert(t, features.Supported.Has(features.Organisations))
-	for version, admin := range map[uint64]adminpb.Admin{10: g.leaderAdmin(), 20: g.followerAdmin()} {
-		state := desiredState(version)
-		state.Organisations = []*catalogpb.Organisation{{Name: "a"}}
-		old.Store(true)
-		_, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: state})
-		refusal := fault.FromTwirp(err, "")
-		assert.Equal(t, refusal.Kind, fault.NotFresh)
-		assert.ErrorContains(t, refusal, "gateway g1")
-		without, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: desiredState(version - 1)})
-		assert.NilError(t, err)
-		old.Store(false)
-		resp, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: state})
-		assert.NilError(t, err)
-		assert.Equal(t, resp.Result.Applied, version > without.Result.HeldVersion)
+}
+
+// register registers a new start of a gateway that supports the features.
+func register(g *group, incarnation uint64, supported features.Set) {
+	entry := &catalogpb.Entry{Id: "g1", ClusterAddress: "g1:1", Incarnation: incarnation, ServesStale: true, Features: uint64(supported)}
+	for len(g.config().Entries) == 0 || g.config().Entries[0].Incarnation != incarnation {
+		_, err := g.leaderDistribution().Renew(g.t.Context(), &clusterpb.RenewRequest{Entry: entry, ServesStale: true})
+		assert.NilError(g.t, err)
 	}
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -12,6 +12,7 @@
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 
 	"balsamcourse.example/balsamcourse/internal/crash"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 const (
@@ -50,6 +51,8 @@
 	mu       sync.Mutex
 	receiver Receiver
 	queues   map[uint64]*peerQueue
+	// features holds what each replica has last stated to support.
+	features map[uint64]features.Set
 }
 
 // NewTwirpTransport returns a transport for replica id. If client is nil, it
@@ -58,7 +61,7 @@
 	if client == nil {
 		client = NewHTTPClient()
 	}
-	t := &TwirpTransport{id: id, client: client, queues: map[uint64]*peerQueue{}}
+	t := &TwirpTransport{id: id, client: client, queues: map[uint64]*peerQueue{}, features: map[uint64]features.Set{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
@@ -87,6 +90,40 @@
 	t.receiver = r
 }
 
+// Features returns what a replica supports according to its last message or
+// response; 0 if it has sent none since this process started.
+func (t *TwirpTransport) Features(id uint64) features.Set {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.features[id]
+}
+
+func (t *TwirpTransport) recordFeatures(id, stated uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.features[id] = features.Set(stated)
+}
+
+// memberFeatures returns what all replicas have stated, for a batch of a leader.
+func (t *TwirpTransport) memberFeatures() map[uint64]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stated := make(map[uint64]uint64, len(t.features))
+	for id, f := range t.features {
+		stated[id] = uint64(f)
+	}
+	return stated
+}
+
+// recordBatchFeatures records what the sender of a batch states for itself and, as a
+// leader, for the other members.
+func (t *TwirpTransport) recordBatchFeatures(batch *clusterpb.ConsensusBatch) {
+	for id, stated := range batch.GetMemberFeatures() {
+		t.recordFeatures(id, stated)
+	}
+	t.recordFeatures(batch.GetFrom(), batch.GetFeatures())
+}
+
 // Send implements Transport. Messages to a replica whose address is unknown
 // travel only in responses to its calls.
 func (t *TwirpTransport) Send(to *catalogpb.ControlMember, msgs []*clusterpb.ConsensusMessage) {
@@ -165,6 +202,7 @@
 	if err != nil {
 		return nil
 	}
+	t.recordFeatures(id, ack.GetFeatures())
 	t.mu.Lock()
 	r := t.receiver
 	t.mu.Unlock()
