--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,12 @@
 		return dropUpstream(next, kind.DropUpstream)
 	case *catalogpb.Command_SetZoneOut:
 		return setZoneOut(next, kind.SetZoneOut)
+	case *catalogpb.Command_StartRollout:
+		return startRollout(next, index, kind.StartRollout)
+	case *catalogpb.Command_AdvanceRollout:
+		return advanceRollout(next, index, kind.AdvanceRollout)
+	case *catalogpb.Command_SetPoolSoftware:
+		return setPoolSoftware(next, kind.SetPoolSoftware)
 	}
 	return fault.New(fault.BadRequest, "command has no known kind")
 }
@@ -142,6 +148,8 @@
 		Pools:            cfg.Pools,
 		CallerLimits:     cfg.CallerLimits,
 		Upstreams:        cfg.Upstreams,
+		Rollouts:         cfg.Rollouts,
+		PoolSoftware:     cfg.PoolSoftware,
 	}
 }
 
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -44,6 +44,12 @@
 	var deletedUpstreams []*catalogpb.Upstream
 	d.PutUpstreams, deletedUpstreams = upstreams.compare(base.Upstreams, next.Upstreams)
 	d.DeletedUpstreams = keysOf(upstreams, deletedUpstreams)
+	var deletedRollouts []*catalogpb.Rollout
+	d.PutRollouts, deletedRollouts = rollouts.compare(base.Rollouts, next.Rollouts)
+	d.DeletedRollouts = keysOf(rollouts, deletedRollouts)
+	var deletedSoftware []*catalogpb.PoolSoftware
+	d.PutPoolSoftware, deletedSoftware = poolSoftware.compare(base.PoolSoftware, next.PoolSoftware)
+	d.DeletedPoolSoftware = keysOf(poolSoftware, deletedSoftware)
 	if !proto.Equal(base.ClaimEpoch, next.ClaimEpoch) {
 		d.ClaimEpoch = next.ClaimEpoch
 	}
@@ -172,6 +178,8 @@
 	next.Rules = rules.merge(base.Rules, d.PutRules, ruleKeys(d.DeletedRules))
 	next.Cells = cells.merge(base.Cells, d.PutCells, keysOf(cells, d.DeletedCells))
 	applyStateDelta(next, base, d)
+	next.Rollouts = rollouts.merge(base.Rollouts, d.PutRollouts, d.DeletedRollouts)
+	next.PoolSoftware = poolSoftware.merge(base.PoolSoftware, d.PutPoolSoftware, d.DeletedPoolSoftware)
 	if d.ClaimEpoch != nil {
 		next.ClaimEpoch = d.ClaimEpoch
 	}
--- a/internal/catalog/equal.go
+++ b/internal/catalog/equal.go
@@ -22,6 +22,8 @@
 		sameItems(a.Routes, b.Routes) &&
 		sameItems(a.Pools, b.Pools) &&
 		sameItems(a.Upstreams, b.Upstreams) &&
+		sameItems(a.Rollouts, b.Rollouts) &&
+		sameItems(a.PoolSoftware, b.PoolSoftware) &&
 		proto.Equal(a.ClaimEpoch, b.ClaimEpoch) &&
 		proto.Equal(a.CallerLimits, b.CallerLimits)
 }
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -27,6 +27,9 @@
 	pools    = table[*catalogpb.Pool]{func(p *catalogpb.Pool) string { return p.Name }}
 
 	upstreams = table[*catalogpb.Upstream]{func(u *catalogpb.Upstream) string { return u.Id }}
+
+	rollouts     = table[*catalogpb.Rollout]{func(r *catalogpb.Rollout) string { return r.Pool }}
+	poolSoftware = table[*catalogpb.PoolSoftware]{func(p *catalogpb.PoolSoftware) string { return p.Pool }}
 )
 
 // keySeparator joins the parts of a key. It cannot occur in a name.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -18,7 +18,7 @@
 )
 
 // Supported is the set that this build supports.
-const Supported Set = 0
+const Supported Set = Rollouts
 
 // Has reports whether s contains all features of want.
 func (s Set) Has(want Set) bool { return s&want == want }
