Order, state and platform calls of roll-outs

Control and the platform had no roll-outs. The state chart, the commands, the linearizable read, the leader's steps from the evidence of gateways and the operators' calls are added. Roll-outs stay off unless the settings give a share.

--- a/internal/catalog/rollout.go
+++ b/internal/catalog/rollout.go
@@ -120,7 +120,7 @@
 	case SameRollout(old, order) && (RolloutUnderWay(old) || late):
 		return nil
 	case RolloutUnderWay(old):
-		return fault.New(fault.Conflict, "pool %q is being rolled out to %q within %d ms; an order for %q within %d ms has to wait until that has ended",
+		return fault.New(fault.RolloutUnderWay, "pool %q is being rolled out to %q within %d ms; an order for %q within %d ms has to wait until that has ended",
 			order.Pool, old.Target, old.DurationMs, order.Target, order.DurationMs)
 	case late:
 		return fault.New(fault.StaleRevision, "the order is based on revision %d, but the roll-out of pool %q was changed at revision %d", order.BaseRevision, order.Pool, old.ChangedRevision)
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -53,7 +53,7 @@
 	cmd.AddCommand(
 		newAdminApply(a), newAdminExport(a),
 		newAdminService(a), newAdminZone(a), newAdminRule(a),
-		newAdminEntry(a), newAdminMember(a), newAdminQuarantine(a),
+		newAdminRollout(a), newAdminEntry(a), newAdminMember(a), newAdminQuarantine(a),
 		newAdminStatus(a), newAdminConfig(a),
 	)
 	return cmd
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"balsamcourse.example/balsamcourse/internal/boottime"
 	"balsamcourse.example/balsamcourse/internal/catalog"
 	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 )
 
@@ -37,7 +38,9 @@
 	// Operator returns the authenticated operator of a call, or "" if
 	// authentication is disabled; nil means that it is disabled.
 	Operator func(ctx context.Context) string
-	Log      event.Logger
+	// Rollout configures roll-outs.
+	Rollout settings.Rollout
+	Log     event.Logger
 	// Metrics are those of the event loop; nil means that none are recorded.
 	Metrics *telemetry.ControlLoopMetrics
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -85,6 +85,12 @@
 		l.onLeadershipConfirmation(ev)
 	case *proposalDone:
 		l.onProposalDone(ev)
+	case *evidenceReport:
+		l.recordEvidence(ev.entry, ev.incarnation, ev.evidence)
+	case *rolloutProposal:
+		l.onRolloutProposal(ev)
+	case *rolloutQuery:
+		ev.reply <- l.rolloutText(ev.pool)
 	}
 }
 
@@ -102,6 +108,7 @@
 	l.answerExpired()
 	l.logUnackedState()
 	l.proposeNext()
+	l.advanceRollouts()
 }
 
 // followLeadership ends the current term if this replica no longer leads in it,
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -142,6 +142,8 @@
 		l.answerWithoutLease(r)
 		return
 	}
+	l.recordEvidence(r.request.Entry.Id, r.request.Entry.Incarnation, r.request.RolloutEvidence)
+	l.limitHold(r)
 	if l.term.isolatedHash != isolated {
 		l.answerDueRenewals()
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -168,13 +168,3 @@
 	}
 	return applied.Revision, nil
 }
-
-// StartRollout implements adminpb.Admin.
-func (a *admin) StartRollout(context.Context, *adminpb.StartRolloutRequest) (*adminpb.StartRolloutResponse, error) {
-	return nil, fault.ToTwirp(fault.New(fault.NotFresh, "roll-outs are not available on this control VM"))
-}
-
-// GetRollout implements adminpb.Admin.
-func (a *admin) GetRollout(context.Context, *adminpb.GetRolloutRequest) (*adminpb.GetRolloutResponse, error) {
-	return nil, fault.ToTwirp(fault.New(fault.NotFresh, "roll-outs are not available on this control VM"))
-}
--- a/internal/control/state_machine.go
+++ b/internal/control/state_machine.go
@@ -16,6 +16,7 @@
 	changed chan struct{}
 	// stateApplied is the last change of the desired state.
 	stateApplied atomic.Pointer[stateChange]
+	rolloutTimes rolloutTimes
 }
 
 // stateChange says since when a version of the desired state has been applied.
@@ -30,6 +31,7 @@
 	result := m.catalog.Apply(index, data)
 	m.history.add(m.now(), m.catalog.Config())
 	m.recordStateChange(version)
+	m.rolloutTimes.record(m.now(), m.catalog.Config().Rollouts)
 	m.notifyChanged()
 	return result
 }
@@ -45,6 +47,7 @@
 	}
 	m.history.reset(m.now(), m.catalog.Config())
 	m.recordStateChange(version)
+	m.rolloutTimes.record(m.now(), m.catalog.Config().Rollouts)
 	m.notifyChanged()
 	return nil
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -43,6 +43,7 @@
 	// isolatedHash identifies the list; it is 0 if the list is empty.
 	isolated     []string
 	isolatedHash uint64
+	rollouts     rolloutState
 }
 
 // entryReport is the last state that an entry VM reported.
--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -146,6 +146,7 @@
 	d.control = control.New(control.Options{
 		Client:   client,
 		Operator: access.Holder,
+		Rollout:  d.settings.Rollout,
 		Log:      d.log,
 		Metrics:  telemetry.NewControlLoopMetrics(d.metrics),
 	})
@@ -196,6 +197,7 @@
 	cluster.Handle(clusterpb.ConsensusPathPrefix, clusterpb.NewConsensusServer(replica.NewServer(d.node, d.peers)))
 	cluster.Handle(clusterpb.DistributionPathPrefix, d.control.DistributionHandler())
 	cluster.Handle(adminpb.AdminPathPrefix, d.control.PeerAdminHandler())
+	cluster.Handle(clusterpb.RolloutsPathPrefix, d.control.RolloutsHandler())
 	operators := http.NewServeMux()
 	operators.Handle(adminpb.AdminPathPrefix, d.tracing.Wrap("admin", d.control.AdminHandler()))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -25,6 +25,7 @@
 	UpgradeRefused    Kind = "upgrade_refused"
 	Unauthorized      Kind = "unauthorized"
 	Conflict          Kind = "conflict"
+	RolloutUnderWay   Kind = "rollout_under_way"
 	StaleRevision     Kind = "stale_revision"
 	InvalidChange     Kind = "invalid_change"
 	ChangeExpired     Kind = "change_expired"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -37,6 +37,7 @@
 	UpgradeRefused:    {http.StatusNotImplemented, twirp.Unimplemented, NotRun, 0, ExitRefused, "protocol upgrades are not supported"},
 	Unauthorized:      {http.StatusUnauthorized, twirp.Unauthenticated, NotRun, 0, ExitRefused, "the key is missing or wrong"},
 	Conflict:          {http.StatusConflict, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the change id was used for another change"},
+	RolloutUnderWay:   {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "another roll-out of the pool is under way"},
 	StaleRevision:     {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "the expected revision is not the current one"},
 	InvalidChange:     {http.StatusUnprocessableEntity, twirp.InvalidArgument, NotRun, 0, ExitRefused, "the change is not valid in this configuration"},
 	ChangeExpired:     {http.StatusGone, twirp.OutOfRange, RunUnknown, 0, ExitConflict, "the change id is older than the retained ids"},
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -83,6 +83,8 @@
 		{"control_entries", gauge, "control", "", "registered gateways and entry VMs"},
 		{"control_upstreams", gauge, "control", "state", "upstreams that have announced themselves"},
 		{"control_loop_wait_seconds", histogram, "control", "", "time that events waited for the event loop of the control server"},
+		{"control_rollout_requests", gauge, "control", "pool, version", "requests that gateways have reported to the leader for the last roll-out of the pool, to the `old` and the `new` version"},
+		{"control_rollout_bad", gauge, "control", "pool, version", "bad answers among `control_rollout_requests`: failures, malformed and slow ones"},
 		{"control_config_ack_seconds", histogram, "control", "", "age of a configuration when a gateway or an entry VM acknowledged it to the leader"},
 		{"rpc_calls", counter, "gateway, control", "method", "RPCs received from other processes and operators"},
 		{"rpc_failed", counter, "gateway, control", "method", "RPCs that failed"},
--- a/internal/telemetry/roles.go
+++ b/internal/telemetry/roles.go
@@ -125,6 +125,8 @@
 	// ConfigAck is the age of a configuration when it was acknowledged to the
 	// leader.
 	ConfigAck tally.Histogram
+
+	scope tally.Scope
 }
 
 // NewControlLoopMetrics creates the metrics of an event loop in scope s.
@@ -132,9 +134,18 @@
 	return &ControlLoopMetrics{
 		Wait:      latencyHistogram(s, "control_loop_wait_seconds"),
 		ConfigAck: latencyHistogram(s, "control_config_ack_seconds"),
+		scope:     s,
 	}
 }
 
+// UpdateRollout sets the numbers of requests and of bad answers that gateways have
+// reported for the roll-out of a pool under way. The version is "old" or "new".
+func (m *ControlLoopMetrics) UpdateRollout(pool, version string, requests, bad uint64) {
+	s := m.scope.Tagged(map[string]string{"pool": pool, "version": version})
+	s.Gauge("control_rollout_requests").Update(float64(requests))
+	s.Gauge("control_rollout_bad").Update(float64(bad))
+}
+
 func callCounter(s tally.Scope, kind string) tally.Counter {
 	return s.Tagged(map[string]string{"kind": kind}).Counter("answers")
 }
