Leader advances roll-outs on the evidence of gateways; tests

A report that came within a tick of the order was dropped, as the event loop did not know the roll-out yet; it now takes in the newest configuration first.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -20,6 +20,7 @@
 	"balsamcourse.example/balsamcourse/internal/control/controltest"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
+	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
 // group is a control group of two replicas on loopback listeners. The first one
@@ -32,7 +33,9 @@
 	operator string
 }
 
-func newGroup(t *testing.T) *group {
+func newGroup(t *testing.T) *group { return newGroupWith(t, settings.Rollout{}) }
+
+func newGroupWith(t *testing.T, rollout settings.Rollout) *group {
 	g := &group{t: t}
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers conc.WaitGroup
@@ -48,11 +51,13 @@
 		s := control.New(control.Options{
 			Client:   httpnet.NewClient(nil),
 			Operator: func(context.Context) string { return g.operator },
+			Rollout:  rollout,
 		})
 		r := g.log.Add(server.Address(), s.StateMachine())
 		s.SetReplica(r)
 		mux.Handle(clusterpb.DistributionPathPrefix, s.DistributionHandler())
 		mux.Handle(adminpb.AdminPathPrefix, s.PeerAdminHandler())
+		mux.Handle(clusterpb.RolloutsPathPrefix, s.RolloutsHandler())
 		workers.Go(func() { s.Run(ctx) })
 		g.servers = append(g.servers, server)
 		g.replicas = append(g.replicas, r)
--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -129,6 +129,9 @@
 	if l.term == nil || len(evidence) == 0 {
 		return
 	}
+	// The report may be about a roll-out that was committed a moment ago.
+	l.onConfigChanged()
+	l.updateRollouts()
 	for _, e := range evidence {
 		w := l.term.rollouts.watches[e.Pool]
 		if w == nil || w.rollout.StartedRevision != e.StartedRevision {
