--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -67,7 +67,11 @@
 	for cell, o := range evidence {
 		c.total[cell] = c.total[cell].Add(o).sub(e.evidence[cell])
 	}
-	e.report, e.evidence, e.at = report, evidence, now
+	// The routes are kept as evidence only.
+	e.report = &clusterpb.RolloutEvidence{
+		KnownMs: report.KnownMs, Withdrawn: report.Withdrawn, Sent: report.Sent, OldInFlight: report.OldInFlight, AppliedRevision: report.AppliedRevision,
+	}
+	e.evidence, e.at = evidence, now
 	return true
 }
 
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -32,7 +32,7 @@
 	return Outcomes{Requests: n, Failures: failures, Timed: n - failures}
 }
 
-// TestJudge is the table of verdicts in docs/design/rollout.md.
+// TestJudge is the table of verdicts in docs/design/rollout-control.md.
 func TestJudge(t *testing.T) {
 	old := spread("r", false, 6, answered(300, 2))
 	good := spread("r", true, 3, answered(70, 1))
