--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -244,12 +244,6 @@
 	p.Informed = settled || p.Informed && live > 0 && live >= len(t.config.Entries)
 	p.Unreported = w.collector.Unreported(now, p.Elapsed, live)
 	p.Ready, p.Bearable, p.Capacity = t.newCapacity(now, w)
-	p.Zones = make(map[string]string)
-	for _, u := range t.config.Upstreams {
-		if u.Pool == w.rollout.Pool {
-			p.Zones[u.Id] = u.Zone
-		}
-	}
 	return p
 }
 
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -25,9 +25,6 @@
 	// versions are then compared within each period, so that trouble that begins when
 	// most requests go to the new version is not counted against it.
 	Periods []Evidence
-	// Zones holds the availability zones of upstreams by id, as far as they are known. A
-	// version is not bad for what the old one suffers in the same zone, too.
-	Zones map[string]string
 	// Unreported is the expected number of requests to the new version that have not been
 	// reported yet, relative to those reported. Gateways report bad answers at once and
 	// the others later, so that these requests count as answered well.
@@ -156,7 +153,6 @@
 	mutation   mutation
 	unreported float64
 	periods    []Evidence
-	zones      map[string]string
 	// old and new are sums over periods, routes and upstreams; byRoute over periods and
 	// upstreams.
 	old, new Outcomes
@@ -185,7 +181,7 @@
 }
 
 func newComparison(o Observation, periods []Evidence, m mutation) *comparison {
-	c := &comparison{mutation: m, unreported: max(o.Unreported, 0), periods: periods, zones: o.Zones, byRoute: make(map[string]*routeTotals)}
+	c := &comparison{mutation: m, unreported: max(o.Unreported, 0), periods: periods, byRoute: make(map[string]*routeTotals)}
 	c.outliers = oldOutliers(periods)
 	for _, e := range periods {
 		for cell, o := range e {
@@ -309,15 +305,11 @@
 	poolRate := upperRate(poolBad, poolN)
 	result := make(map[string]map[string]*contribution)
 	for _, e := range c.periods {
-		oldInPeriod, oldInZone := make(map[string]Outcomes), make(map[string]Outcomes)
-		ratios := make(map[[2]string]logRatio)
+		oldInPeriod := make(map[string]Outcomes)
+		ratios := make(map[string]logRatio)
 		for cell, o := range e {
-			if cell.New || c.outliers[cell.Upstream] {
-				continue
-			}
-			oldInPeriod[cell.Route] = oldInPeriod[cell.Route].Add(o)
-			if zone := c.zones[cell.Upstream]; zone != "" {
-				oldInZone[zone] = oldInZone[zone].Add(o)
+			if !cell.New && !c.outliers[cell.Upstream] {
+				oldInPeriod[cell.Route] = oldInPeriod[cell.Route].Add(o)
 			}
 		}
 		for cell, o := range e {
@@ -325,12 +317,10 @@
 			if !cell.New || n <= 0 {
 				continue
 			}
-			zone := c.zones[cell.Upstream]
-			r, ok := ratios[[2]string{cell.Route, zone}]
+			r, ok := ratios[cell.Route]
 			if !ok {
-				zoneN, zoneBad := c.mutation.count(k, oldInZone[zone])
-				r = logRatios(max(c.rate(k, cell.Route, oldInPeriod[cell.Route], poolRate), shrunkRate(zoneBad, zoneN, poolRate)))
-				ratios[[2]string{cell.Route, zone}] = r
+				r = logRatios(c.rate(k, cell.Route, oldInPeriod[cell.Route], poolRate))
+				ratios[cell.Route] = r
 			}
 			u := &contribution{upstream: cell.Upstream, n: n, bad: bad}
 			for i := range effects {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -42,8 +42,6 @@
 	Informed bool
 	Evidence Evidence
 	Periods  []Evidence
-	// Zones: see Observation.
-	Zones map[string]string
 	// Unreported: see Observation.
 	Unreported float64
 }
@@ -92,7 +90,7 @@
 	if p.Stage != Active && p.Stage != Shifting {
 		return Step{}, Decision{}, false
 	}
-	o := Observation{Evidence: p.Evidence, Periods: p.Periods, Zones: p.Zones, Unreported: p.Unreported, Elapsed: p.Elapsed}
+	o := Observation{Evidence: p.Evidence, Periods: p.Periods, Unreported: p.Unreported, Elapsed: p.Elapsed}
 	if p.Stage == Active && p.Informed {
 		// The version is observed for as long as the duration allows. The last eighth of
 		// that is left for routes with few requests.
--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -190,7 +190,7 @@
 		step, _, ok := next(Progress{
 			Stage: stage, Permille: permille, Elapsed: at, Duration: replayDuration, Drain: 2 * time.Second, SinceStep: at - changedAt,
 			Ready: h.new, Bearable: bearable, Capacity: 1000, Followed: followed, Moved: followed && at >= changedAt+time.Second, Informed: true,
-			Periods: collector.Periods(at), Zones: h.zones, Unreported: collector.Unreported(at, at, len(h.gateways)),
+			Periods: collector.Periods(at), Unreported: collector.Unreported(at, at, len(h.gateways)),
 		}, m)
 		if !ok {
 			continue
