Roll-outs: a version that looks bad at the end is rolled back

While the evidence pointed at a bad version without sufficing for the verdict, the share was not raised; at the end of the duration it was, to all requests. Such a version is now rolled back, with the same chance of a false alarm as at the end of the observation.

--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -18,7 +18,8 @@
 
 const (
 	// judgeInterval is the shortest time between two judgements of one roll-out after new
-	// evidence, idleJudgeInterval that without. One takes a few tenths of a millisecond.
+	// evidence, idleJudgeInterval that without. One takes about 0.1 ms for 12 upstreams and
+	// three routes.
 	judgeInterval     = 100 * time.Millisecond
 	idleJudgeInterval = 250 * time.Millisecond
 	// recordInterval is the shortest time between two commands that record software
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -145,6 +145,9 @@
 func TestNextFollowsTheNewUpstreams(t *testing.T) {
 	const d = 12 * time.Second
 	p := Progress{Stage: Shifting, Permille: 250, Elapsed: 8 * time.Second, Duration: d, SinceStep: time.Second, Ready: 4, Bearable: 1000, Capacity: 1000, Followed: true, Informed: true}
+	// Five bad answers at the upstreams that count are too few for the verdict bad.
+	suspect := sum(spread("r", false, 6, answered(300, 2)), spread("r", true, 2, answered(25, 5)))
+	assert.Equal(t, Judge(Observation{Evidence: suspect}).Verdict, Undecided)
 	cases := []struct {
 		name string
 		set  func(p *Progress)
@@ -159,6 +162,11 @@
 		{"too few upstreams at the end", func(p *Progress) { p.Bearable, p.Capacity, p.Elapsed = 300, 300, 10*time.Second }, Step{Stage: RolledBack}, false},
 		{"requests in flight at the old version", func(p *Progress) { p.Permille, p.Elapsed = 1000, 11*time.Second }, Step{}, true},
 		{"moved, still observed", func(p *Progress) { p.Permille, p.Moved = 1000, true }, Step{}, true},
+		{"suspect", func(p *Progress) { p.Evidence = suspect }, Step{}, true},
+		{"suspect at the end", func(p *Progress) { p.Evidence, p.Elapsed = suspect, 10*time.Second }, Step{Stage: RolledBack}, false},
+		{"moved but suspect", func(p *Progress) {
+			p.Permille, p.Moved, p.Evidence, p.Elapsed = 1000, true, suspect, 10*time.Second
+		}, Step{Stage: RolledBack}, false},
 		{"moved", func(p *Progress) { p.Permille, p.Elapsed, p.Moved = 1000, 10*time.Second, true }, Step{Stage: Completed}, false},
 		{"new leader without evidence", func(p *Progress) { p.Stage, p.Elapsed, p.Informed = Active, 11*time.Second, false }, Step{}, true},
 		{"no traffic", func(p *Progress) { p.Stage, p.Permille, p.Elapsed = Active, 0, 9*time.Second }, Step{Stage: Shifting, Permille: 250}, false},
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -64,13 +65,18 @@
 	// finishMargin is the time for the last reports of the gateways, the commit and the
 	// answer to the operator, at a leader that lacks CPU time or has just been elected.
 	finishMargin = 2 * time.Second
-	// holdStrength is the margin to the verdict Bad from which on the share is not raised.
-	holdStrength = -4
 )
 
+// suspect reports whether the evidence is such that the share is not raised, and the
+// roll-out not completed: at the end of the duration the version is then bad.
+func (d Decision) suspect() bool { return d.Strength >= math.Log(falseAlarm/lateFalseAlarm) }
+
 // margin returns finishMargin, or a quarter of a short duration.
 func (p Progress) margin() time.Duration { return min(finishMargin, p.Duration/4) }
 
+// ending reports whether only the margin is left of the duration.
+func (p Progress) ending() bool { return p.Elapsed >= p.Duration-p.margin() }
+
 // shiftTime returns the time that the steps, the requests in flight and the last reports
 // take. It is at most half of the duration, so that the version is observed in the
 // other half.
@@ -108,9 +114,11 @@
 		return Step{Stage: RolledBack, Reason: d.Reason}, true
 	case p.Stage == Active && d.Verdict == Good:
 		return p.begin(d)
+	case p.Stage == Shifting && p.ending() && d.suspect():
+		return Step{Stage: RolledBack, Reason: "at the end of the duration: " + d.Reason}, true
 	case p.Stage == Shifting && p.Permille == 1000:
 		// The old version stays available until the end of the duration is near.
-		return Step{Stage: Completed, Reason: d.Reason}, p.Moved && p.Informed && p.Elapsed >= p.Duration-p.margin()
+		return Step{Stage: Completed, Reason: d.Reason}, p.Moved && p.Informed && p.ending()
 	case p.Stage == Shifting:
 		return p.raise(d)
 	}
@@ -124,17 +132,16 @@
 		return Step{Stage: Shifting, Permille: p.nextShare(), Reason: d.Reason}, true
 	}
 	reason := fmt.Sprintf("at the end of the duration %d upstreams of the new version are ready, which can take %d permille of the requests", p.Ready, p.Capacity)
-	return Step{Stage: RolledBack, Reason: reason}, p.Elapsed >= p.Duration-p.margin()
+	return Step{Stage: RolledBack, Reason: reason}, p.ending()
 }
 
 // raise returns the next step of Shifting.
 func (p Progress) raise(d Decision) (Step, bool) {
-	last := p.Elapsed >= p.Duration-p.margin()
-	if last && p.Capacity < minCapacity {
+	if p.ending() && p.Capacity < minCapacity {
 		return Step{Stage: RolledBack, Reason: fmt.Sprintf("the upstreams of the new version can take %d permille of the requests", p.Capacity)}, true
 	}
 	late := p.Elapsed >= p.Duration-p.margin()-min(p.Drain, p.Duration/6)
-	if p.SinceStep < stepInterval || !p.Followed && !late || d.Strength > holdStrength && !last {
+	if p.SinceStep < stepInterval || !p.Followed && !late || d.suspect() {
 		return Step{}, false
 	}
 	share := p.nextShare()
