--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -238,6 +238,8 @@
 		p.Followed = p.Followed && e.GetAppliedRevision() >= w.rollout.ChangedRevision
 		p.Moved = p.Moved && e.GetOldInFlight() == 0
 	}
+	// A leader that hears from no gateway does not know what they do.
+	p.Followed = p.Followed && (live > 0 || len(t.config.Entries) == 0)
 	p.Moved = p.Moved && p.Followed
 	// A gateway that has just started has not reported yet. After a change of the leader
 	// all gateways that are heard from have reported within this time.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,9 @@
 		{"own id missing", "id = 1\naddress", "id = 9\naddress", "members: must list id 1, this replica"},
 		{"own address differs", `address = "10.0.1.11:7001"` + "\n" + `zone`, `address = "10.0.1.12:7001"` + "\n" + `zone`, "members[0].address: 10.0.1.12:7001 is not"},
 		{"join with own id", "join = false", "join = true", "members: must not list id 1, this replica"},
+		{"share above 1", "share = 0.0", "share = 1.5", "rollout.share: 1.5 must lie between 0 and 1"},
+		{"negative slack", "slack = 50.0", "slack = -1.0", "rollout.slack: -1 must not be below 0"},
+		{"no time to roll back", "rollback_ms = 5000", "rollback_ms = 0", "rollout.rollback_ms: 0 must lie between 100"},
 		{"election too short", "election_ms = 1000", "election_ms = 300", "election_ms: 300 must lie between 1000"},
 		{"no keys", `cluster_file = "/etc/balsamcourse/cluster.keys"`, "", "keys.cluster_file: is missing"},
 	}
