--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -245,6 +245,8 @@
 	// all gateways that are heard from have reported within this time.
 	settled := now >= t.leaderSince+freshness.LiveTimeout
 	p.Informed = settled || p.Informed && live > 0 && live >= len(t.config.Entries)
+	_, _, p.Withdrawn = w.collector.Totals()
+	p.Reporting = w.collector.Reporting()
 	p.Unreported = w.collector.Unreported(now, p.Elapsed, live)
 	p.Ready, p.Bearable, p.Capacity = t.newCapacity(now, w)
 	return p
--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -150,6 +150,9 @@
 	return nil
 }
 
+// Reporting returns the number of gateways that have reported.
+func (c *Collector) Reporting() int { return len(c.entries) }
+
 // Totals returns the sums over all reports for the old and the new version, and the
 // number of gateways that have withdrawn the new version by themselves.
 func (c *Collector) Totals() (old, new Outcomes, withdrawn int) {
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -57,6 +57,7 @@
 		{"a single upstream fails much", during, sum(old, spread("r", true, 1, answered(80, 40))), Bad},
 		{"malformed", during, sum(old, spread("r", true, 3, Outcomes{Requests: 20, Malformed: 8})), Bad},
 		{"slow", during, sum(old, spread("r", true, 3, Outcomes{Requests: 20, Timed: 20, Slow: 12})), Bad},
+		{"a few more slow answers", during, sum(spread("r", false, 6, Outcomes{Requests: 1700, Timed: 1700, Slow: 9}), spread("r", true, 6, Outcomes{Requests: 600, Timed: 600, Slow: 9})), Undecided},
 		{"cold answers are not timed", during, sum(old, spread("r", true, 3, Outcomes{Requests: 20})), Undecided},
 		{"one route of two", during, sum(old, good, spread("s", false, 6, answered(30, 0)), spread("s", true, 3, answered(10, 7))), Bad},
 		{"a route without requests", observed, sum(old, good, spread("s", false, 6, answered(30, 0))), Undecided},
@@ -162,6 +163,9 @@
 		{"too few upstreams at the end", func(p *Progress) { p.Bearable, p.Capacity, p.Elapsed = 300, 300, 10*time.Second }, Step{Stage: RolledBack}, false},
 		{"requests in flight at the old version", func(p *Progress) { p.Permille, p.Elapsed = 1000, 11*time.Second }, Step{}, true},
 		{"moved, still observed", func(p *Progress) { p.Permille, p.Moved = 1000, true }, Step{}, true},
+		{"one gateway has withdrawn", func(p *Progress) { p.Withdrawn, p.Reporting = 1, 400 }, Step{}, true},
+		{"one gateway has withdrawn, at the end", func(p *Progress) { p.Withdrawn, p.Reporting, p.Elapsed = 1, 400, 10*time.Second }, Step{Stage: RolledBack}, false},
+		{"many gateways have withdrawn", func(p *Progress) { p.Withdrawn, p.Reporting = 8, 400 }, Step{Stage: RolledBack}, false},
 		{"suspect", func(p *Progress) { p.Evidence = suspect }, Step{}, true},
 		{"suspect at the end", func(p *Progress) { p.Evidence, p.Elapsed = suspect, 10*time.Second }, Step{Stage: RolledBack}, false},
 		{"moved but suspect", func(p *Progress) {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -41,8 +41,11 @@
 	// Informed is set if the evidence of these gateways is known. A new leader waits for
 	// it.
 	Informed bool
-	Evidence Evidence
-	Periods  []Evidence
+	// Withdrawn is the number of gateways that have found the version bad on their own
+	// evidence, Reporting that of all gateways that have reported.
+	Withdrawn, Reporting int
+	Evidence             Evidence
+	Periods              []Evidence
 	// Unreported: see Observation.
 	Unreported float64
 }
@@ -112,6 +115,8 @@
 	switch {
 	case d.Verdict == Bad:
 		return Step{Stage: RolledBack, Reason: d.Reason}, true
+	case p.withdrawn(d):
+		return Step{Stage: RolledBack, Reason: fmt.Sprintf("%d of %d gateways found the version bad on their own evidence; %s", p.Withdrawn, p.Reporting, d.Reason)}, true
 	case p.Stage == Active && d.Verdict == Good:
 		return p.begin(d)
 	case p.Stage == Shifting && p.ending() && d.suspect():
@@ -125,6 +130,17 @@
 	return Step{}, false
 }
 
+// manyWithdrawn is the share of the gateways, in percent, from which on their own verdicts
+// suffice to roll back at once. A single one may have trouble of its own.
+const manyWithdrawn = 2
+
+// withdrawn reports whether the version is bad because of the own verdicts of gateways.
+// They keep sending requests to the old version, so that no step forward is taken.
+func (p Progress) withdrawn(d Decision) bool {
+	many := p.Withdrawn >= 2 && 100*p.Withdrawn >= manyWithdrawn*p.Reporting
+	return many || p.Withdrawn > 0 && (d.Verdict == Good || p.ending())
+}
+
 // begin returns the first step of a version that was found good. Without upstreams that
 // can take the requests it waits for them until the end of the duration.
 func (p Progress) begin(d Decision) (Step, bool) {
@@ -141,7 +157,7 @@
 		return Step{Stage: RolledBack, Reason: fmt.Sprintf("the upstreams of the new version can take %d permille of the requests", p.Capacity)}, true
 	}
 	late := p.Elapsed >= p.Duration-p.margin()-min(p.Drain, p.Duration/6)
-	if p.SinceStep < stepInterval || !p.Followed && !late || d.suspect() {
+	if p.SinceStep < stepInterval || !p.Followed && !late || d.suspect() || p.Withdrawn > 0 {
 		return Step{}, false
 	}
 	share := p.nextShare()
