--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,12 @@
 		return dropUpstream(next, kind.DropUpstream)
 	case *catalogpb.Command_SetZoneOut:
 		return setZoneOut(next, index, kind.SetZoneOut)
+	case *catalogpb.Command_StartRollout:
+		return startRollout(next, index, kind.StartRollout)
+	case *catalogpb.Command_AdvanceRollout:
+		return advanceRollout(next, index, kind.AdvanceRollout)
+	case *catalogpb.Command_SetPoolSoftware:
+		return setPoolSoftware(next, kind.SetPoolSoftware)
 	}
 	return fault.New(fault.BadRequest, "command has no known kind")
 }
@@ -143,6 +149,8 @@
 		CallerLimits:     cfg.CallerLimits,
 		Upstreams:        cfg.Upstreams,
 		Organisations:    cfg.Organisations,
+		Rollouts:         cfg.Rollouts,
+		PoolSoftware:     cfg.PoolSoftware,
 	}
 }
 
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -29,6 +29,8 @@
 	upstreams = table[*catalogpb.Upstream]{func(u *catalogpb.Upstream) string { return u.Id }}
 
 	organisations = table[*catalogpb.Organisation]{func(o *catalogpb.Organisation) string { return o.Name }}
+	rollouts      = table[*catalogpb.Rollout]{func(r *catalogpb.Rollout) string { return r.Pool }}
+	poolSoftware  = table[*catalogpb.PoolSoftware]{func(p *catalogpb.PoolSoftware) string { return p.Pool }}
 )
 
 // keySeparator joins the parts of a key. It cannot occur in a name.
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -37,6 +37,7 @@
 	UpgradeRefused:    {http.StatusNotImplemented, twirp.Unimplemented, NotRun, 0, ExitRefused, "protocol upgrades are not supported"},
 	Unauthorized:      {http.StatusUnauthorized, twirp.Unauthenticated, NotRun, 0, ExitRefused, "the key is missing or wrong"},
 	Conflict:          {http.StatusConflict, twirp.AlreadyExists, NotRun, 0, ExitConflict, "the change id was used for another change"},
+	RolloutUnderWay:   {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "another roll-out of the pool is under way"},
 	StaleRevision:     {http.StatusConflict, twirp.FailedPrecondition, NotRun, 0, ExitConflict, "the expected revision is not the current one"},
 	OutdatedOrder:     {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "the object has changed since the order arrived; order it again if it is still wanted"},
 	UnsupportedYet:    {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryMedium, ExitUnavailable, "a process that must obey the order runs an older build"},
