--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -40,6 +40,7 @@
 	Keys          ControlKeys `toml:"keys"`
 	Log           Log         `toml:"log"`
 	Trace         Trace       `toml:"trace"`
+	Rollout       Rollout     `toml:"rollout"`
 	// TrustNetwork turns key authentication off, for a network that only the
 	// system's VMs, its operators and its upstreams can reach.
 	TrustNetwork bool `toml:"trust_network"`
@@ -71,6 +72,7 @@
 		Limits:        defaultLimits(),
 		Log:           Log{Level: "info"},
 		Trace:         defaultTrace(),
+		Rollout:       defaultRollout(),
 	}
 }
 
@@ -91,6 +93,7 @@
 	s.Limits.check(c, "limits")
 	s.Log.check(c)
 	s.Trace.check(c)
+	s.Rollout.check(c)
 	if !s.AuthDisabled && !s.TrustNetwork {
 		c.required("keys.operators_file", s.Keys.OperatorsFile)
 		c.required("keys.cluster_file", s.Keys.ClusterFile)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -49,6 +49,7 @@
 	Limits     Limits     `toml:"limits"`
 	Quarantine Quarantine `toml:"quarantine"`
 	Log        Log        `toml:"log"`
+	Rollout    Rollout    `toml:"rollout"`
 }
 
 // RetryBudget limits the retries of requests to a service.
@@ -74,6 +75,7 @@
 		Limits:        defaultLimits(),
 		Quarantine:    Quarantine{Threshold: 3, HoldMs: 600_000, MaxRequests: 10_000},
 		Log:           Log{Level: "info"},
+		Rollout:       defaultRollout(),
 	}
 }
 
@@ -109,6 +111,7 @@
 	s.Limits.check(c, "limits")
 	s.Quarantine.check(c)
 	s.Log.check(c)
+	s.Rollout.check(c)
 	if !s.TrustNetwork {
 		c.required("cluster_keys_file", s.ClusterKeysFile)
 	}
