Gateways split a pool's requests by software version

Versions that upstreams announce were ignored, so that a new version got its full part of the requests as soon as it was announced. With settings.rollout, selection, queues and permits are separate for each version of a pool: the recorded version gets the requests, the target of a roll-out the draws of package rollout, and other versions neither requests nor probes. The rule is checked again right before a request is sent. Outcomes are counted by route, upstream and version and reported with renewals, or at once if they are bad.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -38,7 +38,9 @@
 	Pool    string
 	// Started is the start time of the process, in Unix milliseconds.
 	Started uint64
-	Slots   int
+	// Software is the version of the software that it runs.
+	Software string
+	Slots    int
 	// Draining upstreams get no new requests.
 	Draining bool
 	// ColdFor is the remaining time of the cold start when the registration was
@@ -92,6 +94,9 @@
 // upstream is the local state of one upstream.
 type upstream struct {
 	Upstream
+	// group and outOfRotation follow from the Rotation of the pool.
+	group         string
+	outOfRotation bool
 	// inFlight holds the start times of the requests that this entry VM has in
 	// flight at the upstream.
 	inFlight  []time.Duration
@@ -125,10 +130,11 @@
 // Balancer holds the state of all upstreams as seen by one entry VM. It is not
 // safe for concurrent use.
 type Balancer struct {
-	zone        string
-	upstreams   map[string]*upstream
-	pools       map[string][]*upstream
-	closedZones map[string]bool
+	zone      string
+	upstreams map[string]*upstream
+	// members holds the upstreams by pool, groups those in rotation by group; see Group.
+	members, groups map[string][]*upstream
+	closedZones     map[string]bool
 	// notices holds what upstreams have said of themselves, also of those that the
 	// configuration no longer holds.
 	notices *notice.Notices
@@ -140,7 +146,8 @@
 	return &Balancer{
 		zone:      zone,
 		upstreams: make(map[string]*upstream),
-		pools:     make(map[string][]*upstream),
+		members:   make(map[string][]*upstream),
+		groups:    make(map[string][]*upstream),
 		notices:   notice.New(),
 	}
 }
@@ -150,13 +157,16 @@
 	Upstreams []Upstream
 	// ClosedZones holds the availability zones that get no new requests.
 	ClosedZones map[string]bool
+	// Rotations holds, by pool, the software versions in rotation. In pools without one
+	// all upstreams are.
+	Rotations map[string]Rotation
 }
 
 // Update applies a configuration. The state of an upstream is kept unless the
 // upstream restarted or changed its address.
 func (b *Balancer) Update(now time.Duration, cfg Config) {
 	next := make(map[string]*upstream, len(cfg.Upstreams))
-	b.pools = make(map[string][]*upstream)
+	b.members, b.groups = make(map[string][]*upstream), make(map[string][]*upstream)
 	for _, d := range cfg.Upstreams {
 		u := b.upstreams[d.ID]
 		if u == nil || u.Started != d.Started || u.Address != d.Address {
@@ -168,7 +178,8 @@
 		u.Upstream = d
 		u.notice = b.notices.Find(d.start())
 		next[d.ID] = u
-		b.pools[d.Pool] = append(b.pools[d.Pool], u)
+		b.members[d.Pool] = append(b.members[d.Pool], u)
+		b.enterGroup(u, cfg)
 	}
 	b.upstreams = next
 	b.closedZones = cfg.ClosedZones
@@ -194,8 +205,8 @@
 		u    *upstream
 		rank float64
 	}
-	list := make([]ranked, 0, len(b.pools[pool]))
-	for _, u := range b.pools[pool] {
+	list := make([]ranked, 0, len(b.groups[pool]))
+	for _, u := range b.groups[pool] {
 		if !b.acceptsWork(u) || u.limit.Named || !u.notice.AdmitsProbe(now, len(u.inFlight)) || slices.Contains(exclude, u.ID) {
 			continue
 		}
@@ -244,12 +255,17 @@
 // the whole request, as later changes of the VM's speed matter little.
 func (l Load) Slowdown() float64 {
 	factor := float64(max(1, l.SlowPercent)) / 100
-	if float64(l.Running+1) > kneeUtilization*float64(max(1, l.Slots)) {
+	if l.NearlyFull() {
 		factor *= kneeSlowdown
 	}
 	return factor
 }
 
+// NearlyFull reports whether one more request passes kneeUtilization.
+func (l Load) NearlyFull() bool {
+	return float64(l.Running+1) > kneeUtilization*float64(max(1, l.Slots))
+}
+
 // cost returns the sort key of an upstream that has reported its load; the
 // lowest is selected. It is the expected execution time in percent of the
 // normal one plus penalties. bytes is the size of the request.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -32,6 +32,8 @@
 	LoadAge time.Duration
 	// At is when the selection was made.
 	At time.Duration
+	// Cold is set if the upstream was in its cold start.
+	Cold bool
 }
 
 // IsIdle reports whether a probed upstream has no requests and runs at about
@@ -102,7 +104,7 @@
 		}
 		cost := b.cost(u, req.Bytes)
 		if choice.Outcome != Selected || cost < choice.Cost {
-			choice = Choice{Selected, u.Upstream, cost, u.load, now - u.loadTime, now}
+			choice = Choice{Selected, u.Upstream, cost, u.load, now - u.loadTime, now, false}
 		}
 	}
 	return choice
@@ -148,14 +150,14 @@
 	if u == nil || !b.coldWithRoom(now, u) {
 		return Choice{Outcome: Unavailable}
 	}
-	return Choice{Selected, u.Upstream, b.cost(u, 0), u.load, now - u.loadTime, now}
+	return Choice{Selected, u.Upstream, b.cost(u, 0), u.load, now - u.loadTime, now, now < u.coldUntil}
 }
 
 // CountUpstreams returns the number of upstreams of the pool that accept new
 // requests (open) and how many of these are in neither cold start nor backoff and
 // do not pause (ready).
 func (b *Balancer) CountUpstreams(now time.Duration, pool string) (open, ready int) {
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		if !b.acceptsWork(u) {
 			continue
 		}
@@ -171,7 +173,7 @@
 // the upstreams of the pool.
 func (b *Balancer) InFlight(pool string) int {
 	n := 0
-	for _, u := range b.pools[pool] {
+	for _, u := range b.members[pool] {
 		n += len(u.inFlight)
 	}
 	return n
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -118,7 +118,7 @@
 func (b *Balancer) LimitedCandidate(now time.Duration, pool string, exclude []string, jitter func() float64) (Upstream, bool) {
 	var best *upstream
 	lowest := 0.0
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		if !u.limit.Named || !b.acceptsWork(u) || !u.notice.AdmitsProbe(now, len(u.inFlight)) || now < max(u.permitAfter, u.coldUntil, u.backoffUntil) || slices.Contains(exclude, u.ID) {
 			continue
 		}
@@ -147,7 +147,7 @@
 func (b *Balancer) PermitWait(now time.Duration, pool string, exclude []string, ahead, units int) (time.Duration, bool) {
 	var open []*upstream
 	perSecond := 0.0
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		if !b.acceptsWork(u) || u.notice.Paused(now) || slices.Contains(exclude, u.ID) {
 			continue
 		}
@@ -227,7 +227,7 @@
 // requests and name a rate limit.
 func (b *Balancer) CountLimited(pool string) int {
 	n := 0
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		if b.acceptsWork(u) && u.limit.Named {
 			n++
 		}
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -70,14 +70,16 @@
 }
 
 // configured reports whether the configuration lets the upstream get requests.
-func (b *Balancer) configured(u *upstream) bool { return !u.Draining && !b.closedZones[u.Zone] }
+func (b *Balancer) configured(u *upstream) bool {
+	return !u.Draining && !u.outOfRotation && !b.closedZones[u.Zone]
+}
 
 // PauseWait reports whether every upstream of the pool that the configuration lets
 // get requests has said that it is leaving or pauses, and there is one. It returns
 // the time until the first pause ends, and how many pause; without one the time is
 // 0.
 func (b *Balancer) PauseWait(now time.Duration, pool string) (wait time.Duration, paused int, closed bool) {
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		if !b.configured(u) {
 			continue
 		}
@@ -100,7 +102,7 @@
 // Resuming reports whether an upstream of the pool that is not in exclude takes
 // few requests at a time, since a pause has ended.
 func (b *Balancer) Resuming(now time.Duration, pool string, exclude []string) bool {
-	return slices.ContainsFunc(b.pools[pool], func(u *upstream) bool {
+	return slices.ContainsFunc(b.groups[pool], func(u *upstream) bool {
 		return b.acceptsWork(u) && u.notice.Resuming(now) && !slices.Contains(exclude, u.ID)
 	})
 }
@@ -108,7 +110,7 @@
 // CountNotices returns the number of upstreams of the pool that the configuration
 // lets get requests and that have said that they are leaving, or pause.
 func (b *Balancer) CountNotices(now time.Duration, pool string) (leaving, paused int) {
-	for _, u := range b.pools[pool] {
+	for _, u := range b.groups[pool] {
 		switch {
 		case !b.configured(u):
 		case u.notice.Leaving():
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -135,6 +135,9 @@
 		IsolatedHash:       l.renew.isolatedHash,
 		QuietMs:            uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
+	if evidence := l.syncer.opts.RolloutEvidence; evidence != nil {
+		req.RolloutEvidence = evidence()
+	}
 	wait := l.syncer.opts.RenewInterval
 	if l.renew.failures > 0 {
 		wait = min(wait, retryHoldTime)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -14,7 +14,9 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +61,9 @@
 	// not answer, also those in use; nil means that they are left open.
 	CloseConnections func(address string)
 	Log              event.Logger
+	// RolloutEvidence returns the evidence on roll-outs that a renewal reports; nil means
+	// none. It must not block.
+	RolloutEvidence func() []*clusterpb.RolloutEvidence
 }
 
 // DefaultRenewInterval is the default and maximum of Options.RenewInterval. It
@@ -282,6 +287,21 @@
 	return 0
 }
 
+// ControlTargets returns the addresses of up to n control VMs for a call that any of them
+// takes: the leader first, if it is known, then others in random order.
+func (s *Syncer) ControlTargets(n int) []string {
+	var targets []string
+	if leader := s.leaderAddress.Load(); leader != nil {
+		targets = append(targets, *leader)
+	}
+	for _, i := range rand.Perm(len(s.opts.ControlAddresses)) {
+		if a := s.opts.ControlAddresses[i]; !slices.Contains(targets, a) {
+			targets = append(targets, a)
+		}
+	}
+	return targets[:min(n, len(targets))]
+}
+
 // sinceConfirmationGiven returns the time since a revision was last confirmed
 // to another entry VM, or since New if none was. It is limited to an hour so
 // that it fits the field of the message.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,6 +54,9 @@
 	UpstreamsBack   = Event{321, "upstreams_back", zerolog.InfoLevel, "this gateway reaches upstreams again", ""}
 	RelayFailed     = Event{322, "relay_failed", zerolog.WarnLevel, "a call that this gateway relayed to another one got no response of an upstream", "see the error field and the log of the other gateway"}
 	RetriesRefused  = Event{330, "retries_refused", zerolog.WarnLevel, "the retry budget refused retries in the last second; gateways is the number that share its slack, 0 while control has not registered this one", "look for the reason of the failed attempts"}
+	VersionsChanged = Event{340, "versions_changed", zerolog.InfoLevel, "the software version that gets the requests of a pool has changed here, or a roll-out has entered another stage", ""}
+	TargetWithdrawn = Event{341, "target_withdrawn", zerolog.WarnLevel, "the evidence of this gateway alone shows that the new version of a pool is bad; it gets nothing more from here until the roll-out ends", "see the field why and the chapter on roll-outs in docs/OPERATIONS.md"}
+	EvidenceUnsent  = Event{342, "evidence_unsent", zerolog.WarnLevel, "evidence on a new version could not be reported at once; it is sent with the next renewal", "if it persists, check the network to control VMs"}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
 	RequestSuspect  = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
 	RequestHeldOff  = Event{402, "request_held_off", zerolog.ErrorLevel, "a request was quarantined after it repeatedly broke connections to upstreams", "examine the request; release it with the admin command"}
@@ -72,7 +75,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, VersionsChanged, TargetWithdrawn, EvidenceUnsent,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,14 +27,21 @@
 	c.upstream = u.ID
 	c.choice = res.choice
 	start := time.Now()
+	c.sentAt = start
 	if c.id == "" && !c.isolate(&res) {
 		c.recordNeutralEnd(u.ID)
 		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: no connection for a request without an ID", u.ID)})
 	}
+	if !c.beginSend(u) {
+		c.f.releaseUnused(res)
+		c.f.opts.Metrics.Pool(u.Pool).WithheldVersion.Inc(1)
+		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: its software version gets no more requests", u.ID)})
+	}
 	res.conn.Carried = true
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := res.conn.Do(c.ctx, c.upstreamRequest(u))
+	c.recordSend(u, x.MayHaveRun)
 	if x.MayHaveRun {
 		c.sends++
 		c.body.sent = true
@@ -54,6 +61,7 @@
 	if failed, ok := c.checkResponse(resp); !ok {
 		// The upstream counts as failed whether or not the rest ends.
 		_ = c.discardResponse(res.conn, x)
+		c.recordOutcome(u, c.evidenceKindOf(resp))
 		c.recordEnd(u.ID, false, time.Since(start))
 		return false, c.recordFailure(u, failed)
 	}
@@ -93,6 +101,11 @@
 	typical := st.typicalTimes[c.route.Name]
 	st.balancer.RecordSuccess(id, took, time.Duration(slowdown*float64(typical)))
 	st.balancer.RecordAnswer(st.now(), id)
+	if st.isTarget(c.choice.Upstream) {
+		// The typical time is that of the old version, with which the new one is
+		// compared.
+		return
+	}
 	st.recordResponseTime(c.route.Name, time.Duration(float64(took)/slowdown))
 }
 
@@ -188,8 +201,8 @@
 func (c *call) shedRetryAfter() time.Duration {
 	st := c.f.state
 	st.mu.Lock()
-	waiting := st.queue(c.pool).waiters.Len()
-	closed := st.closedByNotices(st.now(), c.pool)
+	waiting := st.queue(c.group).waiters.Len()
+	closed := st.closedByNotices(st.now(), c.group)
 	st.mu.Unlock()
 	if _, limited := c.permitWait(); limited || closed || waiting > 0 {
 		return c.retryAfter(0)
@@ -203,8 +216,7 @@
 // request can be retried.
 func (c *call) checkResponse(resp *http.Response) (attemptFailure, bool) {
 	failed := attemptFailure{mayHaveRun: true}
-	switch resp.StatusCode {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
+	if unclearStatus(resp.StatusCode) {
 		failed.err = fault.New(fault.UpstreamBroken, "response with status %d does not say whether the request ran", resp.StatusCode)
 		return failed, false
 	}
@@ -255,6 +267,9 @@
 		c.ran++
 	}
 	if c.ctx.Err() != nil {
+		if mayHaveRun {
+			c.recordOutcome(u, answerMissing)
+		}
 		if c.r.Context().Err() != nil {
 			c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCallerGone).Inc(1)
 			c.recordNeutralEnd(u.ID)
@@ -275,6 +290,7 @@
 		return c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: %v", u.ID, err)})
 	}
 	c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCrash).Inc(1)
+	c.recordBroken(u)
 	c.recordCrash(u)
 	return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: %v", u.ID, err), mayHaveRun: true})
 }
@@ -334,8 +350,9 @@
 		c.streamResponse(u, conn, x, buffered.body, start)
 		return true, attemptFailure{}
 	}
+	c.recordOutcome(u, c.evidenceKindOf(resp))
 	c.recordEnd(u.ID, resp.StatusCode < http.StatusInternalServerError, time.Since(start))
-	c.f.releaseAfterResponse(c.pool, u.ID, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
+	c.f.releaseAfterResponse(u, resp.Header.Get(c.f.opts.Headers.Load), conn, x)
 	c.recordCompleted(resp)
 	c.writeHeader(resp, int64(len(buffered.body)))
 	stop := c.limitLastWrite()
@@ -410,6 +427,11 @@
 		c.finish(fault.New(fault.UpstreamBroken, "upstream %s: response body broke off: %v", u.ID, err))
 		panic(http.ErrAbortHandler)
 	}
+	kind := c.evidenceKindOf(resp)
+	if kind == answerValid {
+		kind = answerStreamed
+	}
+	c.recordOutcome(u, kind)
 	c.recordEnd(u.ID, true, time.Since(start))
 	c.recordCompleted(resp)
 	c.f.conns.Release(conn, x)
@@ -452,6 +474,7 @@
 		c.recordUnfinished(u)
 	default:
 		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenStream).Inc(1)
+		c.recordBroken(u)
 		c.recordCrash(u)
 		c.recordEnd(u.ID, false, took)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,11 +46,21 @@
 	id      string
 	arrived time.Time
 
-	route     *route.Route
-	pool      string
+	route *route.Route
+	pool  string
+	// group is that of the upstreams of the version of which the call gets one; see
+	// balance.Group.
+	group     string
 	body      body
 	signature quarantine.Signature
 
+	// draw is a draw for the target of a roll-out that the call holds, nil if none. drawn
+	// is set once the call has asked for one, and shareCounted once the share counts it.
+	draw                *draw
+	drawn, shareCounted bool
+	// sentAt is the beginning of the last attempt.
+	sentAt time.Time
+
 	ctx      context.Context
 	cancel   context.CancelFunc
 	deadline time.Time
@@ -115,6 +125,9 @@
 		return err
 	}
 	c.pool = c.route.NextPool()
+	f.state.mu.Lock()
+	c.group = f.state.usualGroup(c.pool)
+	f.state.mu.Unlock()
 	if c.origin == nil && !c.mayRelay() {
 		c.count()
 	}
@@ -194,6 +207,7 @@
 	c.signature = c.sign()
 	defer c.releaseRetry()
 	defer func() { c.endTrial(nil) }()
+	defer c.endDraw()
 	var failed attemptFailure
 	for {
 		c.f.state.awaitRefresh(c.ctx)
@@ -224,7 +238,7 @@
 			c.count()
 		}
 		res, err := c.acquire()
-		if err != nil && c.mayRelay() {
+		if err != nil && (c.mayRelay() || c.versionMoved()) {
 			continue
 		}
 		if err != nil {
@@ -467,12 +481,11 @@
 	st := c.f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
-	leaving, paused := st.balancer.CountNotices(st.now(), c.pool)
-	line.Uint64("upstreams_open", uint64(open)).Uint64("upstreams_ready", uint64(ready)).
-		Uint64("upstreams_limited", uint64(st.balancer.CountLimited(c.pool))).
-		Uint64("upstreams_leaving", uint64(leaving)).Uint64("upstreams_paused", uint64(paused)).
-		Uint64("calls_waiting", uint64(st.queue(c.pool).waiters.Len())).
+	n := st.countPool(c.pool)
+	line.Uint64("upstreams_open", uint64(n.open)).Uint64("upstreams_ready", uint64(n.ready)).
+		Uint64("upstreams_limited", uint64(n.limited)).
+		Uint64("upstreams_leaving", uint64(n.leaving)).Uint64("upstreams_paused", uint64(n.paused)).
+		Uint64("calls_waiting", uint64(n.waiting)).
 		Uint64("sent_in_flight", uint64(st.balancer.InFlight(c.pool)))
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	// stopping is set when a planned stop begins, closed when new calls are
 	// refused.
 	stopping, closed atomic.Bool
+	// incarnation is that of the process.
+	incarnation uint64
 	// controlLost is set while control does not answer. Only runHousekeeping uses
 	// it.
 	controlLost bool
@@ -171,6 +174,9 @@
 		Slack:  s.Retry.Slack,
 		Window: s.Retry.WindowMs.Duration(),
 	})
+	d.state.events = d.log
+	d.state.versions = newVersions(s.Rollout, rand.Float64)
+	d.incarnation = self.Incarnation
 	d.peerDial = httpnet.DialWithTimeout(peerDialTimeout)
 	connections := httpnet.NewConnections(d.peerDial)
 	d.client = httpnet.NewClient(connections.Dial)
@@ -183,6 +189,7 @@
 		CloseConnections: connections.Close,
 		Log:              d.log,
 		ServesStale:      true,
+		RolloutEvidence:  d.state.rolloutEvidence,
 	})
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
@@ -334,6 +341,9 @@
 	crash.Go(&d.workers, func() { d.config.Run(ctx) })
 	crash.Go(&d.workers, func() { d.gossip.Run(ctx) })
 	crash.Go(&d.workers, func() { wait.Every(ctx, housekeepingInterval, d.runHousekeeping) })
+	if d.settings.Rollout.Enabled() {
+		crash.Go(&d.workers, func() { d.state.reportEvidence(ctx, d.sendEvidence) })
+	}
 	crash.Go(&d.workers, func() {
 		wait.Every(ctx, telemetry.RPCLogInterval, func() { d.clusterRPCs.LogTotals(d.log) })
 	})
@@ -342,6 +352,26 @@
 	}
 }
 
+// sendEvidence reports evidence on roll-outs to one control VM, and if that does not
+// answer to another one.
+func (d *Daemon) sendEvidence(ctx context.Context, evidence []*clusterpb.RolloutEvidence) error {
+	req := &clusterpb.ReportEvidenceRequest{Entry: d.settings.ID, Incarnation: d.incarnation, Evidence: evidence}
+	err := errors.New("no address of a control VM is known")
+	for _, address := range d.config.ControlTargets(reportAttempts) {
+		attempt, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err = clusterpb.NewRolloutsProtobufClient("http://"+address, d.client).Report(attempt, req)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return errors.Trace(err)
+}
+
+// reportAttempts is the number of control VMs to which one report is sent until one
+// answers.
+const reportAttempts = 2
+
 // runHousekeeping closes connections that have been idle for too long or lead to
 // upstreams that are not ready, and updates metrics and log.
 func (d *Daemon) runHousekeeping() {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -53,7 +53,7 @@
 	st.mu.Lock()
 	isNew := st.balancer.RecordLeaving(u)
 	if isNew {
-		st.dismissPaused(u.Pool)
+		st.dismissPaused(st.balancer.GroupOf(u))
 	}
 	st.mu.Unlock()
 	if isNew {
@@ -68,7 +68,7 @@
 	now := st.now()
 	until, isNew := st.balancer.RecordPause(now, u, pause)
 	if isNew {
-		st.dismissPaused(u.Pool)
+		st.dismissPaused(st.balancer.GroupOf(u))
 	}
 	st.mu.Unlock()
 	if isNew {
@@ -146,11 +146,11 @@
 }
 
 // accepts reports whether the upstream may be sent something now: it may have said
-// that it is leaving, or asked for a pause, since it was chosen.
+// that it is leaving, asked for a pause, or left the rotation since it was chosen.
 func (st *state) accepts(u balance.Upstream) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.balancer.Notice(u).Open(st.now())
+	return !st.balancer.OutOfRotation(u.ID) && st.balancer.Notice(u).Open(st.now())
 }
 
 // confirm reports whether the reservation may still be used. It releases one that
@@ -188,7 +188,7 @@
 	st := c.f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	wait, paused, _ := st.balancer.PauseWait(st.now(), c.pool)
+	wait, paused, _ := st.balancer.PauseWait(st.now(), c.group)
 	return wait, paused > 0
 }
 
@@ -198,7 +198,7 @@
 	st := c.f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.balancer.Resuming(st.now(), c.pool, c.avoid)
+	return st.balancer.Resuming(st.now(), c.group, c.avoid)
 }
 
 // closedByNotices reports whether all upstreams of the pool are leaving or pause.
@@ -214,8 +214,8 @@
 	st := c.f.state
 	st.mu.Lock()
 	now := st.now()
-	wait, _, _ := st.balancer.PauseWait(now, c.pool)
-	leaving, paused := st.balancer.CountNotices(now, c.pool)
+	wait, _, _ := st.balancer.PauseWait(now, c.group)
+	leaving, paused := st.balancer.CountNotices(now, c.group)
 	st.mu.Unlock()
 	pool := c.f.opts.Metrics.Pool(c.pool)
 	if paused == 0 {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -208,7 +208,7 @@
 	for _, id := range st.issuer.LimitedUpstreams() {
 		u, known := st.balancer.Find(id)
 		limit := st.balancer.Limit(id)
-		if known && limit.Named && st.balancer.Notice(u).Open(now) && st.issuer.TakeCheck(now, id, limit.PerSecond, limit.At) {
+		if known && limit.Named && !st.balancer.OutOfRotation(id) && st.balancer.Notice(u).Open(now) && st.issuer.TakeCheck(now, id, limit.PerSecond, limit.At) {
 			due = append(due, u)
 		}
 	}
@@ -297,7 +297,7 @@
 	st := c.f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.balancer.PermitWait(st.now(), c.pool, c.avoid, st.queue(c.pool).waiters.Len(), unitsPerLimitedRequest)
+	return st.balancer.PermitWait(st.now(), c.group, c.avoid, st.queue(c.group).waiters.Len(), unitsPerLimitedRequest)
 }
 
 // rateLimited returns the refusal of a call for which no permit is expected in
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -48,6 +48,9 @@
 	conn   *upstreamconn.Conn
 	// closed is set if there is none because all upstreams leave or pause.
 	closed bool
+	// moved is set if there is none because the pool's requests have moved to another
+	// software version.
+	moved bool
 }
 
 // probe asks the candidates for their load in parallel and reserves the best
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -79,8 +79,13 @@
 	start := time.Now()
 	defer func() { c.waited += time.Since(start) }()
 	st := c.f.state
+	if c.chooseVersion() {
+		if res, ok := c.acquireDrawn(); ok {
+			return res, nil
+		}
+	}
 	st.mu.Lock()
-	busy := st.queue(c.pool).waiters.Len() > 0
+	busy := st.queue(c.group).waiters.Len() > 0
 	st.mu.Unlock()
 	if busy && c.f.upstreamsLost() == reach.None {
 		return c.waitInQueue()
@@ -89,7 +94,7 @@
 	for round := 0; round < searchRounds; round++ {
 		c.searches++
 		spare := round < spareSearchRounds
-		res, seen := c.f.search(c.ctx, c.pool, avoid, probesPerSearch, c.requirements(c.acceptedSlowdown(spare)))
+		res, seen := c.f.search(c.ctx, c.group, avoid, probesPerSearch, c.requirements(c.acceptedSlowdown(spare)))
 		switch {
 		case c.ctx.Err() != nil:
 			c.f.releaseUnused(res)
@@ -121,8 +126,8 @@
 func (c *call) noUpstream() error {
 	st := c.f.state
 	st.mu.Lock()
-	open, ready := st.balancer.CountUpstreams(st.now(), c.pool)
-	closed := st.closedByNotices(st.now(), c.pool)
+	open, ready := st.balancer.CountUpstreams(st.now(), c.group)
+	closed := st.closedByNotices(st.now(), c.group)
 	st.mu.Unlock()
 	if closed {
 		return c.refusedByNotices()
@@ -159,7 +164,7 @@
 // be held.
 func (st *state) countStart(c balance.Choice) {
 	st.balancer.RecordStart(c.At, c.Upstream.ID)
-	st.queue(c.Upstream.Pool).waiters.RecordStart(c.At)
+	st.queue(st.balancer.GroupOf(c.Upstream)).waiters.RecordStart(c.At)
 }
 
 // releaseUnused releases a reservation on which no request was sent, with its
@@ -182,14 +187,18 @@
 	ch := make(chan reservation, 1)
 	st.mu.Lock()
 	now := st.now()
-	q := st.queue(c.pool)
-	if st.closedByNotices(now, c.pool) {
+	q := st.queue(c.group)
+	if st.usualGroup(c.pool) != c.group {
+		st.mu.Unlock()
+		return reservation{}, c.movedElsewhere()
+	}
+	if st.closedByNotices(now, c.group) {
 		st.mu.Unlock()
 		return reservation{}, c.refusedByNotices()
 	}
 	work := st.typicalTimes[c.route.Name]
 	startBy := now + c.maxWait(work)
-	if permitWait, late := st.permitTooLate(now, c.pool, c.avoid, q.waiters.Len(), startBy); late {
+	if permitWait, late := st.permitTooLate(now, c.group, c.avoid, q.waiters.Len(), startBy); late {
 		st.mu.Unlock()
 		return reservation{}, c.rateLimited(permitWait)
 	}
@@ -206,7 +215,7 @@
 		return reservation{}, fault.NewRetryable(fault.QueueFull, c.retryAfter(wait), "pool %q: predicted wait of %s is too long", c.pool, wait)
 	}
 	if search {
-		go f.searchForWaiters(c.pool)
+		go f.searchForWaiters(c.group)
 	}
 	timer := time.NewTimer(startBy - now)
 	defer timer.Stop()
@@ -225,7 +234,7 @@
 func (c *call) leaveQueue(id uint64, ch <-chan reservation, wait time.Duration) (reservation, error) {
 	st := c.f.state
 	st.mu.Lock()
-	q := st.queue(c.pool)
+	q := st.queue(c.group)
 	left := q.waiters.Remove(id)
 	delete(q.reservations, id)
 	st.mu.Unlock()
@@ -245,7 +254,7 @@
 	}
 	// The target latency is missed, but the deadline has not passed yet.
 	late := balance.Requirements{MaxSlowdown: lateMaxSlowdown, Bytes: c.body.length}
-	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, late); res.conn != nil {
+	if res, _ := c.f.search(c.ctx, c.group, c.avoid, probesPerSearch, late); res.conn != nil {
 		return res, nil
 	}
 	if permitWait, limited := c.permitWait(); limited {
@@ -260,6 +269,9 @@
 	if res.closed {
 		return reservation{}, c.refusedByNotices()
 	}
+	if res.moved {
+		return reservation{}, c.movedElsewhere()
+	}
 	if res.conn == nil {
 		wait, _ := c.permitWait()
 		return reservation{}, c.rateLimited(wait)
@@ -404,11 +416,11 @@
 // releaseAfterResponse releases a connection whose response has been read to
 // its end. If the upstream still has room, the connection goes to the next
 // queued call.
-func (f *Forwarder) releaseAfterResponse(pool string, id string, load string, conn *upstreamconn.Conn, x *upstreamconn.Exchange) {
+func (f *Forwarder) releaseAfterResponse(u balance.Upstream, load string, conn *upstreamconn.Conn, x *upstreamconn.Exchange) {
 	if !f.conns.PrepareReuse(conn, x) {
 		return
 	}
-	if !f.assignConn(pool, id, load, conn) {
+	if !f.assignConn(u, load, conn) {
 		f.conns.PutIdle(conn)
 	}
 }
@@ -416,19 +428,19 @@
 // assignConn records the load that the upstream reported with its response and,
 // if the upstream has room, assigns the connection to the next queued call. It
 // reports whether it did.
-func (f *Forwarder) assignConn(pool string, id string, load string, conn *upstreamconn.Conn) bool {
+func (f *Forwarder) assignConn(u balance.Upstream, load string, conn *upstreamconn.Conn) bool {
 	st := f.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := st.now()
 	if l, ok := f.opts.Headers.ParseLoad(load); ok {
-		st.balancer.RecordResponseLoad(now, id, l)
+		st.balancer.RecordResponseLoad(now, u.ID, l)
 	}
-	q := st.queue(pool)
+	q := st.queue(st.balancer.GroupOf(u))
 	if q.waiters.Len() == 0 {
 		return false
 	}
-	choice, ok := st.balancer.ChooseOne(now, id)
+	choice, ok := st.balancer.ChooseOne(now, u.ID)
 	if !ok || !q.assign(now, reservation{choice: choice, conn: conn}) {
 		return false
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -70,11 +70,11 @@
 	byZone [][]balance.Upstream
 }
 
-func newReachTargets(upstreams []balance.Upstream) *reachTargets {
+func newReachTargets(placement balance.Config) *reachTargets {
 	zones := make(map[string]int)
 	t := &reachTargets{}
-	for _, u := range upstreams {
-		if u.Draining {
+	for _, u := range placement.Upstreams {
+		if u.Draining || !placement.InRotation(u) {
 			continue
 		}
 		i, ok := zones[u.Zone]
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -56,6 +56,8 @@
 	// the requests of a route among its pools.
 	phase float64
 
+	// events is the log for what the state decides itself.
+	events event.Logger
 	// mu guards the fields below.
 	mu           sync.Mutex
 	balancer     *balance.Balancer
@@ -68,6 +70,8 @@
 	queues   map[string]*poolQueue
 	// issuer issues the permits for upstreams that name a rate limit or are cold.
 	issuer *permit.Issuer
+	// versions holds the software versions in rotation.
+	versions versions
 	// clusterAddresses holds the cluster addresses of the gateways by ID.
 	clusterAddresses map[string]string
 	// registeredAt is the time since which the configuration names this gateway.
@@ -92,6 +96,7 @@
 		timeouts:      make(map[string]*statedTimeouts),
 		queues:        make(map[string]*poolQueue),
 		issuer:        permit.NewIssuer(gatewayID),
+		versions:      newVersions(settings.Rollout{}, rand.Float64),
 	}
 	st.pools.Store(&map[string]*catalogpb.Pool{})
 	st.reachTargets.Store(&reachTargets{})
@@ -115,8 +120,9 @@
 	}
 	st.pools.Store(&pools)
 	placement := st.placementConfig(v, pools)
-	st.reachTargets.Store(newReachTargets(placement.Upstreams))
 	st.mu.Lock()
+	st.applyVersions(cfg, &placement)
+	st.reachTargets.Store(newReachTargets(placement))
 	st.balancer.Update(st.now(), placement)
 	st.clusterAddresses = clusterAddresses(cfg)
 	st.updateLiveGateways(cfg)
@@ -159,6 +165,7 @@
 			Zone:     u.Zone,
 			Pool:     u.Pool,
 			Started:  u.StartedMs,
+			Software: u.Software,
 			Slots:    int(u.Slots),
 			Draining: u.State == catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING,
 			ColdFor:  time.Duration(u.ColdMs) * time.Millisecond,
@@ -339,18 +346,42 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := st.now()
-	open, ready := st.balancer.CountUpstreams(now, pool)
-	m.OpenUpstreams.Update(float64(open))
-	m.ReadyUpstreams.Update(float64(ready))
+	n := st.countPool(pool)
+	m.OpenUpstreams.Update(float64(n.open))
+	m.ReadyUpstreams.Update(float64(n.ready))
 	m.RequestsInFlight.Update(float64(st.balancer.InFlight(pool)))
-	m.CallsWaiting.Update(float64(st.queue(pool).waiters.Len()))
-	m.LimitedUpstreams.Update(float64(st.balancer.CountLimited(pool)))
-	leaving, paused := st.balancer.CountNotices(now, pool)
-	m.LeavingUpstreams.Update(float64(leaving))
-	m.PausedUpstreams.Update(float64(paused))
+	m.CallsWaiting.Update(float64(n.waiting))
+	m.LimitedUpstreams.Update(float64(n.limited))
+	m.LeavingUpstreams.Update(float64(n.leaving))
+	m.PausedUpstreams.Update(float64(n.paused))
+	m.RolloutWithdrawn.Update(float64(n.withdrawn))
 	m.RetriesLeft.Update(st.retryBudget(pool).Remaining(now, st.retryLimits, st.retryShare()))
 }
 
+// poolCounts counts the upstreams in rotation and the waiting calls of a pool.
+type poolCounts struct {
+	open, ready, limited, leaving, paused, waiting int
+	// withdrawn is 1 if this gateway has found the target of a roll-out bad.
+	withdrawn int
+}
+
+// countPool returns the counts of the pool over its versions. st.mu must be held.
+func (st *state) countPool(pool string) poolCounts {
+	now := st.now()
+	var n poolCounts
+	for _, group := range st.groups(pool) {
+		open, ready := st.balancer.CountUpstreams(now, group)
+		leaving, paused := st.balancer.CountNotices(now, group)
+		n.open, n.ready, n.leaving, n.paused = n.open+open, n.ready+ready, n.leaving+leaving, n.paused+paused
+		n.limited += st.balancer.CountLimited(group)
+		n.waiting += st.queue(group).waiters.Len()
+	}
+	if pv := st.versions.pools[pool]; pv != nil && pv.rule.withdrawn {
+		n.withdrawn = 1
+	}
+	return n
+}
+
 // typicalTimeWeight is the weight of one response in the moving average of the
 // response time of a route.
 const typicalTimeWeight = 0.05
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -31,6 +31,9 @@
 	PermitWait tally.Histogram
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
+	// DrawsWithoutRoom counts requests drawn for the target of a roll-out that went to
+	// the old version.
+	DrawsWithoutRoom tally.Counter
 	// UpstreamsLost is 1 while all upstreams are lost, else 0.
 	UpstreamsLost tally.Gauge
 	// Revision and StateVersion belong to the configuration in force. ConfigAge
@@ -124,6 +127,30 @@
 	// WithheldLeaving and WithheldPaused count calls that were refused, or moved to
 	// another upstream right before they were sent, for one of these reasons.
 	WithheldLeaving, WithheldPaused tally.Counter
+	// WithheldVersion counts requests whose upstream's software version got no more
+	// requests right before they were sent. RolloutWithdrawn is 1 while this gateway
+	// sends the target of a roll-out nothing because of its own evidence.
+	WithheldVersion  tally.Counter
+	RolloutWithdrawn tally.Gauge
+}
+
+// Outcomes of requests during a roll-out, the values of the tag "outcome" of the metric
+// "version_requests".
+const (
+	VersionOK        = "ok"
+	VersionFailure   = "failure"
+	VersionMalformed = "malformed"
+	VersionSlow      = "slow"
+)
+
+// VersionRequests returns the counter of requests to one version of the pool during a
+// roll-out, by outcome.
+func (m *GatewayMetrics) VersionRequests(pool string, isNew bool, outcome string) tally.Counter {
+	version := "old"
+	if isNew {
+		version = "new"
+	}
+	return m.scope.Tagged(map[string]string{"pool": pool, "version": version, "outcome": outcome}).Counter("version_requests")
 }
 
 // NewGatewayMetrics creates the metrics of a gateway in scope s.
@@ -135,6 +162,7 @@
 		Upstream:          latencyHistogram(s, "upstream_seconds"),
 		PermitWait:        latencyHistogram(s, "permit_seconds"),
 		Retries:           s.Counter("retries"),
+		DrawsWithoutRoom:  s.Counter("rollout_draws_without_room"),
 		UpstreamsLost:     s.Gauge("upstreams_lost"),
 		Revision:          s.Gauge("config_revision"),
 		StateVersion:      s.Gauge("config_state_version"),
@@ -202,6 +230,8 @@
 			PausedUpstreams:  s.Gauge("upstreams_paused"),
 			WithheldLeaving:  s.Counter("calls_withheld_leaving"),
 			WithheldPaused:   s.Counter("calls_withheld_paused"),
+			WithheldVersion:  s.Counter("calls_withheld_version"),
+			RolloutWithdrawn: s.Gauge("rollout_withdrawn"),
 		}
 		m.pools[name] = p
 	}
