Test how gateways follow a roll-out

Without the check right before the send, the wait ended on a move, or the bound of one draw per call, the tests fail.

--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +20,7 @@
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/freshness"
 	"balsamcourse.example/balsamcourse/internal/retry"
+	"balsamcourse.example/balsamcourse/internal/settings"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
 )
@@ -173,6 +175,8 @@
 	upstreams  map[string]*limitedUpstream
 	cfg        *catalogpb.Config
 	forwarders []*Forwarder
+	// rollout holds the settings of roll-outs.
+	rollout settings.Rollout
 
 	mu sync.Mutex
 	// stopped holds the time at which a gateway stopped, cut that at which it was
@@ -241,6 +245,7 @@
 func (g *gatewayGroup) newForwarder(t *testing.T, id string) *Forwarder {
 	st := newState(id, g.zoneOf(id), 0.8, retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
 	st.reachable = g.heardByControl
+	st.versions = newVersions(g.rollout, rand.Float64)
 	st.applyConfig(configview.New(g.cfg))
 	metrics := telemetry.NewMetrics("gateway", id)
 	t.Cleanup(func() { _ = metrics.Close() })
