A gateway that has lost control gives an undecided version nothing

It could not learn of a roll-back, so that it would have gone on with its share until control answers again. After rollback_ms without confirmation it draws no more requests for a version that had no verdict.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -125,9 +125,12 @@
 		return err
 	}
 	c.pool = c.route.NextPool()
-	f.state.mu.Lock()
-	c.group = f.state.usualGroup(c.pool)
-	f.state.mu.Unlock()
+	c.group = c.pool
+	if f.state.versions.settings.Enabled() {
+		f.state.mu.Lock()
+		c.group = f.state.usualGroup(c.pool)
+		f.state.mu.Unlock()
+	}
 	if c.origin == nil && !c.mayRelay() {
 		c.count()
 	}
--- a/internal/gateway/version_evidence.go
+++ b/internal/gateway/version_evidence.go
@@ -87,6 +87,9 @@
 // roll-out, it gets nothing more.
 func (c *call) recordOutcome(u balance.Upstream, kind evidenceKind) {
 	st := c.f.state
+	if !st.versions.settings.Enabled() {
+		return
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	pv := st.versions.pools[u.Pool]
@@ -192,8 +195,9 @@
 }
 
 // reportEvidence reports evidence that should not wait for the next renewal with send,
-// until ctx ends.
+// until ctx ends. It logs the first report of a series that failed.
 func (st *state) reportEvidence(ctx context.Context, send func(context.Context, []*clusterpb.RolloutEvidence) error) {
+	failing := false
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -202,9 +206,11 @@
 		}
 		due, waiting := st.evidenceDue()
 		if due {
-			if err := send(ctx, st.rolloutEvidence()); err != nil {
+			err := send(ctx, st.rolloutEvidence())
+			if err != nil && !failing {
 				st.events.Log(event.EvidenceUnsent).Err(err).Send()
 			}
+			failing = err != nil
 			wait.For(ctx, reportInterval)
 		}
 		if waiting {
--- a/internal/gateway/version_rules.go
+++ b/internal/gateway/version_rules.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/rollout"
+	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
 // versionRule says which software versions of a pool get requests, according to the
@@ -52,6 +54,13 @@
 	return r.current
 }
 
+// unwatched reports whether the target has no verdict yet and control may have rolled the
+// roll-out back without this gateway knowing. sinceNewest is the time for which its
+// configuration has not been known to be the newest one.
+func (r versionRule) unwatched(sinceNewest time.Duration, s settings.Rollout) bool {
+	return r.state == catalogpb.RolloutState_ROLLOUT_STATE_ACTIVE && sinceNewest > s.RollbackMs.Duration()
+}
+
 // fraction is the part of the requests that is drawn for the target. share is the one
 // before the verdict.
 func (r versionRule) fraction(share float64) float64 {
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -174,11 +174,15 @@
 // suspected of crashing upstreams.
 func (c *call) chooseVersion() bool {
 	st := c.f.state
+	if !st.versions.settings.Enabled() {
+		return false
+	}
+	sinceNewest := st.sinceNewest()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	c.group = st.usualGroup(c.pool)
 	pv := st.versions.pools[c.pool]
-	if pv == nil || !pv.rule.splits() || c.sends > 0 || c.trial != nil {
+	if pv == nil || !pv.rule.splits() || c.sends > 0 || c.trial != nil || pv.rule.unwatched(sinceNewest, st.versions.settings) {
 		c.returnDraw()
 		return false
 	}
@@ -249,9 +253,12 @@
 // the call chose one.
 func (c *call) versionMoved() bool {
 	st := c.f.state
+	if !st.versions.settings.Enabled() || c.ctx.Err() != nil {
+		return false
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return c.ctx.Err() == nil && st.usualGroup(c.pool) != c.group
+	return st.usualGroup(c.pool) != c.group
 }
 
 // movedElsewhere is the refusal of a call whose pool's requests have moved to another
@@ -264,6 +271,9 @@
 // version may have left the rotation since. It is called right before the send.
 func (c *call) beginSend(u balance.Upstream) bool {
 	st := c.f.state
+	if !st.versions.settings.Enabled() {
+		return true
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	pv := st.versions.pools[u.Pool]
@@ -287,6 +297,9 @@
 // reached the upstream. A call counts once, where it is sent first.
 func (c *call) recordSend(u balance.Upstream, mayHaveRun bool) {
 	st := c.f.state
+	if !st.versions.settings.Enabled() {
+		return
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if c.draw != nil && !mayHaveRun {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -151,6 +151,11 @@
 			g.stop(g.forwarders[i])
 			g.restart(t, i)
 		}
+		// A gateway without links to upstreams relays its calls.
+		g.setLinks(linkReset, "g8")
+		g.sendCalls(20*time.Millisecond, 2*time.Second)
+		g.setLinks(linkUp, "g8")
+		time.Sleep(2 * time.Second)
 		drawn, _, few := g.countVersion("n", start)
 		old, _, _ := g.countVersion("o", start)
 		t.Logf("%d of %d requests on %d upstreams of the new version", drawn, drawn+old, few)
@@ -164,6 +169,15 @@
 			}
 		}
 
+		g.forwarders[0].state.sinceNewest = func() time.Duration { return time.Second }
+		start = time.Now()
+		assert.Equal(t, g.sendCalls(20*time.Millisecond, time.Second).refused, 0)
+		for _, u := range g.upstreams {
+			for _, a := range u.arrived {
+				assert.Assert(t, u.id[0] == 'o' || a.at < start.Sub(u.start) || !strings.HasPrefix(a.gateway, "g0"), "a gateway without control sent to %s", u.id)
+			}
+		}
+
 		g.commit(rolledBack, 0)
 		start = time.Now()
 		assert.Equal(t, g.sendCalls(20*time.Millisecond, time.Second).refused, 0)
@@ -238,7 +252,9 @@
 						u.setRespond(answerStatus(u.id, tc.status, tc.after))
 					}
 				}
+				var typical time.Duration
 				st.versions.judge = func(o rollout.Observation) rollout.Decision {
+					typical = st.typicalTimes["safe"]
 					for cell, outcomes := range o.Evidence {
 						if cell.New && outcomes.Bad() >= 3 {
 							return rollout.Decision{Verdict: rollout.Bad, Reason: "test"}
@@ -263,6 +279,7 @@
 				_, all, _ := g.countVersion("n", withdrawn)
 				assert.Equal(t, all, 0)
 
+				assert.Assert(t, typical < 21*time.Millisecond, "typical time of %s, which the new version has changed", typical)
 				mu.Lock()
 				defer mu.Unlock()
 				assert.Equal(t, len(reported), 1)
