--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
+	"balsamcourse.example/balsamcourse/internal/configsync"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/rollout"
 	"balsamcourse.example/balsamcourse/internal/settings"
@@ -376,3 +378,20 @@
 		assert.DeepEqual(t, reported, []uint32{0})
 	})
 }
+
+// Guards against evidence that waits for the next renewal because the first control VM
+// does not answer.
+func TestEvidenceGoesToAnotherControlVM(t *testing.T) {
+	var reports atomic.Int32
+	live := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reports.Add(1) }))
+	defer live.Close()
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	d := &Daemon{client: http.DefaultClient, config: configsync.New(configsync.Options{
+		Entry: &catalogpb.Entry{}, ControlAddresses: []string{dead.Listener.Addr().String(), live.Listener.Addr().String()},
+	})}
+	for range 8 {
+		assert.NilError(t, d.sendEvidence(t.Context(), nil))
+	}
+	assert.Equal(t, reports.Load(), int32(8))
+}
