The share is placed on as many new upstreams as run as full as the old ones

Three new upstreams at once run at a quarter of the load of the old ones in a pool of eight, so that a version that is bad only under load was not seen before the verdict. The few now take turns every second. In the test of a roll-out over ten gateways, over nine tenths of the draws of a second are at one upstream; all of the few have their turns.

--- a/internal/balance/software.go
+++ b/internal/balance/software.go
@@ -8,13 +8,13 @@
 	// neither requests nor probes.
 	Versions []string
 	// Only limits the upstreams of a version to those with the given IDs.
-	Only map[string]map[string]bool
+	Only map[string][]string
 }
 
 // admits reports whether the upstream is in rotation.
 func (r Rotation) admits(u Upstream) bool {
 	only, limited := r.Only[u.Software]
-	return slices.Contains(r.Versions, u.Software) && (!limited || only[u.ID])
+	return slices.Contains(r.Versions, u.Software) && (!limited || slices.Contains(only, u.ID))
 }
 
 // Group returns the name of the upstreams of one version in a pool with a Rotation.
--- a/internal/gateway/version_rules.go
+++ b/internal/gateway/version_rules.go
@@ -125,18 +125,23 @@
 	return slices.ContainsFunc(upstreams, func(u balance.Upstream) bool { return u.Software == software && !u.Draining })
 }
 
-// rotation returns the versions in rotation. share is the part of the requests that the
-// target gets before the verdict; with it, only a few of its upstreams get requests.
-func (r versionRule) rotation(share float64, upstreams []balance.Upstream, closedZones map[string]bool) balance.Rotation {
+// rotation returns the versions in rotation. Of the target's upstreams, only those in few
+// get requests before the verdict.
+func (r versionRule) rotation(few []string) balance.Rotation {
 	if !r.splits() {
 		return balance.Rotation{Versions: []string{r.usual()}}
 	}
 	rotation := balance.Rotation{Versions: []string{r.current, r.target}}
-	if r.state != catalogpb.RolloutState_ROLLOUT_STATE_ACTIVE {
-		return rotation
+	if r.state == catalogpb.RolloutState_ROLLOUT_STATE_ACTIVE {
+		rotation.Only = map[string][]string{r.target: few}
 	}
+	return rotation
+}
+
+// chooseFew returns the upstreams of the target that get the share of the requests before
+// the verdict, and the number of old upstreams.
+func (r versionRule) chooseFew(share float64, upstreams []balance.Upstream, closedZones map[string]bool) (few []string, old int) {
 	var candidates []rollout.Candidate
-	old := 0
 	for _, u := range upstreams {
 		switch {
 		case u.Draining, closedZones[u.Zone]:
@@ -146,6 +151,5 @@
 			old++
 		}
 	}
-	rotation.Only = map[string]map[string]bool{r.target: rollout.Few(candidates, old, share)}
-	return rotation
+	return rollout.Few(candidates, old, share), old
 }
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +37,10 @@
 type poolVersions struct {
 	rule    versionRule
 	tracker *rolloutTracker
+	// few are the upstreams of the target that get requests before the verdict, old is the
+	// number of old upstreams. They are set in the state active.
+	few []string
+	old int
 }
 
 // rolloutTracker is what this gateway has done and seen in one roll-out.
@@ -108,7 +113,10 @@
 		pv := &poolVersions{rule: newVersionRule(software, ok, newest[p.Name], upstreams[p.Name])}
 		pv.continueFrom(before[p.Name], vs, st.now())
 		vs.pools[p.Name] = pv
-		placement.Rotations[p.Name] = pv.rule.rotation(vs.settings.Share, upstreams[p.Name], placement.ClosedZones)
+		if pv.rule.splits() && pv.rule.state == catalogpb.RolloutState_ROLLOUT_STATE_ACTIVE {
+			pv.few, pv.old = pv.rule.chooseFew(vs.settings.Share, upstreams[p.Name], placement.ClosedZones)
+		}
+		placement.Rotations[p.Name] = pv.rule.rotation(pv.few)
 		st.logVersions(p.Name, before[p.Name], pv)
 	}
 	for pool, pv := range before {
@@ -237,13 +245,21 @@
 	st.mu.Lock()
 	pv := st.versions.pools[c.pool]
 	group := balance.Group(c.pool, pv.rule.target)
+	focus, rest := rollout.Focus(pv.few, pv.old, st.versions.settings.Share, time.Now())
 	st.mu.Unlock()
-	res, _ := c.f.search(c.ctx, group, c.avoid, probesPerSearch, c.requirements(c.maxSlowdown()))
-	if res.conn != nil && c.ctx.Err() == nil {
-		c.searches++
-		return res, true
+	order := [][]string{nil}
+	if len(focus) > 0 {
+		order = [][]string{rest, focus}
+	}
+	for _, avoid := range order {
+		// A nearly full upstream will do: the version must also be seen under load.
+		res, _ := c.f.search(c.ctx, group, slices.Concat(c.avoid, avoid), probesPerSearch, c.requirements(c.maxSlowdown()))
+		if res.conn != nil && c.ctx.Err() == nil {
+			c.searches++
+			return res, true
+		}
+		c.f.releaseUnused(res)
 	}
-	c.f.releaseUnused(res)
 	c.f.opts.Metrics.DrawsWithoutRoom.Inc(1)
 	c.endDraw()
 	return reservation{}, false
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -165,6 +167,24 @@
 		assert.Assert(t, float64(drawn) <= 0.1*float64(drawn+old)+roundings, "%d of %d", drawn, drawn+old)
 		assert.Assert(t, drawn > (drawn+old)/20, "%d of %d", drawn, drawn+old)
 		assert.Equal(t, few, 3)
+		// Of the few, one at a time gets the requests, so that it is as full as the old.
+		perPeriod := make(map[int64]map[string]int)
+		for _, u := range g.upstreams {
+			for _, a := range u.arrived {
+				period := u.start.Add(a.at).UnixNano() / int64(rollout.FocusPeriod)
+				if u.id[0] == 'n' && !a.probe {
+					if perPeriod[period] == nil {
+						perPeriod[period] = make(map[string]int)
+					}
+					perPeriod[period][u.id]++
+				}
+			}
+		}
+		focused := 0
+		for _, requests := range perPeriod {
+			focused += slices.Max(slices.Collect(maps.Values(requests)))
+		}
+		assert.Assert(t, focused > drawn*9/10, "%d of %d", focused, drawn)
 		for _, u := range g.upstreams {
 			for _, a := range u.arrived {
 				assert.Assert(t, a.gateway[:2] != "g9" || u.id[0] == 'o', "%s sent to %s without the order", a.gateway, u.id)
--- a/internal/rollout/share_test.go
+++ b/internal/rollout/share_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -133,16 +135,26 @@
 		candidates = append(candidates, Candidate{ID: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%3)})
 	}
 	for _, tc := range []struct {
-		known, old, want int
-	}{{12, 12, 3}, {12, 60, 6}, {12, 500, 12}, {2, 12, 2}, {0, 12, 0}} {
+		known, old, want, focus int
+	}{{12, 12, 3, 1}, {12, 14, 3, 2}, {12, 60, 6, 6}, {12, 500, 12, 12}, {2, 12, 2, 1}, {0, 12, 0, 1}} {
 		few := Few(candidates[:tc.known], tc.old, 0.1)
 		assert.Equal(t, len(few), tc.want)
+		turns := make(map[string]bool)
+		for i := range 12 {
+			focus, rest := Focus(few, tc.old, 0.1, time.Unix(int64(i), 0))
+			assert.Equal(t, len(focus), min(tc.focus, tc.want))
+			assert.Equal(t, len(focus)+len(rest), len(few))
+			for _, id := range focus {
+				turns[id] = true
+			}
+		}
+		assert.Equal(t, len(turns), tc.want, "upstreams that had a turn")
 		shuffled := append([]Candidate(nil), candidates[:tc.known]...)
 		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 		assert.DeepEqual(t, few, Few(shuffled, tc.old, 0.1))
 		zones := make(map[string]int)
 		for _, c := range candidates {
-			if few[c.ID] {
+			if slices.Contains(few, c.ID) {
 				zones[c.Zone]++
 			}
 		}
