--- a/internal/gateway/version_evidence.go
+++ b/internal/gateway/version_evidence.go
@@ -101,7 +101,8 @@
 		return
 	}
 	isNew := u.Software == pv.rule.target
-	pv.tracker.evidence.Add(rollout.Evidence{{Route: c.route.Name, Upstream: u.ID, New: isNew}: one})
+	cell := rollout.Cell{Route: c.route.Name, Upstream: u.ID, New: isNew}
+	pv.tracker.evidence[cell] = pv.tracker.evidence[cell].Add(one)
 	c.f.opts.Metrics.VersionRequests(u.Pool, isNew, outcome).Inc(1)
 	if !isNew || one.Bad() == 0 {
 		return
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -44,35 +44,30 @@
 	order := func(state catalogpb.RolloutState, permille uint32) *catalogpb.Rollout {
 		return &catalogpb.Rollout{Target: "v2", State: state, ShiftPermille: permille, StartedRevision: 7}
 	}
-	cases := []struct {
-		name      string
+	for name, tc := range map[string]struct {
 		recorded  string
-		unknown   bool
 		newest    *catalogpb.Rollout
 		upstreams []balance.Upstream
 		usual     string
 		splits    bool
 	}{
-		{name: "no order", recorded: "v1", upstreams: both, usual: "v1"},
-		{name: "active", recorded: "v1", newest: order(active, 0), upstreams: both, usual: "v1", splits: true},
-		{name: "active, old upstreams gone", recorded: "v1", newest: order(active, 0), upstreams: both[2:], usual: "v1", splits: true},
-		{name: "shifting", recorded: "v1", newest: order(shifting, 250), upstreams: both, usual: "v1", splits: true},
-		{name: "shifting, old upstreams gone", recorded: "v1", newest: order(shifting, 250), upstreams: both[2:], usual: "v2"},
-		{name: "shifted", recorded: "v1", newest: order(shifting, 1000), upstreams: both, usual: "v2"},
-		{name: "completed", recorded: "v1", newest: order(completed, 1000), upstreams: both, usual: "v2"},
-		{name: "rolled back", recorded: "v1", newest: order(rolledBack, 0), upstreams: both, usual: "v1"},
-		{name: "same version", recorded: "v2", newest: order(active, 0), upstreams: both, usual: "v2"},
-		{name: "none recorded, most upstreams", unknown: true, upstreams: both, usual: "v2"},
-		{name: "none recorded, earliest start", unknown: true, upstreams: both[:4], usual: "v2"},
-		{name: "none recorded, target left out", unknown: true, newest: order(rolledBack, 0), upstreams: both, usual: "v1"},
-		{name: "nothing announced", unknown: true, usual: ""},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			r := newVersionRule(tc.recorded, !tc.unknown, tc.newest, tc.upstreams)
-			assert.Equal(t, r.usual(), tc.usual)
-			assert.Equal(t, r.splits(), tc.splits)
-		})
+		"no order":                            {"v1", nil, both, "v1", false},
+		"active":                              {"v1", order(active, 0), both, "v1", true},
+		"active, old upstreams gone":          {"v1", order(active, 0), both[2:], "v1", true},
+		"shifting":                            {"v1", order(shifting, 250), both, "v1", true},
+		"shifting, old upstreams gone":        {"v1", order(shifting, 250), both[2:], "v2", false},
+		"shifted":                             {"v1", order(shifting, 1000), both, "v2", false},
+		"completed":                           {"v1", order(completed, 1000), both, "v2", false},
+		"rolled back":                         {"v1", order(rolledBack, 0), both, "v1", false},
+		"same version":                        {"v2", order(active, 0), both, "v2", false},
+		"none recorded, most upstreams":       {"", nil, both, "v2", false},
+		"none recorded, earliest start":       {"", nil, both[:4], "v2", false},
+		"none recorded, target is left out":   {"", order(rolledBack, 0), both, "v1", false},
+		"none recorded, nothing is announced": {"", nil, nil, "", false},
+	} {
+		r := newVersionRule(tc.recorded, tc.recorded != "", tc.newest, tc.upstreams)
+		assert.Equal(t, r.usual(), tc.usual, name)
+		assert.Equal(t, r.splits(), tc.splits, name)
 	}
 }
 
