--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -117,7 +117,7 @@
 			pv.few, pv.old = pv.rule.chooseFew(vs.settings.Share, upstreams[p.Name], placement.ClosedZones)
 		}
 		placement.Rotations[p.Name] = pv.rule.rotation(pv.few)
-		st.logVersions(p.Name, before[p.Name], pv)
+		st.logVersions(before[p.Name], pv, p.Name, newest[p.Name])
 	}
 	for pool, pv := range before {
 		if now := vs.pools[pool]; now != nil && now.rule.usual() != pv.rule.usual() {
@@ -154,15 +154,15 @@
 	}
 }
 
-// logVersions logs a changed rule.
-func (st *state) logVersions(pool string, before, after *poolVersions) {
+// logVersions logs a changed rule with the newest roll-out of the pool, which may be nil.
+func (st *state) logVersions(before, after *poolVersions, pool string, newest *catalogpb.Rollout) {
 	if before != nil && before.rule == after.rule || before == nil && !after.rule.underWay() {
 		return
 	}
 	r := after.rule
-	st.events.Log(event.VersionsChanged).Str("pool", pool).Str("software", r.usual()).Str("target", r.target).
-		Str("state", strings.ToLower(strings.TrimPrefix(r.state.String(), "ROLLOUT_STATE_"))).Uint64("permille", uint64(r.permille)).
-		Uint64("rollout", r.started).Bool("withdrawn", r.withdrawn).Uint64("revision", st.versions.revision).Send()
+	st.events.Log(event.VersionsChanged).Str("pool", pool).Str("software", r.usual()).Str("target", newest.GetTarget()).
+		Str("state", strings.ToLower(strings.TrimPrefix(newest.GetState().String(), "ROLLOUT_STATE_"))).Uint64("permille", uint64(r.permille)).
+		Uint64("rollout", newest.GetStartedRevision()).Str("why", newest.GetReason()).Bool("withdrawn", r.withdrawn).Uint64("revision", st.versions.revision).Send()
 }
 
 // moveWaiting ends the wait of the calls in the queue of a group that no longer gets the
