Loaded bad answers are failures and malformed ones only

Slow answers are compared at a like load already; counted twice, a machine that gets slower for all looked like a version that fails under load.

--- a/internal/gateway/version_evidence.go
+++ b/internal/gateway/version_evidence.go
@@ -136,7 +136,7 @@
 		}
 	}
 	if c.choice.Load.NearlyFull() {
-		one.Loaded, one.LoadedBad = 1, min(1, one.Bad())
+		one.Loaded, one.LoadedBad = 1, one.Failed()
 	}
 	return one, name
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -23,10 +23,13 @@
 	// thousandths.
 	Timed, Slow, SlowdownPermille uint64
 	// Loaded counts the requests that began at an upstream whose slots were nearly full.
-	// LoadedBad counts those of them that are in Failures, Malformed or Slow.
+	// LoadedBad counts those of them that are in Failures or Malformed.
 	Loaded, LoadedBad uint64
 }
 
+// Failed returns the number of answers that are failures or malformed.
+func (o Outcomes) Failed() uint64 { return o.Failures + o.Malformed }
+
 // Bad returns the number of bad answers.
 func (o Outcomes) Bad() uint64 { return o.Failures + o.Malformed + o.Slow }
 
--- a/internal/settings/rollout.go
+++ b/internal/settings/rollout.go
@@ -25,5 +25,5 @@
 	if !(r.Slack >= 0) {
 		c.addf("rollout.slack", "%v must not be below 0", r.Slack)
 	}
-	c.between("rollout.rollback_ms", int64(r.RollbackMs), 1_000, 600_000)
+	c.between("rollout.rollback_ms", int64(r.RollbackMs), 100, 600_000)
 }
