--- a/internal/balance/software.go
+++ b/internal/balance/software.go
@@ -1,6 +1,9 @@
 package balance
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Rotation says which software versions of a pool get requests.
 type Rotation struct {
@@ -76,3 +79,15 @@
 	}
 	return n
 }
+
+// Silent returns those of the given upstreams that have not answered their last probe and
+// are in backoff for it.
+func (b *Balancer) Silent(now time.Duration, ids []string) []string {
+	var silent []string
+	for _, id := range ids {
+		if u := b.upstreams[id]; u != nil && u.probeTimeouts > 0 && now < u.backoffUntil {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -239,13 +239,16 @@
 }
 
 // acquireDrawn reserves an upstream of the target of a roll-out. If none has room now,
-// the call is not drawn any more.
+// the call is not drawn any more. Its draw is lost: given back, it would be taken by the
+// next call, so that each one would search in vain.
 func (c *call) acquireDrawn() (reservation, bool) {
 	st := c.f.state
 	st.mu.Lock()
 	pv := st.versions.pools[c.pool]
 	group := balance.Group(c.pool, pv.rule.target)
 	focus, rest := rollout.Focus(pv.few, pv.old, st.versions.settings.Share, time.Now())
+	// An upstream that does not answer would delay the call for the time of a probe.
+	avoided := slices.Concat(c.avoid, st.balancer.Silent(st.now(), pv.few))
 	st.mu.Unlock()
 	order := [][]string{nil}
 	if len(focus) > 0 {
@@ -253,7 +256,7 @@
 	}
 	for _, avoid := range order {
 		// A nearly full upstream will do: the version must also be seen under load.
-		res, _ := c.f.search(c.ctx, group, slices.Concat(c.avoid, avoid), probesPerSearch, c.requirements(c.maxSlowdown()))
+		res, _ := c.f.search(c.ctx, group, slices.Concat(avoided, avoid), probesPerSearch, c.requirements(c.maxSlowdown()))
 		if res.conn != nil && c.ctx.Err() == nil {
 			c.searches++
 			return res, true
@@ -261,7 +264,7 @@
 		c.f.releaseUnused(res)
 	}
 	c.f.opts.Metrics.DrawsWithoutRoom.Inc(1)
-	c.endDraw()
+	c.draw = nil
 	return reservation{}, false
 }
 
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -394,6 +394,31 @@
 	})
 }
 
+// Guards against drawn requests that each wait for new upstreams which don't answer.
+func TestSilentNewVersionDelaysFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newVersionGroup(t, 0.1, 1, 3, 3)
+		for _, u := range g.upstreams {
+			if u.id[0] == 'n' {
+				u.setRespond(func(net.Conn, *http.Request) answered { return keptOpen })
+			}
+		}
+		g.commit(active, 0)
+		var results callResults
+		delayed := 0
+		for range 500 {
+			start := time.Now()
+			results.call(g.forwarders[0])
+			if time.Since(start) > probeTimeout {
+				delayed++
+			}
+		}
+		assert.Equal(t, results.served, 500)
+		assert.Assert(t, delayed <= 20, "%d of about 50 drawn", delayed)
+		t.Logf("%d of 500 calls delayed", delayed)
+	})
+}
+
 // Guards against evidence that waits for the next renewal because the first control VM
 // does not answer.
 func TestEvidenceGoesToAnotherControlVM(t *testing.T) {
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -1,7 +1,7 @@
 package rollout
 
-// maxCredit bounds the draws that a route may take one right after the other, after a
-// time in which the new version had no room.
+// maxCredit bounds the draws that a route may take one right after the other, after
+// draws were given back.
 const maxCredit = 2
 
 // Share decides which requests of one gateway go to the new version: a fraction of the
@@ -29,7 +29,7 @@
 }
 
 // Draw takes a draw for a request of the route that is about to be sent. It reports false
-// if none is due. A draw that is not used must be returned.
+// if none is due. A draw that is not used may be returned.
 func (s *Share) Draw(route string) bool {
 	if s.fraction >= 1 {
 		return true
@@ -41,7 +41,7 @@
 	return true
 }
 
-// Return gives back a draw whose request was not sent to the new version.
+// Return gives back a draw whose request was not sent, other than for lack of room.
 func (s *Share) Return(route string) { s.add(route, 1) }
 
 // RecordSent records a request of the route, which counts once whether it went to the
