--- a/internal/control/rollout_watch.go
+++ b/internal/control/rollout_watch.go
@@ -22,6 +22,9 @@
 	// three routes.
 	judgeInterval     = 100 * time.Millisecond
 	idleJudgeInterval = 250 * time.Millisecond
+	// judgeIntervalPerRollout times the number of roll-outs under way bounds the CPU time
+	// of the judgements to a few percent of a core.
+	judgeIntervalPerRollout = 5 * time.Millisecond
 	// recordInterval is the shortest time between two commands that record software
 	// versions, so that upstreams that start together need few.
 	recordInterval = 300 * time.Millisecond
@@ -165,7 +168,7 @@
 	now := l.server.now()
 	for _, r := range t.config.Rollouts {
 		w := t.rollouts.watches[r.Pool]
-		if w == nil || t.rollouts.proposing || !w.due(now) {
+		if w == nil || t.rollouts.proposing || !w.due(now, len(t.rollouts.watches)) {
 			continue
 		}
 		l.advanceRollout(now, w)
@@ -175,12 +178,12 @@
 	}
 }
 
-func (w *rolloutWatch) due(now time.Duration) bool {
+func (w *rolloutWatch) due(now time.Duration, watches int) bool {
 	interval := idleJudgeInterval
 	if w.dirty {
 		interval = judgeInterval
 	}
-	return w.judgedAt == 0 || now >= w.judgedAt+interval
+	return w.judgedAt == 0 || now >= w.judgedAt+max(interval, time.Duration(watches)*judgeIntervalPerRollout)
 }
 
 func (l *loop) advanceRollout(now time.Duration, w *rolloutWatch) {
--- a/internal/control/rollout_watch_test.go
+++ b/internal/control/rollout_watch_test.go
@@ -33,7 +33,7 @@
 func TestCapacityOfTheNewVersion(t *testing.T) {
 	tm, w := newWatchedTerm()
 	ready, draining := catalogpb.UpstreamState_UPSTREAM_STATE_READY, catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING
-	for _, u := range []*catalogpb.Upstream{
+	tm.config.Upstreams = []*catalogpb.Upstream{
 		{Id: "old", Pool: "p", Software: "v1", Slots: 10, State: ready},
 		{Id: "old-out", Pool: "p", Software: "v1", Slots: 10, State: ready, Zone: "out"},
 		{Id: "warm", Pool: "p", Software: "v2", Slots: 1, State: ready},
@@ -42,8 +42,6 @@
 		{Id: "new-out", Pool: "p", Software: "v2", Slots: 10, State: ready, Zone: "out"},
 		{Id: "other-pool", Pool: "q", Software: "v2", Slots: 10, State: ready},
 		{Id: "other-version", Pool: "p", Software: "v0", Slots: 10, State: ready},
-	} {
-		tm.config.Upstreams = append(tm.config.Upstreams, u)
 	}
 	count, bearable, capacity := tm.newCapacity(time.Second, w)
 	assert.Equal(t, count, 2)
