--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -245,6 +245,12 @@
 	st := c.f.state
 	st.mu.Lock()
 	pv := st.versions.pools[c.pool]
+	if pv == nil || !pv.rule.splits() {
+		// A newer configuration has arrived since the draw.
+		c.returnDraw()
+		st.mu.Unlock()
+		return reservation{}, false
+	}
 	group := balance.Group(c.pool, pv.rule.target)
 	focus, rest := rollout.Focus(pv.few, pv.old, st.versions.settings.Share, time.Now())
 	// An upstream that does not answer would delay the call for the time of a probe.
