Stop of a gateway: answer the calls that wait before their connections close

Calls that waited for an upstream ignored a planned stop, and their connections were closed at its end without an answer. They now wait for an upstream for as long as it could still answer, and are then refused as not run.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -6,6 +6,7 @@
 	"hash"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -88,8 +89,15 @@
 	r           io.Reader
 	controller  *http.ResponseController
 	idleTimeout time.Duration
+
+	// mu guards the fields below and orders the changes of the read deadline.
+	mu                   sync.Mutex
+	interrupted, stopped bool
 }
 
+// errBodyInterrupted is the error of a read after Interrupt.
+const errBodyInterrupted = errors.ConstError("the reading of the request body was interrupted")
+
 // NewBodyReader returns a reader of body, the body of the request that w
 // answers. A read fails when no bytes arrive within idle; 0 means no limit.
 func NewBodyReader(w http.ResponseWriter, body io.Reader, idle time.Duration) *BodyReader {
@@ -98,8 +106,8 @@
 
 // Read implements io.Reader.
 func (r *BodyReader) Read(b []byte) (int, error) {
-	if r.idleTimeout > 0 {
-		_ = r.controller.SetReadDeadline(time.Now().Add(r.idleTimeout))
+	if !r.beginRead() {
+		return 0, errBodyInterrupted
 	}
 	n, err := r.r.Read(b)
 	if err == io.EOF {
@@ -108,10 +116,44 @@
 	return n, err
 }
 
+// beginRead sets the deadline of a read. It reports false after Interrupt.
+func (r *BodyReader) beginRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interrupted {
+		return false
+	}
+	if r.idleTimeout > 0 {
+		_ = r.controller.SetReadDeadline(time.Now().Add(r.idleTimeout))
+	}
+	return true
+}
+
+// Interrupt makes the read in progress and later ones fail, unless Stop was called.
+func (r *BodyReader) Interrupt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopped {
+		r.interrupted = true
+		// It fails only for writers that have no connection.
+		_ = r.controller.SetReadDeadline(time.Now())
+	}
+}
+
+// Interrupted reports whether Interrupt has ended the reading.
+func (r *BodyReader) Interrupted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.interrupted
+}
+
 // Stop clears the read deadline, so that it does not expire while the
 // response is awaited.
 func (r *BodyReader) Stop() {
-	if r.idleTimeout > 0 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	if r.idleTimeout > 0 || r.interrupted {
 		_ = r.controller.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,8 @@
 		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: no connection for a request without an ID", u.ID)})
 	}
 	res.conn.Carried = true
+	c.endWithStop()
+	defer c.releaseStop()
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := res.conn.Do(c.ctx, c.upstreamRequest(u))
@@ -260,6 +262,10 @@
 			c.recordNeutralEnd(u.ID)
 			return c.recordFailure(u, attemptFailure{err: fault.New(fault.CallerGone, ""), mayHaveRun: mayHaveRun})
 		}
+		if c.cutByStop() {
+			c.recordNeutralEnd(u.ID)
+			return c.recordFailure(u, c.unansweredAtStop(u.ID, mayHaveRun))
+		}
 		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenDeadline).Inc(1)
 		if x.ResponseBegun || x.Response != nil {
 			c.recordUnfinished(u)
@@ -330,6 +336,12 @@
 		c.recordNeutralEnd(u.ID)
 		return false, c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamBroken, "upstream %s: the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0", u.ID), mayHaveRun: true})
 	}
+	if !buffered.complete && !c.releaseStop() {
+		conn.Close()
+		// connectionFailed counts the attempt again.
+		c.ran--
+		return false, c.connectionFailed(u, x, c.ctx.Err())
+	}
 	if !buffered.complete {
 		c.streamResponse(u, conn, x, buffered.body, start)
 		return true, attemptFailure{}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -92,6 +92,9 @@
 	// trial is the permit to send a request that is suspected of crashing upstreams;
 	// nil if the call holds none.
 	trial *trial
+	// releaseStop lets the call go on to its end also if a planned stop ends before. It
+	// reports false if the stop has ended the call.
+	releaseStop func() bool
 	// unknownOutcome is the error of an attempt that may have run. Once it is set,
 	// no later refusal may say that the request did not run.
 	unknownOutcome *fault.Error
@@ -196,10 +199,13 @@
 	defer func() { c.endTrial(nil) }()
 	var failed attemptFailure
 	for {
-		c.f.state.awaitRefresh(c.ctx)
+		c.awaitRefresh()
 		if err := c.f.opts.Crashes.Judge(c.signature).Refusal(); err != nil {
 			return c.finalError(err)
 		}
+		if c.tooLateToSend() {
+			return c.finalError(c.refusedByStop())
+		}
 		cause := c.f.upstreamsLost()
 		if cause != reach.None && c.origin != nil {
 			c.lost = true
@@ -399,7 +405,12 @@
 		return c.tooLarge(limit, fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit))
 	}
 	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.opts.BodyIdleTimeout)
+	release := c.interruptBody(src)
 	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBody))
+	release()
+	if err != nil && src.Interrupted() {
+		return c.refusedByStop()
+	}
 	if err != nil && c.r.Context().Err() != nil {
 		return fault.New(fault.CallerGone, "caller disconnected while its request body was read")
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -396,35 +396,6 @@
 	line.Send()
 }
 
-// stopGracefully carries out a planned stop. Look-ups no longer return this
-// gateway, which serves new calls for ServeMs, since callers cache look-ups. Then
-// it refuses new calls and finishes those in flight, until StopMs after the
-// beginning of the stop.
-func (d *Daemon) stopGracefully(ctx context.Context) {
-	start := time.Now()
-	d.log.Log(event.Stopping).Send()
-	d.stopping.Store(true)
-	d.state.stopIssuing()
-	d.config.SetLeaving()
-	if !wait.For(ctx, d.settings.ServeMs.Duration()) {
-		return
-	}
-	d.closed.Store(true)
-	stopCtx, cancel := context.WithDeadline(ctx, start.Add(d.settings.StopMs.Duration()))
-	defer cancel()
-	// Callers that still come are refused, so that they learn that their requests have
-	// not run.
-	for d.limiter.Total() > 0 {
-		if !wait.For(stopCtx, drainPollInterval) {
-			break
-		}
-	}
-	// Idle connections are closed at once.
-	if err := d.callerServer.Shutdown(stopCtx); err != nil {
-		d.log.Log(event.StoppedHard).Uint64("calls_cut", uint64(d.limiter.Total())).Err(err).Send()
-	}
-}
-
 // close stops the listeners and the background work, for which it waits up to
 // shutdownTimeout.
 func (d *Daemon) close(cancel context.CancelFunc) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -99,6 +99,7 @@
 	reach        reachability
 	relays       relayTargets
 	relayConns   *upstreamconn.Pool
+	stop         stopState
 }
 
 func newForwarder(st *state, conns *upstreamconn.Pool, o ForwarderOptions) *Forwarder {
@@ -111,7 +112,9 @@
 	if o.BootTime == nil {
 		o.BootTime = boottime.Now
 	}
-	return &Forwarder{opts: o, state: st, conns: conns, buffers: newResponseBuffers(), relayConns: upstreamconn.NewPool(o.DialGateway)}
+	f := &Forwarder{opts: o, state: st, conns: conns, buffers: newResponseBuffers(), relayConns: upstreamconn.NewPool(o.DialGateway)}
+	f.stop.init()
+	return f
 }
 
 // ServeHTTP answers one call with the response of an upstream or with an error.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -158,7 +158,7 @@
 func (c *call) confirm(res reservation) bool {
 	u := res.choice.Upstream
 	st := c.f.state
-	if st.awaitRefresh(c.ctx) {
+	if c.awaitRefresh() {
 		// The upstream may have left meanwhile, or its load has changed.
 		c.f.releaseUnused(res)
 		return false
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -87,6 +87,9 @@
 	}
 	avoid := slices.Clone(c.avoid)
 	for round := 0; round < searchRounds; round++ {
+		if c.tooLateToSend() {
+			return reservation{}, c.refusedByStop()
+		}
 		c.searches++
 		spare := round < spareSearchRounds
 		res, seen := c.f.search(c.ctx, c.pool, avoid, probesPerSearch, c.requirements(c.acceptedSlowdown(spare)))
@@ -208,16 +211,22 @@
 	if search {
 		go f.searchForWaiters(c.pool)
 	}
-	timer := time.NewTimer(startBy - now)
+	at := time.Now().Add(startBy - now)
+	timer := c.newStopTimer(at)
 	defer timer.Stop()
-	select {
-	case res := <-ch:
-		return c.checkReservation(res)
-	case <-c.f.reach.lostSignal():
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-	return c.leaveQueue(id, ch, wait)
+	for {
+		select {
+		case res := <-ch:
+			return c.checkReservation(res)
+		case <-timer.begun:
+			timer.begin(c, at)
+			continue
+		case <-c.f.reach.lostSignal():
+		case <-timer.C:
+		case <-c.ctx.Done():
+		}
+		return c.leaveQueue(id, ch, wait)
+	}
 }
 
 // leaveQueue ends the wait. A reservation that was assigned in the meantime is
@@ -243,6 +252,9 @@
 		c.lost = true
 		return reservation{}, c.noUpstream()
 	}
+	if c.tooLateToSend() {
+		return reservation{}, c.refusedByStop()
+	}
 	// The target latency is missed, but the deadline has not passed yet.
 	late := balance.Requirements{MaxSlowdown: lateMaxSlowdown, Bytes: c.body.length}
 	if res, _ := c.f.search(c.ctx, c.pool, c.avoid, probesPerSearch, late); res.conn != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -205,6 +205,8 @@
 		return true, c.relayFailed(telemetry.RelayUnreachable, fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "gateway %s, to which the call was relayed: %v", target.Id, err))
 	}
 	defer conn.Close()
+	c.endWithStop()
+	defer c.releaseStop()
 	stop := conn.InterruptOnDone(c.ctx)
 	defer stop()
 	x, err := conn.Do(c.ctx, c.relayRequest())
@@ -265,7 +267,7 @@
 	if c.stated > 0 {
 		h.Set(c.f.opts.Headers.Deadline, formatMs(c.stated-time.Since(c.arrived)))
 	}
-	h.Set(relayLeft, formatMs(time.Until(c.deadline)-relayMargin))
+	h.Set(relayLeft, formatMs(time.Until(c.relayDeadline())-relayMargin))
 	h.Set(relayTarget, requestTarget(c.r))
 	h.Set(relayCaller, httpnet.RemoteHost(c.r))
 	h.Set(relaySends, strconv.Itoa(c.sends))
@@ -343,6 +345,9 @@
 	if !buffered.complete && resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
 		return c.relayBroken(target, true, errors.New("the response has no stated length and is too large to be buffered for a caller that speaks HTTP/1.0"))
 	}
+	if !buffered.complete && !c.releaseStop() {
+		return c.relayBroken(target, true, c.ctx.Err())
+	}
 	c.sends++
 	c.ran++
 	c.status = resp.StatusCode
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -101,6 +101,9 @@
 		if err := d.Refusal(); err != nil {
 			return err
 		}
+		if c.tooLateToSend() {
+			return c.refusedByStop()
+		}
 		pause, left := d.TrialIn, (<-chan struct{})(nil)
 		if pause <= 0 {
 			var granted bool
@@ -124,14 +127,21 @@
 // returned, the decision on the request may have changed, all upstreams are lost, or
 // the call ends.
 func (c *call) waitForChange(d time.Duration, permitLeft, changed <-chan struct{}) {
-	timer := time.NewTimer(d)
+	at := time.Now().Add(d)
+	timer := c.newStopTimer(at)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-permitLeft:
-	case <-changed:
-	case <-c.f.reach.lostSignal():
-	case <-c.ctx.Done():
+	for {
+		select {
+		case <-timer.begun:
+			timer.begin(c, at)
+			continue
+		case <-timer.C:
+		case <-permitLeft:
+		case <-changed:
+		case <-c.f.reach.lostSignal():
+		case <-c.ctx.Done():
+		}
+		return
 	}
 }
 
