Shutdown of a listener: answer requests whose head arrives in parts

A connection that had sent a part of its first head for longer than 500 ms was not waited for, and a kept one in the middle of a head was closed.

--- a/internal/httpnet/drain_test.go
+++ b/internal/httpnet/drain_test.go
@@ -1,6 +1,7 @@
 package httpnet
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -38,6 +39,30 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestPartialHeadIsCompletedDuringShutdown sends the first part of a request head before
+// the shutdown and the rest after it has begun, on a connection that is no longer new and
+// on one that was idle. The server reads the whole request, so it must answer it.
+func TestPartialHeadIsCompletedDuringShutdown(t *testing.T) {
+	s := listen(t, respondOK, Limits{})
+	first, kept := dial(t, s), dial(t, s)
+	assert.Equal(t, requestStatus(kept, ""), http.StatusOK)
+	for _, conn := range []net.Conn{first, kept} {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n")
+		assert.NilError(t, err)
+	}
+	time.Sleep(newConnGrace + 50*time.Millisecond)
+	ended := shutDown(s)
+	time.Sleep(50 * time.Millisecond)
+	for _, conn := range []net.Conn{first, kept} {
+		_, err := io.WriteString(conn, "Connection: close\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.NilError(t, <-ended)
+}
+
 // TestUnusedConnectionsEndWithShutdown guards against a shutdown that waits for callers
 // that have connected and send nothing.
 func TestUnusedConnectionsEndWithShutdown(t *testing.T) {
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -1,6 +1,7 @@
 package httpnet
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"sync"
@@ -159,16 +160,26 @@
 	net.Conn
 	// closeRead ends reads once the bytes that have arrived are read.
 	closeRead func() error
-	// hasRead is set once a byte has been read.
+	// hasRead is set once a byte has been read since the connection was opened or became
+	// idle.
 	hasRead atomic.Bool
-	once    sync.Once
-	release func()
+	// begun is set once a byte has been read, and http2 if the connection then began with
+	// the preface of HTTP/2.
+	begun, http2 atomic.Bool
+	once         sync.Once
+	release      func()
 }
 
+// http2Preface begins each connection of HTTP/2 and no request of HTTP/1.
+var http2Preface = []byte("PRI * HTTP/2")
+
 // Read implements net.Conn.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		if !c.begun.Swap(true) && bytes.HasPrefix(b[:n], http2Preface) {
+			c.http2.Store(true)
+		}
 		c.hasRead.Store(true)
 	}
 	return n, err
