Stop of a control VM: answer orders and renewals that wait

Orders that wait for a quorum, for another control VM or for the acceptance of a change could wait for longer than the listeners, which were closed one after the other, and longer than the 6 s after which the process is killed (3 s of transfer and 5 s of shutdown). Requests in progress have 1 s after the transfer, and are then answered with their retryable errors; listeners end at the same time, and the whole stop takes at most 5.5 s.

--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -28,10 +28,16 @@
 )
 
 const (
-	// transferTimeout bounds the transfer of leadership before a planned stop.
-	transferTimeout = 3 * time.Second
+	// transferTimeout bounds the transfer of leadership before a planned stop. Together
+	// with shutdownTimeout it is shorter than the 6 s after which a process that stops is
+	// killed.
+	transferTimeout = 2 * time.Second
 	// shutdownTimeout bounds the closing of listeners, replica and traces.
-	shutdownTimeout = 5 * time.Second
+	shutdownTimeout = 3500 * time.Millisecond
+	// finishTimeout is the part of it for which orders and renewals in progress may still
+	// end by themselves. Those that wait longer, such as for a quorum or for the
+	// acceptance of a change, are then answered that this VM is stopping.
+	finishTimeout = time.Second
 	// keyReloadInterval is the interval at which the key files are checked for
 	// changes.
 	keyReloadInterval = 2 * time.Second
@@ -50,6 +56,9 @@
 	control  *control.Server
 	client   *http.Client
 	servers  []*httpnet.Server
+	// requests ends when requests in progress must be answered because of a stop.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// clusterRPCs counts the calls of other processes of the system.
 	clusterRPCs *telemetry.RPCs
 }
@@ -126,6 +135,7 @@
 		log:      event.NewLogger(o.Logs, level, "control", id),
 		metrics:  telemetry.NewMetrics("control", id),
 	}
+	d.requests, d.endRequests = context.WithCancel(context.Background())
 	if s.AuthDisabled || s.TrustNetwork {
 		return d, nil
 	}
@@ -219,7 +229,7 @@
 }
 
 func (d *Daemon) serve(address string, h http.Handler) error {
-	s, err := httpnet.ListenLogged(d.log, address, h, d.settings.Limits.Listener())
+	s, err := httpnet.ListenLogged(d.log, address, httpnet.EndWith(d.requests, h), d.settings.Limits.Listener())
 	if err != nil {
 		return err
 	}
@@ -259,9 +269,18 @@
 	}
 	stop, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
+	finish := time.AfterFunc(finishTimeout, d.endRequests)
+	defer finish.Stop()
+	var servers conc.WaitGroup
 	for _, s := range d.servers {
-		_ = s.Shutdown(stop)
+		crash.Go(&servers, func() {
+			if err := s.Shutdown(stop); err != nil {
+				d.log.Log(event.StoppedHard).Str("address", s.Address()).Err(err).Send()
+			}
+		})
 	}
+	servers.Wait()
+	d.endRequests()
 	_ = d.node.Stop(stop)
 	d.peers.Close()
 	_ = d.tracing.Shutdown(stop)
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -106,6 +106,17 @@
 	})
 }
 
+// EndWith returns a handler that calls next with a request whose context also ends with
+// ctx.
+func EndWith(ctx context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requestCtx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(ctx, cancel)()
+		next.ServeHTTP(w, r.WithContext(requestCtx))
+	})
+}
+
 // RemoteHost returns the client address of r without the port.
 func RemoteHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
