Loss of all upstreams: judge the evidence by its other causes

Two rounds of probes that happened to draw the four upstreams of twelve that were down took all for lost. The decision is now a pure function of the evidence: half of the known upstreams (four to eight) must have failed, at least two of them outside any one zone and any one pool, and if others answer on open connections, two of those that answer must have refused new ones. The second round probes six upstreams instead of two, so that a loss is still found by it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return false, c.connectionFailed(u, x, err)
 	}
-	c.f.recordAnswer()
+	c.f.recordAnswer(u)
 	resp := x.Response
 	c.f.recordNotice(u, answerHead{source: fromCall, request: c.id, status: resp.StatusCode, header: resp.Header})
 	if c.notRun(resp) {
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -18,8 +18,11 @@
 
 const (
 	// reachProbes is the number of upstreams probed in one round that finds out
-	// whether all upstreams are lost or are back.
-	reachProbes = 2
+	// whether all upstreams are lost or are back, and confirmProbes the number in rounds
+	// after one that has failed: the second round must yield the evidence for a loss,
+	// since a round takes half a second where nothing answers.
+	reachProbes   = 2
+	confirmProbes = 6
 	// suspectProbeInterval is the pause between rounds while the loss is suspected,
 	// lostProbeInterval while it is certain.
 	suspectProbeInterval = 100 * time.Millisecond
@@ -72,7 +75,7 @@
 
 func newReachTargets(upstreams []balance.Upstream) *reachTargets {
 	zones := make(map[string]int)
-	t := &reachTargets{}
+	t := &reachTargets{known: reach.Known{Zones: make(map[string]int), Pools: make(map[string]int)}}
 	for _, u := range upstreams {
 		if u.Draining {
 			continue
@@ -85,44 +88,65 @@
 		}
 		t.byZone[i] = append(t.byZone[i], u)
 		t.known.Upstreams++
+		t.known.Zones[u.Zone]++
+		t.known.Pools[u.Pool]++
 	}
-	t.known.Zones = len(t.byZone)
 	return t
 }
 
-// choose returns up to n random upstreams of different zones. Those for which
-// avoid returns true are chosen only if a zone has no others.
+// choose returns up to n random upstreams, of as many different zones as possible. Those
+// for which avoid returns true are chosen only if a zone has no others.
 func (t *reachTargets) choose(n int, avoid func(id string) bool) []balance.Upstream {
+	lists := make([][]balance.Upstream, len(t.byZone))
+	for z, at := range rand.Perm(len(t.byZone)) {
+		lists[at] = shuffled(t.byZone[z], avoid)
+	}
 	var chosen []balance.Upstream
-	for _, z := range rand.Perm(len(t.byZone)) {
-		if len(chosen) == n {
-			break
-		}
-		list := t.byZone[z]
-		pick := list[rand.IntN(len(list))]
-		for _, i := range rand.Perm(len(list)) {
-			if !avoid(list[i].ID) {
-				pick = list[i]
-				break
+	for i, left := 0, true; left && len(chosen) < n; i++ {
+		left = false
+		for _, list := range lists {
+			if i < len(list) && len(chosen) < n {
+				chosen = append(chosen, list[i])
+				left = true
 			}
 		}
-		chosen = append(chosen, pick)
 	}
 	return chosen
 }
 
+// shuffled returns the upstreams in random order, those for which avoid returns true
+// last.
+func shuffled(list []balance.Upstream, avoid func(id string) bool) []balance.Upstream {
+	var first, last []balance.Upstream
+	for _, i := range rand.Perm(len(list)) {
+		if avoid(list[i].ID) {
+			last = append(last, list[i])
+		} else {
+			first = append(first, list[i])
+		}
+	}
+	return append(first, last...)
+}
+
+// evidenceOf returns the upstream as the evidence names it.
+func evidenceOf(u balance.Upstream) reach.Upstream {
+	return reach.Upstream{ID: u.ID, Zone: u.Zone, Pool: u.Pool}
+}
+
 // recordAnswer records that an upstream has answered.
-func (f *Forwarder) recordAnswer() { f.updateReach((*reach.Tracker).RecordAnswer) }
+func (f *Forwarder) recordAnswer(u balance.Upstream) {
+	f.updateReach(func(t *reach.Tracker) { t.RecordAnswer(evidenceOf(u)) })
+}
 
 // recordNoAnswer records that an upstream did not answer in time, or that the
 // connection broke with err.
 func (f *Forwarder) recordNoAnswer(u balance.Upstream, err error) {
 	now := f.state.now()
 	if isTimeout(err) {
-		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, u.ID, u.Zone) })
+		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, evidenceOf(u)) })
 		return
 	}
-	f.updateReach(func(t *reach.Tracker) { t.RecordBroken(now, u.ID, u.Zone) })
+	f.updateReach(func(t *reach.Tracker) { t.RecordBroken(now, evidenceOf(u)) })
 }
 
 // recordProbeOutcome records whether an upstream has answered a probe. Probes that
@@ -131,7 +155,7 @@
 func (f *Forwarder) recordProbeOutcome(ctx context.Context, u balance.Upstream, err error) {
 	switch {
 	case err == nil, errors.Is(err, errWrongUpstream), errors.Is(err, errConnectionClosing):
-		f.recordAnswer()
+		f.recordAnswer(u)
 	case ctx.Err() == context.Canceled, errors.Is(err, errNotConnected), isWithheld(err):
 	default:
 		f.recordNoAnswer(u, err)
@@ -148,7 +172,7 @@
 	case err == nil, ctx.Err() == context.Canceled, errors.Is(err, upstreamconn.ErrTooManyConnections), errors.Is(err, upstreamconn.ErrNoIdleConnection):
 	case isTimeout(err):
 		now := f.state.now()
-		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, u.ID, u.Zone) })
+		f.updateReach(func(t *reach.Tracker) { t.RecordTimeout(now, evidenceOf(u)) })
 	default:
 		f.recordNotOpened(u)
 	}
@@ -157,7 +181,7 @@
 // recordNotOpened records that a new connection to the upstream could not be opened.
 func (f *Forwarder) recordNotOpened(u balance.Upstream) {
 	now := f.state.now()
-	f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, u.ID, u.Zone) })
+	f.updateReach(func(t *reach.Tracker) { t.RecordNotOpened(now, evidenceOf(u)) })
 }
 
 // isTimeout reports whether err is that of an operation that took too long.
@@ -255,7 +279,11 @@
 	if r.status.Lost() {
 		interval = lostProbeInterval
 	}
-	return targets.choose(reachProbes, r.tracker.IsEvidence), interval, true
+	probes := reachProbes
+	if !r.status.Lost() && r.tracker.HasEvidence() {
+		probes = confirmProbes
+	}
+	return targets.choose(probes, r.tracker.IsEvidence), interval, true
 }
 
 // probeOnNewConnection probes the upstream on a new connection. Upstreams that get
@@ -287,7 +315,7 @@
 	st.mu.Unlock()
 	if needsPermit || !st.accepts(u) {
 		conn.Close()
-		f.recordAnswer()
+		f.recordAnswer(u)
 		return
 	}
 	probedAt := st.now()
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -121,7 +121,7 @@
 	g.updateReach(func(tr *reach.Tracker) {
 		for _, at := range []time.Duration{0, time.Second} {
 			for _, u := range g.state.config.Load().Upstreams {
-				tr.RecordNotOpened(at, u.Id, u.Zone)
+				tr.RecordNotOpened(at, reach.Upstream{ID: u.Id, Zone: u.Zone, Pool: u.Pool})
 			}
 		}
 	})
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -12,15 +12,8 @@
 import "time"
 
 const (
-	// minFailedUpstreams is the number of different upstreams that must have
-	// failed since the last success. All must have failed if there are fewer.
-	minFailedUpstreams = 4
-	// minFailedZones is the number of different availability zones of those
-	// upstreams. If upstreams are in fewer zones, all zones are required.
-	minFailedZones = 2
-	// minFailureSpan is the shortest time from the first to the last of these
-	// failures. Probes that time out together after the process was paused are
-	// not evidence.
+	// minFailureSpan is the shortest time from the first to the last failure. Probes that
+	// time out together after the process was paused are not evidence.
 	minFailureSpan = 250 * time.Millisecond
 	// minSuspectUpstreams is the number of different upstreams that must have
 	// failed since the last success before the network is suspected. Failures of
@@ -30,12 +23,6 @@
 	maxFailedUpstreams = 64
 )
 
-// Known is the number of upstreams that the gateway knows, and of the availability
-// zones that they are in.
-type Known struct {
-	Upstreams, Zones int
-}
-
 // Cause says what the gateway has lost.
 type Cause string
 
@@ -65,41 +52,58 @@
 // series is a series of failures without a success between them.
 type series struct {
 	first, last time.Duration
-	// zones holds the zones of the failed upstreams by their IDs.
-	zones map[string]string
-	lost  bool
+	failed      map[string]Upstream
+	// answered holds the upstreams that have answered on open connections meanwhile.
+	answered map[string]bool
+	lost     bool
 }
 
 func (s *series) succeed() { *s = series{} }
 
-func (s *series) fail(now time.Duration, upstream, zone string) {
-	if s.zones == nil {
-		s.zones = make(map[string]string)
+func (s *series) fail(now time.Duration, u Upstream) {
+	if s.failed == nil {
+		s.failed = make(map[string]Upstream)
 		s.first = now
 	}
 	s.last = now
-	if len(s.zones) < maxFailedUpstreams {
-		s.zones[upstream] = zone
+	if len(s.failed) < maxFailedUpstreams {
+		s.failed[u.ID] = u
+	}
+}
+
+// answer records an answer that does not end the series.
+func (s *series) answer(id string) {
+	if len(s.failed) == 0 || len(s.answered) >= maxFailedUpstreams && !s.has(id) {
+		return
 	}
+	if s.answered == nil {
+		s.answered = make(map[string]bool)
+	}
+	s.answered[id] = true
+}
+
+func (s *series) has(id string) bool {
+	_, failed := s.failed[id]
+	return failed
 }
 
 // update sets lost if the failures suffice. Only a success clears it.
 func (s *series) update(known Known) {
-	if s.lost || len(s.zones) == 0 {
+	if s.lost || len(s.failed) == 0 {
 		return
 	}
-	zones := make(map[string]bool, minFailedZones)
-	for _, zone := range s.zones {
-		zones[zone] = true
-	}
-	if len(s.zones) >= min(minFailedUpstreams, known.Upstreams) &&
-		len(zones) >= min(minFailedZones, known.Zones) && s.last-s.first >= minFailureSpan {
-		s.lost = true
+	e := Evidence{Span: s.last - s.first, Answered: len(s.answered)}
+	for id, u := range s.failed {
+		e.Failed = append(e.Failed, u)
+		if s.answered[id] {
+			e.FailedAndAnswered++
+		}
 	}
+	s.lost = Judge(known, e) == Loss
 }
 
 func (s *series) suspect(known Known) bool {
-	return s.lost || len(s.zones) > 0 && len(s.zones) >= min(minSuspectUpstreams, known.Upstreams)
+	return s.lost || len(s.failed) > 0 && len(s.failed) >= min(minSuspectUpstreams, known.Upstreams)
 }
 
 // Tracker records outcomes and decides. The zero value is ready for use; it is not
@@ -116,21 +120,20 @@
 }
 
 // RecordAnswer records that an upstream has answered.
-func (t *Tracker) RecordAnswer() {
+func (t *Tracker) RecordAnswer(u Upstream) {
 	t.broken.succeed()
 	t.unanswered.succeed()
+	t.unopened.answer(u.ID)
 }
 
 // RecordTimeout records that an upstream did not answer in time on an open
 // connection.
-func (t *Tracker) RecordTimeout(now time.Duration, upstream, zone string) {
-	t.unanswered.fail(now, upstream, zone)
-}
+func (t *Tracker) RecordTimeout(now time.Duration, u Upstream) { t.unanswered.fail(now, u) }
 
 // RecordBroken records that a connection to an upstream broke before an answer.
-func (t *Tracker) RecordBroken(now time.Duration, upstream, zone string) {
-	t.broken.fail(now, upstream, zone)
-	t.unanswered.fail(now, upstream, zone)
+func (t *Tracker) RecordBroken(now time.Duration, u Upstream) {
+	t.broken.fail(now, u)
+	t.unanswered.fail(now, u)
 }
 
 // RecordOpened records that a new connection to an upstream has been opened.
@@ -138,20 +141,21 @@
 
 // RecordNotOpened records that a new connection to an upstream could not be
 // opened.
-func (t *Tracker) RecordNotOpened(now time.Duration, upstream, zone string) {
-	t.unopened.fail(now, upstream, zone)
-	t.RecordBroken(now, upstream, zone)
+func (t *Tracker) RecordNotOpened(now time.Duration, u Upstream) {
+	t.unopened.fail(now, u)
+	t.RecordBroken(now, u)
 }
 
 // IsEvidence reports whether failures of the upstream already count for the decision. A
 // request that was not answered does not: only a new connection shows whether the
 // upstream is just busy.
 func (t *Tracker) IsEvidence(upstream string) bool {
-	_, unopened := t.unopened.zones[upstream]
-	_, broken := t.broken.zones[upstream]
-	return unopened || broken
+	return t.unopened.has(upstream) || t.broken.has(upstream)
 }
 
+// HasEvidence reports whether any failure counts for the decision.
+func (t *Tracker) HasEvidence() bool { return len(t.unopened.failed) > 0 || len(t.broken.failed) > 0 }
+
 // Suspect reports whether the gateway should probe upstreams of its own accord,
 // to find out whether all are lost or whether they are back.
 func (t *Tracker) Suspect(known Known) bool {
@@ -170,7 +174,7 @@
 	if !evidence.lost {
 		return Status{}
 	}
-	status := Status{Cause: NoConnections, Since: evidence.first, Failed: len(evidence.zones)}
+	status := Status{Cause: NoConnections, Since: evidence.first, Failed: len(evidence.failed)}
 	if t.unanswered.suspect(known) {
 		status.Cause = NoAnswers
 	}
