--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -96,3 +96,47 @@
 		g.setLinks(linkUp, "g0", "g1", "g2")
 	})
 }
+
+// TestLossIsFoundSoon bounds the time from the beginning of a partition from all upstreams
+// to the decision, in each way in which connections may fail, with few upstreams and with
+// many.
+func TestLossIsFoundSoon(t *testing.T) {
+	// Two rounds of probes that time out, with the pause between them, and the time to
+	// the first suspicion.
+	const limit = 1300 * time.Millisecond
+	for _, state := range []linkState{linkSilent, linkReset, linkOldOnly} {
+		for _, upstreams := range []int{2, 12, 60} {
+			if state == linkOldOnly && upstreams < 60 {
+				// The calls need no new connections: nothing is lost and nothing noticed.
+				continue
+			}
+			var slowest, sum time.Duration
+			const runs = 20
+			for range runs {
+				synctest.Test(t, func(t *testing.T) {
+					g := newZonedGroup(t, []string{"a", "b"}, 2, ids("u", upstreams)...)
+					g.sendFirstTries(20*time.Millisecond, time.Second, 1, nil)
+					f := g.forwarders[0]
+					lost := f.reach.lostSignal()
+					g.setLinks(state, "g0")
+					start := time.Now()
+					calls := make(chan struct{})
+					go func() {
+						defer close(calls)
+						g.sendFirstTries(20*time.Millisecond, 3*time.Second, 1, nil)
+					}()
+					select {
+					case <-lost:
+					case <-time.After(3 * time.Second):
+					}
+					took := time.Since(start)
+					slowest, sum = max(slowest, took), sum+took
+					<-calls
+					g.setLinks(linkUp, "g0")
+				})
+			}
+			t.Logf("%s, %d upstreams: mean %s, slowest %s", state, upstreams, sum/runs, slowest)
+			assert.Check(t, slowest <= limit, "%s, %d upstreams: %s", state, upstreams, slowest)
+		}
+	}
+}
