--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -220,17 +220,19 @@
 	}
 }
 
+// replaySeeds is the number of seeds with which most patterns are replayed.
+const replaySeeds = 8
+
 // shareInTime replays the pattern with several seeds and returns the share of all
 // calls that were in time.
-func shareInTime(t *testing.T, p loadPattern) float64 {
-	const seeds = 8
+func shareInTime(t *testing.T, p loadPattern, seeds uint64) float64 {
 	share := 0.0
-	for seed := range uint64(seeds) {
+	for seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
 			l := newLoadReplay(t, seed, p)
 			l.run()
 			t.Logf("seed %d: %d in time, %d late, %d failed, %d shed", seed, l.inTime, l.late, l.failed, l.shed)
-			share += float64(l.inTime) / float64(l.inTime+l.late+l.failed) / seeds
+			share += float64(l.inTime) / float64(l.inTime+l.late+l.failed) / float64(seeds)
 		})
 	}
 	return share
@@ -252,7 +254,7 @@
 	for _, factor := range []float64{1.5, 2.5} {
 		p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
 		p.perSecond = factor * bearable(p.upstreams)
-		share := shareInTime(t, p)
+		share := shareInTime(t, p, replaySeeds)
 		assert.Check(t, share >= 0.75/factor, "%g times as much as upstreams bear: %.3f in time", factor, share)
 	}
 }
@@ -264,20 +266,28 @@
 	t.Parallel()
 	p := loadPattern{gateways: 20, upstreams: 40, duration: 10 * time.Second}
 	p.perSecond = 0.5 * bearable(p.upstreams)
-	share := shareInTime(t, p)
+	share := shareInTime(t, p, replaySeeds)
 	assert.Assert(t, share >= 0.99, "%.4f in time", share)
 }
 
 // TestLateCallsTakeRoomToSpareOnly replays a load that the upstreams bear, beside as
-// many calls that are late before they arrive, as after a zone was dark. Those take
-// only what the others leave: nine of ten others are in time.
+// many calls that are late before they arrive, as after a zone was dark, and beside twice
+// as many. Those take only what the others leave. They run on nearly all upstreams then,
+// so that most of the others run beside one of them, on upstreams slowed down by
+// replayKnee, and the slowest of these miss their target: without replayKnee, 1 in 200
+// do. The share is a mean over so many seeds that its deviation is below a quarter of its
+// distance to the bound: the search for upstreams is not seeded.
 func TestLateCallsTakeRoomToSpareOnly(t *testing.T) {
 	t.Parallel()
-	p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
-	p.perSecond = 0.5 * bearable(p.upstreams)
-	p.latePerSecond = bearable(p.upstreams)
-	share := shareInTime(t, p)
-	assert.Assert(t, share >= 0.9, "%.3f in time", share)
+	const seeds = 32
+	for _, c := range []struct{ late, want float64 }{{0.5, 0.935}, {1, 0.9}} {
+		p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
+		p.perSecond = 0.5 * bearable(p.upstreams)
+		p.latePerSecond = c.late * bearable(p.upstreams)
+		share := shareInTime(t, p, seeds)
+		t.Logf("late calls at %g of what upstreams bear: %.4f in time", c.late, share)
+		assert.Check(t, share >= c.want, "late calls at %g of what upstreams bear: %.4f in time", c.late, share)
+	}
 }
 
 func TestChooseReturn(t *testing.T) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -30,10 +30,23 @@
 // answer. after is called when the answer has arrived.
 func (d *Daemon) startCall(t *testing.T, path string, after func() time.Duration) <-chan stopAnswer {
 	t.Helper()
-	conn, err := net.Dial("tcp", d.settings.CallerListen)
+	return d.startCallAt(t, d.settings.CallerListen, path, "Balsam-Request-Id: "+path+"\r\n", after)
+}
+
+// startRelayedCall is startCall for a call that another gateway relays.
+func (d *Daemon) startRelayedCall(t *testing.T, path string, after func() time.Duration) <-chan stopAnswer {
+	t.Helper()
+	header := fmt.Sprintf("Balsam-Request-Id: %s\r\n%s: %s\r\n%s: 20000\r\n%s: 127.0.0.1\r\n%s: 0\r\n%s: 0\r\n%s: true\r\nConnection: close\r\n",
+		path, relayTarget, path, relayLeft, relayCaller, relaySends, relayRan, relayCounted)
+	return d.startCallAt(t, d.settings.ClusterListen, RelayPath, header, after)
+}
+
+func (d *Daemon) startCallAt(t *testing.T, address, target, header string, after func() time.Duration) <-chan stopAnswer {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: host.example\r\nBalsam-Request-Id: %s\r\nBalsam-Timeout-Ms: 20000\r\n\r\n", path, path)
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: host.example\r\nBalsam-Timeout-Ms: 20000\r\n%s\r\n", target, header)
 	assert.NilError(t, err)
 	answers := make(chan stopAnswer, 1)
 	go func() {
@@ -53,7 +66,7 @@
 // TestPlannedStopAnswersAFullQueue guards against connections that a gateway closes at
 // the end of its stop without an answer. The only upstream is full: one of its requests
 // ends during the stop, the other never does, and calls with much time left wait in the
-// queue. One of those gets the slot that becomes free, the others are refused as not
+// queue, every other one relayed by another gateway. One of those gets the slot that becomes free, the others are refused as not
 // run. The answer of an upstream is not replaced for as long as it can be awaited.
 func TestPlannedStopAnswersAFullQueue(t *testing.T) {
 	const waiting = 20
@@ -89,7 +102,11 @@
 	u.setLoad(full)
 	var queued []<-chan stopAnswer
 	for i := range waiting {
-		queued = append(queued, d.startCall(t, fmt.Sprint("/safe/", i), after))
+		start := d.startCall
+		if i%2 == 1 {
+			start = d.startRelayedCall
+		}
+		queued = append(queued, start(t, fmt.Sprint("/safe/", i), after))
 	}
 	waitUntil(t, "the calls do not wait in the queue", func() bool {
 		d.state.mu.Lock()
@@ -127,3 +144,30 @@
 	<-stopped
 	assert.Check(t, after() < d.settings.StopMs.Duration()+200*time.Millisecond)
 }
+
+// TestPlanStop is the table of the times of a stop.
+func TestPlanStop(t *testing.T) {
+	const ms = time.Millisecond
+	start := time.Now()
+	for _, tc := range []struct {
+		serve, total, typical               time.Duration
+		drain, finalAnswers, end, lastStart time.Duration
+	}{
+		{3000 * ms, 5750 * ms, 100 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 5250 * ms},
+		// The time of the work is not known.
+		{3000 * ms, 5750 * ms, 0, 4850 * ms, 5550 * ms, 5750 * ms, 4950 * ms},
+		// Calls that may be new are refused only if typical work does not end in time.
+		{3000 * ms, 5750 * ms, 2000 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 3000 * ms},
+		{3000 * ms, 5750 * ms, 4000 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 1450 * ms},
+		// Short stops.
+		{300 * ms, 600 * ms, 100 * ms, 0, 400 * ms, 600 * ms, 200 * ms},
+		{0, 0, 100 * ms, 0, 0, 0, -200 * ms},
+	} {
+		p := planStop(start, tc.serve, tc.total)
+		assert.Equal(t, p.refuseNew.Sub(start), tc.serve)
+		assert.Equal(t, p.drain.Sub(start), tc.drain)
+		assert.Equal(t, p.finalAnswers.Sub(start), tc.finalAnswers)
+		assert.Equal(t, p.end.Sub(start), tc.end)
+		assert.Equal(t, p.lastStart(tc.typical).Sub(start), tc.lastStart, "%+v", tc)
+	}
+}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -96,9 +96,6 @@
 			for down < 8 && drawn[down] < n/3 {
 				down++
 			}
-			if down != 2 && down != 8 && down < needed(known) {
-				continue
-			}
 			if Judge(known, Evidence{Failed: upstreams(2, 1, drawn[:down]...), Span: time.Second}) == Loss {
 				losses++
 			}
