Stop of an entry VM: answer calls that outlast drain_ms

Calls that waited for a slot, or for an upstream, longer than drain_ms were cut 2 s later. They are now answered as not run, or with an unknown outcome. All listeners end at the same time: one used up the time of the others before.

--- a/internal/entryvm/callers.go
+++ b/internal/entryvm/callers.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -21,12 +22,16 @@
 type callerFrontend struct {
 	limiter *admission.Limiter
 	handler http.Handler
+	// endCalls answers the calls in flight.
+	endCalls context.CancelFunc
 }
 
 func (d *Daemon) newCallerFrontend() *callerFrontend {
 	limits := d.settings.Limits
+	ending, endCalls := context.WithCancel(context.Background())
 	c := &callerFrontend{
-		limiter: admission.NewLimiter(limits.MaxInFlight),
+		limiter:  admission.NewLimiter(limits.MaxInFlight),
+		endCalls: endCalls,
 	}
 	calls := forward.New(forward.Options{
 		Source:          d.config,
@@ -39,6 +44,7 @@
 		Metrics:         d.entryMetrics,
 		Events:          d.log,
 		Draining:        d.lifecycle.refusesCalls,
+		Ending:          ending,
 		MaxBodyBytes:    limits.MaxBodyBytes,
 		BodyIdleTimeout: limits.ReadBodyTimeoutMs.Duration(),
 		MaxKeptBytes:    d.settings.Claims.MaxKeptBytes,
--- a/internal/entryvm/stop.go
+++ b/internal/entryvm/stop.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"balsamcourse.example/balsamcourse/internal/crash"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/wait"
@@ -17,6 +20,10 @@
 	// handoverTimeout bounds the hand-over of cells and claims, and the report of
 	// the outcomes of the last calls.
 	handoverTimeout = 5 * time.Second
+	// finalAnswerTime bounds the wait until calls that have not ended by then are answered
+	// that they did not run, or that their outcome is unknown. A process that has used up
+	// its CPU share is paused for up to 100 ms.
+	finalAnswerTime = 500 * time.Millisecond
 	// shutdownTimeout bounds the closing of listeners and traces.
 	shutdownTimeout = 2 * time.Second
 )
@@ -40,7 +47,8 @@
 // stopGracefully removes this entry VM from look-up responses, serves calls until
 // cached look-up responses have expired, hands over its cells and claims, and then
 // refuses new calls and finishes those in flight, for at most the DrainMs of the
-// settings. It returns early if ctx ends.
+// settings. After that they are answered without an upstream. It returns early if ctx
+// ends.
 func (d *Daemon) stopGracefully(ctx context.Context) {
 	d.log.Log(event.Stopping).Send()
 	d.applyLifecycleEvent(eventStop)
@@ -56,6 +64,11 @@
 			return
 		}
 	}
+	d.callers.endCalls()
+	answered, cancelAnswers := context.WithTimeout(ctx, finalAnswerTime)
+	defer cancelAnswers()
+	for !d.callers.drained() && wait.For(answered, drainPollInterval) {
+	}
 	// The entry VMs that store the claims must receive the outcomes of the last
 	// calls.
 	limited, cancel := context.WithTimeout(ctx, handoverTimeout)
@@ -131,9 +144,15 @@
 	}
 	limited, done := context.WithTimeout(ctx, shutdownTimeout)
 	defer done()
+	var servers conc.WaitGroup
 	for _, s := range d.servers.all() {
-		_ = s.Shutdown(limited)
+		crash.Go(&servers, func() {
+			if err := s.Shutdown(limited); err != nil {
+				d.log.Log(event.StoppedHard).Str("address", s.Address()).Err(err).Send()
+			}
+		})
 	}
+	servers.Wait()
 	cancel()
 	d.workers.Wait()
 	d.upstreams.CloseIdleConnections()
--- a/internal/forward/acquire.go
+++ b/internal/forward/acquire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -94,6 +95,9 @@
 	if c.err != nil {
 		return c.err
 	}
+	if c.f.opts.Ending.Err() != nil {
+		return fault.New(fault.Leaving, "no slot became free before this entry VM stopped")
+	}
 	return err
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -157,7 +157,12 @@
 	parent, c.span = c.f.opts.Tracing.StartServer(parent, c.r.Header, telemetry.SpanCall)
 	telemetry.SetAttribute(c.span, telemetry.AttrService, c.service.Name)
 	telemetry.SetAttribute(c.span, telemetry.AttrHasIdempotencyKey, strconv.FormatBool(c.key != ""))
-	c.ctx, c.cancel = context.WithDeadline(parent, c.deadline)
+	ctx, cancel := context.WithDeadline(parent, c.deadline)
+	release := context.AfterFunc(c.f.opts.Ending, cancel)
+	c.ctx, c.cancel = ctx, func() {
+		release()
+		cancel()
+	}
 	return nil
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,6 +5,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -38,6 +39,10 @@
 	Events    event.Logger
 	// Draining reports whether this entry VM has stopped accepting requests.
 	Draining func() bool
+	// Ending ends when a planned stop can wait no longer: calls without a slot are then
+	// refused, and those at an upstream are answered that their outcome is unknown. nil
+	// means that it does not end.
+	Ending context.Context
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64
 	// BodyIdleTimeout is the longest wait for the next bytes of a request
@@ -69,6 +74,9 @@
 // New returns a Forwarder. It panics when the embedded state machine of a
 // call cannot be loaded.
 func New(opts Options) *Forwarder {
+	if opts.Ending == nil {
+		opts.Ending = context.Background()
+	}
 	return &Forwarder{
 		opts:         opts,
 		chart:        charts.MustLoad("call"),
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -68,6 +68,9 @@
 	if !c.grantUsable(c.grant) {
 		return c.abortBeforeSend(fault.New(fault.NotFresh, "configuration became stale or closed the upstream's zone before the request was sent"))
 	}
+	if c.f.opts.Ending.Err() != nil {
+		return c.abortBeforeSend(fault.New(fault.Leaving, "this entry VM stopped before the request was sent"))
+	}
 	if c.ctx.Err() != nil {
 		return c.abortBeforeSend(fault.New(fault.DeadlineTooShort, "deadline passed or request cancelled before it was sent"))
 	}
@@ -185,6 +188,9 @@
 	if c.r.Context().Err() != nil && errors.Is(c.ctx.Err(), context.Canceled) {
 		return &fault.Error{Kind: fault.CallerGone}
 	}
+	if c.f.opts.Ending.Err() != nil {
+		return fault.New(fault.UpstreamTimeout, "no complete response from upstream %s before this entry VM stopped", c.grant.Upstream)
+	}
 	return fault.New(fault.UpstreamTimeout, "no complete response from upstream %s before the deadline", c.grant.Upstream)
 }
 
