--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -282,7 +282,7 @@
 	for _, c := range []struct {
 		late, want float64
 		seeds      uint64
-	}{{0.5, 0.92, replaySeeds}, {1, 0.9, 4 * replaySeeds}} {
+	}{{0.5, 0.93, replaySeeds}, {1, 0.9, 4 * replaySeeds}} {
 		p := loadPattern{gateways: 20, upstreams: 40, duration: 4 * time.Second}
 		p.perSecond = 0.5 * bearable(p.upstreams)
 		p.latePerSecond = c.late * bearable(p.upstreams)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -21,8 +21,8 @@
 	// that has used up its CPU share is paused for up to 100 ms.
 	finalAnswerTime = 200 * time.Millisecond
 	// refusalTime is the time for the refusal of calls that wait, before the above. In
-	// an overload there may be hundreds of them.
-	refusalTime = 100 * time.Millisecond
+	// an overload there may be hundreds of them, on a VM with a tenth of a core.
+	refusalTime = 300 * time.Millisecond
 	// slowWorkFactor is the factor on the typical time of the work for which a call is
 	// still sent to an upstream during a stop. Queued calls are sent to upstreams that
 	// are slower by up to queueMaxSlowdown.
@@ -271,9 +271,10 @@
 	peers.Wait()
 }
 
-// shutDown shuts one server down and logs calls that are cut.
+// shutDown shuts one server down and logs what is cut. Idle HTTP/2 connections of other
+// processes are closed without a log line.
 func (d *Daemon) shutDown(ctx context.Context, s *httpnet.Server) {
-	if err := s.Shutdown(ctx); err != nil && d.limiter.Total() > 0 {
+	if err := s.Shutdown(ctx); err != nil && (s == d.callerServer || d.limiter.Total() > 0) {
 		d.log.Log(event.StoppedHard).Str("address", s.Address()).Uint64("calls_cut", uint64(d.limiter.Total())).Err(err).Send()
 	}
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -119,7 +119,7 @@
 		d.stopGracefully(context.Background())
 		close(stopped)
 	}()
-	time.AfterFunc(time.Second, func() { close(finish) })
+	time.AfterFunc(700*time.Millisecond, func() { close(finish) })
 	served := 0
 	for i, answers := range queued {
 		a := <-answers
@@ -153,15 +153,15 @@
 		serve, total, typical               time.Duration
 		drain, finalAnswers, end, lastStart time.Duration
 	}{
-		{3000 * ms, 5750 * ms, 100 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 5250 * ms},
+		{3000 * ms, 5750 * ms, 100 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 5050 * ms},
 		// The time of the work is not known.
-		{3000 * ms, 5750 * ms, 0, 4850 * ms, 5550 * ms, 5750 * ms, 4950 * ms},
+		{3000 * ms, 5750 * ms, 0, 4850 * ms, 5550 * ms, 5750 * ms, 4750 * ms},
 		// Calls that may be new are refused only if typical work does not end in time.
 		{3000 * ms, 5750 * ms, 2000 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 3000 * ms},
-		{3000 * ms, 5750 * ms, 4000 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 1450 * ms},
+		{3000 * ms, 5750 * ms, 4000 * ms, 4850 * ms, 5550 * ms, 5750 * ms, 1250 * ms},
 		// Short stops.
-		{300 * ms, 600 * ms, 100 * ms, 0, 400 * ms, 600 * ms, 200 * ms},
-		{0, 0, 100 * ms, 0, 0, 0, -200 * ms},
+		{300 * ms, 600 * ms, 100 * ms, 0, 400 * ms, 600 * ms, 0},
+		{0, 0, 100 * ms, 0, 0, 0, -400 * ms},
 	} {
 		p := planStop(start, tc.serve, tc.total)
 		assert.Equal(t, p.refuseNew.Sub(start), tc.serve)
