Bound what a process holds for its clients

Cause: each body was buffered up to 1 MiB (32 MiB on a control VM) without a bound on their sum, connections were bounded by a constant, the buffers of connections in the kernel by nothing, and a client that sent or read nothing kept what it held.

All listeners for clients of gateways, control VMs and entry VMs share one budget (httpnet.Budget). Bodies are charged before they are read, answers before they are buffered, connections before they are accepted; the buffers in the kernel have a fixed size. Bodies must arrive before the deadline of their call.

--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -35,6 +35,11 @@
 	// keyReloadInterval is the interval at which the key files are checked for
 	// changes.
 	keyReloadInterval = 2 * time.Second
+	// maxOrderBytes bounds the body of an order of an operator: a desired state with its
+	// source, which has at most 64 MiB.
+	maxOrderBytes = 128 << 20
+	// orderCopies is the number of copies of it that are held at a time.
+	orderCopies = 2
 )
 
 // Daemon is a running control daemon.
@@ -52,6 +57,8 @@
 	servers  []*httpnet.Server
 	// clusterRPCs counts the calls of other processes of the system.
 	clusterRPCs *telemetry.RPCs
+	// budget bounds what is held for operators and upstreams.
+	budget *httpnet.Budget
 }
 
 // keys holds the API keys of operators and of the VMs of the system. A nil
@@ -125,6 +132,7 @@
 		opts:     o,
 		log:      event.NewLogger(o.Logs, level, "control", id),
 		metrics:  telemetry.NewMetrics("control", id),
+		budget:   s.Limits.ClientBudget(),
 	}
 	if s.AuthDisabled || s.TrustNetwork {
 		return d, nil
@@ -202,12 +210,13 @@
 	if err := d.serve(d.settings.ClusterListen, access.NewAuthenticator(d.keys.cluster, d.log, nil).Wrap(d.clusterRPCs)); err != nil {
 		return err
 	}
-	if err := d.serve(d.settings.OperatorListen, access.NewAuthenticator(d.keys.operators, d.log, nil).Wrap(telemetry.CountRPCs(d.metrics, operators))); err != nil {
+	operatorHandler := access.NewAuthenticator(d.keys.operators, d.log, nil).Wrap(httpnet.LimitBodies(telemetry.CountRPCs(d.metrics, operators), maxOrderBytes, orderCopies))
+	if err := d.serveClients(d.settings.OperatorListen, operatorHandler); err != nil {
 		return err
 	}
 	if d.opts.Listeners != nil {
 		for _, l := range d.opts.Listeners(d.control.Admin(), d.log) {
-			if err := d.serve(l.Address, l.Handler); err != nil {
+			if err := d.serveClients(l.Address, l.Handler); err != nil {
 				return err
 			}
 		}
@@ -215,11 +224,22 @@
 	if d.settings.MetricsListen == "" {
 		return nil
 	}
-	return d.serve(d.settings.MetricsListen, d.metrics.Handler())
+	return d.serveClients(d.settings.MetricsListen, d.metrics.Handler())
 }
 
 func (d *Daemon) serve(address string, h http.Handler) error {
-	s, err := httpnet.ListenLogged(d.log, address, h, d.settings.Limits.Listener())
+	return d.serveWith(address, h, d.settings.Limits.Listener())
+}
+
+// serveClients serves clients that are not processes of the system.
+func (d *Daemon) serveClients(address string, h http.Handler) error {
+	limits := d.settings.Limits.Listener()
+	limits.Budget = d.budget
+	return d.serveWith(address, h, limits)
+}
+
+func (d *Daemon) serveWith(address string, h http.Handler, limits httpnet.Limits) error {
+	s, err := httpnet.ListenLogged(d.log, address, h, limits)
 	if err != nil {
 		return err
 	}
--- a/internal/controlvm/metrics.go
+++ b/internal/controlvm/metrics.go
@@ -17,7 +17,11 @@
 // date until ctx ends.
 func (d *Daemon) updateMetrics(ctx context.Context) {
 	m := telemetry.NewControlMetrics(d.metrics)
-	wait.Every(ctx, metricsInterval, func() { d.updateReplicaMetrics(m) })
+	clients := telemetry.NewClientMetrics(d.metrics.Scope)
+	wait.Every(ctx, metricsInterval, func() {
+		d.updateReplicaMetrics(m)
+		clients.Report(d.budget, d.log)
+	})
 }
 
 func (d *Daemon) updateReplicaMetrics(m *telemetry.ControlMetrics) {
--- a/internal/entryvm/build.go
+++ b/internal/entryvm/build.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// maxAnnouncementBytes bounds the body of an announcement, which has less than 1 kB.
+const maxAnnouncementBytes = 64 << 10
+
 // listen opens the listeners. The cluster listener comes first: callers must not
 // reach an entry VM that the other VMs cannot reach.
 func (d *Daemon) listen() error {
@@ -107,16 +110,18 @@
 	if d.servers.cluster, err = httpnet.ListenLogged(d.log, s.ClusterListen, d.clusterHandler(), httpnet.Limits{}); err != nil {
 		return err
 	}
-	if d.servers.announce, err = httpnet.ListenLogged(d.log, s.AnnounceListen, d.announceHandler(), s.Limits.Listener()); err != nil {
+	limits := s.Limits.Listener()
+	limits.Budget = d.budget
+	if d.servers.announce, err = httpnet.ListenLogged(d.log, s.AnnounceListen, httpnet.LimitBodies(d.announceHandler(), maxAnnouncementBytes, 1), limits); err != nil {
 		return err
 	}
-	if d.servers.callers, err = httpnet.ListenLogged(d.log, s.CallerListen, d.callers.handler, s.Limits.Listener()); err != nil {
+	if d.servers.callers, err = httpnet.ListenLogged(d.log, s.CallerListen, d.callers.handler, limits); err != nil {
 		return err
 	}
 	if s.MetricsListen == "" {
 		return nil
 	}
-	d.servers.metrics, err = httpnet.ListenLogged(d.log, s.MetricsListen, d.metrics.Handler(), httpnet.Limits{})
+	d.servers.metrics, err = httpnet.ListenLogged(d.log, s.MetricsListen, d.metrics.Handler(), httpnet.Limits{Budget: d.budget})
 	return err
 }
 
--- a/internal/entryvm/entryvm.go
+++ b/internal/entryvm/entryvm.go
@@ -46,9 +46,12 @@
 	log          event.Logger
 	metrics      *telemetry.Metrics
 	entryMetrics *telemetry.EntryMetrics
-	tracing      *telemetry.Tracing
-	keys         keys
-	self         *catalogpb.Entry
+	// budget bounds what is held for callers and upstreams.
+	budget        *httpnet.Budget
+	clientMetrics *telemetry.ClientMetrics
+	tracing       *telemetry.Tracing
+	keys          keys
+	self          *catalogpb.Entry
 
 	lifecycle  *lifecycle
 	upstreams  *http.Transport
@@ -128,6 +131,8 @@
 		},
 	}
 	d.entryMetrics = telemetry.NewEntryMetrics(d.metrics.Scope)
+	d.budget = s.Limits.ClientBudget()
+	d.clientMetrics = telemetry.NewClientMetrics(d.metrics.Scope)
 	if s.AuthDisabled {
 		return d, nil
 	}
@@ -176,6 +181,7 @@
 // recordFreshness updates the gauges for calls in flight, revision and freshness. It
 // applies eventSynced if the configuration is fresh, and eventLeaseLost otherwise.
 func (d *Daemon) recordFreshness() {
+	d.clientMetrics.Report(d.budget, d.log)
 	d.entryMetrics.InFlight.Update(float64(d.callers.limiter.Total()))
 	if v := d.config.View(); v != nil {
 		d.entryMetrics.Revision.Update(float64(v.Revision()))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,6 +61,7 @@
 	AttemptFailed   = Event{404, "attempt_failed", zerolog.InfoLevel, "an attempt at an upstream returned no response that can be forwarded", ""}
 	UpstreamBroke   = Event{405, "upstream_broke", zerolog.WarnLevel, "an upstream broke the connection on which it ran the request; reported as a crash", "compare target, caller and body of the requests that did so"}
 	TrialFailed     = Event{407, "trial_failed", zerolog.WarnLevel, "the gateway that issues the permits for a suspect request did not answer; the request is not sent", "if it persists, check that gateway and the network to it"}
+	ClientsDropped  = Event{408, "clients_dropped", zerolog.WarnLevel, "clients were dropped or refused in the last second, as there was no room left for what this process holds for its clients", "compare the bytes and connections with the memory and descriptors of the VM; add VMs if the clients are ordinary ones"}
 	WrongKey        = Event{500, "wrong_key", zerolog.WarnLevel, "a request had no valid key", "check the sender and its key"}
 	KeysReloaded    = Event{501, "keys_reloaded", zerolog.InfoLevel, "the changed key file was reloaded", ""}
 	KeysInvalid     = Event{502, "keys_invalid", zerolog.ErrorLevel, "a key file is missing or not valid; the old keys stay in force", "correct the named file"}
@@ -73,7 +74,7 @@
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
-		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed,
+		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed, ClientsDropped,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
 }
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 // maxBufferedBodyBytes bounds the part of a request body that is read before
@@ -37,9 +38,10 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &requestBody{}, nil
 	}
+	client := httpnet.ClientBody(r)
 	body := http.MaxBytesReader(w, r.Body, opts.MaxBodyBytes)
 	src := NewBodyReader(w, body, opts.BodyIdleTimeout)
-	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBodyBytes))
+	buffered, err := httpnet.ReadBody(src, client, r.ContentLength, maxBufferedBodyBytes, 1)
 	if err != nil {
 		return nil, BodyReadError(err)
 	}
@@ -54,12 +56,16 @@
 }
 
 // BodyReadError returns the refusal for a request whose body could not be
-// read: TooLarge for an *http.MaxBytesError, otherwise BadRequest.
+// read: TooLarge for an *http.MaxBytesError, Overloaded for httpnet.ErrBudget, otherwise
+// BadRequest.
 func BodyReadError(err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fault.New(fault.TooLarge, "request body exceeds %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, httpnet.ErrBudget) {
+		return fault.New(fault.Overloaded, "%v", err)
+	}
 	return fault.New(fault.BadRequest, "reading request body: %v", err)
 }
 
@@ -88,6 +94,22 @@
 	r           io.Reader
 	controller  *http.ResponseController
 	idleTimeout time.Duration
+	// deadline is the time by which the body must have arrived; zero means no bound.
+	deadline time.Time
+}
+
+// EndBy makes reads fail after the deadline.
+func (r *BodyReader) EndBy(deadline time.Time) { r.deadline = deadline }
+
+// nextDeadline returns the time by which the next bytes must have arrived, zero for none.
+func (r *BodyReader) nextDeadline() time.Time {
+	next := r.deadline
+	if r.idleTimeout > 0 {
+		if idle := time.Now().Add(r.idleTimeout); next.IsZero() || idle.Before(next) {
+			next = idle
+		}
+	}
+	return next
 }
 
 // NewBodyReader returns a reader of body, the body of the request that w
@@ -98,8 +120,8 @@
 
 // Read implements io.Reader.
 func (r *BodyReader) Read(b []byte) (int, error) {
-	if r.idleTimeout > 0 {
-		_ = r.controller.SetReadDeadline(time.Now().Add(r.idleTimeout))
+	if next := r.nextDeadline(); !next.IsZero() {
+		_ = r.controller.SetReadDeadline(next)
 	}
 	n, err := r.r.Read(b)
 	if err == io.EOF {
@@ -111,7 +133,7 @@
 // Stop clears the read deadline, so that it does not expire while the
 // response is awaited.
 func (r *BodyReader) Stop() {
-	if r.idleTimeout > 0 {
+	if r.idleTimeout > 0 || !r.deadline.IsZero() {
 		_ = r.controller.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 const (
@@ -19,7 +21,11 @@
 )
 
 // responseBuffers counts the bytes that may still be used to buffer responses.
-type responseBuffers struct{ left atomic.Int64 }
+type responseBuffers struct {
+	left atomic.Int64
+	// budget bounds them together with what else is held for callers.
+	budget *httpnet.Budget
+}
 
 func newResponseBuffers() *responseBuffers {
 	b := &responseBuffers{}
@@ -67,7 +73,15 @@
 	if !b.acquire(need) {
 		return r, nil
 	}
-	r.release = func() { b.release(need) }
+	held, ok := b.budget.Hold(need)
+	if !ok {
+		b.release(need)
+		return r, nil
+	}
+	r.release = func() {
+		held()
+		b.release(need)
+	}
 	rest, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1-int64(len(r.body))))
 	r.body = append(r.body, rest...)
 	r.complete = err == nil && len(r.body) <= maxBufferedResponse
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,7 +12,10 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"balsamcourse.example/balsamcourse/internal/balance"
+	"balsamcourse.example/balsamcourse/internal/clientbudget"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/forward"
@@ -120,6 +123,7 @@
 	}
 	if !f.opts.Limiter.Acquire(c.pool) {
 		c.cancel()
+		f.opts.Budget.DropStalled(clientbudget.StallGrace, stalledPerDrop)
 		return fault.NewRetryable(fault.Overloaded, c.retryAfter(0), "pool %q: limit of calls in flight at this gateway reached", c.pool)
 	}
 	return nil
@@ -398,8 +402,16 @@
 	if c.r.ContentLength > limit {
 		return c.tooLarge(limit, fault.New(fault.TooLarge, "request body has %d bytes, limit is %d", c.r.ContentLength, limit))
 	}
-	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.opts.BodyIdleTimeout)
-	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBody))
+	client := httpnet.ClientBody(c.r)
+	src := forward.NewBodyReader(c.w, http.MaxBytesReader(c.w, c.r.Body, limit), c.f.bodyIdleTimeout())
+	src.EndBy(c.deadline)
+	buffered, err := httpnet.ReadBody(src, client, c.r.ContentLength, maxBufferedBody, 1)
+	if err != nil && c.ctx.Err() == context.DeadlineExceeded {
+		return fault.NewRetryable(fault.DeadlineTooShort, minRetryAfter, "the request body did not arrive before the deadline")
+	}
+	if errors.Is(err, httpnet.ErrBudget) {
+		return c.noRoom()
+	}
 	if err != nil && c.r.Context().Err() != nil {
 		return fault.New(fault.CallerGone, "caller disconnected while its request body was read")
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -69,6 +69,9 @@
 	limiter      *admission.Limiter
 	callerServer *httpnet.Server
 	servers      []*httpnet.Server
+	// budget bounds what is held for callers and for clients of the extra listeners.
+	budget        *httpnet.Budget
+	clientMetrics *telemetry.ClientMetrics
 	// clusterRPCs counts the calls of other processes of the system.
 	clusterRPCs *telemetry.RPCs
 	// stopping is set when a planned stop begins, closed when new calls are
@@ -143,6 +146,8 @@
 		limiter:  admission.NewLimiter(s.Limits.MaxInFlight),
 	}
 	d.gatewayMetrics = telemetry.NewGatewayMetrics(d.metrics.Scope)
+	d.budget = s.Limits.ClientBudget()
+	d.clientMetrics = telemetry.NewClientMetrics(d.metrics.Scope)
 	d.background, d.stopBackground = context.WithCancel(context.Background())
 	if !s.TrustNetwork {
 		if d.keys, err = access.Load(s.ClusterKeysFile); err != nil {
@@ -269,25 +274,25 @@
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
 	processes := http.NewServeMux()
 	processes.Handle("/", d.clusterRPCs)
-	processes.Handle(RelayPath, httpnet.Recover(d.forwarder.RelayHandler(), crash.PanicHandler(d.log)))
+	processes.Handle(RelayPath, d.budget.Wrap(httpnet.Recover(d.forwarder.RelayHandler(), crash.PanicHandler(d.log))))
 	// Relayed calls have the headers of callers.
-	limits := httpnet.Limits{MaxHeaderBytes: s.Limits.MaxHeaderBytes + relayHeaderBytes}
+	limits := httpnet.Limits{MaxHeaderBytes: max(s.Limits.MaxHeaderBytes, maxHeaderBytes) + relayHeaderBytes}
 	if err := d.openListener(s.ClusterListen, limits, access.NewAuthenticator(d.keys, d.log, nil).Wrap(processes)); err != nil {
 		return err
 	}
 	if d.opts.ExtraListeners != nil {
 		for _, l := range d.opts.ExtraListeners(d) {
-			if err := d.openListener(l.Address, httpnet.Limits{}, l.Handler); err != nil {
+			if err := d.openListener(l.Address, httpnet.Limits{Budget: d.budget}, l.Handler); err != nil {
 				return err
 			}
 		}
 	}
 	if s.MetricsListen != "" {
-		if err := d.openListener(s.MetricsListen, httpnet.Limits{}, d.metrics.Handler()); err != nil {
+		if err := d.openListener(s.MetricsListen, httpnet.Limits{Budget: d.budget}, d.metrics.Handler()); err != nil {
 			return err
 		}
 	}
-	if err := d.openListener(s.CallerListen, s.Limits.Listener(), d.callerHandler()); err != nil {
+	if err := d.openListener(s.CallerListen, d.callerLimits(), d.callerHandler()); err != nil {
 		return err
 	}
 	d.callerServer = d.servers[len(d.servers)-1]
@@ -322,6 +327,7 @@
 		DialGateway:     d.dialGateway,
 		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
 		Context:         d.background,
+		Budget:          d.budget,
 		BodyIdleTimeout: d.settings.Limits.ReadBodyTimeoutMs.Duration(),
 	})
 }
@@ -353,6 +359,8 @@
 	}
 	d.conns.CloseStale(func(address string) bool { return known[address] })
 	d.updateMetrics()
+	d.clientMetrics.Report(d.budget, d.log)
+	d.dropStalledWhileWaiting()
 	d.forwarder.checkLimits()
 	d.state.reportLimitedLoads(d.gatewayMetrics, d.log)
 	d.state.reportRetries(d.log)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -23,6 +23,7 @@
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/gossip"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/quarantine"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
 	"balsamcourse.example/balsamcourse/internal/upstreamconn"
@@ -76,6 +77,8 @@
 	Authorize func(http.Header)
 	// Context ends background work; nil means that it does not end.
 	Context context.Context
+	// Budget bounds what is held for callers; nil means no bound.
+	Budget *httpnet.Budget
 	// BodyIdleTimeout bounds the wait for the next bytes of a request body.
 	BodyIdleTimeout time.Duration
 	// Random returns random numbers in [0, 1); nil means those of math/rand. It must
@@ -111,7 +114,9 @@
 	if o.BootTime == nil {
 		o.BootTime = boottime.Now
 	}
-	return &Forwarder{opts: o, state: st, conns: conns, buffers: newResponseBuffers(), relayConns: upstreamconn.NewPool(o.DialGateway)}
+	buffers := newResponseBuffers()
+	buffers.budget = o.Budget
+	return &Forwarder{opts: o, state: st, conns: conns, buffers: buffers, relayConns: upstreamconn.NewPool(o.DialGateway)}
 }
 
 // ServeHTTP answers one call with the response of an upstream or with an error.
@@ -128,6 +133,7 @@
 		err = c.run()
 	}
 	if err != nil {
+		c.limitUnreadBody()
 		c.markOutcome(err)
 		fault.WriteHTTPFractional(c.w, err)
 	}
--- a/internal/httpnet/drain.go
+++ b/internal/httpnet/drain.go
@@ -46,6 +46,9 @@
 		// HTTP/2, whose connections tell callers which requests are not processed.
 		return
 	}
+	if state == http.StateIdle {
+		c.endRequest()
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch state {
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -4,20 +4,25 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"balsamcourse.example/balsamcourse/internal/clientbudget"
 )
 
 // limitedListener limits the number of open connections. Connections over the limit
 // wait in the accept backlog of the operating system.
 type limitedListener struct {
 	*net.TCPListener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
+	slots chan struct{}
+	// budget bounds the connections of all listeners of the process; nil means no bound.
+	budget *Budget
+	// current returns the limits in force; nil means those of the server.
+	current func() Limits
+	closed  chan struct{}
+	once    sync.Once
 	// stopped is closed by stop.
 	stopped chan struct{}
 
@@ -51,12 +56,30 @@
 		_ = l.Close()
 		return nil, net.ErrClosed
 	}
+	var client *clientbudget.Client
+	if l.budget != nil {
+		if client = l.budget.connect(l.stopped, l.closed); client == nil {
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
+	}
 	conn, err := l.accept()
 	if err != nil {
 		<-l.slots
+		if client != nil {
+			l.budget.end(client)
+		}
 		return nil, err
 	}
-	return &limitedConn{Conn: conn, closeRead: conn.CloseRead, release: func() { <-l.slots }}, nil
+	c := &limitedConn{Conn: conn, closeRead: conn.CloseRead, release: func() { <-l.slots }, current: l.current, headStart: time.Now()}
+	if client != nil {
+		c.release = func() {
+			<-l.slots
+			l.budget.end(client)
+		}
+		c.watch(l.budget, client, conn)
+	}
+	return c, nil
 }
 
 // takeSlot waits for a slot of a connection. It reports false if there is none and the
@@ -153,30 +176,3 @@
 	l.once.Do(func() { close(l.closed) })
 	return l.TCPListener.Close()
 }
-
-// limitedConn releases its slot of the listener when it is closed.
-type limitedConn struct {
-	net.Conn
-	// closeRead ends reads once the bytes that have arrived are read.
-	closeRead func() error
-	// hasRead is set once a byte has been read.
-	hasRead atomic.Bool
-	once    sync.Once
-	release func()
-}
-
-// Read implements net.Conn.
-func (c *limitedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.hasRead.Store(true)
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -6,9 +6,12 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"balsamcourse.example/balsamcourse/internal/event"
 )
@@ -20,6 +23,13 @@
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
 	MaxConnections    int
+	// Budget bounds what the server holds for clients, together with the other servers of
+	// the process; nil means no bound.
+	Budget *Budget
+	// Current returns limits of heads and idle connections that replace those above while
+	// the server runs; nil means that they do not change. Its MaxHeaderBytes is at most
+	// that above.
+	Current func() Limits
 }
 
 // Default limits of a server.
@@ -29,6 +39,9 @@
 	defaultMaxHeaderBytes = 16 << 10
 	defaultMaxConnections = 4096
 	maxConcurrentStreams  = 4096
+	// maxClientStreams is the number of requests of one connection of a client over HTTP/2
+	// at a time. Other processes of the system share one connection for all requests.
+	maxClientStreams = 128
 )
 
 // Endpoint is an address to listen on and the handler that serves it.
@@ -142,10 +155,14 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
-	l, err := net.ListenTCP("tcp", resolved)
+	l, err := listenTCP(resolved, limits.Budget != nil)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
+	streams := maxConcurrentStreams
+	if limits.Budget != nil {
+		h, streams = limits.Budget.Wrap(h), maxClientStreams
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -157,19 +174,70 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			Protocols:         protocols,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: streams},
 			ErrorLog:          log.New(io.Discard, "", 0),
 			ConnState:         open.record,
+			ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+				return context.WithValue(ctx, connKey{}, conn)
+			},
 		},
 		open:     open,
 		listener: newLimitedListener(l, limits.MaxConnections),
 		served:   make(chan struct{}),
 		failed:   make(chan error, 1),
 	}
+	s.listener.budget, s.listener.current = limits.Budget, limits.Current
 	go s.serve()
 	return s, nil
 }
 
+// listenTCP listens on the address. For clients, the buffers of connections in the kernel
+// are bounded.
+func listenTCP(address *net.TCPAddr, clients bool) (*net.TCPListener, error) {
+	if !clients {
+		return net.ListenTCP("tcp", address)
+	}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			for option, size := range map[int]int{unix.SO_RCVBUF: acceptBufferBytes, unix.SO_SNDBUF: socketBufferBytes} {
+				if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size); err != nil {
+					failed = os.NewSyscallError("setsockopt", err)
+				}
+			}
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+	// As net.ListenTCP does.
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	tcp := l.(*net.TCPListener)
+	if err := limitBacklog(tcp); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return tcp, nil
+}
+
+// limitBacklog bounds the number of connections that are not accepted yet.
+func limitBacklog(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), maxBacklog) }); err != nil {
+		return err
+	}
+	return os.NewSyscallError("listen", failed)
+}
+
 func (l Limits) withDefaults() Limits {
 	if l.MaxHeaderBytes == 0 {
 		l.MaxHeaderBytes = defaultMaxHeaderBytes
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,8 +56,14 @@
 	MaxBodyBytes      int64  `toml:"max_body_bytes"`
 	MaxInFlight       int    `toml:"max_in_flight"`
 	MaxConnections    int    `toml:"max_connections"`
+	// MemoryMB is the memory of the process in MiB. The memory and the connections that
+	// clients may take are derived from it.
+	MemoryMB int64 `toml:"memory_mb"`
 }
 
+// ClientBudget returns a budget for what the process holds for its clients.
+func (l Limits) ClientBudget() *httpnet.Budget { return httpnet.NewBudget(l.MemoryMB << 20) }
+
 // Listener returns the limits that the HTTP server enforces. The body limits
 // and MaxInFlight are left to the handlers.
 func (l Limits) Listener() httpnet.Limits {
@@ -90,6 +96,7 @@
 		MaxBodyBytes:        256 << 20,
 		MaxInFlight:         1_024,
 		MaxConnections:      4_096,
+		MemoryMB:            1_024,
 	}
 }
 
@@ -97,6 +104,9 @@
 	return Trace{Exporter: TraceOff, SamplePermille: 1000}
 }
 
+// minMemoryMB is the least memory of a process: an idle one uses about 30 MB.
+const minMemoryMB = 64
+
 func (l Limits) check(c *checker, key string) {
 	c.between(key+".max_header_bytes", int64(l.MaxHeaderBytes), 1<<10, 1<<20)
 	c.between(key+".read_header_timeout_ms", int64(l.ReadHeaderTimeoutMs), 10, 600_000)
@@ -105,6 +115,7 @@
 	c.between(key+".max_body_bytes", l.MaxBodyBytes, 1, 1<<32)
 	c.between(key+".max_in_flight", int64(l.MaxInFlight), 1, 1<<20)
 	c.between(key+".max_connections", int64(l.MaxConnections), 1, 1<<20)
+	c.between(key+".memory_mb", l.MemoryMB, minMemoryMB, 1<<20)
 }
 
 func (t Trace) check(c *checker) {
