Apply the limits of the desired state to the listener for callers

max_header_bytes (also above 16,384), header_timeout_ms and idle_timeout_ms were stored and never read by a gateway. They bind open connections from the next head or wait on; idle_timeout_ms bounds the wait for the next bytes of a body, too.

--- /dev/null
+++ b/internal/httpnet/budget_test.go
@@ -0,0 +1,102 @@
+package httpnet
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// listenWith starts a server whose limits are those that limits holds.
+func listenWith(t *testing.T, h http.HandlerFunc, limits *atomic.Pointer[Limits]) *Server {
+	t.Helper()
+	return listen(t, h, Limits{MaxHeaderBytes: 64 << 10, Budget: NewBudget(64 << 20), Current: func() Limits { return *limits.Load() }})
+}
+
+// TestLimitsInForceBindOpenConnections guards against limits that bind only connections
+// which are opened after a change.
+func TestLimitsInForceBindOpenConnections(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: ioTimeout, IdleTimeout: ioTimeout})
+	s := listenWith(t, respondOK, &limits)
+	head := "X: " + strings.Repeat("x", 30<<10) + "\r\n"
+	kept, other := dial(t, s), dial(t, s)
+	assert.Equal(t, requestStatus(kept, ""), http.StatusOK)
+	assert.Equal(t, requestStatus(other, head), http.StatusRequestHeaderFieldsTooLarge)
+	limits.Store(&Limits{MaxHeaderBytes: 32 << 10, ReadHeaderTimeout: ioTimeout, IdleTimeout: ioTimeout})
+	assert.Equal(t, requestStatus(kept, head), http.StatusOK)
+	// The shorter time binds from the next head or the next wait on.
+	limits.Store(&Limits{MaxHeaderBytes: 32 << 10, ReadHeaderTimeout: 50 * time.Millisecond, IdleTimeout: 400 * time.Millisecond})
+	assert.Equal(t, requestStatus(kept, ""), http.StatusOK)
+	time.Sleep(150 * time.Millisecond)
+	assert.Equal(t, requestStatus(kept, ""), http.StatusOK, "an idle connection ended with the time for heads")
+	start := time.Now()
+	assertCloses(t, kept)
+	assert.Assert(t, time.Since(start) > 200*time.Millisecond, "an idle connection was closed after %v", time.Since(start))
+	slow := dial(t, s)
+	_, err := io.WriteString(slow, "GET / HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	assertCloses(t, slow)
+}
+
+func assertCloses(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := io.Copy(io.Discard, conn)
+	timeout, ok := err.(net.Error)
+	assert.Assert(t, !ok || !timeout.Timeout(), "the server did not close the connection: %v", err)
+}
+
+// TestBodiesAreChargedUntilTheirRequestsEnd reads bodies of both kinds at once while the
+// budget is short, and checks that all charges are returned.
+func TestBodiesAreChargedUntilTheirRequestsEnd(t *testing.T) {
+	b := NewBudget(64 << 20)
+	h := LimitBodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		assert.Check(t, err)
+		assert.Check(t, b.Stats().Bytes >= n)
+	}), 4<<20, 2)
+	s, err := Listen("127.0.0.1:0", h, Limits{Budget: b})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	done := make(chan int, 64)
+	for i := range cap(done) {
+		go func() {
+			body := io.Reader(bytes.NewReader(make([]byte, 3<<20+i)))
+			if i%2 == 0 {
+				// Hides the length.
+				body = io.MultiReader(body)
+			}
+			resp, err := NewHTTP1Client(nil).Post("http://"+s.Address(), "", body)
+			if err != nil {
+				done <- 0
+				return
+			}
+			_ = resp.Body.Close()
+			done <- resp.StatusCode
+		}()
+	}
+	counts := map[int]int{}
+	for range cap(done) {
+		counts[<-done]++
+	}
+	assert.Assert(t, counts[http.StatusOK] > 0 && counts[http.StatusBadRequest] == 0, "%v", counts)
+	// An idle connection has its own charge, and so has the listener.
+	for end := time.Now().Add(ioTimeout); ; time.Sleep(time.Millisecond) {
+		stats := b.Stats()
+		if stats.Bytes == int64(stats.Connections)*20<<10 {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "%+v", stats)
+	}
+	resp, err := http.Post("http://"+s.Address(), "", io.MultiReader(bytes.NewReader(make([]byte, 5<<20))))
+	if err == nil {
+		assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+		_ = resp.Body.Close()
+	}
+}
