Do not forward answers that HTTP does not allow

The state of the connection in the kernel tells a reset from a clean end, after which such an answer is still forwarded.

Statuses below 100 counted as interim answers until the deadline (gateway) or ended the call by a panic (entry VM); 600 to 999, 204 with a body, and a length together with chunks were forwarded, by an entry VM also 101. All of them are broken answers now.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -62,6 +62,9 @@
 // completely before it is passed on, so that a truncated one can still be
 // refused and the slot does not stay occupied while a slow caller reads.
 func (c *call) receive(a *attempt, resp *http.Response) statechart.Event {
+	if err := checkResponseHead(resp); err != nil {
+		return c.handleBrokenResponse(a, resp, err)
+	}
 	if closeDelimited(resp) {
 		return c.handleBrokenResponse(a, resp, fault.New(fault.UpstreamBroken, "upstream %s: response has neither Content-Length nor chunked encoding", c.grant.Upstream))
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -149,6 +149,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.connected.Store(true)
 			a.newConn.Store(!info.Reused)
+			if conn, ok := info.Conn.(*strictConn); ok {
+				conn.expectHead()
+			}
 		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 			c.f.recordNotice(g, code, http.Header(header))
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -28,7 +28,7 @@
 		dial = d.DialContext
 	}
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            dialStrict(dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -320,6 +320,9 @@
 		}
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			x.Response = resp
+			if !selfDelimited(resp) && resp.Body != http.NoBody {
+				resp.Body = &untilCloseBody{ReadCloser: resp.Body, conn: c.raw, x: x}
+			}
 			c.updateReuse(resp)
 			return nil
 		}
@@ -362,14 +365,25 @@
 // their length from x.headLeft. It fails with ErrHeadTooLong if nothing is left.
 func (c *Conn) readHead(x *Exchange, sent *http.Request) (*http.Response, error) {
 	c.limit.left = x.headLeft - int64(c.reader.Buffered())
+	// It fails only if nothing is buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.limit.record(buffered)
 	resp, err := http.ReadResponse(c.reader, sent)
+	raw := c.limit.stopRecording()
 	x.ResponseBegun = err != nil && c.limit.left < x.headLeft
 	x.headLeft = c.limit.left + int64(c.reader.Buffered())
 	c.limit.left = unlimited
 	if x.headLeft <= 0 {
 		return nil, ErrHeadTooLong
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp, raw); err != nil {
+		x.ResponseBegun = true
+		return nil, err
+	}
+	return resp, nil
 }
 
 // DiscardBody reads the rest of the body of the response. It returns
