End an attempt whose request body turns out to be over the limit

An upload in chunks that passed the limit of the desired state after its first MiB had been sent kept its connection to the upstream until the deadline of the call, which then counted against the upstream. The attempt ends at once now, and the caller gets 413 with the run status unknown. TestUploadOverLimitEndsItsAttempt: no answer within 10 s before, the refusal now. An upload whose sender was dropped ends in the same way.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -272,6 +272,13 @@
 		c.recordNeutralEnd(u.ID)
 		return c.recordFailure(u, attemptFailure{err: fault.New(fault.UpstreamTimeout, "upstream %s did not answer before the deadline", u.ID), mayHaveRun: mayHaveRun})
 	}
+	if broken := x.RequestBroken(); broken != nil {
+		c.f.opts.Metrics.BrokenAttempts(telemetry.BrokenCallerGone).Inc(1)
+		c.recordNeutralEnd(u.ID)
+		refusal := forward.BodyReadError(broken)
+		refusal.MayHaveRun = mayHaveRun
+		return c.recordFailure(u, attemptFailure{err: refusal, mayHaveRun: mayHaveRun})
+	}
 	c.recordEnd(u.ID, false, 0)
 	c.f.recordNoAnswer(u, err)
 	if !mayHaveRun {
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
 // TestMalformedAnswerNeverReachesCaller lets an upstream send heads that no HTTP answer
@@ -137,3 +140,24 @@
 	r.Host, r.Header = "host.example", http.Header{"Balsam-Request-Id": {"r1"}, "Balsam-Timeout-Ms": {"5000"}}
 	return http.DefaultClient.Do(r)
 }
+
+// TestUploadOverLimitEndsItsAttempt guards against an upload in chunks that turns out to be
+// over the limit after a part of it has been sent, and then keeps its connection to the
+// upstream, which would count as failed, until the deadline.
+func TestUploadOverLimitEndsItsAttempt(t *testing.T) {
+	s := startUploadUpstream(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.Copy(io.Discard, conn) })
+	cfg := newConfig(s)
+	cfg.Routes[1].TimeoutMs = 60_000
+	cfg.CallerLimits = &catalogpb.CallerLimits{MaxBodyBytes: 2 * maxBufferedBody}
+	fx := startForwarder(t, cfg)
+	r, err := http.NewRequest(http.MethodPost, fx.server.URL+"/unsafe/x", io.MultiReader(strings.NewReader(strings.Repeat("x", 3*maxBufferedBody))))
+	assert.NilError(t, err)
+	r.Host, r.Header = "host.example", http.Header{"Balsam-Request-Id": {"r1"}}
+	client := &http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, resp.Header.Get(fault.HeaderRun), string(fault.RunUnknown))
+	assert.Equal(t, fx.heldUpstreams(), 0)
+}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -128,6 +128,23 @@
 	// has been written or has failed with writeErr. It is nil for other requests.
 	bodyWritten chan struct{}
 	writeErr    error
+	// bodyErr is the error of reading the body of the request, set before bodyWritten is
+	// closed.
+	bodyErr error
+}
+
+// RequestBroken returns the error with which the body of the request broke off, nil if it
+// did not.
+func (x *Exchange) RequestBroken() error {
+	if x.bodyWritten == nil {
+		return nil
+	}
+	select {
+	case <-x.bodyWritten:
+		return x.bodyErr
+	default:
+		return nil
+	}
 }
 
 // Errors of an upstream that sends too many bytes.
@@ -266,7 +283,12 @@
 	x.bodyWritten = make(chan struct{})
 	go func() {
 		defer close(x.bodyWritten)
-		x.writeErr = c.writeBody(r)
+		rest := &errorReader{r: r.BodyRest}
+		x.writeErr = c.writeBody(r, rest)
+		if x.bodyErr = rest.err; x.bodyErr != nil {
+			// The upstream waits for a rest that does not come.
+			_ = c.raw.SetDeadline(time.Unix(1, 0))
+		}
 	}()
 	return nil
 }
@@ -284,10 +306,26 @@
 	_, _ = w.WriteString("\r\n")
 }
 
-func (c *Conn) writeBody(r *Request) error {
+// errorReader is a reader that keeps the first error of r other than io.EOF.
+type errorReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (e *errorReader) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && err != io.EOF && e.err == nil {
+		e.err = err
+	}
+	return n, err
+}
+
+// writeBody writes the body; rest reads r.BodyRest.
+func (c *Conn) writeBody(r *Request, rest io.Reader) error {
 	body := io.Reader(bytes.NewReader(r.Body))
 	if r.BodyRest != nil {
-		body = io.MultiReader(body, r.BodyRest)
+		body = io.MultiReader(body, rest)
 	}
 	if r.ContentLength >= 0 {
 		n, err := io.Copy(c.writer, io.LimitReader(body, r.ContentLength))
