--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,8 +104,8 @@
 	return Trace{Exporter: TraceOff, SamplePermille: 1000}
 }
 
-// minMemoryMB is the least memory of a process: an idle one uses about 30 MB.
-const minMemoryMB = 64
+// MinMemoryMB is the least memory of a process: an idle one uses about 30 MB.
+const MinMemoryMB = 64
 
 func (l Limits) check(c *checker, key string) {
 	c.between(key+".max_header_bytes", int64(l.MaxHeaderBytes), 1<<10, 1<<20)
@@ -115,7 +115,7 @@
 	c.between(key+".max_body_bytes", l.MaxBodyBytes, 1, 1<<32)
 	c.between(key+".max_in_flight", int64(l.MaxInFlight), 1, 1<<20)
 	c.between(key+".max_connections", int64(l.MaxConnections), 1, 1<<20)
-	c.between(key+".memory_mb", l.MemoryMB, minMemoryMB, 1<<20)
+	c.between(key+".memory_mb", l.MemoryMB, MinMemoryMB, 1<<20)
 }
 
 func (t Trace) check(c *checker) {
