--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -63,6 +63,7 @@
 		r.complete = err == nil
 		return r, err
 	}
+	r.release = b.budget.Transfer()
 	if length > maxBufferedResponse {
 		return r, nil
 	}
@@ -78,7 +79,9 @@
 		b.release(need)
 		return r, nil
 	}
+	transfer := r.release
 	r.release = func() {
+		transfer()
 		held()
 		b.release(need)
 	}
--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -222,6 +222,20 @@
 	bufferGrowth = 4
 )
 
+// Transfer charges the buffers through which an answer is forwarded, until release is called.
+// There is always room for them, since the answer has begun: others find less. A nil budget
+// charges nothing.
+func (b *Budget) Transfer() (release func()) {
+	if b == nil {
+		return func() {}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.ledger.Begin(b.now())
+	b.ledger.Force(c, clientbudget.TransferBytes)
+	return func() { b.end(c) }
+}
+
 // ReadBody reads src to its end, or until max bytes have been read. src reads body, which
 // is nil if no budget applies, and length is its stated length, -1 if unknown. The bytes are
 // charged before they are read, times copies, until the request ends: that is the number of
