--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 // maxBufferedBodyBytes bounds the part of a request body that is read before
@@ -38,9 +39,10 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &requestBody{}, nil
 	}
+	client := httpnet.ClientBody(r)
 	body := http.MaxBytesReader(w, r.Body, opts.MaxBodyBytes)
 	src := NewBodyReader(w, body, opts.BodyIdleTimeout)
-	buffered, err := io.ReadAll(io.LimitReader(src, maxBufferedBodyBytes))
+	buffered, err := httpnet.ReadBody(src, client, r.ContentLength, maxBufferedBodyBytes, 1)
 	if err != nil {
 		return nil, BodyReadError(err)
 	}
@@ -55,12 +57,16 @@
 }
 
 // BodyReadError returns the refusal for a request whose body could not be
-// read: TooLarge for an *http.MaxBytesError, otherwise BadRequest.
+// read: TooLarge for an *http.MaxBytesError, Overloaded for httpnet.ErrBudget, otherwise
+// BadRequest.
 func BodyReadError(err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fault.New(fault.TooLarge, "request body exceeds %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, httpnet.ErrBudget) {
+		return fault.New(fault.Overloaded, "%v", err)
+	}
 	return fault.New(fault.BadRequest, "reading request body: %v", err)
 }
 
@@ -89,12 +95,28 @@
 	r           io.Reader
 	controller  *http.ResponseController
 	idleTimeout time.Duration
+	// deadline is the time by which the body must have arrived; zero means no bound.
+	deadline time.Time
 
 	// mu guards the fields below and orders the changes of the read deadline.
 	mu                   sync.Mutex
 	interrupted, stopped bool
 }
 
+// EndBy makes reads fail after the deadline.
+func (r *BodyReader) EndBy(deadline time.Time) { r.deadline = deadline }
+
+// nextDeadline returns the time by which the next bytes must have arrived, zero for none.
+func (r *BodyReader) nextDeadline() time.Time {
+	next := r.deadline
+	if r.idleTimeout > 0 {
+		if idle := time.Now().Add(r.idleTimeout); next.IsZero() || idle.Before(next) {
+			next = idle
+		}
+	}
+	return next
+}
+
 // errBodyInterrupted is the error of a read after Interrupt.
 const errBodyInterrupted = errors.ConstError("the reading of the request body was interrupted")
 
@@ -123,8 +145,8 @@
 	if r.interrupted {
 		return false
 	}
-	if r.idleTimeout > 0 {
-		_ = r.controller.SetReadDeadline(time.Now().Add(r.idleTimeout))
+	if next := r.nextDeadline(); !next.IsZero() {
+		_ = r.controller.SetReadDeadline(next)
 	}
 	return true
 }
@@ -153,7 +175,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stopped = true
-	if r.idleTimeout > 0 || r.interrupted {
+	if r.idleTimeout > 0 || !r.deadline.IsZero() || r.interrupted {
 		_ = r.controller.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 const (
@@ -19,7 +21,11 @@
 )
 
 // responseBuffers counts the bytes that may still be used to buffer responses.
-type responseBuffers struct{ left atomic.Int64 }
+type responseBuffers struct {
+	left atomic.Int64
+	// budget bounds them together with what else is held for callers.
+	budget *httpnet.Budget
+}
 
 func newResponseBuffers() *responseBuffers {
 	b := &responseBuffers{}
@@ -57,6 +63,7 @@
 		r.complete = err == nil
 		return r, err
 	}
+	r.release = b.budget.Transfer()
 	if length > maxBufferedResponse {
 		return r, nil
 	}
@@ -67,7 +74,17 @@
 	if !b.acquire(need) {
 		return r, nil
 	}
-	r.release = func() { b.release(need) }
+	held, ok := b.budget.Hold(need)
+	if !ok {
+		b.release(need)
+		return r, nil
+	}
+	transfer := r.release
+	r.release = func() {
+		transfer()
+		held()
+		b.release(need)
+	}
 	rest, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1-int64(len(r.body))))
 	r.body = append(r.body, rest...)
 	r.complete = err == nil && len(r.body) <= maxBufferedResponse
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -128,6 +128,23 @@
 	// has been written or has failed with writeErr. It is nil for other requests.
 	bodyWritten chan struct{}
 	writeErr    error
+	// bodyErr is the error of reading the body of the request, set before bodyWritten is
+	// closed.
+	bodyErr error
+}
+
+// RequestBroken returns the error with which the body of the request broke off, nil if it
+// did not.
+func (x *Exchange) RequestBroken() error {
+	if x.bodyWritten == nil {
+		return nil
+	}
+	select {
+	case <-x.bodyWritten:
+		return x.bodyErr
+	default:
+		return nil
+	}
 }
 
 // Errors of an upstream that sends too many bytes.
@@ -266,7 +283,12 @@
 	x.bodyWritten = make(chan struct{})
 	go func() {
 		defer close(x.bodyWritten)
-		x.writeErr = c.writeBody(r)
+		rest := &errorReader{r: r.BodyRest}
+		x.writeErr = c.writeBody(r, rest)
+		if x.bodyErr = rest.err; x.bodyErr != nil {
+			// The upstream waits for a rest that does not come.
+			_ = c.raw.SetDeadline(time.Unix(1, 0))
+		}
 	}()
 	return nil
 }
@@ -284,10 +306,26 @@
 	_, _ = w.WriteString("\r\n")
 }
 
-func (c *Conn) writeBody(r *Request) error {
+// errorReader is a reader that keeps the first error of r other than io.EOF.
+type errorReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (e *errorReader) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && err != io.EOF && e.err == nil {
+		e.err = err
+	}
+	return n, err
+}
+
+// writeBody writes the body; rest reads r.BodyRest.
+func (c *Conn) writeBody(r *Request, rest io.Reader) error {
 	body := io.Reader(bytes.NewReader(r.Body))
 	if r.BodyRest != nil {
-		body = io.MultiReader(body, r.BodyRest)
+		body = io.MultiReader(body, rest)
 	}
 	if r.ContentLength >= 0 {
 		n, err := io.Copy(c.writer, io.LimitReader(body, r.ContentLength))
@@ -320,6 +358,9 @@
 		}
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			x.Response = resp
+			if !selfDelimited(resp) && resp.Body != http.NoBody {
+				resp.Body = &untilCloseBody{ReadCloser: resp.Body, conn: c.raw, x: x}
+			}
 			c.updateReuse(resp)
 			return nil
 		}
@@ -362,14 +403,25 @@
 // their length from x.headLeft. It fails with ErrHeadTooLong if nothing is left.
 func (c *Conn) readHead(x *Exchange, sent *http.Request) (*http.Response, error) {
 	c.limit.left = x.headLeft - int64(c.reader.Buffered())
+	// It fails only if nothing is buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.limit.record(buffered)
 	resp, err := http.ReadResponse(c.reader, sent)
+	raw := c.limit.stopRecording()
 	x.ResponseBegun = err != nil && c.limit.left < x.headLeft
 	x.headLeft = c.limit.left + int64(c.reader.Buffered())
 	c.limit.left = unlimited
 	if x.headLeft <= 0 {
 		return nil, ErrHeadTooLong
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp, raw); err != nil {
+		x.ResponseBegun = true
+		return nil, err
+	}
+	return resp, nil
 }
 
 // DiscardBody reads the rest of the body of the response. It returns
