--- /dev/null
+++ b/internal/allotment/issuer.go
@@ -0,0 +1,227 @@
+package allotment
+
+import (
+	"maps"
+	"time"
+
+	"balsamcourse.example/balsamcourse/internal/freshness"
+	"balsamcourse.example/balsamcourse/internal/permit"
+)
+
+const (
+	// maxTurnWait is the longest time for which an entry VM is told to wait for its
+	// turn. It bounds the time for which permits are left over while entry VMs wait.
+	maxTurnWait = time.Second
+	// minWait is the shortest time after which a refused entry VM asks again.
+	minWait = 10 * time.Millisecond
+	// unusedTimeout is the time after which the state of a shard for which nobody has
+	// asked is dropped. It is longer than any window, so that a bucket that is made
+	// anew would be full.
+	unusedTimeout = time.Minute
+	// heldSlots is the number of periods into which the time is divided for which a
+	// permit counts as held.
+	heldSlots = 10
+)
+
+// Issuer issues the permits of the shards for which this entry VM is the issuer. It is
+// not safe for concurrent use.
+type Issuer struct {
+	leases  *permit.Issuer
+	bounds  Bounds
+	buckets map[bucketKey]*bucket
+	rules   disabledRules
+}
+
+// disabledRules disables individual rules, to show that the tests detect their
+// absence.
+type disabledRules struct {
+	// start is the rule that a new issuer does not issue the burst, held the rule that
+	// permits that are held count.
+	start, held bool
+}
+
+type bucketKey struct {
+	organisation string
+	shard        int
+}
+
+// NewIssuer returns an Issuer that issues permits where leases allows it.
+func NewIssuer(leases *permit.Issuer, b Bounds) *Issuer {
+	return &Issuer{leases: leases, bounds: b, buckets: make(map[bucketKey]*bucket)}
+}
+
+// Answer is the answer to a request for permits.
+type Answer struct {
+	Granted int
+	// Issuing is false if this entry VM does not issue the permits of the shard now.
+	Issuing bool
+	// Wait is the time after which permits may be available if fewer were granted
+	// than asked for.
+	Wait time.Duration
+}
+
+// Take takes back permits that were not used, and issues up to units new ones.
+func (i *Issuer) Take(now time.Duration, organisation string, shard int, l Limit, units, returned int) Answer {
+	if wait, ok := i.leases.Issues(now, Key(organisation, shard)); !ok {
+		delete(i.buckets, bucketKey{organisation, shard})
+		return Answer{Wait: wait}
+	}
+	return i.bucket(now, bucketKey{organisation, shard}, l).take(now, units, returned)
+}
+
+// bucket returns the bucket of the shard with the newest limit.
+func (i *Issuer) bucket(now time.Duration, key bucketKey, l Limit) *bucket {
+	part := i.bounds.shard(l)
+	b := i.buckets[key]
+	if b == nil {
+		b = &bucket{part: part, refilled: now, tokens: part.capacity, heldFor: i.bounds.heldFor(), rules: i.rules}
+		// The issuer before may have issued a window's permits just before this one
+		// began.
+		if window := freshness.AddDrift(i.bounds.Window); now < i.leases.UnchangedSince()+window {
+			b.startedAt, b.startEnd = now, now+window
+		}
+		i.buckets[key] = b
+	}
+	b.askedAt = now
+	b.refill(now)
+	b.part = part
+	return b
+}
+
+// DropLost drops the state of shards that this entry VM has ceased to issue permits
+// for. It must be called after each lease and each change of the live entry VMs.
+// Otherwise a shard that this entry VM regains would go on from the state before.
+func (i *Issuer) DropLost(now time.Duration) {
+	maps.DeleteFunc(i.buckets, func(k bucketKey, b *bucket) bool {
+		_, ok := i.leases.Issues(now, Key(k.organisation, k.shard))
+		return !ok || now > b.askedAt+unusedTimeout
+	})
+}
+
+// Counts are the permits of one organisation since the last call of TakeCounts.
+type Counts struct {
+	// Issued is the number of permits issued less those taken back, Refused the
+	// number of requests for permits that got none.
+	Issued, Refused int
+}
+
+// TakeCounts returns the counts of the organisations for which permits have been
+// asked since the last call.
+func (i *Issuer) TakeCounts() map[string]Counts {
+	counts := make(map[string]Counts)
+	for k, b := range i.buckets {
+		if b.counts == (Counts{}) {
+			continue
+		}
+		sum := counts[k.organisation]
+		sum.Issued += b.counts.Issued
+		sum.Refused += b.counts.Refused
+		counts[k.organisation] = sum
+		b.counts = Counts{}
+	}
+	return counts
+}
+
+// bucket holds the permits of one shard.
+type bucket struct {
+	part shard
+	// tokens is the number of permits left. It can be negative after a lower limit.
+	tokens            float64
+	refilled, askedAt time.Duration
+	// held counts the permits issued in the newest periods of heldFor / heldSlots, as
+	// they may be unused. heldPeriod is the number of the newest period.
+	held       [heldSlots + 1]int
+	heldPeriod int64
+	heldFor    time.Duration
+	// startedAt is the start of the issuer, startEnd the time until which it issues no
+	// more than the rate since then, and started the number issued. They are 0 if it
+	// is known what was issued in the window before.
+	startedAt, startEnd time.Duration
+	started             int
+	// turn is the time for which the last refused entry VM was told to come back.
+	turn   time.Duration
+	counts Counts
+	rules  disabledRules
+}
+
+// heldSum returns the number of permits that entry VMs may hold unused.
+func (b *bucket) heldSum() int {
+	if b.rules.held {
+		return 0
+	}
+	sum := 0
+	for _, n := range b.held {
+		sum += n
+	}
+	return sum
+}
+
+// refill adds the tokens since the last call. Permits that are left or held unused are
+// at most the capacity, so that in any window no more are used than the capacity and
+// the rate allow.
+func (b *bucket) refill(now time.Duration) {
+	period := int64(now / (b.heldFor / heldSlots))
+	for p := max(b.heldPeriod+1, period-heldSlots); p <= period; p++ {
+		b.held[p%int64(len(b.held))] = 0
+	}
+	b.heldPeriod = max(b.heldPeriod, period)
+	b.tokens += b.part.perSecond * (now - b.refilled).Seconds()
+	b.refilled = now
+	b.tokens = min(b.tokens, b.part.capacity-float64(b.heldSum()))
+}
+
+// available returns the number of permits that can be issued now.
+func (b *bucket) available(now time.Duration) float64 {
+	if now >= b.startEnd || b.rules.start {
+		return b.tokens
+	}
+	sinceStart := b.part.startCredit + b.part.perSecond*(now-b.startedAt).Seconds()
+	return min(b.tokens, sinceStart-float64(b.started))
+}
+
+func (b *bucket) take(now time.Duration, units, returned int) Answer {
+	b.takeBack(returned)
+	// The part may be that of a lower limit.
+	b.tokens = min(b.tokens, b.part.capacity-float64(b.heldSum()))
+	granted := min(units, max(0, int(b.available(now))))
+	b.tokens -= float64(granted)
+	b.started += granted
+	b.counts.Issued += granted
+	b.held[b.heldPeriod%int64(len(b.held))] += granted
+	if granted == units {
+		return Answer{Granted: granted, Issuing: true}
+	}
+	if granted == 0 {
+		b.counts.Refused++
+	}
+	return Answer{Granted: granted, Issuing: true, Wait: b.nextTurn(now)}
+}
+
+// takeBack adds permits that were not used. No more are taken back than may be held:
+// others have ended.
+func (b *bucket) takeBack(returned int) {
+	for n := range b.held {
+		slot := &b.held[(b.heldPeriod+int64(n)+1)%int64(len(b.held))]
+		taken := min(*slot, returned)
+		*slot -= taken
+		returned -= taken
+		b.tokens += float64(taken)
+		b.started -= taken
+		b.counts.Issued -= taken
+	}
+}
+
+// nextTurn returns the time after which a refused entry VM is to ask again. Entry VMs
+// that are refused get different turns, so that they ask no more often than there are
+// permits.
+func (b *bucket) nextTurn(now time.Duration) time.Duration {
+	interval := time.Duration(min(float64(time.Hour), float64(time.Second)/b.part.perSecond))
+	first := time.Duration(max(0, 1-b.available(now)) * float64(interval))
+	if now < b.startEnd {
+		first = min(first, b.startEnd-now)
+	}
+	b.turn = max(b.turn+interval, now+first)
+	wait := min(b.turn-now, max(first, maxTurnWait))
+	b.turn = now + wait
+	return max(minWait, wait)
+}
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -83,10 +83,14 @@
 	// leaseEnd is the end of the newest lease, heldSince the beginning of the
 	// series of leases without a gap that it belongs to.
 	leaseEnd, heldSince time.Duration
-	leaving             bool
+	// changedAt is the time at which live last changed.
+	changedAt time.Duration
+	leaving   bool
 	buckets             map[Key]*bucket
 	// trials holds the permits for trials by key.
 	trials   map[string]heldTrial
+	// winners caches IssuerOf until live changes.
+	winners  map[string]string
 	disabled disabledRules
 }
 
@@ -98,7 +102,7 @@
 
 // NewIssuer returns the Issuer of a newly started entry VM with the given ID.
 func NewIssuer(self string) *Issuer {
-	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket), trials: make(map[string]heldTrial)}
+	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket), trials: make(map[string]heldTrial), winners: make(map[string]string)}
 }
 
 // SetLive records the IDs of the entry VMs that are registered, not leaving, and
@@ -116,7 +120,8 @@
 		delete(i.lastLive, id)
 	}
 	wasLive := slices.Contains(i.live, i.self)
-	i.live = ids
+	i.live, i.changedAt = ids, now
+	clear(i.winners)
 	if !wasLive {
 		i.heldSince = now
 	}
@@ -148,7 +153,20 @@
 
 // IssuerOf returns the ID of the entry VM to ask for permits for the upstream,
 // or "" if no live entry VM is known.
-func (i *Issuer) IssuerOf(upstream string) string { return winner(i.live, upstream) }
+func (i *Issuer) IssuerOf(upstream string) string {
+	id, ok := i.winners[upstream]
+	if !ok {
+		if len(i.winners) >= maxCachedWinners {
+			clear(i.winners)
+		}
+		id = winner(i.live, upstream)
+		i.winners[upstream] = id
+	}
+	return id
+}
+
+// maxCachedWinners bounds the memory of the cache.
+const maxCachedWinners = 10000
 
 // winner returns the winner of the rendezvous hash of the upstream among ids, ""
 // if there are none.
@@ -166,7 +184,7 @@
 // not, wait is the time after which it may, as far as is known; 0 if it is not
 // going to.
 func (i *Issuer) Issues(now time.Duration, upstream string) (wait time.Duration, ok bool) {
-	if i.leaving || now >= i.leaseEnd && !i.disabled.lease || winner(i.live, upstream) != i.self {
+	if i.leaving || now >= i.leaseEnd && !i.disabled.lease || i.IssuerOf(upstream) != i.self {
 		return 0, false
 	}
 	if i.disabled.takeover {
@@ -188,6 +206,12 @@
 	return 0, true
 }
 
+// UnchangedSince returns a time since which Issues has had the same answer for
+// every upstream, as long as the lease has not ended. It may be in the future.
+func (i *Issuer) UnchangedSince() time.Duration {
+	return max(i.heldSince, i.changedAt) + TakeoverDelay
+}
+
 // Decision is the answer to a request for a permit.
 type Decision struct {
 	Granted bool
