--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -113,8 +113,9 @@
 	l = l.normal(b)
 	perSecond := l.PerSecond / Shards
 	return shard{
-		perSecond:   perSecond,
-		capacity:    (l.Burst+burstSlackShare*b.Slack)/Shards + heldShare*b.Overage*perSecond*b.Window.Seconds(),
+		perSecond: perSecond,
+		// Below 1, a shard would never issue a permit.
+		capacity:    max(1, (l.Burst+burstSlackShare*b.Slack)/Shards+heldShare*b.Overage*perSecond*b.Window.Seconds()),
 		startCredit: startSlackShare * b.Slack / Shards,
 	}
 }
--- a/internal/allotment/holder.go
+++ b/internal/allotment/holder.go
@@ -112,13 +112,24 @@
 	return o
 }
 
-// Expect records that a call has arrived whose request is about to be sent. It returns
-// a request for permits to be made in the background, nil if none is needed.
-func (h *Holder) Expect(now time.Duration, organisation string) *Ask {
+// Expect records that a call has arrived. If it is about to be sent, soon is set, and
+// Expect returns a request for permits to be made in the background, nil if none is
+// needed. A status other than Pending says that there is no permit for the call, and
+// when there may be one.
+func (h *Holder) Expect(now time.Duration, organisation string, soon bool) (*Ask, Status, time.Duration) {
 	o := h.holding(now, organisation)
 	o.recordDemand(now)
+	if !soon {
+		return nil, Pending, 0
+	}
 	o.expected = append(o.expected, now+h.validity)
-	return o.ask(now, organisation)
+	ask := o.ask(now, organisation)
+	if len(o.asks) > 0 || len(o.permits) >= o.needed() {
+		return ask, Pending, 0
+	}
+	o.expected = o.expected[:len(o.expected)-1]
+	status, wait := o.refusal(now)
+	return nil, status, wait
 }
 
 // Forget records that the call of an earlier Expect is not going to use a permit.
@@ -161,15 +172,13 @@
 	}
 }
 
-// Return gives back a permit with which no upstream has run a request. It reports
-// whether the permit is to be handed back to the issuer with Flush soon.
-func (h *Holder) Return(now time.Duration, organisation string, p Permit) bool {
-	if !p.Valid(now) {
-		return false
+// Return gives back a permit with which no upstream has run a request. It is used for
+// another one, or handed back with Flush.
+func (h *Holder) Return(now time.Duration, organisation string, p Permit) {
+	if p.Valid(now) {
+		o := h.holding(now, organisation)
+		o.permits = slices.Insert(o.permits, 0, p)
 	}
-	o := h.holding(now, organisation)
-	o.permits = slices.Insert(o.permits, 0, p)
-	return true
 }
 
 // Flush returns a request that hands back permits which are not needed, nil if there
@@ -180,7 +189,7 @@
 		return nil
 	}
 	o.dropEnded(now)
-	spare := len(o.permits) - o.needed(now) - o.ahead(now)
+	spare := len(o.permits) - o.needed() - o.ahead(now)
 	if spare <= 0 {
 		return nil
 	}
@@ -218,7 +227,7 @@
 }
 
 // Demand returns the averaged number of requests of the organisation per second, and
-// the number of permits held.
+// the number of permits held. The issuer needs neither; they are for diagnosis.
 func (h *Holder) Demand(now time.Duration, organisation string) (perSecond float64, held int) {
 	o := h.holdings[organisation]
 	if o == nil {
@@ -257,7 +266,7 @@
 }
 
 // needed returns the number of permits that calls need now or soon.
-func (o *holding) needed(now time.Duration) int { return o.waiting + len(o.expected) }
+func (o *holding) needed() int { return o.waiting + len(o.expected) }
 
 // ask returns a request for permits if calls lack some, or if fewer than half of those
 // to hold ahead are left.
@@ -274,7 +283,7 @@
 			supply += a.Units
 		}
 	}
-	needed, ahead := o.needed(now), o.ahead(now)
+	needed, ahead := o.needed(), o.ahead(now)
 	if lacking := needed - supply; lacking <= 0 && (supply-needed)*2 >= ahead {
 		return nil
 	}
--- a/internal/allotment/replay_test.go
+++ b/internal/allotment/replay_test.go
@@ -60,11 +60,9 @@
 }
 
 type orgModel struct {
-	name    string
-	limit   Limit
-	load    float64
-	offered int
-	refused int
+	name  string
+	limit Limit
+	load  float64
 	// ran holds the times at which upstreams ran requests, refusedAt those of
 	// refusals.
 	ran, refusedAt []time.Duration
@@ -271,9 +269,13 @@
 	if g.down || g.frozen || g.leases.IssuerOf("") == "" {
 		return
 	}
-	o.offered++
 	start := g.start
-	r.send(g, g.holder.Expect(r.now, o.name))
+	ask, status, _ := g.holder.Expect(r.now, o.name, true)
+	if status != Pending {
+		o.refusedAt = append(o.refusedAt, r.now)
+		return
+	}
+	r.send(g, ask)
 	r.after(r.probe, func() {
 		g.deliver(start, func() {
 			began, tried, timer := r.now, false, false
@@ -292,7 +294,6 @@
 						r.after(HedgeDelay, func() { g.deliver(start, func() { timer = false; r.wake(g, o.name) }) })
 					}
 				default:
-					o.refused++
 					o.refusedAt = append(o.refusedAt, r.now)
 				}
 				r.send(g, ask)
