gateway: bound the requests of organisations to their allotments

Permits are taken from the gateways that issue them when a call arrives, while the upstreams are probed, and spent right before the request is sent. Those of requests that no upstream ran are used for the next attempt or handed back. With permits that count although no upstream ran the request, TestRequestsThatDidNotRunDoNotCount fails.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -53,6 +53,9 @@
 	UpstreamsLost   = Event{320, "upstreams_lost", zerolog.WarnLevel, "this gateway has no way to any upstream", "check the network of this VM to the upstreams"}
 	UpstreamsBack   = Event{321, "upstreams_back", zerolog.InfoLevel, "this gateway reaches upstreams again", ""}
 	RelayFailed     = Event{322, "relay_failed", zerolog.WarnLevel, "a call that this gateway relayed to another one got no response of an upstream", "see the error field and the log of the other gateway"}
+	AllotmentFailed = Event{331, "allotment_failed", zerolog.WarnLevel, "a gateway that issues permits for the requests of an organisation did not answer; others of the organisation are asked", "if it persists, check that gateway and the network to it"}
+	AllotmentUsed   = Event{332, "allotment_used", zerolog.InfoLevel, "this gateway refused calls of an organisation in the last second, as its allotment over all gateways was used up (refused) or nobody issued permits (no_issuer)", "if the organisation is to get more, raise its rate_per_s or burst"}
+	AllotmentIssued = Event{333, "allotment_issued", zerolog.InfoLevel, "permits that this gateway issued in the last second for the requests of an organisation that asked for more", ""}
 	RetriesRefused  = Event{330, "retries_refused", zerolog.WarnLevel, "the retry budget refused retries in the last second; gateways is the number that share its slack, 0 while control has not registered this one", "look for the reason of the failed attempts"}
 	CallPanic       = Event{400, "call_panic", zerolog.ErrorLevel, "a call failed because of a defect in this program", "report the stack trace"}
 	RequestSuspect  = Event{401, "request_suspect", zerolog.WarnLevel, "a connection broke with the request in flight", ""}
@@ -72,7 +75,7 @@
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
 		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
 		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced,
-		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, AllotmentFailed, AllotmentUsed, AllotmentIssued,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -38,6 +38,8 @@
 	NoDispatcher      Kind = "no_dispatcher"
 	QueueFull         Kind = "queue_full"
 	RateLimited       Kind = "rate_limited"
+	AllotmentUsed     Kind = "allotment_used"
+	AllotmentUnknown  Kind = "allotment_unknown"
 	UpstreamsPaused   Kind = "upstreams_paused"
 	DeadlineTooShort  Kind = "deadline_too_short"
 	Overloaded        Kind = "overloaded"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -50,6 +50,8 @@
 	NoDispatcher:      {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "no dispatcher of the service answers"},
 	QueueFull:         {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the queue of the cell is full"},
 	RateLimited:       {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "every upstream of the service names a request rate that is used up"},
+	AllotmentUsed:     {http.StatusTooManyRequests, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "the organisation of the caller has used up its allotment"},
+	AllotmentUnknown:  {http.StatusServiceUnavailable, twirp.Unavailable, NotRun, retryShort, ExitUnavailable, "no gateway that counts the requests of the caller's organisation answers"},
 	UpstreamsPaused:   {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "every upstream of the service has asked for a pause or is leaving"},
 	DeadlineTooShort:  {http.StatusServiceUnavailable, twirp.DeadlineExceeded, NotRun, retryShort, ExitUnavailable, "no slot is expected before the deadline"},
 	Overloaded:        {http.StatusServiceUnavailable, twirp.ResourceExhausted, NotRun, retryShort, ExitUnavailable, "this entry VM has reached its own limit"},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,10 +32,13 @@
 		return false, c.recordFailure(u, attemptFailure{err: fault.NewRetryable(fault.NoUpstream, c.retryAfter(0), "upstream %s: no connection for a request without an ID", u.ID)})
 	}
 	// No wait follows in which the key could be removed.
-	if err := c.lookupOrganisation(); err != nil {
+	if err := c.admit(); err != nil {
 		c.f.releaseUnused(res)
 		return false, attemptFailure{err: fault.FromError(err), denied: true}
 	}
+	if c.permit != nil {
+		c.permit.spent = true
+	}
 	res.conn.Carried = true
 	stop := res.conn.InterruptOnDone(c.ctx)
 	defer stop()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,10 @@
 	credential     organisation.Credential
 	credentialRead bool
 	organisation   *catalogpb.Organisation
+	// permit is that of the allotment of the organisation, nil if the call has none.
+	// allotmentExpected is the organisation for which one was asked ahead of need, or "".
+	permit            *callPermit
+	allotmentExpected string
 
 	pool      string
 	body      body
@@ -209,6 +213,10 @@
 	c.signature = c.sign()
 	defer c.releaseRetry()
 	defer func() { c.endTrial(nil) }()
+	defer c.returnAllotment()
+	if err := c.expectAllotment(); err != nil {
+		return err
+	}
 	var failed attemptFailure
 	for {
 		c.f.state.awaitRefresh(c.ctx)
@@ -257,7 +265,9 @@
 			return c.finalError(failed.err)
 		}
 		var done bool
-		if done, failed = c.attempt(res); done {
+		done, failed = c.attempt(res)
+		c.endAttempt(done || failed.mayHaveRun)
+		if done {
 			return nil
 		}
 		if !c.allowRetry(failed) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -189,6 +189,7 @@
 	d.state.sinceNewest = d.config.SinceNewest
 	d.state.awaitRefresh = d.config.AwaitRefresh
 	d.state.maxDenialAge = denialAge(s.ApplyWithinMs.Duration())
+	d.state.setAllotmentBounds(s.Allotment.Bounds())
 	d.state.keyBounds = organisation.NewBounds(s.RevokeWithinMs.Duration())
 	d.state.isolated = d.config.Isolated
 	d.gossip = gossip.New(gossip.Options{
@@ -268,6 +269,7 @@
 	cluster.Handle(clusterpb.GossipPathPrefix, d.gossip.Handler())
 	cluster.Handle(clusterpb.PermitsPathPrefix, clusterpb.NewPermitsServer(&permitServer{state: d.state, log: d.log}))
 	cluster.Handle(clusterpb.TrialsPathPrefix, clusterpb.NewTrialsServer(&trialServer{state: d.state, crashes: d.gossip}))
+	cluster.Handle(clusterpb.AllotmentsPathPrefix, clusterpb.NewAllotmentsServer(&allotmentServer{state: d.state}))
 	d.clusterRPCs = telemetry.CountRPCs(d.metrics, cluster)
 	processes := http.NewServeMux()
 	processes.Handle("/", d.clusterRPCs)
@@ -320,6 +322,9 @@
 		Trials: func(address string) clusterpb.Trials {
 			return clusterpb.NewTrialsProtobufClient("http://"+address, d.client)
 		},
+		Allotments: func(address string) clusterpb.Allotments {
+			return clusterpb.NewAllotmentsProtobufClient("http://"+address, d.client)
+		},
 		ReportLost:      d.config.SetIsolated,
 		DialGateway:     d.dialGateway,
 		Authorize:       func(h http.Header) { access.SetKey(h, d.keys) },
@@ -358,6 +363,7 @@
 	d.forwarder.checkLimits()
 	d.state.reportLimitedLoads(d.gatewayMetrics, d.log)
 	d.state.reportRetries(d.log)
+	d.forwarder.reportAllotments()
 	d.logControlState()
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -65,6 +65,8 @@
 	Permits func(clusterAddress string) clusterpb.Permits
 	// Trials returns a client of the Trials service of another gateway.
 	Trials func(clusterAddress string) clusterpb.Trials
+	// Allotments returns a client of the Allotments service of another gateway.
+	Allotments func(clusterAddress string) clusterpb.Allotments
 	// ReportLost is called when this gateway loses all upstreams or reaches them
 	// again. It must not block; nil means that nothing is called.
 	ReportLost func(lost bool)
--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -189,6 +189,10 @@
 	background context.Context
 	// starts counts the starts of each gateway by its ID.
 	starts map[string]int
+	// began is the time of the bubble at which the group was created, key the API key of
+	// the callers.
+	began time.Time
+	key   string
 }
 
 // newGatewayGroup returns n gateways and the upstreams with the given IDs, all in
@@ -205,7 +209,7 @@
 	g := &gatewayGroup{
 		upstreams: make(map[string]*limitedUpstream), cfg: newConfig(),
 		stopped: make(map[string]time.Time), cut: make(map[string]time.Time), links: make(map[string]linkState),
-		starts: make(map[string]int),
+		starts: make(map[string]int), began: time.Now(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.background = ctx
@@ -258,6 +262,8 @@
 		Metrics:     telemetry.NewGatewayMetrics(metrics.Scope),
 		Closed:      func() bool { return false },
 		Permits:     g.permits,
+		Allotments:  g.allotments,
+		BootTime:    func() time.Duration { return time.Since(g.began) },
 		Trials:      g.trials,
 		Context:     g.background,
 		DialGateway: g.dialGateway,
@@ -346,6 +352,24 @@
 	return unreachablePermits{}
 }
 
+// allotments returns a client of the allotments of the gateway at the address.
+func (g *gatewayGroup) allotments(address string) clusterpb.Allotments {
+	for _, f := range g.forwarders {
+		if f.state.gatewayID+":2" == address && !g.isStopped(f) {
+			return &allotmentServer{state: f.state}
+		}
+	}
+	return unreachableAllotments{}
+}
+
+// unreachableAllotments is a client of a gateway that does not answer.
+type unreachableAllotments struct{}
+
+func (unreachableAllotments) Take(ctx context.Context, _ *clusterpb.TakeAllotmentRequest) (*clusterpb.TakeAllotmentResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // trials returns a client of the trials of the gateway at the address.
 func (g *gatewayGroup) trials(address string) clusterpb.Trials {
 	for _, f := range g.forwarders {
@@ -381,6 +405,9 @@
 type callResults struct {
 	mu              sync.Mutex
 	served, refused int
+	// key is the API key of the callers, statuses counts the answers by status.
+	key      string
+	statuses map[int]int
 	// refusalTimes holds the times from calls to their refusals, in order after
 	// sendCalls.
 	refusalTimes []time.Duration
@@ -393,7 +420,7 @@
 // passed, and waits for their answers. Meanwhile control renews the leases of the
 // gateways, and each does its housekeeping.
 func (g *gatewayGroup) sendCalls(interval, duration time.Duration) *callResults {
-	results := &callResults{shortestRetryAfter: time.Hour}
+	results := &callResults{shortestRetryAfter: time.Hour, key: g.key, statuses: make(map[int]int)}
 	var calls sync.WaitGroup
 	lastCheck := time.Now()
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
@@ -423,11 +450,15 @@
 	r := httptest.NewRequest(http.MethodGet, "/safe/x", nil)
 	r.Host = "host.example"
 	r.Header.Set("Balsam-Request-Id", "r1")
+	if c.key != "" {
+		r.Header.Set(DefaultHeaders().APIKey, c.key)
+	}
 	w := httptest.NewRecorder()
 	start := time.Now()
 	f.ServeHTTP(w, r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.statuses[w.Code]++
 	if w.Code == http.StatusOK {
 		c.served++
 		return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -43,6 +43,7 @@
 	// that the desired state does not allow a call.
 	sinceNewest  func() time.Duration
 	maxDenialAge time.Duration
+	allotments   *allotments
 	// keyBounds limits the age of the configuration for requests with an API key.
 	keyBounds organisation.Bounds
 	// awaitRefresh waits after a pause of the process until control has been asked for
@@ -96,6 +97,7 @@
 		queues:        make(map[string]*poolQueue),
 		issuer:        permit.NewIssuer(gatewayID),
 	}
+	st.setAllotmentBounds(settings.DefaultGateway().Allotment.Bounds())
 	st.pools.Store(&map[string]*catalogpb.Pool{})
 	st.reachTargets.Store(&reachTargets{})
 	return st
@@ -127,6 +129,7 @@
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
+		st.allotments.update(cfg)
 		st.routes.Store(route.NewTable(cfg, st.phase))
 		st.dropRemovedRoutes(cfg)
 	}
@@ -190,6 +193,7 @@
 		}
 	}
 	st.issuer.SetLive(st.now(), live)
+	st.allotments.issuer.DropLost(st.now())
 }
 
 // recordLease records a lease from control that was requested at the time sent,
@@ -203,6 +207,7 @@
 	defer st.mu.Unlock()
 	st.updateLiveGateways(cfg)
 	st.issuer.RecordLease(st.now(), sent.Sub(st.started))
+	st.allotments.issuer.DropLost(st.now())
 }
 
 // healthPath returns the path of the health request to upstreams of the pool.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,5 +1,7 @@
 package settings
 
+import "balsamcourse.example/balsamcourse/internal/allotment"
+
 // Gateway holds the settings of a gateway: an entry VM that serves the routes
 // of a desired state and probes the load of upstreams before it sends them
 // requests.
@@ -49,6 +51,8 @@
 	RevokeWithinMs Millis `toml:"revoke_within_ms"`
 	// Retry is the retry budget that all gateways share.
 	Retry RetryBudget `toml:"retry"`
+	// Allotment says how much organisations may exceed their allotments.
+	Allotment Allotment `toml:"allotment"`
 	// ColdShare is the fraction, from 0 to 1, of a cold upstream's maximum request
 	// rate that all gateways together send to it.
 	ColdShare  float64    `toml:"cold_share"`
@@ -66,6 +70,32 @@
 	WindowMs Millis  `toml:"window_ms"`
 }
 
+// Allotment says by how much the requests of an organisation that upstreams run, over
+// all gateways, may exceed its allotment.
+type Allotment struct {
+	// WindowMs is the period over which requests are counted. Overage is the part of
+	// the allotment, Slack the number of requests, that may be run beyond it in any
+	// window.
+	WindowMs Millis  `toml:"window_ms"`
+	Overage  float64 `toml:"overage"`
+	Slack    float64 `toml:"slack"`
+}
+
+// Bounds returns the settings as package allotment uses them.
+func (a Allotment) Bounds() allotment.Bounds {
+	return allotment.Bounds{Window: a.WindowMs.Duration(), Overage: a.Overage, Slack: a.Slack}
+}
+
+func (a Allotment) check(c *checker) {
+	c.between("allotment.window_ms", int64(a.WindowMs), 500, 30_000)
+	if !(a.Overage >= 0 && a.Overage <= 1) {
+		c.addf("allotment.overage", "%v must lie between 0 and 1", a.Overage)
+	}
+	if !(a.Slack >= 0 && a.Slack <= 1e6) {
+		c.addf("allotment.slack", "%v must lie between 0 and 1000000", a.Slack)
+	}
+}
+
 // DefaultGateway returns the defaults for keys that the settings file leaves
 // out.
 func DefaultGateway() Gateway {
@@ -76,6 +106,7 @@
 		StopMs:        5_700,
 		ApplyWithinMs: 2_000,
 		Retry:         RetryBudget{Ratio: 0.2, Slack: 40, WindowMs: 10_000},
+		Allotment:     Allotment{WindowMs: 5_000, Overage: 0.1, Slack: 20},
 		ColdShare:     0.8,
 		Limits:        defaultLimits(),
 		Quarantine:    Quarantine{Threshold: 3, HoldMs: 600_000, MaxRequests: 10_000},
@@ -114,6 +145,7 @@
 	if s.Retry.Slack < 0 {
 		c.addf("retry.slack", "%v must not be below 0", s.Retry.Slack)
 	}
+	s.Allotment.check(c)
 	if s.ColdShare < 0 || s.ColdShare > 1 {
 		c.addf("cold_share", "%v must lie between 0 and 1", s.ColdShare)
 	}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -50,6 +50,8 @@
 		{"calls_withheld_paused", counter, "gateway", "pool", "calls refused, or moved to another upstream right before they were sent, as upstreams have asked for a pause"},
 		{"upstream_requests_in_flight", gauge, "gateway", "pool", "requests of this gateway in flight at upstreams"},
 		{"permit_seconds", histogram, "gateway", "", "time until another gateway answered a request for a permit, which an upstream needs that names a request rate or is cold"},
+		{"allotment_seconds", histogram, "gateway", "", "time that calls waited for a permit of their organisation's allotment right before they were sent; calls that did not wait are not counted"},
+		{"organisation_calls", counter, "gateway", "organisation, outcome", "calls of organisations with an allotment: `sent` (attempts that an upstream may have run), `refused` (the allotment is used up) or `no_issuer` (nobody issued permits); organisations beyond the first 256 count as `other`"},
 		{"retries", counter, "gateway, entry", "", "attempts after the first one of a call"},
 		{"retries_left", gauge, "gateway", "pool", "retries that the retry budget of this gateway allows now"},
 		{"config_revision", gauge, "gateway, entry", "", "revision of the configuration in force"},
--- a/internal/telemetry/gateway.go
+++ b/internal/telemetry/gateway.go
@@ -29,6 +29,8 @@
 	// PermitWait is the time until another gateway has answered a request for a
 	// permit.
 	PermitWait tally.Histogram
+	// AllotmentWait is the time that calls waited for a permit of an allotment.
+	AllotmentWait tally.Histogram
 	// Retries counts attempts after the first one of a call.
 	Retries tally.Counter
 	// UpstreamsLost is 1 while all upstreams are lost, else 0.
@@ -47,6 +49,37 @@
 	calls map[callSeries]tally.Counter
 	times map[string]tally.Histogram
 	pools map[string]*PoolMetrics
+	// organisations holds the organisations that have series of their own.
+	organisations map[string]bool
+}
+
+// Outcomes of calls of organisations with an allotment, the values of the tag
+// "outcome" of the metric "organisation_calls".
+const (
+	AllotmentSent     = "sent"
+	AllotmentRefused  = "refused"
+	AllotmentNoIssuer = "no_issuer"
+)
+
+const (
+	// maxOrganisations bounds the organisations with series of their own.
+	maxOrganisations = 256
+	// otherOrganisation is the organisation tag of the others.
+	otherOrganisation = "other"
+)
+
+// OrganisationCalls returns the counter of calls of an organisation with an allotment.
+func (m *GatewayMetrics) OrganisationCalls(organisation, outcome string) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.organisations[organisation] {
+		if len(m.organisations) >= maxOrganisations {
+			organisation = otherOrganisation
+		} else {
+			m.organisations[organisation] = true
+		}
+	}
+	return m.scope.Tagged(map[string]string{"organisation": organisation, "outcome": outcome}).Counter("organisation_calls")
 }
 
 // Outcomes of relayed calls, the values of the tag "outcome" of the metrics
@@ -134,6 +167,7 @@
 		UpstreamWait:      latencyHistogram(s, "wait_seconds"),
 		Upstream:          latencyHistogram(s, "upstream_seconds"),
 		PermitWait:        latencyHistogram(s, "permit_seconds"),
+		AllotmentWait:     latencyHistogram(s, "allotment_seconds"),
 		Retries:           s.Counter("retries"),
 		UpstreamsLost:     s.Gauge("upstreams_lost"),
 		Revision:          s.Gauge("config_revision"),
@@ -144,6 +178,7 @@
 		calls:             make(map[callSeries]tally.Counter),
 		times:             make(map[string]tally.Histogram),
 		pools:             make(map[string]*PoolMetrics),
+		organisations:     make(map[string]bool),
 	}
 }
 
