--- a/internal/gateway/permits_bench_test.go
+++ b/internal/gateway/permits_bench_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/balance"
 	"balsamcourse.example/balsamcourse/internal/configview"
@@ -34,3 +35,25 @@
 	}
 	b.ReportMetric(float64(proto.Size(req)+proto.Size(resp)), "body-bytes/op")
 }
+
+// BenchmarkTakeAllotment measures permits of an allotment from another gateway over
+// loopback: the time at both ends and the bytes of the bodies.
+func BenchmarkTakeAllotment(b *testing.B) {
+	cfg := newConfig()
+	cfg.Organisations = []*catalogpb.Organisation{{Name: "organisation-17", RatePerS: 1e9}}
+	st := newState("g1", "a", 1, retry.Limits{})
+	st.applyConfig(configview.New(cfg))
+	st.issuePermits()
+	server := httptest.NewServer(clusterpb.NewAllotmentsServer(&allotmentServer{state: st}))
+	defer server.Close()
+	client := clusterpb.NewAllotmentsProtobufClient(server.URL, http.DefaultClient)
+	req := &clusterpb.TakeAllotmentRequest{Entry: "edge-jm-south-a-1", Organisation: "organisation-17", Shard: 1, Units: 1, DemandPerS: 0.86, StateVersion: 7}
+	var resp *clusterpb.TakeAllotmentResponse
+	for b.Loop() {
+		var err error
+		if resp, err = client.Take(b.Context(), req); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(proto.Size(req)+proto.Size(resp)), "body-bytes/op")
+}
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -86,9 +86,9 @@
 	// changedAt is the time at which live last changed.
 	changedAt time.Duration
 	leaving   bool
-	buckets             map[Key]*bucket
+	buckets   map[Key]*bucket
 	// trials holds the permits for trials by key.
-	trials   map[string]heldTrial
+	trials map[string]heldTrial
 	// winners caches IssuerOf until live changes.
 	winners  map[string]string
 	disabled disabledRules
