permit: no wait for TakeoverDelay after a restart of all entry VMs

After a complete outage nobody issued permits for 3.3 s. If no entry VM has held a lease of an earlier leader and all were live throughout the term, no other issuer can exist. 20000 drawn histories hold; with the rule disabled the simulation finds two issuers at once.

--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -98,6 +98,9 @@
 // absence.
 type disabledRules struct {
 	lease, takeover, departures, gaps bool
+	// restarted is the rule that all entry VMs must have restarted if there is to be
+	// no wait.
+	restarted bool
 }
 
 // NewIssuer returns the Issuer of a newly started entry VM with the given ID.
@@ -148,6 +151,17 @@
 	i.leaseEnd = max(i.leaseEnd, sent+leaseDuration)
 }
 
+// RecordAllRestarted records that all registered entry VMs have held leases of the
+// present leader only since they started, and that each has been in all lists of live
+// entry VMs that this leader has sent. The view and the lease that came with it must
+// have been recorded before. No other entry VM can then be the issuer in another view,
+// so that this one need not wait for TakeoverDelay.
+func (i *Issuer) RecordAllRestarted(now time.Duration) {
+	if now < i.leaseEnd {
+		i.heldSince = min(i.heldSince, now-TakeoverDelay)
+	}
+}
+
 // SetLeaving ends the issuing of permits for good.
 func (i *Issuer) SetLeaving() { i.leaving = true }
 
--- a/internal/permit/proof_test.go
+++ b/internal/permit/proof_test.go
@@ -43,6 +43,7 @@
 		{"an issuer needs a lease", disabledRules{lease: true}},
 		{"a new issuer waits", disabledRules{takeover: true}},
 		{"a gap between leases starts the wait anew", disabledRules{gaps: true}},
+		{"without a wait only if all have restarted", disabledRules{restarted: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			proptest.ExpectFailure(t, "1", func(rt *rapid.T) {
--- a/internal/permit/simulation_test.go
+++ b/internal/permit/simulation_test.go
@@ -46,6 +46,8 @@
 	clockOffset   time.Duration
 	clockPermille time.Duration
 	renewal       *renewal
+	// firstLeader is the leader that granted the first lease of this process.
+	firstLeader *leader
 }
 
 func (v *vm) clock(now time.Duration) time.Duration {
@@ -58,6 +60,8 @@
 	leader  *leader
 	granted bool
 	live    []string
+	// allRestarted is set if the leader says so.
+	allRestarted bool
 	// answered is set when the leader has answered.
 	answered bool
 }
@@ -69,6 +73,10 @@
 	since, quorumAt time.Duration
 	reports         map[string]time.Duration
 	unreachable     map[string]bool
+	// own holds the entry VMs that have said that their first lease was from this
+	// leader; mixed is set if that cannot hold for all, or one was not live.
+	own   map[string]bool
+	mixed bool
 }
 
 func newSimulation(t *rapid.T, disabled disabledRules) *simulation {
@@ -89,12 +97,12 @@
 func (s *simulation) start(v *vm) {
 	v.issuer = NewIssuer(v.id)
 	v.issuer.disabled = s.disabled
-	v.down, v.leaving, v.renewal = false, false, nil
+	v.down, v.leaving, v.renewal, v.firstLeader = false, false, nil, nil
 }
 
 // elect replaces the leader: the old one loses its quorum now.
 func (s *simulation) elect() {
-	s.leaders = append(s.leaders, &leader{since: s.now, quorumAt: s.now, reports: make(map[string]time.Duration), unreachable: make(map[string]bool)})
+	s.leaders = append(s.leaders, &leader{since: s.now, quorumAt: s.now, reports: make(map[string]time.Duration), unreachable: make(map[string]bool), own: make(map[string]bool)})
 }
 
 func (s *simulation) current() *leader { return s.leaders[len(s.leaders)-1] }
@@ -120,6 +128,13 @@
 	}
 	v.renewal = &renewal{sent: v.clock(s.now), leader: l}
 	l.reports[v.id] = s.now
+	switch v.firstLeader {
+	case l:
+		l.own[v.id] = true
+	case nil:
+	default:
+		l.mixed = true
+	}
 	if v.leaving {
 		l.reports[v.id+" leaving"] = s.now
 	} else {
@@ -135,6 +150,8 @@
 	}
 	r.answered = true
 	r.live = s.live(r.leader)
+	r.leader.mixed = r.leader.mixed || len(r.live) < len(s.vms)
+	r.allRestarted = s.disabled.restarted || !r.leader.mixed && len(r.leader.own) == len(s.vms)
 	r.granted = s.now-r.leader.quorumAt <= freshness.MaxQuorumAge
 }
 
@@ -151,6 +168,12 @@
 	now := v.clock(s.now)
 	v.issuer.SetLive(now, r.live)
 	v.issuer.RecordLease(now, r.sent)
+	if v.firstLeader == nil {
+		v.firstLeader = r.leader
+	}
+	if r.allRestarted {
+		v.issuer.RecordAllRestarted(now)
+	}
 }
 
 // step advances the time and carries out one random action.
