--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -1,7 +1,9 @@
 package configsync
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -72,6 +74,8 @@
 	isolatedHash uint64
 	// relayedRenewals counts the successful renewals through relayAddress.
 	relayedRenewals int
+	// firstLeaseTerm is the term of the first lease of this process, 0 before.
+	firstLeaseTerm uint64
 }
 
 // renewalResult is the event of the end of a renewal.
@@ -133,6 +137,7 @@
 		WantsMembers:       l.view == nil && !l.renew.membersKnown,
 		Isolated:           l.syncer.isolated.Load(),
 		IsolatedHash:       l.renew.isolatedHash,
+		FirstLeaseTerm:     l.renew.firstLeaseTerm,
 		QuietMs:            uint32(l.syncer.sinceConfirmationGiven().Milliseconds()),
 	}
 	wait := l.syncer.opts.RenewInterval
@@ -275,6 +280,10 @@
 // handleLeaseGranted calls the listeners and schedules the next renewal: at once if the answer brought
 // a change, so that the leader learns that it has arrived.
 func (l *loop) handleLeaseGranted(ev *renewalResult, changed bool) {
+	if l.renew.firstLeaseTerm == 0 {
+		l.renew.firstLeaseTerm = cmp.Or(ev.resp.Term, unknownTerm)
+	}
+	l.syncer.allRestarted.Store(ev.resp.AllRestarted)
 	for _, f := range l.syncer.leaseListeners {
 		f(l.syncer.startedAt.Add(ev.sentAt))
 	}
@@ -294,6 +303,10 @@
 	}
 }
 
+// unknownTerm stands for the term of a leader of an older build, which does not state
+// it.
+const unknownTerm = math.MaxUint64
+
 func (l *loop) handleRenewalFailure() {
 	r := &l.renew
 	r.failures++
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -94,6 +94,8 @@
 	done                  chan struct{}
 	listeners             []func(v *configview.View)
 	leaseListeners        []func(sent time.Time)
+	// allRestarted is that of the last lease.
+	allRestarted atomic.Bool
 }
 
 // snapshot is the part of the state that other goroutines read.
@@ -185,6 +187,10 @@
 	return silent == nil || !(*silent)[entry]
 }
 
+// AllRestarted reports whether all entry VMs have held leases of the present leader
+// only, and have been live throughout its term, according to the last lease.
+func (s *Syncer) AllRestarted() bool { return s.allRestarted.Load() }
+
 // Isolated reports whether the entry VM has told the leader that it has no way to
 // any upstream, according to the last lease granted to this one.
 func (s *Syncer) Isolated(entry string) bool {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -145,6 +145,9 @@
 	if l.term.isolatedHash != isolated {
 		l.answerDueRenewals()
 	}
+	if l.term.restarts.record(r.request) {
+		l.answerHeldRenewals(func(*renewal) bool { return true })
+	}
 	if r.request.ServesStale {
 		l.advanceAcceptanceSoon()
 	} else {
@@ -340,8 +343,10 @@
 	}
 	lastQuorum := l.lastQuorum(st)
 	lease, ok := t.tracker.GrantLease(l.server.now(), r.received, lastQuorum, entryKey(req.Entry))
+	t.restarts.recordSilent(resp.Silent)
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
+		resp.Term, resp.AllRestarted = t.number, t.restarts.allRestarted(req.Entry.Id)
 		// A leader that has been replaced does not know of later commits.
 		resp.NewestMs = floorMilliseconds(min(t.newestAt, lastQuorum) - r.received)
 	}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -39,6 +39,7 @@
 	// valid while one is not.
 	unacceptedSince time.Duration
 	silent          silentCache
+	restarts        restartTracker
 	// isolated lists the entry VMs that have no way to any upstream, by id in order.
 	// isolatedHash identifies the list; it is 0 if the list is empty.
 	isolated     []string
@@ -71,6 +72,7 @@
 		// Until the entry VMs have reported, nothing is known to be accepted.
 		unacceptedSince: since,
 		reports:         make(map[string]*entryReport),
+		restarts:        newRestartTracker(number, cfg.Entries),
 	}
 	t.indexEntries(cfg.Entries)
 	return t
@@ -86,6 +88,7 @@
 		t.indexEntries(cfg.Entries)
 		t.dropRemovedReports()
 		t.silent = silentCache{}
+		t.restarts.recordEntries(cfg.Entries)
 		t.updateIsolated()
 	}
 	if cfg.StateVersion != t.config.StateVersion {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -192,6 +192,7 @@
 	d.state.setAllotmentBounds(s.Allotment.Bounds())
 	d.state.keyBounds = organisation.NewBounds(s.RevokeWithinMs.Duration())
 	d.state.isolated = d.config.Isolated
+	d.state.allRestarted = d.config.AllRestarted
 	d.gossip = gossip.New(gossip.Options{
 		EntryID:     s.ID,
 		Incarnation: self.Incarnation,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -52,6 +52,9 @@
 	// isolated reports whether control knows that a gateway has no way to any
 	// upstream.
 	isolated func(entry string) bool
+	// allRestarted reports whether control knows that no permits were issued before its
+	// present leader; see permit.Issuer.RecordAllRestarted.
+	allRestarted func() bool
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -87,6 +90,7 @@
 		awaitRefresh:  func(context.Context) bool { return false },
 		maxDenialAge:  denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
 		isolated:      func(string) bool { return false },
+		allRestarted:  func() bool { return false },
 		coldRateShare: coldRateShare,
 		retryLimits:   limits,
 		phase:         rand.Float64(),
@@ -207,6 +211,9 @@
 	defer st.mu.Unlock()
 	st.updateLiveGateways(cfg)
 	st.issuer.RecordLease(st.now(), sent.Sub(st.started))
+	if st.allRestarted() {
+		st.issuer.RecordAllRestarted(st.now())
+	}
 	st.allotments.issuer.DropLost(st.now())
 }
 
