--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -151,8 +151,13 @@
 				o := r.orgs[0]
 				t.Logf("most in a window %d of %.1f, refused of all %.5f, wait p99 %s, p99.9 %s", o.largestUse(ready), testBounds.Most(o.limit), r.refusedShare(ready), r.waitQuantile(0.99), r.waitQuantile(0.999))
 				assert.Equal(t, r.violation(), "")
-				if load == "usual" && f.name != "all restarted" {
-					assert.Assert(t, r.refusedShare(ready) < 0.002)
+				most := 0.002
+				if f.name == "all restarted" {
+					// Nobody issues until all have held a lease.
+					most = 0.04
+				}
+				if load == "usual" {
+					assert.Assert(t, r.refusedShare(ready) < most)
 				}
 			})
 		}
--- a/internal/allotment/holder.go
+++ b/internal/allotment/holder.go
@@ -17,12 +17,15 @@
 	// takes about 1 ms, but an entry VM that has used up its CPU share is paused for
 	// up to 100 ms.
 	HedgeDelay = 4 * time.Millisecond
-	// failedInterval is the time for which a shard that did not answer in time, or
-	// has no issuer, is asked only if no other is left.
-	failedInterval = 500 * time.Millisecond
+	// failedInterval is the time for which a shard that did not answer in time is not
+	// asked, notIssuingInterval that for one which has no issuer. It is shorter, since
+	// that costs no call a time-out, and an issuer may begin before the time that it
+	// has stated.
+	failedInterval     = 500 * time.Millisecond
+	notIssuingInterval = 150 * time.Millisecond
 	// takeoverWait is the time that callers are told to wait while no shard has an
 	// issuer that answers.
-	takeoverWait = time.Second
+	takeoverWait = 500 * time.Millisecond
 	// MaxUnits is the largest number of permits that are asked for at once.
 	MaxUnits = 1000
 	// unusedHolding is the time after which the state of an organisation without
@@ -210,11 +213,12 @@
 
 func (o *holding) record(now time.Duration, a *Ask, answer Answer, answered bool, validity time.Duration) {
 	s := &o.shards[a.Shard]
-	if !answered || !answer.Issuing {
+	if !answered {
 		s.failed, s.failedUntil = true, now+failedInterval
-		if answered && answer.Wait > 0 {
-			s.failedUntil = now + min(failedInterval, answer.Wait)
-		}
+		return
+	}
+	if !answer.Issuing {
+		s.failed, s.failedUntil = true, now+notIssuingInterval
 		return
 	}
 	s.failed = false
--- a/internal/allotment/replay_test.go
+++ b/internal/allotment/replay_test.go
@@ -31,7 +31,7 @@
 	gateways []*gatewayModel
 	orgs     []*orgModel
 	heard    map[string]time.Duration
-	// started is the time since which control runs.
+	// started is the time since which control runs, after a restart of all processes.
 	started time.Duration
 	// disabled is passed to the issuers.
 	disabled disabledRules
@@ -53,6 +53,8 @@
 	// down, frozen and cut are the faults: the process has ended, it is stopped, or
 	// its links are.
 	down, frozen, cut bool
+	// leased is set once the process has held a lease.
+	leased bool
 	// backlog holds the messages that arrive while it is frozen.
 	backlog []func()
 	// waiting holds the calls that wait for permits, by organisation.
@@ -133,7 +135,7 @@
 func (r *replay) restart(g *gatewayModel) {
 	g.start++
 	start := g.start
-	g.down, g.frozen, g.backlog, g.waiting = false, false, nil, make(map[string][]func())
+	g.down, g.frozen, g.leased, g.backlog, g.waiting = false, false, false, nil, make(map[string][]func())
 	g.leases = permit.NewIssuer(g.id)
 	g.issuer = NewIssuer(g.leases, testBounds)
 	g.issuer.rules = r.disabled
@@ -167,6 +169,10 @@
 	}
 	g.leases.SetLive(r.now, live)
 	g.leases.RecordLease(r.now, sent)
+	g.leased = true
+	if r.started > 0 && !slices.ContainsFunc(r.gateways, func(g *gatewayModel) bool { return !g.leased }) {
+		g.leases.RecordAllRestarted(r.now)
+	}
 	g.issuer.DropLost(r.now)
 }
 
--- a/internal/gateway/allotment_test.go
+++ b/internal/gateway/allotment_test.go
@@ -1,20 +1,29 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/allotment"
 	"balsamcourse.example/balsamcourse/internal/configview"
+	"balsamcourse.example/balsamcourse/internal/controlvm"
+	"balsamcourse.example/balsamcourse/internal/event"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/organisation"
+	"balsamcourse.example/balsamcourse/internal/permit"
 	"balsamcourse.example/balsamcourse/internal/settings"
+	"balsamcourse.example/balsamcourse/internal/testbed"
 )
 
 // newAllottedGroup returns n gateways whose callers belong to an organisation with the
@@ -93,3 +102,66 @@
 		assert.Assert(t, results.statuses[http.StatusServiceUnavailable] > 0)
 	})
 }
+
+// After a restart of all processes, permits are issued soon: no gateway can have issued
+// any before, so that the issuers need not wait until its leases have ended.
+func TestAllotmentIsServedSoonAfterAllRestarted(t *testing.T) {
+	s := startFakeUpstream(t, "u1", nil)
+	respondOK(s)
+	free, err := testbed.FreeAddresses(5)
+	assert.NilError(t, err)
+	cs := settings.DefaultControl()
+	cs.Zone, cs.DataDir, cs.AuthDisabled, cs.TrustNetwork = "a", t.TempDir(), true, true
+	cs.ClusterListen, cs.OperatorListen, cs.ClusterAddress = free[0], free[1], free[0]
+	cs.Seeds, cs.FirstStart = []string{free[0]}, true
+	// start starts all processes and returns the operator service and a function that
+	// kills them.
+	start := func() (adminpb.Admin, []*systemGateway, func()) {
+		services := make(chan adminpb.Admin, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- controlvm.Run(ctx, nil, cs, controlvm.Options{Logs: io.Discard, Listeners: func(a adminpb.Admin, _ event.Logger) []httpnet.Endpoint {
+				services <- a
+				return nil
+			}})
+		}()
+		var gateways []*systemGateway
+		for i, address := range free[2:] {
+			gateways = append(gateways, startSystemGatewayWith(t, fmt.Sprint("g", i), free[0], Options{Logs: io.Discard}, func(s *settings.Gateway) {
+				s.ClusterListen, s.ClusterAddress = address, address
+			}))
+		}
+		return <-services, gateways, func() {
+			for _, g := range gateways {
+				g.kill()
+			}
+			cancel()
+			assert.NilError(t, <-ended)
+		}
+	}
+	admin, gateways, kill := start()
+	state := newKeyedState(1, newOrganisation("a", "key-1"))
+	state.Organisations[0].RatePerS = 100
+	waitUntil(t, "control did not accept the state", func() bool {
+		_, err := admin.ApplyState(t.Context(), &adminpb.ApplyStateRequest{State: proto.CloneOf(state)})
+		return err == nil
+	})
+	upstream := newConfig(s).Upstreams[0]
+	upstream.Sequence = 1
+	_, err = admin.AnnounceUpstream(t.Context(), &adminpb.AnnounceUpstreamRequest{Upstream: upstream})
+	assert.NilError(t, err)
+	serve := func(g *systemGateway) time.Duration {
+		start := time.Now()
+		waitUntil(t, "a call is not served", func() bool { return g.getWithKeys(t, "/safe/x", "key-1") == http.StatusOK })
+		return time.Since(start)
+	}
+	serve(gateways[0])
+	kill()
+	_, gateways, kill = start()
+	defer kill()
+	waitUntil(t, "no desired state", gateways[0].Ready)
+	took := serve(gateways[0])
+	t.Logf("served %s after the first configuration", took)
+	assert.Assert(t, took < permit.TakeoverDelay/2)
+}
--- a/internal/gateway/system_test.go
+++ b/internal/gateway/system_test.go
@@ -81,15 +81,15 @@
 func startSystemGatewayWith(t *testing.T, id, control string, o Options, edits ...func(*settings.Gateway)) *systemGateway {
 	t.Helper()
 	s := settings.DefaultGateway()
-	for _, edit := range edits {
-		edit(&s)
-	}
 	s.ID, s.Zone, s.Region = id, "a", "r"
 	free, err := testbed.FreeAddresses(2)
 	assert.NilError(t, err)
 	s.CallerListen, s.ClusterListen = free[0], free[1]
 	s.CallerAddress, s.ClusterAddress = s.CallerListen, s.ClusterListen
 	s.Control, s.TrustNetwork = []string{control}, true
+	for _, edit := range edits {
+		edit(&s)
+	}
 	d, err := newDaemon(s, o)
 	assert.NilError(t, err)
 	assert.NilError(t, d.listen())
