--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -41,17 +41,24 @@
 	unusedBucketTimeout = time.Minute
 )
 
-// leaseDuration is the time for which a lease allows an entry VM to issue
+// leaseFor returns the time for which a lease allows an entry VM to issue
 // permits, counted from the time at which it sent the request for the lease.
-// When it ends, control still counts the entry VM as live.
-var leaseDuration = freshness.SubtractDrift(freshness.LiveTimeout)
+// When it ends, control still counts the entry VM as live, or has for less than
+// extra not.
+func leaseFor(extra time.Duration) time.Duration {
+	return freshness.SubtractDrift(freshness.LiveTimeout + extra)
+}
 
 // TakeoverDelay is the time for which an entry VM must have been the winner for
 // an upstream, under an unbroken series of leases, before it issues permits. It
 // is the longest time for which another entry VM can hold a lease that was
 // granted before control saw the change, also by a leader that has lost its
 // quorum.
-var TakeoverDelay = freshness.AddDrift(freshness.MaxQuorumAge + freshness.LiveTimeout)
+var TakeoverDelay = takeoverAfter(0)
+
+func takeoverAfter(extra time.Duration) time.Duration {
+	return freshness.AddDrift(freshness.MaxQuorumAge + freshness.LiveTimeout + extra)
+}
 
 // Purpose is the reason why an upstream takes only so many requests per second.
 type Purpose int
@@ -74,6 +81,8 @@
 // those of its own. It is not safe for concurrent use.
 type Issuer struct {
 	self string
+	// leaseDuration and takeoverDelay are those of this Issuer.
+	leaseDuration, takeoverDelay time.Duration
 	// live holds the IDs of the entry VMs that were live in the newest view, in
 	// order.
 	live []string
@@ -104,8 +113,13 @@
 }
 
 // NewIssuer returns the Issuer of a newly started entry VM with the given ID.
-func NewIssuer(self string) *Issuer {
-	return &Issuer{self: self, lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket), trials: make(map[string]heldTrial), winners: make(map[string]string)}
+func NewIssuer(self string) *Issuer { return NewPatientIssuer(self, 0) }
+
+// NewPatientIssuer returns an Issuer that goes on issuing for extra after its lease
+// has ended, and waits for as much longer before it takes over. All entry VMs must use
+// the same extra for the same permits.
+func NewPatientIssuer(self string, extra time.Duration) *Issuer {
+	return &Issuer{self: self, leaseDuration: leaseFor(extra), takeoverDelay: takeoverAfter(extra), lastLive: make(map[string]time.Duration), buckets: make(map[Key]*bucket), trials: make(map[string]heldTrial), winners: make(map[string]string)}
 }
 
 // SetLive records the IDs of the entry VMs that are registered, not leaving, and
@@ -148,17 +162,17 @@
 		clear(i.buckets)
 		clear(i.trials)
 	}
-	i.leaseEnd = max(i.leaseEnd, sent+leaseDuration)
+	i.leaseEnd = max(i.leaseEnd, sent+i.leaseDuration)
 }
 
 // RecordAllRestarted records that all registered entry VMs have held leases of the
 // present leader only since they started, and that each has been in all lists of live
 // entry VMs that this leader has sent. The view and the lease that came with it must
 // have been recorded before. No other entry VM can then be the issuer in another view,
-// so that this one need not wait for TakeoverDelay.
+// so that this one need not wait.
 func (i *Issuer) RecordAllRestarted(now time.Duration) {
 	if now < i.leaseEnd {
-		i.heldSince = min(i.heldSince, now-TakeoverDelay)
+		i.heldSince = min(i.heldSince, now-i.takeoverDelay)
 	}
 }
 
@@ -204,14 +218,14 @@
 	if i.disabled.takeover {
 		return 0, true
 	}
-	start := i.heldSince + TakeoverDelay
+	start := i.heldSince + i.takeoverDelay
 	for id, at := range i.lastLive {
-		if at+TakeoverDelay <= now {
+		if at+i.takeoverDelay <= now {
 			delete(i.lastLive, id)
 			continue
 		}
 		if !i.disabled.departures && winner([]string{i.self, id}, upstream) == id {
-			start = max(start, at+TakeoverDelay)
+			start = max(start, at+i.takeoverDelay)
 		}
 	}
 	if now < start {
@@ -223,7 +237,7 @@
 // UnchangedSince returns a time since which Issues has had the same answer for
 // every upstream, as long as the lease has not ended. It may be in the future.
 func (i *Issuer) UnchangedSince() time.Duration {
-	return max(i.heldSince, i.changedAt) + TakeoverDelay
+	return max(i.heldSince, i.changedAt) + i.takeoverDelay
 }
 
 // Decision is the answer to a request for a permit.
--- a/internal/permit/proof_test.go
+++ b/internal/permit/proof_test.go
@@ -81,7 +81,7 @@
 		renewBoth(last)
 		other.RecordLease(last+2*time.Second, last+2*time.Second)
 		// The issuer renews its lease with the new leader.
-		issuer.RecordLease(last+leaseDuration-1, last+leaseDuration-1)
+		issuer.RecordLease(last+leaseFor(0)-1, last+leaseFor(0)-1)
 		// The old leader still grants leases.
 		now := last + freshness.LiveTimeout + 1
 		other.SetLive(now, []string{second})
--- a/internal/permit/simulation_test.go
+++ b/internal/permit/simulation_test.go
@@ -17,7 +17,9 @@
 	now       time.Duration
 	perSecond float64
 	disabled  disabledRules
-	vms       []*vm
+	// extra is that of the Issuers.
+	extra time.Duration
+	vms   []*vm
 	// leaders holds the leader and those that have lost their quorum since.
 	leaders []*leader
 	// grants holds the times of the units that were issued.
@@ -80,7 +82,7 @@
 }
 
 func newSimulation(t *rapid.T, disabled disabledRules) *simulation {
-	s := &simulation{perSecond: rapid.SampledFrom([]float64{0.5, 1.4, 8, 40}).Draw(t, "perSecond"), disabled: disabled}
+	s := &simulation{perSecond: rapid.SampledFrom([]float64{0.5, 1.4, 8, 40}).Draw(t, "perSecond"), disabled: disabled, extra: rapid.SampledFrom([]time.Duration{0, 5 * time.Second}).Draw(t, "extra")}
 	for i := range rapid.IntRange(2, 4).Draw(t, "vms") {
 		v := &vm{
 			id:            fmt.Sprint("g", i),
@@ -95,7 +97,7 @@
 }
 
 func (s *simulation) start(v *vm) {
-	v.issuer = NewIssuer(v.id)
+	v.issuer = NewPatientIssuer(v.id, s.extra)
 	v.issuer.disabled = s.disabled
 	v.down, v.leaving, v.renewal, v.firstLeader = false, false, nil, nil
 }
--- a/internal/permit/trial_test.go
+++ b/internal/permit/trial_test.go
@@ -39,7 +39,7 @@
 		return i
 	}
 	lapsed := newIssuer()
-	assert.Assert(t, !lapsed.BeginTrial(leaseDuration, key, Holder{"g2", 1}).Granted)
+	assert.Assert(t, !lapsed.BeginTrial(leaseFor(0), key, Holder{"g2", 1}).Granted)
 	leaving := newIssuer()
 	leaving.SetLeaving()
 	assert.Assert(t, !leaving.BeginTrial(0, key, Holder{"g2", 1}).Granted)
