--- a/internal/permit/simulation_test.go
+++ b/internal/permit/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	vms   []*vm
 	// leaders holds the leader and those that have lost their quorum since.
 	leaders []*leader
+	// config is the newest committed configuration.
+	config *registrations
 	// grants holds the times of the units that were issued.
 	grants []time.Duration
 	// issuing is the total time in which some entry VM issued permits.
@@ -50,6 +53,14 @@
 	renewal       *renewal
 	// firstLeader is the leader that granted the first lease of this process.
 	firstLeader *leader
+	// start is the number of its start, revision that of the configuration that it has.
+	start, revision int
+}
+
+// registrations is a configuration: the starts of the registered entry VMs by ID.
+type registrations struct {
+	revision int
+	starts   map[string]int
 }
 
 func (v *vm) clock(now time.Duration) time.Duration {
@@ -62,6 +73,8 @@
 	leader  *leader
 	granted bool
 	live    []string
+	// config is the configuration of the leader.
+	config *registrations
 	// allRestarted is set if the leader says so.
 	allRestarted bool
 	// answered is set when the leader has answered.
@@ -76,9 +89,11 @@
 	reports         map[string]time.Duration
 	unreachable     map[string]bool
 	// own holds the entry VMs that have said that their first lease was from this
-	// leader; mixed is set if that cannot hold for all, or one was not live.
-	own   map[string]bool
-	mixed bool
+	// leader and that they have its configuration; mixed is set if that cannot hold for
+	// all, or one was not live.
+	own    map[string]bool
+	mixed  bool
+	config *registrations
 }
 
 func newSimulation(t *rapid.T, disabled disabledRules) *simulation {
@@ -92,6 +107,7 @@
 		s.vms = append(s.vms, v)
 		s.start(v)
 	}
+	s.config = &registrations{starts: make(map[string]int)}
 	s.elect()
 	return s
 }
@@ -99,12 +115,22 @@
 func (s *simulation) start(v *vm) {
 	v.issuer = NewPatientIssuer(v.id, s.extra)
 	v.issuer.disabled = s.disabled
-	v.down, v.leaving, v.renewal, v.firstLeader = false, false, nil, nil
+	v.down, v.leaving, v.renewal, v.firstLeader, v.revision = false, false, nil, nil, 0
+	v.start++
 }
 
 // elect replaces the leader: the old one loses its quorum now.
 func (s *simulation) elect() {
-	s.leaders = append(s.leaders, &leader{since: s.now, quorumAt: s.now, reports: make(map[string]time.Duration), unreachable: make(map[string]bool), own: make(map[string]bool)})
+	s.leaders = append(s.leaders, &leader{since: s.now, quorumAt: s.now, reports: make(map[string]time.Duration), unreachable: make(map[string]bool), own: make(map[string]bool), config: s.config})
+}
+
+// register registers the present start of the entry VM at the leader.
+func (s *simulation) register(v *vm) {
+	next := &registrations{revision: s.config.revision + 1, starts: maps.Clone(s.config.starts)}
+	next.starts[v.id] = v.start
+	l := s.current()
+	s.config, l.config = next, next
+	clear(l.own)
 }
 
 func (s *simulation) current() *leader { return s.leaders[len(s.leaders)-1] }
@@ -113,6 +139,9 @@
 func (s *simulation) live(l *leader) []string {
 	var ids []string
 	for _, v := range s.vms {
+		if l.config.starts[v.id] == 0 {
+			continue
+		}
 		if _, announced := l.reports[v.id+" leaving"]; announced {
 			continue
 		}
@@ -130,9 +159,14 @@
 	}
 	v.renewal = &renewal{sent: v.clock(s.now), leader: l}
 	l.reports[v.id] = s.now
+	if l.config.starts[v.id] != v.start && l == s.current() {
+		s.register(v)
+	}
 	switch v.firstLeader {
 	case l:
-		l.own[v.id] = true
+		if v.revision == l.config.revision {
+			l.own[v.id] = true
+		}
 	case nil:
 	default:
 		l.mixed = true
@@ -152,9 +186,11 @@
 	}
 	r.answered = true
 	r.live = s.live(r.leader)
-	r.leader.mixed = r.leader.mixed || len(r.live) < len(s.vms)
-	r.allRestarted = s.disabled.restarted || !r.leader.mixed && len(r.leader.own) == len(s.vms)
-	r.granted = s.now-r.leader.quorumAt <= freshness.MaxQuorumAge
+	r.config = r.leader.config
+	registered := len(r.config.starts)
+	r.leader.mixed = r.leader.mixed || len(r.live) < registered
+	r.allRestarted = s.disabled.restarted || !r.leader.mixed && len(r.leader.own) == registered
+	r.granted = r.config.starts[v.id] == v.start && s.now-r.leader.quorumAt <= freshness.MaxQuorumAge
 }
 
 // deliverAnswer delivers the answer of the leader to the entry VM.
@@ -164,9 +200,10 @@
 		return
 	}
 	v.renewal = nil
-	if !r.granted {
+	if !r.granted || r.config.revision < v.revision {
 		return
 	}
+	v.revision = r.config.revision
 	now := v.clock(s.now)
 	v.issuer.SetLive(now, r.live)
 	v.issuer.RecordLease(now, r.sent)
