control: entry VMs that registered during the term may count as restarted

The leader waits until all have acknowledged the newest registrations, so that gateways issue permits soon after the first start and after a restart of one.

--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -346,7 +346,7 @@
 	t.restarts.recordSilent(resp.Silent)
 	if ok {
 		resp.LeaseMs = uint32(lease.Milliseconds())
-		resp.Term, resp.AllRestarted = t.number, t.restarts.allRestarted(req.Entry.Id)
+		resp.Term, resp.AllRestarted = t.number, t.restarts.allRestarted()
 		// A leader that has been replaced does not know of later commits.
 		resp.NewestMs = floorMilliseconds(min(t.newestAt, lastQuorum) - r.received)
 	}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -72,7 +72,7 @@
 		// Until the entry VMs have reported, nothing is known to be accepted.
 		unacceptedSince: since,
 		reports:         make(map[string]*entryReport),
-		restarts:        newRestartTracker(number, cfg.Entries),
+		restarts:        newRestartTracker(number, cfg),
 	}
 	t.indexEntries(cfg.Entries)
 	return t
@@ -88,7 +88,7 @@
 		t.indexEntries(cfg.Entries)
 		t.dropRemovedReports()
 		t.silent = silentCache{}
-		t.restarts.recordEntries(cfg.Entries)
+		t.restarts.recordEntries(cfg)
 		t.updateIsolated()
 	}
 	if cfg.StateVersion != t.config.StateVersion {
