--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -31,6 +31,14 @@
 // times the usual load, two of three still cover it.
 const Shards = 3
 
+// Patience is the time for which the issuers of all shards but the first go on issuing
+// after their leases have ended, and wait longer before they take over. Two shards then
+// outlast a loss of control for some seconds, and the first has a new issuer sooner.
+const Patience = 5 * time.Second
+
+// Patient reports whether the issuer of a shard goes on for Patience.
+func Patient(shard int) bool { return shard > 0 }
+
 // The bound leaves room above the allotment: overage, a fraction of it, and slack, a
 // number of requests. It is divided as follows. The rest covers the time between the
 // check of a permit and the arrival of the request at the upstream.
--- a/internal/allotment/holder.go
+++ b/internal/allotment/holder.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// Flush returns a request that hands back permits which are not needed, nil if there
-// are none. Others may have room for a request with them.
+// Flush returns a request that hands back permits of one shard which are not needed, nil
+// if there are none. Others may have room for a request with them.
 func (h *Holder) Flush(now time.Duration, organisation string) *Ask {
 	o := h.holdings[organisation]
 	if o == nil {
--- a/internal/allotment/issuer.go
+++ b/internal/allotment/issuer.go
@@ -26,7 +26,10 @@
 // Issuer issues the permits of the shards for which this entry VM is the issuer. It is
 // not safe for concurrent use.
 type Issuer struct {
-	leases  *permit.Issuer
+	// prompt and patient decide for the shards without and with Patience whether this
+	// entry VM is the issuer.
+	prompt  *permit.Issuer
+	patient *permit.Issuer
 	bounds  Bounds
 	buckets map[bucketKey]*bucket
 	rules   disabledRules
@@ -45,9 +48,46 @@
 	shard        int
 }
 
-// NewIssuer returns an Issuer that issues permits where leases allows it.
-func NewIssuer(leases *permit.Issuer, b Bounds) *Issuer {
-	return &Issuer{leases: leases, bounds: b, buckets: make(map[bucketKey]*bucket)}
+// NewIssuer returns an Issuer of the entry VM with the given ID that issues permits of
+// the first shard where prompt allows it. It must be told of everything that prompt is
+// told of, after it.
+func NewIssuer(self string, prompt *permit.Issuer, b Bounds) *Issuer {
+	return &Issuer{prompt: prompt, patient: permit.NewPatientIssuer(self, Patience), bounds: b, buckets: make(map[bucketKey]*bucket)}
+}
+
+// SetLive, RecordLease, RecordAllRestarted and SetLeaving record what those of
+// permit.Issuer do. A shard that this entry VM ceases to issue permits for is dropped:
+// otherwise it would go on from the state before when it is regained.
+
+// SetLive records the IDs of the live entry VMs.
+func (i *Issuer) SetLive(now time.Duration, ids []string) {
+	i.patient.SetLive(now, ids)
+	i.DropLost(now)
+}
+
+// RecordLease records a lease that was requested at the time sent.
+func (i *Issuer) RecordLease(now, sent time.Duration) {
+	i.patient.RecordLease(now, sent)
+	i.DropLost(now)
+}
+
+// RecordAllRestarted records that no other issuer of an earlier time can exist.
+func (i *Issuer) RecordAllRestarted(now time.Duration) { i.patient.RecordAllRestarted(now) }
+
+// SetLeaving ends the issuing of permits for good.
+func (i *Issuer) SetLeaving() { i.patient.SetLeaving() }
+
+// leases returns who decides for the shard.
+func (i *Issuer) leases(shard int) *permit.Issuer {
+	if Patient(shard) {
+		return i.patient
+	}
+	return i.prompt
+}
+
+// issues reports whether this entry VM issues the permits of the shard.
+func (i *Issuer) issues(now time.Duration, k bucketKey) (wait time.Duration, ok bool) {
+	return i.leases(k.shard).Issues(now, Key(k.organisation, k.shard))
 }
 
 // Answer is the answer to a request for permits.
@@ -62,7 +102,7 @@
 
 // Take takes back permits that were not used, and issues up to units new ones.
 func (i *Issuer) Take(now time.Duration, organisation string, shard int, l Limit, units, returned int) Answer {
-	if wait, ok := i.leases.Issues(now, Key(organisation, shard)); !ok {
+	if wait, ok := i.issues(now, bucketKey{organisation, shard}); !ok {
 		delete(i.buckets, bucketKey{organisation, shard})
 		return Answer{Wait: wait}
 	}
@@ -77,7 +117,7 @@
 		b = &bucket{part: part, refilled: now, tokens: part.capacity, heldFor: i.bounds.heldFor(), rules: i.rules}
 		// The issuer before may have issued a window's permits just before this one
 		// began.
-		if window := freshness.AddDrift(i.bounds.Window); now < i.leases.UnchangedSince()+window {
+		if window := freshness.AddDrift(i.bounds.Window); now < i.leases(key.shard).UnchangedSince()+window {
 			b.startedAt, b.startEnd = now, now+window
 		}
 		i.buckets[key] = b
@@ -89,11 +129,10 @@
 }
 
 // DropLost drops the state of shards that this entry VM has ceased to issue permits
-// for. It must be called after each lease and each change of the live entry VMs.
-// Otherwise a shard that this entry VM regains would go on from the state before.
+// for, or for which nobody has asked for long.
 func (i *Issuer) DropLost(now time.Duration) {
 	maps.DeleteFunc(i.buckets, func(k bucketKey, b *bucket) bool {
-		_, ok := i.leases.Issues(now, Key(k.organisation, k.shard))
+		_, ok := i.issues(now, k)
 		return !ok || now > b.askedAt+unusedTimeout
 	})
 }
--- a/internal/gateway/allotment.go
+++ b/internal/gateway/allotment.go
@@ -57,7 +57,7 @@
 // before the first configuration is applied.
 func (st *state) setAllotmentBounds(b allotment.Bounds) {
 	a := &allotments{
-		issuer:  allotment.NewIssuer(st.issuer, b),
+		issuer:  allotment.NewIssuer(st.gatewayID, st.issuer, b),
 		holder:  allotment.NewHolder(b, rand.Float64()),
 		changed: make(map[string]chan struct{}),
 		counts:  make(map[string]*allotmentCounts),
@@ -299,10 +299,15 @@
 func (f *Forwarder) returnUnneededLater(organisation string) {
 	time.AfterFunc(returnDelay, func() {
 		a := f.state.allotments
-		a.mu.Lock()
-		ask := a.holder.Flush(f.opts.BootTime(), organisation)
-		a.mu.Unlock()
-		f.askAllotment(ask)
+		for {
+			a.mu.Lock()
+			ask := a.holder.Flush(f.opts.BootTime(), organisation)
+			a.mu.Unlock()
+			if ask == nil {
+				return
+			}
+			f.askAllotment(ask)
+		}
 	})
 }
 
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -220,6 +220,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.issuer.SetLeaving()
+	st.allotments.issuer.SetLeaving()
 }
 
 // upstreamRate returns what this gateway knows of the rate limit.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -197,7 +197,7 @@
 		}
 	}
 	st.issuer.SetLive(st.now(), live)
-	st.allotments.issuer.DropLost(st.now())
+	st.allotments.issuer.SetLive(st.now(), live)
 }
 
 // recordLease records a lease from control that was requested at the time sent,
@@ -211,10 +211,11 @@
 	defer st.mu.Unlock()
 	st.updateLiveGateways(cfg)
 	st.issuer.RecordLease(st.now(), sent.Sub(st.started))
+	st.allotments.issuer.RecordLease(st.now(), sent.Sub(st.started))
 	if st.allRestarted() {
 		st.issuer.RecordAllRestarted(st.now())
+		st.allotments.issuer.RecordAllRestarted(st.now())
 	}
-	st.allotments.issuer.DropLost(st.now())
 }
 
 // healthPath returns the path of the health request to upstreams of the pool.
