--- a/internal/allotment/issuer.go
+++ b/internal/allotment/issuer.go
@@ -14,10 +14,9 @@
 	maxTurnWait = time.Second
 	// minWait is the shortest time after which a refused entry VM asks again.
 	minWait = 10 * time.Millisecond
-	// unusedTimeout is the time after which the state of a shard for which nobody has
-	// asked is dropped. It is longer than any window, so that a bucket that is made
-	// anew would be full.
-	unusedTimeout = time.Minute
+	// unusedWindows is the number of windows after which the state of a shard for which
+	// nobody has asked is dropped. After one, nothing that was issued counts any more.
+	unusedWindows = 1000
 	// heldSlots is the number of periods into which the time is divided for which a
 	// permit counts as held.
 	heldSlots = 10
@@ -133,7 +132,7 @@
 func (i *Issuer) DropLost(now time.Duration) {
 	maps.DeleteFunc(i.buckets, func(k bucketKey, b *bucket) bool {
 		_, ok := i.issues(now, k)
-		return !ok || now > b.askedAt+unusedTimeout
+		return !ok || now > b.askedAt+unusedWindows*i.bounds.Window
 	})
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -87,7 +87,7 @@
 }
 
 func (a Allotment) check(c *checker) {
-	c.between("allotment.window_ms", int64(a.WindowMs), 500, 30_000)
+	c.between("allotment.window_ms", int64(a.WindowMs), 500, 600_000)
 	if !(a.Overage >= 0 && a.Overage <= 1) {
 		c.addf("allotment.overage", "%v must lie between 0 and 1", a.Overage)
 	}
