--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,6 +59,10 @@
 	credential     organisation.Credential
 	credentialRead bool
 	organisation   *catalogpb.Organisation
+	// permit is that of the allotment of the organisation, nil if the call has none.
+	// allotmentExpected is the organisation for which one was asked ahead of need, or "".
+	permit            *callPermit
+	allotmentExpected string
 
 	pool string
 	// group is that of the upstreams of the version of which the call gets one; see
@@ -236,6 +240,10 @@
 	defer c.releaseRetry()
 	defer func() { c.endTrial(nil) }()
 	defer c.endDraw()
+	defer c.returnAllotment()
+	if err := c.expectAllotment(); err != nil {
+		return err
+	}
 	var failed attemptFailure
 	for {
 		c.awaitRefresh()
@@ -287,7 +295,9 @@
 			return c.finalError(failed.err)
 		}
 		var done bool
-		if done, failed = c.attempt(res); done {
+		done, failed = c.attempt(res)
+		c.endAttempt(done || failed.mayHaveRun)
+		if done {
 			return nil
 		}
 		if !c.allowRetry(failed) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -45,6 +45,7 @@
 	// that the desired state does not allow a call.
 	sinceNewest  func() time.Duration
 	maxDenialAge time.Duration
+	allotments   *allotments
 	// keyBounds limits the age of the configuration for requests with an API key.
 	keyBounds organisation.Bounds
 	// awaitRefresh waits after a pause of the process until control has been asked for
@@ -53,6 +54,9 @@
 	// isolated reports whether control knows that a gateway has no way to any
 	// upstream.
 	isolated func(entry string) bool
+	// allRestarted reports whether control knows that no permits were issued before its
+	// present leader; see permit.Issuer.RecordAllRestarted.
+	allRestarted func() bool
 	// coldRateShare is the fraction of a pool's request rate for cold upstreams
 	// that the permits for one of them use.
 	coldRateShare float64
@@ -93,6 +97,7 @@
 		awaitRefresh:  func(context.Context) bool { return false },
 		maxDenialAge:  denialAge(settings.DefaultGateway().ApplyWithinMs.Duration()),
 		isolated:      func(string) bool { return false },
+		allRestarted:  func() bool { return false },
 		coldRateShare: coldRateShare,
 		retryLimits:   limits,
 		phase:         rand.Float64(),
@@ -104,6 +109,7 @@
 		issuer:        permit.NewIssuer(gatewayID),
 		versions:      newVersions(settings.Rollout{}, rand.Float64),
 	}
+	st.setAllotmentBounds(settings.DefaultGateway().Allotment.Bounds())
 	st.pools.Store(&map[string]*catalogpb.Pool{})
 	st.reachTargets.Store(&reachTargets{})
 	return st
@@ -136,6 +142,7 @@
 	st.mu.Unlock()
 	st.config.Store(cfg)
 	if t := st.routes.Load(); cfg.StateVersion > 0 && (t == nil || t.Version() != cfg.StateVersion) {
+		st.allotments.update(cfg)
 		st.routes.Store(route.NewTable(cfg, st.phase))
 		if t == nil {
 			close(st.firstState)
@@ -203,6 +210,7 @@
 		}
 	}
 	st.issuer.SetLive(st.now(), live)
+	st.allotments.issuer.SetLive(st.now(), live)
 }
 
 // recordLease records a lease from control that was requested at the time sent,
@@ -216,6 +224,11 @@
 	defer st.mu.Unlock()
 	st.updateLiveGateways(cfg)
 	st.issuer.RecordLease(st.now(), sent.Sub(st.started))
+	st.allotments.issuer.RecordLease(st.now(), sent.Sub(st.started))
+	if st.allRestarted() {
+		st.issuer.RecordAllRestarted(st.now())
+		st.allotments.issuer.RecordAllRestarted(st.now())
+	}
 }
 
 // healthPath returns the path of the health request to upstreams of the pool.
--- a/internal/permit/proof_test.go
+++ b/internal/permit/proof_test.go
@@ -43,6 +43,7 @@
 		{"an issuer needs a lease", disabledRules{lease: true}},
 		{"a new issuer waits", disabledRules{takeover: true}},
 		{"a gap between leases starts the wait anew", disabledRules{gaps: true}},
+		{"without a wait only if all have restarted", disabledRules{restarted: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			proptest.ExpectFailure(t, "1", func(rt *rapid.T) {
@@ -80,7 +81,7 @@
 		renewBoth(last)
 		other.RecordLease(last+2*time.Second, last+2*time.Second)
 		// The issuer renews its lease with the new leader.
-		issuer.RecordLease(last+leaseDuration-1, last+leaseDuration-1)
+		issuer.RecordLease(last+leaseFor(0)-1, last+leaseFor(0)-1)
 		// The old leader still grants leases.
 		now := last + freshness.LiveTimeout + 1
 		other.SetLive(now, []string{second})
