--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -83,8 +83,9 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
-		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed,
-		ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, OrderOutdated, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted, ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, VersionsChanged, TargetWithdrawn, EvidenceUnsent, CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed, ClientsDropped, AllotmentFailed, AllotmentUsed, AllotmentIssued,
+		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed, ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, OrderOutdated, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted,
+		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, AllotmentFailed, AllotmentUsed, AllotmentIssued, VersionsChanged, TargetWithdrawn, EvidenceUnsent,
+		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed, ClientsDropped,
 		WrongKey, KeysReloaded, KeysInvalid,
 	}
 }
--- a/internal/gateway/allotment_test.go
+++ b/internal/gateway/allotment_test.go
@@ -153,7 +153,7 @@
 	assert.NilError(t, err)
 	serve := func(g *systemGateway) time.Duration {
 		start := time.Now()
-		waitUntil(t, "a call is not served", func() bool { return g.getWithKeys(t, "/safe/x", "key-1") == http.StatusOK })
+		waitUntil(t, "a call is not served", func() bool { return g.getWithKey(t, "/safe/x", "key-1") == http.StatusOK })
 		return time.Since(start)
 	}
 	serve(gateways[0])
