Allotments count what is issued in a window

The issuer counts the permits of the last window and refills its bucket at the rate plus the burst divided by the window.

The rule that permits held by gateways count is replaced by the count of the window, which covers the time in which a permit can be used; its test switches that off instead, and a window is over the bound then.

--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -111,6 +111,11 @@
 // shard is the part of one shard of an allotment.
 type shard struct {
 	perSecond float64
+	// refillPerSecond is the rate at which a bucket is refilled. It is above perSecond, so
+	// that an organisation that always asks for more gets its burst in each window anew.
+	refillPerSecond float64
+	// windowMax is the largest number of permits that are issued in a window.
+	windowMax float64
 	// capacity is the largest number of permits that may be left or held.
 	capacity float64
 	// startCredit is the number of permits that an issuer may issue at its start.
@@ -120,11 +125,15 @@
 func (b Bounds) shard(l Limit) shard {
 	l = l.normal(b)
 	perSecond := l.PerSecond / Shards
+	window := b.Window.Seconds()
+	// Below 1, a shard would never issue a permit.
+	capacity := max(1, (l.Burst+burstSlackShare*b.Slack)/Shards+heldShare*b.Overage*perSecond*window)
 	return shard{
-		perSecond: perSecond,
-		// Below 1, a shard would never issue a permit.
-		capacity:    max(1, (l.Burst+burstSlackShare*b.Slack)/Shards+heldShare*b.Overage*perSecond*b.Window.Seconds()),
-		startCredit: startSlackShare * b.Slack / Shards,
+		perSecond:       perSecond,
+		refillPerSecond: perSecond + l.Burst/Shards/window,
+		windowMax:       capacity + perSecond*window,
+		capacity:        capacity,
+		startCredit:     startSlackShare * b.Slack / Shards,
 	}
 }
 
--- a/internal/allotment/issuer.go
+++ b/internal/allotment/issuer.go
@@ -37,9 +37,9 @@
 // disabledRules disables individual rules, to show that the tests detect their
 // absence.
 type disabledRules struct {
-	// start is the rule that a new issuer does not issue the burst, held the rule that
-	// permits that are held count.
-	start, held bool
+	// start is the rule that a new issuer does not issue the burst, window the rule that
+	// limits what is issued in a window.
+	start, window bool
 }
 
 type bucketKey struct {
@@ -114,6 +114,8 @@
 	b := i.buckets[key]
 	if b == nil {
 		b = &bucket{part: part, refilled: now, tokens: part.capacity, heldFor: i.bounds.heldFor(), rules: i.rules}
+		// A permit may be used until heldFor after it was issued.
+		b.window = newWindowCount(freshness.AddDrift(i.bounds.Window) + b.heldFor)
 		// The issuer before may have issued a window's permits just before this one
 		// began.
 		if window := freshness.AddDrift(i.bounds.Window); now < i.leases(key.shard).UnchangedSince()+window {
@@ -123,6 +125,11 @@
 	}
 	b.askedAt = now
 	b.refill(now)
+	if part.windowMax < b.part.windowMax {
+		// A lower limit is binding one window later. Permits that were issued under the
+		// limit before must not use up what is issued until then.
+		b.window.scale(part.windowMax / b.part.windowMax)
+	}
 	b.part = part
 	return b
 }
@@ -171,6 +178,9 @@
 	held       [heldSlots + 1]int
 	heldPeriod int64
 	heldFor    time.Duration
+	// window counts the permits issued in the last window, until the last of them can no
+	// longer be used.
+	window *windowCount
 	// startedAt is the start of the issuer, startEnd the time until which it issues no
 	// more than the rate since then, and started the number issued. They are 0 if it
 	// is known what was issued in the window before.
@@ -182,50 +192,42 @@
 	rules  disabledRules
 }
 
-// heldSum returns the number of permits that entry VMs may hold unused.
-func (b *bucket) heldSum() int {
-	if b.rules.held {
-		return 0
-	}
-	sum := 0
-	for _, n := range b.held {
-		sum += n
-	}
-	return sum
-}
-
-// refill adds the tokens since the last call. Permits that are left or held unused are
-// at most the capacity, so that in any window no more are used than the capacity and
-// the rate allow.
+// refill adds the tokens since the last call.
 func (b *bucket) refill(now time.Duration) {
 	period := int64(now / (b.heldFor / heldSlots))
 	for p := max(b.heldPeriod+1, period-heldSlots); p <= period; p++ {
 		b.held[p%int64(len(b.held))] = 0
 	}
 	b.heldPeriod = max(b.heldPeriod, period)
-	b.tokens += b.part.perSecond * (now - b.refilled).Seconds()
+	b.window.advance(now)
+	b.tokens += b.part.refillPerSecond * (now - b.refilled).Seconds()
 	b.refilled = now
-	b.tokens = min(b.tokens, b.part.capacity-float64(b.heldSum()))
+	b.tokens = min(b.tokens, b.part.capacity)
 }
 
 // available returns the number of permits that can be issued now.
 func (b *bucket) available(now time.Duration) float64 {
+	most := b.tokens
+	if !b.rules.window {
+		most = min(most, b.part.windowMax-b.window.sum)
+	}
 	if now >= b.startEnd || b.rules.start {
-		return b.tokens
+		return most
 	}
 	sinceStart := b.part.startCredit + b.part.perSecond*(now-b.startedAt).Seconds()
-	return min(b.tokens, sinceStart-float64(b.started))
+	return min(most, sinceStart-float64(b.started))
 }
 
 func (b *bucket) take(now time.Duration, units, returned int) Answer {
 	b.takeBack(returned)
 	// The part may be that of a lower limit.
-	b.tokens = min(b.tokens, b.part.capacity-float64(b.heldSum()))
+	b.tokens = min(b.tokens, b.part.capacity)
 	granted := min(units, max(0, int(b.available(now))))
 	b.tokens -= float64(granted)
 	b.started += granted
 	b.counts.Issued += granted
 	b.held[b.heldPeriod%int64(len(b.held))] += granted
+	b.window.add(float64(granted))
 	if granted == units {
 		return Answer{Granted: granted, Issuing: true}
 	}
@@ -244,6 +246,7 @@
 		*slot -= taken
 		returned -= taken
 		b.tokens += float64(taken)
+		b.window.takeBack(float64(taken), b.heldFor)
 		b.started -= taken
 		b.counts.Issued -= taken
 	}
@@ -255,6 +258,9 @@
 func (b *bucket) nextTurn(now time.Duration) time.Duration {
 	interval := time.Duration(min(float64(time.Hour), float64(time.Second)/b.part.perSecond))
 	first := time.Duration(max(0, 1-b.available(now)) * float64(interval))
+	if b.window.sum > b.part.windowMax-1 {
+		first = b.window.until(now, b.part.windowMax-1)
+	}
 	if now < b.startEnd {
 		first = min(first, b.startEnd-now)
 	}
