--- a/internal/testbed/mixed_test.go
+++ b/internal/testbed/mixed_test.go
@@ -108,6 +108,7 @@
 		// upgrade goes back and forth.
 		s.applyRouteTo("/other/", 2)
 		s.announceDraining("up-1")
+		s.flipZone()
 		time.Sleep(takeOutTime)
 		before := count("up-1")
 		replace(p, old)
@@ -128,6 +129,7 @@
 		})
 	}
 	stop()
+	s.flipZone()
 	s.traffic.mu.Lock()
 	defer s.traffic.mu.Unlock()
 	t.Logf("answers: %v", s.traffic.answers)
@@ -157,6 +159,33 @@
 	return s
 }
 
+// flipZone takes a zone without VMs out and brings it back, each through all control VMs
+// one after the other.
+func (s *gatewaySystem) flipZone() {
+	s.t.Helper()
+	for _, out := range []bool{true, false, true} {
+		for _, a := range newOperatorClient(s.cluster, "tester", operatorKey).clients {
+			waitFor(s.t, "order for a zone", func() string {
+				ctx, cancel := context.WithTimeout(s.t.Context(), operatorPatience)
+				defer cancel()
+				if _, err := a.SetZoneOut(ctx, &adminpb.SetZoneOutRequest{Change: &catalogpb.SetZoneOut{Zone: "spare", Out: out}}); err != nil {
+					return err.Error()
+				}
+				resp, err := a.GetConfig(ctx, &adminpb.GetConfigRequest{})
+				if err != nil {
+					return err.Error()
+				}
+				for _, z := range resp.Config.Zones {
+					if z.Name == "spare" && (z.State == catalogpb.ZoneState_ZONE_STATE_OUT) == out {
+						return ""
+					}
+				}
+				return "acknowledged, but not in effect"
+			})
+		}
+	}
+}
+
 // applyRouteTo applies a desired state with one more route.
 func (s *gatewaySystem) applyRouteTo(prefix string, version uint64) {
 	s.t.Helper()
