--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -171,3 +171,20 @@
 		assert.Equal(t, p.lastStart(tc.typical).Sub(start), tc.lastStart, "%+v", tc)
 	}
 }
+
+// TestPlannedStopAnswersAPartialBody guards against a connection that is closed without an
+// answer because the stop waits for the rest of a request body.
+func TestPlannedStopAnswersAPartialBody(t *testing.T) {
+	u := startFakeUpstream(t, "u1", nil)
+	respondOK(u)
+	d := startGateway(t, newConfig(u))
+	begun := time.Now()
+	answers := d.startCallAt(t, d.settings.CallerListen, "/safe/x", "Content-Length: 10\r\n", func() time.Duration { return time.Since(begun) })
+	waitUntil(t, "the call has not arrived", func() bool { return d.limiter.Total() == 1 })
+	d.stopGracefully(context.Background())
+	a := <-answers
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.header.Get(fault.HeaderRun), string(fault.NotRun))
+	assert.Assert(t, a.closed && len(u.requests()) == 0)
+}
