Keep the end of a 204 at its head

TestBytesAfterAnswerPreventReuse requires that bytes after a 204 without a length belong to no answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,7 +51,7 @@
 	}
 	c.f.recordLimit(u, balance.RanAnswer, resp)
 	c.ran++
-	if failed, ok := c.checkResponse(res.conn, resp); !ok {
+	if failed, ok := c.checkResponse(resp); !ok {
 		// The upstream counts as failed whether or not the rest ends.
 		_ = c.discardResponse(res.conn, x)
 		c.recordEnd(u.ID, false, time.Since(start))
@@ -201,12 +201,8 @@
 // lacks the header of an upstream that ran the request, if its status would tell
 // the caller that the request did not run, or if it is a server error and the
 // request can be retried.
-func (c *call) checkResponse(conn *upstreamconn.Conn, resp *http.Response) (attemptFailure, bool) {
+func (c *call) checkResponse(resp *http.Response) (attemptFailure, bool) {
 	failed := attemptFailure{mayHaveRun: true}
-	if resp.StatusCode == http.StatusNoContent && conn.BytesAfterHead() {
-		failed.err = fault.New(fault.UpstreamBroken, "response with status 204 has a body")
-		return failed, false
-	}
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		failed.err = fault.New(fault.UpstreamBroken, "response with status %d does not say whether the request ran", resp.StatusCode)
--- a/internal/upstreamconn/strict.go
+++ b/internal/upstreamconn/strict.go
@@ -38,10 +38,6 @@
 	return nil
 }
 
-// BytesAfterHead reports whether bytes have arrived after the head of a response, that have
-// not been read as its body.
-func (c *Conn) BytesAfterHead() bool { return c.reader.Buffered() > 0 }
-
 // HasField reports whether the head at the start of raw has a field with the name, which
 // must be in lower case.
 func HasField(raw []byte, name string) bool {
