--- a/internal/control/answers_test.go
+++ b/internal/control/answers_test.go
@@ -144,6 +144,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newAnsweringLeader(t)
 		revision := l.registerAll(gateways)
+		// All gateways may be sent the next configuration at once.
+		time.Sleep(time.Second)
 		l.blocked = make(chan struct{})
 		var calls sync.WaitGroup
 		for i := range gateways {
