--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,7 +39,7 @@
 		return errors.Trace(err)
 	}
 	defer cleanup()
-	addresses, err := testbed.FreeAddresses(3)
+	addresses, err := freeAddresses(2, o)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -54,20 +55,35 @@
 	// The control VM stops after the entry VM, which needs it to complete its
 	// planned stop.
 	entryStopped := make(chan struct{})
-	p := pool.New().WithErrors()
-	p.Go(func() error { return controlvm.Run(ctx, entryStopped, control, controlvm.Options{Logs: logFile}) })
-	p.Go(func() error {
+	// A part that fails ends the others: without it they would wait for each other.
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(func(ctx context.Context) error {
+		err := controlvm.Run(ctx, entryStopped, control, controlvm.Options{Logs: logFile})
+		return errors.Annotate(err, "control replica")
+	})
+	p.Go(func(ctx context.Context) error {
 		defer close(entryStopped)
-		return entryvm.Run(ctx, plannedStop, entry, entryvm.Options{Logs: logFile})
+		return errors.Annotate(entryvm.Run(ctx, plannedStop, entry, entryvm.Options{Logs: logFile}), "entry VM")
+	})
+	p.Go(func(ctx context.Context) error {
+		return errors.Annotate(runDemoService(ctx, plannedStop, o, logPath), "demo service")
 	})
-	p.Go(func() error { return runDemoService(ctx, plannedStop, o, logPath) })
 	return errors.Trace(p.Wait())
 }
 
+// freeAddresses returns n free addresses other than those of the options, which are
+// free as well until the parts listen on them.
+func freeAddresses(n int, o cli.DevOptions) ([]string, error) {
+	given := []string{o.CallerListen, o.OperatorListen, o.AnnounceListen, o.MetricsListen}
+	free, err := testbed.FreeAddresses(n + len(given))
+	free = slices.DeleteFunc(free, func(address string) bool { return slices.Contains(given, address) })
+	return free, err
+}
+
 // runDemoService configures the demo service and runs its upstreams until
 // plannedStop is closed or ctx ends.
 func runDemoService(ctx context.Context, plannedStop <-chan struct{}, o cli.DevOptions, logPath string) error {
-	if err := createDemoService(ctx, plannedStop, o.OperatorListen); err != nil {
+	if err := createDemoService(ctx, plannedStop, o); err != nil {
 		return errors.Trace(err)
 	}
 	for i := range o.Upstreams {
--- a/internal/testbed/new_address_test.go
+++ b/internal/testbed/new_address_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,17 +21,7 @@
 // entry VM comes back under its ID at another cluster address, while the set of
 // entry VMs holds only the process before.
 func TestRestartedDevServerServesAgain(t *testing.T) {
-	free, err := FreeAddresses(4)
-	assert.NilError(t, err)
-	p := &process{t: t, Process: &Process{Name: "dev", Program: binary, Log: filepath.Join(t.TempDir(), "dev.log"), Args: []string{
-		"dev", "--data-dir", filepath.Join(t.TempDir(), "data"), "--caller-listen", free[0], "--operator-listen", free[1],
-		"--announce-listen", free[2], "--metrics-listen", free[3],
-	}}}
-	t.Cleanup(func() {
-		if p.Started() {
-			p.kill()
-		}
-	})
+	p, free := newDevServer(t)
 	hello := func() string {
 		resp, err := http.Get("http://" + free[0] + "/demo/hello")
 		if err != nil {
@@ -44,7 +35,21 @@
 		return ""
 	}
 	p.start()
-	waitFor(t, "first start", hello)
+	waitFor(t, "first start", func() string {
+		select {
+		case err := <-p.done:
+			p.done <- err
+			text, _ := os.ReadFile(p.Log)
+			if !strings.Contains(string(text), "address already in use") {
+				return "the dev server has ended: " + string(text)
+			}
+			// Another process has taken an address since it was found to be free.
+			p, free = newDevServer(t)
+			p.start()
+		default:
+		}
+		return hello()
+	})
 	for i, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGTERM, syscall.SIGKILL} {
 		p.signal(sig)
 		_ = p.Wait()
@@ -57,6 +62,49 @@
 	}
 }
 
+// newDevServer returns a dev server that is not started, with the addresses of callers,
+// operators, announcements and metrics. If the test fails, its output and its log are
+// shown.
+func newDevServer(t *testing.T) (*process, []string) {
+	free, err := FreeAddresses(4)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	p := &process{t: t, Process: &Process{Name: "dev", Program: binary, Log: filepath.Join(dir, "dev.log"), Args: []string{
+		"dev", "--data-dir", filepath.Join(dir, "data"), "--caller-listen", free[0], "--operator-listen", free[1],
+		"--announce-listen", free[2], "--metrics-listen", free[3],
+	}}}
+	t.Cleanup(func() {
+		if p.Started() {
+			p.kill()
+		}
+		for _, path := range []string{p.Log, filepath.Join(dir, "data", "events.log")} {
+			if text, err := os.ReadFile(path); t.Failed() && err == nil {
+				t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-8<<10):])
+			}
+		}
+	})
+	return p, free
+}
+
+// TestDevServerWithoutAddressEndsAtOnce guards against a dev server that refuses
+// connections and says nothing, because one of its parts could not listen and the others
+// wait for it.
+func TestDevServerWithoutAddressEndsAtOnce(t *testing.T) {
+	for i, part := range []string{"entry VM", "control replica", "entry VM", "entry VM"} {
+		p, free := newDevServer(t)
+		taken, err := net.Listen("tcp", free[i])
+		assert.NilError(t, err)
+		start := time.Now()
+		p.start()
+		assert.Assert(t, p.Wait() != nil, "the dev server ended without an error")
+		took := time.Since(start)
+		assert.NilError(t, taken.Close())
+		out, err := os.ReadFile(p.Log)
+		assert.NilError(t, err)
+		assert.Assert(t, took < servesWithin && strings.Contains(string(out), part+":") && strings.Contains(string(out), free[i]), "%s: ended after %s with %s", part, took, out)
+	}
+}
+
 // moveEntry gives the entry VM, which must be stopped, another cluster address.
 func (c *cluster) moveEntry(i int) {
 	c.t.Helper()
