--- a/internal/gateway/gatewaygroup_test.go
+++ b/internal/gateway/gatewaygroup_test.go
@@ -425,7 +425,7 @@
 // passed, and waits for their answers. Meanwhile control renews the leases of the
 // gateways, and each does its housekeeping.
 func (g *gatewayGroup) sendCalls(interval, duration time.Duration) *callResults {
-	results := &callResults{shortestRetryAfter: time.Hour, key: g.key, statuses: make(map[int]int)}
+	results := &callResults{shortestRetryAfter: time.Hour, key: g.key}
 	var calls sync.WaitGroup
 	lastCheck := time.Now()
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
@@ -463,6 +463,9 @@
 	f.ServeHTTP(w, r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.statuses == nil {
+		c.statuses = make(map[int]int)
+	}
 	c.statuses[w.Code]++
 	if w.Code == http.StatusOK {
 		c.served++
