--- a/internal/gateway/allotment.go
+++ b/internal/gateway/allotment.go
@@ -220,6 +220,7 @@
 func (c *call) allotmentRefusal(status allotment.Status, wait time.Duration) error {
 	a, name := c.f.state.allotments, c.organisation.Name
 	wait += time.Duration(c.f.opts.Random() * max(allotmentJitter*float64(wait), float64(minAllotmentJitter)))
+	wait = max(minRetryAfter, wait)
 	limit := limitOf(c.organisation)
 	if status == allotment.NoIssuer {
 		a.count(name, func(n *allotmentCounts) { n.noIssuer++ })
