--- a/review/harness/late_report.go
+++ b/review/harness/late_report.go
@@ -33,8 +33,8 @@
 		return false, err
 	}
 	var stable []*instance
-	for i := range 3 {
-		in := newInstance(c, "booking", zoneNames[i], fmt.Sprintf("i-stable%d", i), 2, 40*time.Millisecond)
+	for i := range 7 {
+		in := newInstance(c, "booking", zoneNames[i%len(zoneNames)], fmt.Sprintf("i-stable%d", i), 2, 40*time.Millisecond)
 		if err := in.boot(); err != nil {
 			return false, err
 		}
--- a/review/harness/slow_upload.go
+++ b/review/harness/slow_upload.go
@@ -23,8 +23,10 @@
 		sentFirst  = 3000000
 		pause      = 4 * time.Second
 		uploads    = 12
-		usual      = 9
+		usual      = 10
 		burstTimes = 1.7
+		burstAfter = 1500 * time.Millisecond
+		burstFor   = 3 * time.Second
 	)
 	c, err := newCluster(rec, 3, 1)
 	if err != nil {
@@ -90,23 +92,22 @@
 	}
 	time.Sleep(5 * time.Second)
 
-	var looks atomic.Int64
+	// bursting is the beginning of the burst, 0 for none.
+	var looks, bursting atomic.Int64
 	stopClients := make(chan struct{})
 	var clients sync.WaitGroup
 	clients.Go(func() {
-		perSecond := float64(usual)
-		if trouble {
-			perSecond *= burstTimes
-		}
-		tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
-		defer tick.Stop()
 		for {
+			perSecond := float64(usual)
+			if since := time.Duration(bursting.Load()); since > 0 && time.Since(rec.begin) >= since && time.Since(rec.begin) < since+burstFor {
+				perSecond *= burstTimes
+			}
 			select {
 			case <-stopClients:
 				return
 			case <-ctx.Done():
 				return
-			case <-tick.C:
+			case <-time.After(time.Duration(float64(time.Second) / perSecond)):
 			}
 			looks.Add(1)
 			clients.Go(func() { attempt(rec, c.entries[0], http.MethodGet, "/look/2f", nil, 4*time.Second) })
@@ -115,6 +116,10 @@
 	defer clients.Wait()
 	defer sync.OnceFunc(func() { close(stopClients) })()
 	time.Sleep(2 * time.Second)
+	if trouble {
+		bursting.Store(int64(time.Since(rec.begin) + burstAfter))
+		rec.add("in %v, %v of %.1f times the usual traffic of the other service", burstAfter, burstFor, burstTimes)
+	}
 	denied := 0
 	var uploading sync.WaitGroup
 	for range uploads {
@@ -130,7 +135,7 @@
 				denied++
 			}
 		})
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	uploading.Wait()
 	requests := int(looks.Load()) + uploads
