upstreamconn: report a broken request body together with the error of the exchange

Cause: when the rest of the body fails, the goroutine that writes it sets a deadline in the past, which ends Do, and closed bodyWritten only after that. RequestBroken, which is asked as soon as Do returns, found no error yet.

The error is now published before the deadline is set.

--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -282,10 +282,12 @@
 	}
 	x.bodyWritten = make(chan struct{})
 	go func() {
-		defer close(x.bodyWritten)
 		rest := &errorReader{r: r.BodyRest}
 		x.writeErr = c.writeBody(r, rest)
-		if x.bodyErr = rest.err; x.bodyErr != nil {
+		x.bodyErr = rest.err
+		// Before the deadline, which ends Do: its caller asks for the error.
+		close(x.bodyWritten)
+		if rest.err != nil {
 			// The upstream waits for a rest that does not come.
 			_ = c.raw.SetDeadline(time.Unix(1, 0))
 		}
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -478,3 +480,37 @@
 		})
 	}
 }
+
+// slowDeadlineConn delays the return of SetDeadline, whose effect comes first: a reader
+// that it wakes runs before the caller of SetDeadline.
+type slowDeadlineConn struct{ net.Conn }
+
+func (c slowDeadlineConn) SetDeadline(t time.Time) error {
+	err := c.Conn.SetDeadline(t)
+	time.Sleep(100 * time.Millisecond)
+	return err
+}
+
+// TestBrokenRequestIsReportedWithTheError guards against an exchange that ends because the
+// body of its request broke off, but does not say so yet.
+func TestBrokenRequestIsReportedWithTheError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}
+	}()
+	p := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return slowDeadlineConn{conn}, err
+	})
+	c := getConn(t, p, l.Addr().String())
+	broken := errors.New("the caller has left")
+	rest := io.MultiReader(strings.NewReader(strings.Repeat("x", concurrentWriteBytes)), iotest.ErrReader(broken))
+	x, err := c.Do(context.Background(), &Request{Method: http.MethodPost, Target: "/", Host: "host.example", Header: http.Header{}, BodyRest: rest, ContentLength: -1})
+	assert.ErrorContains(t, err, "timeout")
+	assert.ErrorIs(t, x.RequestBroken(), broken)
+}
