httpnet: connections of clients that stall within a body give way

Cause: a connection counted as at work from the end of the head on, and only its body as waited for. When a connection was needed, bodies were not looked at, because dropping one frees no connection in the books; they stayed for the idle timeout. Each drop also freed only 6 % of the connections, and the queue of the listener was longer than what is served within the patience of a caller: 1,024 connections with 16 KiB each in the kernel, which nobody counted. Clients that return at once filled it (73 MB and 36 MB in the kernel, of 96).

Now a connection is waited for while its body is, also while the server reads what a handler has left of it. When a connection is needed,

- as many clients are dropped as wait, those that have stalled for 250 ms to 2 s, less the longer the queue is;
- a client whose body is awaited is refused (503, not run) rather than reset;
Nobody is dropped while there is room;
- a request that goes on between the choice and the drop is answered.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -40,6 +40,14 @@
 	descriptorPercent = 40
 	// minConnections is the lowest bound of connections.
 	minConnections = 16
+	// QueuedBytes is what the kernel holds of a connection that is not accepted yet. Those are
+	// not charged.
+	QueuedBytes = 4 << 10
+	// A listener keeps queuePerConnection connections waiting for each that may be open, at
+	// least minQueue and at most maxQueue. The longer the queue, the longer callers wait.
+	queuePerConnection = 2
+	minQueue           = 128
+	maxQueue           = 1024
 )
 
 const (
@@ -47,6 +55,13 @@
 	// the budget is short. The head and the body of an ordinary request arrive within a
 	// few milliseconds.
 	StallGrace = 250 * time.Millisecond
+	// connectionGrace is the longest time without progress after which a client that sends
+	// a body or reads an answer may be dropped because a connection is needed, and
+	// maxQueueWait the time for which new connections should wait at most: the more of them
+	// wait, the shorter is the time. A caller that still reads takes 4 KiB in
+	// connectionGrace on a link of 16 kbit/s.
+	connectionGrace = 2 * time.Second
+	maxQueueWait    = 500 * time.Millisecond
 	// progressBytes is the number of bytes that count as progress: single bytes would let
 	// a client stay without end.
 	progressBytes = 4 << 10
@@ -68,20 +83,27 @@
 type Phase int
 
 // Phases. A client in phase Running is not waited for: this process or an upstream is at
-// work. One in phase Idle has been answered and has not begun another request.
+// work. One in phase Idle has been answered and has not begun another request. In phase
+// SendingRest an upstream has received a part of the body, so that the request may have run.
 const (
 	Running Phase = iota
 	Idle
 	SendingHead
 	SendingBody
+	SendingRest
 	ReadingAnswer
 )
 
+// ofBody reports whether a client in this phase is waited for to send a body.
+func (p Phase) ofBody() bool { return p == SendingBody || p == SendingRest }
+
 // Limits bounds what a process holds for its clients.
 type Limits struct {
 	// Bytes bounds all charges, LargeBytes the sum up to which large ones are accepted.
 	Bytes, LargeBytes int64
 	Connections       int
+	// Queue is the number of connections of a listener that may wait to be accepted.
+	Queue int
 }
 
 // LimitsFor returns the limits of a process with the given memory and number of
@@ -94,6 +116,7 @@
 		l.Connections = min(l.Connections, (descriptors-ownDescriptors)*descriptorPercent/100)
 	}
 	l.Connections = max(minConnections, l.Connections)
+	l.Queue = min(max(minQueue, queuePerConnection*l.Connections), maxQueue)
 	return l
 }
 
@@ -129,13 +152,13 @@
 }
 
 func (c *Client) awaited() bool {
-	return c.phase == SendingHead || c.phase == SendingBody || c.phase == ReadingAnswer
+	return c.phase == SendingHead || c.phase.ofBody() || c.phase == ReadingAnswer
 }
 
-// stalled reports whether the client is waited for and has made no progress for
-// StallGrace.
-func (c *Client) stalled(now time.Duration) bool {
-	return c.awaited() && c.waitedFor(now) >= StallGrace
+// stalled reports whether the client is waited for and has made no progress for the given
+// time.
+func (c *Client) stalled(now, grace time.Duration) bool {
+	return c.awaited() && c.waitedFor(now) >= grace
 }
 
 // Ledger holds the clients of a process and their charges. It is not safe for concurrent
@@ -257,46 +280,89 @@
 
 // Want is what a client needs that there was no room for.
 type Want struct {
-	Bytes      int64
+	Bytes int64
+	// Connection is set if a connection is needed, Waiting the number of those that wait
+	// to be accepted.
 	Connection bool
+	Waiting    int
+}
+
+// connectionGrace returns the time without progress after which a connection whose client
+// sends a body or reads an answer may be dropped for one of those that wait.
+func (l *Ledger) connectionGrace(waiting int) time.Duration {
+	grace := maxQueueWait * time.Duration(l.limits.Connections) / time.Duration(max(1, waiting))
+	return min(max(grace, StallGrace), connectionGrace)
 }
 
 // Victims returns the clients to drop so that there is room, and marks them as dropped:
-// those that have made no progress for StallGrace, the longest wait first, and only if
-// there are none of them and a connection is needed, idle connections. What clients that
-// were dropped before have not yet released is counted as room.
+// those that have made no progress for a while, the longest wait first. If a connection is
+// needed and there are none of them, idle connections are dropped, and clients whose requests
+// may have run come last of all. What clients that were dropped before have not yet released
+// is counted as room.
 func (l *Ledger) Victims(now time.Duration, want Want) []*Client {
-	bytes := max(want.Bytes, l.limits.Bytes/100*dropPercent) - l.releasing
-	connections := 0
 	if want.Connection {
-		connections = max(1, l.limits.Connections*dropPercent/100) - l.releasingConnections
-		bytes = 0
-		if l.used+ConnectionBytes > l.limits.Bytes {
-			bytes = ConnectionBytes - l.releasing
-		}
+		return l.connectionVictims(now, want)
+	}
+	bytes := max(want.Bytes, l.limits.Bytes/100*dropPercent) - l.releasing
+	if bytes <= 0 {
+		return nil
+	}
+	stalled := l.collect(func(c *Client) bool {
+		// A body has a charge of its own, which is greater than that of its connection.
+		return c.stalled(now, StallGrace) && c.charged > 0 && !(c.connection && c.phase.ofBody())
+	}, longestWait(now))
+	return l.take(stalled, bytes, 0)
+}
+
+func (l *Ledger) connectionVictims(now time.Duration, want Want) []*Client {
+	connections := max(1, want.Waiting, l.limits.Connections*dropPercent/100) - l.releasingConnections
+	bytes := int64(0)
+	if l.used+ConnectionBytes > l.limits.Bytes {
+		bytes = ConnectionBytes - l.releasing
 	}
 	if bytes <= 0 && connections <= 0 {
 		return nil
 	}
+	grace := l.connectionGrace(want.Waiting)
 	stalled := l.collect(func(c *Client) bool {
-		return c.stalled(now) && (bytes > 0 && c.charged > 0 || c.connection)
-	}, func(a, b *Client) int { return cmp.Compare(b.waitedFor(now), a.waitedFor(now)) })
+		switch {
+		case !c.connection:
+			return bytes > 0 && c.charged > 0 && c.stalled(now, StallGrace)
+		case c.phase == SendingHead:
+			return c.stalled(now, StallGrace)
+		case c.phase == SendingRest:
+			return false
+		}
+		return c.stalled(now, grace)
+	}, longestWait(now))
 	victims := l.take(stalled, bytes, connections)
 	if len(victims) > 0 || connections <= 0 {
 		return victims
 	}
-	idle := l.collect(func(c *Client) bool { return c.connection && c.phase == Idle },
-		func(a, b *Client) int { return cmp.Compare(a.since, b.since) })
-	return l.take(idle, 0, connections)
+	idle := l.collect(func(c *Client) bool { return c.connection && c.phase == Idle }, oldest)
+	if victims := l.take(idle, 0, connections); len(victims) > 0 {
+		return victims
+	}
+	uploads := l.collect(func(c *Client) bool {
+		return c.connection && c.phase == SendingRest && c.stalled(now, connectionGrace)
+	}, longestWait(now))
+	return l.take(uploads, 0, connections)
+}
+
+// longestWait compares clients by the time without progress, the longest first.
+func longestWait(now time.Duration) func(a, b *Client) int {
+	return func(a, b *Client) int { return cmp.Compare(b.waitedFor(now), a.waitedFor(now)) }
 }
 
+// oldest compares clients by the start of their phase, the earliest first.
+func oldest(a, b *Client) int { return cmp.Compare(a.since, b.since) }
+
 // Stalled returns the clients whose requests have been read in part or answered in part and
 // that have made no progress for the given time, at most n, and marks them as dropped.
 func (l *Ledger) Stalled(now, since time.Duration, n int) []*Client {
 	stalled := l.collect(func(c *Client) bool {
-		return (c.phase == SendingBody || c.phase == ReadingAnswer) && c.waitedFor(now) >= since
-	},
-		func(a, b *Client) int { return cmp.Compare(b.waitedFor(now), a.waitedFor(now)) })
+		return (c.phase.ofBody() && !c.connection || c.phase == ReadingAnswer) && c.waitedFor(now) >= since
+	}, longestWait(now))
 	stalled = stalled[:min(n, len(stalled))]
 	for _, c := range stalled {
 		l.markDropped(c)
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -164,3 +164,60 @@
 		l.Enter(now, conn, Idle)
 	}
 }
+
+// TestConnectionsAreFreedByTheQueue has connections whose clients have stopped within their
+// bodies: the longer the queue of new connections, the sooner they are dropped, and as many
+// as wait.
+func TestConnectionsAreFreedByTheQueue(t *testing.T) {
+	const connections = 100
+	for _, c := range []struct {
+		waiting int
+		stalled time.Duration
+		want    int
+	}{
+		{waiting: 1, stalled: connectionGrace - 1, want: 0},
+		{waiting: 1, stalled: connectionGrace, want: connections * dropPercent / 100},
+		{waiting: connections, stalled: maxQueueWait - 1, want: 0},
+		{waiting: connections, stalled: maxQueueWait, want: connections},
+		{waiting: 1000, stalled: StallGrace - 1, want: 0},
+		{waiting: 1000, stalled: StallGrace, want: connections},
+	} {
+		l := NewLedger(Limits{Bytes: 1 << 30, LargeBytes: 1 << 30, Connections: connections})
+		for range connections {
+			l.Enter(0, l.Connect(0), SendingBody)
+		}
+		got := l.Victims(c.stalled, Want{Connection: true, Waiting: c.waiting})
+		assert.Equal(t, len(got), c.want, "%+v", c)
+	}
+}
+
+// TestPausesWithinBodiesAreAllowedInCalm guards against dropping a client that pauses while
+// there is room for all.
+func TestPausesWithinBodiesAreAllowedInCalm(t *testing.T) {
+	l := NewLedger(LimitsFor(testMemory, 4096))
+	conn, body := l.Connect(0), l.Begin(0)
+	assert.Assert(t, l.Charge(body, 1<<20, Large))
+	l.Enter(0, conn, SendingBody)
+	l.Enter(0, body, SendingBody)
+	for range 100 {
+		assert.Assert(t, l.Connect(0) != nil)
+		assert.Assert(t, l.Charge(l.Begin(0), 64<<10, Large))
+	}
+	assert.Assert(t, !conn.Dropped() && !body.Dropped())
+}
+
+// TestUploadsGiveWayLast has an upload of which an upstream has received a part, an idle
+// connection and a body that is held here only.
+func TestUploadsGiveWayLast(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1 << 30, LargeBytes: 1 << 30, Connections: 3})
+	clients := map[Phase]*Client{}
+	for _, p := range []Phase{SendingRest, Idle, SendingBody} {
+		clients[p] = l.Connect(0)
+		l.Enter(0, clients[p], p)
+	}
+	for _, want := range []Phase{SendingBody, Idle, SendingRest} {
+		victims := l.Victims(connectionGrace, Want{Connection: true, Waiting: 1})
+		assert.Assert(t, len(victims) == 1 && victims[0] == clients[want], "%v", want)
+		l.End(victims[0])
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -159,7 +159,7 @@
 	}
 	if !f.opts.Limiter.Acquire(c.pool) {
 		c.cancel()
-		f.opts.Budget.DropStalled(clientbudget.StallGrace, stalledPerDrop)
+		f.opts.Budget.DropStalled(clientbudget.StallGrace)
 		return fault.NewRetryable(fault.Overloaded, c.retryAfter(0), "pool %q: limit of calls in flight at this gateway reached", c.pool)
 	}
 	return nil
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -16,8 +16,6 @@
 	maxHeaderBytes   = 64 << 10
 	minClientTimeout = 10 * time.Millisecond
 	maxClientTimeout = 10 * time.Minute
-	// stalledPerDrop is the number of stalled clients that are dropped at a time.
-	stalledPerDrop = 64
 	// stalledWhileWaiting is the time without progress after which a client is dropped
 	// while calls wait for an upstream: it may hold a connection to one. A caller that still
 	// reads takes 4 KiB in that time on a link of 16 kbit/s.
@@ -80,7 +78,7 @@
 // dropStalledWhileWaiting drops stalled clients while calls wait for an upstream.
 func (d *Daemon) dropStalledWhileWaiting() {
 	if d.state.callsWaiting() {
-		d.budget.DropStalled(stalledWhileWaiting, stalledPerDrop)
+		d.budget.DropStalled(stalledWhileWaiting)
 	}
 }
 
--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,14 +22,8 @@
 	// reserveTimeout bounds the wait for room for a body. Clients that have stalled are
 	// dropped after clientbudget.StallGrace.
 	reserveTimeout = 2 * clientbudget.StallGrace
-	// acceptBufferBytes is the size of the receive buffer in the kernel of a connection
-	// that is not accepted yet, and maxBacklog the number of those: they are not charged.
-	acceptBufferBytes = 16 << 10
-	maxBacklog        = 1024
-	// socketBufferBytes is the size of the buffers in the kernel of a connection with a
-	// client. It is the size with which the kernel begins; left alone, it would let them
-	// grow to several MiB.
-	socketBufferBytes = 64 << 10
+	// stalledPerDrop is the number of stalled clients that DropStalled drops at a time.
+	stalledPerDrop = 64
 )
 
 // ErrBudget means that there is no room for what a client sends.
@@ -56,15 +51,19 @@
 	Limits clientbudget.Limits
 }
 
-// NewBudget returns a budget for a process with the given memory. It reads the limit of
-// open descriptors from the operating system.
-func NewBudget(memoryBytes int64) *Budget {
+// NewBudget returns a budget for a process with the given memory, for at most the given
+// number of connections, 0 for no bound of their own. It reads the limit of open descriptors from the operating system.
+func NewBudget(memoryBytes int64, maxConnections int) *Budget {
 	descriptors := 0
 	var limit unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
 		descriptors = int(min(limit.Cur, 1<<20))
 	}
-	return &Budget{start: time.Now(), ledger: clientbudget.NewLedger(clientbudget.LimitsFor(memoryBytes, descriptors))}
+	limits := clientbudget.LimitsFor(memoryBytes, descriptors)
+	if maxConnections > 0 {
+		limits.Connections = min(limits.Connections, maxConnections)
+	}
+	return &Budget{start: time.Now(), ledger: clientbudget.NewLedger(limits)}
 }
 
 func (b *Budget) now() time.Duration { return time.Since(b.start) }
@@ -80,13 +79,14 @@
 }
 
 // connect adds a connection that is not accepted yet. If there is no room, it drops others
-// and waits until stop or closed is closed, and then returns nil.
-func (b *Budget) connect(stop, closed <-chan struct{}) *clientbudget.Client {
+// and waits until stop or closed is closed, and then returns nil. waiting returns the
+// number of connections that wait to be accepted.
+func (b *Budget) connect(waiting func() int, stop, closed <-chan struct{}) *clientbudget.Client {
 	for {
 		if c := b.tryConnect(); c != nil {
 			return c
 		}
-		b.drop(clientbudget.Want{Connection: true})
+		b.drop(clientbudget.Want{Connection: true, Waiting: waiting()})
 		select {
 		case <-stop:
 			return nil
@@ -125,10 +125,10 @@
 	}
 }
 
-// DropStalled drops clients that have stalled for the given time while they sent a body or
-// read an answer, at most n. It is for resources that the budget does not count, such as
-// calls in flight.
-func (b *Budget) DropStalled(since time.Duration, n int) {
+// DropStalled drops some clients that have stalled for the given time while they sent a body
+// or read an answer. It is for resources that the budget does not count, such as calls in
+// flight. A nil budget drops none.
+func (b *Budget) DropStalled(since time.Duration) {
 	if b == nil {
 		return
 	}
@@ -139,7 +139,7 @@
 		return
 	}
 	b.lastScan = now
-	victims := b.ledger.Stalled(now, since, n)
+	victims := b.ledger.Stalled(now, since, stalledPerDrop)
 	b.stats.Dropped += int64(len(victims))
 	b.mu.Unlock()
 	for _, c := range victims {
@@ -162,6 +162,18 @@
 	b.ledger.Enter(now, c, clientbudget.Running)
 }
 
+func (b *Budget) isDropped(c *clientbudget.Client) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.Dropped()
+}
+
+func (b *Budget) release(c *clientbudget.Client, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.Release(c, n)
+}
+
 func (b *Budget) end(c *clientbudget.Client) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -191,6 +203,11 @@
 			return true
 		}
 	}
+	return b.refuse()
+}
+
+// refuse counts a client for which there is no room, and returns false.
+func (b *Budget) refuse() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stats.Refused++
@@ -254,6 +271,7 @@
 		}
 		if int64(n) == size {
 			err = nil
+			body.readRest()
 		}
 		return buffer[:n], err
 	}
@@ -268,6 +286,9 @@
 		if err == io.EOF {
 			return read, nil
 		}
+		if err == nil && int64(len(read)) == maxBytes {
+			body.readRest()
+		}
 		if err != nil || int64(len(read)) == maxBytes {
 			return read, err
 		}
@@ -287,10 +308,13 @@
 // Body is the body of a request whose sender the budget watches.
 type Body struct {
 	io.ReadCloser
-	budget     *Budget
-	client     *clientbudget.Client
-	controller *http.ResponseController
-	ctx        context.Context
+	request *request
+	ctx     context.Context
+	// forwarded is set once the start of the body has been read into memory: the rest is
+	// read for an upstream.
+	forwarded bool
+	// ended is set once a read has failed or has reached the end.
+	ended atomic.Bool
 }
 
 // ClientBody returns the body of a request that a server with a budget has read, or nil
@@ -312,53 +336,61 @@
 		class = clientbudget.Large
 		n += clientbudget.TransferBytes
 	}
-	return b.budget.reserve(b.ctx, b.client, n, class)
+	return b.request.budget.reserve(b.ctx, b.request.client, n, class)
+}
+
+// readRest records that what follows of the body is read for an upstream.
+func (b *Body) readRest() {
+	if b != nil {
+		b.forwarded = true
+	}
 }
 
 // Read implements io.Reader. It fails with ErrBudget if the sender has been dropped.
 func (b *Body) Read(p []byte) (int, error) {
-	b.budget.enter(b.client, clientbudget.SendingBody)
-	if b.dropped() {
+	phase := clientbudget.SendingBody
+	if b.forwarded {
+		phase = clientbudget.SendingRest
+	}
+	b.request.await(phase)
+	if b.request.dropped() {
+		b.request.moved(0)
 		return 0, ErrBudget
 	}
 	n, err := b.ReadCloser.Read(p)
-	b.budget.moved(b.client, n)
-	if err != nil && err != io.EOF && b.dropped() {
+	if err != nil {
+		b.ended.Store(true)
+	}
+	b.request.moved(n)
+	if err != nil && err != io.EOF && b.request.dropped() {
 		err = ErrBudget
 	}
 	return n, err
 }
 
-func (b *Body) dropped() bool {
-	b.budget.mu.Lock()
-	defer b.budget.mu.Unlock()
-	return b.client.Dropped()
-}
-
-// drop makes a pending read fail.
-func (b *Body) drop() {
-	// It fails only if the connection is gone.
-	_ = b.controller.SetReadDeadline(time.Unix(1, 0))
-}
-
 // Wrap returns a handler that tells the budget of the requests that it runs. A server with
 // a budget wraps its handler itself.
 func (b *Budget) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		conn, _ := r.Context().Value(connKey{}).(*limitedConn)
+		if conn != nil {
 			conn.beginRequest()
 			defer conn.endStream()
 		}
-		if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
-			body := &Body{ReadCloser: r.Body, budget: b, controller: http.NewResponseController(w), ctx: r.Context()}
-			b.mu.Lock()
-			body.client = b.ledger.Begin(b.now())
-			body.client.Drop = body.drop
-			b.mu.Unlock()
-			defer b.end(body.client)
-			r.Body = body
+		hasBody := r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+		if !hasBody {
+			next.ServeHTTP(w, r)
+			return
 		}
+		q := b.begin(w, conn)
+		defer b.end(q.client)
+		body := &Body{ReadCloser: r.Body, request: q, ctx: r.Context()}
+		r.Body = body
 		next.ServeHTTP(w, r)
+		if conn != nil && !body.ended.Load() {
+			// The server reads the rest of the body before it answers.
+			conn.awaitClient(clientbudget.SendingBody)
+		}
 	})
 }
 
--- a/internal/httpnet/budget_test.go
+++ b/internal/httpnet/budget_test.go
@@ -1,6 +1,7 @@
 package httpnet
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -16,7 +17,7 @@
 // listenWith starts a server whose limits are those that limits holds.
 func listenWith(t *testing.T, h http.HandlerFunc, limits *atomic.Pointer[Limits]) *Server {
 	t.Helper()
-	return listen(t, h, Limits{MaxHeaderBytes: 64 << 10, Budget: NewBudget(64 << 20), Current: func() Limits { return *limits.Load() }})
+	return listen(t, h, Limits{MaxHeaderBytes: 64 << 10, Budget: NewBudget(64<<20, 4096), Current: func() Limits { return *limits.Load() }})
 }
 
 // TestLimitsInForceBindOpenConnections guards against limits that bind only connections
@@ -55,7 +56,7 @@
 // TestBodiesAreChargedUntilTheirRequestsEnd reads bodies of both kinds at once while the
 // budget is short, and checks that all charges are returned.
 func TestBodiesAreChargedUntilTheirRequestsEnd(t *testing.T) {
-	b := NewBudget(64 << 20)
+	b := NewBudget(64<<20, 4096)
 	h := LimitBodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, err := io.Copy(io.Discard, r.Body)
 		assert.Check(t, err)
@@ -100,3 +101,31 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// TestStalledBodyGivesWayToAConnection fills all connections with bodies that stop. The next
+// client must be served, and those that are dropped must be told that their requests have
+// not run.
+func TestStalledBodyGivesWayToAConnection(t *testing.T) {
+	b := NewBudget(64<<20, 4)
+	s := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(r.Body, ClientBody(r), r.ContentLength, 1<<10, 1); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}, Limits{Budget: b})
+	stalled := make([]net.Conn, b.Stats().Limits.Connections)
+	for i := range stalled {
+		stalled[i] = dial(t, s)
+		_, err := io.WriteString(stalled[i], "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, requestStatus(dial(t, s), ""), http.StatusOK)
+	refused := 0
+	for _, conn := range stalled {
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 0)
+}
--- a/internal/httpnet/conn.go
+++ b/internal/httpnet/conn.go
@@ -37,6 +37,9 @@
 	stateHTTP2
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // http2Preface is the start of a connection of HTTP/2.
 var http2Preface = []byte("PRI ")
 
@@ -67,7 +70,10 @@
 	headStart time.Time
 	headBytes int
 	largeHead bool
-	// streams is the number of requests of HTTP/2 that run.
+	// sendingBody is set while the body of a request over HTTP/1 is awaited, writing while
+	// an answer is written.
+	sendingBody, writing bool
+	// streams is the number of requests that run over HTTP/2.
 	streams int
 }
 
@@ -79,23 +85,31 @@
 func (c *limitedConn) watch(b *Budget, client *clientbudget.Client, tcp *net.TCPConn) {
 	c.budget, c.client = b, client
 	// It fails only if the connection is gone.
-	_ = tcp.SetReadBuffer(socketBufferBytes)
+	_ = tcp.SetReadBuffer(SocketBufferBytes)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	client.Drop = func() { c.drop(tcp) }
 	b.ledger.Enter(b.now(), client, clientbudget.SendingHead)
 }
 
-// drop closes the connection. An idle one still answers a request that has arrived. For
-// others, what the kernel holds of answers is discarded.
+// drop closes the connection. An idle one still answers a request that has arrived, a request
+// whose body is awaited is refused, and one whose client has just gone on is still answered.
+// For others, what the kernel holds of answers is discarded.
 func (c *limitedConn) drop(tcp *net.TCPConn) {
 	c.mu.Lock()
-	idle := c.state == stateIdle || c.state == stateHTTP2 && c.streams == 0
-	c.mu.Unlock()
-	if idle {
+	defer c.mu.Unlock()
+	switch {
+	case c.state == stateIdle || c.state == stateHTTP2 && c.streams == 0:
 		// An error means that the connection is closed already.
 		_ = c.closeRead()
 		return
+	case c.state == stateRunning && c.sendingBody:
+		// Makes the pending read of the body fail.
+		_ = c.Conn.SetReadDeadline(past)
+		return
+	case c.state == stateRunning && !c.writing:
+		// endRequest closes it.
+		return
 	}
 	_ = tcp.SetLinger(0)
 	_ = tcp.Close()
@@ -143,6 +157,7 @@
 	}
 	if c.budget != nil && c.headBytes >= readBufferBytes && !c.largeHead {
 		if !c.budget.charge(c.client, clientbudget.LargeHeadBytes, clientbudget.Small) {
+			c.budget.refuse()
 			return nil, io.EOF
 		}
 		c.largeHead = true
@@ -183,7 +198,7 @@
 	c.enter(clientbudget.SendingHead)
 }
 
-// beginRequest is called when a request has been read.
+// beginRequest is called when the head of a request has been read.
 func (c *limitedConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,6 +210,26 @@
 	c.enter(clientbudget.Running)
 }
 
+// awaitClient is called when a request begins to wait for its client.
+func (c *limitedConn) awaitClient(p clientbudget.Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateRunning {
+		c.sendingBody = true
+		c.enter(p)
+	}
+}
+
+// clientMoved is called when n bytes have moved after that.
+func (c *limitedConn) clientMoved(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateRunning {
+		c.sendingBody = false
+		c.move(n)
+	}
+}
+
 // endStream is called when the handler of a request has returned. The end of other
 // requests than those of HTTP/2 follows with endRequest.
 func (c *limitedConn) endStream() {
@@ -217,13 +252,16 @@
 	defer c.mu.Unlock()
 	if c.largeHead {
 		c.largeHead = false
-		c.budget.mu.Lock()
-		c.budget.ledger.Release(c.client, clientbudget.LargeHeadBytes)
-		c.budget.mu.Unlock()
+		c.budget.release(c.client, clientbudget.LargeHeadBytes)
 	}
-	if c.state != stateHTTP2 {
-		c.state = stateIdle
-		c.enter(clientbudget.Idle)
+	if c.state == stateHTTP2 {
+		return
+	}
+	c.state = stateIdle
+	c.enter(clientbudget.Idle)
+	if c.budget != nil && c.budget.isDropped(c.client) {
+		// The client went on just before it was dropped.
+		_ = c.closeRead()
 	}
 }
 
@@ -233,23 +271,42 @@
 	}
 }
 
+// move records that n bytes have moved and that the client is no longer waited for.
+func (c *limitedConn) move(n int) {
+	if c.budget != nil {
+		c.budget.moved(c.client, n)
+	}
+}
+
 // Write implements net.Conn.
 func (c *limitedConn) Write(b []byte) (int, error) {
-	if c.budget == nil {
-		return c.Conn.Write(b)
-	}
-	c.mu.Lock()
-	watched := c.state == stateRunning
-	c.mu.Unlock()
-	if !watched {
+	if c.budget == nil || !c.beginWrite() {
 		return c.Conn.Write(b)
 	}
-	c.budget.enter(c.client, clientbudget.ReadingAnswer)
 	n, err := c.Conn.Write(b)
-	c.budget.moved(c.client, n)
+	c.endWrite(n)
 	return n, err
 }
 
+// beginWrite reports whether the client is waited for to read what is written now.
+func (c *limitedConn) beginWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateRunning {
+		return false
+	}
+	c.sendingBody, c.writing = false, true
+	c.enter(clientbudget.ReadingAnswer)
+	return true
+}
+
+func (c *limitedConn) endWrite(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.move(n)
+}
+
 // SetReadDeadline implements net.Conn. While a head or the next request is awaited, the
 // limits in force determine the deadline rather than those with which the server was
 // started.
--- a/internal/httpnet/limit.go
+++ b/internal/httpnet/limit.go
@@ -58,7 +58,7 @@
 	}
 	var client *clientbudget.Client
 	if l.budget != nil {
-		if client = l.budget.connect(l.stopped, l.closed); client == nil {
+		if client = l.budget.connect(l.waiting, l.stopped, l.closed); client == nil {
 			_ = l.Close()
 			return nil, net.ErrClosed
 		}
@@ -131,6 +131,23 @@
 	return waiting
 }
 
+// waiting returns the number of connections that wait to be accepted.
+func (l *limitedListener) waiting() int {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) {
+		// For a listener, the kernel returns the length of this queue as Unacked.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked)
+		}
+	})
+	return n
+}
+
 // stopDue reports whether a listener that stops must be closed.
 func (l *limitedListener) stopDue() bool {
 	l.mu.Lock()
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"balsamcourse.example/balsamcourse/internal/clientbudget"
 	"balsamcourse.example/balsamcourse/internal/event"
 )
 
@@ -166,7 +167,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
-	l, err := listenTCP(resolved, limits.Budget != nil)
+	l, err := listenTCP(resolved, limits.Budget)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
@@ -202,25 +203,14 @@
 	return s, nil
 }
 
-// listenTCP listens on the address. For clients, the buffers of connections in the kernel
-// are bounded.
-func listenTCP(address *net.TCPAddr, clients bool) (*net.TCPListener, error) {
-	if !clients {
+// listenTCP listens on the address. For clients, what the kernel holds of their connections
+// is bounded; a nil budget means that there are no clients.
+func listenTCP(address *net.TCPAddr, b *Budget) (*net.TCPListener, error) {
+	if b == nil {
 		return net.ListenTCP("tcp", address)
 	}
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			for option, size := range map[int]int{unix.SO_RCVBUF: acceptBufferBytes, unix.SO_SNDBUF: socketBufferBytes} {
-				if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size); err != nil {
-					failed = os.NewSyscallError("setsockopt", err)
-				}
-			}
-		})
-		if err != nil {
-			return err
-		}
-		return failed
+		return LimitBuffers(raw, clientbudget.QueuedBytes, SocketBufferBytes)
 	}}
 	// As net.ListenTCP does.
 	config.SetMultipathTCP(false)
@@ -229,7 +219,7 @@
 		return nil, err
 	}
 	tcp := l.(*net.TCPListener)
-	if err := limitBacklog(tcp); err != nil {
+	if err := limitBacklog(tcp, b.Stats().Limits.Queue); err != nil {
 		_ = l.Close()
 		return nil, err
 	}
@@ -237,13 +227,13 @@
 }
 
 // limitBacklog bounds the number of connections that are not accepted yet.
-func limitBacklog(l *net.TCPListener) error {
+func limitBacklog(l *net.TCPListener, backlog int) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), maxBacklog) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) }); err != nil {
 		return err
 	}
 	return os.NewSyscallError("listen", failed)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,7 +62,9 @@
 }
 
 // ClientBudget returns a budget for what the process holds for its clients.
-func (l Limits) ClientBudget() *httpnet.Budget { return httpnet.NewBudget(l.MemoryMB << 20) }
+func (l Limits) ClientBudget() *httpnet.Budget {
+	return httpnet.NewBudget(l.MemoryMB<<20, l.MaxConnections)
+}
 
 // Listener returns the limits that the HTTP server enforces. The body limits
 // and MaxInFlight are left to the handlers.
