httpnet: charge connections over HTTP/2 for their requests

200 connections over HTTP/2 with 100 requests each took a gateway of 96 MB out of its memory: 170 MB with bodies that stop, 395 MB and no ordinary answer in 60 s with answers that are not read, 232 MB with look-ups; long frames of an unknown type 196 MB.

Cause: only the connection was charged, with 20 KiB. net/http starts a goroutine for each request before the handler can refuse it, keeps a read buffer as long as the longest frame (1 MiB) and up to 1 MiB of bodies. Nothing told the budget that a client over HTTP/2 does not read, so that it was never dropped.

A connection is now charged for all that it may hold (928 KiB) as soon as it speaks HTTP/2: 32 requests at a time, frames of 16 KiB, a window of 64 KiB; a longer head is charged in addition. The budget is told when the connection or a stream waits for its client, and drops it like others; the connection counts as stalled when all its requests have. Idle connections over HTTP/2 give way also to bodies, so that their charge keeps nobody out. Charging requests one by one is not enough: a goroutine outlives its handler while the last frame waits.

The limit of 32 requests is announced in SETTINGS: clients let more wait. Callers of the platform speak HTTP/1.1.

New: TestHTTP2ConnectionsAreCharged, TestIdleHTTP2ConnectionsGiveWay.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -22,6 +22,12 @@
 	// TransferBytes is the charge of a body or an answer that is under way, beyond what is
 	// buffered of it: the queue of the connection in the kernel.
 	TransferBytes = 64 << 10
+	// HTTP2Streams is the number of requests of a connection over HTTP/2 at a time, and
+	// HTTP2Bytes the charge of such a connection for all of them, in advance: each has a
+	// goroutine as soon as its head has arrived (24 KiB with its structures). The
+	// connection itself has a receive window, buffers for frames and a head (160 KiB).
+	HTTP2Streams = 32
+	HTTP2Bytes   = HTTP2Streams*24<<10 + 160<<10
 )
 
 const (
@@ -295,8 +301,9 @@
 }
 
 // Victims returns the clients to drop so that there is room, and marks them as dropped:
-// those that have made no progress for a while, the longest wait first. If a connection is
-// needed and there are none of them, idle connections are dropped, and clients whose requests
+// those that have made no progress for a while, the longest wait first. Only if there are
+// none of them, idle connections are dropped: any if a connection is needed, and otherwise
+// those that are charged for more than a connection. For a connection, clients whose requests
 // may have run come last of all. What clients that were dropped before have not yet released
 // is counted as room.
 func (l *Ledger) Victims(now time.Duration, want Want) []*Client {
@@ -309,9 +316,13 @@
 	}
 	stalled := l.collect(func(c *Client) bool {
 		// A body has a charge of its own, which is greater than that of its connection.
-		return c.stalled(now, StallGrace) && c.charged > 0 && !(c.connection && c.phase.ofBody())
+		return c.stalled(now, StallGrace) && (c.charged > 0 || c.phase == ReadingAnswer) && !(c.connection && c.phase.ofBody())
 	}, longestWait(now))
-	return l.take(stalled, bytes, 0)
+	if victims := l.take(stalled, bytes, 0); len(victims) > 0 {
+		return victims
+	}
+	idle := l.collect(func(c *Client) bool { return c.connection && c.phase == Idle && c.charged > ConnectionBytes }, oldest)
+	return l.take(idle, bytes, 0)
 }
 
 func (l *Ledger) connectionVictims(now time.Duration, want Want) []*Client {
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -206,6 +206,29 @@
 	assert.Assert(t, !conn.Dropped() && !body.Dropped())
 }
 
+// TestIdleHTTP2ConnectionsGiveWay guards against connections that are charged in advance,
+// carry nothing and leave no room for bodies.
+func TestIdleHTTP2ConnectionsGiveWay(t *testing.T) {
+	l := NewLedger(LimitsFor(testMemory, 4096))
+	var conns []*Client
+	for {
+		conn := l.Connect(0)
+		if !l.Charge(conn, HTTP2Bytes, Large) {
+			l.End(conn)
+			break
+		}
+		l.Enter(time.Duration(len(conns)), conn, Idle)
+		conns = append(conns, conn)
+	}
+	const need = 1 << 20
+	victims := l.Victims(time.Hour, Want{Bytes: need})
+	assert.Assert(t, len(victims) > 0 && victims[0] == conns[0])
+	for _, v := range victims {
+		l.End(v)
+	}
+	assert.Assert(t, l.Charge(l.Begin(0), need, Large))
+}
+
 // TestUploadsGiveWayLast has an upload of which an upstream has received a part, an idle
 // connection and a body that is held here only.
 func TestUploadsGiveWayLast(t *testing.T) {
--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -378,16 +378,25 @@
 			defer conn.endStream()
 		}
 		hasBody := r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
-		if !hasBody {
+		if !hasBody && r.ProtoMajor < 2 {
 			next.ServeHTTP(w, r)
 			return
 		}
-		q := b.begin(w, conn)
+		q := b.begin(w, r, conn)
 		defer b.end(q.client)
 		body := &Body{ReadCloser: r.Body, request: q, ctx: r.Context()}
-		r.Body = body
+		if hasBody {
+			r.Body = body
+		}
+		if q.http2 {
+			if n := headBytes(r); n > readBufferBytes && !b.charge(q.client, headCopies*n, clientbudget.Small) {
+				b.refuse()
+				panic(http.ErrAbortHandler)
+			}
+			w = &streamWriter{ResponseWriter: w, request: q}
+		}
 		next.ServeHTTP(w, r)
-		if conn != nil && !body.ended.Load() {
+		if conn != nil && !q.http2 && !body.ended.Load() {
 			// The server reads the rest of the body before it answers.
 			conn.awaitClient(clientbudget.SendingBody)
 		}
--- a/internal/httpnet/budget_test.go
+++ b/internal/httpnet/budget_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"balsamcourse.example/balsamcourse/internal/clientbudget"
 )
 
 // listenWith starts a server whose limits are those that limits holds.
@@ -102,6 +104,33 @@
 	}
 }
 
+// TestHTTP2ConnectionsAreCharged opens connections over HTTP/2 for which there is no room in
+// the end, and checks that requests on the others are served and that all charges end.
+func TestHTTP2ConnectionsAreCharged(t *testing.T) {
+	b := NewBudget(64<<20, 0)
+	s := listen(t, respondOK, Limits{Budget: b})
+	served := 0
+	clients := make([]*http.Client, 40)
+	for i := range clients {
+		clients[i] = NewClient(nil)
+		resp, err := clients[i].Get("http://" + s.Address())
+		if err != nil {
+			continue
+		}
+		served++
+		_ = resp.Body.Close()
+		stats := b.Stats()
+		assert.Assert(t, stats.Bytes <= stats.Limits.LargeBytes+int64(stats.Connections)*clientbudget.ConnectionBytes, "%+v", stats)
+	}
+	assert.Equal(t, served, len(clients), "idle connections give way")
+	for _, c := range clients {
+		c.CloseIdleConnections()
+	}
+	for end := time.Now().Add(ioTimeout); b.Stats().Bytes > clientbudget.ConnectionBytes; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%+v", b.Stats())
+	}
+}
+
 // TestStalledBodyGivesWayToAConnection fills all connections with bodies that stop. The next
 // client must be served, and those that are dropped must be told that their requests have
 // not run.
--- a/internal/httpnet/conn.go
+++ b/internal/httpnet/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -73,8 +74,9 @@
 	// sendingBody is set while the body of a request over HTTP/1 is awaited, writing while
 	// an answer is written.
 	sendingBody, writing bool
-	// streams is the number of requests that run over HTTP/2.
-	streams int
+	// streams is the number of requests that run over HTTP/2, awaited the number of those
+	// whose clients are waited for.
+	streams, awaited int
 }
 
 // unwatched reports whether no limits apply to the connection that the server does not
@@ -99,7 +101,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.state == stateIdle || c.state == stateHTTP2 && c.streams == 0:
+	case c.state == stateIdle || c.state == stateHTTP2 && c.streams == 0 && !c.writing:
 		// An error means that the connection is closed already.
 		_ = c.closeRead()
 		return
@@ -126,8 +128,12 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		if !c.begun.Swap(true) && bytes.HasPrefix(b[:n], http2Preface) {
+		first := !c.begun.Swap(true)
+		if first && bytes.HasPrefix(b[:n], http2Preface) {
 			c.http2.Store(true)
+			if c.budget != nil && !c.chargeHTTP2() {
+				return 0, io.EOF
+			}
 		}
 		c.hasRead.Store(true)
 		if watched {
@@ -137,6 +143,13 @@
 	return n, err
 }
 
+// chargeHTTP2 charges a connection that begins to speak HTTP/2. It reports false if there is
+// no room for it.
+func (c *limitedConn) chargeHTTP2() bool {
+	c.enter(clientbudget.Running)
+	return c.budget.reserve(context.Background(), c.client, clientbudget.HTTP2Bytes, clientbudget.Large)
+}
+
 // beforeRead returns the part of b that may be read into. It fails if the head of a request
 // is too long.
 func (c *limitedConn) beforeRead(b []byte) ([]byte, error) {
@@ -204,9 +217,10 @@
 	defer c.mu.Unlock()
 	if c.state == stateHTTP2 {
 		c.streams++
-	} else {
-		c.state = stateRunning
+		c.enterHTTP2()
+		return
 	}
+	c.state = stateRunning
 	c.enter(clientbudget.Running)
 }
 
@@ -214,9 +228,13 @@
 func (c *limitedConn) awaitClient(p clientbudget.Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateRunning {
-		c.sendingBody = true
+	switch c.state {
+	case stateRunning:
+		c.sendingBody = p != clientbudget.ReadingAnswer
 		c.enter(p)
+	case stateHTTP2:
+		c.awaited++
+		c.enterHTTP2()
 	}
 }
 
@@ -224,9 +242,29 @@
 func (c *limitedConn) clientMoved(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateRunning {
+	switch c.state {
+	case stateRunning:
 		c.sendingBody = false
 		c.move(n)
+	case stateHTTP2:
+		c.awaited--
+		c.move(n)
+		c.enterHTTP2()
+	}
+}
+
+// enterHTTP2 enters the phase of a connection of HTTP/2. Its client is waited for if it does
+// not read, or if all requests wait for it. c.mu must be held.
+func (c *limitedConn) enterHTTP2() {
+	switch {
+	case c.writing:
+		c.enter(clientbudget.ReadingAnswer)
+	case c.streams == 0:
+		c.enter(clientbudget.Idle)
+	case c.awaited >= c.streams:
+		c.enter(clientbudget.SendingBody)
+	default:
+		c.enter(clientbudget.Running)
 	}
 }
 
@@ -238,9 +276,8 @@
 	if c.state != stateHTTP2 {
 		return
 	}
-	if c.streams--; c.streams == 0 {
-		c.enter(clientbudget.Idle)
-	}
+	c.streams--
+	c.enterHTTP2()
 }
 
 // endRequest is called when a request has been answered and the next one is awaited.
@@ -292,11 +329,16 @@
 func (c *limitedConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateRunning {
+	switch c.state {
+	case stateRunning:
+		c.sendingBody, c.writing = false, true
+		c.enter(clientbudget.ReadingAnswer)
+	case stateHTTP2:
+		c.writing = true
+		c.enterHTTP2()
+	default:
 		return false
 	}
-	c.sendingBody, c.writing = false, true
-	c.enter(clientbudget.ReadingAnswer)
 	return true
 }
 
@@ -305,6 +347,9 @@
 	defer c.mu.Unlock()
 	c.writing = false
 	c.move(n)
+	if c.state == stateHTTP2 {
+		c.enterHTTP2()
+	}
 }
 
 // SetReadDeadline implements net.Conn. While a head or the next request is awaited, the
--- a/internal/httpnet/request.go
+++ b/internal/httpnet/request.go
@@ -6,7 +6,7 @@
 	"balsamcourse.example/balsamcourse/internal/clientbudget"
 )
 
-// request is a request with a body, whose client the budget watches. For others,
+// request is a request with a body or over HTTP/2, whose client the budget watches. For others,
 // it watches their connection only.
 type request struct {
 	budget *Budget
@@ -14,12 +14,13 @@
 	conn       *limitedConn
 	client     *clientbudget.Client
 	controller *http.ResponseController
+	http2      bool
 }
 
 // begin adds a request to the budget. conn is its connection, nil if the budget does not know
 // it.
-func (b *Budget) begin(w http.ResponseWriter, conn *limitedConn) *request {
-	q := &request{budget: b, conn: conn, controller: http.NewResponseController(w)}
+func (b *Budget) begin(w http.ResponseWriter, r *http.Request, conn *limitedConn) *request {
+	q := &request{budget: b, conn: conn, controller: http.NewResponseController(w), http2: r.ProtoMajor == 2}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q.client = b.ledger.Begin(b.now())
@@ -50,8 +51,50 @@
 	return q.client.Dropped() || q.conn != nil && q.conn.client != nil && q.conn.client.Dropped()
 }
 
-// drop makes pending reads of the body fail.
+// drop makes pending reads of the body fail, and over HTTP/2 also writes of the answer.
 func (q *request) drop() {
-	// It fails only if the connection is gone.
+	// They fail only if the connection is gone.
 	_ = q.controller.SetReadDeadline(past)
+	if q.http2 {
+		_ = q.controller.SetWriteDeadline(past)
+	}
+}
+
+// headCopies is the number of copies of a head over HTTP/2 that are held at a time.
+const headCopies = 2
+
+// headBytes returns the length of the fields of a head.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Host) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return int64(n)
+}
+
+// streamWriter tells the budget when a client over HTTP/2 is waited for to read an answer:
+// the window of its stream may be used up while its connection is read.
+type streamWriter struct {
+	http.ResponseWriter
+	request *request
+}
+
+// Write implements http.ResponseWriter.
+func (w *streamWriter) Write(b []byte) (int, error) {
+	w.request.await(clientbudget.ReadingAnswer)
+	n, err := w.ResponseWriter.Write(b)
+	w.request.moved(n)
+	return n, err
 }
+
+// FlushError is used by http.ResponseController.
+func (w *streamWriter) FlushError() error {
+	w.request.await(clientbudget.ReadingAnswer)
+	defer w.request.moved(0)
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *streamWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/httpnet/server.go
+++ b/internal/httpnet/server.go
@@ -39,12 +39,25 @@
 	defaultIdleTimeout    = 2 * time.Minute
 	defaultMaxHeaderBytes = 16 << 10
 	defaultMaxConnections = 4096
-	maxConcurrentStreams  = 4096
-	// maxClientStreams is the number of requests of one connection of a client over HTTP/2
-	// at a time. Other processes of the system share one connection for all requests.
-	maxClientStreams = 128
+	// maxConcurrentStreams is the number of requests of one connection over HTTP/2 at a
+	// time. Other processes of the system share one connection for all requests.
+	maxConcurrentStreams = 4096
 )
 
+// http2Limits returns the limits of connections over HTTP/2. Those of clients are charged
+// for what they allow: see clientbudget.HTTP2Bytes.
+func http2Limits(clients bool) *http.HTTP2Config {
+	if !clients {
+		return &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams}
+	}
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          clientbudget.HTTP2Streams,
+		MaxReadFrameSize:              16 << 10,
+		MaxReceiveBufferPerConnection: 64 << 10,
+		MaxReceiveBufferPerStream:     64 << 10,
+	}
+}
+
 // Endpoint is an address to listen on and the handler that serves it.
 type Endpoint struct {
 	Address string
@@ -171,9 +184,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
-	streams := maxConcurrentStreams
 	if limits.Budget != nil {
-		h, streams = limits.Budget.Wrap(h), maxClientStreams
+		h = limits.Budget.Wrap(h)
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -186,7 +198,7 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			Protocols:         protocols,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: streams},
+			HTTP2:             http2Limits(limits.Budget != nil),
 			ErrorLog:          log.New(io.Discard, "", 0),
 			ConnState:         open.record,
 			ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
