upstreamconn, forward: bound the buffers in the kernel of connections to upstreams

A gateway of 96 MB that forwarded bodies over the limit to an upstream held 73 MB and 61 MB in the kernel (TestBodiesOverLimitSent with the queues towards the upstream counted).

Cause: the kernel lets the send buffer of a connection grow to several MiB, times all connections to an upstream that reads slowly; the receive buffer likewise for answers whose callers do not read. Connections of clients were bounded already.

Connections to upstreams now have buffers of 64 KiB each way, as those of clients have.

--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 // Settings of the transport to upstreams.
@@ -24,7 +26,7 @@
 // connections. The transport does not decompress responses.
 func NewTransport(dial DialFunc) *http.Transport {
 	if dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
+		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive, Control: httpnet.LimitDialedBuffers}
 		dial = d.DialContext
 	}
 	return &http.Transport{
--- a/internal/httpnet/buffers.go
+++ b/internal/httpnet/buffers.go
@@ -7,7 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// SocketBufferBytes is the size of the buffers in the kernel of a connection with a client. It is the size with which the kernel begins; left alone, it
+// SocketBufferBytes is the size of the buffers in the kernel of a connection that carries
+// what clients send or read. It is the size with which the kernel begins; left alone, it
 // would let them grow to several MiB.
 const SocketBufferBytes = 64 << 10
 
@@ -27,3 +28,8 @@
 	}
 	return failed
 }
+
+// LimitDialedBuffers is the Control function of a net.Dialer for connections to upstreams.
+func LimitDialedBuffers(_, _ string, raw syscall.RawConn) error {
+	return LimitBuffers(raw, SocketBufferBytes, SocketBufferBytes)
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 // unackedTimeout bounds the time for which sent bytes may stay unacknowledged
@@ -58,7 +60,10 @@
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
+		Control: func(network, address string, raw syscall.RawConn) error {
+			if err := httpnet.LimitDialedBuffers(network, address, raw); err != nil {
+				return err
+			}
 			var failed error
 			err := raw.Control(func(fd uintptr) {
 				failed = os.NewSyscallError("setsockopt", syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unackedTimeout.Milliseconds())))
