platform: charge a desired state for what it decodes to

A control VM of 192 MB held 290 MB for a desired state of 30 MB that lists empty resources, 188 and 191 MB for empty API keys, 183 and 208 MB for empty shares.

Cause: a body was charged for twice its length, but two bytes of JSON decode to a structure of 56 bytes, in slices that grow.

The objects, lists and items of a desired state are now counted before it is decoded, and charged. A state for which there would be no room if nothing else were held is refused at once as invalid rather than after a wait; the same holds for bodies.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -145,6 +145,9 @@
 // Dropped reports whether the client has been chosen to be dropped.
 func (c *Client) Dropped() bool { return c.dropped }
 
+// Charged returns what the client is charged for.
+func (c *Client) Charged() int64 { return c.charged }
+
 // Phase returns the phase of the client.
 func (c *Client) Phase() Phase { return c.phase }
 
@@ -263,6 +266,14 @@
 	return true
 }
 
+// MayFit reports whether there is room for n bytes when nothing else is charged.
+func (l *Ledger) MayFit(n int64, class Class) bool {
+	if class == Small {
+		return n <= l.limits.Bytes
+	}
+	return n <= l.limits.LargeBytes
+}
+
 // Force charges n bytes that are held in any case.
 func (l *Ledger) Force(c *Client, n int64) {
 	l.add(c, n)
--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -29,6 +29,10 @@
 // ErrBudget means that there is no room for what a client sends.
 var ErrBudget = errors.New("no room for what the client sends")
 
+// ErrNeverFits means that there would be no room for what a client sends even if it were the
+// only one.
+var ErrNeverFits = errors.New("the process has too little memory for what the client sends")
+
 // Budget bounds what the servers of a process hold for clients, by the decisions of
 // package clientbudget. It is safe for concurrent use.
 type Budget struct {
@@ -168,6 +172,12 @@
 	return c.Dropped()
 }
 
+func (b *Budget) charged(c *clientbudget.Client) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.Charged()
+}
+
 func (b *Budget) release(c *clientbudget.Client, n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -192,6 +202,9 @@
 	if b.charge(c, n, class) {
 		return true
 	}
+	if !b.mayFit(n, class) {
+		return b.refuse()
+	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	for {
@@ -206,6 +219,13 @@
 	return b.refuse()
 }
 
+// mayFit reports whether n bytes could be charged if nothing else were.
+func (b *Budget) mayFit(n int64, class clientbudget.Class) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.MayFit(n, class)
+}
+
 // refuse counts a client for which there is no room, and returns false.
 func (b *Budget) refuse() bool {
 	b.mu.Lock()
@@ -346,6 +366,24 @@
 	}
 }
 
+// Charge charges n bytes that are decoded from the body until the request ends. It fails with
+// ErrBudget if there is no room for them, and with ErrNeverFits if there would not be any for
+// them and the body if nothing else were held. A nil body has room for all.
+func (b *Body) Charge(n int64) error {
+	if b == nil {
+		return nil
+	}
+	budget := b.request.budget
+	if !budget.mayFit(budget.charged(b.request.client)+n, clientbudget.Large) {
+		budget.refuse()
+		return ErrNeverFits
+	}
+	if !budget.reserve(b.ctx, b.request.client, n, clientbudget.Large) {
+		return ErrBudget
+	}
+	return nil
+}
+
 // Read implements io.Reader. It fails with ErrBudget if the sender has been dropped.
 func (b *Body) Read(p []byte) (int, error) {
 	phase := clientbudget.SendingBody
