platform: charge the answer to a read of the desired state

A control VM of 192 MB held 772 MB when 240 clients requested a desired state of 4 MB and did not read it.

Cause: each answer is a copy that is decompressed for it. Answers of control VMs were not charged at all.

--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -384,6 +384,19 @@
 	return nil
 }
 
+// ReserveAnswer charges n bytes of the answer to r until release is called. If there is no
+// room, it drops other clients and waits, and reports false if there is still none.
+func ReserveAnswer(r *http.Request, n int64) (release func(), ok bool) {
+	conn, _ := r.Context().Value(connKey{}).(*limitedConn)
+	if conn == nil || conn.budget == nil {
+		return func() {}, true
+	}
+	if !conn.budget.reserve(r.Context(), conn.client, n, clientbudget.Large) {
+		return nil, false
+	}
+	return func() { conn.budget.release(conn.client, n) }, true
+}
+
 // Read implements io.Reader. It fails with ErrBudget if the sender has been dropped.
 func (b *Body) Read(p []byte) (int, error) {
 	phase := clientbudget.SendingBody
