telemetry: compute few answers with metrics at a time, and charge them

A gateway of 96 MB held 99 MB and all of 512 descriptors when 200 connections over HTTP/2 requested metrics 100 times each and did not read them: it could not accept or open any connection.

Cause: each answer was computed while it was sent, and the values of the process are read from files that stay open meanwhile.

The description of clients_refused names all that is counted there.

--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -37,7 +37,7 @@
 		{"client_bytes", gauge, "gateway, entry, control", "", "bytes that the process holds for its clients: connections, heads, bodies and answers"},
 		{"client_connections", gauge, "gateway, entry, control", "", "connections of clients"},
 		{"clients_dropped", counter, "gateway, entry, control", "", "connections and bodies of clients that were dropped since there was no room left"},
-		{"clients_refused", counter, "gateway, entry, control", "", "requests that were refused since there was no room for their bodies"},
+		{"clients_refused", counter, "gateway, entry, control", "", "requests and connections that were refused since there was no room for their bodies, heads, answers or streams"},
 		{"calls_waiting", gauge, "gateway", "pool", "calls queued for an upstream"},
 		{"upstreams_open", gauge, "gateway", "pool", "upstreams that accept requests"},
 		{"upstreams_ready", gauge, "gateway", "pool", "upstreams that accept requests and are neither cold nor held back after failures"},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 )
 
 const (
@@ -48,7 +50,7 @@
 // Handler returns a handler for GET /metrics.
 func (m *Metrics) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", m.handler)
+	mux.Handle("GET /metrics", httpnet.Render(m.handler))
 	return mux
 }
 
