entryvm: drop stalled clients when calls are refused; one memory limit for all roles

An entry VM of the product that is asked by clients that stop within a body gave no ordinary answer in 60 s (TestEntryVM: bodies of 60 kB, small ones after a long head, large ones that return).

Gateways drop such clients when a call is refused for that; entry VMs did not.

They now do the same. The soft limit of the Go runtime (60 % of limits.memory_mb) was set on the platform only; it is now set by all roles of the product, too.

--- a/cmd/balsamcourse/main.go
+++ b/cmd/balsamcourse/main.go
@@ -30,13 +30,16 @@
 }
 
 func runControl(ctx context.Context, plannedStop <-chan struct{}, s settings.Control) error {
+	s.Limits.LimitMemory()
 	return controlvm.Run(ctx, plannedStop, s, controlvm.Options{Logs: os.Stderr})
 }
 
 func runEntry(ctx context.Context, plannedStop <-chan struct{}, s settings.Entry) error {
+	s.Limits.LimitMemory()
 	return entryvm.Run(ctx, plannedStop, s, entryvm.Options{Logs: os.Stderr})
 }
 
 func runGateway(ctx context.Context, plannedStop <-chan struct{}, s settings.Gateway) error {
+	s.Limits.LimitMemory()
 	return gateway.Run(ctx, plannedStop, s, gateway.Options{Logs: os.Stdout})
 }
--- a/internal/entryvm/callers.go
+++ b/internal/entryvm/callers.go
@@ -39,6 +39,7 @@
 		Claims:          claimAdapter{d.claims},
 		Quarantine:      &quarantineGuard{d.gossip, d.claims},
 		Limiter:         c.limiter,
+		Budget:          d.budget,
 		Transport:       d.upstreams,
 		Tracing:         d.tracing,
 		Metrics:         d.entryMetrics,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,9 +11,11 @@
 
 	"balsamcourse.example/balsamcourse/charts"
 	"balsamcourse.example/balsamcourse/internal/admission"
+	"balsamcourse.example/balsamcourse/internal/clientbudget"
 	"balsamcourse.example/balsamcourse/internal/configview"
 	"balsamcourse.example/balsamcourse/internal/event"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/httpnet"
 	"balsamcourse.example/balsamcourse/internal/slot"
 	"balsamcourse.example/balsamcourse/internal/statechart"
 	"balsamcourse.example/balsamcourse/internal/telemetry"
@@ -32,6 +34,8 @@
 	Quarantine Quarantine
 	// Limiter bounds the concurrent requests of each service.
 	Limiter *admission.Limiter
+	// Budget bounds what is held for callers; nil means no bound.
+	Budget *httpnet.Budget
 	// Transport sends requests to upstreams; see NewTransport.
 	Transport http.RoundTripper
 	Tracing   *telemetry.Tracing
@@ -101,6 +105,7 @@
 	}
 	defer c.close()
 	if !f.opts.Limiter.Acquire(c.service.Name) {
+		f.opts.Budget.DropStalled(clientbudget.StallGrace)
 		c.err = fault.New(fault.Overloaded, "too many concurrent requests for service %q", c.service.Name)
 		c.refuse()
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 package settings
 
 import (
+	"runtime/debug"
 	"time"
 
 	"balsamcourse.example/balsamcourse/internal/httpnet"
@@ -66,6 +67,14 @@
 	return httpnet.NewBudget(l.MemoryMB<<20, l.MaxConnections)
 }
 
+// memoryLimitPercent is the soft memory limit of the Go runtime, in percent of the memory
+// that the process may use. The rest covers memory that the runtime does not count, such as
+// stacks of the C library and socket buffers.
+const memoryLimitPercent = 60
+
+// LimitMemory sets the soft memory limit of the Go runtime for this process.
+func (l Limits) LimitMemory() { debug.SetMemoryLimit(l.MemoryMB << 20 * memoryLimitPercent / 100) }
+
 // Listener returns the limits that the HTTP server enforces. The body limits
 // and MaxInFlight are left to the handlers.
 func (l Limits) Listener() httpnet.Limits {
