httpnet: forget the body of the last request at the start of the next one

A read of a body may outlive its request, so that the connection counted as waiting for a body that it no longer reads.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -336,6 +336,7 @@
 	return l.take(idle, bytes, 0)
 }
 
+// connectionVictims returns the clients to drop if a connection is needed; see Victims.
 func (l *Ledger) connectionVictims(now time.Duration, want Want) []*Client {
 	connections := max(1, want.Waiting, l.limits.Connections*dropPercent/100) - l.releasingConnections
 	bytes := int64(0)
--- a/internal/httpnet/budget.go
+++ b/internal/httpnet/budget.go
@@ -55,8 +55,9 @@
 	Limits clientbudget.Limits
 }
 
-// NewBudget returns a budget for a process with the given memory, for at most the given
-// number of connections, 0 for no bound of their own. It reads the limit of open descriptors from the operating system.
+// NewBudget returns a budget for a process with the given memory and at most maxConnections
+// connections of clients, 0 for no bound but those that follow from the memory and from the
+// limit of open descriptors of the operating system.
 func NewBudget(memoryBytes int64, maxConnections int) *Budget {
 	descriptors := 0
 	var limit unix.Rlimit
@@ -442,6 +443,7 @@
 		if q.http2 {
 			if n := headBytes(r); n > readBufferBytes && !b.charge(q.client, headCopies*n, clientbudget.Small) {
 				b.refuse()
+				// Resets the stream: a refusal would wait for the client.
 				panic(http.ErrAbortHandler)
 			}
 			w = &streamWriter{ResponseWriter: w, request: q}
--- a/internal/httpnet/conn.go
+++ b/internal/httpnet/conn.go
@@ -220,7 +220,7 @@
 		c.enterHTTP2()
 		return
 	}
-	c.state = stateRunning
+	c.state, c.sendingBody = stateRunning, false
 	c.enter(clientbudget.Running)
 }
 
