control: refuse announcements with long texts

Texts of announcements and ids of departures are limited to 256 bytes now and checked before anything is proposed; longer ones are invalid. The state machine is left as it is, since those of older builds accept any length. TestLongTextsOfUpstreamsAreRefused failed before and passes.

--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -46,6 +46,24 @@
 	return a.Address == b.Address && a.Zone == b.Zone && a.Pool == b.Pool && a.Slots == b.Slots && a.Software == b.Software
 }
 
+// maxUpstreamTextBytes limits each text of an announcement, since all control VMs and entry VMs
+// keep them.
+const maxUpstreamTextBytes = 256
+
+// CheckUpstreamTexts refuses an announcement whose texts are too long. The state machine does
+// not call it, because those of older builds accept any length.
+func CheckUpstreamTexts(u *catalogpb.Upstream) *fault.Error {
+	for _, text := range []struct{ name, value string }{
+		{"id", u.GetId()}, {"address", u.GetAddress()}, {"availability zone", u.GetZone()},
+		{"pool", u.GetPool()}, {"software version", u.GetSoftware()},
+	} {
+		if len(text.value) > maxUpstreamTextBytes {
+			return invalid("%s of the upstream has %d bytes, expected at most %d", text.name, len(text.value), maxUpstreamTextBytes)
+		}
+	}
+	return nil
+}
+
 func checkUpstream(u *catalogpb.Upstream) *fault.Error {
 	switch {
 	case u.GetId() == "":
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -125,6 +125,9 @@
 // that this VM knows to be committed already is acknowledged immediately, even
 // if the VM does not lead.
 func (a *admin) AnnounceUpstream(ctx context.Context, req *adminpb.AnnounceUpstreamRequest) (*adminpb.AnnounceUpstreamResponse, error) {
+	if err := catalog.CheckUpstreamTexts(req.Upstream); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	if !catalog.NeedsCommit(a.server.catalog.Config(), req.Upstream) {
 		return &adminpb.AnnounceUpstreamResponse{}, nil
 	}
@@ -149,6 +152,9 @@
 // the order is carried out, it fails with an error of kind OutdatedOrder.
 func (a *admin) DropUpstream(ctx context.Context, req *adminpb.DropUpstreamRequest) (*adminpb.DropUpstreamResponse, error) {
 	drop := &catalogpb.DropUpstream{Id: req.Drop.GetId(), StartedMs: req.Drop.GetStartedMs()}
+	if err := catalog.CheckUpstreamTexts(&catalogpb.Upstream{Id: drop.Id}); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	ctx = a.server.withUpstreamStart(ctx, drop.Id)
 	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.DropUpstreamRequest{Drop: drop}, adminpb.Admin.DropUpstream)
 	if forwarded {
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,6 +93,28 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestLongTextsOfUpstreamsAreRefused guards against announcements that fill the memory of all
+// control VMs and entry VMs.
+func TestLongTextsOfUpstreamsAreRefused(t *testing.T) {
+	g := newGroup(t)
+	long := strings.Repeat("x", 300)
+	for name, set := range map[string]func(*catalogpb.Upstream){
+		"id":       func(u *catalogpb.Upstream) { u.Id = long },
+		"address":  func(u *catalogpb.Upstream) { u.Address = long },
+		"zone":     func(u *catalogpb.Upstream) { u.Zone = long },
+		"pool":     func(u *catalogpb.Upstream) { u.Pool = long },
+		"software": func(u *catalogpb.Upstream) { u.Software = long },
+	} {
+		u := upstreamInState("u", catalogpb.UpstreamState_UPSTREAM_STATE_READY)
+		set(u)
+		_, err := g.followerAdmin().AnnounceUpstream(t.Context(), &adminpb.AnnounceUpstreamRequest{Upstream: u})
+		assert.Check(t, fault.FromTwirp(err, fault.Internal).Kind == fault.InvalidChange, "%s: %v", name, err)
+	}
+	_, err := g.followerAdmin().DropUpstream(t.Context(), &adminpb.DropUpstreamRequest{Drop: &catalogpb.DropUpstream{Id: long}})
+	assert.Check(t, fault.FromTwirp(err, fault.Internal).Kind == fault.InvalidChange, "drop: %v", err)
+	assert.Equal(t, len(g.config().Upstreams), 0)
+}
+
 func TestSetZoneOutAndDropUpstreamChangeConfig(t *testing.T) {
 	g := newGroup(t)
 	ctx := context.Background()
