control: bound the number of recorded upstreams

The leader refuses new ones as overloaded once those that have not gone would take a tenth of the memory, at 4 KiB each: 4,915 at 192 MB, 7,168 at 280 MB. Those that are recorded may still change and leave, and a departure makes room. TestNumberOfUpstreamsIsBounded fails without the check.

The crowd announces a service without routes: whoever announces one with routes gets its calls, so that ordinary callers of it wait for upstreams that do not exist.

--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -64,6 +64,27 @@
 	return nil
 }
 
+// CheckUpstreamRoom refuses the announcement of an upstream that is not recorded if
+// maxUpstreams are that have not gone; 0 means that their number is not bounded.
+func CheckUpstreamRoom(cfg *catalogpb.Config, id string, maxUpstreams int) *fault.Error {
+	if maxUpstreams == 0 || len(cfg.Upstreams) < maxUpstreams {
+		return nil
+	}
+	if _, known := upstreams.get(cfg.Upstreams, id); known {
+		return nil
+	}
+	present := 0
+	for _, u := range cfg.Upstreams {
+		if u.State != catalogpb.UpstreamState_UPSTREAM_STATE_GONE {
+			present++
+		}
+	}
+	if present < maxUpstreams {
+		return nil
+	}
+	return fault.New(fault.Overloaded, "%d upstreams are recorded, limit is %d", present, maxUpstreams)
+}
+
 func checkUpstream(u *catalogpb.Upstream) *fault.Error {
 	switch {
 	case u.GetId() == "":
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,7 +41,10 @@
 	Operator func(ctx context.Context) string
 	// Rollout configures roll-outs.
 	Rollout settings.Rollout
-	Log     event.Logger
+	// MaxUpstreams is the number of recorded upstreams from which announcements of new ones
+	// are refused; 0 means that it is not bounded.
+	MaxUpstreams int
+	Log          event.Logger
 	// Metrics are those of the event loop; nil means that none are recorded.
 	Metrics *telemetry.ControlLoopMetrics
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -20,7 +20,6 @@
 	"balsamcourse.example/balsamcourse/internal/control/controltest"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
-	"balsamcourse.example/balsamcourse/internal/settings"
 )
 
 // group is a control group of two replicas on loopback listeners. The first one
@@ -34,9 +33,9 @@
 	operator string
 }
 
-func newGroup(t *testing.T) *group { return newGroupWith(t, settings.Rollout{}) }
+func newGroup(t *testing.T) *group { return newGroupWith(t, control.Options{}) }
 
-func newGroupWith(t *testing.T, rollout settings.Rollout) *group {
+func newGroupWith(t *testing.T, o control.Options) *group {
 	g := &group{t: t}
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers conc.WaitGroup
@@ -49,11 +48,9 @@
 		server, err := httpnet.Listen("127.0.0.1:0", mux, httpnet.Limits{})
 		assert.NilError(t, err)
 		t.Cleanup(func() { assert.NilError(t, server.Close()) })
-		s := control.New(control.Options{
-			Client:   httpnet.NewClient(nil),
-			Operator: func(context.Context) string { return g.operator },
-			Rollout:  rollout,
-		})
+		o.Client = httpnet.NewClient(nil)
+		o.Operator = func(context.Context) string { return g.operator }
+		s := control.New(o)
 		r := g.log.Add(server.Address(), s.StateMachine())
 		s.SetReplica(r)
 		mux.Handle(clusterpb.DistributionPathPrefix, s.DistributionHandler())
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -11,6 +11,7 @@
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
+	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/features"
 	"balsamcourse.example/balsamcourse/internal/httpnet"
@@ -25,7 +26,7 @@
 }
 
 func newRolloutGroup(t *testing.T) rolloutGroup {
-	g := rolloutGroup{newGroupWith(t, settings.Rollout{Share: 0.1, Slack: 50, RollbackMs: 5000}), t}
+	g := rolloutGroup{newGroupWith(t, control.Options{Rollout: settings.Rollout{Share: 0.1, Slack: 50, RollbackMs: 5000}}), t}
 	ctx := context.Background()
 	_, err := g.leaderAdmin().ApplyState(ctx, &adminpb.ApplyStateRequest{State: &catalogpb.DesiredState{
 		Version: 1, Pools: []*catalogpb.Pool{{Name: "p", HealthPath: "/"}},
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -135,6 +135,9 @@
 	if forwarded {
 		return resp, err
 	}
+	if err := catalog.CheckUpstreamRoom(a.server.catalog.Config(), req.Upstream.GetId(), a.server.opts.MaxUpstreams); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	cmd := &catalogpb.Command{Kind: &catalogpb.Command_PutUpstream{PutUpstream: req.Upstream}}
 	revision, err := a.proposeForRevision(ctx, cmd)
 	if err != nil {
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
+	"balsamcourse.example/balsamcourse/internal/control"
 	"balsamcourse.example/balsamcourse/internal/fault"
 )
 
@@ -115,6 +117,28 @@
 	assert.Equal(t, len(g.config().Upstreams), 0)
 }
 
+// TestNumberOfUpstreamsIsBounded announces upstreams until new ones are refused. Those that
+// are recorded can still change and leave, and make room for others.
+func TestNumberOfUpstreamsIsBounded(t *testing.T) {
+	const maxUpstreams = 3
+	g := newGroupWith(t, control.Options{MaxUpstreams: maxUpstreams})
+	announce := func(i int, state catalogpb.UpstreamState) error {
+		u := upstreamInState(fmt.Sprintf("u%d", i), state)
+		u.Address = fmt.Sprintf("10.0.0.%d:80", i)
+		_, err := g.followerAdmin().AnnounceUpstream(t.Context(), &adminpb.AnnounceUpstreamRequest{Upstream: u})
+		return err
+	}
+	for i := range maxUpstreams {
+		assert.NilError(t, announce(i, catalogpb.UpstreamState_UPSTREAM_STATE_READY))
+	}
+	err := announce(maxUpstreams, catalogpb.UpstreamState_UPSTREAM_STATE_READY)
+	assert.Assert(t, fault.FromTwirp(err, fault.Internal).Kind == fault.Overloaded, "%v", err)
+	assert.NilError(t, announce(0, catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING))
+	_, err = g.followerAdmin().DropUpstream(t.Context(), &adminpb.DropUpstreamRequest{Drop: &catalogpb.DropUpstream{Id: "u0"}})
+	assert.NilError(t, err)
+	assert.NilError(t, announce(maxUpstreams, catalogpb.UpstreamState_UPSTREAM_STATE_READY))
+}
+
 func TestSetZoneOutAndDropUpstreamChangeConfig(t *testing.T) {
 	g := newGroup(t)
 	ctx := context.Background()
--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -162,11 +162,12 @@
 	d.client = client
 	client.Transport = access.NewTransport(d.keys.cluster, client.Transport)
 	d.control = control.New(control.Options{
-		Client:   client,
-		Operator: access.Holder,
-		Rollout:  d.settings.Rollout,
-		Log:      d.log,
-		Metrics:  telemetry.NewControlLoopMetrics(d.metrics),
+		Client:       client,
+		Operator:     access.Holder,
+		Rollout:      d.settings.Rollout,
+		MaxUpstreams: d.settings.Limits.MaxUpstreams(),
+		Log:          d.log,
+		Metrics:      telemetry.NewControlLoopMetrics(d.metrics),
 	})
 	if err := d.startReplica(client); err != nil {
 		return errors.Trace(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,19 @@
 	return httpnet.NewBudget(l.MemoryMB<<20, l.MaxConnections)
 }
 
+const (
+	// upstreamsPercent is the part of the memory of a control VM that recorded upstreams may
+	// use, and upstreamBytes what one takes with its share of the configurations that are
+	// kept to send differences.
+	upstreamsPercent = 10
+	upstreamBytes    = 4 << 10
+)
+
+// MaxUpstreams returns the number of upstreams that a control VM records.
+func (l Limits) MaxUpstreams() int {
+	return int(l.MemoryMB << 20 / 100 * upstreamsPercent / upstreamBytes)
+}
+
 // memoryLimitPercent is the soft memory limit of the Go runtime, in percent of the memory
 // that the process may use. The rest covers memory that the runtime does not count, such as
 // stacks of the C library and socket buffers.
