catalog: a departure records the start that has left

Cause: dropUpstream marked the record of the known start as gone and kept the start time of that record. The first announcement of the start that had left, arriving late, was newer than the record and counted as a new start. The same effect on a related path: of more than 256 departed upstreams the one with the earliest start was forgotten first, so that one that had run for long was forgotten as soon as it left.

Change: the record of a departure holds the start that has left and the index of its command; the record of the earliest departure is removed first.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 // CommandResult is the result of a command that is neither an operator's change
@@ -101,7 +102,15 @@
 	return true
 }
 
+// commandContext is what the effect of a command depends on beside its content: its index
+// in the log, and the features that all members support.
+type commandContext struct {
+	index    uint64
+	features features.Set
+}
+
 func runCommand(next *catalogpb.Config, index uint64, cmd *catalogpb.Command) *fault.Error {
+	in := commandContext{index: index, features: features.Set(cmd.Features)}
 	switch kind := cmd.Kind.(type) {
 	case *catalogpb.Command_RegisterEntry:
 		return registerEntry(next, index, kind.RegisterEntry)
@@ -114,9 +123,9 @@
 	case *catalogpb.Command_SetClaimEpoch:
 		return setClaimEpoch(next, kind.SetClaimEpoch)
 	case *catalogpb.Command_PutUpstream:
-		return putUpstream(next, kind.PutUpstream)
+		return putUpstream(next, in, kind.PutUpstream)
 	case *catalogpb.Command_DropUpstream:
-		return dropUpstream(next, kind.DropUpstream)
+		return dropUpstream(next, in, kind.DropUpstream)
 	case *catalogpb.Command_SetZoneOut:
 		return setZoneOut(next, index, kind.SetZoneOut)
 	case *catalogpb.Command_StartRollout:
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 const (
@@ -24,9 +25,12 @@
 	t testing.TB
 	*Catalog
 	last uint64
+	// features are those that all members of the group support.
+	features features.Set
 }
 
 func (m *testMachine) command(cmd *catalogpb.Command) any {
+	cmd.Features = uint64(m.features)
 	data, err := proto.Marshal(cmd)
 	assert.NilError(m.t, err)
 	m.last++
--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -1,10 +1,13 @@
 package catalog
 
 import (
+	"cmp"
+
 	"google.golang.org/protobuf/proto"
 
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
+	"balsamcourse.example/balsamcourse/internal/features"
 )
 
 // coldToleranceMs is the increase in the remaining time of a cold start up to
@@ -106,7 +109,7 @@
 // putUpstream records an announcement. A superseded announcement changes nothing.
 // Draining ends only with a new start, so that a delayed announcement cannot make
 // an upstream ready again.
-func putUpstream(next *catalogpb.Config, u *catalogpb.Upstream) *fault.Error {
+func putUpstream(next *catalogpb.Config, in commandContext, u *catalogpb.Upstream) *fault.Error {
 	if err := checkUpstream(u); err != nil {
 		return err
 	}
@@ -119,11 +122,12 @@
 		return nil
 	}
 	put := proto.CloneOf(u)
+	put.GoneIndex = 0
 	if known && old.StartedMs == u.StartedMs && old.State == catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING {
 		put.State = old.State
 	}
 	next.Upstreams = upstreams.put(next.Upstreams, put)
-	markPreviousOwnersGone(next, put)
+	markPreviousOwnersGone(next, in, put)
 	return nil
 }
 
@@ -139,21 +143,24 @@
 }
 
 // markPreviousOwnersGone marks all other upstreams with the address of u as gone.
-func markPreviousOwnersGone(next *catalogpb.Config, u *catalogpb.Upstream) {
+func markPreviousOwnersGone(next *catalogpb.Config, in commandContext, u *catalogpb.Upstream) {
 	for {
 		owner := addressOwner(next, u)
 		if owner == nil {
 			return
 		}
-		markGone(next, owner)
+		markGone(next, in, owner)
 	}
 }
 
-func markGone(next *catalogpb.Config, u *catalogpb.Upstream) {
+func markGone(next *catalogpb.Config, in commandContext, u *catalogpb.Upstream) {
 	gone := proto.CloneOf(u)
 	gone.State = catalogpb.UpstreamState_UPSTREAM_STATE_GONE
+	if in.features.Has(features.DepartedStarts) {
+		gone.GoneIndex = in.index
+	}
 	next.Upstreams = upstreams.put(next.Upstreams, gone)
-	evictOldestGone(next)
+	evictFirstGone(next)
 }
 
 // RetainedGoneUpstreams is the maximum number of gone upstreams that stay
@@ -161,43 +168,56 @@
 // arrive seconds late; at one departure per second this covers four minutes.
 const RetainedGoneUpstreams = 256
 
-// evictOldestGone removes the gone upstream with the earliest start if more than
-// RetainedGoneUpstreams are recorded.
-func evictOldestGone(next *catalogpb.Config) {
+// evictFirstGone removes the upstream that left first if more than
+// RetainedGoneUpstreams have gone. Those whose departure has no index come before all
+// others, in the order of their starts.
+func evictFirstGone(next *catalogpb.Config) {
 	count := 0
-	var oldest *catalogpb.Upstream
+	var first *catalogpb.Upstream
 	for _, u := range next.Upstreams {
 		if u.State != catalogpb.UpstreamState_UPSTREAM_STATE_GONE {
 			continue
 		}
 		count++
-		if oldest == nil || u.StartedMs < oldest.StartedMs {
-			oldest = u
+		if first == nil || cmp.Or(cmp.Compare(u.GoneIndex, first.GoneIndex), cmp.Compare(u.StartedMs, first.StartedMs)) < 0 {
+			first = u
 		}
 	}
 	if count > RetainedGoneUpstreams {
-		next.Upstreams = upstreams.remove(next.Upstreams, func(u *catalogpb.Upstream) bool { return u == oldest })
+		next.Upstreams = upstreams.remove(next.Upstreams, func(u *catalogpb.Upstream) bool { return u == first })
 	}
 }
 
-// dropUpstream marks an upstream as gone. An unknown one is recorded as gone as
-// well, because its first announcement may still arrive. With a base revision, the
-// start time is the one known where the order arrived: a later start is not dropped.
-func dropUpstream(next *catalogpb.Config, drop *catalogpb.DropUpstream) *fault.Error {
+// dropUpstream marks an upstream as gone. One whose start is not recorded yet is
+// recorded as gone as well, because its first announcement may still arrive. With a base
+// revision, the start time is the one known where the order arrived: a later start is not
+// dropped.
+func dropUpstream(next *catalogpb.Config, in commandContext, drop *catalogpb.DropUpstream) *fault.Error {
 	if drop.Id == "" {
 		return invalid("upstream has no id")
 	}
 	old, known := upstreams.get(next.Upstreams, drop.Id)
 	if !known {
-		markGone(next, &catalogpb.Upstream{Id: drop.Id, StartedMs: drop.StartedMs})
+		markGone(next, in, &catalogpb.Upstream{Id: drop.Id, StartedMs: drop.StartedMs})
 		return nil
 	}
-	if drop.BaseRevision != 0 && drop.StartedMs < old.StartedMs && old.State != catalogpb.UpstreamState_UPSTREAM_STATE_GONE {
+	hasGone := old.State == catalogpb.UpstreamState_UPSTREAM_STATE_GONE
+	if drop.BaseRevision != 0 && drop.StartedMs < old.StartedMs && !hasGone {
 		return outdatedOrder("upstream %q was started again after revision %d", drop.Id, drop.BaseRevision)
 	}
 	if drop.StartedMs != 0 && drop.StartedMs < old.StartedMs {
 		return nil
 	}
-	markGone(next, old)
+	if !in.features.Has(features.DepartedStarts) {
+		markGone(next, in, old)
+		return nil
+	}
+	switch {
+	case drop.StartedMs > old.StartedMs:
+		// The address and pool of a start that was never announced are unknown.
+		markGone(next, in, &catalogpb.Upstream{Id: drop.Id, StartedMs: drop.StartedMs})
+	case !hasGone:
+		markGone(next, in, old)
+	}
 	return nil
 }
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -113,6 +113,7 @@
 }
 
 func (a *admin) propose(ctx context.Context, cmd *catalogpb.Command) (any, error) {
+	cmd.Features = uint64(a.server.commonFeatures())
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, errors.Annotate(err, "encode command")
--- a/internal/control/support.go
+++ b/internal/control/support.go
@@ -66,6 +66,20 @@
 	return nil
 }
 
+// commonFeatures returns the features that all members of the control group have stated
+// that they support. It is empty if this control VM does not lead.
+func (s *Server) commonFeatures() features.Set {
+	st := s.opts.Replica.Status()
+	if !st.IsLeader || len(st.Members) == 0 {
+		return 0
+	}
+	common := features.Supported
+	for _, m := range st.Members {
+		common &= m.Features
+	}
+	return common
+}
+
 // shortList names the first maxLoggedIDs of the ids and the number of the others.
 func shortList(ids []string) string {
 	text := strings.Join(ids[:min(len(ids), maxLoggedIDs)], ", ")
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -15,10 +15,13 @@
 	Organisations
 	// Rollouts: roll-outs and the software version in rotation are obeyed.
 	Rollouts
+	// DepartedStarts: an upstream that has left is recorded with the start that has left
+	// and the index of its departure.
+	DepartedStarts
 )
 
 // Supported is the set that this build supports.
-const Supported = BoundedOrders | Organisations | Rollouts
+const Supported = BoundedOrders | Organisations | Rollouts | DepartedStarts
 
 // Has reports whether s contains all features of want.
 func (s Set) Has(want Set) bool { return s&want == want }
