control, soak: pauses of control VMs and the base of zone orders are logged; orders held in a soak

The logs could not tell whether a control VM had noticed a pause, on which state an order was based, and whether it was bounded at all. New events: orders_held (the VM was paused, with the base of what it reads now) and order_unbounded (a member is not known to support bounded orders); zone_set names the base of the order.

The soak has a new kind of disruption, hold_order: zones are taken out, brought back and taken out again while a control VM is suspended, once or in a series, with the orders to bring them back in its sockets.

--- a/internal/control/arrivals_test.go
+++ b/internal/control/arrivals_test.go
@@ -28,6 +28,7 @@
 		{6000 * ms, 32, 13},
 		{6500 * ms, 33, 33},
 	} {
-		assert.Equal(t, a.arrive(step.at, step.applied), step.base, "at %v", step.at)
+		base, _ := a.arrive(step.at, step.applied)
+		assert.Equal(t, base, step.base, "at %v", step.at)
 	}
 }
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -38,7 +38,7 @@
 	if _, known := ctx.Value(orderKey{}).(order); known {
 		return ctx
 	}
-	base := s.arrivals.arrive(s.bootTime(), s.appliedIndex())
+	base := s.sampleArrival()
 	// The first entry of the log changes nothing, and a base of 0 would mean none.
 	return context.WithValue(ctx, orderKey{}, order{base: max(base, 1)})
 }
@@ -95,7 +95,8 @@
 // bound returns the order if the state machines of all members obey base revisions, and
 // the zero order otherwise: then the command takes the form that older builds know.
 func (a *admin) bound(ctx context.Context) order {
-	if a.server.memberSupport(features.BoundedOrders) != nil {
+	if err := a.server.memberSupport(features.BoundedOrders); err != nil {
+		a.server.opts.Log.Log(event.OrderUnbounded).Uint64("base", orderOf(ctx).base).Err(err).Send()
 		return order{}
 	}
 	return orderOf(ctx)
@@ -144,12 +145,14 @@
 	held      uint64
 }
 
-// arrive takes a sample and returns the base of an order that is read now. The time is
-// that of a clock that also runs while the process or the VM is suspended.
-func (a *arrivals) arrive(now time.Duration, applied uint64) uint64 {
+// arrive takes a sample and returns the base of an order that is read now, and how long
+// the process was paused before if this sample is the first one after a pause. The time
+// is that of a clock that also runs while the process or the VM is suspended.
+func (a *arrivals) arrive(now time.Duration, applied uint64) (base uint64, paused time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.at != 0 && now-a.at > pauseLimit {
+		paused = now - a.at
 		if now >= a.heldUntil {
 			a.held = a.applied
 		}
@@ -157,9 +160,21 @@
 	}
 	a.at, a.applied = max(a.at, now), max(a.applied, applied)
 	if now < a.heldUntil {
-		return min(a.held, applied)
+		return min(a.held, applied), paused
 	}
-	return applied
+	return applied, paused
+}
+
+// sampleArrival returns the base of an order that is read now, and logs a pause of the
+// process.
+func (s *Server) sampleArrival() uint64 {
+	applied := s.appliedIndex()
+	base, paused := s.arrivals.arrive(s.bootTime(), applied)
+	if paused > 0 {
+		s.opts.Log.Log(event.OrdersHeld).Uint64("paused_ms", uint64(paused.Milliseconds())).
+			Uint64("base", base).Uint64("applied", applied).Send()
+	}
+	return base
 }
 
 // sampleArrivals takes samples until ctx ends.
@@ -167,7 +182,7 @@
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
 	for {
-		s.arrivals.arrive(s.bootTime(), s.appliedIndex())
+		s.sampleArrival()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -116,7 +116,7 @@
 		return nil, fault.ToTwirp(err)
 	}
 	a.server.opts.Log.Log(event.ZoneSet).Str("zone", req.Change.GetZone()).Bool("out", req.Change.GetOut()).
-		Uint64("revision", revision).Send()
+		Uint64("base", change.BaseRevision).Uint64("revision", revision).Send()
 	a.server.awaitShortly(ctx, revision)
 	return &adminpb.SetZoneOutResponse{}, nil
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,8 @@
 	RolloutRolledBack   = Event{232, "rollout_rolled_back", zerolog.WarnLevel, "a roll-out is rolled back; the figures are those that decided it", "see the reason field; examine the new version on the named route"}
 	RolloutLate         = Event{233, "rollout_late", zerolog.WarnLevel, "a roll-out has no verdict at the end of its duration", "if moved is false, look for long requests at the old version and for gateways that do not get the configuration"}
 	RolloutNotCommitted = Event{234, "rollout_not_committed", zerolog.WarnLevel, "a step of a roll-out or the software version of a pool was not committed; it will be tried again", "if it persists, check the control group"}
+	OrdersHeld          = Event{235, "orders_held", zerolog.WarnLevel, "this process was paused; orders that are read now are based on the state before the pause", "check whether the VM is overcommitted or was suspended"}
+	OrderUnbounded      = Event{236, "order_unbounded", zerolog.WarnLevel, "an order has no bound on its age, because a member of the control group has not stated that it supports that", "finish the upgrade of all control VMs"}
 	ConfigAdopted       = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
 	LeaseLost           = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration lease has expired; refusing new calls", "check the network to control VMs and other entry VMs"}
 	LeaseRegained       = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration lease was renewed after it had expired", ""}
@@ -92,7 +94,7 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
-		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed, VoteKept, ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, LogReplayed, NoLeader, ReplicaWaiting, MembershipChanged, OrderOutdated, MemberChangeStarted, TermCommitted, FirstRead, Joined, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted,
+		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed, VoteKept, ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, LogReplayed, NoLeader, ReplicaWaiting, MembershipChanged, OrderOutdated, MemberChangeStarted, TermCommitted, FirstRead, Joined, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted, OrdersHeld, OrderUnbounded,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, AllotmentFailed, AllotmentUsed, AllotmentIssued, VersionsChanged, TargetWithdrawn, EvidenceUnsent,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed, ClientsDropped,
 		WrongKey, KeysReloaded, KeysInvalid,
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -40,7 +40,9 @@
 	pauseControl   = "pause_control"
 	killAllControl = "kill_all_control"
 	wipeControl    = "wipe_control"
-	upgrade        = "upgrade"
+	// holdOrder suspends a control VM while orders of the operator wait in its sockets.
+	holdOrder = "hold_order"
+	upgrade   = "upgrade"
 )
 
 // Disruptions of links. Those of a VM strike what others send to it.
@@ -85,6 +87,7 @@
 	{pauseControl, onControl, 500 * time.Millisecond, 6 * time.Second, 3, false},
 	{killAllControl, onAllControl, 0, 2 * time.Second, 1, false},
 	{wipeControl, onControl, 0, time.Second, 1, false},
+	{holdOrder, onControl, 1500 * time.Millisecond, 8 * time.Second, 2, false},
 	{upgrade, onGateway, 0, time.Second, 2, false},
 	{cutGateway, onGateway, time.Second, 4 * time.Second, 2, true},
 	{silenceGateway, onGateway, 0, 0, 2, true},
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -19,6 +20,10 @@
 	case onGateway:
 		r.strikeNode(ctx, d, r.system.gateways[d.Target])
 	case onControl:
+		if d.Kind == holdOrder {
+			r.holdOrder(ctx, d, r.system.controls[d.Target])
+			return
+		}
 		r.strikeNode(ctx, d, r.system.controls[d.Target])
 	case onAllControl:
 		r.strikeAllControl(ctx, d)
@@ -211,3 +216,85 @@
 	r.history.addEvacuation(e)
 	r.order(ctx, func(ctx context.Context, o Operator) error { return o.SetZoneOut(ctx, zoneName(d.Target), false) })
 }
+
+const (
+	// heldOrderPause is the mean pause between the orders of holdOrder.
+	heldOrderPause = 1200 * time.Millisecond
+	// maxPausesInSeries is the greatest number of pauses that follow each other, while
+	// the process runs for 0.1 to 10 ms between two of them.
+	maxPausesInSeries = 3
+)
+
+// holdOrder takes zones out, brings them back and takes them out again while the process
+// of a control VM is suspended. The operator asks that VM first to bring them back; the
+// order waits there until the process resumes, before or after the last order.
+func (r *run) holdOrder(ctx context.Context, d Disruption, n *node) {
+	if !r.zoneBusy.TryLock() {
+		return
+	}
+	defer r.zoneBusy.Unlock()
+	if !n.busy.TryLock() {
+		return
+	}
+	defer n.busy.Unlock()
+	rng := rand.New(rand.NewPCG(r.settings.Seed, uint64(d.At)))
+	held := []int{rng.IntN(zones), rng.IntN(zones)}
+	if held[1] == held[0] {
+		held = held[:1]
+	}
+	set := func(zone int, out bool) bool {
+		return r.order(ctx, func(ctx context.Context, o Operator) error { return o.SetZoneOut(ctx, zoneName(zone), out) })
+	}
+	pause := func() { wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(heldOrderPause))) }
+	for _, zone := range held {
+		if !set(zone, true) {
+			return
+		}
+	}
+	pause()
+	end := r.history.begin(d)
+	n.process.Signal(syscall.SIGSTOP)
+	series := 1 + rng.IntN(maxPausesInSeries)
+	awake := time.Duration(float64(time.Millisecond) * math.Pow(10, 2*rng.Float64()-1))
+	var resumed sync.WaitGroup
+	resumed.Go(func() {
+		for i := range series {
+			if i > 0 {
+				n.process.Signal(syscall.SIGCONT)
+				wait.For(ctx, awake)
+				n.process.Signal(syscall.SIGSTOP)
+			}
+			wait.For(ctx, d.For/time.Duration(series))
+		}
+		n.process.Signal(syscall.SIGCONT)
+		end()
+	})
+	defer resumed.Wait()
+	var orders sync.WaitGroup
+	for _, zone := range held {
+		orders.Go(func() {
+			attempt, cancel := context.WithTimeout(ctx, orderTimeout)
+			// The process is suspended, so that an error is expected.
+			_ = r.dialect.Operator(n.vm, r.system.client).SetZoneOut(attempt, zoneName(zone), false)
+			cancel()
+			set(zone, false)
+		})
+	}
+	orders.Wait()
+	pause()
+	var out []evacuation
+	for _, zone := range held {
+		if set(zone, true) {
+			out = append(out, evacuation{zone: zone, acked: r.history.now()})
+		}
+	}
+	resumed.Wait()
+	wait.For(ctx, evacuationTime+contactTime+time.Duration(rng.Float64()*float64(contactTime)))
+	for _, e := range out {
+		e.back = r.history.now()
+		r.history.addEvacuation(e)
+	}
+	for _, e := range out {
+		set(e.zone, false)
+	}
+}
