control: orders stay bounded while a member of the group is silent

Cause: an order was bounded in age only if the leader's process had heard from each member which features it supports. A leader that was restarted while another control VM was suspended had not, and carried out the orders that the suspended VM held when it resumed, however old. Orders without a bound are not recorded as changes of their zone either, so that a bounded one could undo them.

A member that has stated nothing since the leader started counts as it did then; what a member states itself goes first, so that a group with an older build is treated as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,6 +37,8 @@
 	changes *changeHistory
 	// source is the text of the current desired state.
 	source Source
+	// groupFeatures is the set that GroupFeatures returns.
+	groupFeatures atomic.Uint64
 }
 
 // New returns an empty catalog.
@@ -49,6 +51,10 @@
 // Config returns the current configuration. The caller must not modify it.
 func (c *Catalog) Config() *catalogpb.Config { return c.config.Load() }
 
+// GroupFeatures returns the features that all members of the control group supported when
+// all of them had last stated it.
+func (c *Catalog) GroupFeatures() features.Set { return features.Set(c.groupFeatures.Load()) }
+
 // Index returns the log index of the last command that was applied.
 func (c *Catalog) Index() uint64 { return c.index.Load() }
 
@@ -78,6 +84,10 @@
 	if state := cmd.GetPutState(); state != nil {
 		return c.putState(index, state)
 	}
+	if set := cmd.GetSetGroupFeatures(); set != nil {
+		c.groupFeatures.Store(set.Features)
+		return CommandResult{Revision: c.Config().Revision}
+	}
 	next, err := c.run(index, &cmd)
 	if err != nil {
 		return c.reject(err)
@@ -176,6 +186,7 @@
 		StateSource:  c.source.plain,
 
 		PackedStateSource: c.source.compressed,
+		GroupFeatures:     c.groupFeatures.Load(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snap)
 	return data, errors.Annotate(err, "encode catalog snapshot")
@@ -197,6 +208,7 @@
 	c.changes = restoreChangeHistory(snap.Changes, snap.Forgotten)
 	c.source = Source{plain: snap.StateSource, compressed: snap.PackedStateSource}
 	c.config.Store(cfg)
+	c.groupFeatures.Store(snap.GroupFeatures)
 	c.index.Store(snap.AppliedIndex)
 	return nil
 }
--- a/internal/control/controltest/replica.go
+++ b/internal/control/controltest/replica.go
@@ -36,8 +36,10 @@
 	// behind is set while the replica does not know what was committed before it
 	// started.
 	behind bool
-	// features is what the replica has stated to support.
+	// features is what the replica has stated to support; silent is set if it has stated
+	// nothing to the present leader.
 	features features.Set
+	silent   bool
 }
 
 // Add adds a replica at the address. The first replica becomes leader.
@@ -73,11 +75,18 @@
 	r.behind = behind
 }
 
+// Silence makes the replica one that has stated nothing since the leader has started.
+func (r *Replica) Silence() {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	r.silent = true
+}
+
 // SetFeatures sets what the replica has stated to support.
 func (r *Replica) SetFeatures(supported features.Set) {
 	r.log.mu.Lock()
 	defer r.log.mu.Unlock()
-	r.features = supported
+	r.features, r.silent = supported, false
 }
 
 // LoseQuorum cuts every replica off from its quorum. The leader keeps its role.
@@ -157,7 +166,7 @@
 	}
 	for _, each := range l.replicas {
 		member := &catalogpb.ControlMember{ReplicaId: each.id, Address: each.address}
-		st.Members = append(st.Members, control.Member{Member: member, MatchIndex: l.index, Live: true, Features: each.features})
+		st.Members = append(st.Members, control.Member{Member: member, MatchIndex: l.index, Live: true, Features: each.features, StatedFeatures: !each.silent})
 	}
 	return st
 }
--- a/internal/control/order_test.go
+++ b/internal/control/order_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/twitchtv/twirp"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	adminpb "balsamcourse.example/balsamcourse/api/admin/v1"
 	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
@@ -153,3 +154,28 @@
 	assert.Assert(t, fault.KindOf(err) == fault.UnsupportedYet && strings.Contains(err.Error(), g.servers[1].Address()), "%v", err)
 	assert.Equal(t, fault.KindOf(control.Supports(g.control[1], want, false)), fault.NotLeader)
 }
+
+// TestSilentMemberKeepsOrdersBounded guards against EVAC: a leader that had not heard from a
+// suspended member since its start carried out orders of any age, since that member might
+// have run an older build.
+func TestSilentMemberKeepsOrdersBounded(t *testing.T) {
+	g := newGroup(t)
+	want := features.BoundedOrders
+	g.replicas[1].Silence()
+	err := control.Supports(g.control[0], want, false)
+	assert.Equal(t, fault.KindOf(err), fault.UnsupportedYet, "nothing is known of the member: %v", err)
+
+	g = newGroup(t)
+	assert.NilError(t, control.Supports(g.control[0], want, false))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !control.GroupFeatures(g.control[0]).Has(want) {
+			return poll.Continue("what all members support is not recorded")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	g.replicas[1].Silence()
+	assert.NilError(t, control.Supports(g.control[0], want, false))
+	g.replicas[1].SetFeatures(0)
+	err = control.Supports(g.control[0], want, false)
+	assert.Equal(t, fault.KindOf(err), fault.UnsupportedYet, "the member has stated that it runs an older build: %v", err)
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -64,8 +64,10 @@
 	Member     *catalogpb.ControlMember
 	MatchIndex uint64
 	Live       bool
-	// Features is what the replica supports according to its last message.
-	Features features.Set
+	// Features is what the replica supports according to its last message. StatedFeatures
+	// is not set if this process does not know of one.
+	Features       features.Set
+	StatedFeatures bool
 }
 
 // StateMachine applies committed commands.
--- a/internal/control/support.go
+++ b/internal/control/support.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	"balsamcourse.example/balsamcourse/internal/fault"
 	"balsamcourse.example/balsamcourse/internal/features"
 )
@@ -37,7 +38,17 @@
 	if !st.IsLeader {
 		return fault.New(fault.NotLeader, "this control VM does not know what the others support")
 	}
-	return membersWithout(st.Members, want)
+	return s.membersWithout(st.Members, want)
+}
+
+// memberFeatures returns what a member supports. One that has stated nothing since this
+// process started, such as a VM that is suspended, counts as it did when all members had
+// last stated what they support.
+func (s *Server) memberFeatures(m Member) features.Set {
+	if m.StatedFeatures {
+		return m.Features
+	}
+	return s.catalog.GroupFeatures()
 }
 
 // leaderSupport is supports for the leader alone, at a control VM that forwards an order
@@ -48,15 +59,15 @@
 		return fault.New(fault.NotLeader, "no leader is known")
 	}
 	leader := slices.DeleteFunc(slices.Clone(st.Members), func(m Member) bool { return m.Member.GetAddress() != st.LeaderAddress })
-	return membersWithout(leader, want)
+	return s.membersWithout(leader, want)
 }
 
 // membersWithout returns an error that names the members that have not stated that they
 // support the features, or nil.
-func membersWithout(members []Member, want features.Set) error {
+func (s *Server) membersWithout(members []Member, want features.Set) error {
 	var without []string
 	for _, m := range members {
-		if !m.Features.Has(want) {
+		if !s.memberFeatures(m).Has(want) {
 			without = append(without, fmt.Sprintf("%d (%s)", m.Member.GetReplicaId(), m.Member.GetAddress()))
 		}
 	}
@@ -75,11 +86,30 @@
 	}
 	common := features.Supported
 	for _, m := range st.Members {
-		common &= m.Features
+		common &= s.memberFeatures(m)
 	}
 	return common
 }
 
+// groupFeaturesCommand returns the command that records what all members support, nil if
+// one of them has not stated it or it is recorded. Builds that do not know the command
+// reject it, which changes nothing that they know.
+func (s *Server) groupFeaturesCommand() *catalogpb.Command {
+	st := s.opts.Replica.Status()
+	common := features.Supported
+	for _, m := range st.Members {
+		if !m.StatedFeatures {
+			return nil
+		}
+		common &= m.Features
+	}
+	if len(st.Members) == 0 || common == s.catalog.GroupFeatures() {
+		return nil
+	}
+	set := &catalogpb.SetGroupFeatures{Features: uint64(common)}
+	return &catalogpb.Command{Kind: &catalogpb.Command_SetGroupFeatures{SetGroupFeatures: set}}
+}
+
 // shortList names the first maxLoggedIDs of the ids and the number of the others.
 func shortList(ids []string) string {
 	text := strings.Join(ids[:min(len(ids), maxLoggedIDs)], ", ")
--- a/internal/controlvm/replica_adapter.go
+++ b/internal/controlvm/replica_adapter.go
@@ -53,11 +53,13 @@
 		LastQuorum:    st.LastQuorum,
 	}
 	for _, m := range st.Members {
-		supported := features.Supported
+		supported, stated := features.Supported, true
 		if m.GetReplicaId() != st.ID {
-			supported = r.peers.Features(m.GetReplicaId())
+			supported, stated = r.peers.Features(m.GetReplicaId())
 		}
-		out.Members = append(out.Members, control.Member{Member: m.ControlMember, MatchIndex: m.MatchIndex, Live: m.Live, Features: supported})
+		out.Members = append(out.Members, control.Member{
+			Member: m.ControlMember, MatchIndex: m.MatchIndex, Live: m.Live, Features: supported, StatedFeatures: stated,
+		})
 	}
 	return out
 }
--- a/internal/replica/features_test.go
+++ b/internal/replica/features_test.go
@@ -25,7 +25,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for id, transport := range transports[1:] {
 			for other := range uint64(3) {
-				if other != uint64(id) && transport.Features(other+1) != features.Supported {
+				if stated, _ := transport.Features(other + 1); other != uint64(id) && stated != features.Supported {
 					return poll.Continue("replica %d does not know the features of %d", id+1, other+1)
 				}
 			}
@@ -33,5 +33,7 @@
 		return poll.Success()
 	})
 	transports[1].recordBatchFeatures(&clusterpb.ConsensusBatch{From: 2})
-	assert.Equal(t, transports[1].Features(2), features.Set(0))
+	stated, known := transports[1].Features(2)
+	assert.Assert(t, known)
+	assert.Equal(t, stated, features.Set(0))
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -90,12 +90,13 @@
 	t.receiver = r
 }
 
-// Features returns what a replica supports according to its last message or
-// response; 0 if it has sent none since this process started.
-func (t *TwirpTransport) Features(id uint64) features.Set {
+// Features returns what a replica supports according to its last message or response. It
+// reports false if none is known to this process.
+func (t *TwirpTransport) Features(id uint64) (supported features.Set, stated bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.features[id]
+	supported, stated = t.features[id]
+	return supported, stated
 }
 
 func (t *TwirpTransport) recordFeatures(id, stated uint64) {
--- a/internal/testbed/outdated_order_test.go
+++ b/internal/testbed/outdated_order_test.go
@@ -22,6 +22,10 @@
 	// heldOrderTime is the time within which a control VM that resumes has executed
 	// the orders in its sockets, with a wide margin.
 	heldOrderTime = 3 * time.Second
+	// heldOrderRetryTime is less than the time for which orders count as held.
+	heldOrderRetryTime = 800 * time.Millisecond
+	// appliedTime is several intervals of heartbeats.
+	appliedTime = time.Second
 )
 
 // TestOrderHeldByFrozenControlVMIsNotExecuted guards against a zone that opens again: a
@@ -95,3 +99,65 @@
 		})
 	}
 }
+
+// TestOrderHeldWhileOtherControlVMsRestartIsNotExecuted guards against a zone that opens
+// again: a control VM is frozen with an order in its socket, and the others are restarted,
+// so that no process that leads has heard from the frozen one since its start. The caller of
+// the order waits for its answer all the while.
+func TestOrderHeldWhileOtherControlVMsRestartIsNotExecuted(t *testing.T) {
+	s := &gatewaySystem{cluster: newCluster(t, 3, 0)}
+	admins := newOperatorClient(s.cluster, "tester", operatorKey).clients
+	setZone := func(ctx context.Context, a adminpb.Admin, out bool) error {
+		_, err := a.SetZoneOut(ctx, &adminpb.SetZoneOutRequest{Change: &catalogpb.SetZoneOut{Zone: "a", Out: out}})
+		return err
+	}
+	s.askControl("zone out", func(ctx context.Context, a adminpb.Admin) error { return setZone(ctx, a, true) })
+	s.awaitReplicated()
+	var frozen int
+	s.askControl("leader", func(ctx context.Context, a adminpb.Admin) error {
+		st, err := a.GetStatus(ctx, &adminpb.GetStatusRequest{})
+		frozen = int(st.GetLeaderId()) % len(admins)
+		return err
+	})
+	// A follower applies what is committed with the next heartbeat. Its order is then
+	// outdated only by what is ordered below.
+	time.Sleep(appliedTime)
+	s.controls[frozen].signal(syscall.SIGSTOP)
+	held := make(chan error, 1)
+	go func() { held <- setZone(t.Context(), admins[frozen], false) }()
+	// The order must be in the socket before the others change the zone.
+	time.Sleep(operatorPatience)
+	for i, p := range s.controls {
+		if i != frozen {
+			p.kill()
+			p.start()
+		}
+	}
+	for _, out := range []bool{false, true} {
+		waitFor(t, "order at another control VM", func() string {
+			ctx, cancel := context.WithTimeout(t.Context(), operatorPatience)
+			defer cancel()
+			for i, a := range admins {
+				if i != frozen && setZone(ctx, a, out) == nil {
+					return ""
+				}
+			}
+			return "no control VM has acknowledged it"
+		})
+	}
+	s.controls[frozen].signal(syscall.SIGCONT)
+	err := <-held
+	// Until the process knows the leader, it refuses all orders. What it reads in the first
+	// second after a pause may have been held, too.
+	for end := time.Now().Add(heldOrderRetryTime); err != nil && !strings.Contains(err.Error(), "outdated_order") && time.Now().Before(end); {
+		err = setZone(t.Context(), admins[frozen], false)
+	}
+	assert.ErrorContains(t, err, "outdated_order")
+	var zones []*catalogpb.Zone
+	s.askControl("configuration", func(ctx context.Context, a adminpb.Admin) error {
+		resp, err := a.GetConfig(ctx, &adminpb.GetConfigRequest{})
+		zones = resp.GetConfig().GetZones()
+		return err
+	})
+	assert.Equal(t, zones[0].State, catalogpb.ZoneState_ZONE_STATE_OUT, "an order held while the control VM was frozen was executed")
+}
