control: an order whose caller has left is not carried out

What callers saw: an order to bring a zone back that the network, or the kernel of a process that did not run, had held until its caller had given it up was carried out after the zone had been taken out once more (EVAC). This was listed as remaining exposure in docs/design/orders.md.

Cause: the age of an order is counted from the moment at which a control VM reads it. The state on which such an order was based is unknown, but that its caller has closed the connection can be seen.

Change: a request of an operator or upstream whose connection has been closed by the time it is read is refused (httpnet.RefuseAbandoned). Orders without a version wait 25 ms for the end of their connection, which may arrive a round trip after them.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -47,6 +47,9 @@
 		return nil, fault.ToTwirp(err)
 	}
 	ctx = a.server.withOrder(ctx)
+	if err := a.awaitAbandon(ctx); err != nil {
+		return nil, err
+	}
 	// A base revision is set by the control VMs alone.
 	req = proto.CloneOf(req)
 	req.Change.BaseRevision = 0
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -27,6 +27,9 @@
 	// join at the same time. This is no order of an operator, and its age is not bounded.
 	if ctx.Value(ownCallKey{}) == nil {
 		ctx = a.server.withOrder(ctx)
+		if err := a.awaitAbandon(ctx); err != nil {
+			return nil, err
+		}
 	}
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.AddMember)
 	if forwarded {
@@ -64,6 +67,9 @@
 // RemoveMember removes a control replica.
 func (a *admin) RemoveMember(ctx context.Context, req *adminpb.RemoveMemberRequest) (*adminpb.MemberResponse, error) {
 	ctx = a.server.withOrder(ctx)
+	if err := a.awaitAbandon(ctx); err != nil {
+		return nil, err
+	}
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.RemoveMember)
 	if forwarded {
 		return resp, err
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -43,6 +43,29 @@
 	return context.WithValue(ctx, orderKey{}, order{base: max(base, 1)})
 }
 
+// abandonTime is the time after the arrival of an order within which its caller shows that
+// it has given the order up. The network may have held both the order and the end of its
+// connection; the end arrives up to a round trip after the order.
+const abandonTime = 25 * time.Millisecond
+
+// awaitAbandon waits until it is known that the caller of an order still waits for the
+// answer. It returns an error of kind OutdatedOrder if the caller has left: it may have
+// given the opposite order to another control VM since. The control VM that a call was
+// forwarded by has waited already.
+func (a *admin) awaitAbandon(ctx context.Context) error {
+	if _, forwarded := ctx.Value(forwardedCallKey{}).(forwardedCall); forwarded {
+		return nil
+	}
+	timer := time.NewTimer(abandonTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fault.ToTwirp(a.outdated(fault.New(fault.OutdatedOrder, "the caller has left before the order was carried out")))
+	}
+}
+
 // withUpstreamStart is withOrder for an order to drop an upstream. It adds the known
 // start time of the upstream.
 func (s *Server) withUpstreamStart(ctx context.Context, id string) context.Context {
@@ -111,7 +134,7 @@
 }
 
 // outdated logs the rejection of an order if that is its reason.
-func (a *admin) outdated(err *fault.Error) error {
+func (a *admin) outdated(err *fault.Error) *fault.Error {
 	if err.Kind == fault.OutdatedOrder {
 		a.server.opts.Log.Log(event.OrderOutdated).Err(err).Send()
 	}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -36,6 +36,9 @@
 		return nil, fault.ToTwirp(fault.New(fault.NotFound, "roll-outs are not enabled in the settings of this control VM"))
 	}
 	ctx = a.server.withOrder(ctx)
+	if err := a.awaitAbandon(ctx); err != nil {
+		return nil, err
+	}
 	order.BaseRevision = orderOf(ctx).base
 	resp, forwarded, err := forwardToLeader(ctx, a.server, req, adminpb.Admin.StartRollout)
 	if forwarded {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -104,6 +104,9 @@
 // arrived at the first control VM.
 func (a *admin) SetZoneOut(ctx context.Context, req *adminpb.SetZoneOutRequest) (*adminpb.SetZoneOutResponse, error) {
 	ctx = a.server.withOrder(ctx)
+	if err := a.awaitAbandon(ctx); err != nil {
+		return nil, err
+	}
 	change := &catalogpb.SetZoneOut{Zone: req.Change.GetZone(), Out: req.Change.GetOut()}
 	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.SetZoneOutRequest{Change: change}, adminpb.Admin.SetZoneOut)
 	if forwarded {
@@ -159,6 +162,11 @@
 		return nil, fault.ToTwirp(err)
 	}
 	ctx = a.server.withUpstreamStart(ctx, drop.Id)
+	if drop.StartedMs == 0 {
+		if err := a.awaitAbandon(ctx); err != nil {
+			return nil, err
+		}
+	}
 	resp, forwarded, err := forwardToLeader(ctx, a.server, &adminpb.DropUpstreamRequest{Drop: drop}, adminpb.Admin.DropUpstream)
 	if forwarded {
 		return resp, err
--- a/internal/controlvm/controlvm.go
+++ b/internal/controlvm/controlvm.go
@@ -228,12 +228,12 @@
 		return err
 	}
 	operatorHandler := access.NewAuthenticator(d.keys.operators, d.log, nil).Wrap(httpnet.LimitBodies(telemetry.CountRPCs(d.metrics, operators), maxOrderBytes, orderCopies))
-	if err := d.serveClients(d.settings.OperatorListen, operatorHandler); err != nil {
+	if err := d.serveOperators(d.settings.OperatorListen, operatorHandler); err != nil {
 		return err
 	}
 	if d.opts.Listeners != nil {
 		for _, l := range d.opts.Listeners(d.control.Admin(), d.log) {
-			if err := d.serveClients(l.Address, l.Handler); err != nil {
+			if err := d.serveOperators(l.Address, l.Handler); err != nil {
 				return err
 			}
 		}
@@ -248,6 +248,14 @@
 	return d.serveWith(address, h, d.settings.Limits.Listener())
 }
 
+// serveOperators serves operators and upstreams. What they have given up by the time at
+// which it is read is not carried out.
+func (d *Daemon) serveOperators(address string, h http.Handler) error {
+	return d.serveClients(address, httpnet.RefuseAbandoned(h, func(r *http.Request) {
+		d.log.Log(event.OrderRefused).Str("path", r.URL.Path).Str("error", "the caller has left before the request was read").Send()
+	}))
+}
+
 // serveClients serves clients that are not processes of the system.
 func (d *Daemon) serveClients(address string, h http.Handler) error {
 	limits := d.settings.Limits.Listener()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,7 +37,7 @@
 	NoLeader            = Event{222, "no_leader", zerolog.WarnLevel, "this replica knows no leader and has not become one; the answers are those of the voters to its latest requests", "see the section on elections in docs/OPERATIONS.md"}
 	ReplicaWaiting      = Event{223, "replica_waiting", zerolog.WarnLevel, "this replica is neither a voter nor a standby and waits", "see the section on elections in docs/OPERATIONS.md"}
 	MembershipChanged   = Event{224, "membership_changed", zerolog.InfoLevel, "the newest membership in the log of this replica has changed or was committed", ""}
-	OrderOutdated       = Event{225, "order_outdated", zerolog.WarnLevel, "an order was rejected because its object has changed since the order arrived at a control VM", "order it again if it is still wanted; if it is frequent, check for control VMs that pause or are cut off"}
+	OrderOutdated       = Event{225, "order_outdated", zerolog.WarnLevel, "an order was rejected because its object has changed since the order arrived at a control VM, or because its caller has left", "order it again if it is still wanted; if it is frequent, check for control VMs that pause or are cut off"}
 	MemberChangeStarted = Event{226, "member_change_started", zerolog.InfoLevel, "this leader proposes a change of the membership", ""}
 	TermCommitted       = Event{227, "term_committed", zerolog.InfoLevel, "the first entry of this leader's term was committed", ""}
 	FirstRead           = Event{228, "first_read", zerolog.InfoLevel, "the first read since the start was confirmed", ""}
