control: orders held through a series of pauses are based on the state before the first

What callers could see: a late order to bring a zone back is carried out if the control VM that holds it is suspended, runs for a moment and is suspended again (EVAC).

Cause: a pause that was longer than the hold of the one before replaced the state on which held orders are based by the one applied between the two.

Evidence: TestOrderReadAfterSeriesOfPausesIsBasedOnStateBeforeTheFirst failed before (base 20, want 10).

Change: the state is replaced only if the hold had passed when the pause began.

--- a/internal/control/arrivals_test.go
+++ b/internal/control/arrivals_test.go
@@ -32,3 +32,27 @@
 		assert.Equal(t, base, step.base, "at %v", step.at)
 	}
 }
+
+// Guards against EVAC: a process that ran for a moment between two pauses applied what had
+// been ordered during the first one, but read an order of that time only after the second.
+func TestOrderReadAfterSeriesOfPausesIsBasedOnStateBeforeTheFirst(t *testing.T) {
+	const ms = time.Millisecond
+	var a arrivals
+	for _, step := range []struct {
+		at            time.Duration
+		applied, base uint64
+	}{
+		{50 * ms, 10, 10},
+		{4000 * ms, 10, 10},
+		{4010 * ms, 20, 10},
+		// Longer than pauseHold.
+		{8000 * ms, 20, 10},
+		{8010 * ms, 30, 10},
+		{8500 * ms, 30, 10},
+		{8990 * ms, 31, 10},
+		{9450 * ms, 32, 32},
+	} {
+		base, _ := a.arrive(step.at, step.applied)
+		assert.Equal(t, base, step.base, "at %v", step.at)
+	}
+}
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -176,7 +176,8 @@
 	defer a.mu.Unlock()
 	if a.at != 0 && now-a.at > pauseLimit {
 		paused = now - a.at
-		if now >= a.heldUntil {
+		// Orders of an earlier pause may be unread if the next one began during its hold.
+		if a.at >= a.heldUntil {
 			a.held = a.applied
 		}
 		a.heldUntil = now + pauseHold
