control, gateway: quarantined requests outlive the gateways that found them out

Cause: crash reports are held by gateways alone. They survive the loss of some gateways by gossip, and the loss of all of them by nothing.

Change: gateways name quarantined requests in their renewals, and the leader records them in the configuration, which each gateway has before it lets callers in: 64 at most, 62 bytes each, one command a second at most, removed when the quarantine ends, when an operator releases the request, or when it has completed. No call is added to a request. Suspicions are not recorded: without the crashes of that time that have another cause, they could convict a harmless request. Members of older builds do not know the command; it is proposed once all support it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -144,6 +144,9 @@
 		return advanceRollout(next, index, kind.AdvanceRollout)
 	case *catalogpb.Command_SetPoolSoftware:
 		return setPoolSoftware(next, kind.SetPoolSoftware)
+	case *catalogpb.Command_UpdateConvictions:
+		updateConvictions(next, kind.UpdateConvictions)
+		return nil
 	}
 	return fault.New(fault.BadRequest, "command has no known kind")
 }
@@ -170,6 +173,7 @@
 		Organisations:    cfg.Organisations,
 		Rollouts:         cfg.Rollouts,
 		PoolSoftware:     cfg.PoolSoftware,
+		Convictions:      cfg.Convictions,
 	}
 }
 
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -50,6 +50,9 @@
 	var deletedSoftware []*catalogpb.PoolSoftware
 	d.PutPoolSoftware, deletedSoftware = poolSoftware.compare(base.PoolSoftware, next.PoolSoftware)
 	d.DeletedPoolSoftware = keysOf(poolSoftware, deletedSoftware)
+	var deletedConvictions []*catalogpb.Conviction
+	d.PutConvictions, deletedConvictions = convictions.compare(base.Convictions, next.Convictions)
+	d.DeletedConvictions = keysOf(convictions, deletedConvictions)
 	if !proto.Equal(base.ClaimEpoch, next.ClaimEpoch) {
 		d.ClaimEpoch = next.ClaimEpoch
 	}
@@ -185,6 +188,7 @@
 	applyStateDelta(next, base, d)
 	next.Rollouts = rollouts.merge(base.Rollouts, d.PutRollouts, d.DeletedRollouts)
 	next.PoolSoftware = poolSoftware.merge(base.PoolSoftware, d.PutPoolSoftware, d.DeletedPoolSoftware)
+	next.Convictions = convictions.merge(base.Convictions, d.PutConvictions, d.DeletedConvictions)
 	if d.ClaimEpoch != nil {
 		next.ClaimEpoch = d.ClaimEpoch
 	}
--- a/internal/catalog/equal.go
+++ b/internal/catalog/equal.go
@@ -25,6 +25,7 @@
 		sameItems(a.Organisations, b.Organisations) &&
 		sameItems(a.Rollouts, b.Rollouts) &&
 		sameItems(a.PoolSoftware, b.PoolSoftware) &&
+		sameItems(a.Convictions, b.Convictions) &&
 		proto.Equal(a.ClaimEpoch, b.ClaimEpoch) &&
 		proto.Equal(a.CallerLimits, b.CallerLimits)
 }
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -31,6 +31,7 @@
 	organisations = table[*catalogpb.Organisation]{func(o *catalogpb.Organisation) string { return o.Name }}
 	rollouts      = table[*catalogpb.Rollout]{func(r *catalogpb.Rollout) string { return r.Pool }}
 	poolSoftware  = table[*catalogpb.PoolSoftware]{func(p *catalogpb.PoolSoftware) string { return p.Pool }}
+	convictions   = table[*catalogpb.Conviction]{convictionKey}
 )
 
 // keySeparator joins the parts of a key. It cannot occur in a name.
--- a/internal/configsync/renew.go
+++ b/internal/configsync/renew.go
@@ -155,6 +155,9 @@
 	if evidence := l.syncer.opts.RolloutEvidence; evidence != nil {
 		req.RolloutEvidence = evidence()
 	}
+	if convictions := l.syncer.opts.Convictions; convictions != nil {
+		req.Convictions = convictions()
+	}
 	wait := l.syncer.opts.RenewInterval
 	if l.renew.failures > 0 {
 		wait = min(wait, retryHoldTime)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -65,6 +65,9 @@
 	// RolloutEvidence returns the evidence on roll-outs that a renewal reports; nil means
 	// none. It must not block.
 	RolloutEvidence func() []*clusterpb.RolloutEvidence
+	// Convictions returns what a renewal reports of requests that crash upstreams; nil
+	// means nothing.
+	Convictions func() []*clusterpb.ConvictionReport
 }
 
 // DefaultRenewInterval is the default and maximum of Options.RenewInterval. It
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -48,8 +48,8 @@
 }
 
 // proposeNext proposes the next command that is needed, unless a proposal is in
-// progress. Registrations go first, then features of the group, then cell assignments,
-// then changes of the claim epoch.
+// progress. Registrations go first, then features of the group and convictions, then
+// cell assignments, then changes of the claim epoch.
 func (l *loop) proposeNext() {
 	t := l.term
 	if t.proposing {
@@ -69,6 +69,10 @@
 		l.propose(cmd)
 		return
 	}
+	if cmd := l.convictionsCommand(); cmd != nil {
+		l.propose(cmd)
+		return
+	}
 	if now < t.nextPlan || now < t.lastRegistered+registrationDelay {
 		return
 	}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -144,6 +144,7 @@
 		return
 	}
 	l.recordEvidence(r.request.Entry.Id, r.request.Entry.Incarnation, r.request.RolloutEvidence)
+	l.recordConvictions(r.request.Convictions)
 	l.limitHold(r)
 	if l.term.isolatedHash != isolated {
 		l.answerDueRenewals()
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -48,6 +48,7 @@
 	isolated     []string
 	isolatedHash uint64
 	rollouts     rolloutState
+	convictions  convictionBatch
 }
 
 // entryReport is the last state that an entry VM reported.
@@ -77,6 +78,7 @@
 		unacceptedSince: since,
 		reports:         make(map[string]*entryReport),
 		restarts:        newRestartTracker(number, cfg),
+		convictions:     newConvictionBatch(),
 	}
 	t.indexEntries(cfg.Entries)
 	return t
--- a/internal/entryvm/build.go
+++ b/internal/entryvm/build.go
@@ -66,6 +66,7 @@
 		Client:           d.client(httpnet.NewClient(connections.Dial)),
 		CloseConnections: connections.Close,
 		RenewInterval:    d.settings.RenewMs.Duration(),
+		Convictions:      func() []*clusterpb.ConvictionReport { return d.gossip.ConvictionReports() },
 		Log:              d.log,
 	})
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -49,6 +49,8 @@
 	RolloutNotCommitted = Event{234, "rollout_not_committed", zerolog.WarnLevel, "a step of a roll-out or the software version of a pool was not committed; it will be tried again", "if it persists, check the control group"}
 	OrdersHeld          = Event{235, "orders_held", zerolog.WarnLevel, "this process was paused; orders that are read now are based on the state before the pause", "check whether the VM is overcommitted or was suspended"}
 	OrderUnbounded      = Event{236, "order_unbounded", zerolog.WarnLevel, "an order has no bound on its age, because a member of the control group has not stated that it supports that", "finish the upgrade of all control VMs"}
+	ConvictionSet       = Event{237, "conviction_set", zerolog.InfoLevel, "a request that crashes upstreams is recorded in the configuration, for entry VMs that start later", "find the sender of the request; see request_held_off at the entry VMs"}
+	ConvictionRemoved   = Event{238, "conviction_removed", zerolog.InfoLevel, "a recorded request that crashed upstreams was released, or its quarantine has ended", ""}
 	ConfigAdopted       = Event{300, "config_adopted", zerolog.InfoLevel, "a newer configuration is in force", ""}
 	LeaseLost           = Event{301, "lease_lost", zerolog.WarnLevel, "the configuration lease has expired; refusing new calls", "check the network to control VMs and other entry VMs"}
 	LeaseRegained       = Event{302, "lease_regained", zerolog.InfoLevel, "the configuration lease was renewed after it had expired", ""}
@@ -94,7 +96,7 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, StoppedHard, ListenFailed, Reloaded, ReloadFailed, RPCLoad,
-		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed, VoteKept, ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, LogReplayed, NoLeader, ReplicaWaiting, MembershipChanged, OrderOutdated, MemberChangeStarted, TermCommitted, FirstRead, Joined, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted, OrdersHeld, OrderUnbounded,
+		BecameLeader, LostLeadership, DiskFault, LogCorrupt, TornTailCut, ReplicaIDUsed, SnapshotFailed, StateFailed, VoteKept, ChangeApplied, CellAssigned, MemberCaughtUp, StateApplied, ZoneSet, JoinFailed, OrderRefused, MemberRemoved, LoopSlow, ConfigUnacked, EntryReplaced, LogReplayed, NoLeader, ReplicaWaiting, MembershipChanged, OrderOutdated, MemberChangeStarted, TermCommitted, FirstRead, Joined, RolloutStarted, RolloutStep, RolloutRolledBack, RolloutLate, RolloutNotCommitted, OrdersHeld, OrderUnbounded, ConvictionSet, ConvictionRemoved,
 		ConfigAdopted, LeaseLost, LeaseRegained, CellTaken, CellGiven, ControlLost, ControlRegained, RenewalFailed, UpstreamState, UpstreamHeld, UpstreamLimit, LimitInvalid, LimitedLoad, PermitsIssued, PermitFailed, UpstreamLeaving, UpstreamPaused, NoticeInvalid, UpstreamsLost, UpstreamsBack, RelayFailed, RetriesRefused, AllotmentFailed, AllotmentUsed, AllotmentIssued, VersionsChanged, TargetWithdrawn, EvidenceUnsent,
 		CallPanic, RequestSuspect, RequestHeldOff, CallEnded, AttemptFailed, UpstreamBroke, TrialFailed, ClientsDropped,
 		WrongKey, KeysReloaded, KeysInvalid,
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -18,10 +18,12 @@
 	// DepartedStarts: an upstream that has left is recorded with the start that has left
 	// and the index of its departure.
 	DepartedStarts
+	// Convictions: the configuration holds the requests that crash upstreams.
+	Convictions
 )
 
 // Supported is the set that this build supports.
-const Supported = BoundedOrders | Organisations | Rollouts | DepartedStarts
+const Supported = BoundedOrders | Organisations | Rollouts | DepartedStarts | Convictions
 
 // Has reports whether s contains all features of want.
 func (s Set) Has(want Set) bool { return s&want == want }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -197,6 +197,7 @@
 		ServesStale:      true,
 		RenewInterval:    organisation.RenewInterval(s.RevokeWithinMs.Duration()),
 		RolloutEvidence:  d.state.rolloutEvidence,
+		Convictions:      func() []*clusterpb.ConvictionReport { return d.gossip.ConvictionReports() },
 	})
 	d.state.reachable = d.config.Reachable
 	d.state.sinceNewest = d.config.SinceNewest
@@ -221,8 +222,9 @@
 	})
 	d.config.OnLease(d.state.recordLease)
 	d.config.OnChange(func(v *configview.View) {
-		d.state.applyConfig(v)
+		// The first configuration lets callers in: convictions must hold by then.
 		d.gossip.OnConfig(v)
+		d.state.applyConfig(v)
 	})
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	catalogpb "balsamcourse.example/balsamcourse/api/catalog/v1"
 	clusterpb "balsamcourse.example/balsamcourse/api/cluster/v1"
 	"balsamcourse.example/balsamcourse/internal/claim"
 	"balsamcourse.example/balsamcourse/internal/configview"
@@ -98,6 +99,8 @@
 	changed     chan struct{}
 	detector    *quarantine.Detector
 	completions quarantine.Completions
+	// convictions holds those of the configuration.
+	convictions []*catalogpb.Conviction
 	// heldOffUntil holds the requests whose quarantine has been logged.
 	heldOffUntil map[quarantine.Request]time.Duration
 }
@@ -121,7 +124,7 @@
 // Handler serves the exchange of reports with other entry VMs.
 func (s *Service) Handler() http.Handler { return clusterpb.NewGossipServer(s) }
 
-// OnConfig sets the other entry VMs from a configuration.
+// OnConfig sets the other entry VMs and the convictions from a configuration.
 func (s *Service) OnConfig(v *configview.View) {
 	members := make([]member, 0, len(v.Config.Entries))
 	for _, e := range v.Config.Entries {
@@ -133,6 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.members = members
+	s.setConvictions(v.Config.Convictions)
 }
 
 // Judge decides on a request.
@@ -298,7 +302,7 @@
 	evidence := s.detector.Evidence(now, r)
 	return s.opts.Logger.Log(e).Str("service", r.Service).Str("fingerprint", r.Fingerprint).
 		Uint64("crashes", uint64(evidence.Crashes)).Uint64("trials", uint64(evidence.Trials)).
-		Bool("isolated", evidence.Isolated).Uint64("variants", uint64(evidence.Variants))
+		Bool("isolated", evidence.Isolated).Uint64("variants", uint64(evidence.Variants)).Bool("recorded", evidence.Recorded)
 }
 
 // now returns the time since New.
--- a/internal/quarantine/index.go
+++ b/internal/quarantine/index.go
@@ -128,12 +128,16 @@
 // index finds the reports that a decision depends on.
 type index struct {
 	requests map[Request]*requestHistory
+	// onTrial holds the requests whose trials have crashed upstreams, with the number of
+	// reports.
+	onTrial  map[Request]int
 	services map[string]*serviceHistory
 }
 
 func newIndex() index {
 	return index{
 		requests: make(map[Request]*requestHistory),
+		onTrial:  make(map[Request]int),
 		services: make(map[string]*serviceHistory),
 	}
 }
@@ -154,6 +158,7 @@
 		timesOf(h.crashes, crash).add(r.at)
 		if r.trial {
 			h.trials[crash]++
+			x.onTrial[request]++
 		}
 		if i > 0 {
 			h.addVariant(requests[i-1].Fingerprint, crash)
@@ -197,6 +202,9 @@
 			h.releases.remove(r.at)
 		} else {
 			h.removeCrash(crash, r)
+			if r.trial {
+				decrement(x.onTrial, request)
+			}
 			if i > 0 {
 				h.removeVariant(requests[i-1].Fingerprint, crash)
 			}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -59,6 +59,9 @@
 func (d *Detector) Judge(now time.Duration, sig Signature, completions *Completions) Verdict {
 	v := Verdict{}
 	for i, r := range sig.requests() {
+		if left, ok := d.convicted(now, r); ok {
+			return Verdict{State: Quarantined, By: r, Left: left}
+		}
 		if d.index.requests[r] == nil {
 			continue
 		}
@@ -79,7 +82,10 @@
 // Involved reports whether a crash counts against one of the fingerprints of the
 // request.
 func (d *Detector) Involved(now time.Duration, sig Signature) bool {
-	return slices.ContainsFunc(sig.requests(), func(r Request) bool { return len(d.examine(now, r, 0).crashes) > 0 })
+	return slices.ContainsFunc(sig.requests(), func(r Request) bool {
+		_, convicted := d.convicted(now, r)
+		return convicted || len(d.examine(now, r, 0).crashes) > 0
+	})
 }
 
 // AtStake reports whether crashes of upstreams of the service matter now: whether a
@@ -103,6 +109,11 @@
 			s[r] = status{crashes: len(f.crashes), quarantined: f.quarantined, until: f.until}
 		}
 	}
+	for r := range d.convictions {
+		if left, ok := d.convicted(now, r); ok && !s[r].quarantined {
+			s[r] = status{crashes: s[r].crashes, quarantined: true, until: now + left}
+		}
+	}
 	return s
 }
 
@@ -117,6 +128,8 @@
 	// Variants is the number of variants that were in flight during crashes, 0 for
 	// the fingerprint of exactly one request.
 	Variants int
+	// Recorded is set if the configuration convicts the request.
+	Recorded bool
 }
 
 // Evidence returns which crashes count against the request.
@@ -126,6 +139,7 @@
 	if h := d.index.requests[r]; h != nil {
 		e.Variants = len(h.variants)
 	}
+	_, e.Recorded = d.convicted(now, r)
 	return e
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -144,9 +144,11 @@
 	// byHash holds the IDs of all reports by their hashes.
 	byHash map[uint64]reportID
 	// hash is the XOR of the hashes of all report IDs.
-	hash     uint64
-	index    index
-	disabled disabledRules
+	hash  uint64
+	index index
+	// convictions holds those of the configuration.
+	convictions map[Request]recorded
+	disabled    disabledRules
 }
 
 // agedReport is a report ID with the time of the report.
