soak: all gateways are killed at once; a crashing request is stopped

A new disruption, kill_all_gateways, and a new promise: a request that has crashed three upstreams reaches upstreams at most three times more from gateways in touch. Planted faults of the check are in checks_test.go.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -35,6 +35,7 @@
 	{"an accepted change is not lost", checkReads},
 	{"a cold upstream gets no more than it bears", checkCold},
 	{"requests sent again stay within the budget", checkBudget},
+	{"a request that crashes upstreams is stopped", checkCrashing},
 	{"an upstream that has left gets nothing", checkLeaves},
 	{"a zone taken out gets nothing", checkEvacuations},
 	{"a planned stop cuts off no call", checkStops},
@@ -312,6 +313,40 @@
 	return out
 }
 
+const (
+	// crashesUntilStopped is the number of upstreams that a request may crash before it must
+	// be stopped, and maxCrashesAfter how often gateways that are in touch may send it later.
+	crashesUntilStopped = 3
+	maxCrashesAfter     = 3
+)
+
+// checkCrashing looks at the requests on crashRoute, all of which are the same request.
+func checkCrashing(h *history) []Violation {
+	calls := h.callsByID()
+	var crashes []arrival
+	for _, a := range h.arrivals {
+		if c := calls[a.id]; c != nil && c.route == crashRoute && a.ran {
+			crashes = append(crashes, a)
+		}
+	}
+	slices.SortFunc(crashes, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	if len(crashes) < crashesUntilStopped {
+		return nil
+	}
+	stopped := crashes[crashesUntilStopped-1].at + contactTime
+	var late []arrival
+	for _, a := range crashes[crashesUntilStopped:] {
+		if c := calls[a.id]; c.sent > stopped && h.inTouch(c.gateway, c.sent, a.at) {
+			late = append(late, a)
+		}
+	}
+	if len(late) <= maxCrashesAfter {
+		return nil
+	}
+	last := late[len(late)-1]
+	return []Violation{{At: last.at, ID: last.id, Detail: fmt.Sprintf("crashed %d upstreams, %d of them later than %s after the third", len(crashes), len(late), contactTime)}}
+}
+
 // heldUp reports whether the link to the upstream was disturbed shortly before the
 // arrival.
 func (h *history) heldUp(a arrival) bool {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -76,6 +77,17 @@
 			arrivals: []arrival{{id: "1", zone: 1, at: 16 * sec}, {id: "2", zone: 1, at: 21 * sec}},
 		},
 	},
+	"a request that crashes upstreams is stopped": {
+		&history{
+			calls:    crashCalls(1, 2, 3, 8, 9, 10, 11),
+			arrivals: crashArrivals(1, 2, 3, 8, 9, 10, 11),
+		},
+		&history{
+			calls:    crashCalls(1, 2, 3, 4, 5, 8, 9, 10, 20),
+			arrivals: crashArrivals(1, 2, 3, 4, 5, 8, 9, 10, 20),
+			strikes:  []*strike{{Disruption: Disruption{Kind: killGateway}, from: 18 * sec, to: 19 * sec, done: true}},
+		},
+	},
 	"a planned stop cuts off no call": {
 		&history{
 			calls:   []call{{id: "1", sent: 10 * sec, ended: 11 * sec, cutOnFirst: true}},
@@ -92,6 +104,24 @@
 	},
 }
 
+// crashCalls returns a call of a request that crashes upstreams at each of the seconds.
+func crashCalls(seconds ...int) []call {
+	var out []call
+	for _, s := range seconds {
+		out = append(out, call{id: fmt.Sprint(s), route: crashRoute, sent: time.Duration(s) * time.Second})
+	}
+	return out
+}
+
+// crashArrivals returns their arrivals at upstreams.
+func crashArrivals(seconds ...int) []arrival {
+	var out []arrival
+	for _, s := range seconds {
+		out = append(out, arrival{id: fmt.Sprint(s), at: time.Duration(s) * time.Second, ran: true})
+	}
+	return out
+}
+
 // coldArrivals returns n requests within a second at an upstream that is cold.
 func coldArrivals(n int) []arrival {
 	var out []arrival
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -11,6 +11,7 @@
 
 const (
 	onGateway class = iota
+	onAllGateways
 	onControl
 	onAllControl
 	onUpstream
@@ -31,15 +32,17 @@
 
 // Disruptions of processes.
 const (
-	killGateway    = "kill_gateway"
-	stopGateway    = "stop_gateway"
-	pauseGateway   = "pause_gateway"
-	moveGateway    = "move_gateway"
-	killControl    = "kill_control"
-	stopControl    = "stop_control"
-	pauseControl   = "pause_control"
-	killAllControl = "kill_all_control"
-	wipeControl    = "wipe_control"
+	killGateway  = "kill_gateway"
+	stopGateway  = "stop_gateway"
+	pauseGateway = "pause_gateway"
+	moveGateway  = "move_gateway"
+	// killAllGateways kills the processes of all gateways at once.
+	killAllGateways = "kill_all_gateways"
+	killControl     = "kill_control"
+	stopControl     = "stop_control"
+	pauseControl    = "pause_control"
+	killAllControl  = "kill_all_control"
+	wipeControl     = "wipe_control"
 	// holdOrder suspends a control VM while orders of the operator wait in its sockets.
 	holdOrder = "hold_order"
 	upgrade   = "upgrade"
@@ -82,6 +85,7 @@
 	{stopGateway, onGateway, 0, 2 * time.Second, 6, false},
 	{pauseGateway, onGateway, 500 * time.Millisecond, 6 * time.Second, 4, false},
 	{moveGateway, onGateway, 0, time.Second, 2, true},
+	{killAllGateways, onAllGateways, 0, time.Second, 1, false},
 	{killControl, onControl, 0, 3 * time.Second, 3, false},
 	{stopControl, onControl, 0, 2 * time.Second, 2, false},
 	{pauseControl, onControl, 500 * time.Millisecond, 6 * time.Second, 3, false},
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -26,7 +26,9 @@
 		}
 		r.strikeNode(ctx, d, r.system.controls[d.Target])
 	case onAllControl:
-		r.strikeAllControl(ctx, d)
+		r.strikeAll(ctx, d, r.system.controls, killControl)
+	case onAllGateways:
+		r.strikeAll(ctx, d, r.system.gateways, killGateway)
 	case onUpstream:
 		r.strikeUpstream(ctx, d, r.system.upstreams[d.Target])
 	case onZone:
@@ -132,13 +134,14 @@
 	callers.Wait()
 }
 
-func (r *run) strikeAllControl(ctx context.Context, d Disruption) {
+// strikeAll strikes each of the VMs with a disruption of the given kind.
+func (r *run) strikeAll(ctx context.Context, d Disruption, nodes []*node, kind string) {
 	var all sync.WaitGroup
-	for i, n := range r.system.controls {
+	for i, n := range nodes {
 		all.Go(func() {
 			d := d
 			d.Target = i
-			d.Kind = killControl
+			d.Kind = kind
 			r.strikeNode(ctx, d, n)
 		})
 	}
