balance: a pause that a new start has asked for outlives its late announcement

What callers could see: requests reach an upstream that has just asked for a pause.

Cause: a pause belongs to the start that the configuration holds. If an upstream was started again and asks for a pause before its first announcement arrives, the pause is recorded under the earlier start, and forgotten with it.

Change: a pause that was asked for after the new start began is carried over, by the time of day at which the gateway was asked.

Result: TestPauseOfNewStartOutlivesItsLateAnnouncement failed without the change ("asked for by the later start") and passes with it; a pause of the earlier start still ends with it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -169,6 +169,9 @@
 	b.members, b.groups = make(map[string][]*upstream), make(map[string][]*upstream)
 	for _, d := range cfg.Upstreams {
 		u := b.upstreams[d.ID]
+		if u != nil && u.Started < d.Started && u.Address == d.Address {
+			b.notices.CarryPause(now, u.start(), d.start())
+		}
 		if u == nil || u.Started != d.Started || u.Address != d.Address {
 			u = &upstream{relativeLatency: 1}
 		}
--- a/internal/balance/notice.go
+++ b/internal/balance/notice.go
@@ -26,6 +26,12 @@
 	return until, isNew
 }
 
+// RecordPauseTime records the Unix time in milliseconds at which the upstream has asked for a
+// pause.
+func (b *Balancer) RecordPauseTime(u Upstream, unixMs uint64) {
+	b.notices.RecordPauseTime(u.start(), unixMs)
+}
+
 // RecordInvalidNotice records a value in an answer of the upstream that is not
 // followed. It reports whether it differs from the last one.
 func (b *Balancer) RecordInvalidNotice(u Upstream, value string) bool {
--- a/internal/balance/notice_test.go
+++ b/internal/balance/notice_test.go
@@ -49,6 +49,36 @@
 	assert.Equal(t, ready, 1)
 }
 
+// Guards against requests to an upstream that has asked for a pause: its new start had asked
+// before the announcement of that start arrived.
+func TestPauseOfNewStartOutlivesItsLateAnnouncement(t *testing.T) {
+	const startedMs = 1_000
+	u := Upstream{ID: "u1", Address: "a:1", Zone: "a", Pool: "p", Started: startedMs, Slots: 2}
+	for _, tc := range []struct {
+		name    string
+		later   Upstream
+		saidMs  uint64
+		carried bool
+	}{
+		{"asked for by the later start", Upstream{Started: startedMs + 500, Address: u.Address}, startedMs + 600, true},
+		{"asked for by the earlier start", Upstream{Started: startedMs + 500, Address: u.Address}, startedMs + 400, false},
+		{"another address", Upstream{Started: startedMs + 500, Address: "b:1"}, startedMs + 600, false},
+		{"time not known", Upstream{Started: startedMs + 500, Address: u.Address}, 0, false},
+	} {
+		b := NewBalancer("a")
+		b.Update(0, Config{Upstreams: []Upstream{u}})
+		b.RecordPause(time.Second, u, time.Minute)
+		b.RecordPauseTime(u, tc.saidMs)
+		later := u
+		later.Started, later.Address = tc.later.Started, tc.later.Address
+		b.Update(2*time.Second, Config{Upstreams: []Upstream{later}})
+		_, ready := b.CountUpstreams(3*time.Second, "p")
+		assert.Equal(t, ready == 0, tc.carried, tc.name)
+		_, ready = b.CountUpstreams(2*time.Minute, "p")
+		assert.Equal(t, ready, 1, tc.name)
+	}
+}
+
 // TestPauseWaitNamesFirstEnd lets upstreams pause, leave and drain.
 func TestPauseWaitNamesFirstEnd(t *testing.T) {
 	var all []Upstream
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -67,6 +67,7 @@
 	st.mu.Lock()
 	now := st.now()
 	until, isNew := st.balancer.RecordPause(now, u, pause)
+	st.balancer.RecordPauseTime(u, uint64(time.Now().UnixMilli()))
 	if isNew {
 		st.dismissPaused(st.balancer.GroupOf(u))
 	}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -30,6 +30,9 @@
 	leaving bool
 	// pausedUntil is the latest end of all pauses.
 	pausedUntil time.Duration
+	// pauseSaidMs is the Unix time in milliseconds at which a pause was last asked for; 0 if
+	// it is not known.
+	pauseSaidMs uint64
 	// window bounds the requests and probes in flight after a pause; 0 means no
 	// bound.
 	window int
@@ -151,6 +154,24 @@
 	return st.pausedUntil, isNew
 }
 
+// RecordPauseTime records the Unix time in milliseconds at which the start has asked for a
+// pause.
+func (n *Notices) RecordPauseTime(s Start, unixMs uint64) {
+	st := n.get(s)
+	st.pauseSaidMs = max(st.pauseSaidMs, unixMs)
+}
+
+// CarryPause moves on the pause of a start that a later one has replaced, if it was asked for
+// after the later one had started: the announcement of that one came late. Start.Started
+// must be a Unix time in milliseconds.
+func (n *Notices) CarryPause(now time.Duration, from, to Start) {
+	said := n.Find(from)
+	if said.Paused(now) && said.pauseSaidMs >= to.Started {
+		n.RecordPause(now, to, said.pausedUntil-now)
+		n.RecordPauseTime(to, said.pauseSaidMs)
+	}
+}
+
 // Merge records what another process has been told by the start.
 func (n *Notices) Merge(now time.Duration, s Start, said Notice) {
 	if said.Leaving {
