--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -122,6 +122,7 @@
 		return nil
 	}
 	put := proto.CloneOf(u)
+	// Only markGone sets it.
 	put.GoneIndex = 0
 	if known && old.StartedMs == u.StartedMs && old.State == catalogpb.UpstreamState_UPSTREAM_STATE_DRAINING {
 		put.State = old.State
--- a/internal/control/convictions.go
+++ b/internal/control/convictions.go
@@ -17,6 +17,9 @@
 	// maxConvictionAge bounds the time for which a conviction is recorded. It is the longest
 	// quarantine that entry VMs can be configured for.
 	maxConvictionAge = 24 * time.Hour
+	// maxClockError is the greatest difference between the times of day of two leaders that is
+	// allowed for.
+	maxClockError = time.Hour
 	// sameCrash is the greatest difference between the times that several entry VMs report
 	// for one crash.
 	sameCrash = 10 * time.Second
@@ -76,7 +79,7 @@
 	for _, c := range cfg.Convictions {
 		until := time.UnixMilli(int64(c.UntilMs))
 		// One that lies too far in the future was recorded while the time of day was wrong.
-		if !wall.Before(until) || until.Sub(wall) > maxConvictionAge || b.removed[convictionID{c.Service, c.Fingerprint}] == c {
+		if !wall.Before(until) || until.Sub(wall) > maxConvictionAge+maxClockError || b.removed[convictionID{c.Service, c.Fingerprint}] == c {
 			update.Remove = append(update.Remove, c)
 		}
 	}
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -48,10 +48,10 @@
 // connection; the end arrives up to a round trip after the order.
 const abandonTime = 25 * time.Millisecond
 
-// awaitAbandon waits until it is known that the caller of an order still waits for the
-// answer. It returns an error of kind OutdatedOrder if the caller has left: it may have
-// given the opposite order to another control VM since. The control VM that a call was
-// forwarded by has waited already.
+// awaitAbandon waits for abandonTime and returns an error of kind OutdatedOrder if the caller
+// of the order has left by then: it may have given the opposite order to another control VM
+// since. It does not wait with a forwarded call, since the control VM that forwarded it has
+// done so.
 func (a *admin) awaitAbandon(ctx context.Context) error {
 	if _, forwarded := ctx.Value(forwardedCallKey{}).(forwardedCall); forwarded {
 		return nil
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -335,11 +335,12 @@
 		a.spoilt = true
 		u.history.addArrival(a)
 		time.Sleep(took)
-		u.crash()
-		time.AfterFunc(time.Second, func() {
-			// An error means that it runs again already.
-			_ = u.run(context.Background())
-		})
+		if u.crash() {
+			time.AfterFunc(time.Second, func() {
+				// The address is free: nothing else starts an upstream that has crashed here.
+				_ = u.run(context.Background())
+			})
+		}
 		return false
 	}
 	body := bodyOf(a.id, a.pool, own)
